--- /dev/null
+++ b/internal/timeline/event.go
@@ -0,0 +1,56 @@
+// Package timeline records what a process did as typed events in a bounded
+// ring, stamped by a hybrid logical clock (Kulkarni et al., "Logical Physical
+// Clocks", 2014) that is passed on with each message between processes. One
+// order over all processes then respects cause and effect without trusting
+// the VMs' clocks. Start reading at Event.
+package timeline
+
+// Kind names what happened.
+type Kind string
+
+// Kinds of events.
+const (
+	KindReceived     Kind = "received"
+	KindTicket       Kind = "ticket"
+	KindGrant        Kind = "grant"
+	KindSent         Kind = "sent"
+	KindStart        Kind = "start"
+	KindFirstToken   Kind = "first_token"
+	KindFinish       Kind = "finish"
+	KindRefusal      Kind = "refusal"
+	KindUnknown      Kind = "unknown"
+	KindRetry        Kind = "retry"
+	KindTargetChange Kind = "target_change"
+	KindLease        Kind = "lease"
+	KindOrder        Kind = "order"
+	KindJoin         Kind = "join"
+	KindLeave        Kind = "leave"
+)
+
+// Stamp is a reading of a hybrid logical clock.
+type Stamp struct {
+	// Wall is the physical part, in nanoseconds since the Unix epoch.
+	Wall int64 `json:"wall" cbor:"1,keyasint"`
+	// Logical orders events that share Wall.
+	Logical uint32 `json:"logical" cbor:"2,keyasint"`
+}
+
+// Before reports whether s is ordered before t.
+func (s Stamp) Before(t Stamp) bool {
+	if s.Wall != t.Wall {
+		return s.Wall < t.Wall
+	}
+	return s.Logical < t.Logical
+}
+
+// Event is one thing that a process did or saw.
+type Event struct {
+	Stamp   Stamp  `json:"stamp"`
+	Process string `json:"process"`
+	Kind    Kind   `json:"kind"`
+	// Request and Class are empty for events that concern no request.
+	Request string `json:"request,omitempty"`
+	Class   string `json:"class,omitempty"`
+	// Detail is a short reason or count; never a prompt, answer or key.
+	Detail string `json:"detail,omitempty"`
+}
--- /dev/null
+++ b/internal/timeline/ring.go
@@ -0,0 +1,40 @@
+package timeline
+
+import "sync"
+
+// Ring keeps a process's latest events, up to a fixed number.
+type Ring struct {
+	process string
+	clock   *Clock
+
+	mu     sync.Mutex
+	events []Event
+	next   int
+}
+
+// NewRing returns a Ring for size events of the named process.
+func NewRing(process string, clock *Clock, size int) *Ring {
+	return &Ring{process: process, clock: clock, events: make([]Event, 0, size)}
+}
+
+// Record stamps an event and keeps it, in place of the oldest when full.
+func (r *Ring) Record(kind Kind, request, class, detail string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := Event{Stamp: r.clock.Now(), Process: r.process, Kind: kind, Request: request, Class: class, Detail: detail}
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % len(r.events)
+}
+
+// Events returns the kept events, oldest first.
+func (r *Ring) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	events := make([]Event, 0, len(r.events))
+	events = append(events, r.events[r.next:]...)
+	return append(events, r.events[:r.next]...)
+}
--- /dev/null
+++ b/policy/ticket.go
@@ -0,0 +1,24 @@
+package policy
+
+import "time"
+
+// Ticket is a request that waits for an engine to have room. It is small; the
+// request's body stays at the entry.
+type Ticket struct {
+	// ID is unique among the tickets of one engine: request and attempt.
+	ID string
+	// Class and Customer name whom the work is for.
+	Class    string
+	Customer string
+	// Tier is the class's priority.
+	Tier Tier
+	// Arrived is when this engine's queue took the ticket.
+	Arrived time.Time
+	// Deadline is when work must start to meet the class's target.
+	Deadline time.Time
+	// Size is the estimated work in tokens, prompt and answer together.
+	Size int
+	// Copies is at how many engines the request holds a ticket; it will run
+	// on one of them.
+	Copies int
+}
