platformtest: an in-memory platform with faults for unit tests

The packages that write to the table service need a lost acknowledgement with and without effect, a write that lands late, a slow and an absent service, each at a chosen commit. One fake serves them all; each fault has its test.

--- /dev/null
+++ b/internal/platform/platformtest/table_test.go
@@ -0,0 +1,66 @@
+package platformtest
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/platform"
+)
+
+func TestFaultsOfACommit(t *testing.T) {
+	tests := []struct {
+		name    string
+		fault   Fault
+		err     error
+		written bool
+		landed  int
+	}{
+		{"none", FaultNone, nil, true, 0},
+		{"down", FaultDown, platform.ErrUnavailable, false, 0},
+		{"lost", FaultLost, platform.ErrOutcomeUnknown, true, 0},
+		{"dropped", FaultDropped, platform.ErrOutcomeUnknown, false, 0},
+		{"late", FaultLate, platform.ErrOutcomeUnknown, false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := NewTable()
+			table.FailCommits(tt.fault)
+			err := table.Commit(t.Context(), []platform.Write{{Key: "k", Value: []byte("v")}})
+			if !errors.Is(err, tt.err) {
+				t.Fatalf("error: got %v, want %v", err, tt.err)
+			}
+			_, err = table.Get(t.Context(), "k")
+			if got := err == nil; got != tt.written {
+				t.Errorf("written: got %v, want %v", got, tt.written)
+			}
+			if got := table.Land(); got != tt.landed {
+				t.Errorf("landed: got %d, want %d", got, tt.landed)
+			}
+		})
+	}
+}
+
+func TestCommitWritesAllOrNothing(t *testing.T) {
+	table := NewTable()
+	writes := []platform.Write{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1"), Expect: 7}}
+	if err := table.Commit(t.Context(), writes); !errors.Is(err, platform.ErrConflict) {
+		t.Fatalf("got %v, want a conflict", err)
+	}
+	rows, err := table.List(t.Context(), "")
+	if err != nil || len(rows) != 0 {
+		t.Fatalf("rows after a conflict: %v, %v", rows, err)
+	}
+}
+
+func TestSlowCommitEndsWithItsContext(t *testing.T) {
+	table := NewTable()
+	table.FailCommits(FaultSlow)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	err := table.Commit(ctx, []platform.Write{{Key: "k"}})
+	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+		t.Fatalf("got %v, want an unknown outcome", err)
+	}
+}
