--- /dev/null
+++ b/internal/claim/sweeper_test.go
@@ -0,0 +1,68 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/platform/platformtest"
+)
+
+var errNotHeld = errors.New("lease is not held")
+
+func sweepAll(t *testing.T, table *platformtest.Table) int {
+	t.Helper()
+	s := NewSweeper(table, nil)
+	removed := 0
+	for shard := range shards {
+		n, err := s.sweep(t.Context(), shard)
+		if err != nil {
+			t.Fatal(err)
+		}
+		removed += n
+	}
+	return removed
+}
+
+func TestSweepKeepsTheRetentionAndRemovesTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := platformtest.NewTable()
+		c := NewClaimer(table)
+		claim := mustGrant(t, c, mustClaim(t, c, "first"), "grant-1")
+		if _, err := c.Finish(t.Context(), claim, Outcome{Whole: true, Answer: []byte("a")}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(Retention + ClockMargin)
+		if n := sweepAll(t, table); n != 0 {
+			t.Fatalf("removed %d claims within retention and margin", n)
+		}
+		time.Sleep(time.Second)
+		if n := sweepAll(t, table); n != 1 {
+			t.Fatalf("removed %d claims after retention and margin, want 1", n)
+		}
+		rows, err := table.List(t.Context(), "")
+		if err != nil || len(rows) != 0 {
+			t.Fatalf("rows left: %v, %v", rows, err)
+		}
+		mustClaim(t, c, "second")
+	})
+}
+
+func TestSweepStopsWithoutTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		err := NewSweeper(platformtest.NewTable(), nil).Run(context.Background(), func() error {
+			asked++
+			if asked > 3 {
+				return errNotHeld
+			}
+			return nil
+		})
+		if !errors.Is(err, errNotHeld) || asked != 4 {
+			t.Fatalf("got %v after %d checks", err, asked)
+		}
+	})
+}
