lease: one holder at a time, fenced, without comparing clocks of VMs

A holder can be stopped past its lease, a renewal's answer can be lost, and a write can arrive after the lease has changed hands.

Change: holders count from before the write was sent and stop 3 s before the end of 15 s; challengers wait until the row is unchanged for 16.5 s on their own monotonic clock. Lease.Commit writes other rows in one transaction with the renewal, so that a late write under an old fencing number takes no effect.

Relying on the monotonic clock alone was ruled out, since it may stand still while a VM is suspended; the longer of monotonic and wall clock counts.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,189 @@
+// Package lease lets one process at a time act for all, by a row in the table
+// service. Start reading at Lease; most callers want a Keeper.
+//
+// # Clocks
+//
+// No clock is compared with another VM's. A holder counts from before it sent
+// the write that the table service confirmed, and stops Margin before the end
+// of Duration. A challenger counts from when it first read the row's latest
+// write, which is later, and may take the lease once the row is unchanged for
+// Duration and challengeMargin on its own monotonic clock. Two clocks may
+// therefore differ in rate by a tenth, which is far more than they do.
+//
+// A holder that was stopped finds its lease lapsed by the longer of two
+// clocks: the monotonic clock runs on while a process is stopped (SIGSTOP) but
+// may stand still while the whole VM is suspended; the wall clock is set
+// forward when a suspended VM resumes. If the platform resumes a VM with both
+// clocks behind, only the fencing number is left: it grows with each change of
+// holder, Lease.Commit writes nothing under an old one, and receivers of
+// orders refuse it (package orders). The same holds for a holder that is
+// stopped between its check and its act.
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/platform/confirm"
+)
+
+// Timing of leases. What is done under a lease may pause for half a minute
+// when its holder dies, so the lease can be long and renewals cheap.
+const (
+	// Duration is how long a write of the row holds.
+	Duration = 15 * time.Second
+	// Margin is how long before the end of Duration a holder stops: the time
+	// it needs to end what it does.
+	Margin = 3 * time.Second
+	// RenewInterval leaves a holder two more tries after one that failed.
+	RenewInterval = 4 * time.Second
+	// challengeMargin is a tenth of Duration, for clocks of different rate.
+	challengeMargin = Duration / 10
+)
+
+// Lease is one process's part in a lease. It is safe for concurrent use.
+//
+// Lock order: writing before mu.
+type Lease struct {
+	table  platform.Table
+	row    string
+	holder string
+
+	// writing is held through each write of the row, so that this process
+	// never competes with itself.
+	writing sync.Mutex
+
+	mu sync.Mutex
+	// fence is the number of the lease held, zero when none is.
+	fence uint64
+	// since is when the write that is in force was sent.
+	since time.Time
+	// seen is the latest write of another holder, first read at seenAt.
+	seen   string
+	seenAt time.Time
+}
+
+// New returns a process's part in the named lease, which is not held yet. The
+// holder names the process for operators; each Lease is a holder of its own,
+// also under the same name.
+func New(table platform.Table, name, holder string) *Lease {
+	return &Lease{table: table, row: rowKey(name), holder: holder + "/" + uuid.NewString()}
+}
+
+// Acquire tries once to get the lease. Errors: HeldError, ErrUnavailable,
+// ErrLost when another challenger was faster.
+func (l *Lease) Acquire(ctx context.Context) error {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	sent := time.Now()
+	now, err := read(ctx, l.table, l.row)
+	if err != nil {
+		return err
+	}
+	if wait := l.wait(now); wait > 0 {
+		return &HeldError{Holder: now.record.Holder, Wait: wait}
+	}
+	next := record{Write: uuid.NewString(), Holder: l.holder, Fence: now.record.Fence + 1}
+	if err := l.write(ctx, now, next, nil); err != nil {
+		return err
+	}
+	l.hold(next.Fence, sent)
+	return nil
+}
+
+// Renew extends the lease. Errors: ErrLost, after which it is no longer held;
+// ErrUnavailable, after which it still holds until its end.
+func (l *Lease) Renew(ctx context.Context) error {
+	return l.Commit(ctx, nil)
+}
+
+// Commit renews the lease and applies the writes in one transaction, so that
+// none of them takes effect once another process holds the lease, however
+// late they arrive. Errors: ErrLost; ErrConflict when a row of the writes was
+// at another version; ErrUnavailable, after which the lease still holds until
+// its end, and the writes may have taken effect.
+func (l *Lease) Commit(ctx context.Context, writes []platform.Write) error {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	if err := l.Check(); err != nil {
+		return err
+	}
+	fence := l.Fence()
+	sent := time.Now()
+	now, err := read(ctx, l.table, l.row)
+	if err != nil {
+		return err
+	}
+	if now.record.Fence != fence {
+		l.drop()
+		return ErrLost
+	}
+	next := record{Write: uuid.NewString(), Holder: l.holder, Fence: fence}
+	if err := l.write(ctx, now, next, writes); err != nil {
+		return l.refine(ctx, fence, err)
+	}
+	l.hold(fence, sent)
+	return nil
+}
+
+// Release gives the lease up, so that a challenger needn't wait. The caller
+// must have stopped acting.
+func (l *Lease) Release(ctx context.Context) error {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	fence := l.Fence()
+	l.drop()
+	if fence == 0 {
+		return nil
+	}
+	now, err := read(ctx, l.table, l.row)
+	if err != nil {
+		return err
+	}
+	if now.record.Fence != fence {
+		return nil
+	}
+	next := record{Write: uuid.NewString(), Holder: l.holder, Fence: fence, Released: true}
+	return l.write(ctx, now, next, nil)
+}
+
+// refine finds out whether a conflict was about the lease or about the other
+// rows of a transaction.
+func (l *Lease) refine(ctx context.Context, fence uint64, err error) error {
+	if !errors.Is(err, ErrLost) {
+		return err
+	}
+	now, readErr := read(ctx, l.table, l.row)
+	switch {
+	case readErr != nil:
+		return readErr
+	case now.record.Fence == fence:
+		return ErrConflict
+	}
+	l.drop()
+	return ErrLost
+}
+
+// write replaces the row as read by next, together with the other writes.
+func (l *Lease) write(ctx context.Context, now stored, next record, others []platform.Write) error {
+	write, err := next.write(l.row, now.version)
+	if err != nil {
+		return err
+	}
+	writes := append([]platform.Write{write}, others...)
+	err = confirm.Commit(ctx, l.table, writes, func(ctx context.Context) (confirm.Verdict, error) {
+		return verdict(ctx, l.table, l.row, now.version, next.Write)
+	})
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, confirm.ErrConflict):
+		return ErrLost
+	}
+	return errors.Join(ErrUnavailable, err)
+}
--- a/internal/platform/platformtest/table.go
+++ b/internal/platform/platformtest/table.go
@@ -116,6 +116,9 @@
 
 // Commit implements platform.Table.
 func (t *Table) Commit(ctx context.Context, writes []platform.Write) error {
+	if ctx.Err() != nil {
+		return platform.ErrUnavailable
+	}
 	if before := t.hook(); before != nil {
 		before(writes)
 	}
@@ -124,9 +127,6 @@
 		<-ctx.Done()
 		return platform.ErrOutcomeUnknown
 	}
-	if ctx.Err() != nil {
-		return platform.ErrUnavailable
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.commit(fault, writes)
--- a/internal/platform/platformtest/table_test.go
+++ b/internal/platform/platformtest/table_test.go
@@ -58,7 +58,7 @@
 	table := NewTable()
 	table.FailCommits(FaultSlow)
 	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
+	table.BeforeCommit(func([]platform.Write) { cancel() })
 	err := table.Commit(ctx, []platform.Write{{Key: "k"}})
 	if !errors.Is(err, platform.ErrOutcomeUnknown) {
 		t.Fatalf("got %v, want an unknown outcome", err)
