auth: callers, operators and the system's processes by their keys

Operators and the system's processes each by a shared key. A key that is not set lets nothing through.

--- /dev/null
+++ b/internal/auth/auth_test.go
@@ -0,0 +1,76 @@
+package auth
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/targets"
+)
+
+func TestCaller(t *testing.T) {
+	set := &targets.Set{Customers: []targets.Customer{
+		{Name: "kaivonkansi", KeyHash: HashKey("key-k")},
+		{Name: "ledger", KeyHash: HashKey("key-l")},
+	}}
+	tests := []struct {
+		name, authorization, header string
+		trust                       bool
+		want                        string
+		err                         error
+	}{
+		{"key", "Bearer key-l", "", false, "ledger", nil},
+		{"key with another case of the scheme", "bearer key-k", "", false, "kaivonkansi", nil},
+		{"key goes before the header", "Bearer key-l", "kaivonkansi", true, "ledger", nil},
+		{"wrong key is not saved by the header", "Bearer key-x", "kaivonkansi", true, "", ErrUnknownKey},
+		{"hash is not a key", "Bearer " + HashKey("key-l"), "", false, "", ErrUnknownKey},
+		{"another scheme", "Basic key-l", "", false, "", ErrNoKey},
+		{"nothing", "", "", true, "", ErrNoKey},
+		{"header that is not trusted", "", "ledger", false, "", ErrNoKey},
+		{"trusted header", "", "ledger", true, "ledger", nil},
+		{"trusted header of nobody", "", "nobody", true, "", ErrUnknownCustomer},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodPost, "/", nil)
+			r.Header.Set("Authorization", tt.authorization)
+			r.Header.Set(CustomerHeader, tt.header)
+			got, err := Caller(set, tt.trust, r)
+			if got != tt.want || !errors.Is(err, tt.err) {
+				t.Fatalf("got %q, %v, want %q, %v", got, err, tt.want, tt.err)
+			}
+		})
+	}
+}
+
+func TestMiddleware(t *testing.T) {
+	tests := []struct {
+		name, key, sent string
+		status          int
+	}{
+		{"right key", "secret", "secret", http.StatusNoContent},
+		{"wrong key", "secret", "guess", http.StatusUnauthorized},
+		{"no key", "secret", "", http.StatusUnauthorized},
+		{"key that is not set lets nothing through", "", "", http.StatusUnauthorized},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := Operator(tt.key)(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusNoContent)
+			}))
+			r := httptest.NewRequest(http.MethodGet, "/", nil)
+			SetBearer(r.Header, tt.sent)
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			if w.Code != tt.status {
+				t.Fatalf("status: got %d, want %d", w.Code, tt.status)
+			}
+			if tt.sent != "" && strings.Contains(w.Body.String(), tt.sent) {
+				t.Fatal("the answer repeats the key")
+			}
+		})
+	}
+}
