--- a/policy/decision.go
+++ b/policy/decision.go
@@ -11,4 +11,8 @@
 	// RetryAfter is when coming back is expected to succeed; set when the
 	// ticket is refused.
 	RetryAfter time.Duration
+	// Displaced lists waiting tickets that gave way to this one since the
+	// queue was full. They are refused at once and certainly not run; their
+	// time to come back is Scheduler.RetryAfter of their tier.
+	Displaced []string
 }
--- /dev/null
+++ b/policy/hint.go
@@ -0,0 +1,15 @@
+package policy
+
+import "time"
+
+// Hint combines the refusals of a request's agents to the Retry-After that
+// its caller gets.
+func Hint(refusals []Decision) time.Duration {
+	hint := time.Duration(0)
+	for _, r := range refusals {
+		if hint == 0 || r.RetryAfter < hint {
+			hint = r.RetryAfter
+		}
+	}
+	return max(hint, time.Second)
+}
--- a/policy/ticket.go
+++ b/policy/ticket.go
@@ -21,4 +21,7 @@
 	// Copies is at how many engines the request holds a ticket; it will run
 	// on one of them.
 	Copies int
+	// FirstToken and BetweenTokens are the class's targets; zero means none.
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
 }
