--- /dev/null
+++ b/policy/admission.go
@@ -0,0 +1,132 @@
+package policy
+
+import "time"
+
+// coldWaiting is how many tickets an engine that was never seen busy takes
+// per slot: two rounds of runs. Nothing is known of its rate, and a wait of
+// one round is seen at its end.
+const coldWaiting = 2
+
+// offer decides whether a ticket is let in.
+//
+// It answers demand beyond capacity: without it the queue grows until every
+// ticket waits past its target and all of the engine's work is late. A ticket
+// is let in when the work before it, at the engine's true rate, leaves it in
+// time. The top tier is let in whatever the estimate. So is one ticket of a
+// class that has nothing waiting and got nothing for starvedAfter, since each
+// class is to be served eventually; it may be late.
+func (s *Scheduler) offer(now time.Time, t Ticket) Decision {
+	if t.Tier != TopTier && !s.owed(now, t) {
+		wait := s.estimate(now, t)
+		late := s.lateness(now, t, wait)
+		if late > 0 {
+			return s.refuse(t, late)
+		}
+	}
+	return s.enqueue(now, t)
+}
+
+// lateness is by how much t would start too late after a wait.
+func (s *Scheduler) lateness(now time.Time, t Ticket, wait time.Duration) time.Duration {
+	startBy := s.startBy(t)
+	if startBy.IsZero() {
+		return 0
+	}
+	return now.Add(wait).Sub(startBy)
+}
+
+// owed reports whether t's class is to get a ticket in whatever the wait.
+func (s *Scheduler) owed(now time.Time, t Ticket) bool {
+	return s.queue.tiers[t.Tier].byName[t.Class] == nil && !s.lately.has(now, t.Class)
+}
+
+// startBy is when t must start here: its deadline, less the time that this
+// engine takes from the start to what the deadline is for.
+func (s *Scheduler) startBy(t Ticket) time.Time {
+	if t.Deadline.IsZero() {
+		return time.Time{}
+	}
+	switch t.Due {
+	case MilestoneFirstToken:
+		return t.Deadline.Add(-s.limiter.baseline.of(ticketSize(t)))
+	case MilestoneCompletion:
+		return t.Deadline.Add(-s.rate.runTime(ticketSize(t), s.limiter.limit))
+	default:
+		return t.Deadline
+	}
+}
+
+// enqueue takes t in if the bounded queue has room or something gives way.
+func (s *Scheduler) enqueue(now time.Time, t Ticket) Decision {
+	var displaced []string
+	if s.queue.Len() >= maxWaiting {
+		id, ok := s.queue.displace(t)
+		switch {
+		case ok:
+			displaced = append(displaced, id)
+		case t.Tier == TopTier && s.queue.tiers[TopTier].count < maxWaiting:
+			// All that wait are resumed runs of lower tiers; go past the bound.
+		default:
+			decision := s.refuse(t, s.estimate(now, t))
+			decision.Full = true
+			return decision
+		}
+	}
+	s.queue.push(now, newWaiting(t, s.startBy(t), false))
+	return Decision{Admitted: true, Displaced: displaced}
+}
+
+// refuse turns t away; late is how much earlier it would have had to come.
+func (s *Scheduler) refuse(t Ticket, late time.Duration) Decision {
+	hint := s.promises.next(t.Tier, expectedWork(t), late, s.rateFor(t.Tier))
+	return Decision{RetryAfter: hint}
+}
+
+// estimate is how long t would wait.
+func (s *Scheduler) estimate(now time.Time, t Ticket) time.Duration {
+	work := expectedWork(t)
+	ahead := s.workAbove(t.Tier) + s.queue.tiers[t.Tier].workAhead(t, work)
+	return s.waitFor(now, t.Tier, ahead)
+}
+
+func (s *Scheduler) workAbove(t Tier) float64 {
+	sum := 0.0
+	for _, tier := range s.queue.tiers[:t] {
+		sum += tier.work
+	}
+	return sum
+}
+
+// waitFor is how long it takes until the engine has room for a ticket of a
+// tier after the work ahead of it.
+func (s *Scheduler) waitFor(now time.Time, t Tier, ahead float64) time.Duration {
+	free := s.limiter.slots(t) - len(s.running.byID)
+	if free > s.queue.Len() {
+		return 0
+	}
+	if !s.rate.known() {
+		return s.coldWait()
+	}
+	rate := s.rate.stalled(now, s.rateFor(t))
+	if free <= 0 {
+		ahead += s.rate.meanSize
+	}
+	return seconds(ahead / rate)
+}
+
+// coldWait is the estimate for an engine that was never seen busy: none while
+// few wait, and no hope beyond that.
+func (s *Scheduler) coldWait() time.Duration {
+	if s.queue.Len() < coldWaiting*s.limiter.limit {
+		return 0
+	}
+	return longest
+}
+
+// rateFor is the work per second that the engine does for a tier and those
+// below it: what the more urgent tiers leave of the true rate, and the
+// guaranteed share at least.
+func (s *Scheduler) rateFor(t Tier) float64 {
+	rate := s.rate.at(s.limiter.slots(t))
+	return max(guaranteedShare*rate, rate-s.demand.above(t))
+}
--- /dev/null
+++ b/policy/fake_engine_test.go
@@ -0,0 +1,69 @@
+package policy
+
+import "time"
+
+// fakeEngine batches a bounded number of streams; the time between tokens
+// grows with each. What doesn't fit waits inside, first in, first out.
+type fakeEngine struct {
+	batch int
+	// foreign streams of others take places in the batch.
+	foreign int
+	// slow stretches all times; 1 is normal.
+	slow float64
+
+	promptToken time.Duration
+	interval    time.Duration
+	perStream   time.Duration
+
+	streams int
+	line    []func()
+}
+
+func newFakeEngine(batch int) *fakeEngine {
+	return &fakeEngine{
+		batch:       batch,
+		slow:        1,
+		promptToken: 100 * time.Microsecond,
+		interval:    20 * time.Millisecond,
+		perStream:   time.Millisecond,
+	}
+}
+
+// enter calls run when the batch has a place.
+func (e *fakeEngine) enter(run func()) {
+	if e.streams+e.foreign < e.batch {
+		e.streams++
+		run()
+		return
+	}
+	e.line = append(e.line, run)
+}
+
+// leave frees a place.
+func (e *fakeEngine) leave() {
+	e.streams--
+	for len(e.line) > 0 && e.streams+e.foreign < e.batch {
+		run := e.line[0]
+		e.line = e.line[1:]
+		e.streams++
+		run()
+	}
+}
+
+func (e *fakeEngine) prefill(prompt int) time.Duration {
+	load := 1 + float64(e.streams+e.foreign)/float64(e.batch)
+	return time.Duration(float64(prompt) * float64(e.promptToken) * load * e.slow)
+}
+
+func (e *fakeEngine) between() time.Duration {
+	d := e.interval + time.Duration(e.streams+e.foreign)*e.perStream
+	return time.Duration(float64(d) * e.slow)
+}
+
+// capacity is how many requests of a kind a full batch completes per second.
+func (e *fakeEngine) capacity(w workload) float64 {
+	full := *e
+	full.streams = e.batch - e.foreign
+	run := full.prefill(w.prompt) + time.Duration(w.answer)*full.between()
+	return float64(full.streams) / run.Seconds()
+}
--- /dev/null
+++ b/policy/limiter.go
@@ -0,0 +1,198 @@
+package policy
+
+import "time"
+
+const (
+	// coldLimit is the limit of an engine of which nothing is known: a batch
+	// of eight is what small engines take, and what is too many waits in the
+	// engine for one run at most.
+	coldLimit = 8
+	// minLimit leaves one slot to the urgent tiers and one to the others.
+	minLimit = 2
+	// maxLimit bounds the state of one engine.
+	maxLimit = 512
+	// steepestCut bounds one step down, so that a few unlucky samples cost
+	// three tenths of the engine at most.
+	steepestCut = 0.7
+	// holdRatio is where the limit stops growing for the time between
+	// tokens: it grows with each stream, and between 0.9 and 1 of the target
+	// there is nothing to gain.
+	holdRatio = 0.9
+	// queueFactor is how many times its baseline a first token may take
+	// before it counts as delayed inside the engine: reading a prompt beside
+	// a full batch takes up to two times as long as alone.
+	queueFactor = 3
+	// queueFloor is a delay that is never taken as a sign, whatever the
+	// baseline: about the scheduling noise of a busy VM.
+	queueFloor = 50 * time.Millisecond
+	// probeSoonest and probeLatest bound the pause between two trials of one
+	// more run; it doubles with each trial that fails.
+	probeSoonest = 5 * time.Second
+	probeLatest  = 60 * time.Second
+	// probeLength ends a trial that saw too little to judge.
+	probeLength = 5 * time.Second
+)
+
+// limiter decides how much runs at once on an engine. It lowers the limit
+// when first tokens show that runs wait inside the engine, or when the time
+// between tokens is above the target of what runs, and looks for room by
+// trials of one run more.
+//
+// It answers engines whose capacity isn't known and changes, since they carry
+// load of others too. With too high a limit runs wait inside the engine,
+// where an urgent one can't pass them, and all streams are slow; with too low
+// a one the engine idles while tickets wait.
+//
+// The steps: on a cold engine every good first token adds a slot while
+// tickets wait, which doubles the limit in one round of first tokens. The
+// first sign of waiting inside the engine sets the limit to the streams that
+// really ran at once, which is the engine's batch. From then on it moves by
+// one slot up after a full window of samples, and down by three tenths at
+// most.
+type limiter struct {
+	limit   int
+	ramping bool
+	probing bool
+	// probeAt and probePause time the trials.
+	probeAt    time.Time
+	probePause time.Duration
+	baseline   baseline
+	window     limitWindow
+	streaming  int
+}
+
+func newLimiter() limiter {
+	return limiter{limit: coldLimit, ramping: true, probePause: probeSoonest}
+}
+
+// delayed reports whether a first token that took, or has taken so far, d was
+// held up inside the engine.
+func (l *limiter) delayed(t Ticket, d time.Duration) bool {
+	base := l.baseline.of(ticketSize(t))
+	if base == 0 {
+		return false
+	}
+	bound := max(queueFactor*base, base+queueFloor)
+	if t.FirstToken > 0 {
+		bound = min(bound, max(t.FirstToken/2, base+queueFloor))
+	}
+	return d > bound
+}
+
+// counts reports whether a run began under the present limit.
+func (l *limiter) counts(startedAt time.Time) bool {
+	return !startedAt.Before(l.window.start)
+}
+
+// slots is how many runs may be on the engine for another one of a tier to
+// start.
+func (l *limiter) slots(t Tier) int {
+	slots := slotsFor(t, l.limit)
+	if l.probing {
+		slots = max(slots, l.limit+1)
+	}
+	return slots
+}
+
+// full says that a ticket waits for want of a slot.
+func (l *limiter) full(now time.Time) {
+	l.window.full = true
+	if l.ramping || l.probing || now.Before(l.probeAt) || l.window.worstRatio() >= holdRatio {
+		return
+	}
+	l.probing = true
+	l.window = newLimitWindow(now, l.streaming)
+}
+
+// firstToken takes the first token of a run; counted says that the run was
+// overdue before.
+func (l *limiter) firstToken(now time.Time, t Ticket, startedAt time.Time, counted bool) {
+	l.streaming++
+	l.window.streams = max(l.window.streams, l.streaming)
+	d := now.Sub(startedAt)
+	delayed := l.delayed(t, d)
+	l.baseline.observe(now, ticketSize(t), d)
+	if counted || (!l.ramping && !l.counts(startedAt)) {
+		return
+	}
+	l.window.firstToken(delayed)
+	if l.ramping && !delayed && l.window.full && l.window.worstRatio() < holdRatio {
+		l.limit = min(l.limit+1, maxLimit)
+	}
+	l.judge(now)
+}
+
+// overdue takes a run that still has no first token after longer than it
+// should.
+func (l *limiter) overdue(now time.Time, startedAt time.Time) {
+	if !l.ramping && !l.counts(startedAt) {
+		return
+	}
+	l.window.firstToken(true)
+	l.judge(now)
+}
+
+// interval takes a run's time between tokens.
+func (l *limiter) interval(now time.Time, t Ticket, d time.Duration) {
+	if t.BetweenTokens <= 0 {
+		return
+	}
+	l.window.interval(t.Tier, float64(d)/float64(t.BetweenTokens))
+	l.judge(now)
+}
+
+// ended takes that a stream ended.
+func (l *limiter) ended() {
+	l.streaming--
+}
+
+func (l *limiter) judge(now time.Time) {
+	ratio := l.window.worstRatio()
+	switch {
+	case l.window.queued():
+		l.cut(now, l.window.streams)
+	case ratio > 1:
+		l.cut(now, int(float64(l.limit)/ratio))
+	case l.probing:
+		l.judgeProbe(now)
+	case !l.ramping && l.window.samples >= windowSamples:
+		l.window = newLimitWindow(now, l.streaming)
+	}
+}
+
+// judgeProbe ends a trial: with a full window of good samples the slot stays
+// and the next trial follows at once.
+func (l *limiter) judgeProbe(now time.Time) {
+	if l.window.samples >= windowSamples && l.window.worstRatio() < holdRatio {
+		l.limit = min(l.limit+1, maxLimit)
+		l.probePause = probeSoonest
+		l.window = newLimitWindow(now, l.streaming)
+		return
+	}
+	if now.Sub(l.window.start) >= probeLength {
+		l.endProbe(now)
+	}
+}
+
+func (l *limiter) endProbe(now time.Time) {
+	l.probing = false
+	l.probePause = min(2*l.probePause, probeLatest)
+	l.probeAt = now.Add(l.probePause)
+	l.window = newLimitWindow(now, l.streaming)
+}
+
+// cut lowers the limit towards a number, or ends the trial that went too far.
+func (l *limiter) cut(now time.Time, to int) {
+	if l.probing {
+		l.endProbe(now)
+		return
+	}
+	least := max(minLimit, int(float64(l.limit)*steepestCut))
+	if l.ramping {
+		least = minLimit
+	}
+	l.limit = min(l.limit, max(least, min(to, l.limit-1)))
+	l.ramping = false
+	l.probeAt = now.Add(l.probePause)
+	l.window = newLimitWindow(now, l.streaming)
+}
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -2,95 +2,228 @@
 
 import "time"
 
-// coldLimit is how many runs an engine gets before anything is known of it.
-const coldLimit = 8
-
 // Scheduler decides for one engine: what is let in, what waits, what runs
 // next and how much runs at once. Its agent calls it under the agent's lock;
 // it is not safe for concurrent use.
 type Scheduler struct {
-	waiting [tierCount][]Ticket
-	running map[string]Ticket
+	queue     *Queue
+	running   running
+	limiter   limiter
+	rate      serviceRate
+	demand    demand
+	promises  promises
+	guarantee guarantee
+	lately    grantedLately
+	// now is the time of the last call.
+	now time.Time
 }
 
 // NewScheduler returns a Scheduler for an engine of which nothing is known.
 func NewScheduler() *Scheduler {
-	return &Scheduler{running: map[string]Ticket{}}
+	return &Scheduler{
+		queue:   NewQueue(),
+		running: newRunning(),
+		limiter: newLimiter(),
+		lately:  newGrantedLately(),
+	}
+}
+
+// advance brings the accounts of time up to now.
+func (s *Scheduler) advance(now time.Time) {
+	if now.Before(s.now) {
+		return
+	}
+	s.now = now
+	s.running.advance(now)
+	s.demand.advance(now)
+	s.promises.advance(now, s.rateFor)
+	s.guarantee.advance(now, s.limiter.limit)
+	s.countOverdue(now)
 }
 
-// Offer takes a ticket in, or refuses it.
+// countOverdue tells the limiter of runs whose first token is late.
+func (s *Scheduler) countOverdue(now time.Time) {
+	for _, r := range s.running.pending {
+		if !r.overdue && s.limiter.delayed(r.ticket, now.Sub(r.started)) {
+			r.overdue = true
+			s.limiter.overdue(now, r.started)
+		}
+	}
+}
+
+// Offer takes a ticket in, or refuses it; a refused one is not run.
 func (s *Scheduler) Offer(now time.Time, t Ticket) Decision {
-	s.Resume(now, t)
-	return Decision{Admitted: true}
+	s.advance(now)
+	t.Arrived = now
+	return s.offer(now, t)
 }
 
-// Resume takes in a retry of a request that ran in part.
+// Resume takes in a retry of a request that ran in part. It is never refused,
+// whatever the estimate and the bound of the queue, since its caller holds a
+// part of the answer; its order is that of its tier.
 func (s *Scheduler) Resume(now time.Time, t Ticket) {
+	s.advance(now)
 	t.Arrived = now
-	s.waiting[t.Tier] = append(s.waiting[t.Tier], t)
+	s.queue.push(now, newWaiting(t, s.startBy(t), true))
 }
 
 // Withdraw removes a waiting ticket and reports whether there was one.
 func (s *Scheduler) Withdraw(id string) bool {
-	for tier, line := range s.waiting {
-		for i, t := range line {
-			if t.ID == id {
-				s.waiting[tier] = append(line[:i:i], line[i+1:]...)
-				return true
-			}
-		}
+	w := s.queue.byID[id]
+	if w == nil {
+		return false
 	}
-	return false
+	s.queue.remove(w)
+	return true
 }
 
 // Next returns the ticket to grant now, if there is room for one. The ticket
 // holds its slot until Finished.
 func (s *Scheduler) Next(now time.Time) (Ticket, bool) {
-	if len(s.running) >= coldLimit {
+	s.advance(now)
+	class := s.queue.next()
+	if class == nil {
 		return Ticket{}, false
 	}
-	for tier, line := range s.waiting {
-		if len(line) > 0 {
-			s.waiting[tier] = line[1:]
-			s.running[line[0].ID] = line[0]
-			return line[0], true
-		}
+	full := len(s.running.byID) >= s.limiter.slots(class.head().ticket.Tier)
+	if full {
+		s.limiter.full(now)
+	}
+	if starved := s.starved(now); starved != nil && (full || starved != class) {
+		return s.grant(now, starved, true), true
+	}
+	if full {
+		return Ticket{}, false
+	}
+	return s.grant(now, class, false), true
+}
+
+// starved is the class that the guarantee serves now, if any. It leaves the
+// slots that are kept back to the urgent tiers while these don't use them.
+func (s *Scheduler) starved(now time.Time) *classQueue {
+	limit := s.limiter.limit
+	room := len(s.running.byID) < limit && s.running.lower < slotsFor(BottomTier, limit)
+	if !room || !s.guarantee.allows(limit) {
+		return nil
+	}
+	class := s.queue.longestWaiting()
+	if now.Sub(class.since) < starvedAfter {
+		return nil
+	}
+	return class
+}
+
+func (s *Scheduler) grant(now time.Time, class *classQueue, guaranteed bool) Ticket {
+	t := s.queue.grant(now, class)
+	s.running.add(&run{ticket: t, granted: now, guaranteed: guaranteed})
+	s.lately.add(now, t.Class)
+	if guaranteed {
+		s.guarantee.running++
+	} else {
+		s.demand.add(t)
 	}
-	return Ticket{}, false
+	return t
 }
 
 // Started says that a grant was taken up.
-func (s *Scheduler) Started(now time.Time, id string) {}
+func (s *Scheduler) Started(now time.Time, id string) {
+	s.advance(now)
+	r := s.running.byID[id]
+	if r == nil || !r.started.IsZero() {
+		return
+	}
+	s.running.start(now, r)
+}
 
 // Tokens says that n tokens came; the first call is the first token.
-func (s *Scheduler) Tokens(now time.Time, id string, n int) {}
+func (s *Scheduler) Tokens(now time.Time, id string, n int) {
+	s.advance(now)
+	r := s.running.byID[id]
+	if r == nil || r.started.IsZero() {
+		return
+	}
+	if r.lastToken.IsZero() {
+		r.lastToken = now
+		s.running.dropPending(r)
+		s.limiter.firstToken(now, r.ticket, r.started, r.overdue)
+		return
+	}
+	s.limiter.interval(now, r.ticket, r.tokens(now, n))
+}
 
 // Finished frees the slot of a granted ticket.
 func (s *Scheduler) Finished(now time.Time, id string, o Outcome) {
-	delete(s.running, id)
+	s.advance(now)
+	r := s.running.byID[id]
+	if r == nil {
+		return
+	}
+	s.running.remove(r)
+	if r.guaranteed {
+		s.guarantee.running--
+	}
+	if !r.lastToken.IsZero() {
+		s.limiter.ended()
+	}
+	if o == OutcomeWhole && !r.started.IsZero() {
+		s.rate.observe(now, ticketSize(r.ticket), now.Sub(r.started), s.running.concurrency(now, r))
+	}
 }
 
 // Expire removes and returns the waiting tickets that can't meet their target
-// any more; their caller is told at once that they were not run. NextWake
+// any more; their callers are told at once that they were not run. NextWake
 // says when to call it.
-func (s *Scheduler) Expire(now time.Time) []string { return nil }
+func (s *Scheduler) Expire(now time.Time) []string {
+	s.advance(now)
+	return s.queue.expire(now)
+}
 
 // RetryAfter is the time to come back for a ticket of a tier that was
 // displaced or has expired.
-func (s *Scheduler) RetryAfter(now time.Time, tier Tier) time.Duration { return time.Second }
-
-// Preempt names a lower-tier run to cancel for a waiting urgent ticket.
-func (s *Scheduler) Preempt(now time.Time) (id string, ok bool) { return "", false }
+func (s *Scheduler) RetryAfter(now time.Time, tier Tier) time.Duration {
+	s.advance(now)
+	wait := s.waitFor(now, tier, s.workAbove(tier+1))
+	return s.promises.next(tier, s.rate.meanSize, wait, s.rateFor(tier))
+}
 
-// Load describes the queue.
+// Load describes the queue as of the last call.
 func (s *Scheduler) Load() Load {
-	load := Load{Running: len(s.running), Limit: coldLimit}
-	for _, line := range s.waiting {
-		load.Waiting += len(line)
+	load := Load{
+		Waiting: s.queue.Len(),
+		Running: len(s.running.byID),
+		Limit:   s.limiter.limit,
+	}
+	for t := range load.EstimatedWait {
+		load.EstimatedWait[t] = s.waitFor(s.now, Tier(t), s.workAbove(Tier(t)+1))
 	}
 	return load
 }
 
 // NextWake says when a decision is due that no other call brings about: then
 // Expire and Next are to be called.
-func (s *Scheduler) NextWake(now time.Time) (time.Time, bool) { return time.Time{}, false }
+func (s *Scheduler) NextWake(now time.Time) (time.Time, bool) {
+	var wake time.Time
+	if len(s.queue.deadlines) > 0 {
+		wake = s.queue.deadlines[0].startBy.Add(time.Nanosecond)
+	}
+	if due, ok := s.guaranteeDue(now); ok && (wake.IsZero() || due.Before(wake)) {
+		wake = due
+	}
+	return wake, !wake.IsZero()
+}
+
+// guaranteeDue is when the guarantee will serve a class out of a slot that is
+// free now.
+func (s *Scheduler) guaranteeDue(now time.Time) (time.Time, bool) {
+	limit := s.limiter.limit
+	room := len(s.running.byID) < limit && s.running.lower < slotsFor(BottomTier, limit)
+	class := s.queue.longestWaiting()
+	if !room || class == nil || s.guarantee.running >= guaranteedSlots(limit) {
+		return time.Time{}, false
+	}
+	due := class.since.Add(starvedAfter)
+	if credit := s.guarantee.due(now, limit); credit.After(due) {
+		due = credit
+	}
+	return due, true
+}
--- a/policy/ticket.go
+++ b/policy/ticket.go
@@ -14,8 +14,10 @@
 	Tier Tier
 	// Arrived is when this engine's queue took the ticket.
 	Arrived time.Time
-	// Deadline is when work must start to meet the class's target.
+	// Deadline is when the class's target requires Due to be reached.
 	Deadline time.Time
+	// Due is what Deadline is for; when unset, that work has started.
+	Due Milestone
 	// Size is the estimated work in tokens, prompt and answer together.
 	Size int
 	// Copies is at how many engines the request holds a ticket; it will run
