--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,61 @@
+// Package logging writes the processes' logs: one line of key=value pairs for
+// each event, to standard error. The event names are constants of this
+// package and stay stable, so that operators can search and alert on them. A
+// line never holds a prompt, an answer or a key. Start reading at New.
+package logging
+
+import (
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// ErrLevel: the level is not debug, info, warn or error.
+var ErrLevel = errors.New("log level must be debug, info, warn or error")
+
+// New returns a logger for the named process. The empty level means info. The
+// message of each line is its event's name:
+//
+//	log.Info(logging.EventStarted, logging.Request(id))
+func New(level string, process string) (*zap.Logger, error) {
+	return newLogger(os.Stderr, level, process)
+}
+
+func newLogger(out io.Writer, level string, process string) (*zap.Logger, error) {
+	enabled, err := parseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding()), zapcore.Lock(zapcore.AddSync(out)), enabled)
+	return zap.New(core).With(zap.String(keyProcess, process)), nil
+}
+
+func parseLevel(level string) (zapcore.Level, error) {
+	switch level {
+	case "", "info":
+		return zapcore.InfoLevel, nil
+	case "debug":
+		return zapcore.DebugLevel, nil
+	case "warn":
+		return zapcore.WarnLevel, nil
+	case "error":
+		return zapcore.ErrorLevel, nil
+	default:
+		return zapcore.InvalidLevel, errors.Wrapf(ErrLevel, "%q", level)
+	}
+}
+
+func encoding() zapcore.EncoderConfig {
+	return zapcore.EncoderConfig{
+		TimeKey:        keyTime,
+		LevelKey:       keyLevel,
+		MessageKey:     keyEvent,
+		EncodeTime:     zapcore.RFC3339NanoTimeEncoder,
+		EncodeLevel:    zapcore.LowercaseLevelEncoder,
+		EncodeDuration: zapcore.StringDurationEncoder,
+	}
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -12,7 +12,7 @@
 	// Listen is the host:port for callers.
 	Listen string `yaml:"listen" validate:"required,hostname_port"`
 	// AdminListen is the host:port for operators, metrics and health.
-	AdminListen string `yaml:"admin_listen" validate:"required,hostname_port"`
+	AdminListen string `yaml:"admin_listen" validate:"required,hostname_port,nefield=Listen"`
 	// Platform says where the platform's services are.
 	Platform Platform `yaml:"platform"`
 	// Seeds are host:port addresses of processes that a fresh VM asks for the
--- /dev/null
+++ b/internal/settings/secret_test.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+const longSecret = "0123456789abcdef"
+
+func TestSecretFromFileIsTrimmed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(path, []byte(" "+longSecret+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Secret{File: path}.Read()
+	if err != nil || got != longSecret {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
+
+func TestSecretFromEnvironment(t *testing.T) {
+	t.Setenv("APPLEPIER_TEST_KEY", longSecret)
+	got, err := Secret{Env: "APPLEPIER_TEST_KEY"}.Read()
+	if err != nil || got != longSecret {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
+
+func TestSecretErrors(t *testing.T) {
+	t.Setenv("APPLEPIER_TEST_SHORT", "   0123456789abcde   ")
+	tests := []struct {
+		name   string
+		secret Secret
+		want   error
+	}{
+		{"no source", Secret{}, ErrSecretSource},
+		{"two sources", Secret{File: "a", Env: "b"}, ErrSecretSource},
+		{"no variable", Secret{Env: "APPLEPIER_TEST_NONE"}, ErrSecretMissing},
+		{"no file", Secret{File: filepath.Join(t.TempDir(), "none")}, ErrSecretMissing},
+		{"short", Secret{Env: "APPLEPIER_TEST_SHORT"}, ErrSecretShort},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, err := test.secret.Read()
+			if got != "" || !errors.Is(err, test.want) {
+				t.Fatalf("got %q, %v, want %v", got, err, test.want)
+			}
+		})
+	}
+}
