--- /dev/null
+++ b/internal/program/serve.go
@@ -0,0 +1,58 @@
+package program
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/logging"
+)
+
+const flagSettings = "settings"
+
+func (p Program[S]) serve() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the process until SIGTERM or SIGINT",
+		Description: "The first signal begins a graceful shutdown: no new work is taken and what runs is ended.\n" +
+			"A second signal ends the process at once.\n\n" +
+			"Example:\n   " + p.Name + " serve --settings " + p.Example,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagSettings, Usage: "read the settings from `FILE`", Required: true},
+		},
+		Action: p.runServe,
+	}
+}
+
+func (p Program[S]) runServe(ctx context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return Usage(command, "serve takes no arguments")
+	}
+	settings, err := p.load(command.String(flagSettings))
+	if err != nil {
+		return err
+	}
+	identity := p.Identify(settings)
+	log, err := logging.New(identity.LogLevel, identity.Process)
+	if err != nil {
+		return errors.Wrap(err, "logging")
+	}
+	return serveUntilSignal(ctx, log, func(ctx context.Context) error {
+		return p.Serve(ctx, settings, log)
+	})
+}
+
+// serveUntilSignal logs the process's start and end and runs serve with a
+// context that the first signal cancels.
+func serveUntilSignal(ctx context.Context, log *zap.Logger, serve func(context.Context) error) error {
+	ctx, release := untilSignal(ctx, log, endAtOnce)
+	defer release()
+	if err := serve(ctx); err != nil {
+		log.Error(logging.EventFailed, logging.Reason(err.Error()))
+		return errors.Wrap(err, "serve")
+	}
+	log.Info(logging.EventStopped)
+	return nil
+}
--- /dev/null
+++ b/internal/program/settings.go
@@ -0,0 +1,61 @@
+package program
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/applepier/applepier/internal/settings"
+)
+
+func (p Program[S]) settings() *cli.Command {
+	return &cli.Command{
+		Name:  "settings",
+		Usage: "work with settings files",
+		Commands: []*cli.Command{{
+			Name:      "check",
+			Usage:     "check a settings file and list every problem in it",
+			ArgsUsage: "FILE",
+			Description: "Secrets are not read, so a file can be checked away from its VM.\n\n" +
+				"Example:\n   " + p.Name + " settings check " + p.Example,
+			Action: p.runCheck,
+		}},
+	}
+}
+
+func (p Program[S]) runCheck(_ context.Context, command *cli.Command) error {
+	if command.Args().Len() != 1 {
+		return Usage(command, "give one settings file")
+	}
+	path := command.Args().First()
+	if _, err := p.load(path); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(command.Root().Writer, path+": ok")
+	return err
+}
+
+// load reads a settings file and words its errors for the operator.
+func (p Program[S]) load(path string) (S, error) {
+	loaded, err := p.Load(path)
+	if err == nil {
+		return loaded, nil
+	}
+	var invalid *settings.InvalidError
+	if errors.As(err, &invalid) {
+		return loaded, &Error{
+			Code:    ExitUsage,
+			Problem: "settings are not valid\n" + invalid.Error(),
+			Advice:  "correct each line above; docs/SETTINGS.md explains the keys",
+			Cause:   err,
+		}
+	}
+	return loaded, &Error{
+		Code:    ExitUsage,
+		Problem: err.Error(),
+		Advice:  "give the path of a file that this user may read",
+		Cause:   err,
+	}
+}
