--- /dev/null
+++ b/internal/program/signal_test.go
@@ -0,0 +1,48 @@
+package program
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestFirstSignalCancelsSecondEndsAtOnce(t *testing.T) {
+	atOnce := make(chan struct{})
+	ctx, release := untilSignal(t.Context(), zap.NewNop(), func() { close(atOnce) })
+	defer release()
+
+	signalSelf(t, syscall.SIGTERM)
+	<-ctx.Done()
+	select {
+	case <-atOnce:
+		t.Fatal("the first signal ended the process at once")
+	default:
+	}
+	signalSelf(t, syscall.SIGINT)
+	<-atOnce
+}
+
+func TestReleaseWithoutSignal(t *testing.T) {
+	ctx, release := untilSignal(t.Context(), zap.NewNop(), func() { t.Error("ended at once") })
+	release()
+	if ctx.Err() != context.Canceled {
+		t.Fatalf("got %v after release, want canceled", ctx.Err())
+	}
+}
+
+func signalSelf(t *testing.T, sig os.Signal) {
+	t.Helper()
+	self, err := os.FindProcess(os.Getpid())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := self.Signal(sig); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"reflect"
 
@@ -29,7 +30,7 @@
 	var settings T
 	source, err := os.ReadFile(path)
 	if err != nil {
-		return settings, errors.Wrap(errors.Join(ErrUnreadable, err), path)
+		return settings, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	problems := decode(source, &settings)
 	if len(problems) > 0 {
--- a/internal/settings/secret.go
+++ b/internal/settings/secret.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"strings"
 
@@ -47,7 +48,7 @@
 	}
 	content, err := os.ReadFile(s.File)
 	if err != nil {
-		return "", errors.Wrap(errors.Join(ErrSecretMissing, err), s.name())
+		return "", fmt.Errorf("%w: %w", ErrSecretMissing, err)
 	}
 	return string(content), nil
 }
