--- /dev/null
+++ b/internal/metrics/family.go
@@ -0,0 +1,56 @@
+package metrics
+
+// family is a metric's name; its series differ in their labels.
+type family string
+
+// The families that a process serves.
+const (
+	familyReceived         family = "applepier_requests_received_total"
+	familyFinished         family = "applepier_requests_finished_total"
+	familyRefused          family = "applepier_requests_refused_total"
+	familyUnknown          family = "applepier_requests_unknown_total"
+	familyFailed           family = "applepier_requests_failed_total"
+	familyCancelled        family = "applepier_requests_cancelled_total"
+	familyRetried          family = "applepier_requests_retried_total"
+	familyWasted           family = "applepier_wasted_tokens_total"
+	familyFirstToken       family = "applepier_first_token_seconds"
+	familyGoodputRequests  family = "applepier_goodput_requests_total"
+	familyGoodputTokens    family = "applepier_goodput_tokens_total"
+	familyWaiting          family = "applepier_waiting"
+	familyRunning          family = "applepier_running"
+	familyLimit            family = "applepier_running_limit"
+	familyControlMessages  family = "applepier_control_messages_total"
+	familyControlBytes     family = "applepier_control_bytes_total"
+	familyPlatformCalls    family = "applepier_platform_calls_total"
+	familyPlatformFailures family = "applepier_platform_failures_total"
+	familyTargetsVersion   family = "applepier_targets_version"
+	familyCPU              family = "applepier_process_cpu_seconds_total"
+	familyMemory           family = "applepier_process_memory_bytes"
+	familyGoroutines       family = "applepier_process_goroutines"
+)
+
+// help is what a collector shows beside a family.
+var help = map[family]string{
+	familyReceived:         "Requests taken from callers.",
+	familyFinished:         "Requests answered whole, on time or late.",
+	familyRefused:          "Requests turned away and certainly not run.",
+	familyUnknown:          "Requests whose caller was told that they may have run.",
+	familyFailed:           "Requests that ended with another error.",
+	familyCancelled:        "Requests whose caller went away.",
+	familyRetried:          "Further attempts at requests.",
+	familyWasted:           "Tokens generated that reached no caller as part of a whole answer.",
+	familyFirstToken:       "Time from a request's arrival to its first token.",
+	familyGoodputRequests:  "Requests answered whole and on time.",
+	familyGoodputTokens:    "Tokens of requests answered whole and on time.",
+	familyWaiting:          "Tickets (agent) or requests (entry) that wait.",
+	familyRunning:          "Requests that run.",
+	familyLimit:            "How many may run at once; 0 where there is no limit.",
+	familyControlMessages:  "Messages between the system's processes.",
+	familyControlBytes:     "Bytes of messages between the system's processes.",
+	familyPlatformCalls:    "Calls to the platform's services.",
+	familyPlatformFailures: "Calls to the platform's services that failed.",
+	familyTargetsVersion:   "Version of the targets in force in this process.",
+	familyCPU:              "CPU time of this process, user and system.",
+	familyMemory:           "Memory that this process has from the operating system.",
+	familyGoroutines:       "Goroutines of this process.",
+}
