--- /dev/null
+++ b/testbed/fleet/backend.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/settings"
+)
+
+// Backend is a backend server VM: the server and the agent beside it.
+type Backend struct {
+	// VM is its row in the platform's list.
+	VM platform.VM
+	// Server is the engine or plain service, Agent the process beside it.
+	Server *Server
+	Agent  *Process
+
+	fleet *Fleet
+}
+
+func (f *Fleet) newBackend(spec BackendSpec) (*Backend, error) {
+	number := len(f.Backends)
+	name := fmt.Sprintf("vm-%s-%d", spec.Serves, number)
+	server, err := f.newServer(name+"-server", spec)
+	if err != nil {
+		return nil, err
+	}
+	agentAddr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	path, err := f.writeAgentSettings(name, agentAddr, spec, server)
+	if err != nil {
+		return nil, err
+	}
+	seenAddr, err := f.route(Link{Kind: LinkAgent, To: name, Addr: agentAddr})
+	if err != nil {
+		return nil, err
+	}
+	agent := f.newProcess(name, agentAddr, f.options.Binaries.Agent, "serve", "--settings", path)
+	agent.ready = httpReady(agentAddr)
+	vm := platform.VM{Name: name, Addr: seenAddr, Zone: f.zone(number), Role: platform.RoleBackend, Serves: spec.Serves}
+	return &Backend{VM: vm, Server: server, Agent: agent, fleet: f}, nil
+}
+
+func (f *Fleet) newServer(name string, spec BackendSpec) (*Server, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	args := []string{"service", "--listen", addr, "--name", spec.Serves}
+	if spec.Kind == settings.BackendEngine {
+		args = []string{
+			"engine", "--listen", addr, "--model", spec.Serves,
+			"--capacity", strconv.Itoa(spec.Capacity),
+			"--interval-ms", strconv.FormatInt(spec.Interval.Milliseconds(), 10),
+		}
+	}
+	process := f.newProcess(name, addr, f.options.Binaries.StandIn, args...)
+	return &Server{Process: process, URL: "http://" + addr}, nil
+}
+
+func (f *Fleet) writeAgentSettings(name, addr string, spec BackendSpec, server *Server) (string, error) {
+	platformAddr, err := f.route(Link{Kind: LinkPlatform, From: name, To: f.Platform.Name, Addr: f.Platform.Addr})
+	if err != nil {
+		return "", err
+	}
+	serverAddr, err := f.route(Link{Kind: LinkBackend, From: name, To: server.Name, Addr: server.Addr})
+	if err != nil {
+		return "", err
+	}
+	return f.writeSettings(name, settings.Agent{
+		Process:  name,
+		Zone:     f.zone(len(f.Backends)),
+		Listen:   addr,
+		Platform: settings.Platform{URL: "http://" + platformAddr},
+		Seeds:    f.seeds(),
+		Keys:     f.keys.settings(),
+		Backend: settings.Backend{
+			Kind:        spec.Kind,
+			Serves:      spec.Serves,
+			URL:         "http://" + serverAddr,
+			ChecksFence: !spec.IgnoresFence,
+		},
+		Log: settings.Log{Level: f.options.LogLevel},
+	})
+}
+
+// start starts the server, then its agent, and registers the VM.
+func (b *Backend) start(ctx context.Context) error {
+	if err := b.fleet.register(ctx, b.VM); err != nil {
+		return err
+	}
+	if err := b.Server.start(ctx); err != nil {
+		return err
+	}
+	return b.Agent.start(ctx)
+}
+
+// zone gives the zones to processes in turn.
+func (f *Fleet) zone(number int) string {
+	if len(f.options.Zones) == 0 {
+		return "zone-1"
+	}
+	return f.options.Zones[number%len(f.options.Zones)]
+}
+
+// seeds are the addresses of the agents that there are so far.
+func (f *Fleet) seeds() []string {
+	seeds := make([]string, 0, len(f.Backends))
+	for _, backend := range f.Backends {
+		seeds = append(seeds, backend.VM.Addr)
+	}
+	return seeds
+}
--- /dev/null
+++ b/testbed/fleet/logs.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+)
+
+// startFailureLines is how much of each log a failed Start shows.
+const startFailureLines = 8
+
+// WriteLogs writes the last lines of every process's log, for a failed test.
+func (f *Fleet) WriteLogs(w io.Writer, lines int) {
+	io.WriteString(w, f.tails(lines))
+}
+
+func (f *Fleet) tails(lines int) string {
+	var text strings.Builder
+	for _, p := range f.Processes() {
+		fmt.Fprintf(&text, "\n--- log of %s\n%s", p.Name, p.logTail(lines))
+	}
+	return text.String()
+}
+
+// Log returns everything that the process has logged so far.
+func (p *Process) Log() string {
+	content, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(content)
+}
+
+func (p *Process) logTail(lines int) string {
+	all := strings.SplitAfter(p.Log(), "\n")
+	if len(all) > lines {
+		all = all[len(all)-lines:]
+	}
+	return strings.Join(all, "")
+}
--- /dev/null
+++ b/testbed/history/once.go
@@ -0,0 +1,48 @@
+package history
+
+import "fmt"
+
+// checkOnce looks for work that must not be repeated and ran more than once.
+func checkOnce(h *History) []Violation {
+	var found []Violation
+	seen := map[string]bool{}
+	for _, call := range h.Calls {
+		if call.Repeatable || seen[call.Marker] {
+			continue
+		}
+		seen[call.Marker] = true
+		if runs := h.runsOf(call.Marker); len(runs) > 1 {
+			found = append(found, Violation{PointOnce, call.Marker,
+				fmt.Sprintf("ran %d times, first as %s on %s, then as %s on %s",
+					len(runs), runs[0].ID, runs[0].Server, runs[1].ID, runs[1].Server)})
+		}
+	}
+	return found
+}
+
+// checkUnknown looks for callers who were told "unknown" or saw a failure
+// although nothing had failed between their request and its end.
+func checkUnknown(h *History) []Violation {
+	var found []Violation
+	for _, call := range h.Calls {
+		if call.Told != ToldUnknown && call.Told != ToldFailed {
+			continue
+		}
+		if h.faultDuring(call.Sent, call.Done) || h.earlierAttempt(call) {
+			continue
+		}
+		found = append(found, Violation{PointOnce, call.Marker, fmt.Sprintf("told %s, but nothing had failed: %s", call.Told, call.Detail)})
+	}
+	return found
+}
+
+// earlierAttempt reports whether another call with the same key came before,
+// so that this one's end may rightly be that call's.
+func (h *History) earlierAttempt(call Call) bool {
+	for _, other := range h.Calls {
+		if call.IdempotencyKey != "" && other.IdempotencyKey == call.IdempotencyKey && other.Sent.Before(call.Sent) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/testbed/history/served.go
@@ -0,0 +1,20 @@
+package history
+
+import "fmt"
+
+// checkServed looks for calls without an end, and for probes, sent when all
+// faults were lifted, that were not served.
+func checkServed(h *History) []Violation {
+	var found []Violation
+	for _, call := range h.Calls {
+		if call.Told == ToldNothing {
+			found = append(found, Violation{PointServed, call.Marker, "the caller had no end: " + call.Detail})
+			continue
+		}
+		if call.Probe && call.Told != ToldWhole {
+			found = append(found, Violation{PointServed, call.Marker,
+				fmt.Sprintf("class %s is not served after the faults: %s %s", call.Class, call.Told, call.Detail)})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/testbed/history/toptier.go
@@ -0,0 +1,46 @@
+package history
+
+import "fmt"
+
+// checkTopTier looks for top-tier calls that were refused for want of
+// capacity while lower work of the same model or service was started, and for
+// top-tier runs that were cancelled although nothing had failed.
+func checkTopTier(h *History) []Violation {
+	var found []Violation
+	for _, call := range h.Calls {
+		if call.Tier != 0 || call.Told == ToldWhole {
+			continue
+		}
+		if lower, ok := h.lowerStartedDuring(call); ok && call.Code == CodeOverloaded {
+			found = append(found, Violation{PointTopTier, call.Marker,
+				fmt.Sprintf("refused while lower work %s was started", lower.ID)})
+		}
+		if run, ok := h.cancelledRun(call); ok && !h.faultDuring(call.Sent, call.Done) {
+			found = append(found, Violation{PointTopTier, call.Marker, "run " + run.ID + " was cancelled"})
+		}
+	}
+	return found
+}
+
+func (h *History) lowerStartedDuring(top Call) (Run, bool) {
+	for _, lower := range h.Calls {
+		if lower.Tier == 0 || lower.Serves != top.Serves {
+			continue
+		}
+		for _, run := range h.runsOf(lower.Marker) {
+			if run.Started.After(top.Sent) && run.Started.Before(top.Done) {
+				return run, true
+			}
+		}
+	}
+	return Run{}, false
+}
+
+func (h *History) cancelledRun(call Call) (Run, bool) {
+	for _, run := range h.runsOf(call.Marker) {
+		if run.Ending == EndingCancelled {
+			return run, true
+		}
+	}
+	return Run{}, false
+}
