--- /dev/null
+++ b/testbed/faultproxy/sight.go
@@ -0,0 +1,53 @@
+package faultproxy
+
+import "github.com/applepier/applepier/internal/wire"
+
+// Direction is one of a connection's two.
+type Direction int
+
+// Directions, seen from who connects.
+const (
+	// Upstream runs towards the process behind the proxy.
+	Upstream Direction = iota + 1
+	// Downstream runs back.
+	Downstream
+)
+
+// SightKind says what passes.
+type SightKind int
+
+// Kinds of sights between an entry and an agent.
+const (
+	// SightMessage is a message of the control connection.
+	SightMessage SightKind = iota + 1
+	// SightBody is the beginning of a granted request's body.
+	SightBody
+	// SightData is a piece of an answer, SightEnd the mark of its end and
+	// SightFail that of its failure.
+	SightData
+	SightEnd
+	SightFail
+)
+
+// Sight is something that was seen on the wire.
+type Sight struct {
+	Direction Direction
+	Kind      SightKind
+	// Message is set with SightMessage.
+	Message *wire.Message
+}
+
+// Ticket, Grant, Void and Voided match messages of the control connection.
+func Ticket(s Sight) bool { return s.Message != nil && s.Message.Ticket != nil }
+
+// Grant matches a grant.
+func Grant(s Sight) bool { return s.Message != nil && s.Message.Grant != nil }
+
+// Void matches an entry's wish to void a grant.
+func Void(s Sight) bool { return s.Message != nil && s.Message.Void != nil }
+
+// Voided matches the agent's answer to it.
+func Voided(s Sight) bool { return s.Message != nil && s.Message.Voided != nil }
+
+// NewSet matches the targets on their way between processes.
+func NewSet(s Sight) bool { return s.Message != nil && s.Message.NewSet != nil }
--- a/testbed/fleet/addr.go
+++ b/testbed/fleet/addr.go
@@ -39,7 +39,10 @@
 		if err != nil {
 			continue
 		}
-		return addr, errors.Wrap(listener.Close(), "release port")
+		if err := listener.Close(); err != nil {
+			return "", errors.Wrap(err, "release port")
+		}
+		return addr, nil
 	}
 	return "", errors.New("no free port on 127.0.0.1")
 }
--- a/testbed/fleet/client.go
+++ b/testbed/fleet/client.go
@@ -64,7 +64,10 @@
 	if c.answer == nil {
 		return response.Header, nil
 	}
-	return response.Header, errors.Wrapf(json.Unmarshal(body, c.answer), "answer of %s", c.url)
+	if err := json.Unmarshal(body, c.answer); err != nil {
+		return nil, errors.Wrapf(err, "answer of %s", c.url)
+	}
+	return response.Header, nil
 }
 
 func (c call) request(ctx context.Context) (*http.Request, error) {
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -174,10 +174,16 @@
 		return link.Addr, nil
 	}
 	addr, err := f.options.Route(link)
-	return addr, errors.Wrapf(err, "route to %s", link.To)
+	if err != nil {
+		return "", errors.Wrapf(err, "route to %s", link.To)
+	}
+	return addr, nil
 }
 
 // register puts a VM on the platform's list.
 func (f *Fleet) register(ctx context.Context, vm platform.VM) error {
-	return errors.Wrapf(f.Platform.PutVM(ctx, vm), "register VM %s", vm.Name)
+	if err := f.Platform.PutVM(ctx, vm); err != nil {
+		return errors.Wrapf(err, "register VM %s", vm.Name)
+	}
+	return nil
 }
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -107,7 +107,10 @@
 	if err != nil {
 		return err
 	}
-	return errors.Wrapf(i.cmd.Process.Signal(sig), "signal %s to %s", sig, p.Name)
+	if err := i.cmd.Process.Signal(sig); err != nil {
+		return errors.Wrapf(err, "signal %s to %s", sig, p.Name)
+	}
+	return nil
 }
 
 // PID is the process's id, 0 when it does not run.
@@ -159,7 +162,10 @@
 	}
 	select {
 	case <-i.done:
-		return errors.Wrapf(i.err, "%s after SIGTERM", p.Name)
+		if i.err != nil {
+			return errors.Wrapf(i.err, "%s after SIGTERM", p.Name)
+		}
+		return nil
 	case <-ctx.Done():
 		return errors.Wrapf(ctx.Err(), "%s has not ended after SIGTERM", p.Name)
 	}
--- a/testbed/fleet/settings.go
+++ b/testbed/fleet/settings.go
@@ -24,7 +24,10 @@
 	if err := os.WriteFile(files.operator, []byte(operator), ownerOnly); err != nil {
 		return files, errors.Wrap(err, "operator's key")
 	}
-	return files, errors.Wrap(os.WriteFile(files.system, []byte(system), ownerOnly), "system's key")
+	if err := os.WriteFile(files.system, []byte(system), ownerOnly); err != nil {
+		return files, errors.Wrap(err, "system's key")
+	}
+	return files, nil
 }
 
 func (k keyFiles) settings() settings.Keys {
@@ -41,5 +44,8 @@
 		return "", errors.Wrapf(err, "settings of %s", name)
 	}
 	path := filepath.Join(f.dir, name+".yaml")
-	return path, errors.Wrapf(os.WriteFile(path, content, ownerOnly), "settings of %s", name)
+	if err := os.WriteFile(path, content, ownerOnly); err != nil {
+		return "", errors.Wrapf(err, "settings of %s", name)
+	}
+	return path, nil
 }
