--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,167 @@
+// Package agent is the process beside a backend server, and the only way to
+// it. Entries place tickets; the agent orders them by the policy, grants the
+// best one when its backend server has room, runs the granted request and
+// relays the answer. It therefore knows exactly what runs there. Start
+// reading at Agent, then at table, which holds the state.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/engine"
+	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/timeline"
+	"github.com/applepier/applepier/internal/wire"
+)
+
+// ErrSettle: what the engine still runs from before could not be settled.
+var ErrSettle = errors.New("cannot settle the engine's earlier runs")
+
+const (
+	// probeEvery is how often the engine is asked whether it is there.
+	probeEvery = time.Second
+	// probeTimeout bounds one such call; two that fail in a row mean down.
+	probeTimeout = time.Second
+	// probeFailures is how many probes in a row must fail.
+	probeFailures = 2
+	// eventRing is how many events the time line keeps.
+	eventRing = 16384
+)
+
+// Agent is the process beside one backend server.
+type Agent struct {
+	settings    settings.Agent
+	incarnation string
+	systemKey   string
+	log         *zap.Logger
+
+	model   engine.Engine
+	service engine.Service
+
+	clock   timeline.Clock
+	ring    *timeline.Ring
+	holder  *targets.Holder
+	traffic wire.Traffic
+	table    *table
+}
+
+// New returns an agent for its settings; systemKey tells its peers.
+func New(s settings.Agent, systemKey string, log *zap.Logger) *Agent {
+	a := &Agent{settings: s, incarnation: uuid.NewString(), systemKey: systemKey, log: log, holder: targets.NewHolder()}
+	a.ring = timeline.NewRing(s.Process, &a.clock, eventRing)
+	a.table = newTable(a.incarnation, a.ring, a.holder)
+	a.connectBackend()
+	return a
+}
+
+func (a *Agent) connectBackend() {
+	if a.settings.Backend.Kind == settings.BackendService {
+		a.service = engine.NewService(a.settings.Backend.URL)
+		return
+	}
+	a.model = engine.NewClient(a.settings.Backend.URL)
+}
+
+// Run does the agent's background work until ctx ends: it settles what the
+// engine still runs from an earlier incarnation, then grants.
+func (a *Agent) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	wg.Go(func() { a.settleAndProbe(ctx) })
+	wg.Go(func() { a.table.keepTime(ctx) })
+	wg.Go(func() { a.spread(ctx) })
+	wg.Wait()
+}
+
+// Leave refuses new work from now on and tells all entries.
+func (a *Agent) Leave() {
+	a.ring.Record(timeline.KindLeave, "", "", "graceful shutdown")
+	a.table.leave()
+}
+
+// Drained is closed when the agent is leaving and nothing runs any more.
+func (a *Agent) Drained() <-chan struct{} { return a.table.drained }
+
+// settleAndProbe first cancels the engine's runs from before this start, so
+// that nothing runs which this agent doesn't know of, then watches the engine.
+func (a *Agent) settleAndProbe(ctx context.Context) {
+	settled := false
+	failures := 0
+	timer := time.NewTicker(probeEvery)
+	defer timer.Stop()
+	for {
+		err := a.probe(ctx, &settled)
+		if err != nil {
+			failures++
+		} else {
+			failures = 0
+		}
+		a.table.setEngine(settled && failures < probeFailures)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (a *Agent) probe(ctx context.Context, settled *bool) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if a.model == nil {
+		*settled = true
+		return a.service.Probe(ctx)
+	}
+	if !*settled {
+		if err := a.settle(ctx); err != nil {
+			return errors.Wrap(ErrSettle, err.Error())
+		}
+		*settled = true
+	}
+	_, err := a.model.Load(ctx)
+	return errors.Wrap(err, "probe engine")
+}
+
+func (a *Agent) settle(ctx context.Context) error {
+	ids, err := a.model.Running(ctx)
+	if err != nil {
+		return errors.Wrap(err, "list runs")
+	}
+	for _, id := range ids {
+		if err := a.model.Cancel(ctx, id); err != nil {
+			return errors.Wrap(err, "cancel run")
+		}
+	}
+	return nil
+}
+
+// spread tells all entries when newer targets are in force here.
+func (a *Agent) spread(ctx context.Context) {
+	for {
+		changed := a.holder.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			a.table.broadcast(wire.Message{})
+		}
+	}
+}
+
+func (a *Agent) local() wire.Local {
+	version := func() uint64 { return a.holder.Current().Version }
+	return wire.Local{Clock: &a.clock, TargetsVersion: version, Traffic: &a.traffic}
+}
+
+// Routes registers the agent's HTTP paths.
+func (a *Agent) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+wire.ConnectPath, a.serveConnect)
+	mux.HandleFunc("POST "+wire.RunPath, a.serveRun)
+}
--- /dev/null
+++ b/internal/agent/grant.go
@@ -0,0 +1,37 @@
+package agent
+
+import (
+	"sync"
+	"time"
+)
+
+// grantState is where a grant stands.
+type grantState int
+
+const (
+	// grantOffered: sent to the entry, not yet taken up.
+	grantOffered grantState = iota
+	// grantUsed: the run has started, and may have ended.
+	grantUsed
+	// grantLapsed: not taken up in time, declined or voided; never usable.
+	grantLapsed
+)
+
+// grant is one single-use right to run a request. The table's lock guards it.
+type grant struct {
+	id       string
+	ticketID string
+	request  string
+	class    string
+	tier     int
+	offered  time.Time
+	ended    time.Time
+	state    grantState
+
+	// cancel is closed to preempt the run.
+	cancel     chan struct{}
+	cancelOnce sync.Once
+}
+
+// over reports whether the grant has lapsed or its run has ended.
+func (g *grant) over() bool { return !g.ended.IsZero() }
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,167 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/applepier/applepier/internal/engine"
+	"github.com/applepier/applepier/internal/wire"
+	"github.com/applepier/applepier/policy"
+)
+
+const (
+	// maxRunRequest bounds a granted request in bytes: the entry's bound on a
+	// body and room for the rest.
+	maxRunRequest = 5 << 20
+	// runReadTimeout bounds the reading of a body from an entry.
+	runReadTimeout = 10 * time.Second
+	// stallBound is how long an engine may send no token before the run counts
+	// as cut: a hundred times the slowest token interval that a target allows.
+	stallBound = 5 * time.Second
+	// firstTokenBound is the same before the first token, where a long prompt
+	// is still being read.
+	firstTokenBound = 30 * time.Second
+)
+
+// serveRun runs a granted request and relays its answer. What goes wrong is
+// told in frames too, so that the entry has one thing to read.
+func (a *Agent) serveRun(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(runReadTimeout))
+	var req wire.RunRequest
+	body := http.MaxBytesReader(w, r.Body, maxRunRequest)
+	if err := cbor.NewDecoder(body).Decode(&req); err != nil {
+		http.Error(w, "malformed run request", http.StatusBadRequest)
+		return
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	out := wire.NewFrameWriter(w)
+	g, ok := a.table.take(&req)
+	if !ok {
+		_ = out.Write(wire.Frame{Kind: wire.FrameFail, Fail: wire.FailNotRun})
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	run := &run{agent: a, grant: g, req: &req, out: out, cancel: cancel}
+	outcome := run.serve(ctx)
+	a.table.finish(g, outcome)
+}
+
+// run is one granted request on its backend server.
+type run struct {
+	agent  *Agent
+	grant  *grant
+	req    *wire.RunRequest
+	out    *wire.FrameWriter
+	cancel context.CancelFunc
+}
+
+func (r *run) serve(ctx context.Context) policy.Outcome {
+	source, err := r.start(ctx)
+	if err != nil {
+		return r.fail(ctx, startFailure(err), err)
+	}
+	defer source.Close()
+	steps := make(chan step)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer r.cancel()
+	wg.Go(func() { pump(ctx, source, steps) })
+	return r.relay(ctx, steps)
+}
+
+func (r *run) start(ctx context.Context) (source, error) {
+	if r.agent.service != nil {
+		return startService(ctx, r.agent.service, r.req)
+	}
+	stream, err := r.agent.model.Start(ctx, engine.Run{
+		ID:         r.grant.ticketID,
+		Priority:   r.grant.tier,
+		Body:       r.req.Body,
+		ResumeFrom: r.req.ResumeFrom,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start run")
+	}
+	return &engineSource{stream: stream}, nil
+}
+
+// relay passes steps on as frames, with heartbeats between them.
+func (r *run) relay(ctx context.Context, steps <-chan step) policy.Outcome {
+	heartbeat := time.NewTicker(wire.HeartbeatEvery)
+	defer heartbeat.Stop()
+	stall := time.NewTimer(firstTokenBound)
+	defer stall.Stop()
+	for {
+		select {
+		case s := <-steps:
+			if s.err != nil {
+				return r.end(ctx, s.err)
+			}
+			stall.Reset(stallBound)
+			if s.frame.Tokens > 0 {
+				r.agent.table.tokens(r.grant, s.frame.Tokens)
+			}
+			if err := r.out.Write(s.frame); err != nil {
+				return policy.OutcomeCancelled
+			}
+		case <-heartbeat.C:
+			if err := r.out.Write(wire.Frame{Kind: wire.FrameHeartbeat}); err != nil {
+				return policy.OutcomeCancelled
+			}
+		case <-stall.C:
+			return r.fail(ctx, wire.FailCut, engine.ErrCut)
+		case <-r.grant.cancel:
+			_ = r.out.Write(wire.Frame{Kind: wire.FrameFail, Fail: wire.FailCut})
+			return policy.OutcomeCancelled
+		case <-ctx.Done():
+			return policy.OutcomeCancelled
+		}
+	}
+}
+
+func (r *run) end(ctx context.Context, err error) policy.Outcome {
+	if !errors.Is(err, io.EOF) {
+		return r.fail(ctx, wire.FailCut, err)
+	}
+	if err := r.out.Write(wire.Frame{Kind: wire.FrameEnd}); err != nil {
+		return policy.OutcomeCancelled
+	}
+	return policy.OutcomeWhole
+}
+
+func startFailure(err error) wire.FailKind {
+	var rejected *engine.RejectedError
+	switch {
+	case errors.As(err, &rejected):
+		return wire.FailRejected
+	case errors.Is(err, engine.ErrUnreachable):
+		return wire.FailNotRun
+	default:
+		return wire.FailUnknown
+	}
+}
+
+func (r *run) fail(ctx context.Context, kind wire.FailKind, err error) policy.Outcome {
+	if ctx.Err() != nil {
+		return policy.OutcomeCancelled
+	}
+	f := wire.Frame{Kind: wire.FrameFail, Fail: kind}
+	var rejected *engine.RejectedError
+	if errors.As(err, &rejected) {
+		f.Status = rejected.Status
+		f.Data = rejected.Body
+	}
+	_ = r.out.Write(f)
+	if kind == wire.FailRejected {
+		return policy.OutcomeCancelled
+	}
+	return policy.OutcomeFailed
+}
--- /dev/null
+++ b/internal/agent/table.go
@@ -0,0 +1,398 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/timeline"
+	"github.com/applepier/applepier/internal/wire"
+	"github.com/applepier/applepier/policy"
+)
+
+const (
+	// grantTTL is how long a grant may be taken up. Entries answer in a round
+	// trip between availability zones (3 ms) or regions (some 100 ms); an
+	// entry that takes longer is paused, and the slot must not wait for it.
+	grantTTL = time.Second
+	// grantMemory is how long a used grant is remembered, to answer Void.
+	grantMemory = 15 * time.Minute
+	// wakeAtLeast bounds how long the scheduler may go unasked.
+	wakeAtLeast = 250 * time.Millisecond
+)
+
+// table holds an agent's tickets, grants and runs and asks the policy what
+// comes next. Lock order: table.mu before a session's connection, whose Send
+// never blocks.
+type table struct {
+	incarnation string
+	ring        *timeline.Ring
+	holder      *targets.Holder
+
+	mu       sync.Mutex
+	sched    *policy.Scheduler
+	tickets  map[string]*ticket
+	grants   map[string]*grant
+	sessions map[*session]struct{}
+	grantSeq uint64
+	leaving  bool
+	engineUp bool
+	running  int
+
+	drainOnce sync.Once
+	drained   chan struct{}
+}
+
+func newTable(incarnation string, ring *timeline.Ring, holder *targets.Holder) *table {
+	return &table{
+		incarnation: incarnation,
+		ring:        ring,
+		holder:      holder,
+		sched:       policy.NewScheduler(),
+		tickets:     make(map[string]*ticket),
+		grants:      make(map[string]*grant),
+		sessions:    make(map[*session]struct{}),
+		drained:     make(chan struct{}),
+		wake:        make(chan struct{}, 1),
+	}
+}
+
+// join adds an entry's session.
+func (tb *table) join(s *session) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.sessions[s] = struct{}{}
+	s.send(wire.Message{Status: tb.status(0)})
+}
+
+// part removes a session with the tickets that wait for it: the entry places
+// them anew, so none may stay behind.
+func (tb *table) part(s *session) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	delete(tb.sessions, s)
+	for id, t := range tb.tickets {
+		if t.session == s {
+			tb.sched.Withdraw(id)
+			delete(tb.tickets, id)
+		}
+	}
+}
+
+// place takes a ticket or refuses it at once.
+func (tb *table) place(s *session, m *wire.Ticket) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	if reason, closed := tb.closed(); closed {
+		tb.refuse(s, m.Request, m.Attempt, reason, closedRetryAfter)
+		return
+	}
+	now := time.Now()
+	t := newTicket(now, s, m, tb.holder.Current())
+	if _, ok := tb.tickets[t.policy.ID]; ok {
+		return
+	}
+	if m.Retry {
+		tb.sched.Resume(now, t.policy)
+	} else if !tb.offer(now, s, t) {
+		return
+	}
+	tb.tickets[t.policy.ID] = t
+	tb.ring.Record(timeline.KindTicket, m.Request, m.Class, "")
+	tb.grantWaiting(now)
+}
+
+func (tb *table) offer(now time.Time, s *session, t *ticket) bool {
+	decision := tb.sched.Offer(now, t.policy)
+	for _, id := range decision.Displaced {
+		tb.displace(id, decision.RetryAfter)
+	}
+	if decision.Admitted {
+		return true
+	}
+	reason := wire.ReasonOverload
+	if decision.Full {
+		reason = wire.ReasonQueueFull
+	}
+	tb.refuse(s, t.request, t.attempt, reason, decision.RetryAfter)
+	return false
+}
+
+func (tb *table) displace(id string, retryAfter time.Duration) {
+	t, ok := tb.tickets[id]
+	if !ok {
+		return
+	}
+	delete(tb.tickets, id)
+	tb.refuse(t.session, t.request, t.attempt, wire.ReasonQueueFull, retryAfter)
+}
+
+// closedRetryAfter is when a caller may come back to a fleet that has no
+// engine at all; entries try other engines first.
+const closedRetryAfter = 2 * time.Second
+
+func (tb *table) closed() (wire.Reason, bool) {
+	if tb.leaving {
+		return wire.ReasonLeaving, true
+	}
+	if !tb.engineUp {
+		return wire.ReasonEngineDown, true
+	}
+	return "", false
+}
+
+func (tb *table) refuse(s *session, request string, attempt int, reason wire.Reason, after time.Duration) {
+	tb.ring.Record(timeline.KindRefusal, request, "", string(reason))
+	s.send(wire.Message{
+		Refuse: &wire.Refuse{Request: request, Attempt: attempt, Reason: reason, RetryAfterMS: after.Milliseconds()},
+		Status: tb.status(0),
+	})
+}
+
+// withdraw takes back a waiting ticket, or a grant that was declined.
+func (tb *table) withdraw(m *wire.Withdraw) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	id := ticketID(m.Request, m.Attempt)
+	if _, ok := tb.tickets[id]; ok {
+		delete(tb.tickets, id)
+		tb.sched.Withdraw(id)
+		return
+	}
+	for _, g := range tb.grants {
+		if g.ticketID == id && g.state == grantOffered {
+			tb.lapse(time.Now(), g)
+			return
+		}
+	}
+}
+
+// void makes a grant unusable, or says that it was used.
+func (tb *table) void(grantID string) wire.VoidResult {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	if !strings.HasPrefix(grantID, tb.incarnation+"-") {
+		return wire.VoidUnknown
+	}
+	g, ok := tb.grants[grantID]
+	if !ok {
+		return wire.VoidUnknown
+	}
+	if g.state == grantOffered {
+		tb.lapse(time.Now(), g)
+	}
+	if g.state == grantLapsed {
+		return wire.VoidDone
+	}
+	return wire.VoidStarted
+}
+
+// take uses a grant up; false means that it can't be used and nothing runs.
+func (tb *table) take(r *wire.RunRequest) (*grant, bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	g, ok := tb.grants[r.Grant]
+	if !ok || g.state != grantOffered || g.ticketID != ticketID(r.Request, r.Attempt) {
+		return nil, false
+	}
+	g.state = grantUsed
+	tb.running++
+	tb.sched.Started(time.Now(), g.ticketID)
+	tb.ring.Record(timeline.KindStart, g.request, g.class, "")
+	return g, true
+}
+
+// tokens tells the policy that a run's tokens came.
+func (tb *table) tokens(g *grant, n int) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.sched.Tokens(time.Now(), g.ticketID, n)
+}
+
+// finish frees a run's slot.
+func (tb *table) finish(g *grant, o policy.Outcome) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	now := time.Now()
+	tb.running--
+	g.ended = now
+	tb.sched.Finished(now, g.ticketID, o)
+	tb.ring.Record(timeline.KindFinish, g.request, g.class, strconv.Itoa(int(o)))
+	tb.grantWaiting(now)
+	tb.checkDrained()
+}
+
+// grantWaiting grants while the policy finds room. Called with mu held.
+func (tb *table) grantWaiting(now time.Time) {
+	if _, closed := tb.closed(); closed {
+		return
+	}
+	for {
+		next, ok := tb.sched.Next(now)
+		if !ok {
+			break
+		}
+		tb.grant(now, next)
+	}
+	if id, ok := tb.sched.Preempt(now); ok {
+		tb.preempt(id)
+	}
+}
+
+func (tb *table) grant(now time.Time, next policy.Ticket) {
+	t, ok := tb.tickets[next.ID]
+	if !ok {
+		tb.sched.Finished(now, next.ID, policy.OutcomeLapsed)
+		return
+	}
+	delete(tb.tickets, next.ID)
+	tb.grantSeq++
+	g := &grant{
+		id:       fmt.Sprintf("%s-%d", tb.incarnation, tb.grantSeq),
+		ticketID: next.ID,
+		request:  t.request,
+		class:    t.policy.Class,
+		tier:     int(t.policy.Tier),
+		offered:  now,
+		state:    grantOffered,
+		cancel:   make(chan struct{}),
+	}
+	tb.grants[g.id] = g
+	tb.ring.Record(timeline.KindGrant, t.request, t.policy.Class, "")
+	t.session.send(wire.Message{
+		Grant:  &wire.Grant{Request: t.request, Attempt: t.attempt, ID: g.id},
+		Status: tb.status(0),
+	})
+}
+
+func (tb *table) preempt(ticketID string) {
+	for _, g := range tb.grants {
+		if g.ticketID == ticketID && g.state == grantUsed {
+			g.cancelOnce.Do(func() { close(g.cancel) })
+			return
+		}
+	}
+}
+
+// lapse frees the slot of a grant that was not taken up. Called with mu held.
+func (tb *table) lapse(now time.Time, g *grant) {
+	g.state = grantLapsed
+	g.ended = now
+	tb.sched.Finished(now, g.ticketID, policy.OutcomeLapsed)
+	tb.grantWaiting(now)
+	tb.checkDrained()
+}
+
+// keepTime lets grants lapse, forgets old ones and asks the policy when a
+// decision of its own is due.
+func (tb *table) keepTime(ctx context.Context) {
+	timer := time.NewTimer(wakeAtLeast)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		timer.Reset(tb.tick(time.Now()))
+	}
+}
+
+func (tb *table) tick(now time.Time) time.Duration {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for id, g := range tb.grants {
+		if g.state == grantOffered && now.Sub(g.offered) > grantTTL {
+			tb.lapse(now, g)
+		}
+		if g.over() && now.Sub(g.ended) > grantMemory {
+			delete(tb.grants, id)
+		}
+	}
+	tb.grantWaiting(now)
+	due, ok := tb.sched.NextWake(now)
+	if !ok {
+		return wakeAtLeast
+	}
+	return min(max(due.Sub(now), time.Millisecond), wakeAtLeast)
+}
+
+// leave refuses all that waits; what is granted or runs goes on to its end.
+func (tb *table) leave() {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.leaving = true
+	tb.refuseWaiting(wire.ReasonLeaving)
+	tb.tell(wire.Message{Status: tb.status(0)})
+	tb.checkDrained()
+}
+
+// setEngine notes whether the backend server can be reached.
+func (tb *table) setEngine(up bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	if up == tb.engineUp {
+		return
+	}
+	tb.engineUp = up
+	if !up {
+		tb.refuseWaiting(wire.ReasonEngineDown)
+	}
+	tb.tell(wire.Message{Status: tb.status(0)})
+}
+
+func (tb *table) refuseWaiting(reason wire.Reason) {
+	for id, t := range tb.tickets {
+		delete(tb.tickets, id)
+		tb.sched.Withdraw(id)
+		tb.refuse(t.session, t.request, t.attempt, reason, closedRetryAfter)
+	}
+}
+
+// checkDrained ends the wait of a graceful shutdown. Called with mu held.
+func (tb *table) checkDrained() {
+	if !tb.leaving || tb.running > 0 {
+		return
+	}
+	for _, g := range tb.grants {
+		if g.state == grantOffered {
+			return
+		}
+	}
+	tb.drainOnce.Do(func() { close(tb.drained) })
+}
+
+func (tb *table) broadcast(m wire.Message) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.tell(m)
+}
+
+func (tb *table) tell(m wire.Message) {
+	for s := range tb.sessions {
+		s.send(m)
+	}
+}
+
+// statusNow answers a Ping.
+func (tb *table) statusNow(seq uint64) *wire.Status {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return tb.status(seq)
+}
+
+func (tb *table) status(seq uint64) *wire.Status {
+	load := tb.sched.Load()
+	return &wire.Status{
+		Seq:        seq,
+		Waiting:    load.Waiting,
+		Running:    load.Running,
+		Limit:      load.Limit,
+		Leaving:    tb.leaving,
+		EngineDown: !tb.engineUp,
+	}
+}
--- /dev/null
+++ b/internal/entry/api/api.go
@@ -0,0 +1,144 @@
+// Package api is what callers see of an entry: the chat completions and
+// models of OpenAI's HTTP API, and the plain services. It reads and checks a
+// request, finds its class and customer, hands it to the dispatcher, and
+// writes the one final answer. Start reading at API.Register.
+package api
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/timeline"
+)
+
+// Header names of applepier's own.
+const (
+	// HeaderClass names the class of work.
+	HeaderClass = "X-Applepier-Class"
+	// HeaderOutcome says what became of the request.
+	HeaderOutcome = "X-Applepier-Outcome"
+	// HeaderRequest is the request's id, for support and the time line.
+	HeaderRequest = "X-Request-Id"
+	// HeaderIdempotencyKey makes repeats of a call run at most once.
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+const (
+	// maxBody bounds a request's body in bytes; a well's full history is some
+	// hundred kilobytes.
+	maxBody = 4 << 20
+	// bodyTimeout bounds the reading of a body from a slow caller.
+	bodyTimeout = 30 * time.Second
+	// writeTimeout bounds one write to a caller that stops reading.
+	writeTimeout = 30 * time.Second
+	// maxInFlight bounds the requests that an entry holds; with bodies of up
+	// to maxBody read only after admission to this number, memory stays
+	// bounded. At the target size an entry has 3,600/410 = 9 requests a
+	// second, so that this is far more than any queue that meets a target.
+	maxInFlight = 2048
+	// busyRetryAfter is when to come back to an entry that is full.
+	busyRetryAfter = 2 * time.Second
+)
+
+// Dispatcher carries a request to its final answer.
+type Dispatcher interface {
+	Do(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) dispatch.Result
+}
+
+// Served tells which models and services there are.
+type Served interface {
+	Serves() []string
+}
+
+// Authenticator finds the customer that sends a request.
+type Authenticator interface {
+	Caller(set *targets.Set, r *http.Request) (string, error)
+}
+
+// Observer hears what became of each request, for the metrics.
+type Observer interface {
+	Ended(class targets.Class, r dispatch.Result, took time.Duration)
+}
+
+// Config is what an API works with.
+type Config struct {
+	Holder     *targets.Holder
+	Dispatcher Dispatcher
+	Served     Served
+	Auth       Authenticator
+	Claims     Claims
+	Observer   Observer
+	Ring       *timeline.Ring
+	Log        *zap.Logger
+}
+
+// API serves callers.
+type API struct {
+	config Config
+
+	mu       sync.Mutex
+	inFlight int
+	leaving  bool
+}
+
+// New returns an API.
+func New(c Config) *API { return &API{config: c} }
+
+// Register adds the callers' routes.
+func (a *API) Register(router *httprouter.Router) {
+	router.HandlerFunc(http.MethodPost, "/v1/chat/completions", a.counted(a.chat))
+	router.HandlerFunc(http.MethodGet, "/v1/models", a.models)
+	for _, method := range serviceMethods {
+		router.HandlerFunc(method, "/services/:name/*path", a.counted(a.service))
+	}
+	router.NotFound = http.HandlerFunc(a.noRoute)
+}
+
+// serviceMethods are the methods that plain services are called with.
+var serviceMethods = []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+
+func (a *API) noRoute(w http.ResponseWriter, _ *http.Request) {
+	writeError(w, problem{status: http.StatusNotFound, code: "not_found", message: "there is no such path; see docs/API.md"})
+}
+
+// counted bounds the requests that are held at once.
+func (a *API) counted(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !a.enter() {
+			writeError(w, notRun("entry_full", busyRetryAfter))
+			return
+		}
+		defer a.leave()
+		next(w, r)
+	}
+}
+
+func (a *API) enter() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.inFlight >= maxInFlight {
+		return false
+	}
+	a.inFlight++
+	return true
+}
+
+func (a *API) leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.inFlight--
+}
+
+// InFlight counts the requests that are held now.
+func (a *API) InFlight() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.inFlight
+}
--- /dev/null
+++ b/internal/entry/api/carry.go
@@ -0,0 +1,87 @@
+package api
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/targets"
+)
+
+// answer writes what the caller gets.
+type answer interface {
+	dispatch.Sink
+	// begun reports whether a part was sent already.
+	begun() bool
+	// finish ends a whole answer.
+	finish()
+	// fail ends an answer that has begun in a way the caller can't miss.
+	fail(p problem)
+}
+
+// carry has the request dispatched and writes its one final answer.
+func (a *API) carry(w http.ResponseWriter, r *http.Request, req *dispatch.Request, out answer) {
+	w.Header().Set(HeaderRequest, req.ID)
+	result := a.dispatchClaimed(w, r, req, out)
+	a.config.Observer.Ended(req.Class, result, time.Since(req.Arrived))
+	a.write(w, result, out)
+}
+
+func (a *API) write(w http.ResponseWriter, result dispatch.Result, out answer) {
+	switch {
+	case result.Outcome == dispatch.Gone:
+	case result.Outcome == dispatch.Whole:
+		out.finish()
+	case out.begun():
+		out.fail(problemOf(result))
+	case result.Outcome == dispatch.Rejected:
+		writeRejected(w, result)
+	default:
+		writeError(w, problemOf(result))
+	}
+}
+
+// writeRejected passes the backend server's own error on.
+func writeRejected(w http.ResponseWriter, result dispatch.Result) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderOutcome, string(dispatch.Rejected))
+	w.WriteHeader(result.Status)
+	_, _ = w.Write(result.Body)
+}
+
+func (a *API) authenticate(w http.ResponseWriter, r *http.Request, set *targets.Set) (string, bool) {
+	customer, err := a.config.Auth.Caller(set, r)
+	if err != nil {
+		writeError(w, problem{status: http.StatusUnauthorized, code: "invalid_api_key", message: "send a customer's API key as a bearer token", outcome: dispatch.NotRun, retryAfter: time.Second})
+		return "", false
+	}
+	return customer, true
+}
+
+// readBody reads a bounded body from a caller that may be slow.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		writeError(w, bodyProblem(err))
+		return nil, false
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, true
+}
+
+func bodyProblem(err error) problem {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		p := badRequest("body_too_large", "", "the body is larger than 4 MiB")
+		p.status = http.StatusRequestEntityTooLarge
+		return p
+	}
+	p := badRequest("body_not_read", "", "the body could not be read in time")
+	p.status = http.StatusRequestTimeout
+	return p
+}
--- /dev/null
+++ b/internal/entry/fleet/fleet.go
@@ -0,0 +1,279 @@
+// Package fleet is what an entry knows of the agents: who is there, who
+// leaves, and a connection to a subset of them. Addresses come from the
+// platform's VM list, which lags; what an agent says of itself comes sooner
+// and goes before it. Start reading at Fleet.
+package fleet
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/timeline"
+	"github.com/applepier/applepier/internal/wire"
+	"github.com/applepier/applepier/policy"
+)
+
+const (
+	// ListEvery is how often the VM list is read; the client asks for it only
+	// if it has changed.
+	ListEvery = 3 * time.Second
+	// subsetSize is to how many agents of one model or service an entry
+	// connects. At the target size (100 engines a model) an agent then has
+	// about 100 entries' connections, and a request still has 24 engines to
+	// choose from; today's fleets (at most 18) are covered whole.
+	subsetSize = 24
+)
+
+// Config is what a Fleet works with.
+type Config struct {
+	Process   string
+	Zone      string
+	SystemKey string
+	Local     wire.Local
+	Holder    *targets.Holder
+	List      platform.VMList
+	Ring      *timeline.Ring
+	Log       *zap.Logger
+	// Fallback is asked for the VM list while the platform is down.
+	Fallback func(ctx context.Context) ([]platform.VM, error)
+}
+
+// Fleet holds the links. Lock order: Fleet.mu before link.mu.
+type Fleet struct {
+	config Config
+
+	mu     sync.Mutex
+	vms    []platform.VM
+	listed time.Time
+	links  map[string]*member
+	wg     conc.WaitGroup
+}
+
+// member is a link and the way to end it.
+type member struct {
+	link   *link
+	cancel context.CancelFunc
+}
+
+// New returns a Fleet that knows nobody yet.
+func New(c Config) *Fleet {
+	return &Fleet{config: c, links: make(map[string]*member)}
+}
+
+// Run follows the VM list until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	f.wg.Go(func() { f.spread(ctx) })
+	timer := time.NewTicker(ListEvery)
+	defer timer.Stop()
+	for {
+		f.refresh(ctx)
+		select {
+		case <-ctx.Done():
+			f.wg.Wait()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (f *Fleet) refresh(ctx context.Context) {
+	vms, err := f.config.List.VMs(ctx)
+	if err != nil && f.Known() {
+		f.config.Log.Warn("VM list unavailable", zap.String("event", "vm_list_unavailable"), zap.Error(err))
+		return
+	}
+	if err != nil {
+		vms, err = f.config.Fallback(ctx)
+	}
+	if err != nil {
+		f.config.Log.Warn("VM list unavailable", zap.String("event", "vm_list_unavailable"), zap.Error(err))
+		return
+	}
+	f.adopt(ctx, vms)
+}
+
+// Known reports whether a VM list was ever read.
+func (f *Fleet) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.listed.IsZero()
+}
+
+// VMs returns the last list that was read and when.
+func (f *Fleet) VMs() ([]platform.VM, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms, f.listed
+}
+
+func (f *Fleet) adopt(ctx context.Context, vms []platform.VM) {
+	wanted := f.subset(vms)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms = vms
+	f.listed = time.Now()
+	f.drop(wanted)
+	f.add(ctx, wanted)
+}
+
+// drop ends the links to VMs that are no longer wanted, unless an answer is
+// still expected there.
+func (f *Fleet) drop(wanted map[string]platform.VM) {
+	for name, m := range f.links {
+		if _, ok := wanted[name]; ok || m.link.busy() {
+			continue
+		}
+		m.cancel()
+		delete(f.links, name)
+		f.config.Ring.Record(timeline.KindLeave, "", "", name)
+	}
+}
+
+func (f *Fleet) add(ctx context.Context, wanted map[string]platform.VM) {
+	for name, vm := range wanted {
+		if m, ok := f.links[name]; ok {
+			m.link.update(vm)
+			continue
+		}
+		linkCtx, cancel := context.WithCancel(ctx)
+		l := newLink(f, vm)
+		f.links[name] = &member{link: l, cancel: cancel}
+		f.config.Ring.Record(timeline.KindJoin, "", "", name)
+		f.wg.Go(func() { l.run(linkCtx) })
+	}
+}
+
+// subset picks, for each model and service, the agents this entry connects
+// to, by rendezvous hashing: stable as VMs come and go, and even over entries.
+func (f *Fleet) subset(vms []platform.VM) map[string]platform.VM {
+	byServes := make(map[string][]platform.VM)
+	for _, vm := range vms {
+		if vm.Role == platform.RoleBackend {
+			byServes[vm.Serves] = append(byServes[vm.Serves], vm)
+		}
+	}
+	wanted := make(map[string]platform.VM)
+	for _, group := range byServes {
+		slices.SortFunc(group, f.compareRendezvous)
+		for _, vm := range group[:min(len(group), subsetSize)] {
+			wanted[vm.Name] = vm
+		}
+	}
+	return wanted
+}
+
+func (f *Fleet) compareRendezvous(a, b platform.VM) int {
+	ha := xxhash.Sum64String(f.config.Process + "/" + a.Name)
+	hb := xxhash.Sum64String(f.config.Process + "/" + b.Name)
+	if ha != hb {
+		if ha < hb {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// spread tells all agents when newer targets are in force here.
+func (f *Fleet) spread(ctx context.Context) {
+	for {
+		changed := f.config.Holder.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			f.announce()
+		}
+	}
+}
+
+func (f *Fleet) announce() {
+	for _, l := range f.snapshot() {
+		l.send(wire.Message{})
+	}
+}
+
+func (f *Fleet) snapshot() []*link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	links := make([]*link, 0, len(f.links))
+	for _, m := range f.links {
+		links = append(links, m.link)
+	}
+	return links
+}
+
+func (f *Fleet) find(agent string) (*link, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.links[agent]
+	if !ok {
+		return nil, false
+	}
+	return m.link, true
+}
+
+// Candidates lists the agents of a model or service that may take a ticket.
+func (f *Fleet) Candidates(serves string) []policy.Candidate {
+	var candidates []policy.Candidate
+	for _, l := range f.snapshot() {
+		if c, ok := l.candidate(serves); ok {
+			candidates = append(candidates, c)
+		}
+	}
+	return candidates
+}
+
+// Serves lists the models or services that any listed VM has.
+func (f *Fleet) Serves() []string {
+	vms, _ := f.VMs()
+	var names []string
+	for _, vm := range vms {
+		if vm.Role == platform.RoleBackend && vm.Serves != "" {
+			names = append(names, vm.Serves)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Place sends a ticket to an agent; false means that it can't be reached now.
+func (f *Fleet) Place(agent string, t *wire.Ticket, listener Listener) bool {
+	l, ok := f.find(agent)
+	return ok && l.place(t, listener)
+}
+
+// Withdraw takes a ticket back from an agent.
+func (f *Fleet) Withdraw(agent, request string, attempt int) {
+	if l, ok := f.find(agent); ok {
+		l.withdraw(request, attempt)
+	}
+}
+
+// Void asks an agent to make a grant unusable; ErrNoAnswer when it can't be
+// asked.
+func (f *Fleet) Void(ctx context.Context, agent, grant string) (wire.VoidResult, error) {
+	l, ok := f.find(agent)
+	if !ok {
+		return "", ErrNoAnswer
+	}
+	return l.void(ctx, grant)
+}
+
+// Addr is an agent's address.
+func (f *Fleet) Addr(agent string) (string, bool) {
+	l, ok := f.find(agent)
+	if !ok {
+		return "", false
+	}
+	return l.addr(), true
+}
--- /dev/null
+++ b/internal/entry/fleet/link.go
@@ -0,0 +1,308 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/wire"
+)
+
+const (
+	// pingEvery is how often a connection with work outstanding is asked for
+	// a sign of life.
+	pingEvery = 300 * time.Millisecond
+	// pongBound is when a connection that gives none counts as dead: three
+	// pings, so that one delayed answer on a busy machine isn't taken for it.
+	pongBound = time.Second
+	// redialFrom and redialTo bound the pause between two dials.
+	redialFrom = 100 * time.Millisecond
+	redialTo   = 2 * time.Second
+	// voidTimeout bounds the wait for the answer to Void.
+	voidTimeout = 2 * time.Second
+)
+
+// ErrNoAnswer: the agent could not be asked, or did not answer.
+var ErrNoAnswer = errors.New("agent did not answer")
+
+// link is this entry's connection to one agent. It dials again by itself.
+// Lock order: link.mu is a leaf but for the connection, whose Send never
+// blocks; listeners are called without it.
+type link struct {
+	fleet *Fleet
+	vm    platform.VM
+
+	mu        sync.Mutex
+	conn      *wire.Conn
+	status    wire.Status
+	hello     wire.Hello
+	seen      time.Time
+	targets   uint64
+	listeners map[attemptKey]Listener
+	voids     map[string]chan wire.VoidResult
+	lastPong  time.Time
+	pingSeq   uint64
+	down      bool
+}
+
+// attemptKey names one attempt of a request.
+type attemptKey struct {
+	request string
+	attempt int
+}
+
+func newLink(f *Fleet, vm platform.VM) *link {
+	return &link{
+		fleet:     f,
+		vm:        vm,
+		listeners: make(map[attemptKey]Listener),
+		voids:     make(map[string]chan wire.VoidResult),
+	}
+}
+
+// run keeps the connection up until ctx ends.
+func (l *link) run(ctx context.Context) {
+	pause := redialFrom
+	for ctx.Err() == nil {
+		conn, err := wire.Dial(ctx, l.vm.Addr, l.fleet.config.SystemKey, l.fleet.config.Local)
+		if err != nil {
+			l.setDown()
+			pause = min(2*pause, redialTo)
+		} else {
+			pause = redialFrom
+			l.serve(ctx, conn)
+		}
+		jittered := pause/2 + rand.N(pause/2)
+		select {
+		case <-ctx.Done():
+		case <-time.After(jittered):
+		}
+	}
+}
+
+func (l *link) setDown() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = true
+}
+
+func (l *link) serve(ctx context.Context, conn *wire.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.attach(conn)
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	go l.ping(ctx, conn)
+	for {
+		m, err := conn.Receive(ctx)
+		if err != nil {
+			break
+		}
+		l.handle(m)
+	}
+	conn.Close()
+	l.detach(conn)
+}
+
+func (l *link) attach(conn *wire.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = conn
+	l.down = false
+	l.lastPong = time.Now()
+	_ = conn.Send(wire.Message{Hello: &wire.Hello{Process: l.fleet.config.Process, Zone: l.fleet.config.Zone}})
+}
+
+// detach tells every attempt that waits here that its ticket is gone.
+func (l *link) detach(conn *wire.Conn) {
+	l.mu.Lock()
+	if l.conn != conn {
+		l.mu.Unlock()
+		return
+	}
+	l.conn = nil
+	lost := l.listeners
+	l.listeners = make(map[attemptKey]Listener)
+	for _, answer := range l.voids {
+		close(answer)
+	}
+	l.voids = make(map[string]chan wire.VoidResult)
+	l.mu.Unlock()
+	for _, listener := range lost {
+		listener.Lost(l.vm.Name)
+	}
+}
+
+// ping watches a connection that has work outstanding. An idle one costs
+// nothing.
+func (l *link) ping(ctx context.Context, conn *wire.Conn) {
+	timer := time.NewTicker(pingEvery)
+	defer timer.Stop()
+	idle := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		seq, busy, silent := l.pingState(idle)
+		idle = !busy
+		if silent {
+			conn.Close()
+			return
+		}
+		if busy {
+			_ = conn.Send(wire.Message{Ping: &wire.Ping{Seq: seq}})
+		}
+	}
+}
+
+func (l *link) pingState(wasIdle bool) (seq uint64, busy, silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	busy = len(l.listeners) > 0 || len(l.voids) > 0
+	now := time.Now()
+	if wasIdle {
+		l.lastPong = now
+	}
+	l.pingSeq++
+	return l.pingSeq, busy, busy && now.Sub(l.lastPong) > pongBound
+}
+
+func (l *link) handle(m wire.Message) {
+	l.mu.Lock()
+	l.seen = time.Now()
+	l.lastPong = l.seen
+	l.targets = m.Targets
+	if m.Status != nil {
+		l.status = *m.Status
+	}
+	if m.Hello != nil {
+		l.hello = *m.Hello
+	}
+	l.mu.Unlock()
+	l.compareTargets(m)
+	switch {
+	case m.Grant != nil:
+		l.granted(m.Grant)
+	case m.Refuse != nil:
+		l.refused(m.Refuse)
+	case m.Voided != nil:
+		l.voided(m.Voided)
+	}
+}
+
+func (l *link) compareTargets(m wire.Message) {
+	holder := l.fleet.config.Holder
+	if m.NewSet != nil {
+		holder.Offer(m.NewSet)
+	}
+	if m.WantSet != nil {
+		l.send(wire.Message{NewSet: holder.Current()})
+		return
+	}
+	have := holder.Current().Version
+	if m.Targets > have {
+		l.send(wire.Message{WantSet: &wire.WantSet{}})
+	}
+	if m.Targets < have && m.WantSet == nil {
+		l.send(wire.Message{})
+	}
+}
+
+// granted hands a grant to its attempt; one that nobody waits for is declined
+// at once, so that the engine's slot doesn't wait until it lapses.
+func (l *link) granted(g *wire.Grant) {
+	listener, ok := l.takeListener(attemptKey{g.Request, g.Attempt})
+	if !ok || !listener.Granted(l.vm.Name, g.ID) {
+		l.send(wire.Message{Withdraw: &wire.Withdraw{Request: g.Request, Attempt: g.Attempt}})
+	}
+}
+
+func (l *link) refused(r *wire.Refuse) {
+	listener, ok := l.takeListener(attemptKey{r.Request, r.Attempt})
+	if ok {
+		listener.Refused(l.vm.Name, r.Reason, time.Duration(r.RetryAfterMS)*time.Millisecond)
+	}
+}
+
+func (l *link) takeListener(key attemptKey) (Listener, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listener, ok := l.listeners[key]
+	delete(l.listeners, key)
+	return listener, ok
+}
+
+func (l *link) voided(v *wire.Voided) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if answer, ok := l.voids[v.Grant]; ok {
+		delete(l.voids, v.Grant)
+		answer <- v.Result
+	}
+}
+
+// place sends a ticket; false means that this agent has no connection now.
+func (l *link) place(t *wire.Ticket, listener Listener) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		return false
+	}
+	l.listeners[attemptKey{t.Request, t.Attempt}] = listener
+	if err := l.conn.Send(wire.Message{Ticket: t}); err != nil {
+		delete(l.listeners, attemptKey{t.Request, t.Attempt})
+		return false
+	}
+	return true
+}
+
+// withdraw takes a ticket back.
+func (l *link) withdraw(request string, attempt int) {
+	if _, ok := l.takeListener(attemptKey{request, attempt}); ok {
+		l.send(wire.Message{Withdraw: &wire.Withdraw{Request: request, Attempt: attempt}})
+	}
+}
+
+// void asks the agent to make a grant unusable.
+func (l *link) void(ctx context.Context, grant string) (wire.VoidResult, error) {
+	answer := make(chan wire.VoidResult, 1)
+	if !l.askVoid(grant, answer) {
+		return "", ErrNoAnswer
+	}
+	ctx, cancel := context.WithTimeout(ctx, voidTimeout)
+	defer cancel()
+	select {
+	case result, ok := <-answer:
+		if !ok {
+			return "", ErrNoAnswer
+		}
+		return result, nil
+	case <-ctx.Done():
+		return "", ErrNoAnswer
+	}
+}
+
+func (l *link) askVoid(grant string, answer chan wire.VoidResult) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		return false
+	}
+	l.voids[grant] = answer
+	return l.conn.Send(wire.Message{Void: &wire.Void{Grant: grant}}) == nil
+}
+
+func (l *link) send(m wire.Message) {
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn != nil {
+		_ = conn.Send(m)
+	}
+}
--- /dev/null
+++ b/internal/entry/keys.go
@@ -0,0 +1,25 @@
+package entry
+
+import (
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/settings"
+)
+
+// keys are the secrets of the settings, read once at the start.
+type keys struct {
+	operator string
+	system   string
+}
+
+func readKeys(s settings.Keys) (keys, error) {
+	operator, err := s.Operator.Read()
+	if err != nil {
+		return keys{}, errors.Wrap(ErrKeys, err.Error())
+	}
+	system, err := s.System.Read()
+	if err != nil {
+		return keys{}, errors.Wrap(ErrKeys, err.Error())
+	}
+	return keys{operator: operator, system: system}, nil
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,167 @@
+// Package entry is the process of an entry VM: it takes callers' requests and
+// carries them to the agents, and serves operators. Start reading at Serve.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/entry/api"
+	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/entry/fleet"
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/timeline"
+	"github.com/applepier/applepier/internal/wire"
+	"github.com/applepier/applepier/policy"
+)
+
+const (
+	// headerTimeout bounds the reading of a caller's headers.
+	headerTimeout = 10 * time.Second
+	// maxHeader bounds a caller's headers in bytes.
+	maxHeader = 64 << 10
+	// idleTimeout closes a caller's connection that asks nothing.
+	idleTimeout = 2 * time.Minute
+	// drainNotice is how long an entry that leaves goes on taking requests
+	// after its health check has begun to fail, so that the platform's
+	// balancer sends it no more.
+	drainNotice = 2 * time.Second
+	// eventRing is how many events the time line keeps.
+	eventRing = 65536
+)
+
+// entry is the process's parts.
+type entry struct {
+	settings settings.Entry
+	keys     keys
+	log      *zap.Logger
+
+	clock    timeline.Clock
+	ring     *timeline.Ring
+	holder   *targets.Holder
+	traffic  wire.Traffic
+	platform *platform.HTTP
+	fleet    *fleet.Fleet
+	api      *api.API
+	health   health
+}
+
+// Serve runs an entry until ctx ends, then shuts it down gracefully: it fails
+// its health check, takes no new connections and ends what it has.
+func Serve(ctx context.Context, s settings.Entry, log *zap.Logger) error {
+	e, err := newEntry(s, log)
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.Wrap(ErrListen, err.Error())
+	}
+	operators, err := net.Listen("tcp", s.AdminListen)
+	if err != nil {
+		_ = callers.Close()
+		return errors.Wrap(ErrListen, err.Error())
+	}
+	return e.serve(ctx, callers, operators)
+}
+
+func newEntry(s settings.Entry, log *zap.Logger) (*entry, error) {
+	k, err := readKeys(s.Keys)
+	if err != nil {
+		return nil, err
+	}
+	e := &entry{settings: s, keys: k, log: log, holder: targets.NewHolder()}
+	e.ring = timeline.NewRing(s.Process, &e.clock, eventRing)
+	e.platform = platform.NewHTTP(s.Platform.URL)
+	e.fleet = fleet.New(fleet.Config{
+		Process:   s.Process,
+		Zone:      s.Zone,
+		SystemKey: k.system,
+		Local:     wire.Local{Clock: &e.clock, TargetsVersion: e.targetsVersion, Traffic: &e.traffic},
+		Holder:    e.holder,
+		List:      e.platform,
+		Ring:      e.ring,
+		Log:       log,
+		Fallback:  e.askSeeds,
+	})
+	e.api = e.newAPI()
+	return e, nil
+}
+
+func (e *entry) targetsVersion() uint64 { return e.holder.Current().Version }
+
+func (e *entry) newAPI() *api.API {
+	ejector := policy.NewEjector()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	dispatcher := dispatch.New(dispatch.Config{
+		Zone:      e.settings.Zone,
+		SystemKey: e.keys.system,
+		Agents:    agents{e.fleet},
+		Placer:    policy.NewPlacer(random, ejector),
+		Ejector:   ejector,
+		Budget:    policy.NewRetryBudget(),
+		Ring:      e.ring,
+		Log:       e.log,
+	})
+	return api.New(api.Config{
+		Holder:     e.holder,
+		Dispatcher: dispatcher,
+		Served:     e.fleet,
+		Auth:       e.authenticator(),
+		Observer:   e,
+		Ring:       e.ring,
+		Log:        e.log,
+	})
+}
+
+func (e *entry) serve(ctx context.Context, callers, operators net.Listener) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	wg.Go(func() { e.fleet.Run(work) })
+	wg.Go(func() { e.followTargets(work) })
+	callerRouter := httprouter.New()
+	e.api.Register(callerRouter)
+	callerServer := newServer(callerRouter)
+	adminServer := newServer(e.adminRoutes())
+	wg.Go(func() { _ = callerServer.Serve(callers) })
+	wg.Go(func() { _ = adminServer.Serve(operators) })
+	e.log.Info("serving", zap.String("event", "serving"), zap.String("listen", callers.Addr().String()), zap.String("admin_listen", operators.Addr().String()))
+	<-ctx.Done()
+	e.drain(callerServer)
+	_ = adminServer.Shutdown(context.Background())
+	stop()
+	wg.Wait()
+	return nil
+}
+
+// drain ends what is in progress, however long it takes: a long answer is
+// bounded by its own timeouts, and a second signal ends the process at once.
+func (e *entry) drain(server *http.Server) {
+	e.health.leave()
+	e.ring.Record(timeline.KindLeave, "", "", "graceful shutdown")
+	e.log.Info("leaving", zap.String("event", "leaving"), zap.Int("in_flight", e.api.InFlight()))
+	time.Sleep(drainNotice)
+	_ = server.Shutdown(context.Background())
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout}
+}
+
+// agents gives the dispatcher its view of the fleet.
+type agents struct{ *fleet.Fleet }
+
+// Place sends a ticket.
+func (a agents) Place(agent string, t *wire.Ticket, l dispatch.Listener) bool {
+	return a.Fleet.Place(agent, t, l)
+}
--- a/internal/targets/class.go
+++ b/internal/targets/class.go
@@ -30,3 +30,20 @@
 
 // MaxTier is the least urgent tier; there are six (letter 1).
 const MaxTier = 5
+
+// defaultStart is within what time work without a target for its first token
+// should start, when it has no target for completion either.
+const defaultStart = 30 * time.Second
+
+// StartWithin is how long after its arrival a request of this class may start
+// and still meet its targets: the target for the first token, or else half of
+// the target for completion, the other half being left for the answer.
+func (c Class) StartWithin() time.Duration {
+	if c.FirstToken > 0 {
+		return c.FirstToken
+	}
+	if c.Completion > 0 {
+		return c.Completion / 2
+	}
+	return defaultStart
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -9,7 +9,8 @@
 )
 
 // Message is the envelope of one message between an entry and an agent.
-// Exactly one of the pointers is set.
+// One of the pointers is set; a Status may ride along with any of them. With
+// none set, the message tells the version of the targets only.
 type Message struct {
 	// Stamp passes on the sender's hybrid logical clock.
 	Stamp timeline.Stamp `cbor:"1,keyasint"`
