Errors: no error is made of a success

Cause: Wrap of go-faster/errors returns an error for nil as well, unlike pkg/errors. Five places wrapped a call's result unasked: each frame, event and piece that was written, each probe of an engine and each close of a stream counted as failed. Ruled out: the other uses of Wrap stand behind a check (grep over all).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,7 +50,7 @@
 	ring    *timeline.Ring
 	holder  *targets.Holder
 	traffic wire.Traffic
-	table    *table
+	table   *table
 }
 
 // New returns an agent for its settings; systemKey tells its peers.
@@ -125,8 +125,10 @@
 		}
 		*settled = true
 	}
-	_, err := a.model.Load(ctx)
-	return errors.Wrap(err, "probe engine")
+	if _, err := a.model.Load(ctx); err != nil {
+		return errors.Wrap(err, "probe engine")
+	}
+	return nil
 }
 
 func (a *Agent) settle(ctx context.Context) error {
--- a/internal/agent/source.go
+++ b/internal/agent/source.go
@@ -47,4 +47,9 @@
 	return wire.Frame{Kind: wire.FrameData, Data: c.Data, Tokens: c.Tokens}, nil
 }
 
-func (s *engineSource) Close() error { return errors.Wrap(s.stream.Close(), "close stream") }
+func (s *engineSource) Close() error {
+	if err := s.stream.Close(); err != nil {
+		return errors.Wrap(err, "close stream")
+	}
+	return nil
+}
--- a/internal/entry/api/service_answer.go
+++ b/internal/entry/api/service_answer.go
@@ -28,7 +28,10 @@
 	if _, err := s.w.Write(f.Data); err != nil {
 		return errors.Wrap(err, "write piece")
 	}
-	return errors.Wrap(s.control.Flush(), "flush piece")
+	if err := s.control.Flush(); err != nil {
+		return errors.Wrap(err, "flush piece")
+	}
+	return nil
 }
 
 // head leaves the length as the service gave it: a cut answer is then shorter
--- a/internal/entry/api/stream_answer.go
+++ b/internal/entry/api/stream_answer.go
@@ -66,7 +66,10 @@
 	if _, err := s.w.Write(event); err != nil {
 		return errors.Wrap(err, "write event")
 	}
-	return errors.Wrap(s.control.Flush(), "flush event")
+	if err := s.control.Flush(); err != nil {
+		return errors.Wrap(err, "flush event")
+	}
+	return nil
 }
 
 func (s *streamAnswer) open() {
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -44,7 +44,10 @@
 	if err := w.enc.Encode(f); err != nil {
 		return errors.Wrap(err, "write frame")
 	}
-	return errors.Wrap(w.control.Flush(), "flush frame")
+	if err := w.control.Flush(); err != nil {
+		return errors.Wrap(err, "flush frame")
+	}
+	return nil
 }
 
 // FrameReader reads frames and gives up on a stream that goes silent.
