--- a/testbed/faultproxy/proxy.go
+++ b/testbed/faultproxy/proxy.go
@@ -133,6 +133,15 @@
 	return h
 }
 
+// Observe calls see with everything that passes in a direction, before it
+// passes; see must not block.
+func (p *Proxy) Observe(direction Direction, see func(Sight)) {
+	p.tap(direction).hold(func(s Sight) bool {
+		see(s)
+		return false
+	})
+}
+
 // Close ends the proxy and all its connections.
 func (p *Proxy) Close() {
 	p.up.close()
--- a/testbed/faultproxy/reader.go
+++ b/testbed/faultproxy/reader.go
@@ -35,6 +35,7 @@
 // does not know it lets pass unseen.
 type reader struct {
 	direction Direction
+	link      int64
 	protocol  protocol
 	frames    frameReader
 }
@@ -46,7 +47,6 @@
 		_, data, _ = bytes.Cut(data, headEnd)
 	case bytes.HasPrefix(data, markBody):
 		r.protocol = protocolRun
-		return []Sight{{Direction: r.direction, Kind: SightBody}}
 	case bytes.HasPrefix(data, markAnswer):
 		r.protocol = protocolRun
 	}
@@ -56,6 +56,9 @@
 	if r.protocol == protocolRun && r.direction == Downstream {
 		return r.answer(data)
 	}
+	if r.protocol == protocolRun {
+		return []Sight{{Direction: r.direction, Kind: SightBody, Link: r.link, Data: data}}
+	}
 	return nil
 }
 
@@ -64,7 +67,7 @@
 	for _, payload := range r.frames.read(data) {
 		message := new(wire.Message)
 		if err := cbor.Unmarshal(payload, message); err == nil {
-			sights = append(sights, Sight{Direction: r.direction, Kind: SightMessage, Message: message})
+			sights = append(sights, Sight{Direction: r.direction, Kind: SightMessage, Link: r.link, Message: message})
 		}
 	}
 	return sights
@@ -73,13 +76,13 @@
 func (r *reader) answer(data []byte) []Sight {
 	var sights []Sight
 	for range bytes.Count(data, markData) {
-		sights = append(sights, Sight{Direction: r.direction, Kind: SightData})
+		sights = append(sights, Sight{Direction: r.direction, Kind: SightData, Link: r.link, Data: data})
 	}
 	if bytes.Contains(data, markEnd) {
-		sights = append(sights, Sight{Direction: r.direction, Kind: SightEnd})
+		sights = append(sights, Sight{Direction: r.direction, Kind: SightEnd, Link: r.link})
 	}
 	if bytes.Contains(data, markFail) {
-		sights = append(sights, Sight{Direction: r.direction, Kind: SightFail})
+		sights = append(sights, Sight{Direction: r.direction, Kind: SightFail, Link: r.link})
 	}
 	return sights
 }
--- a/testbed/faultproxy/sight.go
+++ b/testbed/faultproxy/sight.go
@@ -20,7 +20,7 @@
 const (
 	// SightMessage is a message of the control connection.
 	SightMessage SightKind = iota + 1
-	// SightBody is the beginning of a granted request's body.
+	// SightBody is a piece of a granted request, its body included.
 	SightBody
 	// SightData is a piece of an answer, SightEnd the mark of its end and
 	// SightFail that of its failure.
@@ -33,6 +33,11 @@
 type Sight struct {
 	Direction Direction
 	Kind      SightKind
+	// Link numbers the proxy's connections, each direction for itself.
+	Link int64
+	// Data is what passes, with SightBody and SightData. It is only valid
+	// during the match.
+	Data []byte
 	// Message is set with SightMessage.
 	Message *wire.Message
 }
--- a/testbed/faultproxy/tap.go
+++ b/testbed/faultproxy/tap.go
@@ -19,6 +19,7 @@
 
 	mu         sync.Mutex
 	generation int
+	links      int64
 	released   chan struct{} // closed to end all connections of now
 	holds      []*Hold
 }
@@ -34,7 +35,8 @@
 func (t *tap) NewState() interface{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &link{born: t.generation, released: t.released, reader: reader{direction: t.direction}}
+	t.links++
+	return &link{born: t.generation, released: t.released, reader: reader{direction: t.direction, link: t.links}}
 }
 
 // Pipe is called by toxiproxy and passes on one connection's data.
