Clients of engine, plain service and platform, and stand-ins for all three

Change: internal/engine gets an HTTP client of an engine and of a plain service, internal/platform one of the platform. Runs, orders and writes open a connection each, because net/http sends some requests again on a kept connection that was closed; a failure before a connection is made is 'not started', everything later leaves the outcome open. A status of 500, 502 or 504 is no refusal: the request may have run in part. testbed gets the stand-ins and the command standin, with faults changed by PUT /knobs and a record of runs.

Ruled out: kept connections with no rewindable body. That stops a second send, but a stale connection then turns a write that was never sent into an unknown outcome.

--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,151 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/go-faster/errors"
+)
+
+// Headers of a run.
+const (
+	// HeaderRequestID carries the run's id.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderPriority carries the run's priority; lower goes first.
+	HeaderPriority = "X-Priority"
+	// HeaderResumeFrom carries how many tokens of the answer to leave out.
+	HeaderResumeFrom = "X-Resume-From"
+)
+
+// Paths of an engine's API.
+const (
+	pathCompletions = "/v1/chat/completions"
+	pathRuns        = "/runs"
+	pathLoad        = "/load"
+	pathOrders      = "/orders"
+)
+
+// Client is an Engine that is reached over HTTP.
+type Client struct {
+	baseURL string
+	runs    http.RoundTripper
+	control *http.Client
+	orders  *http.Client
+}
+
+var _ Engine = (*Client)(nil)
+
+// NewClient returns a Client of the engine at baseURL, for example
+// "http://127.0.0.1:9000".
+func NewClient(baseURL string) *Client {
+	oneShot := newOneShotTransport()
+	return &Client{
+		baseURL: baseURL,
+		runs:    oneShot,
+		control: newHTTPClient(newControlTransport()),
+		orders:  newHTTPClient(oneShot),
+	}
+}
+
+// Start implements Engine. ctx governs the whole stream, not only its start.
+func (c *Client) Start(ctx context.Context, run Run) (Stream, error) {
+	body, err := streamingBody(run.Body)
+	if err != nil {
+		return nil, err
+	}
+	var trace connectTrace
+	req, err := newRunRequest(trace.attach(ctx), c.baseURL+pathCompletions, run, body)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	resp, err := c.runs.RoundTrip(req)
+	if err != nil {
+		return nil, startError(&trace, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, statusError(resp)
+	}
+	return newSSEStream(resp.Body), nil
+}
+
+// Cancel implements Engine.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	path := pathRuns + "/" + url.PathEscape(id) + "/cancel"
+	return c.call(ctx, c.control, http.MethodPost, path, nil, nil)
+}
+
+// Running implements Engine.
+func (c *Client) Running(ctx context.Context) ([]string, error) {
+	var list RunList
+	if err := c.call(ctx, c.control, http.MethodGet, pathRuns, nil, &list); err != nil {
+		return nil, err
+	}
+	return list.Runs, nil
+}
+
+// Load implements Engine.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	var load Load
+	err := c.call(ctx, c.control, http.MethodGet, pathLoad, nil, &load)
+	return load, err
+}
+
+// Order implements Engine.
+func (c *Client) Order(ctx context.Context, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	return c.call(ctx, c.orders, http.MethodPost, pathOrders, body, nil)
+}
+
+// call makes one control call and decodes its answer into result unless that
+// is nil.
+func (c *Client) call(ctx context.Context, client *http.Client, method, path string, body []byte, result any) error {
+	var trace connectTrace
+	req, err := http.NewRequestWithContext(trace.attach(ctx), method, c.baseURL+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return startError(&trace, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusConflict {
+		return ErrFenced
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return statusError(resp)
+	}
+	if result == nil {
+		return nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(result); err != nil {
+		return errors.Wrap(err, "decode engine's answer")
+	}
+	return nil
+}
+
+// newRunRequest builds the request of a run. Its body can't be rewound, so
+// that net/http has no way to send it twice.
+func newRunRequest(ctx context.Context, target string, run Run, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	req.Header.Set(HeaderRequestID, run.ID)
+	req.Header.Set(HeaderPriority, strconv.Itoa(run.Priority))
+	if run.ResumeFrom > 0 {
+		req.Header.Set(HeaderResumeFrom, strconv.Itoa(run.ResumeFrom))
+	}
+	return req, nil
+}
--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,190 @@
+package engine_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/engine"
+)
+
+const chatBody = `{"model":"m","messages":[{"role":"user","content":"a < b"}],"stream":false}`
+
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// closedAddress returns a base URL on which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return "http://" + listener.Addr().String()
+}
+
+func TestStartAsksForAStream(t *testing.T) {
+	var body []byte
+	var header http.Header
+	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ = io.ReadAll(r.Body)
+		header = r.Header
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	stream, err := engine.NewClient(url).Start(context.Background(),
+		engine.Run{ID: "r1#2", Priority: 3, ResumeFrom: 7, Body: []byte(chatBody)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := stream.Next(); err != io.EOF {
+		t.Fatalf("end of stream: got %v, want io.EOF", err)
+	}
+	if err := stream.Close(); err != nil {
+		t.Fatal(err)
+	}
+	want := `{"messages":[{"role":"user","content":"a \u003c b"}],"model":"m","stream":true,"stream_options":{"include_usage":true}}`
+	if string(body) != want {
+		t.Errorf("body:\n got %s\nwant %s", body, want)
+	}
+	for name, value := range map[string]string{"X-Request-Id": "r1#2", "X-Priority": "3", "X-Resume-From": "7"} {
+		if got := header.Get(name); got != value {
+			t.Errorf("%s: got %q, want %q", name, got, value)
+		}
+	}
+}
+
+func TestStreamWithoutEndMarkIsCut(t *testing.T) {
+	const token = `data: {"choices":[{"delta":{"content":"x"}}]}` + "\n\n"
+	streams := map[string]string{
+		"connection ends":  token,
+		"half an event":    token + `data: {"choi`,
+		"error and mark":   token + `data: {"error":{"message":"oops"}}` + "\n\ndata: [DONE]\n\n",
+		"event isn't JSON": token + "data: oops\n\ndata: [DONE]\n\n",
+	}
+	for name, text := range streams {
+		t.Run(name, func(t *testing.T) {
+			url := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) })
+			stream, err := engine.NewClient(url).Start(context.Background(), engine.Run{Body: []byte(chatBody)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = stream.Close() }()
+			chunk, err := stream.Next()
+			if err != nil || chunk.Tokens != 1 {
+				t.Fatalf("first chunk: got %d tokens, %v", chunk.Tokens, err)
+			}
+			if _, err := stream.Next(); !errors.Is(err, engine.ErrCut) {
+				t.Fatalf("second chunk: got %v, want ErrCut", err)
+			}
+		})
+	}
+}
+
+func TestStartSaysWhetherItStarted(t *testing.T) {
+	answer := func(status int) string {
+		return serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+	}
+	cut := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	cases := []struct {
+		name        string
+		url         string
+		body        string
+		unreachable bool
+		rejected    int
+	}{
+		{name: "nobody listens", url: closedAddress(t), body: chatBody, unreachable: true},
+		{name: "malformed body", url: closedAddress(t), body: `[]`, rejected: 400},
+		{name: "not found", url: answer(404), body: chatBody, rejected: 404},
+		{name: "busy", url: answer(429), body: chatBody, rejected: 429},
+		{name: "unavailable", url: answer(503), body: chatBody, rejected: 503},
+		{name: "failed inside", url: answer(500), body: chatBody},
+		{name: "cut after the request", url: cut, body: chatBody},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := engine.NewClient(c.url).Start(context.Background(), engine.Run{Body: []byte(c.body)})
+			if err == nil {
+				t.Fatal("no error")
+			}
+			if got := errors.Is(err, engine.ErrUnreachable); got != c.unreachable {
+				t.Errorf("unreachable: got %v (%v), want %v", got, err, c.unreachable)
+			}
+			rejected, ok := errors.Into[*engine.RejectedError](err)
+			if ok != (c.rejected != 0) || ok && rejected.Status != c.rejected {
+				t.Errorf("rejected: got %v (%v), want status %d", ok, err, c.rejected)
+			}
+		})
+	}
+}
+
+// TestRunsAreNeverSentTwice closes each connection after its first request,
+// with an answer to a first run before, so that a kept connection would be
+// found closed.
+func TestRunsAreNeverSentTwice(t *testing.T) {
+	var calls atomic.Int32
+	url := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	service := engine.NewService(url)
+	call := engine.ServiceCall{
+		ID: "r1#1", Method: http.MethodGet, Path: "/gate",
+		Header: http.Header{"Idempotency-Key": {"k"}},
+	}
+	answer, err := service.Do(context.Background(), call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(answer.Body); err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	if _, err := service.Do(context.Background(), call); err == nil || errors.Is(err, engine.ErrUnreachable) {
+		t.Fatalf("second call: got %v, want an error that leaves the outcome open", err)
+	}
+	if got := calls.Load(); got != 2 {
+		t.Fatalf("calls that came: got %d, want 2", got)
+	}
+}
+
+func TestServicePassesOnButNotHopHeaders(t *testing.T) {
+	var got *http.Request
+	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Docket", "7")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write(body)
+	})
+	answer, err := engine.NewService(url).Do(context.Background(), engine.ServiceCall{
+		ID: "r2#1", Method: http.MethodPut, Path: "/gate/4?x=1", Body: []byte("weigh"),
+		Header: http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Te": {"gzip"}, "X-Kept": {"2"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil || string(body) != "weigh" || answer.Status != http.StatusTeapot || answer.Header.Get("X-Docket") != "7" {
+		t.Fatalf("answer: %d %v %q %v", answer.Status, answer.Header, body, err)
+	}
+	if got.Method != http.MethodPut || got.RequestURI != "/gate/4?x=1" || got.Header.Get("X-Request-Id") != "r2#1" {
+		t.Errorf("request: %s %s %v", got.Method, got.RequestURI, got.Header)
+	}
+	if got.Header.Get("X-Hop") != "" || got.Header.Get("Te") != "" || got.Header.Get("X-Kept") != "2" {
+		t.Errorf("headers: %v", got.Header)
+	}
+}
--- /dev/null
+++ b/testbed/cmd/standin/engine.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/applepier/applepier/testbed/engine"
+)
+
+// crashStatus is the exit status of an engine that was told to crash.
+const crashStatus = 3
+
+func engineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "engine",
+		Usage: "stand in for a model's engine",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "model", Value: engine.DefaultModel, Usage: "model that is loaded"},
+			&cli.IntFlag{Name: "capacity", Value: engine.DefaultCapacity, Usage: "streams at full speed"},
+			&cli.IntFlag{Name: "max-streams", Usage: "streams at once; 4 times the capacity when not given"},
+			&cli.FloatFlag{Name: "interval-ms", Value: milliseconds(engine.DefaultInterval), Usage: "time between tokens at full speed"},
+			&cli.FloatFlag{Name: "prefill-us-per-token", Value: 20, Usage: "time to read a prompt token that is not cached"},
+			&cli.IntFlag{Name: "cache-blocks", Value: engine.DefaultCacheBlocks, Usage: "blocks of 16 prompt tokens that are cached"},
+			&cli.FloatFlag{Name: "load-lag-ms", Value: milliseconds(engine.DefaultLoadLag), Usage: "age that the load report reaches"},
+			&cli.BoolFlag{Name: "ignore-fences", Usage: "take orders with an old fencing number"},
+			&cli.StringFlag{Name: "record-file", Usage: "file that takes the record of runs as JSON lines"},
+		},
+		Action: runEngine,
+	}
+}
+
+func runEngine(ctx context.Context, cmd *cli.Command) error {
+	server, err := engine.New(engine.Config{
+		Model:           cmd.String("model"),
+		Capacity:        cmd.Int("capacity"),
+		MaxStreams:      cmd.Int("max-streams"),
+		Interval:        time.Duration(cmd.Float("interval-ms") * float64(time.Millisecond)),
+		PrefillPerToken: time.Duration(cmd.Float("prefill-us-per-token") * float64(time.Microsecond)),
+		CacheBlocks:     cmd.Int("cache-blocks"),
+		LoadLag:         time.Duration(cmd.Float("load-lag-ms") * float64(time.Millisecond)),
+		IgnoreFences:    cmd.Bool("ignore-fences"),
+		RecordFile:      cmd.String("record-file"),
+		Exit:            func() { os.Exit(crashStatus) },
+	})
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	return serve(ctx, cmd.String("listen"), server)
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/testbed/cmd/standin/others.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/applepier/applepier/testbed/plain"
+	"github.com/applepier/applepier/testbed/platform"
+)
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "stand in for the platform's table, object store and VM list",
+		Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return serve(ctx, cmd.String("listen"), platform.New())
+		},
+	}
+}
+
+func serviceCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "service",
+		Usage: "stand in for a plain service",
+		Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return serve(ctx, cmd.String("listen"), plain.New())
+		},
+	}
+}
--- /dev/null
+++ b/testbed/engine/completions.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/engine"
+)
+
+// maxBody bounds a request, in bytes.
+const maxBody = 16 << 20
+
+// completions serves one run.
+func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
+	req, err := s.readRequest(w, r)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if status := s.knobs.Get().RejectStatus; status != 0 {
+		writeError(w, status, "engine takes no requests")
+		return
+	}
+	if !slices.Contains(s.orders.loaded(), req.Model) {
+		writeError(w, http.StatusNotFound, "model "+req.Model+" is not loaded")
+		return
+	}
+	tokens := req.answer()
+	resumeFrom, err := intHeader(r, engine.HeaderResumeFrom)
+	if err != nil || resumeFrom < 0 || resumeFrom > len(tokens) {
+		writeError(w, http.StatusBadRequest, "can't resume from there")
+		return
+	}
+	priority, err := intHeader(r, engine.HeaderPriority)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "priority is not a number")
+		return
+	}
+
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	record := s.journal.accept(r.Header.Get(engine.HeaderRequestID), priority, resumeFrom, cancel)
+	run := &run{
+		server: s,
+		record: record,
+		prompt: req.prompt(),
+		tokens: tokens,
+		out:    newChunkWriter(w, req.Model, record.Run),
+	}
+	outcome := outcomeOf(ctx, run.serve(ctx))
+	s.journal.end(record, outcome)
+	if outcome != OutcomeWhole {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (*request, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		return nil, err
+	}
+	req, err := decodeRequest(body)
+	if err != nil {
+		return nil, err
+	}
+	if !req.Stream {
+		return nil, errors.New("only streaming requests are served")
+	}
+	return req, nil
+}
+
+// outcomeOf says how a run ended from its error and the cause of its context's
+// end.
+func outcomeOf(ctx context.Context, err error) Outcome {
+	cause := context.Cause(ctx)
+	switch {
+	case err == nil:
+		return OutcomeWhole
+	case errors.Is(err, errCut):
+		return OutcomeCut
+	case errors.Is(cause, errCancelled):
+		return OutcomeCancelled
+	case errors.Is(cause, errCrashed):
+		return OutcomeCrashed
+	default:
+		return OutcomeDisconnected
+	}
+}
+
+// intHeader reads a number from a header; a missing one is zero.
+func intHeader(r *http.Request, name string) (int, error) {
+	value := r.Header.Get(name)
+	if value == "" {
+		return 0, nil
+	}
+	return strconv.Atoi(value)
+}
--- /dev/null
+++ b/testbed/engine/journal.go
@@ -0,0 +1,144 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// maxRecords bounds the record; the oldest are dropped first.
+const maxRecords = 500_000
+
+// journal keeps the record of all runs and knows those in progress.
+type journal struct {
+	mu      sync.Mutex
+	seq     int
+	records []*Record
+	active  map[*Record]context.CancelCauseFunc
+	file    *os.File
+}
+
+// newJournal returns an empty journal that also writes to path unless that is
+// empty.
+func newJournal(path string) (*journal, error) {
+	j := &journal{active: map[*Record]context.CancelCauseFunc{}}
+	if path == "" {
+		return j, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open record file")
+	}
+	j.file = file
+	return j, nil
+}
+
+// accept notes a run that has come; cancel ends it.
+func (j *journal) accept(run string, priority, resumeFrom int, cancel context.CancelCauseFunc) *Record {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.seq++
+	request, _, _ := strings.Cut(run, "#")
+	r := &Record{
+		Seq: j.seq, Run: run, Request: request, Priority: priority,
+		Accepted: time.Now(), ResumedFrom: resumeFrom, Outcome: OutcomeWaiting,
+	}
+	j.records = append(j.records, r)
+	if len(j.records) > maxRecords {
+		j.records = slices.Delete(j.records, 0, 1)
+	}
+	j.active[r] = cancel
+	j.write(r)
+	return r
+}
+
+// start notes that work on a run begins.
+func (j *journal) start(r *Record, promptTokens, cachedTokens int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	r.Started = &now
+	r.PromptTokens = promptTokens
+	r.CachedTokens = cachedTokens
+	r.Outcome = OutcomeRunning
+	j.write(r)
+}
+
+// token notes that a run has produced one more token.
+func (j *journal) token(r *Record) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.Tokens++
+}
+
+// end notes how a run ended.
+func (j *journal) end(r *Record, outcome Outcome) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	r.Ended = &now
+	r.Outcome = outcome
+	delete(j.active, r)
+	j.write(r)
+}
+
+// cancel ends the runs with an id; the empty id stands for all.
+func (j *journal) cancel(run string, cause error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for r, cancel := range j.active {
+		if run == "" || r.Run == run {
+			cancel(cause)
+		}
+	}
+}
+
+// inProgress lists the ids of the runs that have not ended, oldest first.
+func (j *journal) inProgress() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	runs := []string{}
+	for _, r := range j.records {
+		if _, ok := j.active[r]; ok {
+			runs = append(runs, r.Run)
+		}
+	}
+	return runs
+}
+
+// snapshot copies the record.
+func (j *journal) snapshot() []Record {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	records := make([]Record, len(j.records))
+	for i, r := range j.records {
+		records[i] = *r
+	}
+	return records
+}
+
+func (j *journal) close() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.file != nil {
+		_ = j.file.Close()
+		j.file = nil
+	}
+}
+
+func (j *journal) write(r *Record) {
+	if j.file == nil {
+		return
+	}
+	line, err := json.Marshal(r)
+	if err != nil {
+		return
+	}
+	_, _ = j.file.Write(append(line, '\n'))
+}
--- /dev/null
+++ b/testbed/engine/model.go
@@ -0,0 +1,15 @@
+package engine
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+// model is one loaded model.
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
--- /dev/null
+++ b/testbed/engine/server_test.go
@@ -0,0 +1,291 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/engine"
+	standin "github.com/applepier/applepier/testbed/engine"
+)
+
+// patience bounds waiting for something that must happen.
+const patience = 20 * time.Second
+
+// fixture is a running stand-in with the product's client.
+type fixture struct {
+	t      *testing.T
+	server *standin.Server
+	client *engine.Client
+}
+
+func newFixture(t *testing.T, config standin.Config) *fixture {
+	t.Helper()
+	config.Model = "m"
+	if config.Interval == 0 {
+		config.Interval = 100 * time.Microsecond
+	}
+	server, err := standin.New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	web := httptest.NewServer(server)
+	t.Cleanup(func() {
+		server.Close()
+		web.CloseClientConnections()
+		web.Close()
+	})
+	return &fixture{t: t, server: server, client: engine.NewClient(web.URL)}
+}
+
+// chat is a request whose answer has a number of tokens.
+func chat(prompt string, tokens int) []byte {
+	return fmt.Appendf(nil, `{"model":"m","messages":[{"role":"user","content":%q}],"max_tokens":%d}`, prompt, tokens)
+}
+
+func (f *fixture) start(run engine.Run) engine.Stream {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	f.t.Cleanup(cancel)
+	stream, err := f.client.Start(ctx, run)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = stream.Close() })
+	return stream
+}
+
+// read reads up to limit tokens and returns them with the stream's error.
+func read(stream engine.Stream, limit int) ([]string, error) {
+	var tokens []string
+	for len(tokens) < limit {
+		chunk, err := stream.Next()
+		if err != nil {
+			return tokens, err
+		}
+		var decoded struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if err := json.Unmarshal(chunk.Data, &decoded); err != nil {
+			return tokens, err
+		}
+		if chunk.Tokens == 1 {
+			tokens = append(tokens, decoded.Choices[0].Delta.Content)
+		}
+	}
+	return tokens, nil
+}
+
+// await polls until the record of a run satisfies a condition.
+func (f *fixture) await(run string, condition func(standin.Record) bool) standin.Record {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		for _, r := range f.server.Record() {
+			if r.Run == run && condition(r) {
+				return r
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.t.Fatalf("run %s: condition not met; record is %+v", run, f.server.Record())
+	return standin.Record{}
+}
+
+func ended(outcome standin.Outcome) func(standin.Record) bool {
+	return func(r standin.Record) bool { return r.Outcome == outcome }
+}
+
+func TestAnswerIsWholeAndResumes(t *testing.T) {
+	f := newFixture(t, standin.Config{})
+	body := chat("well 7", 20)
+	want := standin.Answer(body)
+	got, err := read(f.start(engine.Run{ID: "a#1", Body: body}), 100)
+	if err != io.EOF || !slices.Equal(got, want) || len(want) != 20 {
+		t.Fatalf("answer: got %v, %v; want %v", got, err, want)
+	}
+	got, err = read(f.start(engine.Run{ID: "a#2", Body: body, ResumeFrom: 13}), 100)
+	if err != io.EOF || !slices.Equal(got, want[13:]) {
+		t.Fatalf("resumed answer: got %v, %v; want %v", got, err, want[13:])
+	}
+	r := f.await("a#2", ended(standin.OutcomeWhole))
+	if r.Request != "a" || r.Tokens != 7 || r.ResumedFrom != 13 || r.Started == nil {
+		t.Errorf("record: %+v", r)
+	}
+	if other := standin.Answer(chat("well 8", 20)); slices.Equal(other, want) {
+		t.Error("another request has the same answer")
+	}
+}
+
+func TestPriorityGoesFirst(t *testing.T) {
+	f := newFixture(t, standin.Config{Capacity: 1, MaxStreams: 1, LoadLag: time.Millisecond})
+	f.server.SetKnobs(func(k *standin.Knobs) { k.StallStreams = 1 })
+	first := f.start(engine.Run{ID: "first#1", Body: chat("x", 3)})
+	f.await("first#1", ended(standin.OutcomeRunning))
+	low := f.start(engine.Run{ID: "low#1", Priority: 4, Body: chat("x", 3)})
+	high := f.start(engine.Run{ID: "high#1", Priority: 0, Body: chat("x", 3)})
+	f.awaitWaiting(2)
+	if err := first.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for _, stream := range []engine.Stream{low, high} {
+		if _, err := read(stream, 100); err != io.EOF {
+			t.Fatal(err)
+		}
+	}
+	lowRun := f.await("low#1", ended(standin.OutcomeWhole))
+	highRun := f.await("high#1", ended(standin.OutcomeWhole))
+	if !highRun.Started.Before(*lowRun.Started) {
+		t.Errorf("started: high at %v, low at %v", highRun.Started, lowRun.Started)
+	}
+	f.await("first#1", ended(standin.OutcomeDisconnected))
+}
+
+// awaitWaiting polls the load report, which lags, until so many wait.
+func (f *fixture) awaitWaiting(waiting int) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		load, err := f.client.Load(context.Background())
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if load.Waiting == waiting {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.t.Fatalf("never saw %d streams wait", waiting)
+}
+
+func TestCancel(t *testing.T) {
+	f := newFixture(t, standin.Config{})
+	f.server.SetKnobs(func(k *standin.Knobs) { k.StallStreams, k.StallAfter = 1, 2 })
+	stream := f.start(engine.Run{ID: "r/1#1", Body: chat("x", 9)})
+	if _, err := read(stream, 2); err != nil {
+		t.Fatal(err)
+	}
+	runs, err := f.client.Running(context.Background())
+	if err != nil || !slices.Equal(runs, []string{"r/1#1"}) {
+		t.Fatalf("running: %v, %v", runs, err)
+	}
+	if err := f.client.Cancel(context.Background(), "r/1#1"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := stream.Next(); !errors.Is(err, engine.ErrCut) {
+		t.Errorf("cancelled stream: got %v, want ErrCut", err)
+	}
+	if r := f.await("r/1#1", ended(standin.OutcomeCancelled)); r.Tokens != 2 {
+		t.Errorf("tokens: got %d, want 2", r.Tokens)
+	}
+	if err := f.client.Cancel(context.Background(), "none"); err != nil {
+		t.Errorf("cancel of no run: %v", err)
+	}
+}
+
+func TestCutJustBeforeTheEndMark(t *testing.T) {
+	f := newFixture(t, standin.Config{})
+	f.server.SetKnobs(func(k *standin.Knobs) { k.CutStreams, k.CutAfter = 1, 99 })
+	got, err := read(f.start(engine.Run{ID: "c#1", Body: chat("x", 5)}), 100)
+	if len(got) != 5 || !errors.Is(err, engine.ErrCut) {
+		t.Fatalf("got %d tokens and %v, want 5 and ErrCut", len(got), err)
+	}
+	f.await("c#1", ended(standin.OutcomeCut))
+}
+
+func TestCrashCutsAllAndRefuses(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "record")
+	f := newFixture(t, standin.Config{RecordFile: file})
+	f.server.SetKnobs(func(k *standin.Knobs) { k.CrashAfterTokens = 4 })
+	_, err := read(f.start(engine.Run{ID: "x#1", Body: chat("x", 50)}), 100)
+	if !errors.Is(err, engine.ErrCut) {
+		t.Fatalf("stream: got %v, want ErrCut", err)
+	}
+	f.await("x#1", ended(standin.OutcomeCrashed))
+	if _, err := f.client.Start(context.Background(), engine.Run{ID: "x#2", Body: chat("x", 5)}); err == nil {
+		t.Fatal("a crashed engine took a run")
+	}
+	f.server.SetKnobs(func(k *standin.Knobs) { k.Crashed = false })
+	if _, err := read(f.start(engine.Run{ID: "x#3", Body: chat("x", 5)}), 100); err != io.EOF {
+		t.Fatalf("after the crash: %v", err)
+	}
+	f.await("x#3", ended(standin.OutcomeWhole))
+	records, err := standin.ReadRecordFile(file)
+	if err != nil || len(records) != 2 || records[0].Outcome != standin.OutcomeCrashed || records[0].Tokens != 4 {
+		t.Errorf("record file: %+v, %v", records, err)
+	}
+}
+
+func TestFrozenHoldsRunsAndForeignLoadTakesSlots(t *testing.T) {
+	f := newFixture(t, standin.Config{Capacity: 1, MaxStreams: 2})
+	f.server.SetKnobs(func(k *standin.Knobs) { k.Foreign = 2 })
+	stream := f.start(engine.Run{ID: "w#1", Body: chat("x", 5)})
+	f.await("w#1", ended(standin.OutcomeWaiting))
+	f.server.SetKnobs(func(k *standin.Knobs) { k.Foreign, k.Frozen = 0, true })
+	r := f.await("w#1", ended(standin.OutcomeRunning))
+	if r.Tokens != 0 {
+		t.Errorf("a frozen engine produced %d tokens", r.Tokens)
+	}
+	f.server.SetKnobs(func(k *standin.Knobs) { k.Frozen = false })
+	if _, err := read(stream, 100); err != io.EOF {
+		t.Fatal(err)
+	}
+}
+
+func TestPrefixCacheIsLimited(t *testing.T) {
+	f := newFixture(t, standin.Config{CacheBlocks: 40})
+	long := func(seed string) string {
+		return fmt.Sprintf("%0*d%s", 2000-len(seed), 0, seed)
+	}
+	run := func(id, prompt string) standin.Record {
+		if _, err := read(f.start(engine.Run{ID: id, Body: chat(prompt, 1)}), 100); err != io.EOF {
+			t.Fatal(err)
+		}
+		return f.await(id, ended(standin.OutcomeWhole))
+	}
+	if r := run("p#1", long("a")); r.CachedTokens != 0 {
+		t.Errorf("first prompt: %d tokens cached", r.CachedTokens)
+	}
+	if r := run("p#2", long("b")); r.CachedTokens < 400 || r.CachedTokens > r.PromptTokens {
+		t.Errorf("same beginning: %d of %d tokens cached", r.CachedTokens, r.PromptTokens)
+	}
+	run("p#3", "other "+long("c")+long("d"))
+	if r := run("p#4", long("a")); r.CachedTokens != 0 {
+		t.Errorf("after others: %d tokens cached", r.CachedTokens)
+	}
+}
+
+func TestOrdersAreFenced(t *testing.T) {
+	f := newFixture(t, standin.Config{})
+	ctx := context.Background()
+	if err := f.client.Order(ctx, engine.Order{Fence: 5, LoadModel: "n"}); err != nil {
+		t.Fatal(err)
+	}
+	old := engine.Order{Fence: 4, LoadModel: "o"}
+	if err := f.client.Order(ctx, old); !errors.Is(err, engine.ErrFenced) {
+		t.Fatalf("old order: got %v, want ErrFenced", err)
+	}
+	f.server.SetKnobs(func(k *standin.Knobs) { k.IgnoreFences = true })
+	if err := f.client.Order(ctx, old); err != nil {
+		t.Fatalf("old order to an engine that ignores fences: %v", err)
+	}
+}
+
+func TestUnknownModelIsRejected(t *testing.T) {
+	f := newFixture(t, standin.Config{})
+	_, err := f.client.Start(context.Background(), engine.Run{Body: []byte(`{"model":"z","messages":[{"role":"user","content":"x"}]}`)})
+	if rejected, ok := errors.Into[*engine.RejectedError](err); !ok || rejected.Status != 404 {
+		t.Fatalf("got %v, want a rejection with status 404", err)
+	}
+	if len(f.server.Record()) != 0 {
+		t.Error("a rejected request is on record as a run")
+	}
+}
--- /dev/null
+++ b/testbed/platform/server_test.go
@@ -0,0 +1,181 @@
+package platform_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/platform"
+	standin "github.com/applepier/applepier/testbed/platform"
+)
+
+type fixture struct {
+	t      *testing.T
+	server *standin.Server
+	web    *httptest.Server
+	client *platform.HTTP
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	server := standin.New()
+	web := httptest.NewServer(server)
+	t.Cleanup(web.Close)
+	return &fixture{t: t, server: server, web: web, client: platform.NewHTTP(web.URL)}
+}
+
+// admin makes a call that only tests make.
+func (f *fixture) admin(method, path, body string) {
+	f.t.Helper()
+	req, err := http.NewRequest(method, f.web.URL+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode >= 300 {
+		f.t.Fatalf("%s %s: status %d: %s", method, path, resp.StatusCode, answer)
+	}
+}
+
+func (f *fixture) want(err, want error) {
+	f.t.Helper()
+	if !errors.Is(err, want) {
+		f.t.Fatalf("got %v, want %v", err, want)
+	}
+}
+
+func put(key, value string, expect uint64) platform.Write {
+	return platform.Write{Key: key, Value: []byte(value), Expect: expect}
+}
+
+func TestCommitIsAllOrNothing(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	f.want(f.client.Commit(ctx, []platform.Write{put("a/1", "x", 0), put("a/2", "y", 0), put("b", "z", 0)}), nil)
+	f.want(f.client.Commit(ctx, []platform.Write{put("a/1", "new", 1), put("a/2", "new", 7)}), platform.ErrConflict)
+	rows, err := f.client.List(ctx, "a/")
+	f.want(err, nil)
+	if len(rows) != 2 || string(rows[0].Value) != "x" || rows[1].Key != "a/2" || rows[1].Version != 1 {
+		t.Fatalf("rows: %+v", rows)
+	}
+	f.want(f.client.Commit(ctx, []platform.Write{put("a/1", "new", 1), {Key: "a/2", Expect: platform.AnyVersion, Delete: true}}), nil)
+	row, err := f.client.Get(ctx, "a/1")
+	f.want(err, nil)
+	if string(row.Value) != "new" || row.Version != 2 {
+		t.Errorf("row: %+v", row)
+	}
+	_, err = f.client.Get(ctx, "a/2")
+	f.want(err, platform.ErrNotFound)
+}
+
+func TestLostAnswerLeavesTheWrite(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	f.admin(http.MethodPut, "/knobs", `{"lose_answers":1}`)
+	f.want(f.client.Commit(ctx, []platform.Write{put("a", "x", 0)}), platform.ErrOutcomeUnknown)
+	row, err := f.client.Get(ctx, "a")
+	f.want(err, nil)
+	if row.Version != 1 {
+		t.Errorf("version: got %d, want 1: the write was sent more than once", row.Version)
+	}
+	f.want(f.client.Commit(ctx, []platform.Write{put("a", "y", 1)}), nil)
+	stats := f.server.Stats()
+	if stats.Writes != 2 || stats.Rows != 2 || stats.Lost != 1 || stats.Reads != 1 {
+		t.Errorf("stats: %+v", stats)
+	}
+}
+
+func TestOutage(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	f.want(f.client.PutObject(ctx, "w/ 1?", []byte("v")), nil)
+	value, err := f.client.GetObject(ctx, "w/ 1?")
+	f.want(err, nil)
+	if string(value) != "v" {
+		t.Errorf("object: %q", value)
+	}
+	_, err = f.client.GetObject(ctx, "w/2")
+	f.want(err, platform.ErrNotFound)
+	f.admin(http.MethodPut, "/knobs", `{"down":true}`)
+	_, err = f.client.GetObject(ctx, "w/ 1?")
+	f.want(err, platform.ErrUnavailable)
+	f.want(f.client.Commit(ctx, []platform.Write{put("a", "x", 0)}), platform.ErrUnavailable)
+	_, err = f.client.VMs(ctx)
+	f.want(err, platform.ErrUnavailable)
+	f.web.Close()
+	f.want(f.client.Commit(ctx, []platform.Write{put("a", "x", 0)}), platform.ErrUnavailable)
+}
+
+func TestSlowWriteLandsAfterItsClientGaveUp(t *testing.T) {
+	f := newFixture(t)
+	f.admin(http.MethodPut, "/knobs", `{"slow_ms":200}`)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	err := f.client.Commit(ctx, []platform.Write{put("a", "x", 0)})
+	if !errors.Is(err, platform.ErrOutcomeUnknown) && !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("got %v, want ErrOutcomeUnknown, or ErrUnavailable when no connection was made in time", err)
+	}
+	if errors.Is(err, platform.ErrUnavailable) {
+		return
+	}
+	f.admin(http.MethodPut, "/knobs", `{"slow_ms":0}`)
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if _, err := f.client.Get(context.Background(), "a"); err == nil {
+			return
+		}
+	}
+	t.Fatal("the write never landed")
+}
+
+func TestVMListLags(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	f.admin(http.MethodPut, "/vms/e1", `{"addr":"127.0.0.1:1","zone":"malaga","role":"entry"}`)
+	f.admin(http.MethodPut, "/vms/b1", `{"addr":"127.0.0.1:2","zone":"kewdale","role":"backend","serves":"m"}`)
+	names := func() []string {
+		vms, err := f.client.VMs(ctx)
+		f.want(err, nil)
+		var names []string
+		for _, vm := range vms {
+			if vm.Leaving {
+				vm.Name += " leaving"
+			}
+			names = append(names, vm.Name)
+		}
+		return names
+	}
+	if got := names(); !slices.Equal(got, []string{"b1", "e1"}) {
+		t.Fatalf("list: %v", got)
+	}
+	f.admin(http.MethodPut, "/knobs", `{"list_lag_ms":3600000}`)
+	f.admin(http.MethodPost, "/vms/b1/leaving", "")
+	f.admin(http.MethodDelete, "/vms/e1", "")
+	if got := names(); len(got) != 0 {
+		t.Fatalf("list of an hour ago: %v", got)
+	}
+	f.admin(http.MethodPut, "/knobs", `{"list_lag_ms":0}`)
+	if got := names(); !slices.Equal(got, []string{"b1 leaving"}) {
+		t.Fatalf("list of now: %v", got)
+	}
+}
+
+func TestCallsAboveTheLimitAreRefused(t *testing.T) {
+	f := newFixture(t)
+	f.admin(http.MethodPut, "/knobs", `{"writes_per_second":0}`)
+	f.want(f.client.Commit(context.Background(), []platform.Write{put("a", "x", 0)}), platform.ErrUnavailable)
+	if stats := f.server.Stats(); stats.Throttled != 1 || stats.Writes != 0 {
+		t.Errorf("stats: %+v", stats)
+	}
+}
--- /dev/null
+++ b/testbed/platform/table.go
@@ -0,0 +1,59 @@
+package platform
+
+import (
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/applepier/applepier/internal/platform"
+)
+
+// table keeps rows in memory.
+type table struct {
+	mu   sync.Mutex
+	rows map[string]platform.Row
+}
+
+func (t *table) get(key string) (platform.Row, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[key]
+	return row, ok
+}
+
+func (t *table) list(prefix string) []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := []platform.Row{}
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows
+}
+
+// commit applies all writes or none and reports which it was.
+func (t *table) commit(writes []platform.Write) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range writes {
+		if w.Expect != platform.AnyVersion && w.Expect != t.rows[w.Key].Version {
+			return false
+		}
+	}
+	for _, w := range writes {
+		t.apply(w)
+	}
+	return true
+}
+
+func (t *table) apply(w platform.Write) {
+	if w.Delete {
+		delete(t.rows, w.Key)
+		return
+	}
+	next := t.rows[w.Key].Version + 1
+	t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: next}
+}
