--- a/testbed/engine/completions.go
+++ b/testbed/engine/completions.go
@@ -44,7 +44,7 @@
 
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
-	record := s.journal.accept(r.Header.Get(engine.HeaderRequestID), priority, resumeFrom, cancel)
+	record := s.journal.accept(r.Header.Get(engine.HeaderRequestID), req.Metadata.Marker, priority, resumeFrom, cancel)
 	run := &run{
 		server: s,
 		record: record,
--- a/testbed/engine/journal.go
+++ b/testbed/engine/journal.go
@@ -40,13 +40,13 @@
 }
 
 // accept notes a run that has come; cancel ends it.
-func (j *journal) accept(run string, priority, resumeFrom int, cancel context.CancelCauseFunc) *Record {
+func (j *journal) accept(run, marker string, priority, resumeFrom int, cancel context.CancelCauseFunc) *Record {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.seq++
 	request, _, _ := strings.Cut(run, "#")
 	r := &Record{
-		Seq: j.seq, Run: run, Request: request, Priority: priority,
+		Seq: j.seq, Run: run, Request: request, Marker: marker, Priority: priority,
 		Accepted: time.Now(), ResumedFrom: resumeFrom, Outcome: OutcomeWaiting,
 	}
 	j.records = append(j.records, r)
--- a/testbed/engine/request.go
+++ b/testbed/engine/request.go
@@ -31,6 +31,9 @@
 	// AnswerTokens is the exact length of the answer, which the router
 	// can't know beforehand.
 	AnswerTokens int `json:"answer_tokens,string"`
+	// Marker names the work; the record of the run repeats it, so that runs
+	// and callers can be told together even when a caller learnt no id.
+	Marker string `json:"marker"`
 }
 
 func decodeRequest(body []byte) (*request, error) {
--- a/testbed/fleet/backend.go
+++ b/testbed/fleet/backend.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/settings"
@@ -45,23 +44,6 @@
 	return &Backend{VM: vm, Server: server, Agent: agent, fleet: f}, nil
 }
 
-func (f *Fleet) newServer(name string, spec BackendSpec) (*Server, error) {
-	addr, err := freeAddr()
-	if err != nil {
-		return nil, err
-	}
-	args := []string{"service", "--listen", addr, "--name", spec.Serves}
-	if spec.Kind == settings.BackendEngine {
-		args = []string{
-			"engine", "--listen", addr, "--model", spec.Serves,
-			"--capacity", strconv.Itoa(spec.Capacity),
-			"--interval-ms", strconv.FormatInt(spec.Interval.Milliseconds(), 10),
-		}
-	}
-	process := f.newProcess(name, addr, f.options.Binaries.StandIn, args...)
-	return &Server{Process: process, URL: "http://" + addr}, nil
-}
-
 func (f *Fleet) writeAgentSettings(name, addr string, spec BackendSpec, server *Server) (string, error) {
 	platformAddr, err := f.route(Link{Kind: LinkPlatform, From: name, To: f.Platform.Name, Addr: f.Platform.Addr})
 	if err != nil {
--- a/testbed/fleet/entry.go
+++ b/testbed/fleet/entry.go
@@ -13,6 +13,8 @@
 // Entry is an entry VM's process.
 type Entry struct {
 	*Process
+	// VM is its row in the platform's list.
+	VM platform.VM
 	// URL is the base address for callers, AdminURL that for operators.
 	URL      string
 	AdminURL string
@@ -36,7 +38,8 @@
 	}
 	process := f.newProcess(name, addr, f.options.Binaries.Entry, "serve", "--settings", path)
 	process.ready = httpReady(adminAddr)
-	return &Entry{Process: process, URL: "http://" + addr, AdminURL: "http://" + adminAddr, fleet: f}, nil
+	vm := platform.VM{Name: name, Addr: addr, Zone: f.zone(len(f.Entries)), Role: platform.RoleEntry}
+	return &Entry{Process: process, VM: vm, URL: "http://" + addr, AdminURL: "http://" + adminAddr, fleet: f}, nil
 }
 
 func (f *Fleet) writeEntrySettings(name, addr, adminAddr string) (string, error) {
@@ -58,8 +61,7 @@
 }
 
 func (e *Entry) start(ctx context.Context) error {
-	vm := platform.VM{Name: e.Name, Addr: e.Addr, Zone: e.fleet.zone(len(e.fleet.Entries)), Role: platform.RoleEntry}
-	if err := e.fleet.register(ctx, vm); err != nil {
+	if err := e.fleet.register(ctx, e.VM); err != nil {
 		return err
 	}
 	return e.Process.start(ctx)
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -44,7 +44,7 @@
 }
 
 // Start builds the programs unless options name them already, starts the
-// fleet, registers its VMs, waits until all is ready and writes the classes.
+// fleet, registers its VMs, writes the classes and waits until all is ready.
 // On an error all that was started is ended again.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
 	f := &Fleet{options: options, OperatorKey: uuid.NewString(), launcher: newLauncher()}
@@ -66,15 +66,7 @@
 	if err := f.startBackends(ctx); err != nil {
 		return err
 	}
-	if err := f.startEntries(ctx); err != nil {
-		return err
-	}
-	for _, class := range f.options.Classes {
-		if err := f.Entries[0].PutClass(ctx, class); err != nil {
-			return errors.Wrapf(err, "class %s", class.Name)
-		}
-	}
-	return nil
+	return f.startEntries(ctx)
 }
 
 func (f *Fleet) prepare(ctx context.Context) error {
@@ -100,30 +92,40 @@
 	}
 	process := f.newProcess("platform", addr, f.options.Binaries.StandIn, "platform", "--listen", addr)
 	f.Platform = &Platform{Process: process, URL: "http://" + addr}
-	return process.start(ctx)
+	if err := process.start(ctx); err != nil {
+		return err
+	}
+	if len(f.options.Classes) == 0 {
+		return nil
+	}
+	return f.Platform.writeClasses(ctx, f.options.Classes)
 }
 
 func (f *Fleet) startBackends(ctx context.Context) error {
-	group := pool.New().WithContext(ctx)
 	for _, spec := range f.options.Backends {
 		backend, err := f.newBackend(spec)
 		if err != nil {
 			return err
 		}
 		f.Backends = append(f.Backends, backend)
+	}
+	group := pool.New().WithContext(ctx)
+	for _, backend := range f.Backends {
 		group.Go(backend.start)
 	}
 	return group.Wait()
 }
 
 func (f *Fleet) startEntries(ctx context.Context) error {
-	group := pool.New().WithContext(ctx)
 	for range f.options.Entries {
 		entry, err := f.newEntry()
 		if err != nil {
 			return err
 		}
 		f.Entries = append(f.Entries, entry)
+	}
+	group := pool.New().WithContext(ctx)
+	for _, entry := range f.Entries {
 		group.Go(entry.start)
 	}
 	return group.Wait()
--- a/testbed/fleet/options.go
+++ b/testbed/fleet/options.go
@@ -15,7 +15,8 @@
 	Entries int
 	// Backends are the backend servers, each with an agent beside it.
 	Backends []BackendSpec
-	// Classes are written through the first entry before Start returns.
+	// Classes are written to the platform before the entries start; an entry
+	// is not ready without any.
 	Classes []targets.Class
 	// Zones are given to the processes in turn; one zone when empty.
 	Zones []string
--- /dev/null
+++ b/testbed/fleet/platform.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/targets/store"
+	standin "github.com/applepier/applepier/testbed/platform"
+)
+
+// Platform is the stand-in platform.
+type Platform struct {
+	*Process
+	// URL is its base address.
+	URL string
+}
+
+// PutVM puts a VM on the list, or replaces it there.
+func (p *Platform) PutVM(ctx context.Context, vm platform.VM) error {
+	_, err := call{method: http.MethodPut, url: p.vmURL(vm.Name), body: vm}.do(ctx)
+	return err
+}
+
+// RemoveVM takes a VM off the list.
+func (p *Platform) RemoveVM(ctx context.Context, name string) error {
+	_, err := call{method: http.MethodDelete, url: p.vmURL(name)}.do(ctx)
+	return err
+}
+
+// MarkLeaving marks a VM on the list as leaving.
+func (p *Platform) MarkLeaving(ctx context.Context, name string) error {
+	_, err := call{method: http.MethodPost, url: p.vmURL(name) + "/leaving"}.do(ctx)
+	return err
+}
+
+// UpdateKnobs changes the platform's faults.
+func (p *Platform) UpdateKnobs(ctx context.Context, change func(*standin.Knobs)) error {
+	var knobs standin.Knobs
+	if _, err := (call{method: http.MethodGet, url: p.URL + "/knobs", answer: &knobs}).do(ctx); err != nil {
+		return err
+	}
+	change(&knobs)
+	_, err := call{method: http.MethodPut, url: p.URL + "/knobs", body: knobs}.do(ctx)
+	return err
+}
+
+// Stats reads the counts of calls that the platform has taken.
+func (p *Platform) Stats(ctx context.Context) (standin.Stats, error) {
+	var stats standin.Stats
+	_, err := call{method: http.MethodGet, url: p.URL + "/stats", answer: &stats}.do(ctx)
+	return stats, err
+}
+
+// Targets reads the newest targets that the table holds.
+func (p *Platform) Targets(ctx context.Context) (*targets.Set, error) {
+	return store.New(platform.NewHTTP(p.URL)).Load(ctx)
+}
+
+// writeClasses writes the first targets, before any entry runs: an entry is
+// not ready without.
+func (p *Platform) writeClasses(ctx context.Context, classes []targets.Class) error {
+	_, err := store.New(platform.NewHTTP(p.URL)).Change(ctx, 0, func(set *targets.Set) error {
+		set.Classes = append(set.Classes, classes...)
+		return nil
+	})
+	if err != nil {
+		return errors.Wrap(err, "write classes")
+	}
+	return nil
+}
+
+func (p *Platform) vmURL(name string) string { return p.URL + "/vms/" + url.PathEscape(name) }
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -24,6 +24,8 @@
 
 	program  string
 	args     []string
+	argsFor  func(start int) []string // instead of args, when set
+	starts   int
 	logPath  string
 	launcher *launcher
 	ready    readiness
@@ -39,7 +41,7 @@
 	err  error // set before done is closed
 }
 
-// Start starts a process that does not run and waits until it is ready.
+// start starts a process that does not run and waits until it is ready.
 func (p *Process) start(ctx context.Context) error {
 	if err := p.launch(); err != nil {
 		return err
@@ -58,6 +60,10 @@
 		return errors.Wrapf(err, "log of %s", p.Name)
 	}
 	defer log.Close()
+	if p.argsFor != nil {
+		p.args = p.argsFor(p.starts)
+	}
+	p.starts++
 	cmd := exec.Command(p.program, p.args...)
 	cmd.Stdout = log
 	cmd.Stderr = log
--- /dev/null
+++ b/testbed/fleet/server.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/engine"
+	"github.com/applepier/applepier/internal/settings"
+	standin "github.com/applepier/applepier/testbed/engine"
+	"github.com/applepier/applepier/testbed/plain"
+)
+
+// Server is a backend server: a stand-in engine or plain service.
+type Server struct {
+	*Process
+	// URL is its base address.
+	URL string
+	// Spec is what it was started with.
+	Spec BackendSpec
+
+	mu      sync.Mutex
+	records []string // record files of an engine's starts, oldest first
+}
+
+func (f *Fleet) newServer(name string, spec BackendSpec) (*Server, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{URL: "http://" + addr, Spec: spec}
+	s.Process = f.newProcess(name, addr, f.options.Binaries.StandIn, "service", "--listen", addr, "--name", spec.Serves)
+	if spec.Kind == settings.BackendEngine {
+		s.argsFor = func(start int) []string { return s.engineArgs(f.dir, start) }
+	}
+	return s, nil
+}
+
+// engineArgs gives each start a record file of its own: runs are numbered
+// from 1 again.
+func (s *Server) engineArgs(dir string, start int) []string {
+	record := filepath.Join(dir, fmt.Sprintf("%s-%d.runs", s.Name, start))
+	s.mu.Lock()
+	s.records = append(s.records, record)
+	s.mu.Unlock()
+	args := []string{
+		"engine", "--listen", s.Addr, "--model", s.Spec.Serves, "--record-file", record,
+		"--capacity", strconv.Itoa(s.Spec.Capacity),
+		"--interval-ms", strconv.FormatInt(s.Spec.Interval.Milliseconds(), 10),
+	}
+	if s.Spec.IgnoresFence {
+		args = append(args, "--ignore-fences")
+	}
+	return args
+}
+
+// Runs returns an engine's record of all runs, those of killed starts
+// included.
+func (s *Server) Runs() ([]standin.Record, error) {
+	s.mu.Lock()
+	files := append([]string(nil), s.records...)
+	s.mu.Unlock()
+	var all []standin.Record
+	for _, file := range files {
+		records, err := standin.ReadRecordFile(file)
+		if err != nil {
+			return nil, errors.Wrapf(err, "record of %s", s.Name)
+		}
+		all = append(all, records...)
+	}
+	return all, nil
+}
+
+// Calls returns a plain service's record of the calls that took effect.
+func (s *Server) Calls(ctx context.Context) ([]plain.Call, error) {
+	var calls []plain.Call
+	_, err := call{method: http.MethodGet, url: s.URL + "/record", answer: &calls}.do(ctx)
+	return calls, err
+}
+
+// Orders returns the orders that an engine has carried out.
+func (s *Server) Orders(ctx context.Context) ([]engine.Order, error) {
+	var orders []engine.Order
+	_, err := call{method: http.MethodGet, url: s.URL + "/orders", answer: &orders}.do(ctx)
+	return orders, err
+}
+
+// SetEngineKnobs replaces the faults of an engine.
+func (s *Server) SetEngineKnobs(ctx context.Context, knobs standin.Knobs) error {
+	_, err := call{method: http.MethodPut, url: s.URL + "/knobs", body: knobs}.do(ctx)
+	return err
+}
+
+// SetServiceKnobs replaces the faults of a plain service.
+func (s *Server) SetServiceKnobs(ctx context.Context, knobs plain.Knobs) error {
+	_, err := call{method: http.MethodPut, url: s.URL + "/knobs", body: knobs}.do(ctx)
+	return err
+}
