--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
-	"net/http"
+	"net"
+	"net/url"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/engine"
+	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
@@ -50,7 +53,13 @@
 	ring    *timeline.Ring
 	holder  *targets.Holder
 	traffic wire.Traffic
-	table    *table
+	list    platform.VMList
+
+	// listMu is a leaf; it guards vms.
+	listMu sync.Mutex
+	vms    []platform.VM
+
+	table *table
 }
 
 // New returns an agent for its settings; systemKey tells its peers.
@@ -58,6 +67,7 @@
 	a := &Agent{settings: s, incarnation: uuid.NewString(), systemKey: systemKey, log: log, holder: targets.NewHolder()}
 	a.ring = timeline.NewRing(s.Process, &a.clock, eventRing)
 	a.table = newTable(a.incarnation, a.ring, a.holder)
+	a.list = platform.NewHTTP(s.Platform.URL)
 	a.connectBackend()
 	return a
 }
@@ -77,12 +87,12 @@
 	wg.Go(func() { a.settleAndProbe(ctx) })
 	wg.Go(func() { a.table.keepTime(ctx) })
 	wg.Go(func() { a.spread(ctx) })
+	wg.Go(func() { a.followList(ctx) })
 	wg.Wait()
 }
 
 // Leave refuses new work from now on and tells all entries.
 func (a *Agent) Leave() {
-	a.ring.Record(timeline.KindLeave, "", "", "graceful shutdown")
 	a.table.leave()
 }
 
@@ -117,7 +127,7 @@
 	defer cancel()
 	if a.model == nil {
 		*settled = true
-		return a.service.Probe(ctx)
+		return a.probeService(ctx)
 	}
 	if !*settled {
 		if err := a.settle(ctx); err != nil {
@@ -129,6 +139,21 @@
 	return errors.Wrap(err, "probe engine")
 }
 
+// probeService only opens a connection: a plain service has no call that is
+// known to be free of effects.
+func (a *Agent) probeService(ctx context.Context) error {
+	base, err := url.Parse(a.settings.Backend.URL)
+	if err != nil {
+		return errors.Wrap(err, "parse service's address")
+	}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", base.Host)
+	if err != nil {
+		return errors.Wrap(err, "probe service")
+	}
+	return errors.Wrap(conn.Close(), "close probe")
+}
+
 func (a *Agent) settle(ctx context.Context) error {
 	ids, err := a.model.Running(ctx)
 	if err != nil {
@@ -159,9 +184,3 @@
 	version := func() uint64 { return a.holder.Current().Version }
 	return wire.Local{Clock: &a.clock, TargetsVersion: version, Traffic: &a.traffic}
 }
-
-// Routes registers the agent's HTTP paths.
-func (a *Agent) Routes(mux *http.ServeMux) {
-	mux.HandleFunc("GET "+wire.ConnectPath, a.serveConnect)
-	mux.HandleFunc("POST "+wire.RunPath, a.serveRun)
-}
--- /dev/null
+++ b/internal/agent/routes.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/peer"
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/wire"
+)
+
+// listEvery is how often an agent reads the VM list: to learn that its own VM
+// is leaving, when no entry tells it, and to hand the list to fresh VMs.
+const listEvery = 5 * time.Second
+
+func (a *Agent) routes() http.Handler {
+	system := func(h http.HandlerFunc) http.Handler { return peer.RequireKey(a.systemKey, h) }
+	mux := http.NewServeMux()
+	mux.Handle("GET "+wire.ConnectPath, system(a.serveConnect))
+	mux.Handle("POST "+wire.RunPath, system(a.serveRun))
+	mux.Handle("GET "+peer.StatePath, system(peer.Handler(a.peerState)))
+	mux.HandleFunc("GET /readyz", a.serveReady)
+	mux.HandleFunc("GET /healthz", a.serveHealthy)
+	return mux
+}
+
+func (a *Agent) peerState() peer.State {
+	a.listMu.Lock()
+	defer a.listMu.Unlock()
+	return peer.State{Process: a.settings.Process, Targets: a.holder.Current(), VMs: a.vms}
+}
+
+// followList reads the VM list until ctx ends; while the platform is down the
+// agent goes on with what it knows.
+func (a *Agent) followList(ctx context.Context) {
+	timer := time.NewTicker(listEvery)
+	defer timer.Stop()
+	for {
+		if vms, err := a.list.VMs(ctx); err != nil {
+			a.log.Warn("VM list unavailable", zap.String("event", "vm_list_unavailable"), zap.Error(err))
+		} else {
+			a.adoptList(vms)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (a *Agent) adoptList(vms []platform.VM) {
+	a.listMu.Lock()
+	a.vms = vms
+	a.listMu.Unlock()
+	for _, vm := range vms {
+		if vm.Name == a.settings.Process && vm.Leaving {
+			a.Leave()
+		}
+	}
+}
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -57,7 +57,6 @@
 		grants:      make(map[string]*grant),
 		sessions:    make(map[*session]struct{}),
 		drained:     make(chan struct{}),
-		wake:        make(chan struct{}, 1),
 	}
 }
 
@@ -313,6 +312,7 @@
 			delete(tb.grants, id)
 		}
 	}
+	tb.expire(now)
 	tb.grantWaiting(now)
 	due, ok := tb.sched.NextWake(now)
 	if !ok {
@@ -321,10 +321,25 @@
 	return min(max(due.Sub(now), time.Millisecond), wakeAtLeast)
 }
 
+// expire gives up on tickets that have waited past the policy's bound.
+func (tb *table) expire(now time.Time) {
+	for _, id := range tb.sched.Expire(now) {
+		t, ok := tb.tickets[id]
+		if !ok {
+			continue
+		}
+		delete(tb.tickets, id)
+		tb.refuse(t.session, t.request, t.attempt, wire.ReasonOverload, tb.sched.RetryAfter(now, t.policy.Tier))
+	}
+}
+
 // leave refuses all that waits; what is granted or runs goes on to its end.
 func (tb *table) leave() {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
+	if !tb.leaving {
+		tb.ring.Record(timeline.KindLeave, "", "", "takes no new work")
+	}
 	tb.leaving = true
 	tb.refuseWaiting(wire.ReasonLeaving)
 	tb.tell(wire.Message{Status: tb.status(0)})
@@ -396,3 +411,19 @@
 		EngineDown: !tb.engineUp,
 	}
 }
+
+// state says whether new tickets are refused, and why.
+func (tb *table) state() (wire.Reason, bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return tb.closed()
+}
+
+// closeSessions ends the control connections of a drained agent.
+func (tb *table) closeSessions() {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for s := range tb.sessions {
+		s.conn.End()
+	}
+}
--- a/internal/entry/api/problem.go
+++ b/internal/entry/api/problem.go
@@ -58,7 +58,7 @@
 	if p.outcome != "" {
 		h.Set(HeaderOutcome, string(p.outcome))
 	}
-	if p.outcome == dispatch.NotRun {
+	if p.retryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(retrySeconds(p.retryAfter)))
 	}
 	if p.outcome == dispatch.Unknown || p.outcome == dispatch.Failed {
@@ -75,7 +75,7 @@
 }
 
 func badRequest(code, param, message string) problem {
-	return problem{status: http.StatusBadRequest, code: code, param: param, message: message, outcome: dispatch.NotRun, retryAfter: time.Second}
+	return problem{status: http.StatusBadRequest, code: code, param: param, message: message, outcome: dispatch.NotRun}
 }
 
 func notRun(reason string, after time.Duration) problem {
--- /dev/null
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/wire"
+)
+
+// tokensFrom answers with the tokens that the caller doesn't have yet, and is
+// cut after the given number of them.
+func tokensFrom(answer []string, cutAfter int) func(*wire.FrameWriter, wire.RunRequest) {
+	return func(w *wire.FrameWriter, r wire.RunRequest) {
+		for i, text := range answer[r.ResumeFrom:] {
+			if i == cutAfter {
+				return
+			}
+			token(w, text)
+		}
+		finish(w)
+	}
+}
+
+const never = -1
+
+func TestFirstGrantRunsAndTheOtherIsDeclined(t *testing.T) {
+	answer := tokensFrom([]string{"a", "b"}, never)
+	agents := &fakeAgents{agents: []*fakeAgent{newFakeAgent(t, "one", answer), newFakeAgent(t, "two", answer)}}
+	sink := &fakeSink{}
+	result := newTestDispatcher(agents).Do(t.Context(), testRequest(true), sink)
+	if result.Outcome != Whole || sink.text != "ab" || result.Tokens != 2 {
+		t.Fatalf("got %+v with %q", result, sink.text)
+	}
+	runs := len(agents.agents[0].taken()) + len(agents.agents[1].taken())
+	if runs != 1 {
+		t.Fatalf("runs: got %d, want 1", runs)
+	}
+}
+
+func TestCutStreamIsResumedFromWhatTheCallerHas(t *testing.T) {
+	answer := []string{"a", "b", "c", "d"}
+	agents := &fakeAgents{agents: []*fakeAgent{newFakeAgent(t, "one", tokensFrom(answer, 2))}}
+	sink := &fakeSink{}
+	result := newTestDispatcher(agents).Do(t.Context(), testRequest(true), sink)
+	if result.Outcome != Whole || sink.text != "abcd" {
+		t.Fatalf("got %+v with %q", result, sink.text)
+	}
+	runs := agents.agents[0].taken()
+	if len(runs) < 2 || runs[1].ResumeFrom != 2 {
+		t.Fatalf("runs: %+v", runs)
+	}
+}
+
+func TestWorkThatMustNotBeRepeatedEndsUnknown(t *testing.T) {
+	agents := &fakeAgents{agents: []*fakeAgent{newFakeAgent(t, "one", tokensFrom([]string{"a", "b"}, 1))}}
+	result := newTestDispatcher(agents).Do(t.Context(), testRequest(false), &fakeSink{})
+	if result.Outcome != Unknown {
+		t.Fatalf("got %+v, want unknown", result)
+	}
+	if runs := agents.agents[0].taken(); len(runs) != 1 {
+		t.Fatalf("runs: got %d, want 1", len(runs))
+	}
+}
+
+func TestVoidedGrantMayBeSentAgain(t *testing.T) {
+	first := true
+	agent := newFakeAgent(t, "one", nil)
+	agent.void = wire.VoidDone
+	agent.script = func(w *wire.FrameWriter, r wire.RunRequest) {
+		if first {
+			first = false
+			return
+		}
+		token(w, "a")
+		finish(w)
+	}
+	agents := &fakeAgents{agents: []*fakeAgent{agent}}
+	result := newTestDispatcher(agents).Do(t.Context(), testRequest(false), &fakeSink{})
+	if result.Outcome != Whole {
+		t.Fatalf("got %+v, want whole", result)
+	}
+}
+
+func TestRefusedEverywhereIsNotRun(t *testing.T) {
+	one := newFakeAgent(t, "one", nil)
+	one.refuse = wire.ReasonOverload
+	two := newFakeAgent(t, "two", nil)
+	two.refuse = wire.ReasonOverload
+	agents := &fakeAgents{agents: []*fakeAgent{one, two}}
+	result := newTestDispatcher(agents).Do(t.Context(), testRequest(true), &fakeSink{})
+	if result.Outcome != NotRun || result.RetryAfter <= 0 {
+		t.Fatalf("got %+v, want not run with a time to come back", result)
+	}
+}
+
+func TestRefusedAfterAPartRanIsNotCalledNotRun(t *testing.T) {
+	agent := newFakeAgent(t, "one", nil)
+	agent.script = func(w *wire.FrameWriter, _ wire.RunRequest) {
+		token(w, "a")
+		agent.refuse = wire.ReasonOverload
+	}
+	agents := &fakeAgents{agents: []*fakeAgent{agent}}
+	result := newTestDispatcher(agents).Do(t.Context(), testRequest(true), &fakeSink{})
+	if result.Outcome != Failed {
+		t.Fatalf("got %+v, want failed", result)
+	}
+}
+
+func TestSilentStreamIsCut(t *testing.T) {
+	release := make(chan struct{})
+	silent := newFakeAgent(t, "silent", func(w *wire.FrameWriter, _ wire.RunRequest) {
+		token(w, "a")
+		<-release
+	})
+	t.Cleanup(func() { close(release) })
+	agents := &fakeAgents{agents: []*fakeAgent{silent}}
+	result := newTestDispatcher(agents).Do(t.Context(), testRequest(false), &fakeSink{})
+	if result.Outcome != Unknown || result.Reason != "stream_silent" {
+		t.Fatalf("got %+v, want a silent stream's unknown", result)
+	}
+}
+
+// guardDown is a table service that is down.
+type guardDown struct{}
+
+func (guardDown) Take(context.Context, string, string) error { return errors.New("down") }
+
+func TestUnrecordedClaimIsNotSent(t *testing.T) {
+	agent := newFakeAgent(t, "one", nil)
+	agents := &fakeAgents{agents: []*fakeAgent{agent}}
+	request := testRequest(false)
+	request.Guard = guardDown{}
+	result := newTestDispatcher(agents).Do(t.Context(), request, &fakeSink{})
+	if result.Outcome != NotRun || len(agent.taken()) != 0 {
+		t.Fatalf("got %+v with %d runs, want not run", result, len(agent.taken()))
+	}
+}
+
+func TestCallerThatGoesWithdrawsItsTickets(t *testing.T) {
+	agents := &fakeAgents{}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	result := newTestDispatcher(agents).Do(ctx, testRequest(true), &fakeSink{})
+	if result.Outcome != Gone {
+		t.Fatalf("got %+v, want gone", result)
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatch/fake_test.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/entry/fleet"
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/timeline"
+	"github.com/applepier/applepier/internal/wire"
+	"github.com/applepier/applepier/policy"
+)
+
+// fakeAgent grants or refuses at once and runs what its script says.
+type fakeAgent struct {
+	name   string
+	server *httptest.Server
+	// refuse is set for an agent that turns tickets away.
+	refuse wire.Reason
+	// void is the answer to Void; none when empty.
+	void wire.VoidResult
+	// script writes the answer.
+	script func(w *wire.FrameWriter, r wire.RunRequest)
+
+	mu   sync.Mutex
+	runs []wire.RunRequest
+}
+
+func newFakeAgent(t *testing.T, name string, script func(*wire.FrameWriter, wire.RunRequest)) *fakeAgent {
+	t.Helper()
+	a := &fakeAgent{name: name, script: script}
+	a.server = httptest.NewServer(http.HandlerFunc(a.serve))
+	t.Cleanup(a.server.Close)
+	return a
+}
+
+func (a *fakeAgent) serve(w http.ResponseWriter, r *http.Request) {
+	var req wire.RunRequest
+	if err := cbor.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, "malformed", http.StatusBadRequest)
+		return
+	}
+	a.mu.Lock()
+	a.runs = append(a.runs, req)
+	a.mu.Unlock()
+	a.script(wire.NewFrameWriter(w), req)
+}
+
+func (a *fakeAgent) taken() []wire.RunRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runs
+}
+
+// fakeAgents is a fleet of them; withdrawn collects the tickets taken back.
+type fakeAgents struct {
+	agents []*fakeAgent
+
+	mu        sync.Mutex
+	withdrawn []string
+}
+
+func (f *fakeAgents) find(name string) *fakeAgent {
+	for _, a := range f.agents {
+		if a.name == name {
+			return a
+		}
+	}
+	return nil
+}
+
+func (f *fakeAgents) Candidates(string) []policy.Candidate {
+	var all []policy.Candidate
+	for _, a := range f.agents {
+		all = append(all, policy.Candidate{Name: a.name, Limit: 8, Seen: time.Now()})
+	}
+	return all
+}
+
+func (f *fakeAgents) Place(agent string, t *wire.Ticket, l Listener) bool {
+	a := f.find(agent)
+	if a.refuse != "" {
+		go l.Refused(agent, a.refuse, 3*time.Second)
+		return true
+	}
+	go func() {
+		if !l.Granted(agent, agent+"-grant") {
+			f.Withdraw(agent, t.Request, t.Attempt)
+		}
+	}()
+	return true
+}
+
+func (f *fakeAgents) Withdraw(agent, _ string, _ int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.withdrawn = append(f.withdrawn, agent)
+}
+
+func (f *fakeAgents) Void(_ context.Context, agent, _ string) (wire.VoidResult, error) {
+	if result := f.find(agent).void; result != "" {
+		return result, nil
+	}
+	return "", fleet.ErrNoAnswer
+}
+
+func (f *fakeAgents) Addr(agent string) (string, bool) {
+	return strings.TrimPrefix(f.find(agent).server.URL, "http://"), true
+}
+
+// fakeSink keeps what the caller got.
+type fakeSink struct{ text string }
+
+func (s *fakeSink) Frame(f wire.Frame) error {
+	s.text += string(f.Data)
+	return nil
+}
+
+func newTestDispatcher(agents *fakeAgents) *Dispatcher {
+	ejector := policy.NewEjector()
+	return New(Config{
+		Agents:  agents,
+		Placer:  policy.NewPlacer(rand.New(rand.NewPCG(1, 2)), ejector),
+		Ejector: ejector,
+		Budget:  policy.NewRetryBudget(),
+		Ring:    timeline.NewRing("entry", &timeline.Clock{}, 64),
+		Log:     zap.NewNop(),
+	})
+}
+
+func testRequest(repeatable bool) *Request {
+	return &Request{
+		ID:         "r1",
+		Class:      targets.Class{Name: "summary", Tier: 4, FirstToken: 5 * time.Second},
+		Serves:     "model",
+		Arrived:    time.Now(),
+		Repeatable: repeatable,
+	}
+}
+
+// token writes one token's frame.
+func token(w *wire.FrameWriter, text string) {
+	_ = w.Write(wire.Frame{Kind: wire.FrameData, Data: []byte(text), Tokens: 1})
+}
+
+func finish(w *wire.FrameWriter) { _ = w.Write(wire.Frame{Kind: wire.FrameEnd}) }
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -19,6 +19,10 @@
 	// it is refused: an entry that has just started, or a whole model that
 	// restarts, is back within seconds.
 	emptyWait = 2 * time.Second
+	// maxWait is how long a ticket may wait at all before it is refused; the
+	// policy at the agents gives up sooner, so that this only covers agents
+	// that never answer.
+	maxWait = 10 * time.Minute
 	// emptyPoll is how often it looks.
 	emptyPoll = 50 * time.Millisecond
 )
@@ -39,7 +43,7 @@
 func (j *job) find(ctx context.Context) (offer, *Result) {
 	p := &placing{job: j, attempt: newAttempt(), open: make(map[string]struct{})}
 	defer p.withdrawAll()
-	wait := time.NewTimer(policy.MaxWait)
+	wait := time.NewTimer(maxWait)
 	defer wait.Stop()
 	again := time.NewTicker(emptyPoll)
 	defer again.Stop()
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -105,7 +105,7 @@
 	case c.out <- m:
 		return nil
 	default:
-		c.end()
+		c.End()
 		return ErrBacklog
 	}
 }
@@ -114,12 +114,12 @@
 func (c *Conn) Receive(ctx context.Context) (Message, error) {
 	_, data, err := c.ws.Read(ctx)
 	if err != nil {
-		c.end()
+		c.End()
 		return Message{}, errors.Wrap(ErrClosed, err.Error())
 	}
 	var m Message
 	if err := cbor.Unmarshal(data, &m); err != nil {
-		c.end()
+		c.End()
 		return Message{}, errors.Wrap(ErrMalformed, err.Error())
 	}
 	c.local.Traffic.ReceivedBytes.Add(int64(len(data)))
@@ -133,12 +133,13 @@
 
 // Close ends the connection and waits for its writer.
 func (c *Conn) Close() {
-	c.end()
+	c.End()
 	c.writer.Wait()
 }
 
-// end does not wait for the peer: a peer that has gone silent would hold it.
-func (c *Conn) end() {
+// End ends the connection. It does not wait for the peer: one that has gone
+// silent would hold it.
+func (c *Conn) End() {
 	c.close.Do(func() {
 		close(c.done)
 		_ = c.ws.CloseNow()
@@ -152,7 +153,7 @@
 			return
 		case m := <-c.out:
 			if err := c.writeOne(m); err != nil {
-				c.end()
+				c.End()
 				return
 			}
 		}
