--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -135,8 +135,10 @@
 		}
 		*settled = true
 	}
-	_, err := a.model.Load(ctx)
-	return errors.Wrap(err, "probe engine")
+	if _, err := a.model.Load(ctx); err != nil {
+		return errors.Wrap(err, "probe engine")
+	}
+	return nil
 }
 
 // probeService only opens a connection: a plain service has no call that is
@@ -151,7 +153,10 @@
 	if err != nil {
 		return errors.Wrap(err, "probe service")
 	}
-	return errors.Wrap(conn.Close(), "close probe")
+	if err := conn.Close(); err != nil {
+		return errors.Wrap(err, "close probe")
+	}
+	return nil
 }
 
 func (a *Agent) settle(ctx context.Context) error {
--- a/internal/agent/service_source.go
+++ b/internal/agent/service_source.go
@@ -73,5 +73,8 @@
 }
 
 func (s *serviceSource) Close() error {
-	return errors.Wrap(s.answer.Body.Close(), "close service's answer")
+	if err := s.answer.Body.Close(); err != nil {
+		return errors.Wrap(err, "close service's answer")
+	}
+	return nil
 }
