--- a/internal/agent/routes.go
+++ b/internal/agent/routes.go
@@ -5,8 +5,7 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/peer"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/wire"
@@ -40,7 +39,7 @@
 	defer timer.Stop()
 	for {
 		if vms, err := a.list.VMs(ctx); err != nil {
-			a.log.Warn("VM list unavailable", zap.String("event", "vm_list_unavailable"), zap.Error(err))
+			a.log.Warn(logging.EventPlatformDown, logging.Reason(err.Error()))
 		} else {
 			a.adoptList(vms)
 		}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/settings"
 )
 
@@ -49,10 +50,10 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { a.Run(work) })
 	wg.Go(func() { _ = server.Serve(listener) })
-	a.log.Info("serving", zap.String("event", "serving"), zap.String("listen", listener.Addr().String()))
+	a.log.Info(logging.EventStarted, zap.String("listen", listener.Addr().String()))
 	<-ctx.Done()
 	a.Leave()
-	a.log.Info("leaving", zap.String("event", "leaving"))
+	a.log.Info(logging.EventStopping)
 	<-a.Drained()
 	stop()
 	a.table.closeSessions()
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -4,8 +4,7 @@
 	"context"
 	"net/http"
 
-	"go.uber.org/zap"
-
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
 )
@@ -44,7 +43,7 @@
 	for {
 		m, err := s.conn.Receive(ctx)
 		if err != nil {
-			s.agent.log.Info("entry disconnected", zap.String("event", "entry_disconnected"), zap.String("entry", s.entry), zap.Error(err))
+			s.agent.log.Info(logging.EventDisconnected, logging.Peer(s.entry), logging.Reason(err.Error()))
 			return
 		}
 		s.handle(m)
--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
 	"github.com/applepier/applepier/policy"
@@ -90,24 +91,31 @@
 }
 
 func (d *Dispatcher) record(r *Request, result Result) {
-	kind := timeline.KindFinish
-	switch result.Outcome {
-	case NotRun, Rejected:
-		kind = timeline.KindRefusal
-	case Unknown:
-		kind = timeline.KindUnknown
-	}
+	kind, event := endOf(result.Outcome)
 	d.config.Ring.Record(kind, r.ID, r.Class.Name, result.Reason)
-	d.config.Log.Info("request ended",
-		zap.String("event", "request_ended"),
-		zap.String("request", r.ID),
-		zap.String("class", r.Class.Name),
+	d.config.Log.Info(event,
+		logging.Request(r.ID),
+		logging.Class(r.Class.Name),
 		zap.String("customer", r.Customer),
 		zap.String("outcome", string(result.Outcome)),
-		zap.String("reason", result.Reason),
+		logging.Reason(result.Reason),
 		zap.Int("tokens", result.Tokens),
 		zap.Int("attempts", result.Attempts),
 		zap.Duration("first_token", result.FirstToken),
 		zap.Duration("took", time.Since(r.Arrived)),
 	)
 }
+
+// endOf names an outcome on the time line and in the log.
+func endOf(o Outcome) (timeline.Kind, string) {
+	switch o {
+	case NotRun, Rejected:
+		return timeline.KindRefusal, logging.EventRequestRefused
+	case Unknown:
+		return timeline.KindUnknown, logging.EventRequestUnknown
+	case Gone:
+		return timeline.KindFinish, logging.EventRequestCancelled
+	default:
+		return timeline.KindFinish, logging.EventRequestFinished
+	}
+}
--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
@@ -88,14 +89,14 @@
 func (f *Fleet) refresh(ctx context.Context) {
 	vms, err := f.config.List.VMs(ctx)
 	if err != nil && f.Known() {
-		f.config.Log.Warn("VM list unavailable", zap.String("event", "vm_list_unavailable"), zap.Error(err))
+		f.config.Log.Warn(logging.EventPlatformDown, logging.Reason(err.Error()))
 		return
 	}
 	if err != nil {
 		vms, err = f.config.Fallback(ctx)
 	}
 	if err != nil {
-		f.config.Log.Warn("VM list unavailable", zap.String("event", "vm_list_unavailable"), zap.Error(err))
+		f.config.Log.Warn(logging.EventPlatformDown, logging.Reason(err.Error()))
 		return
 	}
 	f.adopt(ctx, vms)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -17,6 +17,7 @@
 	"github.com/applepier/applepier/internal/entry/api"
 	"github.com/applepier/applepier/internal/entry/dispatch"
 	"github.com/applepier/applepier/internal/entry/fleet"
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/internal/targets"
@@ -135,7 +136,7 @@
 	adminServer := newServer(e.adminRoutes())
 	wg.Go(func() { _ = callerServer.Serve(callers) })
 	wg.Go(func() { _ = adminServer.Serve(operators) })
-	e.log.Info("serving", zap.String("event", "serving"), zap.String("listen", callers.Addr().String()), zap.String("admin_listen", operators.Addr().String()))
+	e.log.Info(logging.EventStarted, zap.String("listen", callers.Addr().String()), zap.String("admin_listen", operators.Addr().String()))
 	<-ctx.Done()
 	e.drain(callerServer)
 	_ = adminServer.Shutdown(context.Background())
@@ -149,7 +150,7 @@
 func (e *entry) drain(server *http.Server) {
 	e.health.leave()
 	e.ring.Record(timeline.KindLeave, "", "", "graceful shutdown")
-	e.log.Info("leaving", zap.String("event", "leaving"), zap.Int("in_flight", e.api.InFlight()))
+	e.log.Info(logging.EventStopping, zap.Int("in_flight", e.api.InFlight()))
 	time.Sleep(drainNotice)
 	_ = server.Shutdown(context.Background())
 }
