--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -79,7 +79,8 @@
 type VM struct {
 	// Name identifies the VM and is never used again after it has gone.
 	Name string `json:"name"`
-	// Addr is the host:port of the system's process on it.
+	// Addr is the host:port where the system's processes reach the one on it:
+	// an agent's listen address, an entry's admin_listen.
 	Addr string `json:"addr"`
 	// Zone is its availability zone.
 	Zone string `json:"zone"`
--- a/testbed/fleet/entry.go
+++ b/testbed/fleet/entry.go
@@ -38,7 +38,7 @@
 	}
 	process := f.newProcess(name, addr, f.options.Binaries.Entry, "serve", "--settings", path)
 	process.ready = httpReady(adminAddr)
-	vm := platform.VM{Name: name, Addr: addr, Zone: f.zone(len(f.Entries)), Role: platform.RoleEntry}
+	vm := platform.VM{Name: name, Addr: adminAddr, Zone: f.zone(len(f.Entries)), Role: platform.RoleEntry}
 	return &Entry{Process: process, VM: vm, URL: "http://" + addr, AdminURL: "http://" + adminAddr, fleet: f}, nil
 }
 
--- a/testbed/fleet/server.go
+++ b/testbed/fleet/server.go
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	s := &Server{URL: "http://" + addr, Spec: spec}
-	s.Process = f.newProcess(name, addr, f.options.Binaries.StandIn, "service", "--listen", addr, "--name", spec.Serves)
+	s.Process = f.newProcess(name, addr, f.options.Binaries.StandIn, "service", "--listen", addr)
 	if spec.Kind == settings.BackendEngine {
 		s.argsFor = func(start int) []string { return s.engineArgs(f.dir, start) }
 	}
