--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -85,7 +85,6 @@
 
 	mu       sync.Mutex
 	inFlight int
-	leaving  bool
 }
 
 // New returns an API.
