--- a/policy/limit_window.go
+++ b/policy/limit_window.go
@@ -1,22 +1,43 @@
 package policy
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// windowSamples is how many first tokens a step of the limit is judged
-	// on. The median of eight ignores up to three stragglers by chance.
-	windowSamples = 8
-	// intervalSamples is how many times between tokens a step is judged on.
+	// windowSamples is how many first tokens are looked at together: two
+	// rounds of a small batch.
+	windowSamples = 16
+	// judgeSamples is how many delayed first tokens lower a settled limit.
+	// Four at the same depth are no chance; more only let the queue inside
+	// the engine last longer.
+	judgeSamples = 4
+	// exploreSamples is how many end a trial of a higher limit. Stopping a
+	// trial by mistake costs little, going on with one delays urgent runs.
+	exploreSamples = 2
+	// goodSamples is how many good first tokens at its depth prove a trial.
+	goodSamples = 8
+	// intervalSamples is over how many times between tokens they are averaged.
 	intervalSamples = 16
 )
 
+// firstTokenSample is one run's first token, or the lack of it.
+type firstTokenSample struct {
+	// depth is how many runs were on the engine when it began, itself too.
+	depth int
+	// delayed says that it was late for the engine's own baseline.
+	delayed bool
+}
+
 // limitWindow gathers what was seen since the limit last changed.
 type limitWindow struct {
 	start time.Time
-	// recent says of the last windowSamples first tokens whether they were
-	// late for the engine's own baseline.
-	recent  [windowSamples]bool
+	// recent holds the last windowSamples first tokens.
+	recent  [windowSamples]firstTokenSample
 	samples int
+	// good counts first tokens in time beyond the limit, in a trial.
+	good int
 	// ratio is the recent mean of time between tokens over target, by tier,
 	// and ratios counts what it was made of.
 	ratio  [tierCount]float64
@@ -31,8 +52,8 @@
 	return limitWindow{start: now, streams: streaming}
 }
 
-func (w *limitWindow) firstToken(delayed bool) {
-	w.recent[w.samples%windowSamples] = delayed
+func (w *limitWindow) firstToken(sample firstTokenSample) {
+	w.recent[w.samples%windowSamples] = sample
 	w.samples++
 }
 
@@ -42,17 +63,33 @@
 	w.ratio[tier] += weight * (ratio - w.ratio[tier])
 }
 
-// queued reports whether runs wait inside the engine: at least half of the
-// recent first tokens were late, of at least half a window.
-func (w *limitWindow) queued() bool {
-	n := min(w.samples, windowSamples)
-	late := 0
-	for _, delayed := range w.recent[:n] {
-		if delayed {
-			late++
+// queued reports whether runs wait inside the engine: at the depth where
+// first tokens were delayed, and beyond, more were delayed than not. Good ones
+// at a smaller depth say nothing, and a few delays at any depth are noise.
+func (w *limitWindow) queued(least int) bool {
+	recent := w.recent[:min(w.samples, windowSamples)]
+	var depths []int
+	for _, s := range recent {
+		if s.delayed {
+			depths = append(depths, s.depth)
+		}
+	}
+	if len(depths) < least {
+		return false
+	}
+	slices.Sort(depths)
+	depth := depths[len(depths)/2]
+	balance := 0
+	for _, s := range recent {
+		switch {
+		case s.depth < depth:
+		case s.delayed:
+			balance++
+		default:
+			balance--
 		}
 	}
-	return n >= windowSamples/2 && 2*late >= n
+	return balance > 0
 }
 
 // worstRatio is the time between tokens over its target of the tier that is
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -94,44 +94,59 @@
 	return slots
 }
 
-// full says that a ticket waits for want of a slot.
+// full says that a ticket waits for want of a slot; it begins a trial when
+// one is due.
 func (l *limiter) full(now time.Time) {
 	l.window.full = true
 	if l.ramping || l.probing || now.Before(l.probeAt) || l.window.worstRatio() >= holdRatio {
 		return
 	}
 	l.probing = true
-	l.window = newLimitWindow(now, l.streaming)
+	l.renew(now)
 }
 
-// firstToken takes the first token of a run; counted says that the run was
-// overdue before.
-func (l *limiter) firstToken(now time.Time, t Ticket, startedAt time.Time, counted bool) {
+// firstToken takes the first token of a run.
+func (l *limiter) firstToken(now time.Time, r *run) {
 	l.streaming++
 	l.window.streams = max(l.window.streams, l.streaming)
-	d := now.Sub(startedAt)
-	delayed := l.delayed(t, d)
-	l.baseline.observe(now, ticketSize(t), d)
-	if counted || (!l.ramping && !l.counts(startedAt)) {
-		return
+	d := now.Sub(r.started)
+	delayed := l.delayed(r.ticket, d)
+	l.baseline.observe(now, ticketSize(r.ticket), d)
+	if !r.overdue {
+		l.sample(now, r, delayed)
 	}
-	l.window.firstToken(delayed)
-	if l.ramping && !delayed && l.window.full && l.window.worstRatio() < holdRatio {
-		l.limit = min(l.limit+1, maxLimit)
-	}
-	l.judge(now)
 }
 
 // overdue takes a run that still has no first token after longer than it
 // should.
-func (l *limiter) overdue(now time.Time, startedAt time.Time) {
-	if !l.ramping && !l.counts(startedAt) {
+func (l *limiter) overdue(now time.Time, r *run) {
+	l.sample(now, r, true)
+}
+
+func (l *limiter) sample(now time.Time, r *run, delayed bool) {
+	if !l.ramping && r.started.Before(l.window.start) {
+		// It began under another limit.
 		return
 	}
-	l.window.firstToken(true)
+	l.window.firstToken(firstTokenSample{depth: r.depth, delayed: delayed})
+	if !delayed {
+		l.goodSample(r.depth)
+	}
 	l.judge(now)
 }
 
+// goodSample widens a ramping limit that is in use, and counts for a trial.
+func (l *limiter) goodSample(depth int) {
+	if l.probing && depth > l.limit {
+		l.window.good++
+	}
+	inUse := l.window.full && depth >= slotsFor(BottomTier, l.limit)
+	if l.ramping && inUse && l.window.worstRatio() < holdRatio {
+		l.limit = min(l.limit+1, maxLimit)
+		l.window.full = false
+	}
+}
+
 // interval takes a run's time between tokens.
 func (l *limiter) interval(now time.Time, t Ticket, d time.Duration) {
 	if t.BetweenTokens <= 0 {
@@ -147,26 +162,28 @@
 }
 
 func (l *limiter) judge(now time.Time) {
+	least := judgeSamples
+	if l.ramping || l.probing {
+		least = exploreSamples
+	}
 	ratio := l.window.worstRatio()
 	switch {
-	case l.window.queued():
+	case l.window.queued(least):
 		l.cut(now, l.window.streams)
 	case ratio > 1:
 		l.cut(now, int(float64(l.limit)/ratio))
 	case l.probing:
 		l.judgeProbe(now)
-	case !l.ramping && l.window.samples >= windowSamples:
-		l.window = newLimitWindow(now, l.streaming)
 	}
 }
 
-// judgeProbe ends a trial: with a full window of good samples the slot stays
-// and the next trial follows at once.
+// judgeProbe ends a trial: when it is proven the slot stays and the next
+// trial follows at once.
 func (l *limiter) judgeProbe(now time.Time) {
-	if l.window.samples >= windowSamples && l.window.worstRatio() < holdRatio {
+	if l.window.good >= goodSamples && l.window.worstRatio() < holdRatio {
 		l.limit = min(l.limit+1, maxLimit)
 		l.probePause = probeSoonest
-		l.window = newLimitWindow(now, l.streaming)
+		l.renew(now)
 		return
 	}
 	if now.Sub(l.window.start) >= probeLength {
@@ -178,7 +195,7 @@
 	l.probing = false
 	l.probePause = min(2*l.probePause, probeLatest)
 	l.probeAt = now.Add(l.probePause)
-	l.window = newLimitWindow(now, l.streaming)
+	l.renew(now)
 }
 
 // cut lowers the limit towards a number, or ends the trial that went too far.
@@ -194,5 +211,10 @@
 	l.limit = min(l.limit, max(least, min(to, l.limit-1)))
 	l.ramping = false
 	l.probeAt = now.Add(l.probePause)
+	l.renew(now)
+}
+
+// renew begins a new window.
+func (l *limiter) renew(now time.Time) {
 	l.window = newLimitWindow(now, l.streaming)
 }
--- a/policy/play_test.go
+++ b/policy/play_test.go
@@ -43,8 +43,11 @@
 	granted  bool
 	again    bool
 	first    time.Time
+	lateInfo string
 }
 
+const debugFlags = true
+
 func newPlay(seed uint64, engines ...*fakeEngine) *play {
 	random := rand.New(rand.NewPCG(seed, 1))
 	p := &play{
@@ -261,6 +264,7 @@
 	p.tally(r.w.class).longestWait = max(p.tally(r.w.class).longestWait, wait)
 	p.ofCustomer(r).longestWait = max(p.ofCustomer(r).longestWait, wait)
 	e.scheduler.Started(p.clock.now, r.id)
+	r.lateInfo = fmt.Sprint(e.name, " streams ", e.engine.streams, " line ", len(e.engine.line), " limit ", e.scheduler.limiter.limit, " ramping ", e.scheduler.limiter.ramping, " probing ", e.scheduler.limiter.probing, " lower ", e.scheduler.running.lower)
 	e.engine.enter(func() {
 		p.clock.after(e.engine.prefill(r.w.prompt), func() { p.token(e, r, 1) })
 	})
@@ -298,6 +302,9 @@
 	}
 	t.whole++
 	p.ofCustomer(r).whole++
+	if late && w.tier == 0 && debugFlags {
+		fmt.Println("late flag", r.arrived.Sub(p.start), r.first.Sub(r.arrived), r.lateInfo)
+	}
 	if !late {
 		t.onTime++
 		p.ofCustomer(r).onTime++
--- a/policy/run.go
+++ b/policy/run.go
@@ -18,6 +18,8 @@
 	interval time.Duration
 	// area is the scheduler's slot time when the run started.
 	area float64
+	// depth is how many runs were on the engine when it started, itself too.
+	depth int
 	// guaranteed runs were granted out of the guaranteed share.
 	guaranteed bool
 	// overdue says that its late first token was counted already.
--- a/policy/running.go
+++ b/policy/running.go
@@ -45,6 +45,7 @@
 func (r *running) start(now time.Time, run *run) {
 	run.started = now
 	run.area = r.area
+	run.depth = len(r.byID)
 	r.pending = append(r.pending, run)
 }
 
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -46,7 +46,7 @@
 	for _, r := range s.running.pending {
 		if !r.overdue && s.limiter.delayed(r.ticket, now.Sub(r.started)) {
 			r.overdue = true
-			s.limiter.overdue(now, r.started)
+			s.limiter.overdue(now, r)
 		}
 	}
 }
@@ -85,7 +85,7 @@
 	if class == nil {
 		return Ticket{}, false
 	}
-	full := len(s.running.byID) >= s.limiter.slots(class.head().ticket.Tier)
+	full := len(s.running.byID) >= s.slots(now, class.head())
 	if full {
 		s.limiter.full(now)
 	}
@@ -98,6 +98,14 @@
 	return s.grant(now, class, false), true
 }
 
+// slots is how many runs may be on the engine for a waiting ticket to start.
+func (s *Scheduler) slots(now time.Time, w *waiting) int {
+	if w.ticket.Tier == TopTier && now.Sub(w.ticket.Arrived) < overflowAfter {
+		return s.limiter.limit
+	}
+	return s.limiter.slots(w.ticket.Tier)
+}
+
 // starved is the class that the guarantee serves now, if any. It leaves the
 // slots that are kept back to the urgent tiers while these don't use them.
 func (s *Scheduler) starved(now time.Time) *classQueue {
@@ -145,7 +153,7 @@
 	if r.lastToken.IsZero() {
 		r.lastToken = now
 		s.running.dropPending(r)
-		s.limiter.firstToken(now, r.ticket, r.started, r.overdue)
+		s.limiter.firstToken(now, r)
 		return
 	}
 	s.limiter.interval(now, r.ticket, r.tokens(now, n))
@@ -209,6 +217,9 @@
 	if due, ok := s.guaranteeDue(now); ok && (wake.IsZero() || due.Before(wake)) {
 		wake = due
 	}
+	if due, ok := s.overflowDue(now); ok && (wake.IsZero() || due.Before(wake)) {
+		wake = due
+	}
 	return wake, !wake.IsZero()
 }
 
@@ -227,3 +238,13 @@
 	}
 	return due, true
 }
+
+// overflowDue is when the top tier's next ticket may go past the limit.
+func (s *Scheduler) overflowDue(now time.Time) (time.Time, bool) {
+	class := s.queue.tiers[TopTier].next()
+	if class == nil {
+		return time.Time{}, false
+	}
+	due := class.head().ticket.Arrived.Add(overflowAfter)
+	return due, due.After(now)
+}
