policy: the work a ticket brings is measured by how many copies really run here

Cause: in a burst most engines refuse their copy, so a ticket counted at one in copies let in too much.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -60,7 +60,7 @@
 func (s *Scheduler) enqueue(now time.Time, t Ticket) Decision {
 	var displaced []string
 	if s.queue.Len() >= maxWaiting {
-		id, ok := s.queue.displace(t)
+		id, ok := s.queue.displace(t, s.copies.work(t))
 		switch {
 		case ok:
 			displaced = append(displaced, id)
@@ -72,19 +72,19 @@
 			return decision
 		}
 	}
-	s.queue.push(now, newWaiting(t, s.startBy(t), false))
+	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(t), false))
 	return Decision{Admitted: true, Displaced: displaced}
 }
 
 // refuse turns t away; late is how much earlier it would have had to come.
 func (s *Scheduler) refuse(t Ticket, late time.Duration) Decision {
-	hint := s.promises.next(t.Tier, expectedWork(t), late, s.rateFor(t.Tier))
+	hint := s.promises.next(t.Tier, s.copies.work(t), late, s.rateFor(t.Tier))
 	return Decision{RetryAfter: hint}
 }
 
 // estimate is how long t would wait.
 func (s *Scheduler) estimate(now time.Time, t Ticket) time.Duration {
-	work := expectedWork(t)
+	work := s.copies.work(t)
 	ahead := s.workAbove(t.Tier) + s.queue.tiers[t.Tier].workAhead(t, work)
 	return s.waitFor(now, t.Tier, ahead)
 }
--- a/policy/displacement.go
+++ b/policy/displacement.go
@@ -7,7 +7,7 @@
 // would have: otherwise a large customer that filled the queue first would
 // shut the others out, and with less than twice the two would take turns at
 // displacing each other.
-func (q *tierQueue) displaceable(t Ticket) *waiting {
+func (q *tierQueue) displaceable(t Ticket, work float64) *waiting {
 	var found *waiting
 	for _, class := range q.classes {
 		for _, customer := range class.order {
@@ -23,7 +23,7 @@
 		return nil
 	}
 	sameTier := found.ticket.Tier == t.Tier
-	if sameTier && found.customer.work < 2*q.workWith(t) {
+	if sameTier && found.customer.work < 2*q.workWith(t, work) {
 		return nil
 	}
 	return found
@@ -41,8 +41,7 @@
 }
 
 // workWith is what t's customer would have waiting in t's class.
-func (q *tierQueue) workWith(t Ticket) float64 {
-	work := expectedWork(t)
+func (q *tierQueue) workWith(t Ticket, work float64) float64 {
 	class := q.byName[t.Class]
 	if class == nil {
 		return work
--- a/policy/promises.go
+++ b/policy/promises.go
@@ -8,7 +8,7 @@
 	// minRetryAfter is the shortest hint; HTTP states it in whole seconds.
 	minRetryAfter = time.Second
 	// maxRetryAfter bounds the hint: nobody can tell how long a burst lasts.
-	maxRetryAfter = 2 * time.Minute
+	maxRetryAfter = 15 * time.Minute
 )
 
 // promises is the work that refused callers were told to come back with, by
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -111,9 +111,9 @@
 // displace removes a waiting ticket so that t finds room: the newest of the
 // customer with the most work, in the heaviest class of the lowest tier. It
 // reports false when nothing may give way to t.
-func (q *Queue) displace(t Ticket) (string, bool) {
+func (q *Queue) displace(t Ticket, work float64) (string, bool) {
 	for tier := BottomTier; tier >= t.Tier; tier-- {
-		victim := q.tiers[tier].displaceable(t)
+		victim := q.tiers[tier].displaceable(t, work)
 		if victim != nil {
 			q.remove(victim)
 			return victim.ticket.ID, true
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -14,6 +14,7 @@
 	promises  promises
 	guarantee guarantee
 	lately    grantedLately
+	copies    copyShare
 	// now is the time of the last call.
 	now time.Time
 }
@@ -64,7 +65,7 @@
 func (s *Scheduler) Resume(now time.Time, t Ticket) {
 	s.advance(now)
 	t.Arrived = now
-	s.queue.push(now, newWaiting(t, s.startBy(t), true))
+	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(t), true))
 }
 
 // Withdraw removes a waiting ticket and reports whether there was one.
@@ -74,6 +75,7 @@
 		return false
 	}
 	s.queue.remove(w)
+	s.copies.observe(w.ticket, false)
 	return true
 }
 
@@ -123,6 +125,7 @@
 
 func (s *Scheduler) grant(now time.Time, class *classQueue, guaranteed bool) Ticket {
 	t := s.queue.grant(now, class)
+	s.copies.observe(t, true)
 	s.running.add(&run{ticket: t, granted: now, guaranteed: guaranteed})
 	s.lately.add(now, t.Class)
 	if guaranteed {
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -24,11 +24,11 @@
 	deadlineIndex int
 }
 
-func newWaiting(t Ticket, startBy time.Time, resumed bool) *waiting {
+func newWaiting(t Ticket, work float64, startBy time.Time, resumed bool) *waiting {
 	return &waiting{
 		ticket:        t,
 		startBy:       startBy,
-		work:          expectedWork(t),
+		work:          work,
 		resumed:       resumed,
 		deadlineIndex: noIndex,
 	}
@@ -40,13 +40,6 @@
 	return !w.resumed && w.ticket.Tier != TopTier && !w.startBy.IsZero()
 }
 
-// expectedWork is the work in tokens that a ticket is expected to bring to
-// this engine: one of its copies runs, and that is as likely here as at the
-// other engines.
-func expectedWork(t Ticket) float64 {
-	return float64(ticketSize(t)) / float64(max(t.Copies, 1))
-}
-
 // ticketSize is the ticket's work in tokens; never zero, so that every grant
 // counts for something.
 func ticketSize(t Ticket) int {
