--- a/policy/admission.go
+++ b/policy/admission.go
@@ -37,7 +37,7 @@
 
 // owed reports whether t's class is to get a ticket in whatever the wait.
 func (s *Scheduler) owed(now time.Time, t Ticket) bool {
-	return s.queue.tiers[t.Tier].byName[t.Class] == nil && !s.lately.has(now, t.Class)
+	return s.queue.tiers[t.Tier].class(t.Class) == nil && !s.lately.has(now, t.Class)
 }
 
 // startBy is when t must start here: its deadline, less the time that this
@@ -48,7 +48,7 @@
 	}
 	switch t.Due {
 	case MilestoneFirstToken:
-		return t.Deadline.Add(-s.limiter.baseline.of(ticketSize(t)))
+		return t.Deadline.Add(-s.first.of(ticketSize(t)))
 	case MilestoneCompletion:
 		return t.Deadline.Add(-s.rate.runTime(ticketSize(t), s.limiter.limit))
 	default:
--- a/policy/burst_test.go
+++ b/policy/burst_test.go
@@ -10,7 +10,7 @@
 }
 
 func questions(rate func(time.Duration) float64) workload {
-	return workload{class: "question", tier: 2, prompt: 200, answer: 60, firstToken: 2 * time.Second, rate: rate, customers: 1, hot: 0.1}
+	return workload{class: "question", tier: 2, prompt: 200, answer: 60, firstToken: 2 * time.Second, rate: rate, customers: 10, hot: 0.1}
 }
 
 func summaries(rate float64) workload {
--- a/policy/class_queue.go
+++ b/policy/class_queue.go
@@ -16,7 +16,7 @@
 // round over 400 customers is long; the heap costs log(customers) instead and
 // has no quantum to choose.
 type classQueue struct {
-	name string
+	classKey
 	tier *tierQueue
 	// byName and order hold the customers that have a waiting ticket.
 	byName map[string]*customerQueue
@@ -31,18 +31,18 @@
 	work  float64
 	// since is when the class was last granted anything, or began to wait.
 	since time.Time
-	// late is the one ticket that stays beyond its deadline since the class
+	// kept is the one ticket that stays beyond its deadline since the class
 	// has got nothing for long; see Queue.expire.
-	late *waiting
+	kept *waiting
 }
 
-func newClassQueue(name string, tier *tierQueue, now time.Time) *classQueue {
+func newClassQueue(key classKey, tier *tierQueue, now time.Time) *classQueue {
 	return &classQueue{
-		name:   name,
-		tier:   tier,
-		byName: map[string]*customerQueue{},
-		tag:    tier.virtual,
-		since:  now,
+		classKey: key,
+		tier:     tier,
+		byName:   map[string]*customerQueue{},
+		tag:      tier.virtual,
+		since:    now,
 	}
 }
 
@@ -69,8 +69,8 @@
 	customer.remove(w)
 	q.count--
 	q.work -= w.work
-	if q.late == w {
-		q.late = nil
+	if q.kept == w {
+		q.kept = nil
 	}
 	if customer.count == 0 {
 		heap.Remove(&q.order, customer.index)
@@ -88,6 +88,16 @@
 	q.tier.charge(q, w)
 }
 
+// keeps reports whether the class keeps w beyond its time, since it is the
+// next to be granted and the class has got nothing for starvedAfter.
+func (q *classQueue) keeps(now time.Time, w *waiting) bool {
+	if q.kept != nil || q.head() != w || now.Sub(q.since) < starvedAfter {
+		return false
+	}
+	q.kept = w
+	return true
+}
+
 // workAhead is how much of the class's waiting work goes before a new ticket
 // of a customer: all of that customer's own, and of each other customer no
 // more than the same amount.
--- a/policy/displacement.go
+++ b/policy/displacement.go
@@ -42,7 +42,7 @@
 
 // workWith is what t's customer would have waiting in t's class.
 func (q *tierQueue) workWith(t Ticket, work float64) float64 {
-	class := q.byName[t.Class]
+	class := q.class(t.Class)
 	if class == nil {
 		return work
 	}
--- a/policy/fake_engine_test.go
+++ b/policy/fake_engine_test.go
@@ -16,7 +16,7 @@
 	perStream   time.Duration
 
 	streams int
-	line    []func()
+	line    []func() bool
 }
 
 func newFakeEngine(batch int) *fakeEngine {
@@ -29,11 +29,12 @@
 	}
 }
 
-// enter calls run when the batch has a place.
-func (e *fakeEngine) enter(run func()) {
+// enter calls run when the batch has a place; run reports whether it takes it.
+func (e *fakeEngine) enter(run func() bool) {
 	if e.streams+e.foreign < e.batch {
-		e.streams++
-		run()
+		if run() {
+			e.streams++
+		}
 		return
 	}
 	e.line = append(e.line, run)
@@ -45,8 +46,9 @@
 	for len(e.line) > 0 && e.streams+e.foreign < e.batch {
 		run := e.line[0]
 		e.line = e.line[1:]
-		e.streams++
-		run()
+		if run() {
+			e.streams++
+		}
 	}
 }
 
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -28,7 +28,7 @@
 	// probeSoonest and probeLatest bound the pause between two trials of one
 	// more run; it doubles with each trial that fails.
 	probeSoonest = 5 * time.Second
-	probeLatest  = 60 * time.Second
+	probeLatest  = 5 * time.Minute
 	// probeLength ends a trial that saw too little to judge.
 	probeLength = 5 * time.Second
 )
--- a/policy/play_test.go
+++ b/policy/play_test.go
@@ -16,9 +16,11 @@
 	// customers tallies by class and customer.
 	customers map[string]*tally
 	comeback  bool
-	copies    func(Tier) int
-	serial    int
-	start     time.Time
+	// preemption says whether Preempt is obeyed.
+	preemption bool
+	copies     func(Tier) int
+	serial     int
+	start      time.Time
 }
 
 // playEngine is an engine with its agent's scheduler.
@@ -27,6 +29,7 @@
 	engine    *fakeEngine
 	scheduler *Scheduler
 	requests  map[string]*request
+	running   map[string]*request
 	wake      time.Time
 	lastSeen  Candidate
 }
@@ -44,9 +47,12 @@
 	again    bool
 	first    time.Time
 	lateInfo string
+	given    int
+	epoch    int
+	inLine   bool
 }
 
-const debugFlags = true
+const debugFlags = false
 
 func newPlay(seed uint64, engines ...*fakeEngine) *play {
 	random := rand.New(rand.NewPCG(seed, 1))
@@ -65,6 +71,7 @@
 			engine:    e,
 			scheduler: NewScheduler(),
 			requests:  map[string]*request{},
+			running:   map[string]*request{},
 		})
 	}
 	return p
@@ -167,13 +174,7 @@
 }
 
 func (p *play) offer(e *playEngine, r *request, copies int) {
-	due, target := r.w.due()
-	decision := e.scheduler.Offer(p.clock.now, Ticket{
-		ID: r.id, Class: r.w.class, Customer: r.customer, Tier: r.w.tier,
-		Deadline: r.arrived.Add(target), Due: due,
-		Size: r.w.prompt + r.w.answer, Copies: copies,
-		FirstToken: r.w.firstToken, BetweenTokens: r.w.betweenTokens,
-	})
+	decision := e.scheduler.Offer(p.clock.now, p.ticket(r, copies))
 	for _, id := range decision.Displaced {
 		p.drop(e, id)
 	}
@@ -185,6 +186,16 @@
 	p.serve(e)
 }
 
+func (p *play) ticket(r *request, copies int) Ticket {
+	due, target := r.w.due()
+	return Ticket{
+		ID: r.id, Class: r.w.class, Customer: r.customer, Tier: r.w.tier,
+		Deadline: r.arrived.Add(target), Due: due,
+		Size: r.w.prompt + r.w.answer, Copies: copies, Preemptible: true,
+		FirstToken: r.w.firstToken, BetweenTokens: r.w.betweenTokens,
+	}
+}
+
 // drop ends a waiting ticket that the scheduler gave up on.
 func (p *play) drop(e *playEngine, id string) {
 	r := e.requests[id]
@@ -227,6 +238,15 @@
 		p.drop(e, id)
 	}
 	for {
+		if p.preemption {
+			for {
+				id, ok := e.scheduler.Preempt(now)
+				if !ok {
+					break
+				}
+				p.preempt(e, id)
+			}
+		}
 		t, ok := e.scheduler.Next(now)
 		if !ok {
 			break
@@ -264,28 +284,60 @@
 	p.tally(r.w.class).longestWait = max(p.tally(r.w.class).longestWait, wait)
 	p.ofCustomer(r).longestWait = max(p.ofCustomer(r).longestWait, wait)
 	e.scheduler.Started(p.clock.now, r.id)
+	e.running[r.id] = r
 	r.lateInfo = fmt.Sprint(e.name, " streams ", e.engine.streams, " line ", len(e.engine.line), " limit ", e.scheduler.limiter.limit, " ramping ", e.scheduler.limiter.ramping, " probing ", e.scheduler.limiter.probing, " lower ", e.scheduler.running.lower)
-	e.engine.enter(func() {
-		p.clock.after(e.engine.prefill(r.w.prompt), func() { p.token(e, r, 1) })
+	r.epoch++
+	epoch := r.epoch
+	r.inLine = true
+	e.engine.enter(func() bool {
+		if epoch != r.epoch {
+			return false
+		}
+		r.inLine = false
+		p.clock.after(e.engine.prefill(r.w.prompt), func() { p.token(e, r, epoch) })
+		return true
 	})
 }
 
-func (p *play) token(e *playEngine, r *request, n int) {
-	if n == 1 {
+func (p *play) token(e *playEngine, r *request, epoch int) {
+	if epoch != r.epoch {
+		return
+	}
+	if r.given == 0 {
 		r.first = p.clock.now
 	}
+	r.given++
 	e.scheduler.Tokens(p.clock.now, r.id, 1)
-	if n < r.answer {
-		p.clock.after(e.engine.between(), func() { p.token(e, r, n+1) })
+	if r.given < r.answer {
+		p.clock.after(e.engine.between(), func() { p.token(e, r, epoch) })
 		p.serve(e)
 		return
 	}
 	e.engine.leave()
+	delete(e.running, r.id)
 	e.scheduler.Finished(p.clock.now, r.id, OutcomeWhole)
 	p.finished(r)
 	p.serve(e)
 }
 
+// preempt cancels a run; its request waits again, to be resumed here.
+func (p *play) preempt(e *playEngine, id string) {
+	r := e.running[id]
+	delete(e.running, id)
+	p.tally(r.w.class).preempted++
+	r.epoch++
+	if !r.inLine {
+		e.engine.leave()
+	}
+	e.scheduler.Finished(p.clock.now, id, OutcomeCancelled)
+	r.granted = false
+	r.id += "p"
+	r.holders = map[*playEngine]bool{e: true}
+	e.requests[r.id] = r
+	ticket := p.ticket(r, 1)
+	e.scheduler.Resume(p.clock.now, ticket)
+}
+
 func (p *play) finished(r *request) {
 	w := r.w
 	t := p.tally(w.class)
@@ -295,6 +347,10 @@
 	mean := p.clock.now.Sub(r.first) / time.Duration(max(r.answer-1, 1))
 	late = late || w.betweenTokens > 0 && mean > w.betweenTokens
 	if r.again {
+		since := p.clock.now.Sub(p.start)
+		if !late && since >= 35*time.Second && since < 90*time.Second {
+			t.inBurst++
+		}
 		if !late {
 			t.comebackIn++
 		}
@@ -305,6 +361,10 @@
 	if late && w.tier == 0 && debugFlags {
 		fmt.Println("late flag", r.arrived.Sub(p.start), r.first.Sub(r.arrived), r.lateInfo)
 	}
+	since := p.clock.now.Sub(p.start)
+	if !late && since >= 35*time.Second && since < 90*time.Second {
+		t.inBurst++
+	}
 	if !late {
 		t.onTime++
 		p.ofCustomer(r).onTime++
@@ -314,8 +374,8 @@
 func (p *play) report() string {
 	text := ""
 	for class, t := range p.tallies {
-		text += fmt.Sprintf("%-12s offered %5d whole %5d on time %5d (%.3f of offered, %.3f of whole) refused %5d expired %4d came back %5d in %5d longest wait %v\n",
-			class, t.offered, t.whole, t.onTime, t.attained(), t.kept(), t.refused, t.expired, t.comeback, t.comebackIn, t.longestWait.Round(time.Millisecond))
+		text += fmt.Sprintf("%-12s offered %5d whole %5d on time %5d (%.3f of offered, %.3f of whole) refused %5d expired %4d came back %5d in %5d longest wait %v preempted %d burst goodput %.2f/s\n",
+			class, t.offered, t.whole, t.onTime, t.attained(), t.kept(), t.refused, t.expired, t.comeback, t.comebackIn, t.longestWait.Round(time.Millisecond), t.preempted, float64(t.inBurst)/55)
 	}
 	for _, e := range p.engines {
 		text += fmt.Sprintf("%s limit %d\n", e.name, e.scheduler.limiter.limit)
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -45,7 +45,7 @@
 	}
 	q.byID[w.ticket.ID] = w
 	q.tiers[w.ticket.Tier].push(now, w)
-	if w.mayExpire() {
+	if w.timed() {
 		heap.Push(&q.deadlines, w)
 	}
 }
@@ -89,25 +89,34 @@
 	return longest
 }
 
-// expire removes the tickets that can't start in time any more. A class that has got
-// nothing for a while keeps the ticket that it would be granted next, so that
-// something of it runs, if late.
+// expire removes the tickets that can't start in time any more. The top
+// tier's wait on, behind those that can, since a late warning is worth more
+// than none. And a class that has got nothing for a while keeps the ticket
+// that it would be granted next, so that something of it runs, if late.
 func (q *Queue) expire(now time.Time) []string {
 	var expired []string
 	for len(q.deadlines) > 0 && q.deadlines[0].startBy.Before(now) {
 		w := q.deadlines[0]
-		class := w.customer.class
-		if class.late == nil && class.head() == w && now.Sub(class.since) >= starvedAfter {
-			class.late = w
+		switch {
+		case w.ticket.Tier == TopTier:
+			q.demote(now, w)
+		case w.customer.class.keeps(now, w):
 			heap.Remove(&q.deadlines, w.deadlineIndex)
-			continue
+		default:
+			q.remove(w)
+			expired = append(expired, w.ticket.ID)
 		}
-		q.remove(w)
-		expired = append(expired, w.ticket.ID)
 	}
 	return expired
 }
 
+// demote moves a ticket to the line of the late ones.
+func (q *Queue) demote(now time.Time, w *waiting) {
+	q.remove(w)
+	w.late = true
+	q.push(now, w)
+}
+
 // displace removes a waiting ticket so that t finds room: the newest of the
 // customer with the most work, in the heaviest class of the lowest tier. It
 // reports false when nothing may give way to t.
--- a/policy/run.go
+++ b/policy/run.go
@@ -22,6 +22,8 @@
 	depth int
 	// guaranteed runs were granted out of the guaranteed share.
 	guaranteed bool
+	// preempted runs were named by Preempt and are about to end.
+	preempted bool
 	// overdue says that its late first token was counted already.
 	overdue bool
 }
--- a/policy/running.go
+++ b/policy/running.go
@@ -10,6 +10,10 @@
 	pending []*run
 	// lower counts the runs of all but the urgent tiers.
 	lower int
+	// top counts the runs of the top tier.
+	top int
+	// leaving counts the runs that were preempted and have not ended yet.
+	leaving int
 	// area is the sum of slot time in seconds, up to last.
 	area float64
 	last time.Time
@@ -29,19 +33,37 @@
 
 func (r *running) add(run *run) {
 	r.byID[run.ticket.ID] = run
-	if run.ticket.Tier > urgentTier {
-		r.lower++
-	}
+	r.count(run.ticket.Tier, 1)
 }
 
 func (r *running) remove(run *run) {
 	delete(r.byID, run.ticket.ID)
-	if run.ticket.Tier > urgentTier {
-		r.lower--
+	r.count(run.ticket.Tier, -1)
+	if run.preempted {
+		r.leaving--
 	}
 	r.dropPending(run)
 }
 
+func (r *running) preempt(run *run) {
+	run.preempted = true
+	r.leaving++
+}
+
+// staying is how many runs are not about to end for an urgent one.
+func (r *running) staying() int {
+	return len(r.byID) - r.leaving
+}
+
+func (r *running) count(t Tier, by int) {
+	switch {
+	case t == TopTier:
+		r.top += by
+	case t > urgentTier:
+		r.lower += by
+	}
+}
+
 func (r *running) start(now time.Time, run *run) {
 	run.started = now
 	run.area = r.area
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -14,6 +14,7 @@
 	promises  promises
 	guarantee guarantee
 	lately    grantedLately
+	first     firstTokenTime
 	copies    copyShare
 	// now is the time of the last call.
 	now time.Time
@@ -61,10 +62,12 @@
 
 // Resume takes in a retry of a request that ran in part. It is never refused,
 // whatever the estimate and the bound of the queue, since its caller holds a
-// part of the answer; its order is that of its tier.
+// part of the answer; its order is that of its tier. It is not preempted
+// again, so that it ends.
 func (s *Scheduler) Resume(now time.Time, t Ticket) {
 	s.advance(now)
 	t.Arrived = now
+	t.Preemptible = false
 	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(t), true))
 }
 
@@ -102,10 +105,14 @@
 
 // slots is how many runs may be on the engine for a waiting ticket to start.
 func (s *Scheduler) slots(now time.Time, w *waiting) int {
-	if w.ticket.Tier == TopTier && now.Sub(w.ticket.Arrived) < overflowAfter {
-		return s.limiter.limit
+	limit := s.limiter.limit
+	if w.ticket.Tier != TopTier {
+		return s.limiter.slots(w.ticket.Tier)
+	}
+	if now.Sub(w.ticket.Arrived) < overflowAfter {
+		return limit
 	}
-	return s.limiter.slots(w.ticket.Tier)
+	return limit + min(reserveOf(limit), len(s.running.byID)-s.running.top)
 }
 
 // starved is the class that the guarantee serves now, if any. It leaves the
@@ -156,6 +163,7 @@
 	if r.lastToken.IsZero() {
 		r.lastToken = now
 		s.running.dropPending(r)
+		s.first.observe(ticketSize(r.ticket), now.Sub(r.started))
 		s.limiter.firstToken(now, r)
 		return
 	}
--- a/policy/ticket.go
+++ b/policy/ticket.go
@@ -23,6 +23,9 @@
 	// Copies is at how many engines the request holds a ticket; it will run
 	// on one of them.
 	Copies int
+	// Preemptible says that the run may be cancelled for an urgent one and
+	// resumed later; never set for work that may not be repeated.
+	Preemptible bool
 	// FirstToken and BetweenTokens are the class's targets; zero means none.
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
--- a/policy/tier_queue.go
+++ b/policy/tier_queue.go
@@ -25,7 +25,7 @@
 // with minutes.
 type tierQueue struct {
 	classes []*classQueue
-	byName  map[string]*classQueue
+	byKey   map[classKey]*classQueue
 	// virtual is the start tag of the class granted last.
 	virtual  float64
 	meanSize float64
@@ -34,14 +34,15 @@
 }
 
 func newTierQueue() *tierQueue {
-	return &tierQueue{byName: map[string]*classQueue{}}
+	return &tierQueue{byKey: map[classKey]*classQueue{}}
 }
 
 func (q *tierQueue) push(now time.Time, w *waiting) {
-	class := q.byName[w.ticket.Class]
+	key := w.key()
+	class := q.byKey[key]
 	if class == nil {
-		class = newClassQueue(w.ticket.Class, q, now)
-		q.byName[class.name] = class
+		class = newClassQueue(key, q, now)
+		q.byKey[key] = class
 		q.classes = append(q.classes, class)
 	}
 	class.push(w)
@@ -57,11 +58,17 @@
 	if class.count > 0 {
 		return
 	}
-	delete(q.byName, class.name)
+	delete(q.byKey, class.classKey)
 	i := slices.Index(q.classes, class)
 	q.classes = slices.Delete(q.classes, i, i+1)
 }
 
+// class is the line of a class's tickets that can still be on time; nil when
+// none waits.
+func (q *tierQueue) class(name string) *classQueue {
+	return q.byKey[classKey{name: name}]
+}
+
 // next is the class whose head goes next; nil when nothing waits.
 func (q *tierQueue) next() *classQueue {
 	if len(q.classes) == 0 {
@@ -88,7 +95,7 @@
 func (q *tierQueue) charge(class *classQueue, w *waiting) {
 	size := float64(ticketSize(w.ticket))
 	q.virtual = max(q.virtual, q.leastTag())
-	class.tag += size
+	class.tag += size * class.cost()
 	if q.meanSize == 0 {
 		q.meanSize = size
 		return
@@ -100,7 +107,7 @@
 // of each other class no more than what its own class has ahead.
 func (q *tierQueue) workAhead(t Ticket, work float64) float64 {
 	ahead := 0.0
-	if own := q.byName[t.Class]; own != nil {
+	if own := q.class(t.Class); own != nil {
 		ahead = own.workAhead(t.Customer, work)
 	}
 	sum := ahead
@@ -115,8 +122,8 @@
 // earlier reports whether a has less slack than b. A ticket without a target
 // has endless slack.
 func earlier(a, b *waiting) bool {
-	if a.startBy.IsZero() || b.startBy.IsZero() {
-		return !a.startBy.IsZero()
+	if a.timeless() || b.timeless() {
+		return !a.timeless()
 	}
 	return a.startBy.Before(b.startBy)
 }
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -15,6 +15,8 @@
 	// resumed tickets neither expire nor give way, since their caller holds
 	// a part of the answer.
 	resumed bool
+	// late top-tier tickets can't start in time any more and wait on.
+	late bool
 	// customer is the line it stands in; before and behind are its
 	// neighbours there.
 	customer *customerQueue
@@ -34,10 +36,20 @@
 	}
 }
 
-// mayExpire reports whether the ticket is given up on when its deadline has
-// passed. A top-tier ticket is not: a late warning is worth more than none.
-func (w *waiting) mayExpire() bool {
-	return !w.resumed && w.ticket.Tier != TopTier && !w.startBy.IsZero()
+// timed reports whether the ticket changes state when it can't start in time
+// any more.
+func (w *waiting) timed() bool {
+	return !w.resumed && !w.late && !w.startBy.IsZero()
+}
+
+// timeless reports whether the ticket has no moment to start by ahead of it.
+func (w *waiting) timeless() bool {
+	return w.late || w.startBy.IsZero()
+}
+
+// key is the line that the ticket waits in.
+func (w *waiting) key() classKey {
+	return classKey{name: w.ticket.Class, late: w.late}
 }
 
 // ticketSize is the ticket's work in tokens; never zero, so that every grant
--- a/policy/workload_test.go
+++ b/policy/workload_test.go
@@ -42,12 +42,14 @@
 
 // tally is what the callers of a class got.
 type tally struct {
-	offered  int
-	whole    int
-	onTime   int
-	refused  int
-	expired  int
-	comeback int
+	offered   int
+	whole     int
+	preempted int
+	inBurst   int
+	onTime    int
+	refused   int
+	expired   int
+	comeback  int
 	// comebackIn counts those that were let in and answered on coming back.
 	comebackIn  int
 	longestWait time.Duration
