--- a/policy/fake_engine_test.go
+++ b/policy/fake_engine_test.go
@@ -1,9 +1,12 @@
 package policy
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // fakeEngine batches a bounded number of streams; the time between tokens
-// grows with each. What doesn't fit waits inside, first in, first out.
+// grows with each. What doesn't fit waits inside, by priority.
 type fakeEngine struct {
 	batch int
 	// foreign streams of others take places in the batch.
@@ -16,7 +19,13 @@
 	perStream   time.Duration
 
 	streams int
-	line    []func() bool
+	line    []lineEntry
+}
+
+// lineEntry is a run that waits inside the engine.
+type lineEntry struct {
+	tier Tier
+	run  func() bool
 }
 
 func newFakeEngine(batch int) *fakeEngine {
@@ -30,21 +39,25 @@
 }
 
 // enter calls run when the batch has a place; run reports whether it takes it.
-func (e *fakeEngine) enter(run func() bool) {
+func (e *fakeEngine) enter(tier Tier, run func() bool) {
 	if e.streams+e.foreign < e.batch {
 		if run() {
 			e.streams++
 		}
 		return
 	}
-	e.line = append(e.line, run)
+	at := len(e.line)
+	for at > 0 && e.line[at-1].tier > tier {
+		at--
+	}
+	e.line = slices.Insert(e.line, at, lineEntry{tier: tier, run: run})
 }
 
 // leave frees a place.
 func (e *fakeEngine) leave() {
 	e.streams--
 	for len(e.line) > 0 && e.streams+e.foreign < e.batch {
-		run := e.line[0]
+		run := e.line[0].run
 		e.line = e.line[1:]
 		if run() {
 			e.streams++
--- a/policy/hint.go
+++ b/policy/hint.go
@@ -3,7 +3,8 @@
 import "time"
 
 // Hint combines the refusals of a request's agents to the Retry-After that
-// its caller gets.
+// its caller gets: the soonest, since room at one engine is enough. It is one
+// second at least, the least that HTTP can state.
 func Hint(refusals []Decision) time.Duration {
 	hint := time.Duration(0)
 	for _, r := range refusals {
@@ -11,5 +12,5 @@
 			hint = r.RetryAfter
 		}
 	}
-	return max(hint, time.Second)
+	return max(hint, minRetryAfter)
 }
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -68,20 +68,22 @@
 // delayed reports whether a first token that took, or has taken so far, d was
 // held up inside the engine.
 func (l *limiter) delayed(t Ticket, d time.Duration) bool {
+	bound := l.delayBound(t)
+	return bound > 0 && d > bound
+}
+
+// delayBound is the longest time to the first token that is no sign of a
+// queue inside the engine; zero when nothing is known.
+func (l *limiter) delayBound(t Ticket) time.Duration {
 	base := l.baseline.of(ticketSize(t))
 	if base == 0 {
-		return false
+		return 0
 	}
 	bound := max(queueFactor*base, base+queueFloor)
 	if t.FirstToken > 0 {
 		bound = min(bound, max(t.FirstToken/2, base+queueFloor))
 	}
-	return d > bound
-}
-
-// counts reports whether a run began under the present limit.
-func (l *limiter) counts(startedAt time.Time) bool {
-	return !startedAt.Before(l.window.start)
+	return bound
 }
 
 // slots is how many runs may be on the engine for another one of a tier to
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -1,5 +1,7 @@
 package policy
 
+import "slices"
+
 // Placement is what a request asks of a Placer.
 type Placement struct {
 	Tier Tier
@@ -10,3 +12,8 @@
 	// Exclude names the engines that were tried before.
 	Exclude []string
 }
+
+// excludes reports whether a candidate may not be used at all.
+func (p Placement) excludes(c Candidate) bool {
+	return c.Leaving || c.Down || slices.Contains(p.Exclude, c.Name)
+}
--- a/policy/play_test.go
+++ b/policy/play_test.go
@@ -57,12 +57,13 @@
 func newPlay(seed uint64, engines ...*fakeEngine) *play {
 	random := rand.New(rand.NewPCG(seed, 1))
 	p := &play{
-		clock:     newVirtualClock(),
-		random:    random,
-		placer:    NewPlacer(random, NewEjector()),
-		tallies:   map[string]*tally{},
-		customers: map[string]*tally{},
-		copies:    Copies,
+		clock:      newVirtualClock(),
+		random:     random,
+		placer:     NewPlacer(random, NewEjector()),
+		tallies:    map[string]*tally{},
+		customers:  map[string]*tally{},
+		copies:     Copies,
+		preemption: true,
 	}
 	p.start = p.clock.now
 	for i, e := range engines {
@@ -289,7 +290,7 @@
 	r.epoch++
 	epoch := r.epoch
 	r.inLine = true
-	e.engine.enter(func() bool {
+	e.engine.enter(r.w.tier, func() bool {
 		if epoch != r.epoch {
 			return false
 		}
@@ -325,6 +326,7 @@
 	r := e.running[id]
 	delete(e.running, id)
 	p.tally(r.w.class).preempted++
+	p.tally(r.w.class).wasted += r.w.prompt
 	r.epoch++
 	if !r.inLine {
 		e.engine.leave()
--- a/policy/run.go
+++ b/policy/run.go
@@ -22,6 +22,10 @@
 	depth int
 	// guaranteed runs were granted out of the guaranteed share.
 	guaranteed bool
+	// resumed runs ran in part before.
+	resumed bool
+	// helped says that another run was cancelled since this one is overdue.
+	helped bool
 	// preempted runs were named by Preempt and are about to end.
 	preempted bool
 	// overdue says that its late first token was counted already.
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -62,12 +62,10 @@
 
 // Resume takes in a retry of a request that ran in part. It is never refused,
 // whatever the estimate and the bound of the queue, since its caller holds a
-// part of the answer; its order is that of its tier. It is not preempted
-// again, so that it ends.
+// part of the answer; its order is that of its tier.
 func (s *Scheduler) Resume(now time.Time, t Ticket) {
 	s.advance(now)
 	t.Arrived = now
-	t.Preemptible = false
 	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(t), true))
 }
 
@@ -131,9 +129,10 @@
 }
 
 func (s *Scheduler) grant(now time.Time, class *classQueue, guaranteed bool) Ticket {
+	resumed := class.head().resumed
 	t := s.queue.grant(now, class)
 	s.copies.observe(t, true)
-	s.running.add(&run{ticket: t, granted: now, guaranteed: guaranteed})
+	s.running.add(&run{ticket: t, granted: now, guaranteed: guaranteed, resumed: resumed})
 	s.lately.add(now, t.Class)
 	if guaranteed {
 		s.guarantee.running++
@@ -219,19 +218,35 @@
 }
 
 // NextWake says when a decision is due that no other call brings about: then
-// Expire and Next are to be called.
+// Expire, Preempt and Next are to be called.
 func (s *Scheduler) NextWake(now time.Time) (time.Time, bool) {
-	var wake time.Time
+	var wake earliest
 	if len(s.queue.deadlines) > 0 {
-		wake = s.queue.deadlines[0].startBy.Add(time.Nanosecond)
+		wake.add(s.queue.deadlines[0].startBy.Add(time.Nanosecond))
 	}
-	if due, ok := s.guaranteeDue(now); ok && (wake.IsZero() || due.Before(wake)) {
-		wake = due
+	if due, ok := s.guaranteeDue(now); ok {
+		wake.add(due)
 	}
-	if due, ok := s.overflowDue(now); ok && (wake.IsZero() || due.Before(wake)) {
-		wake = due
+	if due, ok := s.overflowDue(now); ok {
+		wake.add(due)
 	}
-	return wake, !wake.IsZero()
+	if due, ok := s.overdueAt(); ok {
+		wake.add(due)
+	}
+	return wake.at, !wake.at.IsZero()
+}
+
+// overdueAt is when the first of the top tier's runs without a first token is
+// late inside the engine.
+func (s *Scheduler) overdueAt() (time.Time, bool) {
+	var first earliest
+	for _, r := range s.running.pending {
+		bound := s.limiter.delayBound(r.ticket)
+		if r.ticket.Tier == TopTier && !r.overdue && bound > 0 {
+			first.add(r.started.Add(bound + time.Nanosecond))
+		}
+	}
+	return first.at, !first.at.IsZero()
 }
 
 // guaranteeDue is when the guarantee will serve a class out of a slot that is
