--- a/policy/run.go
+++ b/policy/run.go
@@ -18,8 +18,16 @@
 	interval time.Duration
 	// area is the scheduler's slot time when the run started.
 	area float64
+	// depth is how many runs were on the engine when it started, itself too.
+	depth int
 	// guaranteed runs were granted out of the guaranteed share.
 	guaranteed bool
+	// resumed runs ran in part before.
+	resumed bool
+	// helped says that another run was cancelled since this one is overdue.
+	helped bool
+	// preempted runs were named by Preempt and are about to end.
+	preempted bool
 	// overdue says that its late first token was counted already.
 	overdue bool
 }
