timeline: one order over the fleet, gathered in parallel and bounded

Stamps alone order cause before effect, so merging sorts by stamp and then by process; a vector clock was ruled out, since it grows with the fleet. A property test passes random messages between clocks up to an hour apart. How far back a question goes is measured by each process's own clock. Answers are bounded by process and in all, and say when they are cut.

--- /dev/null
+++ b/internal/timeline/bench_test.go
@@ -0,0 +1,24 @@
+package timeline
+
+import "testing"
+
+// BenchmarkRecord is what one event costs.
+func BenchmarkRecord(b *testing.B) {
+	ring := NewRing("entry-1", &Clock{}, 4096)
+	b.ReportAllocs()
+	for b.Loop() {
+		ring.Record(KindTicket, "0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e5f", "hazard-flag", "")
+	}
+}
+
+// BenchmarkSelect is what one question for a request costs a full ring.
+func BenchmarkSelect(b *testing.B) {
+	ring := NewRing("entry-1", &Clock{}, 4096)
+	for range 4096 {
+		ring.Record(KindTicket, "r-1", "hazard-flag", "")
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		ring.Select(Filter{Since: DefaultSince, Request: "r-2", Limit: DefaultLimit})
+	}
+}
--- /dev/null
+++ b/internal/timeline/merge_test.go
@@ -0,0 +1,84 @@
+package timeline
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// skewed is a process whose clock is off by a fixed span.
+type skewed struct {
+	ring  *Ring
+	clock *Clock
+}
+
+func newSkewed(name string, now *time.Time, skew time.Duration) skewed {
+	clock := NewClock(func() time.Time { return now.Add(skew) })
+	return skewed{ring: NewRing(name, clock, 1000), clock: clock}
+}
+
+// TestMergeKeepsCauseBeforeEffect plays random messages between processes
+// whose clocks are up to an hour apart.
+func TestMergeKeepsCauseBeforeEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		var processes []skewed
+		for i := range rapid.IntRange(2, 5).Draw(t, "processes") {
+			skew := rapid.Int64Range(-int64(time.Hour), int64(time.Hour)).Draw(t, "skew")
+			processes = append(processes, newSkewed(fmt.Sprintf("p%d", i), &now, time.Duration(skew)))
+		}
+		pick := rapid.IntRange(0, len(processes)-1)
+		messages := rapid.IntRange(1, 40).Draw(t, "messages")
+		for i := range messages {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Millisecond)).Draw(t, "step")))
+			from, to := processes[pick.Draw(t, "from")], processes[pick.Draw(t, "to")]
+			id := fmt.Sprint(i)
+			from.ring.Record(KindSent, id, "", "")
+			to.clock.Observe(from.clock.Now())
+			to.ring.Record(KindStart, id, "", "")
+		}
+		var logs [][]Event
+		for _, p := range processes {
+			logs = append(logs, p.ring.Events())
+		}
+		checkOrder(t, logs, Merge(logs...))
+	})
+}
+
+func checkOrder(t *rapid.T, logs [][]Event, merged []Event) {
+	place := make(map[Event]int, len(merged))
+	sent := make(map[string]int)
+	for i, e := range merged {
+		place[e] = i
+		if e.Kind == KindSent {
+			sent[e.Request] = i
+			continue
+		}
+		if _, ok := sent[e.Request]; !ok {
+			t.Fatalf("start of %s comes before its sending", e.Request)
+		}
+	}
+	for _, log := range logs {
+		for i := 1; i < len(log); i++ {
+			if place[log[i-1]] >= place[log[i]] {
+				t.Fatalf("%s: its own events changed order", log[i].Process)
+			}
+		}
+	}
+}
+
+func TestSinceIsByTheProcessOwnClock(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, skew := range []time.Duration{-time.Hour, 0, time.Hour} {
+		p := newSkewed("p", &now, skew)
+		p.ring.Record(KindJoin, "", "", "old")
+		now = now.Add(10 * time.Minute)
+		p.ring.Record(KindLeave, "", "", "new")
+		got := p.ring.Select(Filter{Since: 5 * time.Minute}).Events
+		if len(got) != 1 || got[0].Detail != "new" {
+			t.Errorf("skew %v: got %v", skew, got)
+		}
+	}
+}
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -38,3 +38,13 @@
 	events = append(events, r.events[r.next:]...)
 	return append(events, r.events[:r.next]...)
 }
+
+// Select returns the kept events that match filter.
+func (r *Ring) Select(filter Filter) Page {
+	matching := filter.apply(r.Events(), r.clock.before(filter.Since))
+	kept := newest(matching, filter.Limit)
+	return Page{Process: r.process, Events: kept, Truncated: len(kept) < len(matching)}
+}
+
+// Process is the name of the process whose events the Ring keeps.
+func (r *Ring) Process() string { return r.process }
