cli: class, status and timeline against the administration API (its server is still to land)

timeline: a question no longer copies the whole ring; program: the signal has an event of its own, since entries log their stopping themselves.

--- /dev/null
+++ b/internal/cli/class_set.go
@@ -0,0 +1,207 @@
+package cli
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/applepier/applepier/internal/program"
+)
+
+// Flags of class set and class retire.
+const (
+	flagTier          = "tier"
+	flagModel         = "model"
+	flagService       = "service"
+	flagFirstToken    = "first-token"
+	flagBetweenTokens = "between-tokens"
+	flagCompletion    = "completion"
+	flagRepeatable    = "repeatable"
+	flagIfVersion     = "if-version"
+	flagWait          = "wait"
+)
+
+// waitMargin is how much longer than --wait an answer may take.
+const waitMargin = 5 * time.Second
+
+func classSet() *cli.Command {
+	return &cli.Command{
+		Name:      "set",
+		Usage:     "create a class or change what is given of it",
+		ArgsUsage: "NAME",
+		Description: "Flags that are left out keep their value; a target of 0s is removed. A retired class\n" +
+			"is taken into use again. If another operator changes the targets meanwhile, nothing is\n" +
+			"changed and the exit code is 3.\n\n" +
+			"Examples:\n" +
+			"   applepier class set hazard-flag --tier 0 --model assistant --first-token 850ms\n" +
+			"   applepier class set summary --completion 2m --repeatable=false --wait 14s",
+		Flags: adminFlags(append([]cli.Flag{
+			&cli.IntFlag{Name: flagTier, Usage: "priority `N`: 0 is the most urgent, 5 the least"},
+			&cli.StringFlag{Name: flagModel, Usage: "run on the model `NAME`"},
+			&cli.StringFlag{Name: flagService, Usage: "run on the plain service `NAME`"},
+			&cli.DurationFlag{Name: flagFirstToken, Usage: "target `TIME` to the first token"},
+			&cli.DurationFlag{Name: flagBetweenTokens, Usage: "target `TIME` between tokens"},
+			&cli.DurationFlag{Name: flagCompletion, Usage: "target `TIME` to the whole answer"},
+			&cli.BoolFlag{Name: flagRepeatable, Usage: "whether a request may run again when its outcome is unknown"},
+		}, changeFlags()...)...),
+		Action: runClassSet,
+	}
+}
+
+func changeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.Uint64Flag{Name: flagIfVersion, Usage: "change nothing unless the targets are at version `N`"},
+		&cli.DurationFlag{Name: flagWait, Usage: "wait up to `TIME` until the change is in force in all processes"},
+	}
+}
+
+func runClassSet(ctx context.Context, command *cli.Command) error {
+	name, err := className(command)
+	if err != nil {
+		return err
+	}
+	ctx, session, err := open(ctx, command)
+	if err != nil {
+		return err
+	}
+	defer session.cancel()
+	class, version, err := session.present(ctx, name)
+	if err != nil {
+		return err
+	}
+	class.apply(command)
+	return session.change(ctx, command, call{
+		method:  http.MethodPut,
+		path:    classPath(name),
+		version: &version,
+		body:    class,
+	})
+}
+
+// present reads the class to change; a new one is empty, at the version of the
+// list that doesn't hold it.
+func (s *session) present(ctx context.Context, name string) (classDocument, uint64, error) {
+	answer, err := s.class(ctx, name)
+	var failure *program.Error
+	if !errors.As(err, &failure) || failure.Code != program.ExitNotFound {
+		return answer.Class, answer.Version, err
+	}
+	var list classesDocument
+	err = s.client.do(ctx, call{method: http.MethodGet, path: pathClasses, answer: &list})
+	return classDocument{Name: name}, list.Version, err
+}
+
+// apply takes over the flags that are given. A class moves between a model and
+// a service as a whole.
+func (c *classDocument) apply(command *cli.Command) {
+	c.Retired = false
+	if command.IsSet(flagTier) {
+		c.Tier = command.Int(flagTier)
+	}
+	if command.IsSet(flagModel) {
+		c.Model, c.Service = command.String(flagModel), ""
+	}
+	if command.IsSet(flagService) {
+		c.Service, c.Model = command.String(flagService), ""
+	}
+	if command.IsSet(flagRepeatable) {
+		c.Repeatable = command.Bool(flagRepeatable)
+	}
+	applyTarget(command, flagFirstToken, &c.FirstToken)
+	applyTarget(command, flagBetweenTokens, &c.BetweenTokens)
+	applyTarget(command, flagCompletion, &c.Completion)
+}
+
+func applyTarget(command *cli.Command, flag string, target *string) {
+	if !command.IsSet(flag) {
+		return
+	}
+	*target = ""
+	if span := command.Duration(flag); span != 0 {
+		*target = span.String()
+	}
+}
+
+func classRetire() *cli.Command {
+	return &cli.Command{
+		Name:      "retire",
+		Usage:     "let a class take no new requests",
+		ArgsUsage: "NAME",
+		Description: "Requests that run are ended as usual; class set takes a class into use again.\n\n" +
+			"Example:\n   applepier class retire summary --wait 14s",
+		Flags:  adminFlags(changeFlags()...),
+		Action: runClassRetire,
+	}
+}
+
+func runClassRetire(ctx context.Context, command *cli.Command) error {
+	name, err := className(command)
+	if err != nil {
+		return err
+	}
+	ctx, session, err := open(ctx, command)
+	if err != nil {
+		return err
+	}
+	defer session.cancel()
+	answer, err := session.class(ctx, name)
+	if err != nil {
+		return err
+	}
+	return session.change(ctx, command, call{
+		method:  http.MethodDelete,
+		path:    classPath(name),
+		version: &answer.Version,
+	})
+}
+
+// change makes a change and prints what came of it.
+func (s *session) change(ctx context.Context, command *cli.Command, change call) error {
+	if command.IsSet(flagIfVersion) {
+		version := command.Uint64(flagIfVersion)
+		change.version = &version
+	}
+	if wait := command.Duration(flagWait); wait > 0 {
+		change.query = url.Values{flagWait: {wait.String()}}
+	}
+	var answer changeAnswer
+	change.answer = &answer
+	if err := s.client.do(ctx, change); err != nil {
+		return err
+	}
+	err := s.printer.print(answer, func() []table { return []table{classTable([]classDocument{answer.Class})} })
+	if err != nil {
+		return err
+	}
+	return s.reportChange(answer)
+}
+
+// reportChange tells on standard error how far the change has come.
+func (s *session) reportChange(answer changeAnswer) error {
+	s.printer.note("accepted as version %d", answer.Version)
+	if answer.Wait == nil {
+		return nil
+	}
+	wait := *answer.Wait
+	s.printer.note("in force in %d processes", wait.InForce)
+	if len(wait.Behind)+len(wait.NotHeard) == 0 {
+		return nil
+	}
+	problem := "accepted, but not yet known to be in force everywhere"
+	if len(wait.Behind) > 0 {
+		problem += "\n  older version: " + strings.Join(wait.Behind, ", ")
+	}
+	if len(wait.NotHeard) > 0 {
+		problem += "\n  not heard from: " + strings.Join(wait.NotHeard, ", ")
+	}
+	return &program.Error{
+		Code:    program.ExitPartial,
+		Problem: problem,
+		Advice:  "the change is durable and need not be repeated; applepier status shows the versions",
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 
+	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/program"
@@ -25,6 +26,7 @@
 		Load:     settings.LoadEntry,
 		Identify: identify,
 		Serve:    serve,
+		Commands: []*cli.Command{classCommand(), statusCommand(), timelineCommand()},
 	}.Run(ctx, args, out, errOut)
 }
 
--- /dev/null
+++ b/internal/cli/timeline.go
@@ -0,0 +1,91 @@
+package cli
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/applepier/applepier/internal/program"
+	"github.com/applepier/applepier/internal/timeline"
+)
+
+const (
+	flagRequest = "request"
+	flagSince   = "since"
+	flagLimit   = "limit"
+)
+
+// timeFormat shows a stamp's physical part down to the microsecond, in UTC.
+const timeFormat = "15:04:05.000000"
+
+func timelineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "timeline",
+		Usage: "show what all processes did, in one order",
+		Description: "An event that another one caused stands after it, whatever the VMs' clocks say.\n" +
+			"Times are in UTC. Processes that did not answer are named, and the exit code is then 7.\n\n" +
+			"Examples:\n" +
+			"   applepier timeline --since 5m\n" +
+			"   applepier timeline --request 0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e5f --output json",
+		Flags: adminFlags(
+			&cli.StringFlag{Name: flagRequest, Usage: "only events of the request `ID`"},
+			&cli.DurationFlag{Name: flagSince, Usage: "go back `TIME`", Value: timeline.DefaultSince},
+			&cli.IntFlag{Name: flagLimit, Usage: "take at most `N` events of each process, the newest", Value: timeline.DefaultLimit},
+		),
+		Action: runTimeline,
+	}
+}
+
+func runTimeline(ctx context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return program.Usage(command, "timeline takes no arguments")
+	}
+	ctx, session, err := open(ctx, command)
+	if err != nil {
+		return err
+	}
+	defer session.cancel()
+	filter := timeline.Filter{
+		Since:   command.Duration(flagSince),
+		Request: command.String(flagRequest),
+		Limit:   command.Int(flagLimit),
+	}
+	var view timeline.View
+	err = session.client.do(ctx, call{method: http.MethodGet, path: timeline.PathView, query: filter.Query(), answer: &view})
+	if err != nil {
+		return err
+	}
+	if err := session.printer.print(view, func() []table { return []table{eventTable(view.Events)} }); err != nil {
+		return err
+	}
+	if view.Truncated {
+		session.printer.note("older events were left out; ask for less with --%s or --%s", flagSince, flagRequest)
+	}
+	return missingError(view)
+}
+
+func eventTable(events []timeline.Event) table {
+	t := table{head: []string{"TIME", "PROCESS", "EVENT", "REQUEST", "CLASS", "DETAIL"}}
+	for _, e := range events {
+		at := time.Unix(0, e.Stamp.Wall).UTC().Format(timeFormat)
+		t.add(at, e.Process, string(e.Kind), e.Request, e.Class, e.Detail)
+	}
+	return t
+}
+
+func missingError(view timeline.View) error {
+	if len(view.NotAnswered) == 0 {
+		return nil
+	}
+	problem := "these processes did not answer, their events are missing:"
+	for _, missing := range view.NotAnswered {
+		problem += "\n  " + missing.Process + " (" + missing.Addr + "): " + missing.Reason
+	}
+	return &program.Error{
+		Code:    program.ExitPartial,
+		Problem: problem,
+		Advice:  "see docs/OPERATING.md, \"A process does not answer\"",
+	}
+}
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -4,6 +4,8 @@
 const (
 	// EventStarted: the process serves.
 	EventStarted = "started"
+	// EventSignal: the process was told to stop; a second one ends it at once.
+	EventSignal = "signal"
 	// EventStopping: the graceful shutdown has begun.
 	EventStopping = "stopping"
 	// EventStopped: the process has ended what it had.
--- a/internal/program/signal.go
+++ b/internal/program/signal.go
@@ -36,7 +36,7 @@
 	for _, act := range []func(){first, second} {
 		select {
 		case received := <-signals:
-			log.Info(logging.EventStopping, logging.Reason(received.String()))
+			log.Info(logging.EventSignal, logging.Reason(received.String()))
 			act()
 		case <-done:
 			return
--- a/internal/timeline/filter.go
+++ b/internal/timeline/filter.go
@@ -73,19 +73,12 @@
 	return query
 }
 
-// apply keeps the matching events that aren't before oldest.
-func (f Filter) apply(events []Event, oldest Stamp) []Event {
-	kept := make([]Event, 0, len(events))
-	for _, event := range events {
-		if f.Since > 0 && event.Stamp.Before(oldest) {
-			continue
-		}
-		if f.Request != "" && event.Request != f.Request {
-			continue
-		}
-		kept = append(kept, event)
+// wants reports whether an event matches; none before oldest does.
+func (f Filter) wants(event Event, oldest Stamp) bool {
+	if f.Since > 0 && event.Stamp.Before(oldest) {
+		return false
 	}
-	return kept
+	return f.Request == "" || event.Request == f.Request
 }
 
 // newest keeps the last limit events; all when limit is zero.
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -41,10 +41,24 @@
 
 // Select returns the kept events that match filter.
 func (r *Ring) Select(filter Filter) Page {
-	matching := filter.apply(r.Events(), r.clock.before(filter.Since))
+	matching := r.matching(filter, r.clock.before(filter.Since))
 	kept := newest(matching, filter.Limit)
 	return Page{Process: r.process, Events: kept, Truncated: len(kept) < len(matching)}
 }
 
+func (r *Ring) matching(filter Filter, oldest Stamp) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	matching := make([]Event, 0)
+	for _, part := range [][]Event{r.events[r.next:], r.events[:r.next]} {
+		for _, event := range part {
+			if filter.wants(event, oldest) {
+				matching = append(matching, event)
+			}
+		}
+	}
+	return matching
+}
+
 // Process is the name of the process whose events the Ring keeps.
 func (r *Ring) Process() string { return r.process }
