cli: golden outputs against the real administration API on a table in memory

A change whose answer is lost after the connection was made ends with an exit code of its own (8), since it may have been made; one that never left (no connection) ends as not reachable (4).

--- a/internal/cli/class.go
+++ b/internal/cli/class.go
@@ -49,7 +49,7 @@
 	if err := session.printer.print(list, func() []table { return []table{classTable(list.Classes)} }); err != nil {
 		return err
 	}
-	session.noteVersion(list.Version)
+	session.noteVersion(list.Version, list.Source)
 	return nil
 }
 
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	session.noteVersion(answer.Version)
+	session.noteVersion(answer.Version, answer.Source)
 	return nil
 }
 
@@ -103,8 +103,11 @@
 	return command.Args().First(), nil
 }
 
-// noteVersion tells which version of the targets a table shows.
-func (s *session) noteVersion(version uint64) {
+// noteVersion tells which version of the targets a result shows.
+func (s *session) noteVersion(version uint64, source string) {
+	if source == sourceMemory {
+		s.printer.note("the table service is down: this is what is in force in the asked entry")
+	}
 	if s.printer.output == OutputTable {
 		s.printer.note("version %d", version)
 	}
@@ -113,7 +116,7 @@
 func classTable(classes []classDocument) table {
 	t := table{head: []string{"NAME", "TIER", "RUNS ON", "FIRST TOKEN", "BETWEEN TOKENS", "COMPLETION", "REPEATABLE", "STATE"}}
 	for _, c := range classes {
-		t.add(c.Name, strconv.Itoa(c.Tier), c.runsOn(), c.FirstToken, c.BetweenTokens, c.Completion, yesNo(c.Repeatable), c.state())
+		t.add(c.Name, c.tier(), c.runsOn(), c.FirstToken, c.BetweenTokens, c.Completion, yesNo(c.Repeatable), c.state())
 	}
 	return t
 }
@@ -125,6 +128,13 @@
 	return "model " + c.Model
 }
 
+func (c classDocument) tier() string {
+	if c.Tier == nil {
+		return ""
+	}
+	return strconv.Itoa(*c.Tier)
+}
+
 func (c classDocument) state() string {
 	if c.Retired {
 		return "retired"
--- a/internal/cli/class_set.go
+++ b/internal/cli/class_set.go
@@ -101,7 +101,8 @@
 func (c *classDocument) apply(command *cli.Command) {
 	c.Retired = false
 	if command.IsSet(flagTier) {
-		c.Tier = command.Int(flagTier)
+		tier := command.Int(flagTier)
+		c.Tier = &tier
 	}
 	if command.IsSet(flagModel) {
 		c.Model, c.Service = command.String(flagModel), ""
@@ -184,24 +185,29 @@
 // reportChange tells on standard error how far the change has come.
 func (s *session) reportChange(answer changeAnswer) error {
 	s.printer.note("accepted as version %d", answer.Version)
-	if answer.Wait == nil {
+	if answer.Spread == nil {
 		return nil
 	}
-	wait := *answer.Wait
-	s.printer.note("in force in %d processes", wait.InForce)
-	if len(wait.Behind)+len(wait.NotHeard) == 0 {
+	spread := *answer.Spread
+	if len(spread.Behind)+len(spread.NotHeardFrom) == 0 {
+		s.printer.note("in force in all processes")
 		return nil
 	}
-	problem := "accepted, but not yet known to be in force everywhere"
-	if len(wait.Behind) > 0 {
-		problem += "\n  older version: " + strings.Join(wait.Behind, ", ")
-	}
-	if len(wait.NotHeard) > 0 {
-		problem += "\n  not heard from: " + strings.Join(wait.NotHeard, ", ")
-	}
 	return &program.Error{
 		Code:    program.ExitPartial,
-		Problem: problem,
-		Advice:  "the change is durable and need not be repeated; applepier status shows the versions",
+		Problem: "accepted, but not known to be in force everywhere" + spread.missing(),
+		Advice:  "the change is durable, don't repeat it; applepier status shows how far it has come",
+	}
+}
+
+// missing lists the processes that haven't confirmed a version.
+func (s spreadDocument) missing() string {
+	text := ""
+	if len(s.Behind) > 0 {
+		text += "\n  older version: " + strings.Join(s.Behind, ", ")
+	}
+	if len(s.NotHeardFrom) > 0 {
+		text += "\n  not heard from: " + strings.Join(s.NotHeardFrom, ", ")
 	}
+	return text
 }
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,176 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sebdah/goldie/v2"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/admin"
+	"github.com/applepier/applepier/internal/auth"
+	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/targets/store"
+	"github.com/applepier/applepier/internal/timeline"
+)
+
+const testKey = "operators-secret"
+
+// staticFleet is what the entry under test knows of the others.
+type staticFleet struct{ processes []admin.Process }
+
+func (f staticFleet) Processes() []admin.Process { return f.processes }
+
+func (f staticFleet) Engines() []admin.Engine {
+	return []admin.Engine{
+		{VM: "engine-1", Zone: "zone-a", Serves: "assistant", Running: 4, Waiting: 2, Limit: 8, Heard: true, Age: 120 * time.Millisecond},
+		{VM: "engine-2", Zone: "zone-b", Serves: "assistant", Heard: true, Down: true, Age: time.Second},
+		{VM: "engine-3", Zone: "zone-b", Serves: "assistant"},
+		{VM: "tablet-1", Zone: "zone-a", Serves: "tablet-service", Leaving: true, Heard: true, Age: time.Second},
+	}
+}
+
+var view = timeline.View{
+	Events: []timeline.Event{
+		{Stamp: timeline.Stamp{Wall: 1_000_000_000}, Process: "entry-1", Kind: timeline.KindTicket, Request: "r-1", Class: "hazard-flag", Detail: "engine-1"},
+		{Stamp: timeline.Stamp{Wall: 1_000_000_000, Logical: 1}, Process: "engine-1", Kind: timeline.KindGrant, Request: "r-1"},
+	},
+	Answered:    2,
+	NotAnswered: []timeline.Missing{},
+}
+
+// bench is an administration API on a table in memory, with a silent process.
+type bench struct {
+	table *platformtest.Table
+	fleet staticFleet
+	view  timeline.View
+	url   string
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{table: platformtest.NewTable(), view: view}
+	b.fleet.processes = []admin.Process{
+		{Name: "entry-1", Role: "entry", Zone: "zone-a", Version: 99, Heard: true, Age: 40 * time.Millisecond},
+		{Name: "engine-1", Role: "agent", Zone: "zone-a", Version: 99, Heard: true, Age: 80 * time.Millisecond, Leaving: true},
+	}
+	router := httprouter.New()
+	admin.New(admin.Config{Store: store.New(b.table), Holder: targets.NewHolder(), Fleet: b, OperatorKey: testKey}).Register(router)
+	router.Handler(http.MethodGet, timeline.PathView, auth.Operator(testKey)(http.HandlerFunc(b.serveView)))
+	server := httptest.NewServer(router)
+	t.Cleanup(server.Close)
+	b.url = server.URL
+	return b
+}
+
+func (b *bench) Processes() []admin.Process { return b.fleet.Processes() }
+func (b *bench) Engines() []admin.Engine    { return b.fleet.Engines() }
+
+func (b *bench) serveView(w http.ResponseWriter, _ *http.Request) {
+	_ = (printer{out: w, output: OutputJSON}).print(b.view, nil)
+}
+
+// run runs a command line against url and returns all that it printed, with
+// the address replaced.
+func run(t *testing.T, url string, args ...string) string {
+	t.Helper()
+	t.Setenv(envAdmin, url)
+	var out, errOut bytes.Buffer
+	serve := func(context.Context, settings.Entry, *zap.Logger) error { return nil }
+	code := Run(t.Context(), append([]string{"applepier"}, args...), &out, &errOut, serve)
+	text := out.String()
+	if errOut.Len() > 0 {
+		text += "--- standard error\n" + errOut.String()
+	}
+	text += fmt.Sprintf("--- exit code %d\n", code)
+	return strings.ReplaceAll(text, url, "http://ADMIN")
+}
+
+func TestOutputs(t *testing.T) {
+	t.Setenv(envKey, testKey)
+	b := newBench(t)
+	steps := []struct {
+		golden string
+		args   string
+	}{
+		{"list_empty", "class list"},
+		{"set_new", "class set hazard-flag --tier 0 --model assistant --first-token 850ms"},
+		{"set_no_tier", "class set summary --model assistant --completion 2m"},
+		{"set_problems", "class set summary --tier 9 --model assistant --service tablet-service"},
+		{"set_service", "class set lock --tier 1 --service tablet-service --completion 2s --repeatable"},
+		{"set_change", "class set hazard-flag --between-tokens 26ms --completion 10s"},
+		{"set_remove_target", "class set hazard-flag --completion 0s --output json"},
+		{"set_old_version", "class set hazard-flag --tier 1 --if-version 1"},
+		{"list", "class list"},
+		{"list_json", "class list --output json"},
+		{"get", "class get hazard-flag"},
+		{"get_json", "class get hazard-flag --output json"},
+		{"get_missing", "class get nothing"},
+		{"retire", "class retire lock --wait 14s"},
+		{"retire_missing", "class retire nothing"},
+		{"status", "status"},
+		{"status_json", "status --output json"},
+		{"timeline", "timeline --request r-1"},
+		{"timeline_json", "timeline --output json"},
+		{"help", "--help"},
+		{"class_help", "class --help"},
+		{"set_help", "class set --help"},
+		{"timeline_help", "timeline --help"},
+		{"status_help", "status --help"},
+		{"usage_no_name", "class get"},
+		{"usage_two_names", "class retire a b"},
+		{"usage_output", "class list --output xml"},
+		{"usage_admin", "status --admin nowhere"},
+		{"usage_duration", "timeline --since yesterday"},
+		{"usage_argument", "timeline now"},
+	}
+	for _, step := range steps {
+		got := run(t, b.url, strings.Fields(step.args)...)
+		goldie.New(t).Assert(t, step.golden, []byte(got))
+	}
+}
+
+func TestChangeNotInForceEverywhere(t *testing.T) {
+	t.Setenv(envKey, testKey)
+	b := newBench(t)
+	b.fleet.processes = append(b.fleet.processes,
+		admin.Process{Name: "entry-2", Role: "entry", Zone: "zone-b", Version: 0, Heard: true, Age: time.Second},
+		admin.Process{Name: "engine-3", Role: "agent", Zone: "zone-b"},
+	)
+	got := run(t, b.url, strings.Fields("class set flag --tier 0 --model m --first-token 1s --wait 1ms")...)
+	goldie.New(t).Assert(t, "set_partial", []byte(got))
+	goldie.New(t).Assert(t, "status_partial", []byte(run(t, b.url, "status")))
+}
+
+func TestTableServiceDown(t *testing.T) {
+	t.Setenv(envKey, testKey)
+	b := newBench(t)
+	b.table.SetDown(true)
+	goldie.New(t).Assert(t, "set_table_down", []byte(run(t, b.url, strings.Fields("class set flag --tier 0 --model m --first-token 1s")...)))
+	goldie.New(t).Assert(t, "list_table_down", []byte(run(t, b.url, "class", "list")))
+}
+
+func TestTimelineNamesTheMissing(t *testing.T) {
+	t.Setenv(envKey, testKey)
+	b := newBench(t)
+	b.view.NotAnswered = []timeline.Missing{{Peer: timeline.Peer{Process: "engine-3", Addr: "10.0.0.8:8090"}, Reason: "no answer in time"}}
+	b.view.Truncated = true
+	goldie.New(t).Assert(t, "timeline_missing", []byte(run(t, b.url, "timeline")))
+}
+
+func TestKeys(t *testing.T) {
+	b := newBench(t)
+	t.Setenv(envKey, "another long enough key")
+	goldie.New(t).Assert(t, "key_refused", []byte(run(t, b.url, "class", "list")))
+	t.Setenv(envKey, "short")
+	goldie.New(t).Assert(t, "key_short", []byte(run(t, b.url, "class", "list")))
+	goldie.New(t).Assert(t, "key_no_file", []byte(run(t, b.url, "class", "list", "--key-file", "testdata/none")))
+}
--- a/internal/cli/documents.go
+++ b/internal/cli/documents.go
@@ -2,62 +2,70 @@
 
 import "github.com/applepier/applepier/internal/targets"
 
-// typeUnknown is the type of the error that leaves open whether a change was
-// made.
-const typeUnknown = "unknown"
+// codeOutcomeUnknown is the error of a change that may have been made.
+const codeOutcomeUnknown = "outcome_unknown"
+
+// sourceMemory says that the table service is down and the entry has told what
+// is in force in itself.
+const sourceMemory = "memory"
 
 // errorDocument is the body of an answer with an error status.
 type errorDocument struct {
 	Error struct {
-		Type     string            `json:"type"`
-		Message  string            `json:"message"`
-		Problems []targets.Problem `json:"problems"`
+		Code    string `json:"code"`
+		Message string `json:"message"`
 	} `json:"error"`
-	// Current is the newer state, with a conflict.
-	Current *classesDocument `json:"current"`
+	Problems []targets.Problem `json:"problems"`
+	// Version and Class are the newer state, with a conflict.
+	Version uint64         `json:"version"`
+	Class   *classDocument `json:"class"`
 }
 
 // classDocument is a class with its durations as text, for example "850ms".
 type classDocument struct {
-	Name          string `json:"name"`
-	Tier          int    `json:"tier"`
+	Name string `json:"name"`
+	// Tier is absent in a new class for which none was given.
+	Tier          *int   `json:"tier,omitempty"`
 	Model         string `json:"model,omitempty"`
 	Service       string `json:"service,omitempty"`
 	FirstToken    string `json:"first_token,omitempty"`
 	BetweenTokens string `json:"between_tokens,omitempty"`
 	Completion    string `json:"completion,omitempty"`
 	Repeatable    bool   `json:"repeatable"`
-	Retired       bool   `json:"retired,omitempty"`
+	Retired       bool   `json:"retired"`
 }
 
 // classesDocument lists classes at one version.
 type classesDocument struct {
 	Version uint64          `json:"version"`
+	Source  string          `json:"source"`
 	Classes []classDocument `json:"classes"`
 }
 
 // classAnswer is one class at one version.
 type classAnswer struct {
 	Version uint64        `json:"version"`
+	Source  string        `json:"source"`
 	Class   classDocument `json:"class"`
 }
 
 // changeAnswer says what came of a change.
 type changeAnswer struct {
-	Version uint64        `json:"version"`
-	Class   classDocument `json:"class"`
-	// Wait is set when the command waited for the change to be in force.
-	Wait *waitReport `json:"wait,omitempty"`
+	Accepted bool          `json:"accepted"`
+	Version  uint64        `json:"version"`
+	Class    classDocument `json:"class"`
+	// Spread is set when the command waited for the change to be in force.
+	Spread *spreadDocument `json:"spread,omitempty"`
 }
 
-// waitReport says how far a change has come.
-type waitReport struct {
-	// InForce counts the processes that have confirmed the change.
-	InForce int `json:"in_force"`
-	// Behind lists those that are known to run an older version.
+// spreadDocument says how far a version has come.
+type spreadDocument struct {
+	// InForce says that all processes heard from have it in force.
+	InForce bool `json:"in_force"`
+	// Behind names those that have an older version.
 	Behind []string `json:"behind"`
-	// NotHeard lists those that have not answered.
-	NotHeard []string `json:"not_heard_from"`
+	// NotHeardFrom names those of which nothing recent is known.
+	NotHeardFrom []string `json:"not_heard_from"`
 }
 
 // statusReport is what status prints as JSON.
@@ -68,30 +76,38 @@
 
 // statusDocument tells which version is in force where.
 type statusDocument struct {
-	Version   uint64            `json:"version"`
-	Processes []processDocument `json:"processes"`
+	Version     uint64            `json:"version"`
+	Source      string            `json:"source"`
+	InForceHere uint64            `json:"in_force_here"`
+	Spread      spreadDocument    `json:"spread"`
+	Processes   []processDocument `json:"processes"`
 }
 
+// processDocument is a process as the asked entry knows it.
 type processDocument struct {
-	Process string `json:"process"`
-	Role    string `json:"role"`
+	Name    string `json:"name"`
 	Zone    string `json:"zone"`
+	Role    string `json:"role"`
 	Version uint64 `json:"version"`
-	Age     string `json:"age"`
+	Heard   bool   `json:"heard"`
+	Age     string `json:"age,omitempty"`
+	Leaving bool   `json:"leaving"`
 }
 
-// enginesDocument lists the backend servers as an entry sees them.
+// enginesDocument lists the backend servers as the asked entry knows them.
 type enginesDocument struct {
+	Version uint64           `json:"version"`
 	Engines []engineDocument `json:"engines"`
 }
 
 type engineDocument struct {
-	Process string `json:"process"`
-	Serves  string `json:"serves"`
+	VM      string `json:"vm"`
 	Zone    string `json:"zone"`
-	Waiting int    `json:"waiting"`
+	Serves  string `json:"serves"`
 	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
 	Limit   int    `json:"limit"`
-	State   string `json:"state"`
-	Age     string `json:"age"`
+	Leaving bool   `json:"leaving"`
+	Down    bool   `json:"down"`
+	Age     string `json:"age,omitempty"`
 }
--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -68,12 +68,12 @@
 		document.Error.Message = "answered " + response.Status
 	}
 	problem := document.Error.Message
-	for _, p := range document.Error.Problems {
+	for _, p := range document.Problems {
 		problem += fmt.Sprintf("\n  %s: %s", p.Field, p.Reason)
 	}
 	failure := &program.Error{Problem: problem}
 	switch response.StatusCode {
-	case http.StatusBadRequest, http.StatusUnprocessableEntity:
+	case http.StatusBadRequest:
 		failure.Code = program.ExitUsage
 		failure.Advice = "correct what is listed; nothing was changed"
 	case http.StatusUnauthorized, http.StatusForbidden:
@@ -82,7 +82,7 @@
 	case http.StatusNotFound:
 		failure.Code = program.ExitNotFound
 		failure.Advice = "applepier class list shows the names"
-	case http.StatusConflict, http.StatusPreconditionFailed:
+	case http.StatusConflict:
 		failure.Code = program.ExitConflict
 		failure.Problem += newerState(document)
 		failure.Advice = "nothing was changed; look at the newer state and repeat the command if it still applies"
@@ -93,7 +93,7 @@
 		failure.Code = program.ExitFailure
 		failure.Advice = "see the log of the entry at " + c.base.Host
 	}
-	if document.Error.Type == typeUnknown {
+	if document.Error.Code == codeOutcomeUnknown {
 		failure.Code = program.ExitUnknown
 		failure.Advice = "look at the present state (applepier class list) before trying again"
 	}
@@ -109,14 +109,14 @@
 
 // newerState shows what another operator's change has left.
 func newerState(document errorDocument) string {
-	if document.Current == nil {
-		return ""
+	text := fmt.Sprintf("\nthe newer state is version %d", document.Version)
+	if document.Class == nil {
+		return text + ", without this class"
 	}
-	var text strings.Builder
-	fmt.Fprintf(&text, "\nthe newer state is version %d:\n", document.Current.Version)
-	p := printer{out: &text}
-	if err := p.printTable(classTable(document.Current.Classes)); err != nil {
-		return ""
+	var rows strings.Builder
+	p := printer{out: &rows}
+	if err := p.printTable(classTable([]classDocument{*document.Class})); err != nil {
+		return text
 	}
-	return strings.TrimRight(text.String(), "\n")
+	return text + ":\n" + strings.TrimRight(rows.String(), "\n")
 }
--- /dev/null
+++ b/internal/cli/lost_test.go
@@ -0,0 +1,76 @@
+package cli
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/applepier/applepier/internal/program"
+)
+
+// TestNothingListens: no connection was made, so nothing can have changed.
+func TestNothingListens(t *testing.T) {
+	t.Setenv(envKey, testKey)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + listener.Addr().String()
+	_ = listener.Close()
+	goldie.New(t).Assert(t, "unreachable", []byte(run(t, url, "status")))
+}
+
+// TestAnswerOfAChangeIsLost: the entry cuts the connection after it has read
+// the change, which may therefore have been made.
+func TestAnswerOfAChangeIsLost(t *testing.T) {
+	t.Setenv(envKey, testKey)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = w.Write([]byte(`{"version": 3, "class": {"name": "flag", "tier": 0, "model": "m", "first_token": "1s"}}`))
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	goldie.New(t).Assert(t, "answer_lost", []byte(run(t, server.URL, "class", "set", "flag", "--tier", "1")))
+}
+
+func TestStrangeAnswers(t *testing.T) {
+	t.Setenv(envKey, testKey)
+	tests := []struct {
+		golden string
+		status int
+		body   string
+	}{
+		{"strange_page", http.StatusOK, "<html>"},
+		{"strange_error", http.StatusBadGateway, "<html>"},
+		{"outcome_unknown", http.StatusGatewayTimeout, `{"error": {"code": "outcome_unknown", "message": "the change may or may not have taken effect"}}`},
+	}
+	for _, test := range tests {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(test.status)
+			_, _ = w.Write([]byte(test.body))
+		}))
+		got := run(t, server.URL, "class", "list")
+		server.Close()
+		got = strings.ReplaceAll(got, strings.TrimPrefix(server.URL, "http://"), "ADMIN")
+		goldie.New(t).Assert(t, test.golden, []byte(got))
+	}
+}
+
+// TestExitCodesAreStable: scripts rely on the numbers.
+func TestExitCodesAreStable(t *testing.T) {
+	codes := []program.ExitCode{
+		program.ExitOK, program.ExitFailure, program.ExitUsage, program.ExitConflict, program.ExitUnreachable,
+		program.ExitDenied, program.ExitNotFound, program.ExitPartial, program.ExitUnknown,
+	}
+	for want, code := range codes {
+		if int(code) != want {
+			t.Errorf("exit code %d has become %d", want, code)
+		}
+	}
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -43,15 +43,20 @@
 	if err := session.client.do(ctx, call{method: http.MethodGet, path: pathEngines, answer: &report.Engines}); err != nil {
 		return err
 	}
-	return session.printer.print(report, func() []table {
+	err = session.printer.print(report, func() []table {
 		return []table{processTable(report.Status), engineTable(report.Engines)}
 	})
+	if err != nil {
+		return err
+	}
+	session.noteVersion(report.Status.Version, report.Status.Source)
+	return nil
 }
 
 func processTable(status statusDocument) table {
-	t := table{head: []string{"PROCESS", "ROLE", "ZONE", "VERSION", "AGE"}}
+	t := table{head: []string{"PROCESS", "ROLE", "ZONE", "VERSION", "STATE", "AGE"}}
 	for _, p := range status.Processes {
-		t.add(p.Process, p.Role, p.Zone, strconv.FormatUint(p.Version, 10), p.Age)
+		t.add(p.Name, p.Role, p.Zone, strconv.FormatUint(p.Version, 10), p.state(), p.Age)
 	}
 	return t
 }
@@ -59,7 +64,39 @@
 func engineTable(engines enginesDocument) table {
 	t := table{head: []string{"BACKEND SERVER", "SERVES", "ZONE", "WAITING", "RUNNING", "LIMIT", "STATE", "AGE"}}
 	for _, e := range engines.Engines {
-		t.add(e.Process, e.Serves, e.Zone, strconv.Itoa(e.Waiting), strconv.Itoa(e.Running), strconv.Itoa(e.Limit), e.State, e.Age)
+		t.add(e.VM, e.Serves, e.Zone, strconv.Itoa(e.Waiting), strconv.Itoa(e.Running), strconv.Itoa(e.Limit), e.state(), e.Age)
 	}
 	return t
 }
+
+// States of processes and backend servers in tables.
+const (
+	stateUp      = "up"
+	stateDown    = "down"
+	stateLeaving = "leaving"
+	stateSilent  = "not heard from"
+)
+
+func (p processDocument) state() string {
+	switch {
+	case !p.Heard:
+		return stateSilent
+	case p.Leaving:
+		return stateLeaving
+	default:
+		return stateUp
+	}
+}
+
+func (e engineDocument) state() string {
+	switch {
+	case e.Age == "":
+		return stateSilent
+	case e.Down:
+		return stateDown
+	case e.Leaving:
+		return stateLeaving
+	default:
+		return stateUp
+	}
+}
