--- /dev/null
+++ b/internal/auth/bench_test.go
@@ -0,0 +1,26 @@
+package auth
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/applepier/applepier/internal/targets"
+)
+
+// BenchmarkCaller is what a request pays to find its customer among 400.
+func BenchmarkCaller(b *testing.B) {
+	set := &targets.Set{}
+	for i := range 400 {
+		key := fmt.Sprintf("key-of-customer-%03d", i)
+		set.Customers = append(set.Customers, targets.Customer{Name: key, KeyHash: HashKey(key)})
+	}
+	r := &http.Request{Header: http.Header{}}
+	SetBearer(r.Header, "key-of-customer-399")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Caller(set, false, r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/targets/bench_test.go
@@ -0,0 +1,54 @@
+package targets
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The target size.
+const (
+	targetClasses   = 60
+	targetCustomers = 400
+)
+
+func benchSet() *Set {
+	set := &Set{Version: 1000}
+	for i := range targetClasses {
+		set.Classes = append(set.Classes, Class{
+			Name: fmt.Sprintf("class-%02d", i), Tier: i % (MaxTier + 1), Model: fmt.Sprintf("model-%02d", i%12),
+			FirstToken: 850 * time.Millisecond, BetweenTokens: 26 * time.Millisecond, Completion: time.Minute,
+		})
+	}
+	for i := range targetCustomers {
+		set.Customers = append(set.Customers, Customer{Name: fmt.Sprintf("customer-%03d", i), KeyHash: fmt.Sprintf("%064x", i)})
+	}
+	return set
+}
+
+// BenchmarkSetJSON is what a process pays to read a new version from the table
+// service; json-B is the size of the row's Set.
+func BenchmarkSetJSON(b *testing.B) {
+	data, err := json.Marshal(benchSet())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		var set Set
+		if err := json.Unmarshal(data, &set); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(data)), "json-B")
+}
+
+// BenchmarkClass is what a request pays to find the last class.
+func BenchmarkClass(b *testing.B) {
+	set := benchSet()
+	last := set.Classes[targetClasses-1].Name
+	for b.Loop() {
+		set.Class(last)
+	}
+}
--- /dev/null
+++ b/internal/wire/bench_test.go
@@ -0,0 +1,136 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/timeline"
+)
+
+const (
+	benchRequest = "0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e5f"
+	benchGrant   = "0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e60/12345"
+	// targetClasses and targetCustomers are the target size.
+	targetClasses   = 60
+	targetCustomers = 400
+)
+
+// benchMessages are the messages of one request's life, with values of the
+// usual length.
+func benchMessages() map[string]Message {
+	stamp := timeline.Stamp{Wall: 1_764_000_000_000_000_000, Logical: 3}
+	messages := map[string]Message{
+		"ticket": {Ticket: &Ticket{
+			Request: benchRequest, Attempt: 1, Class: "hazard-flag", Tier: 0, Customer: "customer-042",
+			SlackMS: 850, Size: 1200, Prefix: 0x9e3779b97f4a7c15, Copies: 2,
+		}},
+		"withdraw": {Withdraw: &Withdraw{Request: benchRequest, Attempt: 1}},
+		"grant":    {Grant: &Grant{Request: benchRequest, Attempt: 1, ID: benchGrant}},
+		"refuse":   {Refuse: &Refuse{Request: benchRequest, Attempt: 1, Reason: ReasonOverload, RetryAfterMS: 2500}},
+		"ping":     {Ping: &Ping{Seq: 100_000}},
+		"status":   {Status: &Status{Seq: 100_000, Waiting: 12, Running: 8, Limit: 16}},
+		"set":      {NewSet: benchSet()},
+	}
+	for name, m := range messages {
+		m.Stamp = stamp
+		m.Targets = 1000
+		messages[name] = m
+	}
+	return messages
+}
+
+func benchSet() *targets.Set {
+	set := &targets.Set{Version: 1000}
+	for i := range targetClasses {
+		set.Classes = append(set.Classes, targets.Class{
+			Name: fmt.Sprintf("class-%02d", i), Tier: i % (targets.MaxTier + 1), Model: fmt.Sprintf("model-%02d", i%12),
+			FirstToken: 850 * time.Millisecond, BetweenTokens: 26 * time.Millisecond, Completion: time.Minute,
+		})
+	}
+	for i := range targetCustomers {
+		set.Customers = append(set.Customers, targets.Customer{Name: fmt.Sprintf("customer-%03d", i), KeyHash: fmt.Sprintf("%064x", i)})
+	}
+	return set
+}
+
+// BenchmarkCodec encodes and decodes one message; wire-B is its size.
+func BenchmarkCodec(b *testing.B) {
+	for name, message := range benchMessages() {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				data, err := cbor.Marshal(message)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var decoded Message
+				if err := cbor.Unmarshal(data, &decoded); err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "wire-B")
+		})
+	}
+}
+
+// BenchmarkConn sends a ticket and waits for its grant over a control
+// connection on loopback. cpu-ns is the CPU time of both ends together for the
+// two messages; ns/op has the waiting for the other end in it as well.
+func BenchmarkConn(b *testing.B) {
+	clock := &timeline.Clock{}
+	local := Local{Clock: clock, TargetsVersion: func() uint64 { return 1000 }, Traffic: &Traffic{}}
+	messages := benchMessages()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := Accept(w, r, local)
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		for {
+			if _, err := conn.Receive(context.Background()); err != nil {
+				return
+			}
+			if err := conn.Send(messages["grant"]); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	conn, err := Dial(b.Context(), strings.TrimPrefix(server.URL, "http://"), "", local)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	b.ReportAllocs()
+	before := cpuTime(b)
+	for b.Loop() {
+		if err := conn.Send(messages["ticket"]); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := conn.Receive(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/op")
+}
+
+// cpuTime is the process's CPU time, user and system.
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
