--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -18,7 +19,7 @@
 
 const (
 	benchRequest = "0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e5f"
-	benchGrant   = "0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e60/12345"
+	benchGrant   = "0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e60-12345"
 	// targetClasses and targetCustomers are the target size.
 	targetClasses   = 60
 	targetCustomers = 400
@@ -28,16 +29,19 @@
 // usual length.
 func benchMessages() map[string]Message {
 	stamp := timeline.Stamp{Wall: 1_764_000_000_000_000_000, Logical: 3}
+	status := &Status{Waiting: 12, Running: 8, Limit: 16}
 	messages := map[string]Message{
 		"ticket": {Ticket: &Ticket{
 			Request: benchRequest, Attempt: 1, Class: "hazard-flag", Tier: 0, Customer: "customer-042",
 			SlackMS: 850, Size: 1200, Prefix: 0x9e3779b97f4a7c15, Copies: 2,
 		}},
 		"withdraw": {Withdraw: &Withdraw{Request: benchRequest, Attempt: 1}},
-		"grant":    {Grant: &Grant{Request: benchRequest, Attempt: 1, ID: benchGrant}},
-		"refuse":   {Refuse: &Refuse{Request: benchRequest, Attempt: 1, Reason: ReasonOverload, RetryAfterMS: 2500}},
+		"grant":    {Grant: &Grant{Request: benchRequest, Attempt: 1, ID: benchGrant}, Status: status},
+		"refuse":   {Refuse: &Refuse{Request: benchRequest, Attempt: 1, Reason: ReasonOverload, RetryAfterMS: 2500}, Status: status},
 		"ping":     {Ping: &Ping{Seq: 100_000}},
 		"status":   {Status: &Status{Seq: 100_000, Waiting: 12, Running: 8, Limit: 16}},
+		"version":  {},
+		"want_set": {WantSet: &WantSet{}},
 		"set":      {NewSet: benchSet()},
 	}
 	for name, m := range messages {
@@ -125,6 +129,42 @@
 	b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/op")
 }
 
+// BenchmarkConnMemory keeps a connection for each round and tells what both of
+// its ends hold; run it with -benchtime 300x or so.
+func BenchmarkConnMemory(b *testing.B) {
+	local := Local{Clock: &timeline.Clock{}, TargetsVersion: func() uint64 { return 1000 }, Traffic: &Traffic{}}
+	done := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := Accept(w, r, local)
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		<-done
+	}))
+	defer server.Close()
+	defer close(done)
+	before := memory()
+	var conns []*Conn
+	for range b.N {
+		conn, err := Dial(b.Context(), strings.TrimPrefix(server.URL, "http://"), "", local)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	b.ReportMetric(float64(memory()-before)/float64(len(conns)), "B/conn")
+}
+
+// memory is what live objects and stacks take.
+func memory() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
+
 // cpuTime is the process's CPU time, user and system.
 func cpuTime(b *testing.B) time.Duration {
 	b.Helper()
