--- a/internal/metrics/handler.go
+++ b/internal/metrics/handler.go
@@ -25,12 +25,13 @@
 
 // Register adds the three paths to a router.
 func Register(router *httprouter.Router, m *Metrics, ready *Readiness) {
-	router.HandlerFunc(http.MethodGet, PathMetrics, m.serve)
-	router.HandlerFunc(http.MethodGet, PathHealth, serveHealth)
+	router.HandlerFunc(http.MethodGet, PathMetrics, m.Serve)
+	router.HandlerFunc(http.MethodGet, PathHealth, ServeHealth)
 	router.HandlerFunc(http.MethodGet, PathReady, ready.Serve)
 }
 
-func (m *Metrics) serve(w http.ResponseWriter, _ *http.Request) {
+// Serve answers with the metrics in Prometheus' text format.
+func (m *Metrics) Serve(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(headerContentType, typeMetrics)
 	// A collector that went away needs no answer, so errors end the writing.
 	if err := writeText(w, m.registry); err != nil {
@@ -39,7 +40,8 @@
 	_, _ = io.WriteString(w, processText())
 }
 
-func serveHealth(w http.ResponseWriter, _ *http.Request) {
+// ServeHealth answers 200 as long as the process answers at all.
+func ServeHealth(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(headerContentType, typeText)
 	_, _ = io.WriteString(w, "ok\n")
 }
