Load tool with the two users' mixes, and two baseline routers

Cause: the decisions under load are to be measured on real processes, against round robin and least reported load in the same run.

Change: testbed/load sends a scenario open loop and seeded, checks each answer whole against the stand-in's Answer and sums up by class and phase. Work is matched to requests by a fingerprint of the messages, not by ids that the router gives, so that waste and runs of refused requests are seen whatever the router says. Rates are parts of the fleet's capacity, so that a mix goes with any shape and fleet. testbed/baseline has the two routers; cmd/load runs them in its own process.

Ruled out: warm caches between runs of one seed; each run salts its prompts.

No measurement of the product yet.

--- /dev/null
+++ b/testbed/baseline/router_test.go
@@ -0,0 +1,113 @@
+package baseline_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/baseline"
+	"github.com/applepier/applepier/testbed/engine"
+)
+
+// patience bounds waiting for something that must happen.
+const patience = 20 * time.Second
+
+func startEngine(t *testing.T) (*engine.Server, string) {
+	t.Helper()
+	server, err := engine.New(engine.Config{Model: "m", Interval: 100 * time.Microsecond, LoadLag: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	web := httptest.NewServer(server)
+	t.Cleanup(func() {
+		server.Close()
+		web.Close()
+	})
+	return server, web.URL
+}
+
+// ask sends a request and returns its answer's events.
+func ask(t *testing.T, url, prompt string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	body := strings.NewReader(chat(prompt))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func chat(prompt string) string {
+	return fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}],"max_tokens":3}`, prompt)
+}
+
+func TestRoundRobinTakesEnginesInTurn(t *testing.T) {
+	first, firstURL := startEngine(t)
+	second, secondURL := startEngine(t)
+	router, err := baseline.Start(baseline.RoundRobin, []string{firstURL, secondURL}, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer router.Close()
+	for i := range 6 {
+		prompt := fmt.Sprint("prompt ", i)
+		text := ask(t, router.URL, prompt)
+		for _, token := range engine.Answer([]byte(chat(prompt))) {
+			if !strings.Contains(text, token) {
+				t.Fatalf("token %q is missing", token)
+			}
+		}
+		if !strings.HasSuffix(text, "data: [DONE]\n\n") {
+			t.Fatal("end mark is missing")
+		}
+	}
+	if a, b := len(first.Record()), len(second.Record()); a != 3 || b != 3 {
+		t.Errorf("runs: %d and %d, want 3 each", a, b)
+	}
+}
+
+func TestLeastLoadAvoidsTheLoadedEngine(t *testing.T) {
+	busy, busyURL := startEngine(t)
+	idle, idleURL := startEngine(t)
+	busy.SetKnobs(func(k *engine.Knobs) { k.Foreign = 3 })
+	router, err := baseline.Start(baseline.LeastLoad, []string{busyURL, idleURL}, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer router.Close()
+	// The first report of the load may not have come yet.
+	deadline := time.Now().Add(patience)
+	for seen := 0; seen < 3; {
+		if time.Now().After(deadline) {
+			t.Fatal("requests still go to the loaded engine")
+		}
+		before := len(idle.Record())
+		ask(t, router.URL, "x")
+		seen++
+		if len(idle.Record()) == before {
+			seen = 0
+		}
+	}
+}
+
+func TestUnknownBaseline(t *testing.T) {
+	if _, err := baseline.Start("random", []string{"http://127.0.0.1:1"}, 1); err == nil || !strings.Contains(err.Error(), "roundrobin, leastload") {
+		t.Errorf("got %v, want an error with the names there are", err)
+	}
+}
--- /dev/null
+++ b/testbed/cmd/load/command_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/engine"
+	"github.com/applepier/applepier/testbed/load"
+)
+
+func TestCommandReportsABaseline(t *testing.T) {
+	server, err := engine.New(engine.Config{Interval: 100 * time.Microsecond, Capacity: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	web := httptest.NewServer(server)
+	defer web.Close()
+	path := filepath.Join(t.TempDir(), "report.json")
+	var table bytes.Buffer
+	err = newCommand(&table, io.Discard).Run(context.Background(), []string{
+		"load", "--mix", "tampere", "--shape", "quiet", "--scale", "0.02", "--target", "leastload",
+		"--engine", web.URL, "--json", path,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"tampere quiet, seed 1, target leastload", "condition-summary", "total", "goodput"} {
+		if !strings.Contains(table.String(), want) {
+			t.Errorf("table lacks %q:\n%s", want, table.String())
+		}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var report load.Report
+	if err := json.Unmarshal(text, &report); err != nil {
+		t.Fatal(err)
+	}
+	if report.Total.Sent == 0 || report.Total.OnTime+report.Total.Late != report.Total.Sent {
+		t.Errorf("total: %+v", report.Total)
+	}
+}
--- a/testbed/engine/answer.go
+++ b/testbed/engine/answer.go
@@ -37,6 +37,20 @@
 	return strings.Join(Answer(body), "")
 }
 
+// Fingerprint identifies a request by its messages, whatever ids it was given
+// on its way. A body that can't be read has none.
+func Fingerprint(body []byte) string {
+	req, err := decodeRequest(body)
+	if err != nil {
+		return ""
+	}
+	return req.fingerprint()
+}
+
+func (r *request) fingerprint() string {
+	return fmt.Sprintf("%016x", r.hash())
+}
+
 // answer draws the tokens from the messages' hash.
 func (r *request) answer() []string {
 	seed := r.hash()
--- a/testbed/engine/completions.go
+++ b/testbed/engine/completions.go
@@ -44,7 +44,12 @@
 
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
-	record := s.journal.accept(r.Header.Get(engine.HeaderRequestID), priority, resumeFrom, cancel)
+	record := s.journal.accept(Record{
+		Run:         r.Header.Get(engine.HeaderRequestID),
+		Fingerprint: req.fingerprint(),
+		Priority:    priority,
+		ResumedFrom: resumeFrom,
+	}, cancel)
 	run := &run{
 		server: s,
 		record: record,
--- a/testbed/engine/journal.go
+++ b/testbed/engine/journal.go
@@ -39,16 +39,17 @@
 	return j, nil
 }
 
-// accept notes a run that has come; cancel ends it.
-func (j *journal) accept(run string, priority, resumeFrom int, cancel context.CancelCauseFunc) *Record {
+// accept notes a run that has come, given what its request says of it; cancel
+// ends it.
+func (j *journal) accept(run Record, cancel context.CancelCauseFunc) *Record {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.seq++
-	request, _, _ := strings.Cut(run, "#")
-	r := &Record{
-		Seq: j.seq, Run: run, Request: request, Priority: priority,
-		Accepted: time.Now(), ResumedFrom: resumeFrom, Outcome: OutcomeWaiting,
-	}
+	r := &run
+	r.Seq = j.seq
+	r.Request, _, _ = strings.Cut(run.Run, "#")
+	r.Accepted = time.Now()
+	r.Outcome = OutcomeWaiting
 	j.records = append(j.records, r)
 	if len(j.records) > maxRecords {
 		j.records = slices.Delete(j.records, 0, 1)
--- a/testbed/engine/record.go
+++ b/testbed/engine/record.go
@@ -37,6 +37,8 @@
 	// Run is the run's id; Request is its part before the attempt.
 	Run     string `json:"run"`
 	Request string `json:"request"`
+	// Fingerprint identifies the messages; see Fingerprint.
+	Fingerprint string `json:"fingerprint"`
 	// Priority is the run's, lower first.
 	Priority int `json:"priority"`
 	// Accepted is when the request came; Started when work on it began, and
--- /dev/null
+++ b/testbed/load/caller.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/testbed/engine"
+)
+
+const (
+	// maxErrorBody is how much of an error's body is read.
+	maxErrorBody = 64 << 10
+	// maxConnections is how many idle connections are kept to one entry.
+	maxConnections = 4096
+)
+
+// Headers that callers send.
+const (
+	headerClass    = "X-Applepier-Class"
+	headerCustomer = "X-Applepier-Customer"
+)
+
+// caller sends requests to the entries in turn, as a balancer would.
+type caller struct {
+	scenario Scenario
+	entries  []string
+	client   *http.Client
+	next     atomic.Uint64
+}
+
+func newCaller(scenario Scenario, entries []string) *caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxConnections, DisableCompression: true}
+	return &caller{scenario: scenario, entries: entries, client: &http.Client{Transport: transport}}
+}
+
+// send makes one request and judges its answer. due is when it was to be
+// sent; all times count from there, so that a tool that falls behind doesn't
+// hide waiting.
+func (c *caller) send(ctx context.Context, a arrival, body []byte, due time.Time) Result {
+	resp, err := c.post(ctx, a, body)
+	if err != nil {
+		return Result{Outcome: OutcomeBroken, Detail: err.Error()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errorResult(resp)
+	}
+	result := readAnswer(resp.Body, due, strings.Join(engine.Answer(body), ""))
+	result.Status = resp.StatusCode
+	if result.Outcome == OutcomeOnTime && !c.scenario.Mix.Classes[a.class].onTime(result) {
+		result.Outcome = OutcomeLate
+	}
+	return result
+}
+
+func (c *caller) post(ctx context.Context, a arrival, body []byte) (*http.Response, error) {
+	entry := c.entries[c.next.Add(1)%uint64(len(c.entries))]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	customer := c.scenario.Mix.Customers[a.customer]
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerClass, c.scenario.Mix.Classes[a.class].Name)
+	req.Header.Set(headerCustomer, customer.Name)
+	if customer.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+customer.Key)
+	}
+	return c.client.Do(req)
+}
+
+// errorResult judges an answer that is an error.
+func errorResult(resp *http.Response) Result {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	if err != nil {
+		body = nil
+	}
+	result := Result{Outcome: OutcomeBroken, Status: resp.StatusCode, Detail: "status " + strconv.Itoa(resp.StatusCode)}
+	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	turnedAway := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
+	switch {
+	case turnedAway && err == nil:
+		result.Outcome = OutcomeRefused
+		result.RetryAfter = time.Duration(seconds) * time.Second
+	case saysUnknown(body):
+		result.Outcome = OutcomeUnknown
+	}
+	return result
+}
+
+// apiError is an error in the form that OpenAI clients read.
+type apiError struct {
+	Error *struct {
+		Type string          `json:"type"`
+		Code json.RawMessage `json:"code"`
+	} `json:"error"`
+}
+
+// saysUnknown reports whether an error tells that the outcome is unknown.
+func saysUnknown(body []byte) bool {
+	var decoded apiError
+	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Error == nil {
+		return false
+	}
+	return strings.Contains(decoded.Error.Type, "unknown") || bytes.Contains(decoded.Error.Code, []byte("outcome_unknown"))
+}
--- /dev/null
+++ b/testbed/load/run.go
@@ -0,0 +1,180 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/applepier/applepier/testbed/engine"
+)
+
+// progressInterval is how often progress is told.
+const progressInterval = time.Second
+
+// runner is one run in progress.
+type runner struct {
+	options  Options
+	salt     string
+	caller   *caller
+	engines  *engineAPI
+	arrivals []arrival
+	bodies   [][]byte
+
+	started time.Time
+	sent    atomic.Int64
+	ended   atomic.Int64
+	phase   atomic.Int64
+
+	// mu guards records.
+	mu      sync.Mutex
+	records []record
+}
+
+// Run sends all requests of a scenario and sums up what came of them. It is
+// open loop: each request is sent when it is due, whatever became of those
+// before. Run returns after the last answer.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	r, err := newRunner(options)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.sendAll(ctx); err != nil {
+		return nil, err
+	}
+	sending := time.Since(r.started)
+	runs, err := r.engines.settled(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return newReport(options, sending, r.records, runs), nil
+}
+
+func newRunner(options Options) (*runner, error) {
+	if len(options.Entries) == 0 {
+		return nil, errors.New("no entries to send to")
+	}
+	if options.Patience == 0 {
+		options.Patience = DefaultPatience
+	}
+	r := &runner{
+		options:  options,
+		salt:     uuid.NewString(),
+		caller:   newCaller(options.Scenario, options.Entries),
+		engines:  newEngineAPI(options.Engines),
+		arrivals: schedule(options.Scenario, options.Seed),
+	}
+	for _, a := range r.arrivals {
+		body, err := options.Scenario.body(a, r.salt)
+		if err != nil {
+			return nil, errors.Wrap(err, "build request")
+		}
+		r.bodies = append(r.bodies, body)
+	}
+	return r, nil
+}
+
+// sendAll sends every request when it is due and waits for all answers.
+func (r *runner) sendAll(ctx context.Context) error {
+	defer r.caller.client.CloseIdleConnections()
+	var pending sync.WaitGroup
+	r.started = time.Now()
+	stopProgress := r.startProgress()
+	defer stopProgress()
+	phase := -1
+	for i, a := range r.arrivals {
+		if err := sleepUntil(ctx, r.started.Add(a.at)); err != nil {
+			return err
+		}
+		if a.phase != phase {
+			phase = a.phase
+			r.phase.Store(int64(phase))
+			if err := r.engines.setFaults(ctx, r.options.Scenario.Shape.Phases[phase].Faults); err != nil {
+				return err
+			}
+		}
+		r.sent.Add(1)
+		pending.Go(func() { r.request(ctx, a, r.bodies[i]) })
+	}
+	pending.Wait()
+	return r.engines.setFaults(ctx, nil)
+}
+
+// request sends one request, and again when it is refused and that is to be
+// checked.
+func (r *runner) request(ctx context.Context, a arrival, body []byte) {
+	rec := record{arrival: a, fingerprint: engine.Fingerprint(body)}
+	rec.result = r.attempt(ctx, a, body, r.started.Add(a.at))
+	if r.options.CheckRetryAfter && rec.result.Outcome == OutcomeRefused {
+		rec.again = r.comeBack(ctx, a, body, rec.result.RetryAfter)
+	}
+	r.ended.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records = append(r.records, rec)
+}
+
+func (r *runner) comeBack(ctx context.Context, a arrival, body []byte, after time.Duration) *Result {
+	due := time.Now().Add(after)
+	if err := sleepUntil(ctx, due); err != nil {
+		return nil
+	}
+	result := r.attempt(ctx, a, body, due)
+	return &result
+}
+
+func (r *runner) attempt(ctx context.Context, a arrival, body []byte, due time.Time) Result {
+	ctx, cancel := context.WithTimeout(ctx, r.options.Patience)
+	defer cancel()
+	return r.caller.send(ctx, a, body, due)
+}
+
+// startProgress tells the progress until the returned function is called.
+func (r *runner) startProgress() func() {
+	if r.options.Progress == nil {
+		return func() {}
+	}
+	stop := make(chan struct{})
+	var done sync.WaitGroup
+	done.Go(func() {
+		ticker := time.NewTicker(progressInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				r.options.Progress(r.progress())
+			}
+		}
+	})
+	return func() {
+		close(stop)
+		done.Wait()
+	}
+}
+
+func (r *runner) progress() Progress {
+	scenario := r.options.Scenario
+	return Progress{
+		Elapsed: time.Since(r.started),
+		Total:   scenario.Duration(),
+		Phase:   scenario.Shape.Phases[r.phase.Load()].Name,
+		Sent:    int(r.sent.Load()),
+		Ended:   int(r.ended.Load()),
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) error {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/testbed/load/run_test.go
@@ -0,0 +1,192 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/engine"
+	"github.com/applepier/applepier/testbed/load"
+)
+
+const mix = `
+name: small
+model: m
+burst_class: slow
+fleet: {engines: 1, capacity: 4, interval: 200us, prefill_per_token: 1us}
+customers: [{name: a, share: 1}]
+classes:
+  - {name: quick, tier: 0, first_token: 1m, prompt_tokens: 5, answer_tokens: 5, spread: 0.5, work_share: 1}
+  - {name: slow, tier: 4, first_token: 1ns, prompt_tokens: 5, answer_tokens: 10, spread: 0.5, work_share: 1}
+`
+
+const shape = `
+name: short
+phases: [{name: only, duration: 100ms, rates: [{class: quick, per_second: 300}, {class: slow, per_second: 100}]}]
+`
+
+func options(t *testing.T, entry string, engines ...string) load.Options {
+	t.Helper()
+	scenario, err := load.ParseScenario([]byte(mix), []byte(shape))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return load.Options{Scenario: scenario, Seed: 4, Entries: []string{entry}, Engines: engines}
+}
+
+func run(t *testing.T, o load.Options) *load.Report {
+	t.Helper()
+	report, err := load.Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func startEngine(t *testing.T) (*engine.Server, string) {
+	t.Helper()
+	server, err := engine.New(engine.Config{Model: "m", Interval: 200 * time.Microsecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	web := httptest.NewServer(server)
+	t.Cleanup(func() {
+		server.Close()
+		web.Close()
+	})
+	return server, web.URL
+}
+
+func TestWholeAnswersAreJudgedByTheirTargets(t *testing.T) {
+	_, url := startEngine(t)
+	report := run(t, options(t, url, url))
+	quick, slow := report.Classes[0], report.Classes[1]
+	if quick.Sent == 0 || quick.OnTime != quick.Sent || quick.Attainment != 1 {
+		t.Errorf("quick: %+v", quick)
+	}
+	if slow.Sent == 0 || slow.Late != slow.Sent || slow.Attainment != 0 {
+		t.Errorf("slow, which can't meet its target: %+v", slow)
+	}
+	total := report.Total
+	if total.Sent != quick.Sent+slow.Sent || total.WastedTokens != 0 || total.ProducedTokens == 0 || total.RanAgain != 0 {
+		t.Errorf("total: %+v", total)
+	}
+	if quick.FirstTokenP50MS <= 0 || quick.FirstTokenP95MS < quick.FirstTokenP50MS {
+		t.Errorf("first token: p50 %v ms, p95 %v ms", quick.FirstTokenP50MS, quick.FirstTokenP95MS)
+	}
+	if again := run(t, options(t, url, url)); again.Total.Sent != total.Sent || again.Classes[0].Sent != quick.Sent {
+		t.Errorf("the same seed sent %d requests, then %d", total.Sent, again.Total.Sent)
+	}
+}
+
+func TestCutAnswersAreBrokenAndWasted(t *testing.T) {
+	server, url := startEngine(t)
+	server.SetKnobs(func(k *engine.Knobs) { k.CutStreams, k.CutAfter = 2, 1 })
+	total := run(t, options(t, url, url)).Total
+	if total.Broken != 2 || total.WastedTokens != 2 {
+		t.Errorf("total: %+v", total)
+	}
+}
+
+// refuseOnce turns away the first three requests, each only once.
+type refuseOnce struct {
+	mu      sync.Mutex
+	refused []string
+}
+
+func (o *refuseOnce) refuses(fingerprint string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.refused) == 3 || slices.Contains(o.refused, fingerprint) {
+		return false
+	}
+	o.refused = append(o.refused, fingerprint)
+	return true
+}
+
+func TestRefusedCallersComeBack(t *testing.T) {
+	server, url := startEngine(t)
+	var once refuseOnce
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if once.refuses(engine.Fingerprint(body)) {
+			w.Header().Set("Retry-After", "0")
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		server.ServeHTTP(w, r)
+	}))
+	defer entry.Close()
+	o := options(t, entry.URL, url)
+	o.CheckRetryAfter = true
+	total := run(t, o).Total
+	if total.Refused != 3 || total.CameBack != 3 || total.Served+total.ServedLate != 3 {
+		t.Errorf("total: %+v", total)
+	}
+	if total.WastedTokens != 0 || total.RanThoughRefused != 0 {
+		t.Errorf("the second try counts as waste or as run: %+v", total)
+	}
+}
+
+func TestRunOfARefusedRequestIsFound(t *testing.T) {
+	server, url := startEngine(t)
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server.ServeHTTP(httptest.NewRecorder(), r)
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer entry.Close()
+	total := run(t, options(t, entry.URL, url)).Total
+	if total.RanThoughRefused != total.Sent || total.WastedTokens != total.ProducedTokens {
+		t.Errorf("total: %+v", total)
+	}
+}
+
+func TestAnswersThatAreNoneAreToldApart(t *testing.T) {
+	const token = `data: {"choices":[{"delta":{"content":"x"}}]}` + "\n\n"
+	cases := []struct {
+		name   string
+		status int
+		body   string
+		count  func(load.ClassReport) int
+	}{
+		{"another answer", 200, token + "data: [DONE]\n\n", func(c load.ClassReport) int { return c.Wrong }},
+		{"no end mark", 200, token, func(c load.ClassReport) int { return c.Broken }},
+		{"error event", 200, token + `data: {"error":{"type":"cut"}}`, func(c load.ClassReport) int { return c.Broken }},
+		{"unknown event", 200, `data: {"error":{"type":"e","code":"outcome_unknown"}}`, func(c load.ClassReport) int { return c.Unknown }},
+		{"unknown status", 502, `{"error":{"type":"outcome_unknown"}}`, func(c load.ClassReport) int { return c.Unknown }},
+		{"refused without a time", 503, ``, func(c load.ClassReport) int { return c.Broken }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer entry.Close()
+			total := run(t, options(t, entry.URL)).Total
+			if c.count(total) != total.Sent {
+				t.Errorf("total: %+v", total)
+			}
+		})
+	}
+}
+
+func TestScenarioErrorsNameTheirPlace(t *testing.T) {
+	_, err := load.ParseScenario([]byte(mix+"weight: 3\n"), []byte(shape))
+	if err == nil || !strings.Contains(err.Error(), "weight") || !strings.Contains(err.Error(), "[10:1]") {
+		t.Errorf("unknown key: %v", err)
+	}
+	_, err = load.ParseScenario([]byte(mix), []byte(strings.Replace(shape, "class: slow", "class: slower", 1)))
+	if err == nil || !strings.Contains(err.Error(), `"slower"`) {
+		t.Errorf("unknown class: %v", err)
+	}
+}
--- /dev/null
+++ b/testbed/load/scenario.go
@@ -0,0 +1,104 @@
+// Package load sends requests to the system as its callers would: open loop,
+// by class, seeded. It checks each answer whole and sums up by class what
+// callers got. Start reading at Run.
+package load
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// Scenario is a mix of work under a shape of load.
+type Scenario struct {
+	Mix   Mix   `json:"mix"`
+	Shape Shape `json:"shape"`
+}
+
+// ParseScenario reads a mix and a shape from YAML. Unknown keys are errors
+// that name line and column.
+func ParseScenario(mix, shape []byte) (Scenario, error) {
+	var s Scenario
+	if err := yaml.UnmarshalWithOptions(mix, &s.Mix, yaml.Strict()); err != nil {
+		return Scenario{}, errors.Wrap(err, "read mix")
+	}
+	if err := yaml.UnmarshalWithOptions(shape, &s.Shape, yaml.Strict()); err != nil {
+		return Scenario{}, errors.Wrap(err, "read shape")
+	}
+	return s, s.check()
+}
+
+// Name identifies the scenario.
+func (s Scenario) Name() string {
+	return s.Mix.Name + " " + s.Shape.Name
+}
+
+// Duration is how long requests are sent.
+func (s Scenario) Duration() time.Duration {
+	var total time.Duration
+	for _, phase := range s.Shape.Phases {
+		total += phase.Duration
+	}
+	return total
+}
+
+// Scaled returns the scenario with its phases' durations multiplied by a
+// factor, for a shorter run.
+func (s Scenario) Scaled(factor float64) Scenario {
+	phases := make([]Phase, len(s.Shape.Phases))
+	for i, phase := range s.Shape.Phases {
+		phase.Duration = time.Duration(float64(phase.Duration) * factor)
+		phases[i] = phase
+	}
+	s.Shape.Phases = phases
+	return s
+}
+
+// classIndex finds a class by name; -1 when there is none.
+func (s Scenario) classIndex(name string) int {
+	for i, class := range s.Mix.Classes {
+		if class.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s Scenario) check() error {
+	fleet := s.Mix.Fleet
+	switch {
+	case len(s.Mix.Classes) == 0:
+		return errors.New("mix has no classes")
+	case len(s.Mix.Customers) == 0:
+		return errors.New("mix has no customers")
+	case len(s.Shape.Phases) == 0:
+		return errors.New("shape has no phases")
+	case fleet.Engines <= 0 || fleet.Capacity <= 0 || fleet.Interval <= 0:
+		return errors.New("fleet needs engines, capacity and interval above zero")
+	case s.classIndex(s.Mix.BurstClass) < 0:
+		return errors.Errorf("burst_class %q is no class", s.Mix.BurstClass)
+	}
+	for _, class := range s.Mix.Classes {
+		if class.PromptTokens <= 0 || class.AnswerTokens <= 0 {
+			return errors.Errorf("class %q needs prompt_tokens and answer_tokens above zero", class.Name)
+		}
+	}
+	return s.checkPhases()
+}
+
+func (s Scenario) checkPhases() error {
+	for _, phase := range s.Shape.Phases {
+		for _, rate := range phase.Rates {
+			if s.classIndex(rate.Class) < 0 {
+				return errors.Errorf("phase %q: rate of unknown class %q", phase.Name, rate.Class)
+			}
+		}
+		for _, fault := range phase.Faults {
+			if fault.Engine < 0 || fault.Engine >= s.Mix.Fleet.Engines {
+				return errors.Errorf("phase %q: fault of engine %d, which the fleet lacks", phase.Name, fault.Engine)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/testbed/load/schedule.go
@@ -0,0 +1,117 @@
+package load
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/applepier/applepier/testbed/engine"
+)
+
+// arrival is one request that will be sent.
+type arrival struct {
+	// at is when, from the start.
+	at time.Duration
+	// number counts the requests in the order they are drawn.
+	number   int
+	phase    int
+	class    int
+	customer int
+	// prompt and answer are lengths in tokens.
+	prompt int
+	answer int
+}
+
+// schedule draws all arrivals of a scenario. The same seed gives the same
+// arrivals whatever the system does with them.
+func schedule(s Scenario, seed uint64) []arrival {
+	var arrivals []arrival
+	var start time.Duration
+	for p, phase := range s.Shape.Phases {
+		for c := range s.Mix.Classes {
+			stream := uint64(p)<<32 | uint64(c)
+			random := rand.New(rand.NewPCG(seed, stream))
+			arrivals = append(arrivals, s.drawClass(random, p, c, start)...)
+		}
+		start += phase.Duration
+	}
+	sort.SliceStable(arrivals, func(i, j int) bool { return arrivals[i].at < arrivals[j].at })
+	for i := range arrivals {
+		arrivals[i].number = i
+	}
+	return arrivals
+}
+
+// drawClass draws the arrivals of a class in a phase, as a Poisson process.
+func (s Scenario) drawClass(random *rand.Rand, p, c int, start time.Duration) []arrival {
+	phase := s.Shape.Phases[p]
+	class := s.Mix.Classes[c]
+	rate := s.rate(p, c)
+	if rate <= 0 {
+		return nil
+	}
+	var arrivals []arrival
+	for at := gap(random, rate); at < phase.Duration; at += gap(random, rate) {
+		arrivals = append(arrivals, arrival{
+			at:       start + at,
+			phase:    p,
+			class:    c,
+			customer: s.drawCustomer(random, phase),
+			prompt:   drawLength(random, class.PromptTokens, class.Spread, maxPrompt),
+			answer:   drawLength(random, class.AnswerTokens, class.Spread, engine.MaxAnswer),
+		})
+	}
+	return arrivals
+}
+
+// rate is how many requests of a class are sent a second in a phase.
+func (s Scenario) rate(p, c int) float64 {
+	phase := s.Shape.Phases[p]
+	class := s.Mix.Classes[c]
+	var shares float64
+	for _, other := range s.Mix.Classes {
+		shares += other.WorkShare
+	}
+	var load float64
+	if shares > 0 {
+		load = phase.Load * class.WorkShare / shares
+	}
+	if class.Name == s.Mix.BurstClass {
+		load += phase.Burst
+	}
+	rate := load * s.Mix.Fleet.streams() / class.cost(s.Mix.Fleet).Seconds()
+	for _, extra := range phase.Rates {
+		if extra.Class == class.Name {
+			rate += extra.PerSecond
+		}
+	}
+	return rate
+}
+
+// drawCustomer draws who sends a request.
+func (s Scenario) drawCustomer(random *rand.Rand, phase Phase) int {
+	customers := s.Mix.Customers
+	if phase.HotShare > 0 && (random.Float64() < phase.HotShare || len(customers) == 1) {
+		return 0
+	}
+	first := 0
+	if phase.HotShare > 0 {
+		first = 1
+	}
+	var total float64
+	for _, customer := range customers[first:] {
+		total += customer.Share
+	}
+	left := random.Float64() * total
+	for i, customer := range customers[first:] {
+		left -= customer.Share
+		if left < 0 {
+			return first + i
+		}
+	}
+	return len(customers) - 1
+}
+
+func gap(random *rand.Rand, rate float64) time.Duration {
+	return time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+}
--- /dev/null
+++ b/testbed/load/table.go
@@ -0,0 +1,62 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// WriteTable writes the report as a table with a line for each class.
+func (r *Report) WriteTable(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%s, seed %d, target %s: %.1f s\n", r.Scenario, r.Seed, r.Target, r.Seconds)
+	if err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	header := "class\ttier\tsent\ton time\tlate\trefused\tunknown\tbroken\twrong\tattained\tfirst p50\tp95\twasted tokens\t"
+	if _, err := fmt.Fprintln(table, header); err != nil {
+		return err
+	}
+	for _, class := range append(append([]ClassReport{}, r.Classes...), r.Total) {
+		if err := class.writeRow(table); err != nil {
+			return err
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return r.writeNotes(w)
+}
+
+func (c ClassReport) writeRow(w io.Writer) error {
+	tier := fmt.Sprint(c.Tier)
+	if c.Class == "total" {
+		tier = ""
+	}
+	_, err := fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%.0f ms\t%.0f ms\t%d (%.1f%%)\t\n",
+		c.Class, tier, c.Sent, c.OnTime, c.Late, c.Refused, c.Unknown, c.Broken, c.Wrong,
+		100*c.Attainment, c.FirstTokenP50MS, c.FirstTokenP95MS, c.WastedTokens, 100*c.WastedShare)
+	return err
+}
+
+// writeNotes writes the goodput by phase and what else is worth a line.
+func (r *Report) writeNotes(w io.Writer) error {
+	for _, phase := range r.Phases {
+		_, err := fmt.Fprintf(w, "phase %s: %d sent, goodput %.1f answers/s, %.0f tokens/s\n",
+			phase.Name, phase.Total.Sent, phase.Total.Goodput, float64(phase.Total.OnTimeTokens)/phase.Seconds)
+		if err != nil {
+			return err
+		}
+	}
+	if t := r.Total; t.CameBack > 0 {
+		_, err := fmt.Fprintf(w, "came back after Retry-After: %d, then on time %d, late %d\n", t.CameBack, t.Served, t.ServedLate)
+		if err != nil {
+			return err
+		}
+	}
+	if r.Total.RanThoughRefused > 0 {
+		_, err := fmt.Fprintf(w, "called not run but on record as run: %d\n", r.Total.RanThoughRefused)
+		return err
+	}
+	return nil
+}
