--- a/testbed/engine/completions.go
+++ b/testbed/engine/completions.go
@@ -46,6 +46,7 @@
 	defer cancel(nil)
 	record := s.journal.accept(Record{
 		Run:         r.Header.Get(engine.HeaderRequestID),
+		Marker:      req.Metadata.Marker,
 		Fingerprint: req.fingerprint(),
 		Priority:    priority,
 		ResumedFrom: resumeFrom,
--- a/testbed/engine/record.go
+++ b/testbed/engine/record.go
@@ -39,6 +39,8 @@
 	Request string `json:"request"`
 	// Fingerprint identifies the messages; see Fingerprint.
 	Fingerprint string `json:"fingerprint"`
+	// Marker is the request's own name for the work, if it has one.
+	Marker string `json:"marker,omitempty"`
 	// Priority is the run's, lower first.
 	Priority int `json:"priority"`
 	// Accepted is when the request came; Started when work on it began, and
--- a/testbed/load/caller.go
+++ b/testbed/load/caller.go
@@ -29,6 +29,10 @@
 	headerCustomer = "X-Applepier-Customer"
 )
 
+// codeUnknown is the code of an error that tells that the request may have
+// run.
+const codeUnknown = "unknown"
+
 // caller sends requests to the entries in turn, as a balancer would.
 type caller struct {
 	scenario Scenario
@@ -99,17 +103,16 @@
 
 // apiError is an error in the form that OpenAI clients read.
 type apiError struct {
-	Error *struct {
-		Type string          `json:"type"`
-		Code json.RawMessage `json:"code"`
+	Error struct {
+		Code string `json:"code"`
 	} `json:"error"`
 }
 
 // saysUnknown reports whether an error tells that the outcome is unknown.
 func saysUnknown(body []byte) bool {
 	var decoded apiError
-	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Error == nil {
+	if err := json.Unmarshal(body, &decoded); err != nil {
 		return false
 	}
-	return strings.Contains(decoded.Error.Type, "unknown") || bytes.Contains(decoded.Error.Code, []byte("outcome_unknown"))
+	return decoded.Error.Code == codeUnknown
 }
--- a/testbed/load/run_test.go
+++ b/testbed/load/run_test.go
@@ -161,8 +161,9 @@
 		{"another answer", 200, token + "data: [DONE]\n\n", func(c load.ClassReport) int { return c.Wrong }},
 		{"no end mark", 200, token, func(c load.ClassReport) int { return c.Broken }},
 		{"error event", 200, token + `data: {"error":{"type":"cut"}}`, func(c load.ClassReport) int { return c.Broken }},
-		{"unknown event", 200, `data: {"error":{"type":"e","code":"outcome_unknown"}}`, func(c load.ClassReport) int { return c.Unknown }},
-		{"unknown status", 502, `{"error":{"type":"outcome_unknown"}}`, func(c load.ClassReport) int { return c.Unknown }},
+		{"unknown event", 200, `data: {"error":{"code":"unknown"}}`, func(c load.ClassReport) int { return c.Unknown }},
+		{"unknown status", 504, `{"error":{"code":"unknown"}}`, func(c load.ClassReport) int { return c.Unknown }},
+		{"unknown class", 404, `{"error":{"code":"unknown_class"}}`, func(c load.ClassReport) int { return c.Broken }},
 		{"refused without a time", 503, ``, func(c load.ClassReport) int { return c.Broken }},
 	}
 	for _, c := range cases {
