--- a/testbed/cmd/standin/others.go
+++ b/testbed/cmd/standin/others.go
@@ -24,7 +24,10 @@
 	return &cli.Command{
 		Name:  "service",
 		Usage: "stand in for a plain service",
-		Flags: []cli.Flag{listenFlag()},
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "name", Usage: "the service's name, which only tells processes apart"},
+		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			return serve(ctx, cmd.String("listen"), plain.New())
 		},
