--- /dev/null
+++ b/testbed/fleet/fleet_test.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/internal/targets"
+)
+
+// limit is generous: the machine may be busy.
+const limit = 90 * time.Second
+
+func startTest(t *testing.T, options Options) (context.Context, *Fleet) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	f, err := Start(ctx, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.WriteLogs(os.Stderr, 40)
+		}
+		f.Close()
+	})
+	return ctx, f
+}
+
+func testOptions() Options {
+	return Options{
+		Entries:  2,
+		Backends: Engines(2, "m", 4, 5*time.Millisecond),
+		Classes:  []targets.Class{{Name: "note", Tier: 1, Model: "m", FirstToken: 5 * time.Second, Repeatable: true}},
+	}
+}
+
+func ask(ctx context.Context, e *Entry) error {
+	body := `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":3}`
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("X-Applepier-Class", "note")
+	request.Header.Set("X-Applepier-Customer", "kaivonkansi")
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return &StatusError{Method: request.Method, URL: e.URL, Status: response.StatusCode}
+	}
+	return nil
+}
+
+func TestLifeOfAFleet(t *testing.T) {
+	ctx, f := startTest(t, testOptions())
+	if err := ask(ctx, f.Entries[0]); err != nil {
+		t.Fatal(err)
+	}
+	engine := f.Backends[0].Server
+	if err := engine.Restart(ctx); err != nil {
+		t.Fatal(err)
+	}
+	count := 0
+	for _, backend := range f.Backends {
+		runs, err := backend.Server.Runs()
+		if err != nil {
+			t.Fatal(err)
+		}
+		count += len(runs)
+	}
+	if count != 1 {
+		t.Fatalf("runs after the restart: %d, want 1", count)
+	}
+	agent := f.Backends[0].Agent
+	if err := agent.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	if err := agent.Continue(); err != nil {
+		t.Fatal(err)
+	}
+	if err := agent.Terminate(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if agent.Running() {
+		t.Fatal("agent runs after SIGTERM")
+	}
+	if err := f.Entries[1].Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.AddEntry(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCloseEndsEveryProcess(t *testing.T) {
+	_, f := startTest(t, testOptions())
+	if err := f.Entries[0].Stop(); err != nil {
+		t.Fatal(err)
+	}
+	var pids []int
+	for _, p := range f.Processes() {
+		pids = append(pids, p.PID())
+	}
+	f.Close()
+	for _, pid := range pids {
+		if err := syscall.Kill(pid, 0); err != syscall.ESRCH {
+			t.Errorf("process %d is still there: %v", pid, err)
+		}
+	}
+	if len(pids) != 7 {
+		t.Errorf("%d processes, want 7", len(pids))
+	}
+}
+
+func TestFailedStartShowsLogs(t *testing.T) {
+	options := testOptions()
+	options.Backends[0].Serves = ""
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f, err := Start(ctx, options)
+	if err == nil {
+		f.Close()
+		t.Fatal("a fleet with bad settings started")
+	}
+	if !strings.Contains(err.Error(), "log of") {
+		t.Fatalf("no log in %v", err)
+	}
+}
