Idempotency keys, keys of callers and operators, administration, metrics, time line

Change: a call with an Idempotency-Key is claimed in the table service before a grant is taken up and is never sent twice, whatever its class says; a repeat gets the kept answer, or has the first grant voided, or is told that it may have run. Entries serve the administration API and gather the time line; a census asks all processes for the version in force when an operator waits.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/engine"
+	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/internal/targets"
@@ -52,7 +53,7 @@
 	clock   timeline.Clock
 	ring    *timeline.Ring
 	holder  *targets.Holder
-	traffic wire.Traffic
+	metrics *metrics.Metrics
 	list    platform.VMList
 
 	// listMu is a leaf; it guards vms.
@@ -64,9 +65,9 @@
 
 // New returns an agent for its settings; systemKey tells its peers.
 func New(s settings.Agent, systemKey string, log *zap.Logger) *Agent {
-	a := &Agent{settings: s, incarnation: uuid.NewString(), systemKey: systemKey, log: log, holder: targets.NewHolder()}
+	a := &Agent{settings: s, incarnation: uuid.NewString(), systemKey: systemKey, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
 	a.ring = timeline.NewRing(s.Process, &a.clock, eventRing)
-	a.table = newTable(a.incarnation, a.ring, a.holder)
+	a.table = newTable(a.incarnation, a.ring, a.holder, a.metrics.Queue)
 	a.list = platform.NewHTTP(s.Platform.URL)
 	a.connectBackend()
 	return a
@@ -187,5 +188,5 @@
 
 func (a *Agent) local() wire.Local {
 	version := func() uint64 { return a.holder.Current().Version }
-	return wire.Local{Clock: &a.clock, TargetsVersion: version, Traffic: &a.traffic}
+	return wire.Local{Clock: &a.clock, TargetsVersion: version, Traffic: a.metrics.Control}
 }
--- a/internal/agent/routes.go
+++ b/internal/agent/routes.go
@@ -5,9 +5,14 @@
 	"net/http"
 	"time"
 
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/applepier/applepier/internal/auth"
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/peer"
 	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
 )
 
@@ -16,14 +21,19 @@
 const listEvery = 5 * time.Second
 
 func (a *Agent) routes() http.Handler {
-	system := func(h http.HandlerFunc) http.Handler { return peer.RequireKey(a.systemKey, h) }
-	mux := http.NewServeMux()
-	mux.Handle("GET "+wire.ConnectPath, system(a.serveConnect))
-	mux.Handle("POST "+wire.RunPath, system(a.serveRun))
-	mux.Handle("GET "+peer.StatePath, system(peer.Handler(a.peerState)))
-	mux.HandleFunc("GET /readyz", a.serveReady)
-	mux.HandleFunc("GET /healthz", a.serveHealthy)
-	return mux
+	system := auth.System(a.systemKey)
+	router := httprouter.New()
+	router.Handler(http.MethodGet, wire.ConnectPath, system(http.HandlerFunc(a.serveConnect)))
+	router.Handler(http.MethodPost, wire.RunPath, system(http.HandlerFunc(a.serveRun)))
+	router.Handler(http.MethodGet, peer.StatePath, system(peer.Handler(a.peerState)))
+	router.Handler(http.MethodGet, peer.VersionPath, system(peer.VersionHandler(a.peerVersion)))
+	router.Handler(http.MethodGet, timeline.PathEvents, system(timeline.Handler(a.ring)))
+	metrics.Register(router, a.metrics, a.ready)
+	return router
+}
+
+func (a *Agent) peerVersion() peer.Version {
+	return peer.Version{Process: a.settings.Process, Targets: a.holder.Current().Version}
 }
 
 func (a *Agent) peerState() peer.State {
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -62,16 +62,10 @@
 	return nil
 }
 
-// serveReady is 200 while the agent grants.
-func (a *Agent) serveReady(w http.ResponseWriter, _ *http.Request) {
-	reason, closed := a.table.state()
-	if closed {
-		http.Error(w, string(reason), http.StatusServiceUnavailable)
-		return
+// ready says whether the agent grants.
+func (a *Agent) ready() error {
+	if reason, closed := a.table.state(); closed {
+		return errors.New(string(reason))
 	}
-	_, _ = w.Write([]byte("ready\n"))
-}
-
-func (a *Agent) serveHealthy(w http.ResponseWriter, _ *http.Request) {
-	_, _ = w.Write([]byte("ok\n"))
+	return nil
 }
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
@@ -32,6 +33,7 @@
 	incarnation string
 	ring        *timeline.Ring
 	holder      *targets.Holder
+	queue       *metrics.Queue
 
 	mu       sync.Mutex
 	sched    *policy.Scheduler
@@ -47,11 +49,12 @@
 	drained   chan struct{}
 }
 
-func newTable(incarnation string, ring *timeline.Ring, holder *targets.Holder) *table {
+func newTable(incarnation string, ring *timeline.Ring, holder *targets.Holder, queue *metrics.Queue) *table {
 	return &table{
 		incarnation: incarnation,
 		ring:        ring,
 		holder:      holder,
+		queue:       queue,
 		sched:       policy.NewScheduler(),
 		tickets:     make(map[string]*ticket),
 		grants:      make(map[string]*grant),
@@ -314,6 +317,8 @@
 	}
 	tb.expire(now)
 	tb.grantWaiting(now)
+	load := tb.sched.Load()
+	tb.queue.Set(load.Waiting, load.Running, load.Limit)
 	due, ok := tb.sched.NextWake(now)
 	if !ok {
 		return wakeAtLeast
--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -74,6 +74,7 @@
 	Served     Served
 	Auth       Authenticator
 	Claims     Claims
+	Grants     Grants
 	Observer   Observer
 	Ring       *timeline.Ring
 	Log        *zap.Logger
--- a/internal/entry/api/carry.go
+++ b/internal/entry/api/carry.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -22,12 +23,37 @@
 	fail(p problem)
 }
 
-// carry has the request dispatched and writes its one final answer.
-func (a *API) carry(w http.ResponseWriter, r *http.Request, req *dispatch.Request, out answer) {
+// carry has the request dispatched and writes its one final answer, which
+// build shapes for the caller.
+func (a *API) carry(w http.ResponseWriter, r *http.Request, req *dispatch.Request, build func(http.ResponseWriter) answer) {
 	w.Header().Set(HeaderRequest, req.ID)
-	result := a.dispatchClaimed(w, r, req, out)
+	if r.Header.Get(HeaderIdempotencyKey) != "" {
+		a.carryClaimed(w, r, req, build)
+		return
+	}
+	a.answer(r.Context(), w, req, build)
+}
+
+// carryClaimed is carry for a call with an idempotency key: whatever its class
+// says, it runs at most once.
+func (a *API) carryClaimed(w http.ResponseWriter, r *http.Request, req *dispatch.Request, build func(http.ResponseWriter) answer) {
+	g, ok := a.begin(w, r, req)
+	if !ok {
+		return
+	}
+	req.Guard = g
+	req.Repeatable = false
+	rec := newRecorder(w)
+	result := a.answer(r.Context(), rec, req, build)
+	a.settle(r.Context(), g, result, rec)
+}
+
+func (a *API) answer(ctx context.Context, w http.ResponseWriter, req *dispatch.Request, build func(http.ResponseWriter) answer) dispatch.Result {
+	out := build(w)
+	result := a.config.Dispatcher.Do(ctx, req, out)
 	a.config.Observer.Ended(req.Class, result, time.Since(req.Arrived))
 	a.write(w, result, out)
+	return result
 }
 
 func (a *API) write(w http.ResponseWriter, result dispatch.Result, out answer) {
--- a/internal/entry/api/chat.go
+++ b/internal/entry/api/chat.go
@@ -66,11 +66,12 @@
 	req.Size = chat.size()
 	req.Prefix = chat.prefix()
 	req.Body = body
-	var sink answer = newWholeAnswer(w, req.ID, chat.Model)
-	if chat.Stream {
-		sink = newStreamAnswer(w, req.ID, chat.StreamOptions.IncludeUsage)
-	}
-	a.carry(w, r, req, sink)
+	a.carry(w, r, req, func(w http.ResponseWriter) answer {
+		if chat.Stream {
+			return newStreamAnswer(w, req.ID, chat.StreamOptions.IncludeUsage)
+		}
+		return newWholeAnswer(w, req.ID, chat.Model)
+	})
 }
 
 func (a *API) newRequest(class targets.Class, customer string, arrived time.Time) *dispatch.Request {
--- a/internal/entry/api/claims.go
+++ b/internal/entry/api/claims.go
@@ -1,17 +1,154 @@
 package api
 
 import (
+	"context"
 	"net/http"
+	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/claim"
 	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/wire"
 )
 
-// Claims makes sure that a call with an idempotency key runs at most once.
+// Claims makes sure that calls with the same idempotency key run at most once.
 type Claims interface {
-	// Begin claims the key for this request.
-	Begin(r *http.Request, req *dispatch.Request) (dispatch.Guard, error)
+	Claim(ctx context.Context, customer, key, fingerprint, attempt string) (claim.Claim, error)
+	Grant(ctx context.Context, c claim.Claim, agent, grant string) (claim.Claim, error)
+	Finish(ctx context.Context, c claim.Claim, o claim.Outcome) (claim.Claim, error)
+	Release(ctx context.Context, c claim.Claim) error
+	TakeOver(ctx context.Context, c claim.Claim, attempt string) (claim.Claim, error)
+	Answer(ctx context.Context, c claim.Claim) ([]byte, error)
+}
+
+// Grants makes a grant that another entry took up unusable.
+type Grants interface {
+	Void(ctx context.Context, agent, grant string) (wire.VoidResult, error)
+}
+
+const (
+	// maxKey bounds an idempotency key in bytes.
+	maxKey = 256
+	// claimTimeout bounds what is written after the answer has been given.
+	claimTimeout = 5 * time.Second
+	// inProgressRetryAfter is when a repeat of a call that still runs may ask
+	// again.
+	inProgressRetryAfter = 2 * time.Second
+	// headerReplayed marks an answer that was kept from an earlier call.
+	headerReplayed = "Idempotency-Replayed"
+)
+
+// begin claims the request's idempotency key. It returns the claim, or writes
+// the final answer and returns false.
+func (a *API) begin(w http.ResponseWriter, r *http.Request, req *dispatch.Request) (*guard, bool) {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > maxKey {
+		writeError(w, badRequest("key_too_long", HeaderIdempotencyKey, "an idempotency key has at most 256 bytes"))
+		return nil, false
+	}
+	fingerprint := claim.Fingerprint(r.Method, r.URL.Path, req.Class.Name, req.Body)
+	c, err := a.config.Claims.Claim(r.Context(), req.Customer, key, fingerprint, req.ID)
+	if err != nil {
+		writeError(w, claimProblem(err))
+		return nil, false
+	}
+	if !c.Mine {
+		if c, err = a.takeOver(w, r, c, req); err != nil {
+			return nil, false
+		}
+	}
+	return &guard{claims: a.config.Claims, claim: c}, true
+}
+
+// errAnswered: the caller has got the final answer already.
+var errAnswered = errors.New("answered from the claim")
+
+// takeOver settles a claim that an earlier call has left: its answer is given
+// again, or its grant is voided and the work is this call's, or the caller is
+// told that it may have run.
+func (a *API) takeOver(w http.ResponseWriter, r *http.Request, c claim.Claim, req *dispatch.Request) (claim.Claim, error) {
+	if c.State == claim.StateFinished {
+		a.replay(w, r, c)
+		return c, errAnswered
+	}
+	if c.State == claim.StateGranted {
+		result, err := a.config.Grants.Void(r.Context(), c.Agent, c.Grant)
+		if err == nil && result == wire.VoidStarted {
+			writeError(w, inProgress())
+			return c, errAnswered
+		}
+		if err != nil || result != wire.VoidDone {
+			writeError(w, problemOf(dispatch.Result{Outcome: dispatch.Unknown, Reason: "earlier_call"}))
+			return c, errAnswered
+		}
+	}
+	taken, err := a.config.Claims.TakeOver(r.Context(), c, req.ID)
+	if err != nil {
+		writeError(w, claimProblem(err))
+		return c, errAnswered
+	}
+	return taken, nil
+}
+
+// replay gives the answer of the call that ran.
+func (a *API) replay(w http.ResponseWriter, r *http.Request, c claim.Claim) {
+	body, err := a.config.Claims.Answer(r.Context(), c)
+	if err != nil || !c.Outcome.Whole {
+		writeError(w, problem{
+			status:  http.StatusConflict,
+			code:    "already_run",
+			message: "a call with this idempotency key has run; its answer is no longer there",
+			outcome: dispatch.Unknown,
+		})
+		return
+	}
+	w.Header().Set("Content-Type", c.Outcome.ContentType)
+	w.Header().Set(headerReplayed, "true")
+	w.WriteHeader(c.Outcome.Status)
+	_, _ = w.Write(body)
+}
+
+func inProgress() problem {
+	return problem{
+		status:     http.StatusConflict,
+		code:       "in_progress",
+		message:    "a call with this idempotency key has started and was not ended yet, as far as is known",
+		outcome:    dispatch.Unknown,
+		retryAfter: inProgressRetryAfter,
+	}
+}
+
+func claimProblem(err error) problem {
+	var lost *claim.LostError
+	switch {
+	case errors.Is(err, claim.ErrKeyReused):
+		return problem{
+			status:  http.StatusUnprocessableEntity,
+			code:    "idempotency_key_reused",
+			message: "the idempotency key was used for a different request",
+			outcome: dispatch.NotRun,
+		}
+	case errors.As(err, &lost):
+		return inProgress()
+	default:
+		return notRun("claim_unavailable", busyRetryAfter)
+	}
 }
 
-func (a *API) dispatchClaimed(w http.ResponseWriter, r *http.Request, req *dispatch.Request, out answer) dispatch.Result {
-	return a.config.Dispatcher.Do(r.Context(), req, out)
+// settle records how claimed work ended, after the answer was given.
+func (a *API) settle(ctx context.Context, g *guard, result dispatch.Result, rec *recorder) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+	var err error
+	switch {
+	case result.Outcome == dispatch.Whole:
+		_, err = a.config.Claims.Finish(ctx, g.claim, claim.Outcome{Whole: true, Status: rec.status, ContentType: rec.Header().Get("Content-Type"), Answer: rec.answer()})
+	case result.Outcome == dispatch.NotRun, result.Outcome == dispatch.Rejected, !result.Sent:
+		err = a.config.Claims.Release(ctx, g.claim)
+	}
+	if err != nil {
+		a.config.Log.Warn(logging.EventClaimNotSettled, logging.Request(g.claim.Attempt), logging.Reason(err.Error()))
+	}
 }
--- a/internal/entry/api/service.go
+++ b/internal/entry/api/service.go
@@ -42,7 +42,9 @@
 	req.Body = body
 	req.Repeatable = class.Repeatable || idempotent(r.Method)
 	req.Call = &dispatch.Call{Method: r.Method, Path: servicePath(params.ByName("path"), r.URL.RawQuery), Header: forwardHeader(r.Header)}
-	a.carry(w, r, req, &serviceAnswer{w: w, control: http.NewResponseController(w)})
+	a.carry(w, r, req, func(w http.ResponseWriter) answer {
+		return &serviceAnswer{w: w, control: http.NewResponseController(w)}
+	})
 }
 
 // idempotent methods may be repeated whatever the class says (RFC 9110,
--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -84,6 +84,7 @@
 	j := &job{dispatcher: d, request: r, sink: sink}
 	result := j.carry(ctx)
 	result.Tokens = j.tokens
+	result.Sent = j.sent
 	result.Attempts = j.attempt
 	result.FirstToken = j.firstToken
 	d.record(r, result)
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -21,6 +21,7 @@
 
 	attempt    int
 	tokens     int
+	sent       bool
 	started    bool
 	firstToken time.Duration
 }
--- a/internal/entry/dispatch/result.go
+++ b/internal/entry/dispatch/result.go
@@ -31,6 +31,8 @@
 	// Status and Body are the backend server's, with Rejected.
 	Status int
 	Body   []byte
+	// Sent says that the body may have reached an agent.
+	Sent bool
 	// Tokens is how many tokens the caller got.
 	Tokens int
 	// Attempts is how many runs were tried.
--- a/internal/entry/dispatch/run.go
+++ b/internal/entry/dispatch/run.go
@@ -30,6 +30,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	j.dispatcher.config.Ring.Record(timeline.KindSent, j.request.ID, j.request.Class.Name, o.agent)
+	j.sent = true
 	response, err := j.send(ctx, o)
 	if err != nil {
 		return j.sendFailed(ctx, o, err)
--- /dev/null
+++ b/internal/entry/observer.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/metrics"
+	"github.com/applepier/applepier/internal/targets"
+)
+
+// observer turns what became of requests into metrics.
+type observer struct{ metrics *metrics.Metrics }
+
+// Ended counts a request's final answer.
+func (o observer) Ended(class targets.Class, r dispatch.Result, took time.Duration) {
+	m := o.metrics.Request(class.Name)
+	m.Received()
+	for range r.Attempts - 1 {
+		m.Retried()
+	}
+	if r.FirstToken > 0 {
+		m.FirstToken(r.FirstToken)
+	}
+	if r.Outcome != dispatch.Whole {
+		m.Wasted(r.Tokens)
+	}
+	switch r.Outcome {
+	case dispatch.Whole:
+		m.Finished(timing(class, r, took), r.Tokens)
+	case dispatch.NotRun, dispatch.Rejected:
+		m.Refused(metrics.Reason(r.Reason))
+	case dispatch.Unknown:
+		m.Unknown()
+	case dispatch.Failed:
+		m.Failed()
+	case dispatch.Gone:
+		m.Cancelled()
+	}
+}
+
+func timing(class targets.Class, r dispatch.Result, took time.Duration) metrics.Timing {
+	if class.Met(targets.Measured{FirstToken: r.FirstToken, Took: took, Tokens: r.Tokens}) {
+		return metrics.OnTime
+	}
+	return metrics.Late
+}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -3,32 +3,90 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/julienschmidt/httprouter"
-	"go.uber.org/zap"
 
-	"github.com/applepier/applepier/internal/entry/api"
-	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/admin"
+	"github.com/applepier/applepier/internal/auth"
+	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/peer"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/targets/store"
+	"github.com/applepier/applepier/internal/timeline"
 )
 
+// Reasons why an entry is not ready.
+var (
+	errLeaving   = errors.New("leaving")
+	errNoList    = errors.New("no VM list yet: the platform and the seeds are unreachable")
+	errNoTargets = errors.New("no classes yet: none are set, or the platform and the seeds are unreachable")
+)
+
+// adminRoutes serves operators, collectors and the system's own processes.
 func (e *entry) adminRoutes() http.Handler {
 	router := httprouter.New()
-	router.HandlerFunc(http.MethodGet, "/readyz", e.serveReady)
-	router.HandlerFunc(http.MethodGet, "/healthz", e.serveHealthy)
-	router.Handler(http.MethodGet, peer.StatePath, peer.RequireKey(e.keys.system, peer.Handler(e.peerState)))
+	metrics.Register(router, e.metrics, e.ready)
+	admin.New(admin.Config{
+		Store:       e.store,
+		Holder:      e.holder,
+		Fleet:       e.census,
+		OperatorKey: e.keys.operator,
+		Log:         e.log,
+	}).Register(router)
+	operator := auth.Operator(e.keys.operator)
+	router.Handler(http.MethodGet, timeline.PathView, operator(timeline.ViewHandler(e.ring, e.timelinePeers, e.keys.system)))
+	system := auth.System(e.keys.system)
+	router.Handler(http.MethodGet, timeline.PathEvents, system(timeline.Handler(e.ring)))
+	router.Handler(http.MethodGet, peer.StatePath, system(peer.Handler(e.peerState)))
+	router.Handler(http.MethodGet, peer.VersionPath, system(peer.VersionHandler(e.peerVersion)))
 	return router
 }
 
+// ready answers the platform's balancer: nil once requests can be served and
+// until the process leaves.
+func (e *entry) ready() error {
+	switch {
+	case e.leaving.Load():
+		return errLeaving
+	case !e.fleet.Known():
+		return errNoList
+	case e.targetsVersion() == 0:
+		return errNoTargets
+	}
+	return nil
+}
+
+func (e *entry) ownProcess() admin.Process {
+	return admin.Process{
+		Name:    e.settings.Process,
+		Zone:    e.settings.Zone,
+		Role:    roleOf(platform.RoleEntry),
+		Version: e.targetsVersion(),
+		Heard:   true,
+		Leaving: e.leaving.Load(),
+	}
+}
+
 func (e *entry) peerState() peer.State {
 	vms, _ := e.fleet.VMs()
 	return peer.State{Process: e.settings.Process, Targets: e.holder.Current(), VMs: vms}
 }
 
+func (e *entry) peerVersion() peer.Version {
+	return peer.Version{Process: e.settings.Process, Targets: e.targetsVersion()}
+}
+
+func (e *entry) timelinePeers() []timeline.Peer {
+	vms, _ := e.fleet.VMs()
+	peers := make([]timeline.Peer, 0, len(vms))
+	for _, vm := range vms {
+		peers = append(peers, timeline.Peer{Process: vm.Name, Addr: vm.Addr})
+	}
+	return peers
+}
+
 // askSeeds takes the place of the VM list while the platform is down.
 func (e *entry) askSeeds(ctx context.Context) ([]platform.VM, error) {
 	return peer.AskAny(ctx, e.settings.Seeds, e.keys.system, e.holder)
@@ -36,25 +94,13 @@
 
 // followTargets polls the table service for newer targets.
 func (e *entry) followTargets(ctx context.Context) {
-	store.NewPoller(store.New(e.platform), e.holder, e.log).Run(ctx)
-}
-
-// Ended logs nothing of its own: the dispatcher has done so.
-func (e *entry) Ended(class targets.Class, r dispatch.Result, took time.Duration) {
-	e.log.Debug("request measured", zap.String("event", "request_measured"), zap.String("class", class.Name), zap.String("outcome", string(r.Outcome)), zap.Duration("took", took))
+	store.NewPoller(e.store, e.holder, e.log).Run(ctx)
 }
 
 // callerAuth tells callers apart.
 type callerAuth struct{ trustHeader bool }
 
-func (e *entry) authenticator() api.Authenticator {
-	return callerAuth{trustHeader: e.settings.Callers.TrustCustomerHeader}
-}
-
-// Caller takes the customer from the header.
-func (c callerAuth) Caller(_ *targets.Set, r *http.Request) (string, error) {
-	if name := r.Header.Get("X-Applepier-Customer"); name != "" {
-		return name, nil
-	}
-	return "anonymous", nil
+// Caller finds the customer of a request.
+func (c callerAuth) Caller(set *targets.Set, r *http.Request) (string, error) {
+	return auth.Caller(set, c.trustHeader, r)
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,13 +15,16 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/claim"
 	"github.com/applepier/applepier/internal/entry/api"
 	"github.com/applepier/applepier/internal/entry/dispatch"
 	"github.com/applepier/applepier/internal/entry/fleet"
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/targets/store"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
 	"github.com/applepier/applepier/policy"
@@ -50,11 +54,14 @@
 	clock    timeline.Clock
 	ring     *timeline.Ring
 	holder   *targets.Holder
-	traffic  wire.Traffic
+	metrics  *metrics.Metrics
 	platform *platform.HTTP
+	store    *store.Store
+	claimer  *claim.Claimer
 	fleet    *fleet.Fleet
 	api      *api.API
-	health   health
+	census   *census
+	leaving  atomic.Bool
 }
 
 // Serve runs an entry until ctx ends, then shuts it down gracefully: it fails
@@ -81,20 +88,23 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &entry{settings: s, keys: k, log: log, holder: targets.NewHolder()}
+	e := &entry{settings: s, keys: k, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
 	e.ring = timeline.NewRing(s.Process, &e.clock, eventRing)
 	e.platform = platform.NewHTTP(s.Platform.URL)
+	e.store = store.New(e.platform)
+	e.claimer = claim.NewClaimer(e.platform)
 	e.fleet = fleet.New(fleet.Config{
 		Process:   s.Process,
 		Zone:      s.Zone,
 		SystemKey: k.system,
-		Local:     wire.Local{Clock: &e.clock, TargetsVersion: e.targetsVersion, Traffic: &e.traffic},
+		Local:     wire.Local{Clock: &e.clock, TargetsVersion: e.targetsVersion, Traffic: e.metrics.Control},
 		Holder:    e.holder,
 		List:      e.platform,
 		Ring:      e.ring,
 		Log:       log,
 		Fallback:  e.askSeeds,
 	})
+	e.census = &census{own: e.ownProcess, fleet: e.fleet, key: k.system}
 	e.api = e.newAPI()
 	return e, nil
 }
@@ -118,8 +128,10 @@
 		Holder:     e.holder,
 		Dispatcher: dispatcher,
 		Served:     e.fleet,
-		Auth:       e.authenticator(),
-		Observer:   e,
+		Auth:       callerAuth{trustHeader: e.settings.Callers.TrustCustomerHeader},
+		Claims:     e.claimer,
+		Grants:     e.fleet,
+		Observer:   observer{e.metrics},
 		Ring:       e.ring,
 		Log:        e.log,
 	})
@@ -142,13 +154,14 @@
 	_ = adminServer.Shutdown(context.Background())
 	stop()
 	wg.Wait()
+	e.claimer.Close()
 	return nil
 }
 
 // drain ends what is in progress, however long it takes: a long answer is
 // bounded by its own timeouts, and a second signal ends the process at once.
 func (e *entry) drain(server *http.Server) {
-	e.health.leave()
+	e.leaving.Store(true)
 	e.ring.Record(timeline.KindLeave, "", "", "graceful shutdown")
 	e.log.Info(logging.EventStopping, zap.Int("in_flight", e.api.InFlight()))
 	time.Sleep(drainNotice)
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -30,6 +30,9 @@
 	// EventRequestCancelled: its caller went away.
 	EventRequestCancelled = "request_cancelled"
 
+	// EventClaimNotSettled: how claimed work ended could not be recorded.
+	EventClaimNotSettled = "claim_not_settled"
+
 	// EventConnected: a connection to another process was opened.
 	EventConnected = "connected"
 	// EventDisconnected: a connection was closed, or went silent.
--- a/internal/metrics/handler.go
+++ b/internal/metrics/handler.go
@@ -24,7 +24,7 @@
 )
 
 // Register adds the three paths to a router.
-func Register(router *httprouter.Router, m *Metrics, ready *Readiness) {
+func Register(router *httprouter.Router, m *Metrics, ready Readiness) {
 	router.HandlerFunc(http.MethodGet, PathMetrics, m.Serve)
 	router.HandlerFunc(http.MethodGet, PathHealth, ServeHealth)
 	router.HandlerFunc(http.MethodGet, PathReady, ready.Serve)
@@ -47,12 +47,11 @@
 }
 
 // Serve answers 200 and "ready", or 503 and the reason.
-func (r *Readiness) Serve(w http.ResponseWriter, _ *http.Request) {
+func (r Readiness) Serve(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(headerContentType, typeText)
-	ready, reason := r.state()
-	if !ready {
+	if err := r(); err != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
-		_, _ = io.WriteString(w, "not ready: "+reason+"\n")
+		_, _ = io.WriteString(w, "not ready: "+err.Error()+"\n")
 		return
 	}
 	_, _ = io.WriteString(w, "ready\n")
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -101,9 +101,10 @@
 func TestPaths(t *testing.T) {
 	m := New()
 	m.Request("flag").Received()
-	var ready Readiness
+	state := errors.New("starting")
+	ready := Readiness(func() error { return state })
 	router := httprouter.New()
-	Register(router, m, &ready)
+	Register(router, m, ready)
 	get := func(path string) (int, string) {
 		recorder := httptest.NewRecorder()
 		router.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
@@ -117,9 +118,9 @@
 	}
 	expect(PathHealth, http.StatusOK, "ok")
 	expect(PathReady, http.StatusServiceUnavailable, "not ready: starting")
-	ready.Ready()
+	state = nil
 	expect(PathReady, http.StatusOK, "ready")
-	ready.NotReady("stopping")
+	state = errors.New("stopping")
 	expect(PathReady, http.StatusServiceUnavailable, "not ready: stopping")
 	expect(PathMetrics, http.StatusOK, `applepier_requests_received_total{class="flag"} 1`)
 	expect(PathMetrics, http.StatusOK, string(familyCPU)+" ")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -51,24 +50,9 @@
 func Ask(ctx context.Context, addr, systemKey string) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+StatePath, nil)
-	if err != nil {
-		return State{}, errors.Wrap(err, "make request")
-	}
-	req.Header.Set("Authorization", "Bearer "+systemKey)
-	response, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return State{}, errors.Wrap(ErrUnreachable, err.Error())
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return State{}, errors.Wrap(ErrUnreachable, response.Status)
-	}
 	var s State
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxState)).Decode(&s); err != nil {
-		return State{}, errors.Wrap(ErrUnreachable, err.Error())
-	}
-	return s, nil
+	err := ask(ctx, "http://"+addr+StatePath, systemKey, &s)
+	return s, err
 }
 
 // AskAny asks peers in turn, takes the newest targets into holder, and returns
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 )
@@ -93,7 +94,7 @@
 // two messages; ns/op has the waiting for the other end in it as well.
 func BenchmarkConn(b *testing.B) {
 	clock := &timeline.Clock{}
-	local := Local{Clock: clock, TargetsVersion: func() uint64 { return 1000 }, Traffic: &Traffic{}}
+	local := Local{Clock: clock, TargetsVersion: func() uint64 { return 1000 }, Traffic: metrics.New().Control}
 	messages := benchMessages()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, err := Accept(w, r, local)
@@ -132,7 +133,7 @@
 // BenchmarkConnMemory keeps a connection for each round and tells what both of
 // its ends hold; run it with -benchtime 300x or so.
 func BenchmarkConnMemory(b *testing.B) {
-	local := Local{Clock: &timeline.Clock{}, TargetsVersion: func() uint64 { return 1000 }, Traffic: &Traffic{}}
+	local := Local{Clock: &timeline.Clock{}, TargetsVersion: func() uint64 { return 1000 }, Traffic: metrics.New().Control}
 	done := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, err := Accept(w, r, local)
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -37,10 +36,11 @@
 	dialTimeout = 2 * time.Second
 )
 
-// Traffic counts what control costs a process, in bytes and messages.
-type Traffic struct {
-	SentBytes, ReceivedBytes       atomic.Int64
-	SentMessages, ReceivedMessages atomic.Int64
+// Traffic counts what control costs a process.
+type Traffic interface {
+	// Sent and Received count one message of so many bytes.
+	Sent(bytes int)
+	Received(bytes int)
 }
 
 // Local is what a process's own side of all its connections shares.
@@ -49,8 +49,8 @@
 	Clock *timeline.Clock
 	// TargetsVersion tells the version in force, sent with each message.
 	TargetsVersion func() uint64
-	// Traffic counts bytes and messages.
-	Traffic *Traffic
+	// Traffic counts them.
+	Traffic Traffic
 }
 
 // Conn is a control connection: typed messages over a WebSocket. Send never
@@ -122,8 +122,7 @@
 		c.End()
 		return Message{}, errors.Wrap(ErrMalformed, err.Error())
 	}
-	c.local.Traffic.ReceivedBytes.Add(int64(len(data)))
-	c.local.Traffic.ReceivedMessages.Add(1)
+	c.local.Traffic.Received(len(data))
 	c.local.Clock.Observe(m.Stamp)
 	return m, nil
 }
@@ -172,7 +171,6 @@
 	if err := c.ws.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return errors.Wrap(err, "write message")
 	}
-	c.local.Traffic.SentBytes.Add(int64(len(data)))
-	c.local.Traffic.SentMessages.Add(1)
+	c.local.Traffic.Sent(len(data))
 	return nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -12,11 +12,12 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/timeline"
 )
 
 func testLocal(version uint64) Local {
-	return Local{Clock: &timeline.Clock{}, TargetsVersion: func() uint64 { return version }, Traffic: &Traffic{}}
+	return Local{Clock: &timeline.Clock{}, TargetsVersion: func() uint64 { return version }, Traffic: metrics.New().Control}
 }
 
 // connectPair returns both ends of one connection.
--- a/testbed/e2e/client_test.go
+++ b/testbed/e2e/client_test.go
@@ -56,9 +56,8 @@
 func newClient(entry *fleet.Entry, class string) openai.Client {
 	return openai.NewClient(
 		option.WithBaseURL(entry.URL+"/v1"),
-		option.WithAPIKey("unused"),
+		option.WithAPIKey(fleet.CustomerKey(fleet.DefaultCustomer)),
 		option.WithHeader("X-Applepier-Class", class),
-		option.WithHeader("X-Applepier-Customer", "tampere-inspectors"),
 		option.WithMaxRetries(0),
 	)
 }
@@ -170,6 +169,7 @@
 			t.Fatal(err)
 		}
 		req.Header.Set("X-Applepier-Class", "gate-check")
+		req.Header.Set("Authorization", "Bearer "+fleet.CustomerKey(fleet.DefaultCustomer))
 		response, err := http.DefaultClient.Do(req)
 		if err != nil {
 			t.Fatal(err)
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -98,7 +98,7 @@
 	if len(f.options.Classes) == 0 {
 		return nil
 	}
-	return f.Platform.writeClasses(ctx, f.options.Classes)
+	return f.Platform.writeTargets(ctx, f.options.Classes, f.options.customers())
 }
 
 func (f *Fleet) startBackends(ctx context.Context) error {
--- a/testbed/fleet/options.go
+++ b/testbed/fleet/options.go
@@ -18,6 +18,8 @@
 	// Classes are written to the platform before the entries start; an entry
 	// is not ready without any.
 	Classes []targets.Class
+	// Customers are written with the classes; DefaultCustomer when empty.
+	Customers []string
 	// Zones are given to the processes in turn; one zone when empty.
 	Zones []string
 	// LogLevel is the level of both programs; info when empty.
@@ -27,6 +29,19 @@
 	Route func(Link) (string, error)
 }
 
+// DefaultCustomer is there when Options name no customers.
+const DefaultCustomer = "kaivonkansi"
+
+// CustomerKey is the API key that a customer of a fleet has.
+func CustomerKey(customer string) string { return "key-of-customer-" + customer }
+
+func (o Options) customers() []string {
+	if len(o.Customers) == 0 {
+		return []string{DefaultCustomer}
+	}
+	return o.Customers
+}
+
 // BackendSpec describes one backend server.
 type BackendSpec struct {
 	// Kind is engine or plain service.
--- a/testbed/fleet/platform.go
+++ b/testbed/fleet/platform.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/applepier/applepier/internal/auth"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/targets/store"
@@ -61,15 +62,18 @@
 	return store.New(platform.NewHTTP(p.URL)).Load(ctx)
 }
 
-// writeClasses writes the first targets, before any entry runs: an entry is
+// writeTargets writes the first targets, before any entry runs: an entry is
 // not ready without.
-func (p *Platform) writeClasses(ctx context.Context, classes []targets.Class) error {
+func (p *Platform) writeTargets(ctx context.Context, classes []targets.Class, customers []string) error {
 	_, err := store.New(platform.NewHTTP(p.URL)).Change(ctx, 0, func(set *targets.Set) error {
 		set.Classes = append(set.Classes, classes...)
+		for _, name := range customers {
+			set.Customers = append(set.Customers, targets.Customer{Name: name, KeyHash: auth.HashKey(CustomerKey(name))})
+		}
 		return nil
 	})
 	if err != nil {
-		return errors.Wrap(err, "write classes")
+		return errors.Wrap(err, "write targets")
 	}
 	return nil
 }
