--- a/policy/admission.go
+++ b/policy/admission.go
@@ -100,7 +100,7 @@
 // waitFor is how long it takes until the engine has room for a ticket of a
 // tier after the work ahead of it.
 func (s *Scheduler) waitFor(now time.Time, t Tier, ahead float64) time.Duration {
-	free := s.limiter.slots(t) - len(s.running.byID)
+	free := s.slots(t) - len(s.running.byID)
 	if free > s.queue.Len() {
 		return 0
 	}
@@ -127,6 +127,6 @@
 // below it: what the more urgent tiers leave of the true rate, and the
 // guaranteed share at least.
 func (s *Scheduler) rateFor(t Tier) float64 {
-	rate := s.rate.at(s.limiter.slots(t))
+	rate := s.rate.at(s.slots(t))
 	return max(guaranteedShare*rate, rate-s.demand.above(t))
 }
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -86,14 +86,12 @@
 	return bound
 }
 
-// slots is how many runs may be on the engine for another one of a tier to
-// start.
-func (l *limiter) slots(t Tier) int {
-	slots := slotsFor(t, l.limit)
+// trial is by how much a trial goes past the limit now.
+func (l *limiter) trial() int {
 	if l.probing {
-		slots = max(slots, l.limit+1)
+		return 1
 	}
-	return slots
+	return 0
 }
 
 // full says that a ticket waits for want of a slot; it begins a trial when
@@ -142,7 +140,7 @@
 	if l.probing && depth > l.limit {
 		l.window.good++
 	}
-	inUse := l.window.full && depth >= slotsFor(BottomTier, l.limit)
+	inUse := l.window.full && depth >= l.limit-reserveOf(l.limit)
 	if l.ramping && inUse && l.window.worstRatio() < holdRatio {
 		l.limit = min(l.limit+1, maxLimit)
 		l.window.full = false
--- a/policy/play_test.go
+++ b/policy/play_test.go
@@ -47,6 +47,7 @@
 	again    bool
 	first    time.Time
 	lateInfo string
+	began    time.Time
 	given    int
 	epoch    int
 	inLine   bool
@@ -289,6 +290,7 @@
 	r.lateInfo = fmt.Sprint(e.name, " streams ", e.engine.streams, " line ", len(e.engine.line), " limit ", e.scheduler.limiter.limit, " ramping ", e.scheduler.limiter.ramping, " probing ", e.scheduler.limiter.probing, " lower ", e.scheduler.running.lower)
 	r.epoch++
 	epoch := r.epoch
+	r.began = p.clock.now
 	r.inLine = true
 	e.engine.enter(r.w.tier, func() bool {
 		if epoch != r.epoch {
@@ -326,7 +328,7 @@
 	r := e.running[id]
 	delete(e.running, id)
 	p.tally(r.w.class).preempted++
-	p.tally(r.w.class).wasted += r.w.prompt
+	p.tally(r.w.class).wastedTime += e.engine.prefill(r.w.prompt)
 	r.epoch++
 	if !r.inLine {
 		e.engine.leave()
@@ -343,7 +345,7 @@
 func (p *play) finished(r *request) {
 	w := r.w
 	t := p.tally(w.class)
-	t.tokens += r.answer
+	t.ranTime += p.clock.now.Sub(r.began)
 	late := w.firstToken > 0 && r.first.Sub(r.arrived) > w.firstToken
 	late = late || w.completion > 0 && p.clock.now.Sub(r.arrived) > w.completion
 	mean := p.clock.now.Sub(r.first) / time.Duration(max(r.answer-1, 1))
--- a/policy/preemption.go
+++ b/policy/preemption.go
@@ -13,7 +13,7 @@
 // each time it is started it gets on by more than the reading of its prompt.
 const preemptProgress = 2 * time.Second
 
-// Preempt names a lower-tier run to cancel for a waiting top-tier ticket. It is
+// Preempt names a lower-tier run to cancel for a waiting urgent ticket. It is
 // called until it reports false; the cancelled runs end with Finished as
 // usual, and their requests come back by Resume.
 //
@@ -38,11 +38,11 @@
 	return victim.ticket.ID, true
 }
 
-// urgentRunStuck reports, once for each such run, whether a top-tier run is
-// held up inside the engine.
+// urgentRunStuck reports, once for each such run, whether an urgent run is held
+// up inside the engine.
 func (s *Scheduler) urgentRunStuck() bool {
 	for _, r := range s.running.pending {
-		if r.ticket.Tier == TopTier && r.overdue && !r.helped {
+		if r.ticket.Tier <= urgentTier && r.overdue && !r.helped {
 			r.helped = true
 			return true
 		}
@@ -50,16 +50,21 @@
 	return false
 }
 
-// urgentTicketLate reports whether a top-tier ticket that waits is likely to
-// be late.
+// urgentTicketLate reports whether a ticket of the urgent tiers that waits is
+// likely to be late.
 func (s *Scheduler) urgentTicketLate(now time.Time) bool {
-	top := s.queue.tiers[TopTier]
-	class := top.next()
-	if class == nil || s.running.staying()+top.count <= s.limiter.limit {
+	if s.running.staying()+s.queue.urgent() <= s.limiter.limit {
 		return false
 	}
-	w := class.head()
-	return now.Sub(w.ticket.Arrived) >= overflowAfter && s.risky(now, w)
+	for _, tier := range s.queue.tiers[:urgentTier+1] {
+		class := tier.next()
+		if class == nil {
+			continue
+		}
+		w := class.head()
+		return now.Sub(w.ticket.Arrived) >= overflowAfter && s.risky(now, w)
+	}
+	return false
 }
 
 // risky reports whether w is likely to be late if it waits for a run to end.
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -38,6 +38,15 @@
 	return len(q.byID)
 }
 
+// urgent is the number of waiting tickets of the urgent tiers.
+func (q *Queue) urgent() int {
+	n := 0
+	for _, tier := range q.tiers[:urgentTier+1] {
+		n += tier.count
+	}
+	return n
+}
+
 // push adds a ticket; one with the same id is replaced.
 func (q *Queue) push(now time.Time, w *waiting) {
 	if old := q.byID[w.ticket.ID]; old != nil {
--- a/policy/running.go
+++ b/policy/running.go
@@ -64,6 +64,11 @@
 	}
 }
 
+// urgent is how many runs are of the urgent tiers.
+func (r *running) urgent() int {
+	return len(r.byID) - r.lower
+}
+
 func (r *running) start(now time.Time, run *run) {
 	run.started = now
 	run.area = r.area
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -14,6 +14,7 @@
 	promises  promises
 	guarantee guarantee
 	lately    grantedLately
+	urgent    urgentUse
 	first     firstTokenTime
 	copies    copyShare
 	// now is the time of the last call.
@@ -40,6 +41,7 @@
 	s.demand.advance(now)
 	s.promises.advance(now, s.rateFor)
 	s.guarantee.advance(now, s.limiter.limit)
+	s.urgent.advance(now, s.running.urgent()+s.queue.urgent())
 	s.countOverdue(now)
 }
 
@@ -88,7 +90,7 @@
 	if class == nil {
 		return Ticket{}, false
 	}
-	full := len(s.running.byID) >= s.slots(now, class.head())
+	full := !s.hasRoom(now, class.head())
 	if full {
 		s.limiter.full(now)
 	}
@@ -101,24 +103,16 @@
 	return s.grant(now, class, false), true
 }
 
-// slots is how many runs may be on the engine for a waiting ticket to start.
-func (s *Scheduler) slots(now time.Time, w *waiting) int {
+// guaranteeRoom reports whether the guarantee may use a slot. It leaves those
+// that are kept back to the urgent tiers while these don't use them.
+func (s *Scheduler) guaranteeRoom() bool {
 	limit := s.limiter.limit
-	if w.ticket.Tier != TopTier {
-		return s.limiter.slots(w.ticket.Tier)
-	}
-	if now.Sub(w.ticket.Arrived) < overflowAfter {
-		return limit
-	}
-	return limit + min(reserveOf(limit), len(s.running.byID)-s.running.top)
+	return len(s.running.byID) < limit && s.running.lower < limit-reserveOf(limit)
 }
 
-// starved is the class that the guarantee serves now, if any. It leaves the
-// slots that are kept back to the urgent tiers while these don't use them.
+// starved is the class that the guarantee serves now, if any.
 func (s *Scheduler) starved(now time.Time) *classQueue {
-	limit := s.limiter.limit
-	room := len(s.running.byID) < limit && s.running.lower < slotsFor(BottomTier, limit)
-	if !room || !s.guarantee.allows(limit) {
+	if !s.guaranteeRoom() || !s.guarantee.allows(s.limiter.limit) {
 		return nil
 	}
 	class := s.queue.longestWaiting()
@@ -236,13 +230,13 @@
 	return wake.at, !wake.at.IsZero()
 }
 
-// overdueAt is when the first of the top tier's runs without a first token is
+// overdueAt is when the first of the urgent runs without a first token is
 // late inside the engine.
 func (s *Scheduler) overdueAt() (time.Time, bool) {
 	var first earliest
 	for _, r := range s.running.pending {
 		bound := s.limiter.delayBound(r.ticket)
-		if r.ticket.Tier == TopTier && !r.overdue && bound > 0 {
+		if r.ticket.Tier <= urgentTier && !r.overdue && bound > 0 {
 			first.add(r.started.Add(bound + time.Nanosecond))
 		}
 	}
@@ -253,9 +247,8 @@
 // free now.
 func (s *Scheduler) guaranteeDue(now time.Time) (time.Time, bool) {
 	limit := s.limiter.limit
-	room := len(s.running.byID) < limit && s.running.lower < slotsFor(BottomTier, limit)
 	class := s.queue.longestWaiting()
-	if !room || class == nil || s.guarantee.running >= guaranteedSlots(limit) {
+	if !s.guaranteeRoom() || class == nil || s.guarantee.running >= guaranteedSlots(limit) {
 		return time.Time{}, false
 	}
 	due := class.since.Add(starvedAfter)
@@ -265,12 +258,19 @@
 	return due, true
 }
 
-// overflowDue is when the top tier's next ticket may go past the limit.
+// overflowDue is when the next urgent ticket may go past the limit, or have a
+// run cancelled.
 func (s *Scheduler) overflowDue(now time.Time) (time.Time, bool) {
-	class := s.queue.tiers[TopTier].next()
-	if class == nil {
-		return time.Time{}, false
+	var first earliest
+	for _, tier := range s.queue.tiers[:urgentTier+1] {
+		class := tier.next()
+		if class == nil {
+			continue
+		}
+		due := class.head().ticket.Arrived.Add(overflowAfter)
+		if due.After(now) {
+			first.add(due)
+		}
 	}
-	due := class.head().ticket.Arrived.Add(overflowAfter)
-	return due, due.After(now)
+	return first.at, !first.at.IsZero()
 }
--- a/policy/workload_test.go
+++ b/policy/workload_test.go
@@ -53,8 +53,8 @@
 	// comebackIn counts those that were let in and answered on coming back.
 	comebackIn  int
 	longestWait time.Duration
-	tokens      int
-	wasted      int
+	ranTime     time.Duration
+	wastedTime  time.Duration
 }
 
 // attained is the share of the offered that was answered on time.
