--- a/internal/cli/class_set.go
+++ b/internal/cli/class_set.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
-	"strings"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
@@ -13,7 +10,7 @@
 	"github.com/applepier/applepier/internal/program"
 )
 
-// Flags of class set and class retire.
+// Flags of class set.
 const (
 	flagTier          = "tier"
 	flagModel         = "model"
@@ -22,13 +19,8 @@
 	flagBetweenTokens = "between-tokens"
 	flagCompletion    = "completion"
 	flagRepeatable    = "repeatable"
-	flagIfVersion     = "if-version"
-	flagWait          = "wait"
 )
 
-// waitMargin is how much longer than --wait an answer may take.
-const waitMargin = 5 * time.Second
-
 func classSet() *cli.Command {
 	return &cli.Command{
 		Name:      "set",
@@ -53,13 +45,6 @@
 	}
 }
 
-func changeFlags() []cli.Flag {
-	return []cli.Flag{
-		&cli.Uint64Flag{Name: flagIfVersion, Usage: "change nothing unless the targets are at version `N`"},
-		&cli.DurationFlag{Name: flagWait, Usage: "wait up to `TIME` until the change is in force in all processes"},
-	}
-}
-
 func runClassSet(ctx context.Context, command *cli.Command) error {
 	name, err := className(command)
 	if err != nil {
@@ -127,87 +112,3 @@
 		*target = span.String()
 	}
 }
-
-func classRetire() *cli.Command {
-	return &cli.Command{
-		Name:      "retire",
-		Usage:     "let a class take no new requests",
-		ArgsUsage: "NAME",
-		Description: "Requests that run are ended as usual; class set takes a class into use again.\n\n" +
-			"Example:\n   applepier class retire summary --wait 14s",
-		Flags:  adminFlags(changeFlags()...),
-		Action: runClassRetire,
-	}
-}
-
-func runClassRetire(ctx context.Context, command *cli.Command) error {
-	name, err := className(command)
-	if err != nil {
-		return err
-	}
-	ctx, session, err := open(ctx, command)
-	if err != nil {
-		return err
-	}
-	defer session.cancel()
-	answer, err := session.class(ctx, name)
-	if err != nil {
-		return err
-	}
-	return session.change(ctx, command, call{
-		method:  http.MethodDelete,
-		path:    classPath(name),
-		version: &answer.Version,
-	})
-}
-
-// change makes a change and prints what came of it.
-func (s *session) change(ctx context.Context, command *cli.Command, change call) error {
-	if command.IsSet(flagIfVersion) {
-		version := command.Uint64(flagIfVersion)
-		change.version = &version
-	}
-	if wait := command.Duration(flagWait); wait > 0 {
-		change.query = url.Values{flagWait: {wait.String()}}
-	}
-	var answer changeAnswer
-	change.answer = &answer
-	if err := s.client.do(ctx, change); err != nil {
-		return err
-	}
-	err := s.printer.print(answer, func() []table { return []table{classTable([]classDocument{answer.Class})} })
-	if err != nil {
-		return err
-	}
-	return s.reportChange(answer)
-}
-
-// reportChange tells on standard error how far the change has come.
-func (s *session) reportChange(answer changeAnswer) error {
-	s.printer.note("accepted as version %d", answer.Version)
-	if answer.Spread == nil {
-		return nil
-	}
-	spread := *answer.Spread
-	if len(spread.Behind)+len(spread.NotHeardFrom) == 0 {
-		s.printer.note("in force in all processes")
-		return nil
-	}
-	return &program.Error{
-		Code:    program.ExitPartial,
-		Problem: "accepted, but not known to be in force everywhere" + spread.missing(),
-		Advice:  "the change is durable, don't repeat it; applepier status shows how far it has come",
-	}
-}
-
-// missing lists the processes that haven't confirmed a version.
-func (s spreadDocument) missing() string {
-	text := ""
-	if len(s.Behind) > 0 {
-		text += "\n  older version: " + strings.Join(s.Behind, ", ")
-	}
-	if len(s.NotHeardFrom) > 0 {
-		text += "\n  not heard from: " + strings.Join(s.NotHeardFrom, ", ")
-	}
-	return text
-}
