--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -14,6 +14,8 @@
 	promises  promises
 	guarantee guarantee
 	lately    grantedLately
+	first     firstTokenTime
+	copies    copyShare
 	// now is the time of the last call.
 	now time.Time
 }
@@ -46,7 +48,7 @@
 	for _, r := range s.running.pending {
 		if !r.overdue && s.limiter.delayed(r.ticket, now.Sub(r.started)) {
 			r.overdue = true
-			s.limiter.overdue(now, r.started)
+			s.limiter.overdue(now, r)
 		}
 	}
 }
@@ -64,7 +66,7 @@
 func (s *Scheduler) Resume(now time.Time, t Ticket) {
 	s.advance(now)
 	t.Arrived = now
-	s.queue.push(now, newWaiting(t, s.startBy(t), true))
+	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(t), true))
 }
 
 // Withdraw removes a waiting ticket and reports whether there was one.
@@ -74,6 +76,7 @@
 		return false
 	}
 	s.queue.remove(w)
+	s.copies.observe(w.ticket, false)
 	return true
 }
 
@@ -85,7 +88,7 @@
 	if class == nil {
 		return Ticket{}, false
 	}
-	full := len(s.running.byID) >= s.limiter.slots(class.head().ticket.Tier)
+	full := len(s.running.byID) >= s.slots(now, class.head())
 	if full {
 		s.limiter.full(now)
 	}
@@ -98,6 +101,18 @@
 	return s.grant(now, class, false), true
 }
 
+// slots is how many runs may be on the engine for a waiting ticket to start.
+func (s *Scheduler) slots(now time.Time, w *waiting) int {
+	limit := s.limiter.limit
+	if w.ticket.Tier != TopTier {
+		return s.limiter.slots(w.ticket.Tier)
+	}
+	if now.Sub(w.ticket.Arrived) < overflowAfter {
+		return limit
+	}
+	return limit + min(reserveOf(limit), len(s.running.byID)-s.running.top)
+}
+
 // starved is the class that the guarantee serves now, if any. It leaves the
 // slots that are kept back to the urgent tiers while these don't use them.
 func (s *Scheduler) starved(now time.Time) *classQueue {
@@ -114,8 +129,10 @@
 }
 
 func (s *Scheduler) grant(now time.Time, class *classQueue, guaranteed bool) Ticket {
+	resumed := class.head().resumed
 	t := s.queue.grant(now, class)
-	s.running.add(&run{ticket: t, granted: now, guaranteed: guaranteed})
+	s.copies.observe(t, true)
+	s.running.add(&run{ticket: t, granted: now, guaranteed: guaranteed, resumed: resumed})
 	s.lately.add(now, t.Class)
 	if guaranteed {
 		s.guarantee.running++
@@ -145,7 +162,8 @@
 	if r.lastToken.IsZero() {
 		r.lastToken = now
 		s.running.dropPending(r)
-		s.limiter.firstToken(now, r.ticket, r.started, r.overdue)
+		s.first.observe(ticketSize(r.ticket), now.Sub(r.started))
+		s.limiter.firstToken(now, r)
 		return
 	}
 	s.limiter.interval(now, r.ticket, r.tokens(now, n))
@@ -200,16 +218,35 @@
 }
 
 // NextWake says when a decision is due that no other call brings about: then
-// Expire and Next are to be called.
+// Expire, Preempt and Next are to be called.
 func (s *Scheduler) NextWake(now time.Time) (time.Time, bool) {
-	var wake time.Time
+	var wake earliest
 	if len(s.queue.deadlines) > 0 {
-		wake = s.queue.deadlines[0].startBy.Add(time.Nanosecond)
+		wake.add(s.queue.deadlines[0].startBy.Add(time.Nanosecond))
 	}
-	if due, ok := s.guaranteeDue(now); ok && (wake.IsZero() || due.Before(wake)) {
-		wake = due
+	if due, ok := s.guaranteeDue(now); ok {
+		wake.add(due)
 	}
-	return wake, !wake.IsZero()
+	if due, ok := s.overflowDue(now); ok {
+		wake.add(due)
+	}
+	if due, ok := s.overdueAt(); ok {
+		wake.add(due)
+	}
+	return wake.at, !wake.at.IsZero()
+}
+
+// overdueAt is when the first of the top tier's runs without a first token is
+// late inside the engine.
+func (s *Scheduler) overdueAt() (time.Time, bool) {
+	var first earliest
+	for _, r := range s.running.pending {
+		bound := s.limiter.delayBound(r.ticket)
+		if r.ticket.Tier == TopTier && !r.overdue && bound > 0 {
+			first.add(r.started.Add(bound + time.Nanosecond))
+		}
+	}
+	return first.at, !first.at.IsZero()
 }
 
 // guaranteeDue is when the guarantee will serve a class out of a slot that is
@@ -227,3 +264,13 @@
 	}
 	return due, true
 }
+
+// overflowDue is when the top tier's next ticket may go past the limit.
+func (s *Scheduler) overflowDue(now time.Time) (time.Time, bool) {
+	class := s.queue.tiers[TopTier].next()
+	if class == nil {
+		return time.Time{}, false
+	}
+	due := class.head().ticket.Arrived.Add(overflowAfter)
+	return due, due.After(now)
+}
