--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -32,12 +32,16 @@
 	"sync"
 
 	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/applepier/applepier/internal/targets"
 )
 
 // Bounds of the labels' values.
 const (
-	// MaxClasses is how many classes have series of their own.
-	MaxClasses = 100
+	// MaxClasses is how many classes have series of their own: as many as the
+	// targets may hold at once. A process that outlives many renamings counts
+	// later names together.
+	MaxClasses = targets.MaxClasses
 	// MaxReasons is how many reasons of refusal have series of their own.
 	MaxReasons = 16
 )
