--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,11 +13,11 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/engine"
+	"github.com/applepier/applepier/internal/ids"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/settings"
@@ -65,7 +65,7 @@
 
 // New returns an agent for its settings; systemKey tells its peers.
 func New(s settings.Agent, systemKey string, log *zap.Logger) *Agent {
-	a := &Agent{settings: s, incarnation: uuid.NewString(), systemKey: systemKey, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
+	a := &Agent{settings: s, incarnation: ids.New(), systemKey: systemKey, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
 	a.ring = timeline.NewRing(s.Process, &a.clock, eventRing)
 	a.table = newTable(a.incarnation, a.ring, a.holder, a.metrics.Queue)
 	a.list = platform.NewHTTP(s.Platform.URL)
--- a/internal/agent/grant.go
+++ b/internal/agent/grant.go
@@ -32,6 +32,3 @@
 	cancel     chan struct{}
 	cancelOnce sync.Once
 }
-
-// over reports whether the grant has lapsed or its run has ended.
-func (g *grant) over() bool { return !g.ended.IsZero() }
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -12,10 +12,18 @@
 // session is one entry's control connection.
 type session struct {
 	agent *Agent
-	conn  *wire.Conn
+	conn  sender
 	entry string
 }
 
+// sender is the sending side of a control connection.
+type sender interface {
+	// Send never blocks.
+	Send(m wire.Message) error
+	// End ends the connection.
+	End()
+}
+
 // serveConnect takes an entry's control connection until it ends.
 func (a *Agent) serveConnect(w http.ResponseWriter, r *http.Request) {
 	conn, err := wire.Accept(w, r, a.local())
@@ -27,7 +35,7 @@
 	s.send(wire.Message{Hello: a.hello()})
 	a.table.join(s)
 	defer a.table.part(s)
-	s.serve(r.Context())
+	s.serve(r.Context(), conn)
 }
 
 func (a *Agent) hello() *wire.Hello {
@@ -39,9 +47,9 @@
 	}
 }
 
-func (s *session) serve(ctx context.Context) {
+func (s *session) serve(ctx context.Context, conn *wire.Conn) {
 	for {
-		m, err := s.conn.Receive(ctx)
+		m, err := conn.Receive(ctx)
 		if err != nil {
 			s.agent.log.Info(logging.EventDisconnected, logging.Peer(s.entry), logging.Reason(err.Error()))
 			return
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -38,12 +38,11 @@
 	mu       sync.Mutex
 	sched    *policy.Scheduler
 	tickets  map[string]*ticket
-	grants   map[string]*grant
+	grants   grants
 	sessions map[*session]struct{}
 	grantSeq uint64
 	leaving  bool
 	engineUp bool
-	running  int
 
 	drainOnce sync.Once
 	drained   chan struct{}
@@ -57,7 +56,7 @@
 		queue:       queue,
 		sched:       policy.NewScheduler(),
 		tickets:     make(map[string]*ticket),
-		grants:      make(map[string]*grant),
+		grants:      newGrants(),
 		sessions:    make(map[*session]struct{}),
 		drained:     make(chan struct{}),
 	}
@@ -165,11 +164,8 @@
 		tb.sched.Withdraw(id)
 		return
 	}
-	for _, g := range tb.grants {
-		if g.ticketID == id && g.state == grantOffered {
-			tb.lapse(time.Now(), g)
-			return
-		}
+	if g, ok := tb.grants.offered[id]; ok {
+		tb.lapse(time.Now(), g)
 	}
 }
 
@@ -180,7 +176,7 @@
 	if !strings.HasPrefix(grantID, tb.incarnation+"-") {
 		return wire.VoidUnknown
 	}
-	g, ok := tb.grants[grantID]
+	g, ok := tb.grants.byID[grantID]
 	if !ok {
 		return wire.VoidUnknown
 	}
@@ -197,12 +193,11 @@
 func (tb *table) take(r *wire.RunRequest) (*grant, bool) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	g, ok := tb.grants[r.Grant]
+	g, ok := tb.grants.byID[r.Grant]
 	if !ok || g.state != grantOffered || g.ticketID != ticketID(r.Request, r.Attempt) {
 		return nil, false
 	}
-	g.state = grantUsed
-	tb.running++
+	tb.grants.use(g)
 	tb.sched.Started(time.Now(), g.ticketID)
 	tb.ring.Record(timeline.KindStart, g.request, g.class, "")
 	return g, true
@@ -220,8 +215,7 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	now := time.Now()
-	tb.running--
-	g.ended = now
+	tb.grants.end(now, g)
 	tb.sched.Finished(now, g.ticketID, o)
 	tb.ring.Record(timeline.KindFinish, g.request, g.class, strconv.Itoa(int(o)))
 	tb.grantWaiting(now)
@@ -263,7 +257,7 @@
 		state:    grantOffered,
 		cancel:   make(chan struct{}),
 	}
-	tb.grants[g.id] = g
+	tb.grants.offer(g)
 	tb.ring.Record(timeline.KindGrant, t.request, t.policy.Class, "")
 	t.session.send(wire.Message{
 		Grant:  &wire.Grant{Request: t.request, Attempt: t.attempt, ID: g.id},
@@ -272,18 +266,14 @@
 }
 
 func (tb *table) preempt(ticketID string) {
-	for _, g := range tb.grants {
-		if g.ticketID == ticketID && g.state == grantUsed {
-			g.cancelOnce.Do(func() { close(g.cancel) })
-			return
-		}
+	if g, ok := tb.grants.used[ticketID]; ok {
+		g.cancelOnce.Do(func() { close(g.cancel) })
 	}
 }
 
 // lapse frees the slot of a grant that was not taken up. Called with mu held.
 func (tb *table) lapse(now time.Time, g *grant) {
-	g.state = grantLapsed
-	g.ended = now
+	tb.grants.lapse(now, g)
 	tb.sched.Finished(now, g.ticketID, policy.OutcomeLapsed)
 	tb.grantWaiting(now)
 	tb.checkDrained()
@@ -307,14 +297,12 @@
 func (tb *table) tick(now time.Time) time.Duration {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	for id, g := range tb.grants {
-		if g.state == grantOffered && now.Sub(g.offered) > grantTTL {
+	for _, g := range tb.grants.offered {
+		if now.Sub(g.offered) > grantTTL {
 			tb.lapse(now, g)
 		}
-		if g.over() && now.Sub(g.ended) > grantMemory {
-			delete(tb.grants, id)
-		}
 	}
+	tb.grants.forget(now.Add(-grantMemory))
 	tb.expire(now)
 	tb.grantWaiting(now)
 	load := tb.sched.Load()
@@ -375,14 +363,9 @@
 
 // checkDrained ends the wait of a graceful shutdown. Called with mu held.
 func (tb *table) checkDrained() {
-	if !tb.leaving || tb.running > 0 {
+	if !tb.leaving || len(tb.grants.used) > 0 || len(tb.grants.offered) > 0 {
 		return
 	}
-	for _, g := range tb.grants {
-		if g.state == grantOffered {
-			return
-		}
-	}
 	tb.drainOnce.Do(func() { close(tb.drained) })
 }
 
--- a/internal/entry/api/chat.go
+++ b/internal/entry/api/chat.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 
 	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/ids"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 )
@@ -76,7 +76,7 @@
 
 func (a *API) newRequest(class targets.Class, customer string, arrived time.Time) *dispatch.Request {
 	req := &dispatch.Request{
-		ID:         uuid.NewString(),
+		ID:         ids.New(),
 		Class:      class,
 		Customer:   customer,
 		Arrived:    arrived,
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	benchRequest = "0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e5f"
-	benchGrant   = "0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e60-12345"
+	benchRequest = "AZPx8no7fG2On6-rLD1OXw"
+	benchGrant   = "AZPx8no7fG2On6-rLD1OYA-12345"
 	// targetClasses and targetCustomers are the target size.
 	targetClasses   = 60
 	targetCustomers = 400
