load: target direct sends straight to the engines

Conclusion: go test -race -count=3 ./cmd/load passes for all targets but applepier, which needs a fleet.

--- a/testbed/cmd/load/command.go
+++ b/testbed/cmd/load/command.go
@@ -16,9 +16,13 @@
 	"github.com/applepier/applepier/testbed/scenarios"
 )
 
-// targetApplepier is the target that is reached through its entries; all
-// others are baselines.
-const targetApplepier = "applepier"
+// Targets besides the baselines.
+const (
+	// targetApplepier is reached through its entries.
+	targetApplepier = "applepier"
+	// targetDirect is the engines themselves, in turn, for what a router adds.
+	targetDirect = "direct"
+)
 
 const description = `Example:
    load --mix tampere --shape burst-4x --seed 1 \
@@ -37,7 +41,7 @@
 			&cli.StringFlag{Name: "shape-file", Usage: "YAML file with a shape of your own"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "draws the arrivals"},
 			&cli.FloatFlag{Name: "scale", Value: 1, Usage: "multiplies the phases' durations"},
-			&cli.StringFlag{Name: "target", Value: targetApplepier, Usage: targetApplepier + ", " + strings.Join(baseline.Names(), ", ")},
+			&cli.StringFlag{Name: "target", Value: targetApplepier, Usage: strings.Join(targetNames(), ", ")},
 			&cli.StringSliceFlag{Name: "entry", Usage: "base URL of an entry; repeat for several"},
 			&cli.StringSliceFlag{Name: "engine", Usage: "base URL of a stand-in engine; repeat for several"},
 			&cli.DurationFlag{Name: "patience", Value: load.DefaultPatience, Usage: "how long a caller waits"},
@@ -63,7 +67,11 @@
 		CheckRetryAfter: cmd.Bool("retry-after-check"),
 		Progress:        func(p load.Progress) { writeProgress(progress, p) },
 	}
-	if options.Target != targetApplepier {
+	switch options.Target {
+	case targetApplepier:
+	case targetDirect:
+		options.Entries = options.Engines
+	default:
 		router, err := baseline.Start(options.Target, options.Engines, scenario.Mix.Fleet.Capacity)
 		if err != nil {
 			return err
@@ -71,16 +79,25 @@
 		defer router.Close()
 		options.Entries = []string{router.URL}
 	}
+	return measure(ctx, options, cmd.String("json"), out)
+}
+
+// measure runs the load and writes its report.
+func measure(ctx context.Context, options load.Options, jsonPath string, out io.Writer) error {
 	report, err := load.Run(ctx, options)
 	if err != nil {
 		return err
 	}
-	if err := writeJSON(cmd.String("json"), report); err != nil {
+	if err := writeJSON(jsonPath, report); err != nil {
 		return err
 	}
 	return report.WriteTable(out)
 }
 
+func targetNames() []string {
+	return append([]string{targetApplepier, targetDirect}, baseline.Names()...)
+}
+
 // readScenario takes the named mix and shape, or those of the given files.
 func readScenario(cmd *cli.Command) (load.Scenario, error) {
 	mix, err := scenarios.Mix(cmd.String("mix"))
--- a/testbed/cmd/load/command_test.go
+++ b/testbed/cmd/load/command_test.go
@@ -16,7 +16,16 @@
 	"github.com/applepier/applepier/testbed/load"
 )
 
-func TestCommandReportsABaseline(t *testing.T) {
+func TestCommandReportsEachTargetButApplepier(t *testing.T) {
+	for _, target := range targetNames() {
+		if target != targetApplepier {
+			t.Run(target, func(t *testing.T) { reportTarget(t, target) })
+		}
+	}
+}
+
+func reportTarget(t *testing.T, target string) {
+	t.Helper()
 	server, err := engine.New(engine.Config{Interval: 100 * time.Microsecond, Capacity: 64})
 	if err != nil {
 		t.Fatal(err)
@@ -27,13 +36,13 @@
 	path := filepath.Join(t.TempDir(), "report.json")
 	var table bytes.Buffer
 	err = newCommand(&table, io.Discard).Run(context.Background(), []string{
-		"load", "--mix", "tampere", "--shape", "quiet", "--scale", "0.02", "--target", "leastload",
+		"load", "--mix", "tampere", "--shape", "quiet", "--scale", "0.02", "--target", target,
 		"--engine", web.URL, "--json", path,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"tampere quiet, seed 1, target leastload", "condition-summary", "total", "goodput"} {
+	for _, want := range []string{"tampere quiet, seed 1, target " + target, "condition-summary", "total", "goodput"} {
 		if !strings.Contains(table.String(), want) {
 			t.Errorf("table lacks %q:\n%s", want, table.String())
 		}
