--- a/testbed/fleet/options.go
+++ b/testbed/fleet/options.go
@@ -38,6 +38,8 @@
 	// Interval is the time between an engine's tokens at full speed, in
 	// whole milliseconds.
 	Interval time.Duration
+	// LoadLag is how old an engine's load report can be; its default when zero.
+	LoadLag time.Duration
 	// IgnoresFence marks an engine that takes orders with old numbers.
 	IgnoresFence bool
 }
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -156,39 +156,32 @@
 // BeginTerminate sends SIGTERM and does not wait.
 func (p *Process) BeginTerminate() error { return p.signal(syscall.SIGTERM) }
 
-// Terminate sends SIGTERM and waits for the end; an error when the process
-// ends with another code than 0 or not before ctx is done.
+// Terminate sends SIGTERM and waits for the end as AwaitEnd does.
 func (p *Process) Terminate(ctx context.Context) error {
-	i, err := p.current()
-	if err != nil {
-		return err
-	}
-	if err := p.signal(syscall.SIGTERM); err != nil {
+	if err := p.BeginTerminate(); err != nil {
 		return err
 	}
-	select {
-	case <-i.done:
-		if i.err != nil {
-			return errors.Wrapf(i.err, "%s after SIGTERM", p.Name)
-		}
-		return nil
-	case <-ctx.Done():
-		return errors.Wrapf(ctx.Err(), "%s has not ended after SIGTERM", p.Name)
-	}
+	return p.AwaitEnd(ctx)
 }
 
-// WaitEnd waits until the process has ended by whatever cause.
-func (p *Process) WaitEnd(ctx context.Context) error {
-	i, err := p.current()
-	if err != nil {
-		return nil
+// AwaitEnd waits until the process has ended by itself: an error when it ends
+// with another code than 0 or not before ctx is done.
+func (p *Process) AwaitEnd(ctx context.Context) error {
+	p.mu.Lock()
+	i := p.running
+	p.mu.Unlock()
+	if i == nil {
+		return errors.Wrap(ErrNotRunning, p.Name)
 	}
 	select {
 	case <-i.done:
-		return nil
 	case <-ctx.Done():
 		return errors.Wrapf(ctx.Err(), "%s has not ended", p.Name)
 	}
+	if i.err != nil {
+		return errors.Wrapf(i.err, "end of %s", p.Name)
+	}
+	return nil
 }
 
 // Restart kills the process if it runs, starts it anew with the same
--- /dev/null
+++ b/testbed/matrix/run.go
@@ -0,0 +1,121 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/testbed/fleet"
+	"github.com/applepier/applepier/testbed/history"
+)
+
+// cellLimit bounds one cell.
+const cellLimit = 4 * time.Minute
+
+// logLines is how much of each log a failed cell keeps.
+const logLines = 60
+
+// Result is what became of a cell.
+type Result struct {
+	Cell Cell
+	// Violations are the promises that were broken.
+	Violations []history.Violation
+	// Err says why the cell could not be run to its end.
+	Err error
+	// Told is what the subject's caller was told, in order.
+	Told string
+	// Logs are the processes' last lines, of a cell that did not hold.
+	Logs string
+	Took time.Duration
+}
+
+// Holds reports whether the cell ran and broke no promise.
+func (r Result) Holds() bool { return r.Err == nil && len(r.Violations) == 0 }
+
+// Run runs one cell on a fleet of its own.
+func Run(ctx context.Context, binaries *fleet.Binaries, c Cell) Result {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, cellLimit)
+	defer cancel()
+	result := Result{Cell: c}
+	rig, err := newRig(ctx, binaries, c.Seed, loadLagOf(c))
+	if err != nil {
+		result.Err = errors.Wrap(err, "start")
+		return result
+	}
+	defer rig.close()
+	result.Err = rig.play(ctx, c)
+	result.judge(rig)
+	result.Took = time.Since(start)
+	return result
+}
+
+func loadLagOf(c Cell) time.Duration {
+	for _, kind := range c.Faults {
+		if kind == StaleLoad {
+			return staleLoadLag
+		}
+	}
+	return 0
+}
+
+// play runs the cell under load and checks afterwards that all is served.
+func (r *rig) play(ctx context.Context, c Cell) error {
+	stop := r.startBackground(ctx)
+	err := r.subjectCell(ctx, c)
+	if err == nil {
+		r.probe(ctx)
+	}
+	stop()
+	r.calls.Wait()
+	return err
+}
+
+func (r *rig) subjectCell(ctx context.Context, c Cell) error {
+	switch c.Subject {
+	case SubjectDocket, SubjectSummary:
+		return r.requestCell(ctx, c)
+	}
+	return errors.Errorf("unknown subject %s", c.Subject)
+}
+
+func (r *Result) judge(rig *rig) {
+	h, err := rig.collect()
+	if err != nil {
+		r.Err = errors.Join(r.Err, err)
+		return
+	}
+	r.Violations = history.Check(h)
+	r.Told = toldOf(h, r.Cell)
+	if !r.Holds() {
+		var logs strings.Builder
+		rig.fleet.WriteLogs(&logs, logLines)
+		r.Logs = logs.String()
+	}
+}
+
+// toldOf lists what the subject's caller was told.
+func toldOf(h history.History, c Cell) string {
+	var told []string
+	for _, call := range h.Calls {
+		if call.Class == string(c.Subject) && !strings.HasPrefix(call.Marker, "probe") {
+			told = append(told, string(call.Told))
+		}
+	}
+	return strings.Join(told, ", ")
+}
+
+func (r Result) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s seed %d: told %s, %s", r.Cell.Name(), r.Cell.Seed, r.Told, r.Took.Round(time.Millisecond))
+	if r.Err != nil {
+		fmt.Fprintf(&text, "\n  not run to its end: %v", r.Err)
+	}
+	for _, v := range r.Violations {
+		fmt.Fprintf(&text, "\n  %s", v)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/testbed/matrix/wait.go
@@ -0,0 +1,33 @@
+package matrix
+
+import (
+	"context"
+	"time"
+)
+
+// pollPause is the pause between two looks at a condition.
+const pollPause = 20 * time.Millisecond
+
+// until polls a condition and reports whether it was met before ctx ended.
+func until(ctx context.Context, met func() bool) bool {
+	for !met() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(pollPause):
+		}
+	}
+	return true
+}
+
+// pause keeps a caller whose calls fail at once from spinning; false ends it.
+func (r *rig) pause(ctx context.Context, ending <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ending:
+		return false
+	case <-time.After(pollPause):
+		return true
+	}
+}
