--- /dev/null
+++ b/internal/platform/bench_test.go
@@ -0,0 +1,34 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+)
+
+// targetVMs is the VM list at the target size: 410 entries and 1,200 engines.
+const targetVMs = 1610
+
+// BenchmarkVMList is what one read of the whole list costs its reader;
+// json-B is its size.
+func BenchmarkVMList(b *testing.B) {
+	var vms []VM
+	for i := range targetVMs {
+		vms = append(vms, VM{
+			Name: fmt.Sprintf("backend-%04d", i), Addr: fmt.Sprintf("10.0.%d.%d:8090", i/256, i%256),
+			Zone: fmt.Sprintf("zone-%02d", i%12), Role: RoleBackend, Serves: fmt.Sprintf("model-%02d", i%12),
+		})
+	}
+	data, err := json.Marshal(vms)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		var read []VM
+		if err := json.Unmarshal(data, &read); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(data)), "json-B")
+}
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -174,3 +174,24 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkFrame encodes and decodes the frame of one token.
+func BenchmarkFrame(b *testing.B) {
+	chunk := `{"id":"chatcmpl-1","object":"chat.completion.chunk","created":1764000000,"model":"assistant",` +
+		`"choices":[{"index":0,"delta":{"content":" manhole"},"finish_reason":null}]}`
+	frame := Frame{Kind: FrameData, Data: []byte(chunk), Tokens: 1}
+	b.ReportAllocs()
+	size := 0
+	for b.Loop() {
+		data, err := cbor.Marshal(frame)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var decoded Frame
+		if err := cbor.Unmarshal(data, &decoded); err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+	}
+	b.ReportMetric(float64(size), "wire-B")
+}
