--- a/policy/burst_test.go
+++ b/policy/burst_test.go
@@ -5,30 +5,59 @@
 	"time"
 )
 
-func flags(rate float64) workload {
-	return workload{class: "flag", tier: 0, prompt: 100, answer: 10, firstToken: 500 * time.Millisecond, rate: steady(rate)}
+// slotSeconds is how long a run of w holds a slot of a full batch.
+func slotSeconds(e *fakeEngine, w workload) float64 {
+	return float64(e.batch) / e.capacity(w)
 }
 
-func questions(rate func(time.Duration) float64) workload {
-	return workload{class: "question", tier: 2, prompt: 200, answer: 60, firstToken: 2 * time.Second, rate: rate, customers: 10, hot: 0.1}
-}
+// TestBurstOfLowerClass plays a burst of planner questions at several times
+// capacity, beside hazard flags and summaries.
+func TestBurstOfLowerClass(t *testing.T) {
+	for _, factor := range []float64{2, 4, 8} {
+		offeredFlags, lateFlags := 0, 0
+		for seed := range uint64(3) {
+			p := newPlay(seed, fleet(4, 8)...)
+			e := newFakeEngine(8)
+			capacity := 4 * e.capacity(questions(nil))
+			q := questions(burst(0.2*capacity, factor*capacity, 30*time.Second, 90*time.Second))
+			f, s := flags(steady(2)), summaries(steady(0.3))
+			p.run(3*time.Minute, 20*time.Minute, f, q, s)
+			t.Logf("%v x %.1f/s, seed %d:%s", factor, capacity, seed, p.report(f, q, s))
 
-func summaries(rate float64) workload {
-	return workload{class: "summary", tier: 4, prompt: 3000, answer: 300, completion: 60 * time.Second, rate: steady(rate)}
+			offeredFlags += p.tally("flag").offered
+			lateFlags += p.tally("flag").offered - p.tally("flag").onTime
+			unit := slotSeconds(e, q)
+			goodput := p.tally("question").goodput()
+			goodput += p.tally("flag").goodput() * slotSeconds(e, f) / unit
+			goodput += p.tally("summary").goodput() * slotSeconds(e, s) / unit
+			if goodput < 0.95*capacity {
+				t.Errorf("goodput at %v x capacity: %.2f/s of %.2f/s", factor, goodput, capacity)
+			}
+			if share := p.tally("question").honest(); share < 0.6 {
+				t.Errorf("of those that came back as told %.2f succeeded", share)
+			}
+			if p.wasted() > 0.02 {
+				t.Errorf("wasted %.3f of slot time", p.wasted())
+			}
+		}
+		if lateFlags*1000 > offeredFlags {
+			t.Errorf("%d of %d hazard flags not on time at %v x capacity", lateFlags, offeredFlags, factor)
+		}
+	}
 }
 
-func TestBurstTrial(t *testing.T) {
-	for _, factor := range []float64{0.5, 1, 2, 4, 8} {
-		var engines []*fakeEngine
-		for range 4 {
-			engines = append(engines, newFakeEngine(8))
+// TestBurstOfTopTier plays hazard flags beyond what the engines can do, beside
+// more summaries than fit: goodput may not fall as more are offered.
+func TestBurstOfTopTier(t *testing.T) {
+	capacity := 4 * newFakeEngine(8).capacity(flags(nil))
+	for _, factor := range []float64{0.4, 2, 4, 8} {
+		p := newPlay(1, fleet(4, 8)...)
+		f := flags(burst(1, factor*capacity, 35*time.Second, 90*time.Second))
+		s := summaries(steady(4))
+		p.run(2*time.Minute, 10*time.Minute, f, s)
+		t.Logf("flags %v x %.1f/s:%s", factor, capacity, p.report(f, s))
+		if least := min(0.95*factor, 0.75) * capacity; p.tally("flag").goodput() < least {
+			t.Errorf("goodput at %v x capacity: %.1f/s, want %.1f/s", factor, p.tally("flag").goodput(), least)
 		}
-		p := newPlay(1, engines...)
-		p.comeback = true
-		q := questions(nil)
-		capacity := 4 * engines[0].capacity(q)
-		q.rate = burst(0.2*capacity, factor*capacity, 30*time.Second, 90*time.Second)
-		p.run(3*time.Minute, flags(2), q, summaries(0.3))
-		t.Logf("burst %v x capacity %.1f/s\n%s", factor, capacity, p.report())
 	}
 }
--- a/policy/workload_test.go
+++ b/policy/workload_test.go
@@ -19,6 +19,18 @@
 	hot       float64
 }
 
+func flags(rate func(time.Duration) float64) workload {
+	return workload{class: "flag", tier: 0, prompt: 100, answer: 10, firstToken: 500 * time.Millisecond, rate: rate}
+}
+
+func questions(rate func(time.Duration) float64) workload {
+	return workload{class: "question", tier: 2, prompt: 200, answer: 60, firstToken: 2 * time.Second, rate: rate, customers: 10, hot: 0.1}
+}
+
+func summaries(rate func(time.Duration) float64) workload {
+	return workload{class: "summary", tier: 4, prompt: 3000, answer: 300, completion: time.Minute, rate: rate}
+}
+
 func steady(rate float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return rate }
 }
@@ -39,30 +51,3 @@
 	}
 	return MilestoneCompletion, w.completion
 }
-
-// tally is what the callers of a class got.
-type tally struct {
-	offered   int
-	whole     int
-	preempted int
-	inBurst   int
-	onTime    int
-	refused   int
-	expired   int
-	comeback  int
-	// comebackIn counts those that were let in and answered on coming back.
-	comebackIn  int
-	longestWait time.Duration
-	ranTime     time.Duration
-	wastedTime  time.Duration
-}
-
-// attained is the share of the offered that was answered on time.
-func (t *tally) attained() float64 {
-	return float64(t.onTime) / float64(max(t.offered, 1))
-}
-
-// kept is the share of the answered that was on time.
-func (t *tally) kept() float64 {
-	return float64(t.onTime) / float64(max(t.whole, 1))
-}
