Orders to load a model, under a lease with a fencing number

Ruled out: moving models by load, a load takes longer than most bursts and admission answers those. Tickets name the model, so that none runs on the wrong one.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,7 @@
 	holder  *targets.Holder
 	metrics *metrics.Metrics
 	list    platform.VMList
+	tables  platform.Table
 
 	// listMu is a leaf; it guards vms.
 	listMu sync.Mutex
@@ -67,8 +68,10 @@
 func New(s settings.Agent, systemKey string, log *zap.Logger) *Agent {
 	a := &Agent{settings: s, incarnation: ids.New(), systemKey: systemKey, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
 	a.ring = timeline.NewRing(s.Process, &a.clock, eventRing)
-	a.table = newTable(a.incarnation, a.ring, a.holder, a.metrics.Queue)
-	a.list = platform.NewHTTP(s.Platform.URL)
+	a.table = newTable(a.incarnation, s.Backend.Serves, a.ring, a.holder, a.metrics.Queue)
+	services := platform.NewHTTP(s.Platform.URL)
+	a.list = services
+	a.tables = services
 	a.connectBackend()
 	return a
 }
@@ -89,6 +92,7 @@
 	wg.Go(func() { a.table.keepTime(ctx) })
 	wg.Go(func() { a.spread(ctx) })
 	wg.Go(func() { a.followList(ctx) })
+	wg.Go(func() { a.followOrders(ctx) })
 	wg.Wait()
 }
 
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -32,18 +32,18 @@
 	}
 	defer conn.Close()
 	s := &session{agent: a, conn: conn}
-	s.send(wire.Message{Hello: a.hello()})
-	a.table.join(s)
+	a.table.join(s, a.hello)
 	defer a.table.part(s)
 	s.serve(r.Context(), conn)
 }
 
-func (a *Agent) hello() *wire.Hello {
+func (a *Agent) hello(serves string) *wire.Hello {
 	return &wire.Hello{
 		Process:     a.settings.Process,
 		Incarnation: a.incarnation,
 		Zone:        a.settings.Zone,
-		Serves:      a.settings.Backend.Serves,
+		Serves:      serves,
+		Loads:       a.model != nil,
 	}
 }
 
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -43,14 +43,19 @@
 	grantSeq uint64
 	leaving  bool
 	engineUp bool
+	// serves is the model or service that is served now; switching says that
+	// the engine is about to load another.
+	serves    string
+	switching bool
 
 	drainOnce sync.Once
 	drained   chan struct{}
 }
 
-func newTable(incarnation string, ring *timeline.Ring, holder *targets.Holder, queue *metrics.Queue) *table {
+func newTable(incarnation, serves string, ring *timeline.Ring, holder *targets.Holder, queue *metrics.Queue) *table {
 	return &table{
 		incarnation: incarnation,
+		serves:      serves,
 		ring:        ring,
 		holder:      holder,
 		queue:       queue,
@@ -62,12 +67,12 @@
 	}
 }
 
-// join adds an entry's session.
-func (tb *table) join(s *session) {
+// join adds an entry's session and greets it.
+func (tb *table) join(s *session, hello func(serves string) *wire.Hello) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.sessions[s] = struct{}{}
-	s.send(wire.Message{Status: tb.status(0)})
+	s.send(wire.Message{Hello: hello(tb.serves), Status: tb.status(0)})
 }
 
 // part removes a session with the tickets that wait for it: the entry places
@@ -92,6 +97,10 @@
 		tb.refuse(s, m.Request, m.Attempt, reason, closedRetryAfter)
 		return
 	}
+	if m.Serves != tb.serves {
+		tb.refuse(s, m.Request, m.Attempt, wire.ReasonSwitching, closedRetryAfter)
+		return
+	}
 	now := time.Now()
 	t := newTicket(now, s, m, tb.holder.Current())
 	if _, ok := tb.tickets[t.policy.ID]; ok {
@@ -143,6 +152,9 @@
 	if !tb.engineUp {
 		return wire.ReasonEngineDown, true
 	}
+	if tb.switching {
+		return wire.ReasonSwitching, true
+	}
 	return "", false
 }
 
@@ -396,7 +408,7 @@
 		Running:    load.Running,
 		Limit:      load.Limit,
 		Leaving:    tb.leaving,
-		EngineDown: !tb.engineUp,
+		EngineDown: !tb.engineUp || tb.switching,
 	}
 }
 
--- a/internal/agent/table_test.go
+++ b/internal/agent/table_test.go
@@ -43,16 +43,18 @@
 }
 
 func newTestTable() (*table, *session, *sentTo) {
-	tb := newTable("incarnation", timeline.NewRing("agent", &timeline.Clock{}, 64), targets.NewHolder(), metrics.New().Queue)
+	tb := newTable("incarnation", "model", timeline.NewRing("agent", &timeline.Clock{}, 64), targets.NewHolder(), metrics.New().Queue)
 	tb.setEngine(true)
 	sent := &sentTo{}
 	s := &session{conn: sent}
-	tb.join(s)
+	tb.join(s, testHello)
 	return tb, s, sent
 }
 
+func testHello(serves string) *wire.Hello { return &wire.Hello{Serves: serves} }
+
 func testTicket(request string) *wire.Ticket {
-	return &wire.Ticket{Request: request, Attempt: 1, Class: "hazard-flag", Customer: "c", SlackMS: 5000, Size: 10, Copies: 1}
+	return &wire.Ticket{Request: request, Attempt: 1, Class: "hazard-flag", Customer: "c", Serves: "model", SlackMS: 5000, Size: 10, Copies: 1}
 }
 
 func runOf(g *wire.Grant) *wire.RunRequest {
@@ -170,3 +172,20 @@
 		t.Fatalf("tier: got %d, want that of the newest targets", ticket.policy.Tier)
 	}
 }
+
+func TestSwitchingAgentRefusesUntilTheNewModelIsThere(t *testing.T) {
+	tb, s, sent := newTestTable()
+	tb.beginSwitch()
+	tb.place(s, testTicket("during"))
+	tb.endSwitch("other", testHello)
+	tb.place(s, testTicket("old-model"))
+	if got := len(sent.refusals()); got != 2 || len(sent.grants()) != 0 {
+		t.Fatalf("refusals: got %d with %d grants, want 2 and none", got, len(sent.grants()))
+	}
+	next := testTicket("new-model")
+	next.Serves = "other"
+	tb.place(s, next)
+	if len(sent.grants()) != 1 {
+		t.Fatal("the new model was not granted")
+	}
+}
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -105,5 +105,6 @@
 		Prefix:   r.Prefix,
 		Copies:   policy.Copies(j.tier()),
 		Retry:    j.attempt > 1,
+		Serves:   r.Serves,
 	}
 }
--- a/internal/entry/fleet/view.go
+++ b/internal/entry/fleet/view.go
@@ -22,6 +22,8 @@
 	// Serves is the model or service the agent itself names; the list may be
 	// out of date when an address has passed to another VM.
 	Serves string
+	// Loads says that its backend server takes orders to load a model.
+	Loads bool
 }
 
 // Agents lists what is known of each agent that this entry connects to.
@@ -47,6 +49,7 @@
 		Seen:       l.seen,
 		Targets:    l.targets,
 		Serves:     l.hello.Serves,
+		Loads:      l.hello.Loads,
 	}
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -142,6 +142,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { e.fleet.Run(work) })
 	wg.Go(func() { e.followTargets(work) })
+	wg.Go(func() { e.runDuties(ctx) })
 	callerRouter := httprouter.New()
 	e.api.Register(callerRouter)
 	callerServer := newServer(callerRouter)
--- a/internal/lease/orders/order.go
+++ b/internal/lease/orders/order.go
@@ -14,6 +14,9 @@
 	"github.com/applepier/applepier/internal/platform"
 )
 
+// LeaseName names the lease that orders are given under.
+const LeaseName = "models"
+
 // Order is the newest order to the agent on one VM.
 type Order struct {
 	// ID is unique to the order.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -40,6 +40,8 @@
 	Zone string `cbor:"3,keyasint"`
 	// Serves names the model or plain service behind an agent.
 	Serves string `cbor:"4,keyasint,omitempty"`
+	// Loads says that the backend server takes orders to load a model.
+	Loads bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Ticket asks an agent for a grant, from an entry.
@@ -63,6 +65,9 @@
 	// Retry marks a request that ran in part before: it is never refused for
 	// its estimated wait, since its caller holds half an answer.
 	Retry bool `cbor:"10,keyasint,omitempty"`
+	// Serves is the model or plain service that is asked for; an agent whose
+	// engine has loaded another since refuses the ticket.
+	Serves string `cbor:"11,keyasint"`
 }
 
 // Withdraw takes a ticket back, or declines its grant.
@@ -90,6 +95,8 @@
 	ReasonLeaving Reason = "leaving"
 	// ReasonQueueFull: the bounded queue is full.
 	ReasonQueueFull Reason = "queue_full"
+	// ReasonSwitching: the engine loads another model, or has done so.
+	ReasonSwitching Reason = "switching"
 	// ReasonEngineDown: the engine can't be reached.
 	ReasonEngineDown Reason = "engine_down"
 )
@@ -142,7 +149,7 @@
 	Limit   int `cbor:"4,keyasint"`
 	// Leaving agents take no new work.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
-	// EngineDown says that the engine can't be reached.
+	// EngineDown says that the engine can't be reached, or loads a model.
 	EngineDown bool `cbor:"6,keyasint,omitempty"`
 }
 
