metrics: calls to the platform, targets' version and requests held are counted in both programs

A run of the programs by hand showed these series at zero or missing. What is known elsewhere is asked when the metrics are read, so that no loop keeps it up to date. timeline: the reason why a process didn't answer no longer repeats its address.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/applepier/applepier/internal/engine"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/platform/counted"
 	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
@@ -68,7 +69,8 @@
 	a := &Agent{settings: s, incarnation: uuid.NewString(), systemKey: systemKey, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
 	a.ring = timeline.NewRing(s.Process, &a.clock, eventRing)
 	a.table = newTable(a.incarnation, a.ring, a.holder, a.metrics.Queue)
-	a.list = platform.NewHTTP(s.Platform.URL)
+	a.list = counted.New(platform.NewHTTP(s.Platform.URL), a.metrics.Platform)
+	a.metrics.OnRead(func() { a.metrics.TargetsVersion(a.holder.Current().Version) })
 	a.connectBackend()
 	return a
 }
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -44,3 +44,9 @@
 	}
 	return metrics.Late
 }
+
+// updateMetrics states what is known elsewhere when the metrics are read.
+func (e *entry) updateMetrics() {
+	e.metrics.TargetsVersion(e.targetsVersion())
+	e.metrics.Queue.Set(0, e.api.InFlight(), 0)
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -22,6 +22,7 @@
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/platform/counted"
 	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/targets/store"
@@ -55,7 +56,7 @@
 	ring     *timeline.Ring
 	holder   *targets.Holder
 	metrics  *metrics.Metrics
-	platform *platform.HTTP
+	platform *counted.Platform
 	store    *store.Store
 	claimer  *claim.Claimer
 	fleet    *fleet.Fleet
@@ -90,7 +91,7 @@
 	}
 	e := &entry{settings: s, keys: k, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
 	e.ring = timeline.NewRing(s.Process, &e.clock, eventRing)
-	e.platform = platform.NewHTTP(s.Platform.URL)
+	e.platform = counted.New(platform.NewHTTP(s.Platform.URL), e.metrics.Platform)
 	e.store = store.New(e.platform)
 	e.claimer = claim.NewClaimer(e.platform)
 	e.fleet = fleet.New(fleet.Config{
@@ -106,6 +107,7 @@
 	})
 	e.census = &census{own: e.ownProcess, fleet: e.fleet, key: k.system}
 	e.api = e.newAPI()
+	e.metrics.OnRead(e.updateMetrics)
 	return e, nil
 }
 
--- a/internal/metrics/handler.go
+++ b/internal/metrics/handler.go
@@ -33,6 +33,7 @@
 // Serve answers with the metrics in Prometheus' text format.
 func (m *Metrics) Serve(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(headerContentType, typeMetrics)
+	m.refresh()
 	// A collector that went away needs no answer, so errors end the writing.
 	if err := writeText(w, m.registry); err != nil {
 		return
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -29,6 +29,7 @@
 package metrics
 
 import (
+	"slices"
 	"sync"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -59,11 +60,12 @@
 	Control  *Control
 	Platform *Platform
 
-	// mu guards classes and reasons; nothing is locked while it is held but
+	// mu guards classes, reasons and onRead; nothing is locked while it is held but
 	// the registry's own lock.
 	mu      sync.Mutex
 	classes map[string]*Class
 	reasons map[Reason]bool
+	onRead  []func()
 }
 
 // New returns metrics that count from zero.
@@ -106,6 +108,24 @@
 	gauge(m.registry, familyTargetsVersion).Update(int64(version))
 }
 
+// OnRead has update called before each read of the metrics, for values that
+// are known elsewhere and need no counting.
+func (m *Metrics) OnRead(update func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onRead = append(m.onRead, update)
+}
+
+// refresh runs the updates without the lock, since they call the metrics.
+func (m *Metrics) refresh() {
+	m.mu.Lock()
+	updates := slices.Clone(m.onRead)
+	m.mu.Unlock()
+	for _, update := range updates {
+		update()
+	}
+}
+
 // bounded returns reason, or other when too many reasons are known.
 func (m *Metrics) bounded(reason Reason) Reason {
 	m.mu.Lock()
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -101,6 +101,7 @@
 func TestPaths(t *testing.T) {
 	m := New()
 	m.Request("flag").Received()
+	m.OnRead(func() { m.TargetsVersion(7) })
 	state := errors.New("starting")
 	ready := Readiness(func() error { return state })
 	router := httprouter.New()
@@ -123,6 +124,7 @@
 	state = errors.New("stopping")
 	expect(PathReady, http.StatusServiceUnavailable, "not ready: stopping")
 	expect(PathMetrics, http.StatusOK, `applepier_requests_received_total{class="flag"} 1`)
+	expect(PathMetrics, http.StatusOK, string(familyTargetsVersion)+" 7")
 	expect(PathMetrics, http.StatusOK, string(familyCPU)+" ")
 	expect(PathMetrics, http.StatusOK, string(familyMemory)+" ")
 }
--- /dev/null
+++ b/internal/platform/counted/counted_test.go
@@ -0,0 +1,44 @@
+package counted
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/applepier/applepier/internal/metrics"
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/platform/platformtest"
+)
+
+// services are the platform's in memory.
+type services struct {
+	*platformtest.Table
+	*platformtest.Objects
+	*platformtest.VMList
+}
+
+func TestCallsAndFailuresAreCounted(t *testing.T) {
+	table := platformtest.NewTable()
+	m := metrics.New()
+	p := New(services{Table: table}, m.Platform)
+
+	_, _ = p.Get(t.Context(), "none")
+	_ = p.Commit(t.Context(), []platform.Write{{Key: "a", Expect: 0}})
+	_ = p.Commit(t.Context(), []platform.Write{{Key: "a", Expect: 0}})
+	table.SetDown(true)
+	_, _ = p.List(t.Context(), "a")
+
+	recorder := httptest.NewRecorder()
+	m.Serve(recorder, httptest.NewRequest(http.MethodGet, metrics.PathMetrics, nil))
+	for _, want := range []string{
+		`applepier_platform_calls_total{operation="read"} 2`,
+		`applepier_platform_calls_total{operation="write"} 2`,
+		`applepier_platform_failures_total{operation="read"} 1`,
+		`applepier_platform_failures_total{operation="write"} 0`,
+	} {
+		if !strings.Contains(recorder.Body.String(), want+"\n") {
+			t.Errorf("no %q in\n%s", want, recorder.Body)
+		}
+	}
+}
--- a/internal/timeline/gather.go
+++ b/internal/timeline/gather.go
@@ -135,5 +135,15 @@
 	if call.Timeout() {
 		return "no answer in time"
 	}
-	return call.Err.Error()
+	return innermost(call).Error()
+}
+
+func innermost(err error) error {
+	for {
+		inner := errors.Unwrap(err)
+		if inner == nil {
+			return err
+		}
+		err = inner
+	}
 }
--- a/internal/timeline/gather_test.go
+++ b/internal/timeline/gather_test.go
@@ -65,7 +65,7 @@
 	if got := strings.Join(kinds, " "); got != "ticket grant sent" {
 		t.Errorf("got events %q", got)
 	}
-	if view.Answered != 2 || len(view.NotAnswered) != 1 || view.NotAnswered[0].Process != "gone" {
+	if view.Answered != 2 || len(view.NotAnswered) != 1 || view.NotAnswered[0].Process != "gone" || view.NotAnswered[0].Reason != "connection refused" {
 		t.Errorf("got %d answers, missing %v", view.Answered, view.NotAnswered)
 	}
 }
