logging: every event's name is a constant; connections and backend servers that come or go are logged

Names stood as literals in five packages and some constants named events that nothing logged. fleet: the pinger of a connection is a goroutine of conc's and is waited for.

--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/targets/store"
 )
@@ -125,7 +126,7 @@
 		return
 	}
 	a.holder.Offer(set)
-	a.log.Info("targets_changed", zap.Uint64("version", set.Version), zap.String("resource", r.URL.Path), zap.String("method", r.Method))
+	a.log.Info(logging.EventTargetsChanged, zap.Uint64("version", set.Version), zap.String("resource", r.URL.Path), zap.String("method", r.Method))
 	answer := changeAnswer{Accepted: true, Version: set.Version, APIKey: apiKey}
 	state(set, &answer.Class, &answer.Customer)
 	if c.wait > 0 {
@@ -161,7 +162,7 @@
 		w.Header().Set("Retry-After", retryAfter)
 		writeJSON(w, http.StatusServiceUnavailable, newError(codeUnavailable, "the table service is down, nothing was changed"))
 	default:
-		a.log.Error("admin_change_failed", zap.Error(err))
+		a.log.Error(logging.EventAdminChangeFailed, zap.Error(err))
 		writeJSON(w, http.StatusInternalServerError, newError(codeInternal, "the change failed, nothing was changed"))
 	}
 }
--- a/internal/admin/read.go
+++ b/internal/admin/read.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/targets"
 )
 
@@ -21,7 +22,7 @@
 	defer cancel()
 	set, err := a.store.Load(ctx)
 	if err != nil {
-		a.log.Warn("admin_read_failed", zap.Error(err))
+		a.log.Warn(logging.EventAdminReadFailed, zap.Error(err))
 		return a.holder.Current(), sourceMemory
 	}
 	a.holder.Offer(set)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 
 	"github.com/applepier/applepier/internal/engine"
 	"github.com/applepier/applepier/internal/ids"
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/platform/counted"
@@ -106,6 +107,7 @@
 // that nothing runs which this agent doesn't know of, then watches the engine.
 func (a *Agent) settleAndProbe(ctx context.Context) {
 	settled := false
+	wasUp := false
 	failures := 0
 	timer := time.NewTicker(probeEvery)
 	defer timer.Stop()
@@ -116,7 +118,10 @@
 		} else {
 			failures = 0
 		}
-		a.table.setEngine(settled && failures < probeFailures)
+		up := settled && failures < probeFailures
+		a.table.setEngine(up)
+		a.logEngine(wasUp, up, err)
+		wasUp = up
 		select {
 		case <-ctx.Done():
 			return
@@ -125,6 +130,19 @@
 	}
 }
 
+// logEngine tells when the backend server came or went; a start without it is
+// told by the first probes.
+func (a *Agent) logEngine(wasUp, up bool, err error) {
+	switch {
+	case up && !wasUp:
+		a.log.Info(logging.EventEngineUp)
+	case wasUp && !up:
+		a.log.Warn(logging.EventEngineDown, zap.Error(err))
+	case err != nil:
+		a.log.Debug(logging.EventEngineDown, zap.Error(err))
+	}
+}
+
 func (a *Agent) probe(ctx context.Context, settled *bool) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/platform"
 )
 
@@ -48,7 +49,7 @@
 			return err
 		}
 		if _, err := s.sweep(ctx, shard); err != nil {
-			s.log.Warn("claim_sweep_failed", zap.Int("shard", shard), zap.Error(err))
+			s.log.Warn(logging.EventClaimSweepFailed, zap.Int("shard", shard), zap.Error(err))
 		}
 		select {
 		case <-ctx.Done():
@@ -86,7 +87,7 @@
 	for _, row := range rows {
 		r, err := parseRecord(row)
 		if err != nil {
-			s.log.Warn("claim_corrupt", zap.String("row", row.Key), zap.Error(err))
+			s.log.Warn(logging.EventClaimCorrupt, zap.String("row", row.Key), zap.Error(err))
 			continue
 		}
 		if !r.Began.Before(oldest) {
--- a/internal/entry/fleet/link.go
+++ b/internal/entry/fleet/link.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/wire"
 )
@@ -91,15 +93,20 @@
 }
 
 func (l *link) serve(ctx context.Context, conn *wire.Conn) {
+	var pinger conc.WaitGroup
+	defer pinger.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l.attach(conn)
+	log := l.fleet.config.Log.With(logging.Peer(l.vm.Name))
+	log.Info(logging.EventConnected)
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	go l.ping(ctx, conn)
+	pinger.Go(func() { l.ping(ctx, conn) })
 	for {
 		m, err := conn.Receive(ctx)
 		if err != nil {
+			log.Info(logging.EventDisconnected, logging.Reason(err.Error()))
 			break
 		}
 		l.handle(m)
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -7,6 +7,8 @@
 
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/logging"
 )
 
 // Timing of a Keeper.
@@ -52,7 +54,7 @@
 
 // hold acts under the lease and returns once act has.
 func (k *Keeper) hold(ctx context.Context, act Act) {
-	k.log.Info("lease_acquired", zap.Uint64("fence", k.lease.Fence()))
+	k.log.Info(logging.EventLeaseAcquired, zap.Uint64("fence", k.lease.Fence()))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	lapse := time.AfterFunc(k.lease.Remaining(), cancel)
@@ -62,7 +64,7 @@
 	acting.Go(func() {
 		defer cancel()
 		if err := act(ctx, k.lease); err != nil && ctx.Err() == nil {
-			k.log.Warn("lease_act_failed", zap.Error(err))
+			k.log.Warn(logging.EventLeaseActFailed, zap.Error(err))
 		}
 	})
 	k.renew(ctx, lapse)
@@ -79,7 +81,7 @@
 			return
 		}
 		if err := k.lease.Renew(ctx); err != nil {
-			k.log.Warn("lease_renew_failed", zap.Error(err))
+			k.log.Warn(logging.EventLeaseRenewFailed, zap.Error(err))
 		}
 		if k.lease.Check() != nil {
 			return
@@ -89,11 +91,11 @@
 }
 
 func (k *Keeper) release() {
-	k.log.Info("lease_ended")
+	k.log.Info(logging.EventLeaseEnded)
 	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
 	defer cancel()
 	if err := k.lease.Release(ctx); err != nil {
-		k.log.Warn("lease_release_failed", zap.Error(err))
+		k.log.Warn(logging.EventLeaseReleaseFailed, zap.Error(err))
 	}
 }
 
--- a/internal/lease/orders/follower.go
+++ b/internal/lease/orders/follower.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/logging"
 )
 
 // Timing of a Follower.
@@ -47,7 +49,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
-			f.log.Warn("order_failed", zap.Error(err))
+			f.log.Warn(logging.EventOrderFailed, zap.Error(err))
 		}
 		timer := time.NewTimer(followInterval - followJitter + rand.N(2*followJitter))
 		select {
@@ -73,7 +75,7 @@
 		return errors.Wrap(err, "carry out the order")
 	}
 	f.done = order.ID
-	f.log.Info("order_done", zap.String("order", order.ID), zap.Uint64("fence", order.Fence), zap.String("model", order.Model))
+	f.log.Info(logging.EventOrderDone, zap.String("order", order.ID), zap.Uint64("fence", order.Fence), zap.String("model", order.Model))
 	return nil
 }
 
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -1,6 +1,6 @@
 package logging
 
-// Names of events, in the order of a process's and a request's life.
+// Names of events of a process.
 const (
 	// EventStarted: the process serves.
 	EventStarted = "started"
@@ -12,45 +12,62 @@
 	EventStopped = "stopped"
 	// EventFailed: the process can't go on.
 	EventFailed = "failed"
+	// EventConnected: a connection to another process was opened.
+	EventConnected = "connected"
+	// EventDisconnected: a connection was closed, or went silent.
+	EventDisconnected = "disconnected"
+	// EventPlatformDown: a platform service doesn't answer.
+	EventPlatformDown = "platform_down"
+	// EventEngineDown: the backend server can't be reached.
+	EventEngineDown = "engine_down"
+	// EventEngineUp: it can be reached, at first or again.
+	EventEngineUp = "engine_up"
+)
 
-	// EventRequestReceived: a caller's request was taken.
-	EventRequestReceived = "request_received"
-	// EventRequestGranted: an agent has room for it.
-	EventRequestGranted = "request_granted"
-	// EventRequestStarted: it runs on a backend server.
-	EventRequestStarted = "request_started"
-	// EventRequestFinished: its whole answer was given.
+// Names of events of a request. Each request has one line, with its end.
+const (
+	// EventRequestFinished: its whole answer was given, or it failed.
 	EventRequestFinished = "request_finished"
 	// EventRequestRefused: it was turned away and certainly not run.
 	EventRequestRefused = "request_refused"
 	// EventRequestUnknown: whether it ran can't be told.
 	EventRequestUnknown = "request_unknown"
-	// EventRequestRetried: it is tried again.
-	EventRequestRetried = "request_retried"
 	// EventRequestCancelled: its caller went away.
 	EventRequestCancelled = "request_cancelled"
-
-	// EventClaimNotSettled: how claimed work ended could not be recorded.
+	// EventClaimNotSettled: the end of a request with an idempotency key could
+	// not be written into its claim.
 	EventClaimNotSettled = "claim_not_settled"
+	// EventClaimSweepFailed: old claims could not be removed.
+	EventClaimSweepFailed = "claim_sweep_failed"
+	// EventClaimCorrupt: a claim can't be decoded and is left alone.
+	EventClaimCorrupt = "claim_corrupt"
+)
 
-	// EventConnected: a connection to another process was opened.
-	EventConnected = "connected"
-	// EventDisconnected: a connection was closed, or went silent.
-	EventDisconnected = "disconnected"
-	// EventPlatformDown: a platform service doesn't answer.
-	EventPlatformDown = "platform_down"
-	// EventPlatformUp: it answers again.
-	EventPlatformUp = "platform_up"
-	// EventEngineDown: the backend server can't be reached.
-	EventEngineDown = "engine_down"
-	// EventEngineUp: it can be reached again.
-	EventEngineUp = "engine_up"
-	// EventTargetsAdopted: a newer version of the targets is in force here.
-	EventTargetsAdopted = "targets_adopted"
+// Names of events of the administration, leases and orders.
+const (
 	// EventTargetsChanged: an operator's change was accepted.
 	EventTargetsChanged = "targets_changed"
-	// EventLease: a lease was taken, renewed late, lost or given back.
-	EventLease = "lease"
-	// EventOrder: an order was given to an engine.
-	EventOrder = "order"
+	// EventTargetsAdopted: a newer version of the targets is in force here.
+	EventTargetsAdopted = "targets_adopted"
+	// EventTargetsPollFailed: the version of the targets could not be read.
+	EventTargetsPollFailed = "targets_poll_failed"
+	// EventAdminReadFailed: an operator was told what is in force here, since
+	// the table service didn't answer.
+	EventAdminReadFailed = "admin_read_failed"
+	// EventAdminChangeFailed: a change failed for a cause of our own.
+	EventAdminChangeFailed = "admin_change_failed"
+	// EventLeaseAcquired: a lease is held by this process from now on.
+	EventLeaseAcquired = "lease_acquired"
+	// EventLeaseEnded: a lease is no longer held here.
+	EventLeaseEnded = "lease_ended"
+	// EventLeaseRenewFailed: a lease could not be renewed this time.
+	EventLeaseRenewFailed = "lease_renew_failed"
+	// EventLeaseReleaseFailed: a lease could not be given back.
+	EventLeaseReleaseFailed = "lease_release_failed"
+	// EventLeaseActFailed: what is done under a lease failed.
+	EventLeaseActFailed = "lease_act_failed"
+	// EventOrderDone: an order to the engine was carried out.
+	EventOrderDone = "order_done"
+	// EventOrderFailed: an order could not be read or carried out.
+	EventOrderFailed = "order_failed"
 )
--- a/internal/targets/store/poller.go
+++ b/internal/targets/store/poller.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/targets"
 )
 
@@ -45,7 +46,7 @@
 func (p *Poller) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := p.Poll(ctx); err != nil && ctx.Err() == nil {
-			p.log.Warn("targets_poll_failed", zap.Error(err))
+			p.log.Warn(logging.EventTargetsPollFailed, zap.Error(err))
 		}
 		pause(ctx, PollInterval-pollJitter+rand.N(2*pollJitter))
 	}
@@ -68,7 +69,7 @@
 		return err
 	}
 	if p.holder.Offer(set) {
-		p.log.Info("targets_adopted", zap.Uint64("version", set.Version), zap.String("source", "table"))
+		p.log.Info(logging.EventTargetsAdopted, zap.Uint64("version", set.Version), zap.String("source", "table"))
 	}
 	return nil
 }
