--- /dev/null
+++ b/internal/logging/docs_test.go
@@ -0,0 +1,37 @@
+package logging
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// TestDocsListEveryEvent compares the table in OPERATING.md with the names in
+// this package.
+func TestDocsListEveryEvent(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATING.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := os.ReadFile("event.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, table, found := strings.Cut(string(page), "## Log events")
+	if !found {
+		t.Fatal("the page has no table of log events")
+	}
+	inCode := map[string]bool{}
+	for _, match := range regexp.MustCompile(`Event\w+ += "(\w+)"`).FindAllStringSubmatch(string(source), -1) {
+		inCode[match[1]] = true
+		if !strings.Contains(table, "`"+match[1]+"`") {
+			t.Errorf("the page doesn't list %s", match[1])
+		}
+	}
+	for _, match := range regexp.MustCompile("`([a-z_]+)`").FindAllStringSubmatch(table, -1) {
+		if !inCode[match[1]] {
+			t.Errorf("the page lists %s, which isn't logged", match[1])
+		}
+	}
+}
