targets: one peer is asked at a time for a newer Set

A change is told of by many peers at almost the same moment, and each was asked for the whole Set until the first answer came. Only announcing to some agents was ruled out, since an agent must not depend on one entry.

--- a/internal/agent/routes.go
+++ b/internal/agent/routes.go
@@ -43,7 +43,8 @@
 }
 
 // followList reads the VM list until ctx ends; while the platform is down the
-// agent goes on with what it knows.
+// agent goes on with what it knows. If a peer that was asked for newer targets
+// has not answered, it asks around again.
 func (a *Agent) followList(ctx context.Context) {
 	timer := time.NewTicker(listEvery)
 	defer timer.Stop()
@@ -53,6 +54,9 @@
 		} else {
 			a.adoptList(vms)
 		}
+		if a.holder.Behind() {
+			a.table.broadcast(wire.Message{})
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -87,7 +87,7 @@
 		return
 	}
 	have := s.agent.holder.Current().Version
-	if m.Targets > have {
+	if s.agent.holder.Ask(m.Targets) {
 		s.send(wire.Message{WantSet: &wire.WantSet{}})
 	}
 	if m.Targets < have {
--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -77,6 +77,9 @@
 	defer timer.Stop()
 	for {
 		f.refresh(ctx)
+		if f.config.Holder.Behind() {
+			f.announce()
+		}
 		select {
 		case <-ctx.Done():
 			f.wg.Wait()
--- a/internal/entry/fleet/link.go
+++ b/internal/entry/fleet/link.go
@@ -213,7 +213,7 @@
 		return
 	}
 	have := holder.Current().Version
-	if m.Targets > have {
+	if holder.Ask(m.Targets) {
 		l.send(wire.Message{WantSet: &wire.WantSet{}})
 	}
 	if m.Targets < have && m.WantSet == nil {
--- a/internal/targets/holder.go
+++ b/internal/targets/holder.go
@@ -7,6 +7,7 @@
 	mu      sync.Mutex
 	current *Set
 	changed chan struct{}
+	asking  asking
 }
 
 // NewHolder returns a Holder with an empty Set of version zero.
