--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -24,8 +24,7 @@
 )
 
 const (
-	// ListEvery is how often the VM list is read; the client asks for it only
-	// if it has changed.
+	// ListEvery is how often the VM list is read, which lags by more anyway.
 	ListEvery = 3 * time.Second
 	// subsetSize is to how many agents of one model or service an entry
 	// connects. At the target size (100 engines a model) an agent then has
