--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,8 +18,10 @@
 
 	"github.com/applepier/applepier/internal/engine"
 	"github.com/applepier/applepier/internal/ids"
+	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/platform/counted"
 	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
@@ -69,9 +71,10 @@
 	a := &Agent{settings: s, incarnation: ids.New(), systemKey: systemKey, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
 	a.ring = timeline.NewRing(s.Process, &a.clock, eventRing)
 	a.table = newTable(a.incarnation, s.Backend.Serves, a.ring, a.holder, a.metrics.Queue)
-	services := platform.NewHTTP(s.Platform.URL)
+	services := counted.New(platform.NewHTTP(s.Platform.URL), a.metrics.Platform)
 	a.list = services
 	a.tables = services
+	a.metrics.OnRead(func() { a.metrics.TargetsVersion(a.holder.Current().Version) })
 	a.connectBackend()
 	return a
 }
@@ -108,6 +111,7 @@
 // that nothing runs which this agent doesn't know of, then watches the engine.
 func (a *Agent) settleAndProbe(ctx context.Context) {
 	settled := false
+	wasUp := false
 	failures := 0
 	timer := time.NewTicker(probeEvery)
 	defer timer.Stop()
@@ -118,7 +122,10 @@
 		} else {
 			failures = 0
 		}
-		a.table.setEngine(settled && failures < probeFailures)
+		up := settled && failures < probeFailures
+		a.table.setEngine(up)
+		a.logEngine(wasUp, up, err)
+		wasUp = up
 		select {
 		case <-ctx.Done():
 			return
@@ -127,6 +134,19 @@
 	}
 }
 
+// logEngine tells when the backend server came or went; a start without it is
+// told by the first probes.
+func (a *Agent) logEngine(wasUp, up bool, err error) {
+	switch {
+	case up && !wasUp:
+		a.log.Info(logging.EventEngineUp)
+	case wasUp && !up:
+		a.log.Warn(logging.EventEngineDown, zap.Error(err))
+	case err != nil:
+		a.log.Debug(logging.EventEngineDown, zap.Error(err))
+	}
+}
+
 func (a *Agent) probe(ctx context.Context, settled *bool) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/agent/switch.go
+++ b/internal/agent/switch.go
@@ -5,11 +5,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/engine"
 	"github.com/applepier/applepier/internal/lease/orders"
-	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
 )
@@ -47,7 +45,6 @@
 	}
 	serves = order.Model
 	a.ring.Record(timeline.KindOrder, "", "", "loaded "+order.Model)
-	a.log.Info(logging.EventOrder, zap.String("model", order.Model), zap.Uint64("fence", order.Fence))
 	return nil
 }
 
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -75,11 +75,11 @@
 
 func (d *duties) order(ctx context.Context, held *lease.Lease, move policy.ModelMove) {
 	if err := d.book.Give(ctx, held, move.Engine, move.Model); err != nil {
-		d.log.Warn(logging.EventOrder, logging.Peer(move.Engine), logging.Reason(err.Error()))
+		d.log.Warn(logging.EventOrderFailed, logging.Peer(move.Engine), logging.Reason(err.Error()))
 		return
 	}
 	d.ring.Record(timeline.KindOrder, "", "", move.Engine+" loads "+move.Model)
-	d.log.Info(logging.EventOrder, logging.Peer(move.Engine), zap.String("model", move.Model), zap.Uint64("fence", held.Fence()))
+	d.log.Info(logging.EventOrderGiven, logging.Peer(move.Engine), zap.String("model", move.Model), zap.Uint64("fence", held.Fence()))
 }
 
 // wanted lists the models that classes run on.
