--- a/policy/admission.go
+++ b/policy/admission.go
@@ -80,7 +80,7 @@
 
 // refuse turns t away; late is how much earlier it would have had to come.
 func (s *Scheduler) refuse(t Ticket, late time.Duration) Decision {
-	hint := s.promises.next(t.Tier, s.copies.work(t), late, s.rateFor(t.Tier))
+	hint := s.promises.next(s.now, t.Tier, s.copies.work(t), late, s.rateFor(t.Tier))
 	return Decision{RetryAfter: hint}
 }
 
@@ -131,5 +131,5 @@
 func (s *Scheduler) rateFor(t Tier) float64 {
 	rate := s.rate.at(s.slots(t))
 	guaranteed := guaranteedShare * rate / float64(s.queue.starved(s.now))
-	return max(guaranteed, rate-s.demand.above(t))
+	return max(guaranteed, rate-s.demand.above(s.now, t))
 }
--- a/policy/engine_test.go
+++ b/policy/engine_test.go
@@ -8,6 +8,7 @@
 // TestColdEngines plays a burst that meets engines of which nothing is known,
 // and looks at the limit while it lasts.
 func TestColdEngines(t *testing.T) {
+	t.Parallel()
 	for _, batch := range []int{4, 8, 32, 64} {
 		e := newFakeEngine(batch)
 		p := newPlay(1, e)
@@ -37,6 +38,7 @@
 // TestForeignLoad plays an engine of which others take most of the batch for
 // a while: the limit follows, both ways.
 func TestForeignLoad(t *testing.T) {
+	t.Parallel()
 	e := newFakeEngine(16)
 	p := newPlay(1, e)
 	p.clock.after(time.Minute, func() { e.foreign = 12 })
@@ -59,6 +61,7 @@
 
 // TestSlowEngine plays one engine of four at a quarter of the speed.
 func TestSlowEngine(t *testing.T) {
+	t.Parallel()
 	engines := fleet(4, 8)
 	p := newPlay(1, engines...)
 	p.clock.after(30*time.Second, func() { engines[0].slow = 4 })
@@ -77,6 +80,7 @@
 // TestBetweenTokens plays a class whose target for the time between tokens
 // allows six streams on an engine that takes sixteen.
 func TestBetweenTokens(t *testing.T) {
+	t.Parallel()
 	e := newFakeEngine(16)
 	p := newPlay(1, e)
 	q := questions(steady(2 * e.capacity(questions(nil))))
--- a/policy/limit_window.go
+++ b/policy/limit_window.go
@@ -43,17 +43,17 @@
 	// and ratios counts what it was made of.
 	ratio  [tierCount]float64
 	ratios [tierCount]int
-	// streams is the most streams that gave tokens at the same time.
+	// streams is the most streams that gave tokens at the time of a delayed
+	// first token: that many the engine takes of ours when it is full.
 	streams int
 	// full says that a ticket waited for want of a slot.
 	full bool
 }
 
-func newLimitWindow(now time.Time, streaming int) limitWindow {
-	return limitWindow{start: now, streams: streaming}
-}
-
-func (w *limitWindow) firstToken(sample firstTokenSample) {
+func (w *limitWindow) firstToken(sample firstTokenSample, streaming int) {
+	if sample.delayed {
+		w.streams = max(w.streams, streaming)
+	}
 	w.recent[w.samples%windowSamples] = sample
 	w.samples++
 }
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -107,7 +107,6 @@
 // firstToken takes the first token of a run.
 func (l *limiter) firstToken(now time.Time, r *run) {
 	l.streaming++
-	l.window.streams = max(l.window.streams, l.streaming)
 	d := now.Sub(r.started)
 	delayed := l.delayed(r.ticket, d)
 	l.baseline.observe(now, ticketSize(r.ticket), d)
@@ -127,7 +126,7 @@
 		// It began under another limit.
 		return
 	}
-	l.window.firstToken(firstTokenSample{depth: r.depth, delayed: delayed})
+	l.window.firstToken(firstTokenSample{depth: r.depth, delayed: delayed}, l.streaming)
 	if !delayed {
 		l.goodSample(r.depth)
 	}
@@ -216,5 +215,5 @@
 
 // renew begins a new window.
 func (l *limiter) renew(now time.Time) {
-	l.window = newLimitWindow(now, l.streaming)
+	l.window = limitWindow{start: now}
 }
--- a/policy/promises.go
+++ b/policy/promises.go
@@ -1,13 +1,13 @@
 package policy
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// minRetryAfter is the shortest hint; HTTP states it in whole seconds.
 	minRetryAfter = time.Second
-	// maxRetryAfter bounds the hint: nobody can tell how long a burst lasts.
+	// maxRetryAfter bounds the hint. A minute's burst at eight times capacity
+	// takes eight minutes to serve; with a bound of two minutes only a
+	// quarter of those that it turned away succeeded on coming back.
 	maxRetryAfter = 15 * time.Minute
 )
 
@@ -20,28 +20,21 @@
 // were refused before it.
 type promises struct {
 	work [tierCount]float64
-	last time.Time
-}
-
-// advance takes off what the engine could have done since the last call.
-func (p *promises) advance(now time.Time, rate func(Tier) float64) {
-	if !p.last.IsZero() {
-		passed := now.Sub(p.last).Seconds()
-		for t, work := range p.work {
-			if work > 0 {
-				p.work[t] = max(0, work-passed*rate(Tier(t)))
-			}
-		}
-	}
-	p.last = now
+	last [tierCount]time.Time
 }
 
 // next is the time to come back for work of a tier that can't be let in for
-// another late; it counts the work as promised.
-func (p *promises) next(t Tier, work float64, late time.Duration, rate float64) time.Duration {
+// being late by some time, at the rate that the tier is served now; it counts
+// the work as promised.
+func (p *promises) next(now time.Time, t Tier, work float64, late time.Duration, rate float64) time.Duration {
 	if rate <= 0 {
 		return clampHint(late)
 	}
+	if !p.last[t].IsZero() {
+		done := now.Sub(p.last[t]).Seconds() * rate
+		p.work[t] = max(0, p.work[t]-done)
+	}
+	p.last[t] = now
 	hint := late + seconds(p.work[t]/rate)
 	if hint < maxRetryAfter {
 		p.work[t] += work
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -38,8 +38,6 @@
 	}
 	s.now = now
 	s.running.advance(now)
-	s.demand.advance(now)
-	s.promises.advance(now, s.rateFor)
 	s.guarantee.advance(now, s.limiter.limit)
 	s.urgent.advance(now, s.running.urgent()+s.queue.urgent())
 	s.countOverdue(now)
@@ -131,7 +129,7 @@
 	if guaranteed {
 		s.guarantee.running++
 	} else {
-		s.demand.add(t)
+		s.demand.add(now, t)
 	}
 	return t
 }
@@ -198,7 +196,7 @@
 func (s *Scheduler) RetryAfter(now time.Time, tier Tier) time.Duration {
 	s.advance(now)
 	wait := s.waitFor(now, tier, s.workAbove(tier+1))
-	return s.promises.next(tier, s.rate.meanSize, wait, s.rateFor(tier))
+	return s.promises.next(now, tier, s.rate.meanSize, wait, s.rateFor(tier))
 }
 
 // Load describes the queue as of the last call.
--- a/policy/urgent_use.go
+++ b/policy/urgent_use.go
@@ -21,7 +21,7 @@
 // advance accounts for the time since the last call.
 func (u *urgentUse) advance(now time.Time, use int) {
 	if !u.last.IsZero() && now.After(u.last) {
-		weight := 1 - math.Exp(-now.Sub(u.last).Seconds()/demandMemory.Seconds())
+		weight := newestWeight(now.Sub(u.last))
 		off := float64(u.now) - u.mean
 		u.mean += weight * off
 		u.spread += weight * (math.Abs(off) - u.spread)
