--- /dev/null
+++ b/cmd/applepier/main.go
@@ -0,0 +1,15 @@
+// Command applepier is the process of an entry VM and the operator's command
+// line.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/applepier/applepier/internal/cli"
+	"github.com/applepier/applepier/internal/entry"
+)
+
+func main() {
+	os.Exit(int(cli.Run(context.Background(), os.Args, os.Stdout, os.Stderr, entry.Serve)))
+}
