--- a/testbed/fleet/options.go
+++ b/testbed/fleet/options.go
@@ -53,6 +53,9 @@
 	// Interval is the time between an engine's tokens at full speed, in
 	// whole milliseconds.
 	Interval time.Duration
+	// PrefillPerToken is the time an engine reads a prompt token that it has
+	// not cached, in whole microseconds; its default when zero.
+	PrefillPerToken time.Duration
 	// LoadLag is how old an engine's load report can be; its default when zero.
 	LoadLag time.Duration
 	// IgnoresFence marks an engine that takes orders with old numbers.
--- a/testbed/fleet/server.go
+++ b/testbed/fleet/server.go
@@ -53,6 +53,9 @@
 		"--capacity", strconv.Itoa(s.Spec.Capacity),
 		"--interval-ms", strconv.FormatInt(s.Spec.Interval.Milliseconds(), 10),
 	}
+	if s.Spec.PrefillPerToken > 0 {
+		args = append(args, "--prefill-us-per-token", strconv.FormatInt(s.Spec.PrefillPerToken.Microseconds(), 10))
+	}
 	if s.Spec.LoadLag > 0 {
 		args = append(args, "--load-lag-ms", strconv.FormatInt(s.Spec.LoadLag.Milliseconds(), 10))
 	}
--- a/testbed/load/caller.go
+++ b/testbed/load/caller.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/testbed/engine"
+	"github.com/applepier/applepier/testbed/plain"
 )
 
 const (
@@ -29,6 +30,9 @@
 	headerCustomer = "X-Applepier-Customer"
 )
 
+// servicePath is what is called of a plain service.
+const servicePath = "/calls"
+
 // codeUnknown is the code of an error that tells that the request may have
 // run.
 const codeUnknown = "unknown"
@@ -58,7 +62,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errorResult(resp)
 	}
-	result := readAnswer(resp.Body, due, strings.Join(engine.Answer(body), ""))
+	result := c.read(resp, a, body, due)
 	result.Status = resp.StatusCode
 	if result.Outcome == OutcomeOnTime && !c.scenario.Mix.Classes[a.class].onTime(result) {
 		result.Outcome = OutcomeLate
@@ -66,15 +70,24 @@
 	return result
 }
 
+// read reads an answer to its end and compares it with what it must be.
+func (c *caller) read(resp *http.Response, a arrival, body []byte, due time.Time) Result {
+	if c.scenario.Mix.Classes[a.class].Service != "" {
+		return readServiceAnswer(resp.Body, due, plain.Answer(http.MethodPost, servicePath, body))
+	}
+	return readAnswer(resp.Body, due, strings.Join(engine.Answer(body), ""))
+}
+
 func (c *caller) post(ctx context.Context, a arrival, body []byte) (*http.Response, error) {
 	entry := c.entries[c.next.Add(1)%uint64(len(c.entries))]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/v1/chat/completions", bytes.NewReader(body))
+	class := c.scenario.Mix.Classes[a.class]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+class.path(), bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
 	customer := c.scenario.Mix.Customers[a.customer]
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(headerClass, c.scenario.Mix.Classes[a.class].Name)
+	req.Header.Set(headerClass, class.Name)
 	req.Header.Set(headerCustomer, customer.Name)
 	if customer.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+customer.Key)
--- a/testbed/load/class.go
+++ b/testbed/load/class.go
@@ -13,6 +13,9 @@
 	Tier int `yaml:"tier" json:"tier"`
 	// Model is the model it runs on; the mix's when empty.
 	Model string `yaml:"model" json:"model,omitempty"`
+	// Service is the plain service it runs on instead of a model. Such a
+	// class is sent by a phase's rates only and has no lengths.
+	Service string `yaml:"service" json:"service,omitempty"`
 	// FirstToken, BetweenTokens and Completion are the targets; zero is none.
 	// The time between tokens is the mean over an answer.
 	FirstToken    time.Duration `yaml:"first_token" json:"first_token,omitempty"`
@@ -54,3 +57,11 @@
 func within(d, target time.Duration) bool {
 	return target == 0 || d <= target
 }
+
+// path is where requests of a class go.
+func (c Class) path() string {
+	if c.Service != "" {
+		return "/services/" + c.Service + servicePath
+	}
+	return "/v1/chat/completions"
+}
--- a/testbed/load/options.go
+++ b/testbed/load/options.go
@@ -21,7 +21,7 @@
 	// Patience is how long a caller waits; DefaultPatience when zero.
 	Patience time.Duration
 	// CheckRetryAfter makes each refused caller come back once, when it was
-	// told to.
+	// told to; one that was told to wait longer than Patience stays away.
 	CheckRetryAfter bool
 	// Progress is called about once a second while it runs; may be nil.
 	Progress func(Progress)
--- a/testbed/load/prompt.go
+++ b/testbed/load/prompt.go
@@ -39,15 +39,14 @@
 // new to the engines' prefix caches.
 func (s Scenario) body(a arrival, salt string) ([]byte, error) {
 	class := s.Mix.Classes[a.class]
-	model := class.Model
-	if model == "" {
-		model = s.Mix.Model
+	if class.Service != "" {
+		return fmt.Appendf(nil, "call %d of %s", a.number, salt), nil
 	}
 	customer := s.Mix.Customers[a.customer].Name
 	shared := fmt.Sprintf("%s %s %s ", salt, class.Name, customer) + filler(uint64(a.class), class.SharedTokens)
 	own := fmt.Sprintf("request %d of %s ", a.number, salt) + filler(uint64(a.number), a.prompt)
 	return json.Marshal(chatRequest{
-		Model:    model,
+		Model:    s.Mix.ModelOf(class),
 		Stream:   true,
 		Messages: []chatTurn{{Role: "system", Content: shared}, {Role: "user", Content: own}},
 		Metadata: chatMetadata{AnswerTokens: strconv.Itoa(a.answer)},
--- a/testbed/load/run.go
+++ b/testbed/load/run.go
@@ -108,7 +108,7 @@
 func (r *runner) request(ctx context.Context, a arrival, body []byte) {
 	rec := record{arrival: a, fingerprint: engine.Fingerprint(body)}
 	rec.result = r.attempt(ctx, a, body, r.started.Add(a.at))
-	if r.options.CheckRetryAfter && rec.result.Outcome == OutcomeRefused {
+	if r.options.CheckRetryAfter && rec.result.Outcome == OutcomeRefused && rec.result.RetryAfter <= r.options.Patience {
 		rec.again = r.comeBack(ctx, a, body, rec.result.RetryAfter)
 	}
 	r.ended.Add(1)
--- a/testbed/load/run_test.go
+++ b/testbed/load/run_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/applepier/applepier/testbed/engine"
 	"github.com/applepier/applepier/testbed/load"
+	"github.com/applepier/applepier/testbed/plain"
 )
 
 const mix = `
@@ -136,6 +137,39 @@
 	}
 }
 
+func TestCallersDontComeBackAfterTheirPatience(t *testing.T) {
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "586")
+		w.WriteHeader(http.StatusTooManyRequests)
+	}))
+	defer entry.Close()
+	o := options(t, entry.URL)
+	o.CheckRetryAfter = true
+	total := run(t, o).Total
+	if total.CameBack != 0 || total.Refused != total.Sent || total.RetryAfterMaxS < 580 {
+		t.Errorf("total: %+v", total)
+	}
+}
+
+func TestCallsOfAPlainServiceAreChecked(t *testing.T) {
+	service := plain.New()
+	entry := httptest.NewServer(http.StripPrefix("/services/weighbridge", service))
+	defer entry.Close()
+	o := options(t, entry.URL)
+	gate := load.Class{Name: "gate", Service: "weighbridge", FirstToken: time.Minute}
+	o.Scenario.Mix.Classes = append(o.Scenario.Mix.Classes[:0:0], gate)
+	o.Scenario.Shape.Phases[0].Rates = []load.Rate{{Class: "gate", PerSecond: 200}}
+	if total := run(t, o).Total; total.Sent == 0 || total.OnTime != total.Sent {
+		t.Errorf("total: %+v", total)
+	}
+	wrong := httptest.NewServer(service)
+	defer wrong.Close()
+	o.Entries = []string{wrong.URL}
+	if total := run(t, o).Total; total.Wrong != total.Sent {
+		t.Errorf("answers of other calls pass: %+v", total)
+	}
+}
+
 func TestRunOfARefusedRequestIsFound(t *testing.T) {
 	server, url := startEngine(t)
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/testbed/load/scenario.go
+++ b/testbed/load/scenario.go
@@ -80,7 +80,7 @@
 		return errors.Errorf("burst_class %q is no class", s.Mix.BurstClass)
 	}
 	for _, class := range s.Mix.Classes {
-		if class.PromptTokens <= 0 || class.AnswerTokens <= 0 {
+		if class.Service == "" && (class.PromptTokens <= 0 || class.AnswerTokens <= 0) {
 			return errors.Errorf("class %q needs prompt_tokens and answer_tokens above zero", class.Name)
 		}
 	}
@@ -95,7 +95,7 @@
 			}
 		}
 		for _, fault := range phase.Faults {
-			if fault.Engine < 0 || fault.Engine >= s.Mix.Fleet.Engines {
+			if fault.Engine < 0 || fault.Engine >= s.Mix.Fleet.AllEngines() {
 				return errors.Errorf("phase %q: fault of engine %d, which the fleet lacks", phase.Name, fault.Engine)
 			}
 		}
--- a/testbed/load/schedule.go
+++ b/testbed/load/schedule.go
@@ -72,14 +72,17 @@
 	for _, other := range s.Mix.Classes {
 		shares += other.WorkShare
 	}
-	var load float64
+	var streams float64
 	if shares > 0 {
-		load = phase.Load * class.WorkShare / shares
+		streams = phase.Load * s.Mix.Fleet.streams() * class.WorkShare / shares
 	}
 	if class.Name == s.Mix.BurstClass {
-		load += phase.Burst
+		streams += phase.Burst * s.Mix.modelStreams(s.Mix.ModelOf(class))
+	}
+	var rate float64
+	if class.Service == "" {
+		rate = streams / class.cost(s.Mix.Fleet).Seconds()
 	}
-	rate := load * s.Mix.Fleet.streams() / class.cost(s.Mix.Fleet).Seconds()
 	for _, extra := range phase.Rates {
 		if extra.Class == class.Name {
 			rate += extra.PerSecond
--- a/testbed/load/shape.go
+++ b/testbed/load/shape.go
@@ -20,7 +20,7 @@
 	// among the classes by their shares of work.
 	Load float64 `yaml:"load" json:"load"`
 	// Burst is what the mix's bursting class adds, as a multiple of the
-	// fleet's capacity.
+	// capacity of its model's engines.
 	Burst float64 `yaml:"burst" json:"burst,omitempty"`
 	// Rates adds requests of single classes.
 	Rates []Rate `yaml:"rates" json:"rates,omitempty"`
--- a/testbed/load/summary.go
+++ b/testbed/load/summary.go
@@ -17,6 +17,8 @@
 const (
 	median = 50
 	p95    = 95
+	// millisPerSecond turns milliseconds into seconds.
+	millisPerSecond = 1000
 )
 
 // ClassReport sums up the requests of a class.
@@ -59,6 +61,10 @@
 	CameBack   int `json:"came_back"`
 	Served     int `json:"served"`
 	ServedLate int `json:"served_late"`
+	// RetryAfterMedianS and RetryAfterMaxS are what refused callers were
+	// told, in seconds.
+	RetryAfterMedianS float64 `json:"retry_after_median_s"`
+	RetryAfterMaxS    float64 `json:"retry_after_max_s"`
 }
 
 // summary gathers the requests of a class.
@@ -66,6 +72,7 @@
 	sums    ClassReport
 	first   *hdrhistogram.Histogram
 	between *hdrhistogram.Histogram
+	hints   *hdrhistogram.Histogram
 }
 
 func newSummary(class string, tier int) *summary {
@@ -73,6 +80,7 @@
 		sums:    ClassReport{Class: class, Tier: tier},
 		first:   hdrhistogram.New(lowestMicros, highestMicros, digits),
 		between: hdrhistogram.New(lowestMicros, highestMicros, digits),
+		hints:   hdrhistogram.New(lowestMicros, highestMicros, digits),
 	}
 }
 
@@ -97,6 +105,7 @@
 		s.sums.Late++
 	case OutcomeRefused:
 		s.sums.Refused++
+		recordTime(s.hints, result.RetryAfter)
 	case OutcomeUnknown:
 		s.sums.Unknown++
 	case OutcomeWrong:
@@ -149,6 +158,8 @@
 	report.FirstTokenMaxMS = toMillis(s.first.Max())
 	report.BetweenTokensP50MS = quantile(s.between, median)
 	report.BetweenTokensP95MS = quantile(s.between, p95)
+	report.RetryAfterMedianS = quantile(s.hints, median) / millisPerSecond
+	report.RetryAfterMaxS = toMillis(s.hints.Max()) / millisPerSecond
 	return report
 }
 
--- a/testbed/load/table.go
+++ b/testbed/load/table.go
@@ -48,6 +48,12 @@
 			return err
 		}
 	}
+	if t := r.Total; t.Refused > 0 {
+		_, err := fmt.Fprintf(w, "Retry-After: median %.0f s, longest %.0f s\n", t.RetryAfterMedianS, t.RetryAfterMaxS)
+		if err != nil {
+			return err
+		}
+	}
 	if t := r.Total; t.CameBack > 0 {
 		_, err := fmt.Fprintf(w, "came back after Retry-After: %d, then on time %d, late %d\n", t.CameBack, t.Served, t.ServedLate)
 		if err != nil {
--- /dev/null
+++ b/testbed/loadfleet/loadfleet.go
@@ -0,0 +1,96 @@
+// Package loadfleet starts the fleet that a scenario of load is sized for, and
+// points the load at it. Start reading at Start.
+package loadfleet
+
+import (
+	"context"
+
+	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/testbed/fleet"
+	"github.com/applepier/applepier/testbed/load"
+)
+
+// Start runs a mix's engines and plain services with their agents, and a
+// number of entries; all of the mix's classes and customers are known there.
+// Binaries are built when nil.
+func Start(ctx context.Context, mix load.Mix, entries int, binaries *fleet.Binaries) (*fleet.Fleet, error) {
+	return fleet.Start(ctx, fleet.Options{
+		Binaries:  binaries,
+		Entries:   entries,
+		Backends:  append(engines(mix), services(mix)...),
+		Classes:   classes(mix),
+		Customers: customers(mix),
+		LogLevel:  "warn",
+	})
+}
+
+// Target points a run of load at a fleet.
+func Target(f *fleet.Fleet, scenario load.Scenario) load.Options {
+	options := load.Options{Scenario: scenario}
+	keyed := make([]load.Customer, len(scenario.Mix.Customers))
+	for i, customer := range scenario.Mix.Customers {
+		customer.Key = fleet.CustomerKey(customer.Name)
+		keyed[i] = customer
+	}
+	options.Scenario.Mix.Customers = keyed
+	for _, entry := range f.Entries {
+		options.Entries = append(options.Entries, entry.URL)
+	}
+	for _, backend := range f.Backends {
+		if backend.Server.Spec.Kind == settings.BackendEngine {
+			options.Engines = append(options.Engines, backend.Server.URL)
+		}
+	}
+	return options
+}
+
+// engines are in the order in which faults count them.
+func engines(mix load.Mix) []fleet.BackendSpec {
+	sized := mix.Fleet
+	specs := fleet.Engines(sized.Engines, mix.Model, sized.Capacity, sized.Interval)
+	for _, other := range sized.Others {
+		specs = append(specs, fleet.Engines(other.Engines, other.Model, sized.Capacity, sized.Interval)...)
+	}
+	for i := range specs {
+		specs[i].PrefillPerToken = sized.PrefillPerToken
+	}
+	return specs
+}
+
+func services(mix load.Mix) []fleet.BackendSpec {
+	var specs []fleet.BackendSpec
+	for _, class := range mix.Classes {
+		if class.Service != "" {
+			specs = append(specs, fleet.BackendSpec{Kind: settings.BackendService, Serves: class.Service})
+		}
+	}
+	return specs
+}
+
+// classes are stated as operators would: targets and tier. Calls of plain
+// services change something there and may not be repeated.
+func classes(mix load.Mix) []targets.Class {
+	var stated []targets.Class
+	for _, class := range mix.Classes {
+		stated = append(stated, targets.Class{
+			Name:          class.Name,
+			Tier:          class.Tier,
+			Model:         mix.ModelOf(class),
+			Service:       class.Service,
+			FirstToken:    class.FirstToken,
+			BetweenTokens: class.BetweenTokens,
+			Completion:    class.Completion,
+			Repeatable:    class.Service == "",
+		})
+	}
+	return stated
+}
+
+func customers(mix load.Mix) []string {
+	var names []string
+	for _, customer := range mix.Customers {
+		names = append(names, customer.Name)
+	}
+	return names
+}
