load: measure, the system and the baselines before the same engines

Change: `load measure` starts a fleet (3 entries, the mix's engines with agents) for each mix and seed, plays every shape against the system, both baselines and, at quiet load, the engines directly, one after another, and writes Markdown tables: attainment by class, goodput, useful part of the engines' capacity, wasted work, longest wait, ran_though_refused, ratio to each baseline, what became of callers told to come back, and the router's added time.

Ruled out: own fleets for the targets side by side, which would share the machine's cores unevenly.

--- a/testbed/cmd/load/command.go
+++ b/testbed/cmd/load/command.go
@@ -34,6 +34,7 @@
 		Name:        "load",
 		Usage:       "send the load of a scenario and report by class what callers got",
 		Description: description,
+		Commands:    []*cli.Command{measureCommand(out, progress)},
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "mix", Value: "tampere", Usage: strings.Join(scenarios.Mixes(), ", ")},
 			&cli.StringFlag{Name: "shape", Value: "quiet", Usage: strings.Join(scenarios.Shapes(), ", ")},
@@ -79,11 +80,11 @@
 		defer router.Close()
 		options.Entries = []string{router.URL}
 	}
-	return measure(ctx, options, cmd.String("json"), out)
+	return runLoad(ctx, options, cmd.String("json"), out)
 }
 
-// measure runs the load and writes its report.
-func measure(ctx context.Context, options load.Options, jsonPath string, out io.Writer) error {
+// runLoad runs the load and writes its report.
+func runLoad(ctx context.Context, options load.Options, jsonPath string, out io.Writer) error {
 	report, err := load.Run(ctx, options)
 	if err != nil {
 		return err
--- /dev/null
+++ b/testbed/cmd/load/measure.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/applepier/applepier/testbed/measure"
+)
+
+// measurePatience lets work that must start within 15 s end.
+const measurePatience = 20 * time.Second
+
+func measureCommand(out, progress io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "start fleets and run scenarios against the system and the baselines; tables in Markdown",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "mix", Value: []string{"tampere", "perth"}, Usage: "repeat for several"},
+			&cli.StringSliceFlag{
+				Name:  "shape",
+				Value: []string{"quiet", "burst-4x", "burst-8x", "burst-2x", "straggler", "hot-customer", "outside-load"},
+				Usage: "repeat for several",
+			},
+			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "how many seeds"},
+			&cli.FloatFlag{Name: "scale", Value: 1, Usage: "multiplies the phases' durations"},
+			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "how many fleets run side by side"},
+			&cli.DurationFlag{Name: "patience", Value: measurePatience, Usage: "how long a caller waits"},
+			&cli.StringFlag{Name: "json", Usage: "file that takes all reports as JSON"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error { return runMeasure(ctx, cmd, out, progress) },
+	}
+}
+
+// runMeasure writes the tables of what was done also when it was cut short.
+func runMeasure(ctx context.Context, cmd *cli.Command, out, progress io.Writer) error {
+	options := measure.Options{
+		Mixes:    cmd.StringSlice("mix"),
+		Shapes:   cmd.StringSlice("shape"),
+		Seeds:    cmd.Int("seeds"),
+		Scale:    cmd.Float("scale"),
+		Parallel: cmd.Int("parallel"),
+		Patience: cmd.Duration("patience"),
+		Progress: progress,
+	}
+	rounds, err := measure.Run(ctx, options)
+	measure.WriteTables(out, options, rounds)
+	if path := cmd.String("json"); path != "" {
+		err = errors.Join(err, writeRounds(path, rounds))
+	}
+	return err
+}
+
+func writeRounds(path string, rounds []measure.Round) error {
+	text, err := json.Marshal(rounds)
+	if err != nil {
+		return errors.Wrap(err, "encode rounds")
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
--- a/testbed/load/class.go
+++ b/testbed/load/class.go
@@ -39,10 +39,14 @@
 	return float64(c.AnswerTokens) * math.Exp(c.Spread*c.Spread/2)
 }
 
+// meanPrompt is the mean length of its prompts without what they share.
+func (c Class) meanPrompt() float64 {
+	return float64(c.PromptTokens) * math.Exp(c.Spread*c.Spread/2)
+}
+
 // cost is how long a request takes one stream of an engine at full speed.
 func (c Class) cost(fleet Fleet) time.Duration {
-	unshared := float64(c.PromptTokens) * math.Exp(c.Spread*c.Spread/2)
-	prefill := unshared * float64(fleet.PrefillPerToken)
+	prefill := c.meanPrompt() * float64(fleet.PrefillPerToken)
 	return time.Duration(prefill + c.meanAnswer()*float64(fleet.Interval))
 }
 
--- a/testbed/load/run_test.go
+++ b/testbed/load/run_test.go
@@ -225,3 +225,12 @@
 		t.Errorf("unknown class: %v", err)
 	}
 }
+
+func TestUsefulWorkIsAPartOfCapacity(t *testing.T) {
+	scenario := options(t, "http://127.0.0.1:1").Scenario
+	phase := load.PhaseReport{Seconds: 1, Classes: []load.ClassReport{{OnTimeTokens: 10_000}, {}}}
+	// 10,000 tokens of 200 µs are half a second of four streams.
+	if useful := scenario.Useful(phase); useful < 0.499 || useful > 0.501 {
+		t.Errorf("useful: %v", useful)
+	}
+}
--- /dev/null
+++ b/testbed/measure/sample_test.go
@@ -0,0 +1,16 @@
+package measure
+
+import "testing"
+
+func TestSampleGivesMedianAndSpread(t *testing.T) {
+	figure := func(r Round) float64 { return r.Useful }
+	for want, rounds := range map[string][]Round{
+		"2 (1 to 9)": {{Useful: 9}, {Useful: 1}, {Useful: 2}},
+		"2":          {{Useful: 2.1}, {Useful: 1.9}},
+		"not run":    nil,
+	} {
+		if got := sampleOf(rounds, figure).text("%.0f"); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
--- /dev/null
+++ b/testbed/measure/series.go
@@ -0,0 +1,115 @@
+package measure
+
+import (
+	"context"
+	"time"
+
+	"github.com/applepier/applepier/testbed/baseline"
+	"github.com/applepier/applepier/testbed/fleet"
+	"github.com/applepier/applepier/testbed/load"
+	"github.com/applepier/applepier/testbed/loadfleet"
+	"github.com/applepier/applepier/testbed/scenarios"
+)
+
+const (
+	// entries is how many entries a fleet has.
+	entries = 3
+	// startLimit bounds the start of a fleet.
+	startLimit = 90 * time.Second
+	// quiet is the shape at which the router's added time is measured.
+	quiet = "quiet"
+)
+
+// Targets besides the baselines.
+const (
+	targetApplepier = "applepier"
+	targetDirect    = "direct"
+)
+
+// series is all shapes of a mix with one seed, on one fleet.
+type series struct {
+	options Options
+	mix     string
+	seed    uint64
+	results *collected
+}
+
+func (s *series) run(ctx context.Context, binaries *fleet.Binaries) error {
+	first, err := scenarios.Load(s.mix, s.options.Shapes[0])
+	if err != nil {
+		return err
+	}
+	running, err := s.start(ctx, first.Mix, binaries)
+	if err != nil {
+		return err
+	}
+	defer running.Close()
+	for _, shape := range s.options.Shapes {
+		if err := s.play(ctx, running, shape); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *series) start(ctx context.Context, mix load.Mix, binaries *fleet.Binaries) (*fleet.Fleet, error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	return loadfleet.Start(ctx, mix, entries, binaries)
+}
+
+// play runs one shape with each target in turn.
+func (s *series) play(ctx context.Context, running *fleet.Fleet, shape string) error {
+	scenario, err := scenarios.Load(s.mix, shape)
+	if err != nil {
+		return err
+	}
+	target := loadfleet.Target(running, scenario.Scaled(s.options.Scale))
+	target.Seed = s.seed
+	target.Patience = s.options.Patience
+	for _, name := range targetsOf(shape) {
+		if err := s.round(ctx, shape, name, target); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func targetsOf(shape string) []string {
+	names := append([]string{targetApplepier}, baseline.Names()...)
+	if shape == quiet {
+		names = append(names, targetDirect)
+	}
+	return names
+}
+
+// round runs the load against one target.
+func (s *series) round(ctx context.Context, shape, name string, options load.Options) error {
+	options.Target = name
+	switch name {
+	case targetApplepier:
+		options.CheckRetryAfter = true
+	case targetDirect:
+		options.Entries = options.Engines
+	default:
+		router, err := baseline.Start(name, options.Engines, options.Scenario.Mix.Fleet.Capacity)
+		if err != nil {
+			return err
+		}
+		defer router.Close()
+		options.Entries = []string{router.URL}
+	}
+	report, err := load.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	s.results.add(s.options, Round{
+		Mix:    s.mix,
+		Shape:  shape,
+		Seed:   s.seed,
+		Target: name,
+		Report: report,
+		Useful: options.Scenario.Useful(height(report)),
+	})
+	return nil
+}
