--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -24,8 +24,7 @@
 )
 
 const (
-	// ListEvery is how often the VM list is read; the client asks for it only
-	// if it has changed.
+	// ListEvery is how often the VM list is read, which lags by more anyway.
 	ListEvery = 3 * time.Second
 	// subsetSize is to how many agents of one model or service an entry
 	// connects. At the target size (100 engines a model) an agent then has
@@ -77,6 +76,9 @@
 	defer timer.Stop()
 	for {
 		f.refresh(ctx)
+		if f.config.Holder.Behind() {
+			f.announce()
+		}
 		select {
 		case <-ctx.Done():
 			f.wg.Wait()
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -38,8 +38,6 @@
 	}
 	s.now = now
 	s.running.advance(now)
-	s.demand.advance(now)
-	s.promises.advance(now, s.rateFor)
 	s.guarantee.advance(now, s.limiter.limit)
 	s.urgent.advance(now, s.running.urgent()+s.queue.urgent())
 	s.countOverdue(now)
@@ -116,7 +114,7 @@
 		return nil
 	}
 	class := s.queue.longestWaiting()
-	if now.Sub(class.since) < starvedAfter {
+	if class == nil || now.Sub(class.since) < starvedAfter {
 		return nil
 	}
 	return class
@@ -131,7 +129,7 @@
 	if guaranteed {
 		s.guarantee.running++
 	} else {
-		s.demand.add(t)
+		s.demand.add(now, t)
 	}
 	return t
 }
@@ -160,7 +158,10 @@
 		s.limiter.firstToken(now, r)
 		return
 	}
-	s.limiter.interval(now, r.ticket, r.tokens(now, n))
+	interval := r.tokens(now, n)
+	if len(s.running.byID) <= s.limiter.limit {
+		s.limiter.interval(now, r.ticket, interval)
+	}
 }
 
 // Finished frees the slot of a granted ticket.
@@ -187,7 +188,7 @@
 // says when to call it.
 func (s *Scheduler) Expire(now time.Time) []string {
 	s.advance(now)
-	return s.queue.expire(now)
+	return s.queue.expire(now, func(class string) bool { return s.lately.has(now, class) })
 }
 
 // RetryAfter is the time to come back for a ticket of a tier that was
@@ -195,7 +196,7 @@
 func (s *Scheduler) RetryAfter(now time.Time, tier Tier) time.Duration {
 	s.advance(now)
 	wait := s.waitFor(now, tier, s.workAbove(tier+1))
-	return s.promises.next(tier, s.rate.meanSize, wait, s.rateFor(tier))
+	return s.promises.next(now, tier, s.rate.meanSize, wait, s.rateFor(tier))
 }
 
 // Load describes the queue as of the last call.
