--- a/testbed/cmd/load/measure.go
+++ b/testbed/cmd/load/measure.go
@@ -27,6 +27,7 @@
 				Value: []string{"quiet", "burst-4x", "burst-8x", "burst-2x", "straggler", "hot-customer", "outside-load"},
 				Usage: "repeat for several",
 			},
+			&cli.StringSliceFlag{Name: "target", Value: measure.Targets(), Usage: "repeat for several"},
 			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "how many seeds"},
 			&cli.FloatFlag{Name: "scale", Value: 1, Usage: "multiplies the phases' durations"},
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "how many fleets run side by side"},
@@ -42,6 +43,7 @@
 	options := measure.Options{
 		Mixes:    cmd.StringSlice("mix"),
 		Shapes:   cmd.StringSlice("shape"),
+		Targets:  cmd.StringSlice("target"),
 		Seeds:    cmd.Int("seeds"),
 		Scale:    cmd.Float("scale"),
 		Parallel: cmd.Int("parallel"),
--- a/testbed/measure/options.go
+++ b/testbed/measure/options.go
@@ -10,6 +10,9 @@
 	// Mixes and Shapes are names of package scenarios.
 	Mixes  []string
 	Shapes []string
+	// Targets are the system, the baselines and the engines themselves; see
+	// Targets.
+	Targets []string
 	// Seeds is how many seeds each scenario is run with.
 	Seeds int
 	// Scale multiplies the phases' durations.
