--- a/testbed/load/class.go
+++ b/testbed/load/class.go
@@ -13,6 +13,9 @@
 	Tier int `yaml:"tier" json:"tier"`
 	// Model is the model it runs on; the mix's when empty.
 	Model string `yaml:"model" json:"model,omitempty"`
+	// Service is the plain service it runs on instead of a model. Such a
+	// class is sent by a phase's rates only and has no lengths.
+	Service string `yaml:"service" json:"service,omitempty"`
 	// FirstToken, BetweenTokens and Completion are the targets; zero is none.
 	// The time between tokens is the mean over an answer.
 	FirstToken    time.Duration `yaml:"first_token" json:"first_token,omitempty"`
@@ -36,10 +39,14 @@
 	return float64(c.AnswerTokens) * math.Exp(c.Spread*c.Spread/2)
 }
 
+// meanPrompt is the mean length of its prompts without what they share.
+func (c Class) meanPrompt() float64 {
+	return float64(c.PromptTokens) * math.Exp(c.Spread*c.Spread/2)
+}
+
 // cost is how long a request takes one stream of an engine at full speed.
 func (c Class) cost(fleet Fleet) time.Duration {
-	unshared := float64(c.PromptTokens) * math.Exp(c.Spread*c.Spread/2)
-	prefill := unshared * float64(fleet.PrefillPerToken)
+	prefill := c.meanPrompt() * float64(fleet.PrefillPerToken)
 	return time.Duration(prefill + c.meanAnswer()*float64(fleet.Interval))
 }
 
@@ -54,3 +61,11 @@
 func within(d, target time.Duration) bool {
 	return target == 0 || d <= target
 }
+
+// path is where requests of a class go.
+func (c Class) path() string {
+	if c.Service != "" {
+		return "/services/" + c.Service + servicePath
+	}
+	return "/v1/chat/completions"
+}
