--- a/policy/admission.go
+++ b/policy/admission.go
@@ -57,25 +57,26 @@
 	}
 }
 
-// enqueue takes t in if the bounded queue has room or something gives way. What
-// is owed goes past the bound: it is one ticket of each class at most.
+// enqueue takes t in if the bounded queue has room or something gives way.
+// What is owed goes past the bound if need be: that is one ticket of each
+// class at most. So does the top tier while the queue is not full of its own.
 func (s *Scheduler) enqueue(now time.Time, t Ticket, owed bool) Decision {
-	var displaced []string
-	if s.queue.Len() >= maxWaiting && !owed {
+	decision := Decision{Admitted: true}
+	if s.queue.Len() >= maxWaiting {
 		id, ok := s.queue.displace(t, s.copies.work(t))
 		switch {
 		case ok:
-			displaced = append(displaced, id)
+			decision.Displaced = []string{id}
+		case owed:
 		case t.Tier == TopTier && s.queue.tiers[TopTier].count < maxWaiting:
-			// All that wait are resumed runs of lower tiers; go past the bound.
 		default:
-			decision := s.refuse(t, s.estimate(now, t))
+			decision = s.refuse(t, s.estimate(now, t))
 			decision.Full = true
 			return decision
 		}
 	}
 	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(t), false))
-	return Decision{Admitted: true, Displaced: displaced}
+	return decision
 }
 
 // refuse turns t away; late is how much earlier it would have had to come.
--- a/policy/ejector.go
+++ b/policy/ejector.go
@@ -49,7 +49,7 @@
 	case OutcomeFailed:
 		e.failed(now, engine)
 	case OutcomeWhole:
-		e.succeeded(engine)
+		e.succeeded(now, engine)
 	}
 }
 
@@ -66,9 +66,9 @@
 	r.failed(now)
 }
 
-func (e *Ejector) succeeded(engine string) {
+func (e *Ejector) succeeded(now time.Time, engine string) {
 	r := e.records[engine]
-	if r == nil {
+	if r == nil || now.Before(r.until) {
 		return
 	}
 	r.succeeded()
--- /dev/null
+++ b/policy/placer_test.go
@@ -0,0 +1,96 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+func candidates(n int) []Candidate {
+	list := make([]Candidate, n)
+	for i := range list {
+		list[i] = Candidate{
+			Name: fmt.Sprintf("engine-%04d", i), Zone: fmt.Sprintf("zone-%d", i%4),
+			Running: i % 8, Limit: 8, Seen: testStart,
+		}
+	}
+	return list
+}
+
+func newTestPlacer() (*Placer, *Ejector) {
+	ejector := NewEjector()
+	return NewPlacer(rand.New(rand.NewPCG(1, 2)), ejector), ejector
+}
+
+func TestPickLeavesOut(t *testing.T) {
+	p, ejector := newTestPlacer()
+	list := candidates(6)
+	list[0].Leaving = true
+	list[1].Down = true
+	for range ejectAfter {
+		ejector.Observe(testStart, list[2].Name, OutcomeFailed)
+	}
+	want := Placement{Exclude: []string{list[3].Name}}
+	got := p.Pick(testStart, want, list, 6)
+	slices.Sort(got)
+	if !slices.Equal(got, []string{list[4].Name, list[5].Name}) {
+		t.Errorf("picked %v", got)
+	}
+	if got := p.Pick(testStart, Placement{}, nil, 2); len(got) != 0 {
+		t.Errorf("picked %v of none", got)
+	}
+}
+
+func TestPickIgnoresEjectionOfMost(t *testing.T) {
+	p, ejector := newTestPlacer()
+	list := candidates(4)
+	for _, c := range list[:3] {
+		for range ejectAfter {
+			ejector.Observe(testStart, c.Name, OutcomeFailed)
+		}
+	}
+	if got := p.Pick(testStart, Placement{}, list, 4); len(got) != 4 {
+		t.Errorf("picked %v", got)
+	}
+}
+
+func TestPrefixStaysWhileThereIsRoom(t *testing.T) {
+	p, _ := newTestPlacer()
+	list := candidates(16)
+	for i := range list {
+		list[i].Running = 4
+	}
+	want := Placement{Prefix: 42}
+	home := p.Pick(testStart, want, list, 2)[0]
+	for range 20 {
+		if got := p.Pick(testStart, want, list, 2)[0]; got != home {
+			t.Fatalf("moved from %s to %s", home, got)
+		}
+	}
+	for i := range list {
+		if list[i].Name == home {
+			list[i].Waiting = 8
+		}
+	}
+	if got := p.Pick(testStart, want, list, 2); slices.Contains(got, home) {
+		t.Errorf("a hot prefix keeps its full engine: %v", got)
+	}
+}
+
+func TestPickPrefersOwnZoneAndRoom(t *testing.T) {
+	p, _ := newTestPlacer()
+	list := candidates(3)
+	list[0].Zone, list[0].Running = "own", 4
+	list[1].Zone, list[1].Running = "other", 4
+	list[2].Zone, list[2].Running, list[2].Waiting = "own", 8, 20
+	if got := p.Pick(testStart, Placement{Zone: "own"}, list, 1)[0]; got != list[0].Name {
+		t.Errorf("picked %s", got)
+	}
+	list[0].Seen = testStart.Add(-time.Hour)
+	list[2].Seen = time.Time{}
+	if got := p.Pick(testStart, Placement{Zone: "other"}, list, 1)[0]; got != list[1].Name {
+		t.Errorf("picked %s", got)
+	}
+}
