policy: the limit tells a queue inside the engine from prompts that take unequal time

Cause: late first tokens alone lowered it. Also, an engine that was slow for a while set aside so much of a target for the run itself that it refused all, and was never seen to be fast again. Change: a cut needs, beside late first tokens, that runs without a first token were there all the time; the time set aside is a part of the target at most; trials of a higher limit double while they succeed; the baseline lasts five minutes.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -29,7 +29,7 @@
 
 // lateness is by how much t would start too late after a wait.
 func (s *Scheduler) lateness(now time.Time, t Ticket, wait time.Duration) time.Duration {
-	startBy := s.startBy(t)
+	startBy := s.startBy(now, t)
 	if startBy.IsZero() {
 		return 0
 	}
@@ -41,17 +41,29 @@
 	return s.queue.tiers[t.Tier].class(t.Class) == nil && !s.lately.has(now, t.Class)
 }
 
+const (
+	// firstTokenPart and completionPart are the largest parts of the time
+	// left that are set aside for the run itself. Without a bound an engine
+	// that was slow for a while would refuse all, and with nothing running
+	// it would never be seen to be fast again.
+	firstTokenPart = 1.0 / 4
+	completionPart = 1.0 / 2
+)
+
 // startBy is when t must start here: its deadline, less the time that this
 // engine takes from the start to what the deadline is for.
-func (s *Scheduler) startBy(t Ticket) time.Time {
+func (s *Scheduler) startBy(now time.Time, t Ticket) time.Time {
 	if t.Deadline.IsZero() {
 		return time.Time{}
 	}
+	left := float64(t.Deadline.Sub(now))
 	switch t.Due {
 	case MilestoneFirstToken:
-		return t.Deadline.Add(-s.first.of(ticketSize(t)))
+		needed := float64(s.first.of(ticketSize(t)))
+		return t.Deadline.Add(-time.Duration(min(needed, firstTokenPart*left)))
 	case MilestoneCompletion:
-		return t.Deadline.Add(-s.rate.runTime(ticketSize(t), s.limiter.limit))
+		needed := float64(s.rate.runTime(ticketSize(t)))
+		return t.Deadline.Add(-time.Duration(min(needed, completionPart*left)))
 	default:
 		return t.Deadline
 	}
@@ -75,7 +87,7 @@
 			return decision
 		}
 	}
-	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(t), false))
+	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(now, t), false))
 	return decision
 }
 
--- a/policy/baseline.go
+++ b/policy/baseline.go
@@ -7,9 +7,10 @@
 
 const (
 	// baselineWindow is how long a minimum counts: it is replaced after one
-	// to two windows, so that an engine that got slower for good is judged
-	// by its new speed within a minute.
-	baselineWindow = 30 * time.Second
+	// to two windows. It is longer than runs wait inside an engine that
+	// others fill, which would else become the engine's usual time; an
+	// engine that got slower for good is judged by its new speed after it.
+	baselineWindow = 5 * time.Minute
 	// sizeBuckets are the powers of two of ticket size that are told apart.
 	sizeBuckets = 24
 )
--- a/policy/fake_engine_test.go
+++ b/policy/fake_engine_test.go
@@ -13,6 +13,8 @@
 	foreign int
 	// slow stretches all times; 1 is normal.
 	slow float64
+	// uneven stretches the reading of a prompt, each time anew.
+	uneven func() float64
 
 	promptToken time.Duration
 	interval    time.Duration
@@ -72,6 +74,9 @@
 
 func (e *fakeEngine) prefill(prompt int) time.Duration {
 	load := 1 + float64(e.streams+e.foreign)/float64(e.batch)
+	if e.uneven != nil {
+		load *= e.uneven()
+	}
 	return time.Duration(float64(prompt) * float64(e.promptToken) * load * e.slow)
 }
 
--- a/policy/limit_window.go
+++ b/policy/limit_window.go
@@ -9,13 +9,19 @@
 	// windowSamples is how many first tokens are looked at together: two
 	// rounds of a small batch.
 	windowSamples = 16
-	// judgeSamples is how many delayed first tokens lower a settled limit.
-	// Four at the same depth are no chance; more only let the queue inside
-	// the engine last longer.
+	// judgeSamples is how many delayed first tokens lower a settled limit,
+	// and standingRuns how many runs in a row must have left another one
+	// without its first token behind them. Times to the first token differ
+	// by ten times between a prompt that is in the engine's cache and one
+	// that isn't, so that late ones alone prove little; but without a queue
+	// there are moments in which every run has its first token.
 	judgeSamples = 4
-	// exploreSamples is how many end a trial of a higher limit. Stopping a
-	// trial by mistake costs little, going on with one delays urgent runs.
+	standingRuns = 12
+	// exploreSamples and exploreRuns are the same for a trial of a higher
+	// limit. Stopping a trial by mistake costs little, going on with one
+	// delays urgent runs.
 	exploreSamples = 2
+	exploreRuns    = 6
 	// goodSamples is how many good first tokens at its depth prove a trial.
 	goodSamples = 8
 	// intervalSamples is over how many times between tokens they are averaged:
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -11,9 +11,9 @@
 	minLimit = 2
 	// maxLimit bounds the state of one engine.
 	maxLimit = 512
-	// steepestCut bounds one step down, so that a few unlucky samples cost
-	// three tenths of the engine at most.
-	steepestCut = 0.7
+	// steepestCut bounds one step down, so that unlucky samples cost half of
+	// the engine at most.
+	steepestCut = 0.5
 	// holdRatio is where the limit stops growing for the time between
 	// tokens: that grows with each stream, by about a twentieth.
 	holdRatio = 0.95
@@ -24,10 +24,10 @@
 	// queueFloor is a delay that is never taken as a sign, whatever the
 	// baseline: about the scheduling noise of a busy VM.
 	queueFloor = 50 * time.Millisecond
-	// probeSoonest and probeLatest bound the pause between two trials of one
-	// more run; it doubles with each trial that fails.
+	// probeSoonest and probeLatest bound the pause between two trials of
+	// more runs; it doubles with each trial that fails.
 	probeSoonest = 5 * time.Second
-	probeLatest  = time.Minute
+	probeLatest  = 30 * time.Second
 	// probeLength ends a trial that saw too little to judge.
 	probeLength = 5 * time.Second
 )
@@ -35,7 +35,7 @@
 // limiter decides how much runs at once on an engine. It lowers the limit
 // when first tokens show that runs wait inside the engine, or when the time
 // between tokens is above the target of what runs, and looks for room by
-// trials of one run more.
+// trials of a run more.
 //
 // It answers engines whose capacity isn't known and changes, since they carry
 // load of others too. With too high a limit runs wait inside the engine,
@@ -45,23 +45,28 @@
 // The steps: on a cold engine every good first token adds a slot while
 // tickets wait, which doubles the limit in one round of first tokens. The
 // first sign of waiting inside the engine sets the limit to the streams that
-// really ran at once, which is the engine's batch. From then on it moves by
-// one slot up after a full window of samples, and down by three tenths at
-// most.
+// really ran at once, which is the engine's batch. From then on it moves up
+// by trials of one slot more, then of two and four while they succeed, and
+// down by half at most.
 type limiter struct {
 	limit   int
 	ramping bool
 	probing bool
+	// step is by how much a trial goes past the limit; it doubles with each
+	// that succeeds.
+	step int
 	// probeAt and probePause time the trials.
 	probeAt    time.Time
 	probePause time.Duration
 	baseline   baseline
 	window     limitWindow
 	streaming  int
+	// standing counts first tokens since every run had its own.
+	standing int
 }
 
 func newLimiter() limiter {
-	return limiter{limit: coldLimit, ramping: true, probePause: probeSoonest}
+	return limiter{limit: coldLimit, ramping: true, probePause: probeSoonest, step: 1}
 }
 
 // delayed reports whether a first token that took, or has taken so far, d was
@@ -88,7 +93,7 @@
 // trial is by how much a trial goes past the limit now.
 func (l *limiter) trial() int {
 	if l.probing {
-		return 1
+		return l.step
 	}
 	return 0
 }
@@ -104,9 +109,14 @@
 	l.renew(now)
 }
 
-// firstToken takes the first token of a run.
-func (l *limiter) firstToken(now time.Time, r *run) {
+// firstToken takes the first token of a run; pending says how many others
+// still wait for theirs.
+func (l *limiter) firstToken(now time.Time, r *run, pending int) {
 	l.streaming++
+	l.standing++
+	if pending == 0 {
+		l.standing = 0
+	}
 	d := now.Sub(r.started)
 	delayed := l.delayed(r.ticket, d)
 	l.baseline.observe(now, ticketSize(r.ticket), d)
@@ -135,7 +145,7 @@
 
 // goodSample widens a ramping limit that is in use, and counts for a trial.
 func (l *limiter) goodSample(depth int) {
-	if l.probing && depth > l.limit {
+	if l.probing && depth >= l.limit+l.step {
 		l.window.good++
 	}
 	inUse := l.window.full && depth >= l.limit-reserveOf(l.limit)
@@ -161,13 +171,9 @@
 }
 
 func (l *limiter) judge(now time.Time) {
-	least := judgeSamples
-	if l.ramping || l.probing {
-		least = exploreSamples
-	}
 	ratio := l.window.worstRatio()
 	switch {
-	case l.window.queued(least):
+	case l.queued():
 		l.cut(now, l.window.streams)
 	case ratio > 1:
 		l.cut(now, int(float64(l.limit)/ratio))
@@ -176,11 +182,20 @@
 	}
 }
 
+// queued reports whether runs wait inside the engine all the time.
+func (l *limiter) queued() bool {
+	if l.ramping || l.probing {
+		return l.standing >= exploreRuns && l.window.queued(exploreSamples)
+	}
+	return l.standing >= standingRuns && l.window.queued(judgeSamples)
+}
+
 // judgeProbe ends a trial: when it is proven the slot stays and the next
 // trial follows at once.
 func (l *limiter) judgeProbe(now time.Time) {
 	if l.window.good >= goodSamples && l.window.worstRatio() < holdRatio {
-		l.limit = min(l.limit+1, maxLimit)
+		l.limit = min(l.limit+l.step, maxLimit)
+		l.step = min(2*l.step, max(1, l.limit/4))
 		l.probePause = probeSoonest
 		l.renew(now)
 		return
@@ -192,6 +207,7 @@
 
 func (l *limiter) endProbe(now time.Time) {
 	l.probing = false
+	l.step = 1
 	l.probePause = min(2*l.probePause, probeLatest)
 	l.probeAt = now.Add(l.probePause)
 	l.renew(now)
--- a/policy/queue_test.go
+++ b/policy/queue_test.go
@@ -93,3 +93,32 @@
 		}
 	}
 }
+
+// TestSlowEngineIsTriedAgain: an engine that was slow refuses nothing while
+// it is idle, or it would never be seen to be fast again.
+func TestSlowEngineIsTriedAgain(t *testing.T) {
+	for _, due := range []Milestone{MilestoneFirstToken, MilestoneCompletion} {
+		s := NewScheduler()
+		now := testStart
+		for i := range 20 {
+			id := fmt.Sprint(i)
+			s.Offer(now, Ticket{ID: id, Class: "question", Tier: 2, Size: 100})
+			s.Next(now)
+			s.Started(now, id)
+			now = now.Add(30 * time.Second)
+			s.Tokens(now, id, 1)
+			now = now.Add(30 * time.Second)
+			s.Finished(now, id, OutcomeWhole)
+		}
+		for i := range 5 {
+			d := s.Offer(now, Ticket{
+				ID: fmt.Sprint("new", i), Class: "question", Tier: 2, Size: 100,
+				Deadline: now.Add(10 * time.Second), Due: due,
+			})
+			if !d.Admitted {
+				t.Errorf("milestone %d: ticket %d refused on an idle engine: %+v", due, i, d)
+			}
+			s.Next(now)
+		}
+	}
+}
--- a/policy/run.go
+++ b/policy/run.go
@@ -10,8 +10,6 @@
 	started time.Time
 	// lastToken is zero until the first token came.
 	lastToken time.Time
-	// area is the scheduler's slot time when the run started.
-	area float64
 	// depth is how many runs were on the engine when it started, itself too.
 	depth int
 	// guaranteed runs were granted out of the guaranteed share.
--- a/policy/running.go
+++ b/policy/running.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// running holds the runs of one engine and the slot time they have used.
+// running holds the runs of one engine.
 type running struct {
 	byID map[string]*run
 	// pending are the runs that have started and have no first token yet,
@@ -14,23 +14,12 @@
 	top int
 	// leaving counts the runs that were preempted and have not ended yet.
 	leaving int
-	// area is the sum of slot time in seconds, up to last.
-	area float64
-	last time.Time
 }
 
 func newRunning() running {
 	return running{byID: map[string]*run{}}
 }
 
-// advance accounts for the slot time since the last call.
-func (r *running) advance(now time.Time) {
-	if !r.last.IsZero() {
-		r.area += now.Sub(r.last).Seconds() * float64(len(r.byID))
-	}
-	r.last = now
-}
-
 func (r *running) add(run *run) {
 	r.byID[run.ticket.ID] = run
 	r.count(run.ticket.Tier, 1)
@@ -71,7 +60,6 @@
 
 func (r *running) start(now time.Time, run *run) {
 	run.started = now
-	run.area = r.area
 	run.depth = len(r.byID)
 	r.pending = append(r.pending, run)
 }
@@ -86,12 +74,3 @@
 		}
 	}
 }
-
-// concurrency is the mean number of runs while a run was going on.
-func (r *running) concurrency(now time.Time, run *run) float64 {
-	d := now.Sub(run.started).Seconds()
-	if d <= 0 {
-		return 1
-	}
-	return (r.area - run.area) / d
-}
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -37,7 +37,6 @@
 		return
 	}
 	s.now = now
-	s.running.advance(now)
 	s.guarantee.advance(now, s.limiter.limit)
 	s.urgent.advance(now, s.running.urgent()+s.queue.urgent())
 	s.countOverdue(now)
@@ -66,7 +65,7 @@
 func (s *Scheduler) Resume(now time.Time, t Ticket) {
 	s.advance(now)
 	t.Arrived = now
-	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(t), true))
+	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(now, t), true))
 }
 
 // Withdraw removes a waiting ticket and reports whether there was one.
@@ -156,7 +155,7 @@
 		r.lastToken = now
 		s.running.dropPending(r)
 		s.first.observe(ticketSize(r.ticket), now.Sub(r.started))
-		s.limiter.firstToken(now, r)
+		s.limiter.firstToken(now, r, len(s.running.pending))
 		return
 	}
 	interval := r.tokens(now, n)
@@ -180,7 +179,7 @@
 		s.limiter.ended()
 	}
 	if o == OutcomeWhole && !r.started.IsZero() {
-		s.rate.observe(now, ticketSize(r.ticket), now.Sub(r.started), s.running.concurrency(now, r))
+		s.rate.observe(now, ticketSize(r.ticket), now.Sub(r.started))
 	}
 }
 
