--- a/testbed/history/check.go
+++ b/testbed/history/check.go
@@ -44,8 +44,9 @@
 
 // Check judges a history against all promises; none broken gives nil.
 func Check(h History) []Violation {
+	x := newIndexed(h)
 	var all []Violation
-	for _, check := range []func(*History) []Violation{
+	for _, check := range []func(*indexed) []Violation{
 		checkTopTier,
 		checkServed,
 		checkWhole,
@@ -57,7 +58,7 @@
 		checkVersions,
 		checkChanges,
 	} {
-		all = append(all, check(&h)...)
+		all = append(all, check(x)...)
 	}
 	return all
 }
--- a/testbed/history/history.go
+++ b/testbed/history/history.go
@@ -25,19 +25,29 @@
 	Versions []VersionSeen `json:"versions"`
 }
 
-// runsOf finds the runs that carry a marker.
-func (h *History) runsOf(marker string) []Run {
-	var runs []Run
+// indexed is a History with what the checks look up again and again.
+type indexed struct {
+	History
+	runs  map[string][]Run // by marker
+	calls map[string]int   // by marker, how many there are
+}
+
+func newIndexed(h History) *indexed {
+	x := &indexed{History: h, runs: map[string][]Run{}, calls: map[string]int{}}
 	for _, run := range h.Runs {
-		if run.Marker == marker {
-			runs = append(runs, run)
-		}
+		x.runs[run.Marker] = append(x.runs[run.Marker], run)
 	}
-	return runs
+	for _, call := range h.Calls {
+		x.calls[call.Marker]++
+	}
+	return x
 }
 
+// runsOf finds the runs that carry a marker.
+func (h *indexed) runsOf(marker string) []Run { return h.runs[marker] }
+
 // faultDuring reports whether any fault was in force between two times.
-func (h *History) faultDuring(from, to time.Time) bool {
+func (h *indexed) faultDuring(from, to time.Time) bool {
 	for _, fault := range h.Faults {
 		if fault.At.Before(to) && (fault.Lifted.IsZero() || fault.Lifted.After(from)) {
 			return true
--- a/testbed/history/leaving.go
+++ b/testbed/history/leaving.go
@@ -3,7 +3,7 @@
 import "fmt"
 
 // checkLeaving looks for runs that started on a leaving server too late.
-func checkLeaving(h *History) []Violation {
+func checkLeaving(h *indexed) []Violation {
 	var found []Violation
 	for _, leaving := range h.Leavings {
 		last := leaving.At.Add(leaving.Limit)
--- a/testbed/history/notrun.go
+++ b/testbed/history/notrun.go
@@ -5,7 +5,7 @@
 // A call that repeats the work of others is judged by the request's id, and
 // by runs that had started when the caller was told: a later call may have
 // run the work since.
-func checkNotRun(h *History) []Violation {
+func checkNotRun(h *indexed) []Violation {
 	var found []Violation
 	for _, call := range h.Calls {
 		if call.Told != ToldNotRun {
@@ -22,12 +22,4 @@
 	return found
 }
 
-func (h *History) sharedMarker(call Call) bool {
-	count := 0
-	for _, other := range h.Calls {
-		if other.Marker == call.Marker {
-			count++
-		}
-	}
-	return count > 1
-}
+func (h *indexed) sharedMarker(call Call) bool { return h.calls[call.Marker] > 1 }
--- a/testbed/history/once.go
+++ b/testbed/history/once.go
@@ -3,7 +3,7 @@
 import "fmt"
 
 // checkOnce looks for work that must not be repeated and ran more than once.
-func checkOnce(h *History) []Violation {
+func checkOnce(h *indexed) []Violation {
 	var found []Violation
 	seen := map[string]bool{}
 	for _, call := range h.Calls {
@@ -22,7 +22,7 @@
 
 // checkUnknown looks for callers who were told "unknown" or saw a failure
 // although nothing had failed between their request and its end.
-func checkUnknown(h *History) []Violation {
+func checkUnknown(h *indexed) []Violation {
 	var found []Violation
 	for _, call := range h.Calls {
 		if call.Told != ToldUnknown && call.Told != ToldFailed {
@@ -38,7 +38,7 @@
 
 // earlierAttempt reports whether another call with the same key came before,
 // so that this one's end may rightly be that call's.
-func (h *History) earlierAttempt(call Call) bool {
+func (h *indexed) earlierAttempt(call Call) bool {
 	for _, other := range h.Calls {
 		if call.IdempotencyKey != "" && other.IdempotencyKey == call.IdempotencyKey && other.Sent.Before(call.Sent) {
 			return true
--- a/testbed/history/served.go
+++ b/testbed/history/served.go
@@ -4,7 +4,7 @@
 
 // checkServed looks for calls without an end, and for probes, sent when all
 // faults were lifted, that were not served.
-func checkServed(h *History) []Violation {
+func checkServed(h *indexed) []Violation {
 	var found []Violation
 	for _, call := range h.Calls {
 		if call.Told == ToldNothing {
--- a/testbed/history/stops.go
+++ b/testbed/history/stops.go
@@ -5,7 +5,7 @@
 // checkStops looks for calls that were under way at a planned stop and did
 // not get their whole answer, and for processes that did not end cleanly.
 // Calls that also met a fault are left to the other checks.
-func checkStops(h *History) []Violation {
+func checkStops(h *indexed) []Violation {
 	var found []Violation
 	for _, stop := range h.Stops {
 		if !stop.Clean {
--- a/testbed/history/targets.go
+++ b/testbed/history/targets.go
@@ -8,7 +8,7 @@
 
 // checkVersions looks for processes whose targets went back, also across a
 // restart.
-func checkVersions(h *History) []Violation {
+func checkVersions(h *indexed) []Violation {
 	var found []Violation
 	highest := map[string]uint64{}
 	seen := slices.Clone(h.Versions)
@@ -26,7 +26,7 @@
 
 // checkChanges looks for accepted changes that share a version, that are not
 // in force in time, or that a later reading does not hold any more.
-func checkChanges(h *History) []Violation {
+func checkChanges(h *indexed) []Violation {
 	var found []Violation
 	byVersion := map[uint64]Change{}
 	for _, change := range h.Changes {
@@ -40,7 +40,7 @@
 	return found
 }
 
-func lateReadings(h *History, change Change) []Violation {
+func lateReadings(h *indexed, change Change) []Violation {
 	var found []Violation
 	due := change.Accepted.Add(change.Limit)
 	for _, v := range h.Versions {
--- a/testbed/history/whole.go
+++ b/testbed/history/whole.go
@@ -10,7 +10,7 @@
 
 // checkWhole looks for answers with an end mark that are not the expected
 // ones, and for broken answers that are not a beginning of them.
-func checkWhole(h *History) []Violation {
+func checkWhole(h *indexed) []Violation {
 	var found []Violation
 	for _, call := range h.Calls {
 		if call.Told == ToldWhole && call.Text != call.Expected {
--- a/testbed/matrix/background.go
+++ b/testbed/matrix/background.go
@@ -19,9 +19,9 @@
 	ending := make(chan struct{})
 	var wg conc.WaitGroup
 	for i, load := range []ask{
-		{class: classFlag, tokens: flagTokens, customer: "kaivonkansi"},
-		{class: classNote, tokens: noteTokens, customer: "kaivonkansi"},
-		{class: classNote, tokens: noteTokens, customer: "digestate", whole: true},
+		{class: classFlag, tokens: flagTokens, customer: customerLarge},
+		{class: classNote, tokens: noteTokens, customer: customerLarge},
+		{class: classNote, tokens: noteTokens, customer: customerSmall, whole: true},
 	} {
 		wg.Go(func() { r.repeat(ctx, ending, load, i) })
 	}
--- a/testbed/matrix/classes.go
+++ b/testbed/matrix/classes.go
@@ -18,6 +18,12 @@
 	classSummary = "summary"
 )
 
+// Customers of the cells' calls.
+const (
+	customerLarge = "kaivonkansi"
+	customerSmall = "digestate"
+)
+
 func classes() []targets.Class {
 	return []targets.Class{
 		{Name: classFlag, Tier: 0, Model: model, FirstToken: 20 * time.Second, Repeatable: true},
--- a/testbed/matrix/fill.go
+++ b/testbed/matrix/fill.go
@@ -34,7 +34,7 @@
 		if r.allWaiting() {
 			return nil
 		}
-		filler := ask{class: classNote, marker: r.mark("filler"), tokens: fillerTokens, customer: "digestate"}
+		filler := ask{class: classNote, marker: r.mark("filler"), tokens: fillerTokens, customer: customerSmall}
 		r.calls.Go(func() { r.call(ctx, filler, r.pick(n)) })
 		limit, cancel := context.WithTimeout(ctx, fillerPause)
 		until(limit, r.allWaiting)
--- a/testbed/matrix/probe.go
+++ b/testbed/matrix/probe.go
@@ -36,7 +36,7 @@
 func (r *rig) probeClass(ctx context.Context, class string, entry *fleet.Entry) {
 	due := time.Now().Add(recoverLimit)
 	for {
-		call := ask{class: class, marker: r.mark("probe-" + class), tokens: probeTokens, customer: "digestate"}.send(ctx, entry)
+		call := ask{class: class, marker: r.mark("probe-" + class), tokens: probeTokens, customer: customerSmall}.send(ctx, entry)
 		call.Probe = call.Told == history.ToldWhole || time.Now().After(due)
 		r.recorder.Call(call)
 		if call.Probe || !r.pause(ctx, nil) {
--- a/testbed/matrix/request.go
+++ b/testbed/matrix/request.go
@@ -29,7 +29,7 @@
 	}
 	reach := r.arrange(c.Step, string(c.Subject))
 	defer reach.release()
-	subject := ask{class: string(c.Subject), marker: r.mark(string(c.Subject)), tokens: subjectTokens, customer: "kaivonkansi"}
+	subject := ask{class: string(c.Subject), marker: r.mark(string(c.Subject)), tokens: subjectTokens, customer: customerLarge}
 	if c.Subject == SubjectDocket {
 		subject.key = uuid.NewString()
 	}
--- a/testbed/matrix/rig.go
+++ b/testbed/matrix/rig.go
@@ -48,12 +48,13 @@
 	}
 	var err error
 	r.fleet, err = fleet.Start(ctx, fleet.Options{
-		Binaries: binaries,
-		Entries:  entryCount,
-		Backends: backends,
-		Classes:  classes(),
-		Zones:    []string{"hervanta-sali", "lielahti-huone"},
-		Route:    r.route,
+		Binaries:  binaries,
+		Entries:   entryCount,
+		Backends:  backends,
+		Classes:   classes(),
+		Customers: []string{customerLarge, customerSmall},
+		Zones:     []string{"hervanta-sali", "lielahti-huone"},
+		Route:     r.route,
 	})
 	if err != nil {
 		r.close()
