--- a/testbed/matrix/background.go
+++ b/testbed/matrix/background.go
@@ -19,9 +19,9 @@
 	ending := make(chan struct{})
 	var wg conc.WaitGroup
 	for i, load := range []ask{
-		{class: classFlag, tokens: flagTokens, customer: "kaivonkansi"},
-		{class: classNote, tokens: noteTokens, customer: "kaivonkansi"},
-		{class: classNote, tokens: noteTokens, customer: "digestate", whole: true},
+		{class: classFlag, tokens: flagTokens, customer: customerLarge},
+		{class: classNote, tokens: noteTokens, customer: customerLarge},
+		{class: classNote, tokens: noteTokens, customer: customerSmall, whole: true},
 	} {
 		wg.Go(func() { r.repeat(ctx, ending, load, i) })
 	}
@@ -38,8 +38,10 @@
 			return
 		default:
 		}
-		load.marker = r.mark(load.class)
-		r.call(ctx, load, r.pick(n))
+		if entry := r.pick(n); entry != nil {
+			load.marker = r.mark(load.class)
+			r.call(ctx, load, entry)
+		}
 		n++
 		if !r.pause(ctx, ending) {
 			return
--- a/testbed/matrix/request.go
+++ b/testbed/matrix/request.go
@@ -29,7 +29,7 @@
 	}
 	reach := r.arrange(c.Step, string(c.Subject))
 	defer reach.release()
-	subject := ask{class: string(c.Subject), marker: r.mark(string(c.Subject)), tokens: subjectTokens, customer: "kaivonkansi"}
+	subject := ask{class: string(c.Subject), marker: r.mark(string(c.Subject)), tokens: subjectTokens, customer: customerLarge}
 	if c.Subject == SubjectDocket {
 		subject.key = uuid.NewString()
 	}
@@ -155,6 +155,8 @@
 		if last.Told == history.ToldWhole || ctx.Err() != nil {
 			return
 		}
-		last = r.call(ctx, a, r.pick(n+1))
+		if entry := r.pick(n + 1); entry != nil {
+			last = r.call(ctx, a, entry)
+		}
 	}
 }
