--- a/policy/engine_test.go
+++ b/policy/engine_test.go
@@ -77,6 +77,27 @@
 	}
 }
 
+// TestUnequalEngines plays eight cold engines, four of them with load of
+// others and one at a quarter of the speed, at two thirds of what they can do.
+func TestUnequalEngines(t *testing.T) {
+	t.Parallel()
+	engines := fleet(8, 8)
+	for i := range 4 {
+		engines[i].foreign = i + 2
+	}
+	engines[7].slow = 4
+	p := newPlay(3, engines...)
+	f, q, s := flags(steady(4)), questions(steady(18)), summaries(steady(0.3))
+	p.run(2*time.Minute, time.Minute, f, q, s)
+	t.Logf("%s", p.report(f, q, s))
+	if share := p.tally("question").attained(); share < 0.98 {
+		t.Errorf("questions on time: %.3f", share)
+	}
+	if late := p.tally("flag").offered - p.tally("flag").onTime; late > 1 {
+		t.Errorf("%d hazard flags late", late)
+	}
+}
+
 // TestBetweenTokens plays a class whose target for the time between tokens
 // allows six streams on an engine that takes sixteen.
 func TestBetweenTokens(t *testing.T) {
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -21,6 +21,10 @@
 	// before it counts as delayed inside the engine: reading a prompt beside
 	// a full batch takes up to two times as long as alone.
 	queueFactor = 3
+	// targetPart is the part of a target for the first token, one in four,
+	// that the engine may use: the rest is for waiting where order can still
+	// change.
+	targetPart = 4
 	// queueFloor is a delay that is never taken as a sign, whatever the
 	// baseline: about the scheduling noise of a busy VM.
 	queueFloor = 50 * time.Millisecond
@@ -77,15 +81,16 @@
 }
 
 // delayBound is the longest time to the first token that is no sign of a
-// queue inside the engine; zero when nothing is known.
+// queue inside the engine; zero when nothing is known. Whatever is usual, a
+// quarter of the target is the most that the engine may use of it.
 func (l *limiter) delayBound(t Ticket) time.Duration {
 	base := l.baseline.of(ticketSize(t))
 	if base == 0 {
-		return 0
+		return t.FirstToken / targetPart
 	}
 	bound := max(queueFactor*base, base+queueFloor)
 	if t.FirstToken > 0 {
-		bound = min(bound, max(t.FirstToken/2, base+queueFloor))
+		bound = min(bound, max(t.FirstToken/targetPart, base+queueFloor))
 	}
 	return bound
 }
--- a/policy/tier.go
+++ b/policy/tier.go
@@ -2,7 +2,8 @@
 // and in which order, what is turned away, how much runs at once, where work
 // goes, what is retried, and how fast all of it shifts. It uses the standard
 // library only, does no I/O and reads no clock: callers hand in the time.
-// Start reading at Queue, which orders the waiting tickets of one engine.
+// Start reading at Scheduler, which decides for one engine, and Placer, which
+// decides for one entry.
 package policy
 
 // Tier is a class's priority; 0 is the most urgent.
