--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -28,7 +28,7 @@
 			"Times are in UTC. Processes that did not answer are named, and the exit code is then 7.\n\n" +
 			"Examples:\n" +
 			"   applepier timeline --since 5m\n" +
-			"   applepier timeline --request 0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e5f --output json",
+			"   applepier timeline --request AZPx8no7fG2OnwobLD1OXw --output json",
 		Flags: adminFlags(
 			&cli.StringFlag{Name: flagRequest, Usage: "only events of the request `ID`"},
 			&cli.DurationFlag{Name: flagSince, Usage: "go back `TIME`", Value: timeline.DefaultSince},
--- a/internal/timeline/bench_test.go
+++ b/internal/timeline/bench_test.go
@@ -10,7 +10,7 @@
 	ring := NewRing("entry-1", &Clock{}, ringSize)
 	b.ReportAllocs()
 	for b.Loop() {
-		ring.Record(KindTicket, "0193f1f2-7a3b-7c6d-8e9f-0a1b2c3d4e5f", "hazard-flag", "")
+		ring.Record(KindTicket, "AZPx8no7fG2OnwobLD1OXw", "hazard-flag", "")
 	}
 }
 
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -34,7 +34,7 @@
 	messages := map[string]Message{
 		"ticket": {Ticket: &Ticket{
 			Request: benchRequest, Attempt: 1, Class: "hazard-flag", Tier: 0, Customer: "customer-042",
-			SlackMS: 850, Size: 1200, Prefix: 0x9e3779b97f4a7c15, Copies: 2,
+			SlackMS: 850, Size: 1200, Prefix: 0x9e3779b97f4a7c15, Copies: 2, Serves: "model-07",
 		}},
 		"withdraw": {Withdraw: &Withdraw{Request: benchRequest, Attempt: 1}},
 		"grant":    {Grant: &Grant{Request: benchRequest, Attempt: 1, ID: benchGrant}, Status: status},
