--- a/testbed/readme/readme_test.go
+++ b/testbed/readme/readme_test.go
@@ -39,6 +39,17 @@
 	return cmd
 }
 
+// TestTryItNamesWhatIsThere: the commands run the whole demo and all checks, so
+// that this test, which is one of them, sees to it only that they are there.
+func TestTryItNamesWhatIsThere(t *testing.T) {
+	for _, line := range block(t, "Try it") {
+		words := strings.Fields(line)
+		if _, err := os.Stat(filepath.Join(root, words[len(words)-1])); err != nil {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+}
+
 // TestRunIt runs the commands in order. The last two serve; they get the
 // example settings with free ports, and are stopped as an operator would.
 func TestRunIt(t *testing.T) {
