agent: tickets say what their deadline is for, and which runs may give way

Cause: newTicket left policy.Ticket.Due and Preemptible unset. So the policy never preempted, lent none of the slots it keeps back, and took the target for the first token as one for the start. Change: the entry marks tickets of work it can resume (wire.Ticket.Preemptible); the agent passes it on and sets Due for classes with a target for the first token. A preempted run ends with its own kind of failure, so that the entry resumes it without using up attempts or the retry budget, and the engine isn't blamed for it by the ejector. Ruled out: Preemptible by class at the agent; it doesn't know calls of plain services and newer targets from what the entry can resume.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -119,7 +119,7 @@
 		case <-stall.C:
 			return r.fail(ctx, wire.FailCut, engine.ErrCut)
 		case <-r.grant.cancel:
-			_ = r.out.Write(wire.Frame{Kind: wire.FrameFail, Fail: wire.FailCut})
+			_ = r.out.Write(wire.Frame{Kind: wire.FrameFail, Fail: wire.FailPreempted})
 			return policy.OutcomeCancelled
 		case <-ctx.Done():
 			return policy.OutcomeCancelled
--- a/internal/agent/ticket.go
+++ b/internal/agent/ticket.go
@@ -33,11 +33,16 @@
 		Deadline: now.Add(time.Duration(m.SlackMS) * time.Millisecond),
 		Size:     m.Size,
 		Copies:   m.Copies,
+
+		Preemptible: m.Preemptible,
 	}
 	if c, ok := set.Class(m.Class); ok {
 		t.Tier = policy.Tier(c.Tier)
 		t.FirstToken = c.FirstToken
 		t.BetweenTokens = c.BetweenTokens
+		if c.FirstToken > 0 {
+			t.Due = policy.MilestoneFirstToken
+		}
 	}
 	return &ticket{policy: t, session: s, request: m.Request, attempt: m.Attempt}
 }
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +55,41 @@
 	}
 }
 
+func TestPreemptedRunsAreContinuedWhateverTheBudget(t *testing.T) {
+	const preemptions = 15 // more than attempts and the retry budget allow
+	answer := make([]string, preemptions+1)
+	for i := range answer {
+		answer[i] = string(rune('a' + i))
+	}
+	agent := newFakeAgent(t, "one", func(w *wire.FrameWriter, r wire.RunRequest) {
+		token(w, answer[r.ResumeFrom])
+		if r.ResumeFrom < preemptions {
+			_ = w.Write(wire.Frame{Kind: wire.FrameFail, Fail: wire.FailPreempted})
+			return
+		}
+		finish(w)
+	})
+	sink := &fakeSink{}
+	result := newTestDispatcher(&fakeAgents{agents: []*fakeAgent{agent}}).Do(t.Context(), testRequest(true), sink)
+	if result.Outcome != Whole || sink.text != strings.Join(answer, "") {
+		t.Fatalf("got %+v with %q", result, sink.text)
+	}
+}
+
+func TestOnlyWorkThatCanBeResumedMayBePreempted(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		request := testRequest(repeatable)
+		j := &job{request: request, attempt: 1}
+		if j.ticket().Preemptible != repeatable {
+			t.Errorf("repeatable %v: preemptible %v", repeatable, !repeatable)
+		}
+		request.Call = &Call{}
+		if j.ticket().Preemptible {
+			t.Error("a plain service's call may be preempted")
+		}
+	}
+}
+
 func TestWorkThatMustNotBeRepeatedEndsUnknown(t *testing.T) {
 	agents := &fakeAgents{agents: []*fakeAgent{newFakeAgent(t, "one", tokensFrom([]string{"a", "b"}, 1))}}
 	result := newTestDispatcher(agents).Do(t.Context(), testRequest(false), &fakeSink{})
--- a/internal/entry/dispatch/end.go
+++ b/internal/entry/dispatch/end.go
@@ -14,6 +14,8 @@
 	endRejected
 	// endCut: it ran, or may have, and did not end whole.
 	endCut
+	// endPreempted: the agent stopped it in favour of urgent work.
+	endPreempted
 	// endGone: the caller went away.
 	endGone
 )
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -20,6 +20,7 @@
 	sink       Sink
 
 	attempt    int
+	preempted  int
 	tokens     int
 	sent       bool
 	started    bool
@@ -66,6 +67,12 @@
 		return j.retryOr(Result{Outcome: NotRun, Reason: e.reason, RetryAfter: emptyWait})
 	}
 	j.started = true
+	if e.kind == endPreempted && j.request.resumable() {
+		// No failure: neither the budget nor the bound on attempts is for it.
+		// The policy lets a resumed run get on before it is stopped again.
+		j.preempted++
+		return Result{}, false
+	}
 	if !j.request.Repeatable {
 		return Result{Outcome: Unknown, Reason: e.reason}, true
 	}
@@ -79,7 +86,7 @@
 func (j *job) answered() bool { return j.firstToken > 0 }
 
 func (j *job) retryOr(last Result) (Result, bool) {
-	if j.attempt >= maxAttempts {
+	if j.attempt-j.preempted >= maxAttempts {
 		return j.afterRefusal(last), true
 	}
 	if !j.dispatcher.shared.allowRetry(time.Now()) {
@@ -105,6 +112,8 @@
 		Prefix:   r.Prefix,
 		Copies:   policy.Copies(j.tier()),
 		Retry:    j.attempt > 1,
-		Serves:   r.Serves,
+
+		Preemptible: r.resumable(),
+		Serves:      r.Serves,
 	}
 }
--- a/internal/entry/dispatch/run.go
+++ b/internal/entry/dispatch/run.go
@@ -132,7 +132,7 @@
 		outcome = policy.OutcomeFailed
 	case endNotRun:
 		outcome = policy.OutcomeLapsed
-	case endGone, endRejected, endBlocked:
+	case endGone, endRejected, endBlocked, endPreempted:
 		outcome = policy.OutcomeCancelled
 	}
 	j.dispatcher.shared.observe(time.Now(), o.agent, outcome)
@@ -188,6 +188,8 @@
 		return end{kind: endNotRun, reason: "not_started"}
 	case wire.FailRejected:
 		return end{kind: endRejected, status: f.Status, body: f.Data}
+	case wire.FailPreempted:
+		return end{kind: endPreempted, reason: "preempted"}
 	case wire.FailUnknown:
 		return end{kind: endCut, reason: "start_unknown"}
 	default:
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -28,6 +28,9 @@
 	FailRejected FailKind = "rejected"
 	// FailCut: it ran and was cut off.
 	FailCut FailKind = "cut"
+	// FailPreempted: it ran and was stopped in favour of urgent work; nothing
+	// is wrong with the backend server.
+	FailPreempted FailKind = "preempted"
 	// FailUnknown: it may have run.
 	FailUnknown FailKind = "unknown"
 )
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -68,6 +68,9 @@
 	// Serves is the model or plain service that is asked for; an agent whose
 	// engine has loaded another since refuses the ticket.
 	Serves string `cbor:"11,keyasint"`
+	// Preemptible says that the run may be stopped for an urgent one: the
+	// entry continues it elsewhere.
+	Preemptible bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Withdraw takes a ticket back, or declines its grant.
