--- a/testbed/matrix/rig.go
+++ b/testbed/matrix/rig.go
@@ -48,12 +48,13 @@
 	}
 	var err error
 	r.fleet, err = fleet.Start(ctx, fleet.Options{
-		Binaries: binaries,
-		Entries:  entryCount,
-		Backends: backends,
-		Classes:  classes(),
-		Zones:    []string{"hervanta-sali", "lielahti-huone"},
-		Route:    r.route,
+		Binaries:  binaries,
+		Entries:   entryCount,
+		Backends:  backends,
+		Classes:   classes(),
+		Customers: []string{customerLarge, customerSmall},
+		Zones:     []string{"hervanta-sali", "lielahti-huone"},
+		Route:     r.route,
 	})
 	if err != nil {
 		r.close()
@@ -127,7 +128,7 @@
 	r.closed[entry] = closed
 }
 
-// pick returns an entry that takes calls, in turn by n.
+// pick returns an entry that takes calls, in turn by n; nil when none does.
 func (r *rig) pick(n int) *fleet.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -138,7 +139,7 @@
 			return entry
 		}
 	}
-	return entries[n%len(entries)]
+	return nil
 }
 
 // call makes a request and notes it.
