--- a/testbed/matrix/cell.go
+++ b/testbed/matrix/cell.go
@@ -57,9 +57,13 @@
 
 // Name identifies the cell in the table.
 func (c Cell) Name() string {
+	return fmt.Sprintf("%s/%s/%s", c.Subject, c.Step, c.faultNames())
+}
+
+func (c Cell) faultNames() string {
 	faults := make([]string, 0, len(c.Faults))
 	for _, f := range c.Faults {
 		faults = append(faults, string(f))
 	}
-	return fmt.Sprintf("%s/%s/%s", c.Subject, c.Step, strings.Join(faults, "+"))
+	return strings.Join(faults, "+")
 }
--- a/testbed/matrix/matrix_test.go
+++ b/testbed/matrix/matrix_test.go
@@ -30,10 +30,34 @@
 	}
 }
 
-func TestTrial(t *testing.T) {
-	for _, step := range RequestSteps {
-		t.Run(string(step), func(t *testing.T) {
-			check(t, Cell{Subject: SubjectSummary, Step: step, Faults: []Kind{Cut}, Seed: 1})
+// TestFixedCells runs the part of the matrix that CI runs.
+func TestFixedCells(t *testing.T) {
+	sideBySide := make(chan struct{}, parallelCells)
+	for _, cell := range FixedCells() {
+		t.Run(cell.Name(), func(t *testing.T) {
+			t.Parallel()
+			sideBySide <- struct{}{}
+			defer func() { <-sideBySide }()
+			check(t, cell)
 		})
 	}
 }
+
+// parallelCells is how many fleets run side by side.
+const parallelCells = 4
+
+func TestPairsAreDrawnBySeed(t *testing.T) {
+	first, again, other := PairCells(1, 30), PairCells(1, 30), PairCells(2, 30)
+	same := 0
+	for i := range first {
+		if first[i].Name() != again[i].Name() {
+			t.Fatalf("pair %d: %s, then %s", i, first[i].Name(), again[i].Name())
+		}
+		if first[i].Name() == other[i].Name() {
+			same++
+		}
+	}
+	if same == len(first) {
+		t.Fatal("another seed draws the same pairs")
+	}
+}
--- a/testbed/matrix/report.go
+++ b/testbed/matrix/report.go
@@ -20,7 +20,11 @@
 type report struct {
 	Results []Result
 	Held    int
-	Took    time.Duration
+	Broken  int
+	// Spread is the longest of all cells.
+	Spread       time.Duration
+	LeavingLimit time.Duration
+	ChangeLimit  time.Duration
 }
 
 // WriteReport writes the page with the table of cells.
@@ -29,11 +33,13 @@
 	if err != nil {
 		return errors.Wrap(err, "page's template")
 	}
-	r := report{Results: results}
+	r := report{Results: results, LeavingLimit: leavingLimit, ChangeLimit: changeLimit}
 	for _, result := range results {
-		r.Took += result.Took
+		r.Spread = max(r.Spread, result.Spread)
 		if result.Holds() {
 			r.Held++
+		} else {
+			r.Broken++
 		}
 	}
 	var text bytes.Buffer
--- a/testbed/matrix/run.go
+++ b/testbed/matrix/run.go
@@ -34,6 +34,17 @@
 	Took   time.Duration
 }
 
+// First is the first broken promise, empty when there is none.
+func (r Result) First() string {
+	if len(r.Violations) == 0 {
+		return ""
+	}
+	return r.Violations[0].String()
+}
+
+// Faults names the cell's faults.
+func (r Result) Faults() string { return r.Cell.faultNames() }
+
 // Holds reports whether the cell ran and broke no promise.
 func (r Result) Holds() bool { return r.Err == nil && len(r.Violations) == 0 }
 
