Targets: a change is answered once an agent has it; fleet: blocks of ports that belong to one process

Change: the answer waits for a first agent's word, at most a second; a change without any agent in reach is accepted as before. Each test process now owns a block of ports.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -41,6 +41,12 @@
 	Fleet Fleet
 	// OperatorKey is required of every request; empty refuses all.
 	OperatorKey string
+	// Spread is called with the version of a change that is durable, before
+	// it is answered, and returns when another process has it or none has
+	// been reached in a short time. A change is then in force also if the
+	// table service goes down and this process dies with its answer. May be
+	// nil.
+	Spread func(ctx context.Context, version uint64)
 	// Log may be nil.
 	Log *zap.Logger
 }
@@ -50,6 +56,7 @@
 	store  Store
 	holder *targets.Holder
 	fleet  Fleet
+	spread func(ctx context.Context, version uint64)
 	guard  auth.Middleware
 	log    *zap.Logger
 }
@@ -64,6 +71,7 @@
 		store:  config.Store,
 		holder: config.Holder,
 		fleet:  config.Fleet,
+		spread: config.Spread,
 		guard:  auth.Operator(config.OperatorKey),
 		log:    log,
 	}
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -126,6 +126,9 @@
 		return
 	}
 	a.holder.Offer(set)
+	if a.spread != nil {
+		a.spread(r.Context(), set.Version)
+	}
 	a.log.Info(logging.EventTargetsChanged, zap.Uint64("version", set.Version), zap.String("resource", r.URL.Path), zap.String("method", r.Method))
 	answer := changeAnswer{Accepted: true, Version: set.Version, APIKey: apiKey}
 	state(set, &answer.Class, &answer.Customer)
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -33,6 +33,7 @@
 		Holder:      e.holder,
 		Fleet:       e.census,
 		OperatorKey: e.keys.operator,
+		Spread:      func(ctx context.Context, version uint64) { e.fleet.AwaitFirst(ctx, version) },
 		Log:         e.log,
 	}).Register(router)
 	operator := auth.Operator(e.keys.operator)
--- a/testbed/fleet/addr.go
+++ b/testbed/fleet/addr.go
@@ -14,35 +14,59 @@
 const (
 	firstPort = 12000
 	lastPort  = 32000
-	// portStride spaces the first port of test processes that run side by
-	// side.
-	portStride = 97
+	// blockSize is how many ports a test process reserves: enough for thirty
+	// fleets before a port is given out again.
+	blockSize  = 400
+	blockCount = (lastPort - firstPort) / blockSize
+	// loopback is the only host that tests listen on.
+	loopback = "127.0.0.1"
 )
 
-var portCursor = struct {
-	sync.Mutex
-	next int
-}{next: firstPort + os.Getpid()*portStride%(lastPort-firstPort)}
+// ports are the ports of this process. Test processes run side by side, and
+// one that only looked whether a port is free could lose it to another before
+// its own program listens there. A block therefore belongs to the process
+// that listens on the block's first port.
+var ports portBlock
+
+// portBlock gives out the ports of one block in turn.
+type portBlock struct {
+	mu sync.Mutex
+	// owner is kept open as long as the process runs.
+	owner net.Listener
+	first int
+	given int
+}
 
 // freeAddr returns a host:port on 127.0.0.1 that nothing listens on and that
 // this process has not given out lately.
 func freeAddr() (string, error) {
-	portCursor.Lock()
-	defer portCursor.Unlock()
-	for range lastPort - firstPort {
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(portCursor.next))
-		portCursor.next++
-		if portCursor.next >= lastPort {
-			portCursor.next = firstPort
-		}
-		listener, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		if err := listener.Close(); err != nil {
-			return "", errors.Wrap(err, "release port")
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	if err := ports.reserve(); err != nil {
+		return "", err
+	}
+	for range blockSize {
+		ports.given = ports.given%(blockSize-1) + 1
+		addr := localAddr(ports.first + ports.given)
+		if listener, err := net.Listen("tcp", addr); err == nil {
+			return addr, listener.Close()
 		}
-		return addr, nil
 	}
 	return "", errors.New("no free port on 127.0.0.1")
 }
+
+// reserve takes a block unless there is one. Called with mu held.
+func (p *portBlock) reserve() error {
+	for i := 0; p.owner == nil && i < blockCount; i++ {
+		first := firstPort + (os.Getpid()+i)%blockCount*blockSize
+		if owner, err := net.Listen("tcp", localAddr(first)); err == nil {
+			p.owner, p.first = owner, first
+		}
+	}
+	if p.owner == nil {
+		return errors.New("all blocks of ports are taken")
+	}
+	return nil
+}
+
+func localAddr(port int) string { return net.JoinHostPort(loopback, strconv.Itoa(port)) }
