agent: the policy is called as it asks to be

Cause: the policy's author read the wiring: preemption was asked once and after the grants, displaced tickets got no time to come back, decisions due after 20 ms waited up to 250 ms, a first token did not lead to another look, and completion classes sent half their target as the time to start. Change: preempt in a loop before granting; RetryAfter for displaced tickets; the timer follows NextWake, never later than planned; a look at the first token; tickets carry the whole target and the milestone it is for; only requests that ran in part skip admission.

--- a/internal/agent/grant.go
+++ b/internal/agent/grant.go
@@ -28,6 +28,8 @@
 	offered  time.Time
 	ended    time.Time
 	state    grantState
+	// streaming says that the first token has come.
+	streaming bool
 
 	// cancel is closed to preempt the run.
 	cancel     chan struct{}
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -49,6 +49,8 @@
 	serves    string
 	switching bool
 
+	// wake tells keepTime that the next decision may be due sooner.
+	wake      chan struct{}
 	drainOnce sync.Once
 	drained   chan struct{}
 }
@@ -65,6 +67,7 @@
 		grants:      newGrants(),
 		sessions:    make(map[*session]struct{}),
 		drained:     make(chan struct{}),
+		wake:        make(chan struct{}, 1),
 	}
 }
 
@@ -140,7 +143,7 @@
 func (tb *table) offer(now time.Time, s *session, t *ticket) bool {
 	decision := tb.sched.Offer(now, t.policy)
 	for _, id := range decision.Displaced {
-		tb.displace(id, decision.RetryAfter)
+		tb.displace(now, id)
 	}
 	if decision.Admitted {
 		return true
@@ -153,13 +156,14 @@
 	return false
 }
 
-func (tb *table) displace(id string, retryAfter time.Duration) {
+// displace refuses a waiting ticket that gave its place to a more urgent one.
+func (tb *table) displace(now time.Time, id string) {
 	t, ok := tb.tickets[id]
 	if !ok {
 		return
 	}
 	delete(tb.tickets, id)
-	tb.refuse(t.session, t.request, t.attempt, wire.ReasonQueueFull, retryAfter)
+	tb.refuse(t.session, t.request, t.attempt, wire.ReasonQueueFull, tb.sched.RetryAfter(now, t.policy.Tier))
 }
 
 // closedRetryAfter is when a caller may come back to a fleet that has no
@@ -242,11 +246,17 @@
 	return g, true
 }
 
-// tokens tells the policy that a run's tokens came.
+// tokens tells the policy that a run's tokens came. The first may show that
+// the engine has room for more.
 func (tb *table) tokens(g *grant, n int) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	tb.sched.Tokens(time.Now(), g.ticketID, n)
+	now := time.Now()
+	tb.sched.Tokens(now, g.ticketID, n)
+	if !g.streaming {
+		g.streaming = true
+		tb.grantWaiting(now)
+	}
 }
 
 // finish frees a run's slot.
@@ -261,11 +271,19 @@
 	tb.checkDrained()
 }
 
-// grantWaiting grants while the policy finds room. Called with mu held.
+// grantWaiting preempts what the policy says, then grants while it finds room.
+// Called with mu held.
 func (tb *table) grantWaiting(now time.Time) {
 	if _, closed := tb.closed(); closed {
 		return
 	}
+	for {
+		id, ok := tb.sched.Preempt(now)
+		if !ok {
+			break
+		}
+		tb.preempt(id)
+	}
 	for {
 		next, ok := tb.sched.Next(now)
 		if !ok {
@@ -273,8 +291,14 @@
 		}
 		tb.grant(now, next)
 	}
-	if id, ok := tb.sched.Preempt(now); ok {
-		tb.preempt(id)
+	tb.rearm()
+}
+
+// rearm has keepTime look again when the policy's next decision is due.
+func (tb *table) rearm() {
+	select {
+	case tb.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -322,6 +346,7 @@
 // keepTime lets grants lapse, forgets old ones and asks the policy when a
 // decision of its own is due.
 func (tb *table) keepTime(ctx context.Context) {
+	at := time.Now().Add(wakeAtLeast)
 	timer := time.NewTimer(wakeAtLeast)
 	defer timer.Stop()
 	for {
@@ -329,12 +354,21 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+			at = tb.tick(time.Now())
+			timer.Reset(time.Until(at))
+		case <-tb.wake:
+			// Never later than planned: else a stream of new tickets would
+			// put the next look off for good.
+			if due := tb.due(time.Now()); due.Before(at) {
+				at = due
+				timer.Reset(time.Until(at))
+			}
 		}
-		timer.Reset(tb.tick(time.Now()))
 	}
 }
 
-func (tb *table) tick(now time.Time) time.Duration {
+// tick does what time alone brings about and returns when to look again.
+func (tb *table) tick(now time.Time) time.Time {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	for _, g := range tb.grants.offered {
@@ -347,11 +381,28 @@
 	tb.grantWaiting(now)
 	load := tb.sched.Load()
 	tb.queue.Set(load.Waiting, load.Running, load.Limit)
+	return tb.nextLook(now)
+}
+
+// due is when the policy's next decision is due.
+func (tb *table) due(now time.Time) time.Time {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return tb.nextLook(now)
+}
+
+// nextLook bounds the policy's next decision from both sides. Called with mu
+// held.
+func (tb *table) nextLook(now time.Time) time.Time {
+	latest := now.Add(wakeAtLeast)
 	due, ok := tb.sched.NextWake(now)
-	if !ok {
-		return wakeAtLeast
+	if !ok || due.After(latest) {
+		return latest
+	}
+	if soonest := now.Add(time.Millisecond); due.Before(soonest) {
+		return soonest
 	}
-	return min(max(due.Sub(now), time.Millisecond), wakeAtLeast)
+	return due
 }
 
 // expire gives up on tickets that have waited past the policy's bound.
--- a/internal/agent/ticket.go
+++ b/internal/agent/ticket.go
@@ -31,6 +31,7 @@
 		Tier:     policy.Tier(m.Tier),
 		Arrived:  now,
 		Deadline: now.Add(time.Duration(m.SlackMS) * time.Millisecond),
+		Due:      m.Due,
 		Size:     m.Size,
 		Copies:   m.Copies,
 
@@ -40,9 +41,6 @@
 		t.Tier = policy.Tier(c.Tier)
 		t.FirstToken = c.FirstToken
 		t.BetweenTokens = c.BetweenTokens
-		if c.FirstToken > 0 {
-			t.Due = policy.MilestoneFirstToken
-		}
 	}
 	return &ticket{policy: t, session: s, request: m.Request, attempt: m.Attempt}
 }
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -100,7 +100,8 @@
 
 func (j *job) ticket() *wire.Ticket {
 	r := j.request
-	slack := r.Class.StartWithin() - time.Since(r.Arrived)
+	within, due := r.Class.Deadline()
+	slack := within - time.Since(r.Arrived)
 	return &wire.Ticket{
 		Request:  r.ID,
 		Attempt:  j.attempt,
@@ -108,10 +109,11 @@
 		Tier:     r.Class.Tier,
 		Customer: r.Customer,
 		SlackMS:  slack.Milliseconds(),
+		Due:      due,
 		Size:     r.Size,
 		Prefix:   r.Prefix,
 		Copies:   policy.Copies(j.tier()),
-		Retry:    j.attempt > 1,
+		Retry:    j.started,
 
 		Preemptible: r.resumable(),
 		Serves:      r.Serves,
--- a/internal/targets/class.go
+++ b/internal/targets/class.go
@@ -1,6 +1,10 @@
 package targets
 
-import "time"
+import (
+	"time"
+
+	"github.com/applepier/applepier/policy"
+)
 
 // Class is one class of work as the operators state it: a latency target and
 // a tier, and what the work runs on. There is no weight, share or address.
@@ -35,15 +39,15 @@
 // should start, when it has no target for completion either.
 const defaultStart = 30 * time.Second
 
-// StartWithin is how long after its arrival a request of this class may start
-// and still meet its targets: the target for the first token, or else half of
-// the target for completion, the other half being left for the answer.
-func (c Class) StartWithin() time.Duration {
+// Deadline is how long after its arrival a request of this class must have
+// reached which milestone: its first token if there is a target for that, or
+// else its completion.
+func (c Class) Deadline() (time.Duration, policy.Milestone) {
 	if c.FirstToken > 0 {
-		return c.FirstToken
+		return c.FirstToken, policy.MilestoneFirstToken
 	}
 	if c.Completion > 0 {
-		return c.Completion / 2
+		return c.Completion, policy.MilestoneCompletion
 	}
-	return defaultStart
+	return defaultStart, policy.MilestoneStart
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -6,6 +6,7 @@
 import (
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
+	"github.com/applepier/applepier/policy"
 )
 
 // Message is the envelope of one message between an entry and an agent.
@@ -53,9 +54,11 @@
 	Class    string `cbor:"3,keyasint"`
 	Tier     int    `cbor:"4,keyasint"`
 	Customer string `cbor:"5,keyasint"`
-	// SlackMS is how many milliseconds remain until work must start to meet
-	// the target. It is relative, since VMs' clocks differ.
+	// SlackMS is how many milliseconds remain until Due must be reached to
+	// meet the target. It is relative, since VMs' clocks differ.
 	SlackMS int64 `cbor:"6,keyasint"`
+	// Due is the milestone that the target is for.
+	Due policy.Milestone `cbor:"13,keyasint,omitempty"`
 	// Size is the estimated work in tokens.
 	Size int `cbor:"7,keyasint"`
 	// Prefix is a hash of the prompt's beginning, for the prefix cache.
