Preemption only where a pause breaks no target; a preempted request keeps its place

Ruled out: expiry of resumed tickets (they never expire). Change: a run is preemptible only without a target between tokens; a preempted request skips admission; preemptions are on the time line.

--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -332,6 +332,7 @@
 func (tb *table) preempt(ticketID string) {
 	if g, ok := tb.grants.used[ticketID]; ok {
 		g.cancelOnce.Do(func() { close(g.cancel) })
+		tb.ring.Record(timeline.KindPreempt, g.request, g.class, "")
 	}
 }
 
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -76,6 +76,24 @@
 	}
 }
 
+func TestRequestThatRanInPartSkipsAdmission(t *testing.T) {
+	cases := map[string]struct {
+		end  end
+		want bool
+	}{
+		"preempted":         {end{kind: endPreempted}, true},
+		"cut":               {end{kind: endCut}, true},
+		"certainly not run": {end{kind: endNotRun}, false},
+	}
+	for name, c := range cases {
+		j := &job{dispatcher: newTestDispatcher(&fakeAgents{}), request: testRequest(true), attempt: 1}
+		j.decide(c.end)
+		if got := j.ticket().Retry; got != c.want {
+			t.Errorf("%s: skips admission: got %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 func TestOnlyWorkThatCanBeResumedMayBePreempted(t *testing.T) {
 	for _, repeatable := range []bool{true, false} {
 		request := testRequest(repeatable)
@@ -83,6 +101,11 @@
 		if j.ticket().Preemptible != repeatable {
 			t.Errorf("repeatable %v: preemptible %v", repeatable, !repeatable)
 		}
+		request.Class.BetweenTokens = 50 * time.Millisecond
+		if j.ticket().Preemptible {
+			t.Error("an answer with a target between tokens may be preempted")
+		}
+		request.Class.BetweenTokens = 0
 		request.Call = &Call{}
 		if j.ticket().Preemptible {
 			t.Error("a plain service's call may be preempted")
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -71,6 +71,7 @@
 		// No failure: neither the budget nor the bound on attempts is for it.
 		// The policy lets a resumed run get on before it is stopped again.
 		j.preempted++
+		j.started = true
 		return Result{}, false
 	}
 	if !j.request.Repeatable {
@@ -115,7 +116,7 @@
 		Copies:   policy.Copies(j.tier()),
 		Retry:    j.started,
 
-		Preemptible: r.resumable(),
+		Preemptible: r.preemptible(),
 		Serves:      r.Serves,
 	}
 }
--- a/internal/entry/dispatch/request.go
+++ b/internal/entry/dispatch/request.go
@@ -44,3 +44,10 @@
 // resumable reports whether a cut answer can be continued: a model's stream,
 // not a plain service's bytes.
 func (r *Request) resumable() bool { return r.Repeatable && r.Call == nil }
+
+// preemptible reports whether a run may be stopped for an urgent one and
+// continued later without its answer being late for that alone: a pause breaks
+// a target between tokens.
+func (r *Request) preemptible() bool {
+	return r.resumable() && r.Class.BetweenTokens == 0
+}
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -17,6 +17,7 @@
 	KindStart        Kind = "start"
 	KindFirstToken   Kind = "first_token"
 	KindFinish       Kind = "finish"
+	KindPreempt      Kind = "preempt"
 	KindRefusal      Kind = "refusal"
 	KindUnknown      Kind = "unknown"
 	KindRetry        Kind = "retry"
