--- a/testbed/cmd/load/measure.go
+++ b/testbed/cmd/load/measure.go
@@ -10,11 +10,12 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/applepier/applepier/testbed/load"
 	"github.com/applepier/applepier/testbed/measure"
 )
 
-// measurePatience lets work that must start within 15 s end.
-const measurePatience = 20 * time.Second
+// returnWithin is after how long a refused caller no longer comes back.
+const returnWithin = 20 * time.Second
 
 func measureCommand(out, progress io.Writer) *cli.Command {
 	return &cli.Command{
@@ -31,7 +32,8 @@
 			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "how many seeds"},
 			&cli.FloatFlag{Name: "scale", Value: 1, Usage: "multiplies the phases' durations"},
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "how many fleets run side by side"},
-			&cli.DurationFlag{Name: "patience", Value: measurePatience, Usage: "how long a caller waits"},
+			&cli.DurationFlag{Name: "patience", Value: load.DefaultPatience, Usage: "how long a caller waits"},
+			&cli.DurationFlag{Name: "return-within", Value: returnWithin, Usage: "how long a refused caller waits before it comes back"},
 			&cli.StringFlag{Name: "json", Usage: "file that takes all reports as JSON"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error { return runMeasure(ctx, cmd, out, progress) },
@@ -48,7 +50,9 @@
 		Scale:    cmd.Float("scale"),
 		Parallel: cmd.Int("parallel"),
 		Patience: cmd.Duration("patience"),
-		Progress: progress,
+
+		ReturnWithin: cmd.Duration("return-within"),
+		Progress:     progress,
 	}
 	rounds, err := measure.Run(ctx, options)
 	measure.WriteTables(out, options, rounds)
--- a/testbed/demo/demo.go
+++ b/testbed/demo/demo.go
@@ -26,8 +26,8 @@
 const (
 	// entries is how many entries there are.
 	entries = 3
-	// patience is how long a caller waits, also before it comes back.
-	patience = 20 * time.Second
+	// returnWithin is how long a refused caller waits before it comes back.
+	returnWithin = 20 * time.Second
 	// startLimit bounds the start of all processes, without the build.
 	startLimit = time.Minute
 	// endLimit is how long the processes may take to end by themselves.
@@ -85,7 +85,7 @@
 	target.Seed = options.Seed
 	target.Target = "applepier"
 	target.CheckRetryAfter = true
-	target.Patience = patience
+	target.ReturnWithin = returnWithin
 	target.Progress = func(p load.Progress) { writeProgress(options.Progress, p) }
 	report, err := load.Run(ctx, target)
 	_, _ = fmt.Fprintln(options.Progress)
--- a/testbed/load/answer.go
+++ b/testbed/load/answer.go
@@ -51,6 +51,9 @@
 			return failed
 		}
 	}
+	if err := lines.Err(); err != nil {
+		return reader.broken("stream failed: " + err.Error())
+	}
 	return reader.broken("stream ended without its end mark")
 }
 
@@ -61,7 +64,7 @@
 		return r.broken("event is not JSON"), false
 	}
 	if len(chunk.Error) > 0 && string(chunk.Error) != "null" {
-		failed := r.broken("error event")
+		failed := r.broken("error event " + errorCode(data))
 		if saysUnknown(data) {
 			failed.Outcome = OutcomeUnknown
 		}
--- a/testbed/load/caller.go
+++ b/testbed/load/caller.go
@@ -121,11 +121,16 @@
 	} `json:"error"`
 }
 
-// saysUnknown reports whether an error tells that the outcome is unknown.
-func saysUnknown(body []byte) bool {
+// errorCode is an error's code; empty when it has none.
+func errorCode(body []byte) string {
 	var decoded apiError
 	if err := json.Unmarshal(body, &decoded); err != nil {
-		return false
+		return ""
 	}
-	return decoded.Error.Code == codeUnknown
+	return decoded.Error.Code
+}
+
+// saysUnknown reports whether an error tells that the outcome is unknown.
+func saysUnknown(body []byte) bool {
+	return errorCode(body) == codeUnknown
 }
--- a/testbed/load/options.go
+++ b/testbed/load/options.go
@@ -21,8 +21,10 @@
 	// Patience is how long a caller waits; DefaultPatience when zero.
 	Patience time.Duration
 	// CheckRetryAfter makes each refused caller come back once, when it was
-	// told to; one that was told to wait longer than Patience stays away.
+	// told to; one that was told to wait longer than ReturnWithin stays away.
 	CheckRetryAfter bool
+	// ReturnWithin is Patience when zero.
+	ReturnWithin time.Duration
 	// Progress is called about once a second while it runs; may be nil.
 	Progress func(Progress)
 }
--- a/testbed/load/report.go
+++ b/testbed/load/report.go
@@ -19,6 +19,8 @@
 	Classes []ClassReport `json:"classes"`
 	// Phases sum up the requests that were due in each phase.
 	Phases []PhaseReport `json:"phases"`
+	// Details tell what went wrong with broken and wrong answers.
+	Details []DetailCount `json:"details,omitempty"`
 }
 
 // PhaseReport sums up the requests that were due in one phase.
@@ -55,6 +57,7 @@
 		Seconds:  sending.Seconds(),
 	}
 	whole := total.report("all", scenario.Duration())
+	report.Details = details(scenario, records)
 	report.Total, report.Classes = whole.Total, whole.Classes
 	for i, phase := range scenario.Shape.Phases {
 		report.Phases = append(report.Phases, phases[i].report(phase.Name, phase.Duration))
--- a/testbed/load/run.go
+++ b/testbed/load/run.go
@@ -60,6 +60,9 @@
 	if options.Patience == 0 {
 		options.Patience = DefaultPatience
 	}
+	if options.ReturnWithin == 0 {
+		options.ReturnWithin = options.Patience
+	}
 	r := &runner{
 		options:  options,
 		salt:     uuid.NewString(),
@@ -108,7 +111,7 @@
 func (r *runner) request(ctx context.Context, a arrival, body []byte) {
 	rec := record{arrival: a, fingerprint: engine.Fingerprint(body)}
 	rec.result = r.attempt(ctx, a, body, r.started.Add(a.at))
-	if r.options.CheckRetryAfter && rec.result.Outcome == OutcomeRefused && rec.result.RetryAfter <= r.options.Patience {
+	if r.options.CheckRetryAfter && rec.result.Outcome == OutcomeRefused && rec.result.RetryAfter <= r.options.ReturnWithin {
 		rec.again = r.comeBack(ctx, a, body, rec.result.RetryAfter)
 	}
 	r.ended.Add(1)
--- a/testbed/load/table.go
+++ b/testbed/load/table.go
@@ -48,6 +48,11 @@
 			return err
 		}
 	}
+	for _, d := range r.Details {
+		if _, err := fmt.Fprintf(w, "went wrong: %d %s: %s\n", d.Count, d.Class, d.Detail); err != nil {
+			return err
+		}
+	}
 	if t := r.Total; t.Refused > 0 {
 		_, err := fmt.Fprintf(w, "Retry-After: median %.0f s, longest %.0f s\n", t.RetryAfterMedianS, t.RetryAfterMaxS)
 		if err != nil {
--- a/testbed/measure/options.go
+++ b/testbed/measure/options.go
@@ -21,6 +21,8 @@
 	Parallel int
 	// Patience is how long a caller waits.
 	Patience time.Duration
+	// ReturnWithin is how long a refused one waits before it comes back.
+	ReturnWithin time.Duration
 	// Progress takes a line for each run of load.
 	Progress io.Writer
 }
--- a/testbed/measure/series.go
+++ b/testbed/measure/series.go
@@ -67,6 +67,7 @@
 	target := loadfleet.Target(running, scenario.Scaled(s.options.Scale))
 	target.Seed = s.seed
 	target.Patience = s.options.Patience
+	target.ReturnWithin = s.options.ReturnWithin
 	for _, name := range s.options.Targets {
 		if name == targetDirect && shape != quiet {
 			continue
