--- a/testbed/history/check.go
+++ b/testbed/history/check.go
@@ -28,6 +28,9 @@
 	// PointTargets: an accepted change is in force within its limit and
 	// never reverts.
 	PointTargets
+	// PointLease: nobody acts on a lease that is no longer his. It is no
+	// promise of its own, but what others rest on.
+	PointLease
 )
 
 // Violation is one breach of a promise.
@@ -57,6 +60,7 @@
 		checkStops,
 		checkVersions,
 		checkChanges,
+		checkFences,
 	} {
 		all = append(all, check(x)...)
 	}
--- a/testbed/history/check_test.go
+++ b/testbed/history/check_test.go
@@ -114,6 +114,9 @@
 		{"two changes under one version", PointTargets, func(h *History) {
 			h.Changes = append(h.Changes, Change{Version: 2, Class: "docket", Accepted: at(1), Limit: time.Minute})
 		}},
+		{"act under an old lease", PointLease, func(h *History) {
+			h.Fences = []FenceSeen{{Place: "vm0", Fence: 2}, {Place: "vm0", Fence: 1}}
+		}},
 		{"change lost under a newer version", PointTargets, func(h *History) {
 			h.Versions[1].Version = 3
 			h.Versions[1].Held = map[string]uint64{"flag": 1}
--- a/testbed/history/history.go
+++ b/testbed/history/history.go
@@ -23,6 +23,8 @@
 	Changes []Change `json:"changes"`
 	// Versions lists readings of the targets in force by process.
 	Versions []VersionSeen `json:"versions"`
+	// Fences lists readings of fencing numbers, in their order.
+	Fences []FenceSeen `json:"fences"`
 }
 
 // indexed is a History with what the checks look up again and again.
--- a/testbed/history/recorder.go
+++ b/testbed/history/recorder.go
@@ -57,6 +57,13 @@
 	r.history.Versions = append(r.history.Versions, v)
 }
 
+// Fence notes a reading of a fencing number.
+func (r *Recorder) Fence(f FenceSeen) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Fences = append(r.history.Fences, f)
+}
+
 // History returns what has been noted so far.
 func (r *Recorder) History() History {
 	r.mu.Lock()
@@ -69,5 +76,6 @@
 	h.Stops = append([]Stop(nil), h.Stops...)
 	h.Changes = append([]Change(nil), h.Changes...)
 	h.Versions = append([]VersionSeen(nil), h.Versions...)
+	h.Fences = append([]FenceSeen(nil), h.Fences...)
 	return h
 }
--- a/testbed/matrix/ask.go
+++ b/testbed/matrix/ask.go
@@ -32,6 +32,7 @@
 // ask is one request that a caller makes.
 type ask struct {
 	class    string
+	model    string // the usual one when empty
 	marker   string
 	key      string
 	customer string
@@ -60,9 +61,16 @@
 	AnswerTokens string `json:"answer_tokens"`
 }
 
+func (a ask) serves() string {
+	if a.model == "" {
+		return model
+	}
+	return a.model
+}
+
 func (a ask) body() ([]byte, error) {
 	return json.Marshal(chatBody{
-		Model:     model,
+		Model:     a.serves(),
 		Stream:    !a.whole,
 		Messages:  []chatMessage{{Role: "user", Content: "work " + a.marker}},
 		MaxTokens: a.tokens,
@@ -84,7 +92,7 @@
 		Tier:           class.Tier,
 		Customer:       a.customer,
 		IdempotencyKey: a.key,
-		Serves:         model,
+		Serves:         a.serves(),
 		Repeatable:     class.Repeatable,
 		Probe:          a.probe,
 		Sent:           time.Now(),
--- a/testbed/matrix/cell.go
+++ b/testbed/matrix/cell.go
@@ -6,7 +6,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
+	"time"
 )
 
 // Subject is what a cell's faults hit.
@@ -67,3 +69,11 @@
 	}
 	return strings.Join(faults, "+")
 }
+
+// loadLag is the age that the engines' load reports reach; zero for the usual.
+func (c Cell) loadLag() time.Duration {
+	if slices.Contains(c.Faults, StaleLoad) {
+		return staleLoadLag
+	}
+	return 0
+}
--- a/testbed/matrix/classes.go
+++ b/testbed/matrix/classes.go
@@ -33,8 +33,13 @@
 	}
 }
 
+// lostClass is the class of the model that loses its engine.
+func lostClass() targets.Class {
+	return targets.Class{Name: classLost, Tier: 4, Model: lostModel, FirstToken: 60 * time.Second, Repeatable: true}
+}
+
 func classOf(name string) targets.Class {
-	for _, class := range classes() {
+	for _, class := range append(classes(), lostClass()) {
 		if class.Name == name {
 			return class
 		}
--- a/testbed/matrix/rig.go
+++ b/testbed/matrix/rig.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/testbed/faultproxy"
 	"github.com/applepier/applepier/testbed/fleet"
 	"github.com/applepier/applepier/testbed/history"
@@ -26,6 +27,7 @@
 type rig struct {
 	fleet    *fleet.Fleet
 	proxies  []*faultproxy.Proxy // by agent, in the order of fleet.Backends
+	table    platform.Table
 	recorder history.Recorder
 	random   *rand.Rand
 	calls    conc.WaitGroup // calls that nobody else waits for
@@ -36,22 +38,29 @@
 	waiting []int                 // tickets waiting, by agent, as last told
 }
 
-func newRig(ctx context.Context, binaries *fleet.Binaries, seed uint64, loadLag time.Duration) (*rig, error) {
+func newRig(ctx context.Context, binaries *fleet.Binaries, c Cell) (*rig, error) {
 	r := &rig{
-		random:  rand.New(rand.NewPCG(seed, seed)),
+		random:  rand.New(rand.NewPCG(c.Seed, c.Seed)),
 		closed:  map[*fleet.Entry]bool{},
 		waiting: make([]int, engineCount),
 	}
 	backends := fleet.Engines(engineCount, model, engineCapacity, tokenInterval)
+	served := classes()
+	if c.Subject == SubjectLease {
+		backends = append(backends, fleet.Engines(1, lostModel, engineCapacity, tokenInterval)...)
+		served = append(served, lostClass())
+	}
 	for i := range backends {
-		backends[i].LoadLag = loadLag
+		backends[i].LoadLag = c.loadLag()
+		// The agents alone have to refuse orders under an old number.
+		backends[i].IgnoresFence = true
 	}
 	var err error
 	r.fleet, err = fleet.Start(ctx, fleet.Options{
 		Binaries:  binaries,
 		Entries:   entryCount,
 		Backends:  backends,
-		Classes:   classes(),
+		Classes:   served,
 		Customers: []string{customerLarge, customerSmall},
 		Zones:     []string{"hervanta-sali", "lielahti-huone"},
 		Route:     r.route,
@@ -60,6 +69,7 @@
 		r.close()
 		return nil, err
 	}
+	r.table = newTable(r.fleet)
 	return r, nil
 }
 
--- a/testbed/matrix/run.go
+++ b/testbed/matrix/run.go
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cellLimit)
 	defer cancel()
 	result := Result{Cell: c}
-	rig, err := newRig(ctx, binaries, c.Seed, loadLagOf(c))
+	rig, err := newRig(ctx, binaries, c)
 	if err != nil {
 		result.Err = errors.Wrap(err, "start")
 		return result
@@ -66,15 +66,6 @@
 	return result
 }
 
-func loadLagOf(c Cell) time.Duration {
-	for _, kind := range c.Faults {
-		if kind == StaleLoad {
-			return staleLoadLag
-		}
-	}
-	return 0
-}
-
 // play runs the cell under load and checks afterwards that all is served.
 func (r *rig) play(ctx context.Context, c Cell) error {
 	stop := r.startBackground(ctx)
@@ -95,6 +86,8 @@
 		return r.targetsCell(ctx, c)
 	case SubjectStop:
 		return r.stopCell(ctx, c)
+	case SubjectLease:
+		return r.leaseCell(ctx, c)
 	case SubjectLeaving:
 		return r.leavingCell(ctx, c)
 	}
