--- a/testbed/matrix/cells.go
+++ b/testbed/matrix/cells.go
@@ -48,6 +48,11 @@
 			cells = append(cells, Cell{Subject: SubjectTargets, Step: step, Faults: faults, Seed: seed})
 		}
 	}
+	for _, step := range ServiceSteps {
+		for _, kind := range ServiceFaults {
+			cells = append(cells, Cell{Subject: SubjectService, Step: step, Faults: []Kind{kind}, Seed: seed})
+		}
+	}
 	for _, step := range []Step{StepTaken, StepRenewed, StepOrdered} {
 		for _, kind := range LeaseFaults {
 			cells = append(cells, Cell{Subject: SubjectLease, Step: step, Faults: []Kind{kind}, Seed: seed})
--- a/testbed/matrix/collect.go
+++ b/testbed/matrix/collect.go
@@ -1,16 +1,25 @@
 package matrix
 
 import (
+	"context"
+	"strings"
 	"time"
 
+	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/testbed/engine"
 	"github.com/applepier/applepier/testbed/fleet"
 	"github.com/applepier/applepier/testbed/history"
 )
 
 // collect adds the engines' own record to the history and returns it.
-func (r *rig) collect() (history.History, error) {
+func (r *rig) collect(ctx context.Context) (history.History, error) {
 	for _, backend := range r.fleet.Backends {
+		if backend.Server.Spec.Kind == settings.BackendService {
+			if err := r.collectCalls(ctx, backend); err != nil {
+				return history.History{}, err
+			}
+			continue
+		}
 		records, err := backend.Server.Runs()
 		if err != nil {
 			return history.History{}, err
@@ -24,6 +33,27 @@
 	return r.recorder.History(), nil
 }
 
+// collectCalls adds a plain service's record of the calls that took effect.
+func (r *rig) collectCalls(ctx context.Context, backend *fleet.Backend) error {
+	calls, err := backend.Server.Calls(ctx)
+	if err != nil {
+		return err
+	}
+	for _, call := range calls {
+		_, marker, _ := strings.Cut(call.Path, servicePath)
+		r.recorder.Runs(history.Run{
+			ID:      call.Run,
+			Request: call.Request,
+			Marker:  marker,
+			Server:  backend.VM.Name,
+			Started: call.At,
+			Ended:   call.At,
+			Ending:  history.EndingWhole,
+		})
+	}
+	return nil
+}
+
 // runOf translates a record; one that work never began on is no run.
 func runOf(backend *fleet.Backend, record engine.Record) (history.Run, bool) {
 	if record.Started == nil {
--- a/testbed/matrix/fault.go
+++ b/testbed/matrix/fault.go
@@ -8,6 +8,7 @@
 
 	"github.com/applepier/applepier/testbed/faultproxy"
 	"github.com/applepier/applepier/testbed/history"
+	"github.com/applepier/applepier/testbed/plain"
 )
 
 const (
@@ -52,6 +53,8 @@
 		return f.place.backend().Server.SetEngineKnobs(ctx, engineKnobs(f.kind))
 	case PlatformDown, PlatformSlow, LostAnswer, ListLags:
 		return f.place.rig.fleet.Platform.UpdateKnobs(ctx, platformKnobs(f.kind))
+	case CutAnswer:
+		return f.place.rig.setServices(ctx, plain.Knobs{SlowMS: int(serviceSlowness.Milliseconds()), CutAnswers: 1})
 	}
 	return f.beginWire()
 }
@@ -105,6 +108,8 @@
 		return f.place.backend().Server.SetEngineKnobs(ctx, healthyEngine)
 	case PlatformDown, PlatformSlow, LostAnswer, ListLags:
 		return f.place.rig.fleet.Platform.UpdateKnobs(ctx, healPlatform)
+	case CutAnswer:
+		return f.place.rig.setServices(ctx, plain.Knobs{})
 	case Refuse:
 		return f.place.proxy().Accept()
 	case Delay, Reorder:
--- a/testbed/matrix/fixed.go
+++ b/testbed/matrix/fixed.go
@@ -15,6 +15,10 @@
 		cells = append(cells, single(SubjectSummary, StepMidStream, kind))
 	}
 	cells = append(cells,
+		single(SubjectService, StepBodySent, KillAgent),
+		single(SubjectService, StepStarted, KillEntry),
+		single(SubjectService, StepStarted, SilentDown),
+		single(SubjectService, StepStarted, CutAnswer),
 		single(SubjectTargets, StepWriteLost, TwoOperators),
 		single(SubjectTargets, StepWriteLost, KillEntry),
 		single(SubjectTargets, StepAccepted, KillEntry),
@@ -33,6 +37,8 @@
 		// An idle connection that had gone silent kept its agent without news.
 		single(SubjectTargets, StepBeforeWrite, SilentUp),
 		single(SubjectTargets, StepBeforeWrite, SilentDown),
+		// A change known to its entry alone was late when that entry died.
+		{Subject: SubjectTargets, Step: StepAccepted, Faults: []Kind{KillEntry, PlatformDown}, Seed: 1},
 		// A ticket placed anew stayed with the silent connection.
 		{Subject: SubjectDocket, Step: StepWaiting, Faults: []Kind{Silent, Silent}, Seed: 13},
 	}
--- a/testbed/matrix/request.go
+++ b/testbed/matrix/request.go
@@ -134,6 +134,9 @@
 // shifted is where the n-th fault strikes: the first where the subject is,
 // the second at the other process of its kind.
 func (p place) shifted(n int) place {
+	if n == 0 {
+		return p
+	}
 	p.agent = (p.agent + n) % engineCount
 	p.entry = p.rig.fleet.Entries[(p.entryNumber()+n)%entryCount]
 	return p
--- a/testbed/matrix/rig.go
+++ b/testbed/matrix/rig.go
@@ -50,6 +50,10 @@
 		backends = append(backends, fleet.Engines(1, lostModel, engineCapacity, tokenInterval)...)
 		served = append(served, lostClass())
 	}
+	if c.Subject == SubjectService {
+		backends = append(backends, services()...)
+		served = append(served, serviceClass())
+	}
 	for i := range backends {
 		backends[i].LoadLag = c.loadLag()
 		// The agents alone have to refuse orders under an old number.
--- a/testbed/matrix/run.go
+++ b/testbed/matrix/run.go
@@ -61,7 +61,7 @@
 	}
 	defer rig.close()
 	result.Err = rig.play(ctx, c)
-	result.judge(rig)
+	result.judge(ctx, rig)
 	result.Took = time.Since(start)
 	return result
 }
@@ -86,6 +86,8 @@
 		return r.targetsCell(ctx, c)
 	case SubjectStop:
 		return r.stopCell(ctx, c)
+	case SubjectService:
+		return r.serviceCell(ctx, c)
 	case SubjectLease:
 		return r.leaseCell(ctx, c)
 	case SubjectLeaving:
@@ -94,8 +96,8 @@
 	return errors.Errorf("unknown subject %s", c.Subject)
 }
 
-func (r *Result) judge(rig *rig) {
-	h, err := rig.collect()
+func (r *Result) judge(ctx context.Context, rig *rig) {
+	h, err := rig.collect(ctx)
 	if err != nil {
 		r.Err = errors.Join(r.Err, err)
 		return
@@ -114,7 +116,8 @@
 func toldOf(h history.History, c Cell) string {
 	var told []string
 	for _, call := range h.Calls {
-		if call.Class == string(c.Subject) && !strings.HasPrefix(call.Marker, "probe") {
+		subject := call.Class == string(c.Subject) || (c.Subject == SubjectService && call.Class == classService)
+		if subject && !strings.HasPrefix(call.Marker, "probe") {
 			told = append(told, string(call.Told))
 		}
 	}
