--- a/testbed/faultproxy/hold.go
+++ b/testbed/faultproxy/hold.go
@@ -10,11 +10,6 @@
 // Match says whether a sight is what a test waits for.
 type Match func(Sight) bool
 
-// Kind matches sights of one kind.
-func Kind(kind SightKind) Match {
-	return func(s Sight) bool { return s.Kind == kind }
-}
-
 // Nth matches the n-th sight, from 1, that match would.
 func Nth(n int, match Match) Match {
 	seen := 0
--- a/testbed/faultproxy/proxy.go
+++ b/testbed/faultproxy/proxy.go
@@ -110,13 +110,6 @@
 	return p.tap(direction).hold(match)
 }
 
-// Watch reports the first sight that matches and lets the data pass.
-func (p *Proxy) Watch(direction Direction, match Match) *Hold {
-	h := p.tap(direction).hold(match)
-	h.Release()
-	return h
-}
-
 // Observe calls see with everything that passes in a direction, before it
 // passes; see must not block.
 func (p *Proxy) Observe(direction Direction, see func(Sight)) {
--- a/testbed/faultproxy/sight.go
+++ b/testbed/faultproxy/sight.go
@@ -42,17 +42,11 @@
 	Message *wire.Message
 }
 
-// Ticket, Grant, Void and Voided match messages of the control connection.
+// Ticket matches a ticket.
 func Ticket(s Sight) bool { return s.Message != nil && s.Message.Ticket != nil }
 
 // Grant matches a grant.
 func Grant(s Sight) bool { return s.Message != nil && s.Message.Grant != nil }
 
-// Void matches an entry's wish to void a grant.
-func Void(s Sight) bool { return s.Message != nil && s.Message.Void != nil }
-
-// Voided matches the agent's answer to it.
-func Voided(s Sight) bool { return s.Message != nil && s.Message.Voided != nil }
-
 // NewSet matches the targets on their way between processes.
 func NewSet(s Sight) bool { return s.Message != nil && s.Message.NewSet != nil }
--- a/testbed/fleet/platform.go
+++ b/testbed/fleet/platform.go
@@ -27,12 +27,6 @@
 	return err
 }
 
-// RemoveVM takes a VM off the list.
-func (p *Platform) RemoveVM(ctx context.Context, name string) error {
-	_, err := call{method: http.MethodDelete, url: p.vmURL(name)}.do(ctx)
-	return err
-}
-
 // MarkLeaving marks a VM on the list as leaving.
 func (p *Platform) MarkLeaving(ctx context.Context, name string) error {
 	_, err := call{method: http.MethodPost, url: p.vmURL(name) + "/leaving"}.do(ctx)
--- a/testbed/matrix/fixed.go
+++ b/testbed/matrix/fixed.go
@@ -3,7 +3,8 @@
 // FixedCells is the part of the matrix that CI runs: a death, a pause and a
 // broken connection at each step of work that must not be repeated, every
 // fault in the middle of a stream, and every cell that once showed a fault of
-// the product, with its seed.
+// the product, with its seed. A VM that leaves by the list alone is left to the
+// whole matrix: its bound of a few seconds can't be held against a busy machine.
 func FixedCells() []Cell {
 	var cells []Cell
 	for _, step := range RequestSteps {
@@ -26,7 +27,7 @@
 		Cell{Subject: SubjectTargets, Step: StepAccepted, Faults: []Kind{PlatformDown, FreshEntry}, Seed: 1},
 		single(SubjectStop, StepUnderLoad, StopEntry),
 		Cell{Subject: SubjectStop, Step: StepUnderLoad, Faults: []Kind{StopEntry, LeaveVM}, Seed: 1},
-		Cell{Subject: SubjectLeaving, Step: StepUnderLoad, Faults: []Kind{LeaveListed, Silent}, Seed: 1},
+		Cell{Subject: SubjectLeaving, Step: StepUnderLoad, Faults: []Kind{LeaveVM, ListLags}, Seed: 1},
 	)
 	return append(cells, foundCells()...)
 }
