--- a/testbed/matrix/run.go
+++ b/testbed/matrix/run.go
@@ -54,27 +54,18 @@
 	ctx, cancel := context.WithTimeout(ctx, cellLimit)
 	defer cancel()
 	result := Result{Cell: c}
-	rig, err := newRig(ctx, binaries, c.Seed, loadLagOf(c))
+	rig, err := newRig(ctx, binaries, c)
 	if err != nil {
 		result.Err = errors.Wrap(err, "start")
 		return result
 	}
 	defer rig.close()
 	result.Err = rig.play(ctx, c)
-	result.judge(rig)
+	result.judge(ctx, rig)
 	result.Took = time.Since(start)
 	return result
 }
 
-func loadLagOf(c Cell) time.Duration {
-	for _, kind := range c.Faults {
-		if kind == StaleLoad {
-			return staleLoadLag
-		}
-	}
-	return 0
-}
-
 // play runs the cell under load and checks afterwards that all is served.
 func (r *rig) play(ctx context.Context, c Cell) error {
 	stop := r.startBackground(ctx)
@@ -95,14 +86,18 @@
 		return r.targetsCell(ctx, c)
 	case SubjectStop:
 		return r.stopCell(ctx, c)
+	case SubjectService:
+		return r.serviceCell(ctx, c)
+	case SubjectLease:
+		return r.leaseCell(ctx, c)
 	case SubjectLeaving:
 		return r.leavingCell(ctx, c)
 	}
 	return errors.Errorf("unknown subject %s", c.Subject)
 }
 
-func (r *Result) judge(rig *rig) {
-	h, err := rig.collect()
+func (r *Result) judge(ctx context.Context, rig *rig) {
+	h, err := rig.collect(ctx)
 	if err != nil {
 		r.Err = errors.Join(r.Err, err)
 		return
@@ -121,7 +116,8 @@
 func toldOf(h history.History, c Cell) string {
 	var told []string
 	for _, call := range h.Calls {
-		if call.Class == string(c.Subject) && !strings.HasPrefix(call.Marker, "probe") {
+		subject := call.Class == string(c.Subject) || (c.Subject == SubjectService && call.Class == classService)
+		if subject && !strings.HasPrefix(call.Marker, "probe") {
 			told = append(told, string(call.Told))
 		}
 	}
