--- /dev/null
+++ b/internal/entry/api/answer_test.go
@@ -0,0 +1,126 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/wire"
+)
+
+const (
+	chatBody   = `{"model":"apple","messages":[{"role":"user","content":"hi"}]}`
+	streamBody = `{"model":"apple","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+
+	opening  = `{"id":"run-1","created":1,"choices":[{"index":0,"delta":{"role":"assistant"},"finish_reason":null}]}`
+	reopened = `{"id":"run-2","created":9,"choices":[{"index":0,"delta":{"role":"assistant"},"finish_reason":null}]}`
+	first    = `{"id":"run-1","created":1,"choices":[{"index":0,"delta":{"content":"one "},"finish_reason":null}]}`
+	second   = `{"id":"run-2","created":9,"choices":[{"index":0,"delta":{"content":"two"},"finish_reason":"stop"}]}`
+	usage    = `{"id":"run-2","created":9,"choices":[],"usage":{"total_tokens":3}}`
+)
+
+func sends(outcome dispatch.Outcome, chunks ...string) func(*dispatch.Request, dispatch.Sink) dispatch.Result {
+	return func(_ *dispatch.Request, sink dispatch.Sink) dispatch.Result {
+		for _, c := range chunks {
+			_ = sink.Frame(wire.Frame{Kind: wire.FrameData, Data: []byte(c), Tokens: 1})
+		}
+		return dispatch.Result{Outcome: outcome, Reason: "test", Sent: true}
+	}
+}
+
+// events are the server-sent events of an answer.
+func events(w *httptest.ResponseRecorder) []string {
+	var list []string
+	for line := range strings.SplitSeq(w.Body.String(), "\n") {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			list = append(list, data)
+		}
+	}
+	return list
+}
+
+func TestResumedStreamLooksLikeOneRun(t *testing.T) {
+	r := newRig(t)
+	r.dispatcher.script = sends(dispatch.Whole, opening, first, reopened, second, usage)
+	list := events(r.post("/v1/chat/completions", "", streamBody))
+	if len(list) != 4 || list[3] != "[DONE]" {
+		t.Fatalf("events: got %d %q, want opening, two pieces and the end mark", len(list), list)
+	}
+	var ids []string
+	for _, data := range list[:3] {
+		var c chunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			t.Fatal(err)
+		}
+		ids = append(ids, c.ID)
+		if c.Created != 1 {
+			t.Errorf("created: got %d, want that of the first run", c.Created)
+		}
+	}
+	if ids[0] != ids[1] || ids[1] != ids[2] {
+		t.Errorf("ids: %q", ids)
+	}
+}
+
+func TestCutStreamEndsWithAnErrorAndNoEndMark(t *testing.T) {
+	r := newRig(t)
+	r.dispatcher.script = sends(dispatch.Failed, opening, first)
+	list := events(r.post("/v1/chat/completions", "", streamBody))
+	last := list[len(list)-1]
+	if last == "[DONE]" || !strings.Contains(last, `"code":"failed"`) {
+		t.Fatalf("last event: %q", last)
+	}
+}
+
+func TestWholeAnswerIsPutTogether(t *testing.T) {
+	r := newRig(t)
+	r.dispatcher.script = sends(dispatch.Whole, opening, first, reopened, second, usage)
+	w := r.post("/v1/chat/completions", "", chatBody)
+	var got completion
+	if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	choice := got.Choices[0]
+	if choice.Message.Content != "one two" || choice.FinishReason == nil || string(got.Usage) != `{"total_tokens":3}` {
+		t.Fatalf("got %s", w.Body)
+	}
+}
+
+func TestCutWholeAnswerIsAnError(t *testing.T) {
+	r := newRig(t)
+	r.dispatcher.script = sends(dispatch.Unknown, opening, first)
+	w := r.post("/v1/chat/completions", "", chatBody)
+	if w.Code != http.StatusGatewayTimeout || strings.Contains(w.Body.String(), "one") {
+		t.Fatalf("got %d %s", w.Code, w.Body)
+	}
+}
+
+func TestToolCallPiecesAreJoined(t *testing.T) {
+	r := newRig(t)
+	r.dispatcher.script = sends(dispatch.Whole,
+		`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"a","type":"function","function":{"name":"look","arguments":"{\"x\""}}]}}]}`,
+		`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]},"finish_reason":"tool_calls"}]}`,
+	)
+	var got completion
+	if err := json.Unmarshal(r.post("/v1/chat/completions", "", chatBody).Body.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	calls := got.Choices[0].Message.ToolCalls
+	if len(calls) != 1 || calls[0].Function.Arguments != `{"x":1}` || calls[0].ID != "a" {
+		t.Fatalf("tool calls: %+v", calls)
+	}
+}
+
+func TestBackendServersOwnErrorIsPassedOn(t *testing.T) {
+	r := newRig(t)
+	r.dispatcher.script = func(*dispatch.Request, dispatch.Sink) dispatch.Result {
+		return dispatch.Result{Outcome: dispatch.Rejected, Status: http.StatusBadRequest, Body: []byte(`{"error":{"code":"context_length_exceeded"}}`)}
+	}
+	w := r.post("/v1/chat/completions", "", chatBody)
+	if w.Code != http.StatusBadRequest || !strings.Contains(w.Body.String(), "context_length_exceeded") {
+		t.Fatalf("got %d %s", w.Code, w.Body)
+	}
+}
--- a/internal/entry/api/problem.go
+++ b/internal/entry/api/problem.go
@@ -78,7 +78,12 @@
 	return problem{status: http.StatusBadRequest, code: code, param: param, message: message, outcome: dispatch.NotRun}
 }
 
+// minRetryAfter is the least that Retry-After can state.
+const minRetryAfter = time.Second
+
+// notRun says that a request was certainly not run, and when to come back.
 func notRun(reason string, after time.Duration) problem {
+	after = max(after, minRetryAfter)
 	status := http.StatusServiceUnavailable
 	if reason == "overload" || reason == "queue_full" {
 		status = http.StatusTooManyRequests
