--- a/policy/scheduler_property_test.go
+++ b/policy/scheduler_property_test.go
@@ -177,6 +177,7 @@
 // passed by a lower one but for the guarantee, the top tier is never refused,
 // slots don't idle while tickets wait, and no state is left behind.
 func TestSchedulerProperties(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{
 			Scheduler: NewScheduler(),
@@ -197,6 +198,7 @@
 // TestBoundedWait: each class that has a ticket waiting is granted within the
 // bound that guarantee states, whatever the length of runs up to the longest.
 func TestBoundedWait(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		classes := rapid.IntRange(2, 6).Draw(t, "classes")
 		longest := time.Duration(rapid.IntRange(1, 20).Draw(t, "longest")) * time.Second
--- a/policy/straggler_test.go
+++ b/policy/straggler_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -12,25 +13,32 @@
 	t.Parallel()
 	for _, slow := range []float64{5, 10} {
 		for _, from := range []time.Duration{0, time.Minute} {
-			offered, late := 0, 0
-			for seed := range uint64(2) {
-				engines := fleet(8, 4)
-				p := newPlay(seed, engines...)
-				p.clock.after(from, func() { engines[0].slow = slow })
-				f, q := flags(steady(12)), questions(steady(0.5*7*engines[1].capacity(questions(nil))))
-				f.prompt, f.firstToken = 300, 300*time.Millisecond
-				p.run(3*time.Minute, time.Second*10, f, q)
-				got := p.tally("flag")
-				offered, late = offered+got.offered, late+got.offered-got.onTime
-			}
-			t.Logf("slow %v from %v: %d of %d hazard flags late", slow, from, late, offered)
-			if late*200 > offered {
-				t.Errorf("slow %v from %v: %d of %d hazard flags late", slow, from, late, offered)
-			}
+			t.Run(fmt.Sprintf("x%v after %v", slow, from), func(t *testing.T) {
+				t.Parallel()
+				playStraggler(t, slow, from)
+			})
 		}
 	}
 }
 
+func playStraggler(t *testing.T, slow float64, from time.Duration) {
+	offered, late := 0, 0
+	for seed := range uint64(2) {
+		engines := fleet(8, 4)
+		p := newPlay(seed, engines...)
+		p.clock.after(from, func() { engines[0].slow = slow })
+		f, q := flags(steady(12)), questions(steady(0.5*7*engines[1].capacity(questions(nil))))
+		f.prompt, f.firstToken = 300, 300*time.Millisecond
+		p.run(3*time.Minute, time.Second*10, f, q)
+		got := p.tally("flag")
+		offered, late = offered+got.offered, late+got.offered-got.onTime
+	}
+	t.Logf("slow %v from %v: %d of %d hazard flags late", slow, from, late, offered)
+	if late*200 > offered {
+		t.Errorf("slow %v from %v: %d of %d hazard flags late", slow, from, late, offered)
+	}
+}
+
 // slowScheduler is that of an engine whose first tokens take a while.
 func slowScheduler(firstToken time.Duration) (*Scheduler, time.Time) {
 	s, now := NewScheduler(), testStart
