--- a/testbed/fleet/addr.go
+++ b/testbed/fleet/addr.go
@@ -26,7 +26,7 @@
 // one that only looked whether a port is free could lose it to another before
 // its own program listens there. A block therefore belongs to the process
 // that listens on the block's first port.
-var ports portBlock
+var ports = portBlock{taken: map[string]bool{}}
 
 // portBlock gives out the ports of one block in turn.
 type portBlock struct {
@@ -35,10 +35,12 @@
 	owner net.Listener
 	first int
 	given int
+	taken map[string]bool
 }
 
-// freeAddr returns a host:port on 127.0.0.1 that nothing listens on and that
-// this process has not given out lately.
+// freeAddr returns a host:port on 127.0.0.1 that nothing listens on. It is not
+// given out again before releaseAddrs: a process that was killed must find its
+// port free when it starts again.
 func freeAddr() (string, error) {
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
@@ -48,13 +50,26 @@
 	for range blockSize {
 		ports.given = ports.given%(blockSize-1) + 1
 		addr := localAddr(ports.first + ports.given)
+		if ports.taken[addr] {
+			continue
+		}
 		if listener, err := net.Listen("tcp", addr); err == nil {
+			ports.taken[addr] = true
 			return addr, listener.Close()
 		}
 	}
 	return "", errors.New("no free port on 127.0.0.1")
 }
 
+// releaseAddrs lets addresses be given out again.
+func releaseAddrs(addrs []string) {
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	for _, addr := range addrs {
+		delete(ports.taken, addr)
+	}
+}
+
 // reserve takes a block unless there is one. Called with mu held.
 func (p *portBlock) reserve() error {
 	for i := 0; p.owner == nil && i < blockCount; i++ {
--- a/testbed/fleet/backend.go
+++ b/testbed/fleet/backend.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	agentAddr, err := freeAddr()
+	agentAddr, err := f.newAddr()
 	if err != nil {
 		return nil, err
 	}
--- a/testbed/fleet/entry.go
+++ b/testbed/fleet/entry.go
@@ -28,11 +28,11 @@
 
 func (f *Fleet) newEntry() (*Entry, error) {
 	name := fmt.Sprintf("entry-%d", len(f.Entries))
-	addr, err := freeAddr()
+	addr, err := f.newAddr()
 	if err != nil {
 		return nil, err
 	}
-	adminAddr, err := freeAddr()
+	adminAddr, err := f.newAddr()
 	if err != nil {
 		return nil, err
 	}
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -42,6 +42,7 @@
 
 	mu        sync.Mutex
 	processes []*Process
+	addrs     []string
 }
 
 // Start builds the programs unless options name them already, starts the
@@ -87,7 +88,7 @@
 }
 
 func (f *Fleet) startPlatform(ctx context.Context) error {
-	addr, err := freeAddr()
+	addr, err := f.newAddr()
 	if err != nil {
 		return err
 	}
@@ -149,6 +150,18 @@
 	return p
 }
 
+// newAddr returns an address that is the fleet's until Close.
+func (f *Fleet) newAddr() (string, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return "", err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addrs = append(f.addrs, addr)
+	return addr, nil
+}
+
 // Processes lists all processes that the fleet ever had.
 func (f *Fleet) Processes() []*Process {
 	f.mu.Lock()
@@ -163,6 +176,10 @@
 		p.end(stopLimit)
 	}
 	f.launcher.close()
+	f.mu.Lock()
+	releaseAddrs(f.addrs)
+	f.addrs = nil
+	f.mu.Unlock()
 	if f.ownBuild && f.options.Binaries != nil {
 		f.options.Binaries.Remove()
 	}
--- a/testbed/fleet/server.go
+++ b/testbed/fleet/server.go
@@ -29,7 +29,7 @@
 }
 
 func (f *Fleet) newServer(name string, spec BackendSpec) (*Server, error) {
-	addr, err := freeAddr()
+	addr, err := f.newAddr()
 	if err != nil {
 		return nil, err
 	}
--- a/testbed/matrix/targets.go
+++ b/testbed/matrix/targets.go
@@ -79,31 +79,20 @@
 		if err := begin(); err != nil {
 			return err
 		}
-		changed := make(chan error, 1)
-		go func() { changed <- r.operate(ctx, classSummary, 1, at.entry) }()
-		select {
-		case err := <-changed:
-			return err
-		case <-time.After(faultSpan):
-		}
-		if err := lift(); err != nil {
-			return err
-		}
-		return <-changed
+		return liftBefore(r.operateAside(ctx, at), lift)
 	case StepWriteLost:
 		lose := func(k *platform.Knobs) { k.LoseAnswers = 1 }
 		if err := r.fleet.Platform.UpdateKnobs(ctx, lose); err != nil {
 			return err
 		}
-		changed := make(chan error, 1)
-		go func() { changed <- r.operate(ctx, classSummary, 1, at.entry) }()
+		changed := r.operateAside(ctx, at)
 		if !until(ctx, func() bool { return r.lostAnswers(ctx) > 0 }) {
 			return errors.New("no write lost its answer")
 		}
 		if err := begin(); err != nil {
 			return err
 		}
-		return <-changed
+		return liftBefore(changed, lift)
 	case StepAccepted:
 		if err := r.operate(ctx, classSummary, 1, at.entry); err != nil {
 			return err
@@ -123,6 +112,27 @@
 	return errors.Errorf("unknown step %s", step)
 }
 
+// operateAside makes the change beside the faults.
+func (r *rig) operateAside(ctx context.Context, at place) <-chan error {
+	changed := make(chan error, 1)
+	go func() { changed <- r.operate(ctx, classSummary, 1, at.entry) }()
+	return changed
+}
+
+// liftBefore waits for the change, and lifts the faults when they keep it from
+// being accepted.
+func liftBefore(changed <-chan error, lift func() error) error {
+	select {
+	case err := <-changed:
+		return err
+	case <-time.After(faultSpan):
+	}
+	if err := lift(); err != nil {
+		return err
+	}
+	return <-changed
+}
+
 func (r *rig) lostAnswers(ctx context.Context) int {
 	stats, err := r.fleet.Platform.Stats(ctx)
 	if err != nil {
