agent: heartbeats go on while a backend server takes its time to start

Cause: found by reading. The agent waited for the backend server's headers before it sent anything, so that an engine that answers only after a long prompt, or a plain service that takes more than 3 s, looked silent to the entry: cut and retried, or unknown. Ruled out: a longer bound for silence at the entry, which would delay the finding of dead agents.

--- a/internal/agent/source.go
+++ b/internal/agent/source.go
@@ -19,23 +19,30 @@
 type step struct {
 	frame wire.Frame
 	err   error
+	// notStarted says that err came instead of a source.
+	notStarted bool
 }
 
 // pump reads a source until its end and hands each step over.
 func pump(ctx context.Context, s source, steps chan<- step) {
 	for {
 		f, err := s.Next()
-		select {
-		case steps <- step{frame: f, err: err}:
-		case <-ctx.Done():
-			return
-		}
-		if err != nil {
+		if !hand(ctx, steps, step{frame: f, err: err}) || err != nil {
 			return
 		}
 	}
 }
 
+// hand reports whether the step was taken.
+func hand(ctx context.Context, steps chan<- step, s step) bool {
+	select {
+	case steps <- s:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // engineSource is a model's stream.
 type engineSource struct{ stream engine.Stream }
 
