dispatch: agents that take no work are not asked without end

Cause: found by reading. Each placing reset the time since when no agent could be asked, so that a request whose only agents refused as leaving was placed anew every 50 ms until its longest wait of 10 minutes. Change: that time stands from the first moment. Measured: the test ran into its 8 s before and passes.

--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -155,6 +155,15 @@
 	}
 }
 
+func TestAgentsThatTakeNoWorkAreNotAskedWithoutEnd(t *testing.T) {
+	agent := newFakeAgent(t, "one", nil)
+	agent.refuse = wire.ReasonLeaving
+	result := newTestDispatcher(&fakeAgents{agents: []*fakeAgent{agent}}).Do(t.Context(), testRequest(true), &fakeSink{})
+	if result.Outcome != NotRun || result.Reason != "no_backend_server" {
+		t.Fatalf("got %+v", result)
+	}
+}
+
 func TestRefusedAfterAPartRanIsNotCalledNotRun(t *testing.T) {
 	agent := newFakeAgent(t, "one", nil)
 	agent.script = func(w *wire.FrameWriter, _ wire.RunRequest) {
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -35,7 +35,10 @@
 	open    map[string]struct{}
 	refused []policy.Decision
 	reason  wire.Reason
-	empty   time.Time
+	// empty is when no agent could be asked for the first time. It stands also
+	// when one could later: agents that refuse all work would otherwise be
+	// asked again without end.
+	empty time.Time
 }
 
 // find places tickets until an agent grants; it returns the grant, or the
@@ -121,9 +124,7 @@
 	for _, name := range names {
 		p.place(name)
 	}
-	if len(p.open) > 0 {
-		p.empty = time.Time{}
-	} else if p.empty.IsZero() {
+	if len(p.open) == 0 && p.empty.IsZero() {
 		p.empty = time.Now()
 	}
 }
