Connections with waiting tickets are asked less often, the urgent ones excepted

Cause: with a ticket outstanding an entry asked each agent for a sign of life every 300 ms, whatever it had heard and however long the ticket waited.

Ruled out: no pings at all while tickets wait (a silent connection would hold them until their callers give up); the interval by the ticket's slack (a late ticket has none, so that saturation would cost the most).

Change: an agent is asked only when nothing was heard for the interval. It starts at 300 ms with each ticket and doubles with each answer, up to 9.6 s. While a ticket of the two urgent tiers or the answer to a void is outstanding it stays at 300 ms. The check runs when it is due instead of at the next 300 ms, so that a silent connection is found in 1.3 s, up to 1.5 s before; one where only other tiers' tickets wait in 10.6 s at most, or 1.3 s if it was silent when the last ticket was placed.

Tests: TestLiveness is replaced, since it held that a busy connection is asked at once. Its four cases are there with exact bounds in virtual time, and new ones for the growth, for urgent among others and for new tickets.

--- a/internal/entry/fleet/link.go
+++ b/internal/entry/fleet/link.go
@@ -32,31 +32,25 @@
 	fleet *Fleet
 	vm    platform.VM
 
-	mu        sync.Mutex
-	conn      *wire.Conn
-	status    wire.Status
-	hello     wire.Hello
-	seen      time.Time
-	targets   uint64
-	listeners map[attemptKey]Listener
-	voids     map[string]chan wire.VoidResult
-	liveness  liveness
-	pingSeq   uint64
-	down      bool
-}
-
-// attemptKey names one attempt of a request.
-type attemptKey struct {
-	request string
-	attempt int
+	mu       sync.Mutex
+	conn     *wire.Conn
+	status   wire.Status
+	hello    wire.Hello
+	seen     time.Time
+	targets  uint64
+	tickets  waitingTickets
+	voids    map[string]chan wire.VoidResult
+	liveness liveness
+	pingSeq  uint64
+	down     bool
 }
 
 func newLink(f *Fleet, vm platform.VM) *link {
 	return &link{
-		fleet:     f,
-		vm:        vm,
-		listeners: make(map[attemptKey]Listener),
-		voids:     make(map[string]chan wire.VoidResult),
+		fleet:   f,
+		vm:      vm,
+		tickets: newWaitingTickets(),
+		voids:   make(map[string]chan wire.VoidResult),
 	}
 }
 
@@ -114,7 +108,7 @@
 	defer l.mu.Unlock()
 	l.conn = conn
 	l.down = false
-	l.liveness = liveness{}
+	l.liveness = liveness{quiet: time.Now()}
 	_ = conn.Send(wire.Message{Hello: &wire.Hello{Process: l.fleet.config.Process, Zone: l.fleet.config.Zone}})
 }
 
@@ -126,21 +120,21 @@
 		return
 	}
 	l.conn = nil
-	lost := l.listeners
-	l.listeners = make(map[attemptKey]Listener)
+	lost := l.tickets.byAttempt
+	l.tickets = newWaitingTickets()
 	for _, answer := range l.voids {
 		close(answer)
 	}
 	l.voids = make(map[string]chan wire.VoidResult)
 	l.mu.Unlock()
-	for _, listener := range lost {
-		listener.Lost(l.vm.Name)
+	for _, t := range lost {
+		t.listener.Lost(l.vm.Name)
 	}
 }
 
 // ping watches a connection for signs of life, as liveness says.
 func (l *link) ping(ctx context.Context, conn *wire.Conn) {
-	timer := time.NewTicker(pingEvery)
+	timer := time.NewTimer(pingEvery)
 	defer timer.Stop()
 	for {
 		select {
@@ -148,7 +142,7 @@
 			return
 		case <-timer.C:
 		}
-		seq, ask, dead := l.pingState()
+		seq, ask, dead, next := l.pingState()
 		if dead {
 			conn.Close()
 			return
@@ -156,22 +150,36 @@
 		if ask {
 			_ = conn.Send(wire.Message{Ping: &wire.Ping{Seq: seq}})
 		}
+		timer.Reset(next)
 	}
 }
 
-func (l *link) pingState() (seq uint64, ask, dead bool) {
+func (l *link) pingState() (seq uint64, ask, dead bool, next time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	busy := len(l.listeners) > 0 || len(l.voids) > 0
-	ask, dead = l.liveness.check(time.Now(), busy)
+	now := time.Now()
+	w := l.watch()
+	ask, dead = l.liveness.check(now, w)
 	l.pingSeq++
-	return l.pingSeq, ask, dead
+	return l.pingSeq, ask, dead, l.liveness.next(now, w)
+}
+
+// watch says how closely to look at the connection; the lock is held.
+func (l *link) watch() watch {
+	switch {
+	case l.tickets.urgent > 0 || len(l.voids) > 0:
+		return watchUrgent
+	case l.tickets.count() > 0:
+		return watchWaiting
+	default:
+		return watchIdle
+	}
 }
 
 func (l *link) handle(m wire.Message) {
 	l.mu.Lock()
 	l.seen = time.Now()
-	l.liveness.noteSeen()
+	l.liveness.noteSeen(l.seen)
 	l.targets = m.Targets
 	if m.Status != nil {
 		l.status = *m.Status
@@ -228,9 +236,7 @@
 func (l *link) takeListener(key attemptKey) (Listener, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	listener, ok := l.listeners[key]
-	delete(l.listeners, key)
-	return listener, ok
+	return l.tickets.take(key)
 }
 
 func (l *link) voided(v *wire.Voided) {
@@ -249,12 +255,13 @@
 	if l.conn == nil {
 		return false
 	}
-	l.listeners[attemptKey{t.Request, t.Attempt}] = listener
+	key := attemptKey{t.Request, t.Attempt}
+	l.tickets.add(key, t.Tier, listener)
 	if err := l.conn.Send(wire.Message{Ticket: t}); err != nil {
-		delete(l.listeners, attemptKey{t.Request, t.Attempt})
+		l.tickets.take(key)
 		return false
 	}
-	l.liveness.noteSent(time.Now())
+	l.liveness.noteTicket(time.Now())
 	return true
 }
 
--- a/internal/entry/fleet/view.go
+++ b/internal/entry/fleet/view.go
@@ -71,7 +71,7 @@
 func (l *link) busy() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.listeners) > 0 || len(l.voids) > 0
+	return l.tickets.count() > 0 || len(l.voids) > 0
 }
 
 func (l *link) update(vm platform.VM) {
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -14,6 +14,11 @@
 	overflowAfter = 20 * time.Millisecond
 )
 
+// Urgent reports whether t is one of the tiers that slots are kept back for;
+// connections that carry their tickets are watched most closely, and their
+// bodies have memory of their own at the entry.
+func (t Tier) Urgent() bool { return t <= urgentTier }
+
 // reserveOf is how many slots are kept back.
 func reserveOf(limit int) int {
 	return max(1, int(float64(limit)*reserveShare))
