The bytes of the bodies that an entry holds are bounded

Cause: an entry held up to 2,048 requests of up to 4 MiB each, 8 GB against a budget of 128 MB; each chat request kept a second copy of its messages.

Ruled out: a smaller bound on requests (small ones would be refused for room that is there); waiting for room before reading (callers hold connections, and a queue before the tiers' own).

Past the bound: 503 bodies_full, not run, Retry-After. The copy of the messages is dropped once they have been looked at.

Not covered: an authenticated caller who declares 4 MiB and sends slowly keeps that share for up to 30 s; the memory of a whole process was not measured.

--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -38,15 +38,20 @@
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds one write to a caller that stops reading.
 	writeTimeout = 30 * time.Second
-	// maxInFlight bounds the requests that an entry holds; with bodies of up
-	// to maxBody read only after admission to this number, memory stays
-	// bounded. At the target size an entry has 3,600/410 = 9 requests a
+	// maxInFlight bounds the requests that an entry holds, as maxHeld bounds
+	// the bytes of their bodies. At the target size an entry has 3,600/410 = 9 requests a
 	// second, so that this is far more than any queue that meets a target.
 	maxInFlight = 2048
 	// busyRetryAfter is when to come back to an entry that is full.
 	busyRetryAfter = 2 * time.Second
 )
 
+// Reasons why an entry itself refuses a request.
+const (
+	reasonEntryFull  = "entry_full"
+	reasonBodiesFull = "bodies_full"
+)
+
 // Dispatcher carries a request to its final answer.
 type Dispatcher interface {
 	Do(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) dispatch.Result
@@ -84,6 +89,8 @@
 type API struct {
 	config Config
 
+	held heldBytes
+
 	mu       sync.Mutex
 	inFlight int
 }
@@ -112,7 +119,7 @@
 func (a *API) counted(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !a.enter() {
-			writeError(w, notRun("entry_full", busyRetryAfter))
+			writeError(w, notRun(reasonEntryFull, busyRetryAfter))
 			return
 		}
 		defer a.leave()
--- a/internal/entry/api/bench_test.go
+++ b/internal/entry/api/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"testing"
 
 	"github.com/applepier/applepier/internal/wire"
@@ -29,3 +30,24 @@
 		}
 	}
 }
+
+// BenchmarkHeldRequest is the live memory of a request that is held with a
+// body of 100 KB: heap-B, of which body-B are the body.
+func BenchmarkHeldRequest(b *testing.B) {
+	const bodyBytes = 100_000
+	f := newFixture(b, nil)
+	before := liveHeap()
+	for range b.N {
+		f.hold(chatCall("urgent", "m", bodyBytes), "urgent")
+	}
+	b.ReportMetric(float64(liveHeap()-before)/float64(b.N), "heap-B")
+	b.ReportMetric(bodyBytes, "body-B")
+	f.letAllGo()
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/entry/api/carry.go
+++ b/internal/entry/api/carry.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/applepier/applepier/internal/entry/dispatch"
 	"github.com/applepier/applepier/internal/targets"
 )
@@ -86,28 +83,3 @@
 	}
 	return customer, true
 }
-
-// readBody reads a bounded body from a caller that may be slow.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		writeError(w, bodyProblem(err))
-		return nil, false
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, true
-}
-
-func bodyProblem(err error) problem {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		p := badRequest("body_too_large", "", "the body is larger than 4 MiB")
-		p.status = http.StatusRequestEntityTooLarge
-		return p
-	}
-	p := badRequest("body_not_read", "", "the body could not be read in time")
-	p.status = http.StatusRequestTimeout
-	return p
-}
--- a/internal/entry/api/chat.go
+++ b/internal/entry/api/chat.go
@@ -47,11 +47,13 @@
 	if !ok {
 		return
 	}
-	body, ok := readBody(w, r)
+	bound := boundOfNamed(set, r.Header.Get(HeaderClass))
+	body, ok := a.readBody(w, r, bound)
 	if !ok {
 		return
 	}
-	chat, p := parseChat(body)
+	defer body.release()
+	chat, p := parseChat(body.data)
 	if p != nil {
 		writeError(w, *p)
 		return
@@ -61,11 +63,16 @@
 		writeError(w, *p)
 		return
 	}
+	if bound > boundOf(class) && !a.held.within(boundOf(class)) {
+		writeError(w, notRun(reasonBodiesFull, busyRetryAfter))
+		return
+	}
 	req := a.newRequest(class, customer, arrived)
 	req.Serves = chat.Model
 	req.Size = chat.size()
 	req.Prefix = chat.prefix()
-	req.Body = body
+	req.Body = body.data
+	chat.Messages = nil // a copy of most of the body
 	a.carry(w, r, req, func(w http.ResponseWriter) answer {
 		if chat.Stream {
 			return newStreamAnswer(w, req.ID, chat.StreamOptions.IncludeUsage)
--- a/internal/entry/api/service.go
+++ b/internal/entry/api/service.go
@@ -32,14 +32,15 @@
 		writeError(w, *p)
 		return
 	}
-	body, ok := readBody(w, r)
+	body, ok := a.readBody(w, r, boundOf(class))
 	if !ok {
 		return
 	}
+	defer body.release()
 	req := a.newRequest(class, customer, arrived)
 	req.Serves = class.Service
-	req.Size = len(body)/bytesPerToken + 1
-	req.Body = body
+	req.Size = len(body.data)/bytesPerToken + 1
+	req.Body = body.data
 	req.Repeatable = class.Repeatable || idempotent(r.Method)
 	req.Call = &dispatch.Call{Method: r.Method, Path: servicePath(params.ByName("path"), r.URL.RawQuery), Header: forwardHeader(r.Header)}
 	a.carry(w, r, req, func(w http.ResponseWriter) answer {
