Requests are counted as they come in, and every refusal is counted

Cause: requests were counted as received when they ended, so that the base of attainment lagged by what was in progress; refusals before the dispatch (entry_full, bodies_full, claim_unavailable, a key used again) and repeats answered from the claim reached no metric at all.

Ruled out: counting on the timeline's events (the ring forgets).

Change: the Observer hears Received at the beginning and one end for each; requests turned away for want of room count under the class that they name, or "(unknown)". A repeat answered from its claim counts as whole. The bound on reasons is 24: the entry's own brought them to 16.

--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -69,6 +69,12 @@
 
 // Observer hears what became of each request, for the metrics.
 type Observer interface {
+	// Received is called once for each request that is taken in.
+	Received(class string)
+	// Refused is called for a request that is turned away before its class is
+	// certain; class is UnknownClass where it names none that there is.
+	Refused(class, reason string)
+	// Ended is called once for each request that was received.
 	Ended(class targets.Class, r dispatch.Result, took time.Duration)
 }
 
@@ -119,7 +125,7 @@
 func (a *API) counted(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !a.enter() {
-			writeError(w, notRun(reasonEntryFull, busyRetryAfter))
+			a.turnAway(w, r, reasonEntryFull)
 			return
 		}
 		defer a.leave()
@@ -127,6 +133,20 @@
 	}
 }
 
+// UnknownClass stands in the metrics for the class of a request that was
+// refused before it was known. No class can have this name.
+const UnknownClass = "(unknown)"
+
+// turnAway refuses a request for want of room before its class is certain.
+func (a *API) turnAway(w http.ResponseWriter, r *http.Request, reason string) {
+	class := UnknownClass
+	if named, ok := a.config.Holder.Current().Class(r.Header.Get(HeaderClass)); ok {
+		class = named.Name
+	}
+	a.config.Observer.Refused(class, reason)
+	writeError(w, notRun(reason, busyRetryAfter))
+}
+
 func (a *API) enter() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/entry/api/body.go
+++ b/internal/entry/api/body.go
@@ -43,7 +43,11 @@
 	body := &heldBody{held: &a.held}
 	if err := body.read(w, r, bound); err != nil {
 		body.release()
-		writeError(w, bodyProblem(err))
+		if errors.Is(err, errBodiesFull) {
+			a.turnAway(w, r, reasonBodiesFull)
+		} else {
+			writeError(w, bodyProblem(err))
+		}
 		return nil, false
 	}
 	_ = control.SetReadDeadline(time.Time{})
@@ -90,9 +94,6 @@
 }
 
 func bodyProblem(err error) problem {
-	if errors.Is(err, errBodiesFull) {
-		return notRun(reasonBodiesFull, busyRetryAfter)
-	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		p := badRequest("body_too_large", "", "the body is larger than 4 MiB")
--- a/internal/entry/api/chat.go
+++ b/internal/entry/api/chat.go
@@ -64,6 +64,7 @@
 		return
 	}
 	if bound > boundOf(class) && !a.held.within(boundOf(class)) {
+		a.config.Observer.Refused(class.Name, reasonBodiesFull)
 		writeError(w, notRun(reasonBodiesFull, busyRetryAfter))
 		return
 	}
@@ -89,6 +90,7 @@
 		Arrived:    arrived,
 		Repeatable: class.Repeatable,
 	}
+	a.config.Observer.Received(class.Name)
 	a.config.Ring.Record(timeline.KindReceived, req.ID, class.Name, customer)
 	return req
 }
--- a/internal/entry/api/claims.go
+++ b/internal/entry/api/claims.go
@@ -45,13 +45,13 @@
 func (a *API) begin(w http.ResponseWriter, r *http.Request, req *dispatch.Request) (*guard, bool) {
 	key := r.Header.Get(HeaderIdempotencyKey)
 	if len(key) > maxKey {
-		writeError(w, badRequest("key_too_long", HeaderIdempotencyKey, "an idempotency key has at most 256 bytes"))
+		a.endBefore(w, req, badRequest("key_too_long", HeaderIdempotencyKey, "an idempotency key has at most 256 bytes"))
 		return nil, false
 	}
 	fingerprint := claim.Fingerprint(r.Method, r.URL.Path, req.Class.Name, req.Body)
 	c, err := a.config.Claims.Claim(r.Context(), req.Customer, key, fingerprint, req.ID)
 	if err != nil {
-		writeError(w, claimProblem(err))
+		a.endBefore(w, req, claimProblem(err))
 		return nil, false
 	}
 	if !c.Mine {
@@ -70,33 +70,33 @@
 // told that it may have run.
 func (a *API) takeOver(w http.ResponseWriter, r *http.Request, c claim.Claim, req *dispatch.Request) (claim.Claim, error) {
 	if c.State == claim.StateFinished {
-		a.replay(w, r, c)
+		a.replay(w, r, c, req)
 		return c, errAnswered
 	}
 	if c.State == claim.StateGranted {
 		result, err := a.config.Grants.Void(r.Context(), c.Agent, c.Grant)
 		if err == nil && result == wire.VoidStarted {
-			writeError(w, inProgress())
+			a.endBefore(w, req, inProgress())
 			return c, errAnswered
 		}
 		if err != nil || result != wire.VoidDone {
-			writeError(w, problemOf(dispatch.Result{Outcome: dispatch.Unknown, Reason: "earlier_call"}))
+			a.endBefore(w, req, problemOf(dispatch.Result{Outcome: dispatch.Unknown, Reason: "earlier_call"}))
 			return c, errAnswered
 		}
 	}
 	taken, err := a.config.Claims.TakeOver(r.Context(), c, req.ID)
 	if err != nil {
-		writeError(w, claimProblem(err))
+		a.endBefore(w, req, claimProblem(err))
 		return c, errAnswered
 	}
 	return taken, nil
 }
 
 // replay gives the answer of the call that ran.
-func (a *API) replay(w http.ResponseWriter, r *http.Request, c claim.Claim) {
+func (a *API) replay(w http.ResponseWriter, r *http.Request, c claim.Claim, req *dispatch.Request) {
 	body, err := a.config.Claims.Answer(r.Context(), c)
 	if err != nil || !c.Outcome.Whole {
-		writeError(w, problem{
+		a.endBefore(w, req, problem{
 			status:  http.StatusConflict,
 			code:    "already_run",
 			message: "a call with this idempotency key has run; its answer is no longer there",
@@ -108,6 +108,18 @@
 	w.Header().Set(headerReplayed, "true")
 	w.WriteHeader(c.Outcome.Status)
 	_, _ = w.Write(body)
+	a.config.Observer.Ended(req.Class, dispatch.Result{Outcome: dispatch.Whole}, time.Since(req.Arrived))
+}
+
+// endBefore ends a request that was received but is not dispatched.
+func (a *API) endBefore(w http.ResponseWriter, req *dispatch.Request, p problem) {
+	reason := p.reason
+	if reason == "" {
+		reason = p.code
+	}
+	result := dispatch.Result{Outcome: p.outcome, Reason: reason}
+	a.config.Observer.Ended(req.Class, result, time.Since(req.Arrived))
+	writeError(w, p)
 }
 
 func inProgress() problem {
--- a/internal/entry/api/fake_test.go
+++ b/internal/entry/api/fake_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -138,8 +140,31 @@
 	}
 }
 
-// observed is an Observer that hears nothing.
-type observed struct{}
+// observed notes what an Observer hears, a line each.
+type observed struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (o *observed) note(words ...string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lines = append(o.lines, strings.Join(words, " "))
+}
+
+func (o *observed) heard() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.lines)
+}
+
+// Received implements Observer.
+func (o *observed) Received(class string) { o.note("received", class) }
+
+// Refused implements Observer.
+func (o *observed) Refused(class, reason string) { o.note("refused", class, reason) }
 
 // Ended implements Observer.
-func (*observed) Ended(targets.Class, dispatch.Result, time.Duration) {}
+func (o *observed) Ended(class targets.Class, r dispatch.Result, _ time.Duration) {
+	o.note("ended", class.Name, string(r.Outcome), r.Reason)
+}
--- a/internal/entry/api/problem.go
+++ b/internal/entry/api/problem.go
@@ -19,6 +19,8 @@
 	param      string
 	outcome    dispatch.Outcome
 	retryAfter time.Duration
+	// reason is why it was not run; empty where the code says it.
+	reason string
 }
 
 type errorBody struct {
@@ -89,6 +91,7 @@
 		message:    fmt.Sprintf("the request was not run (%s); come back in %d s", reason, retrySeconds(after)),
 		outcome:    dispatch.NotRun,
 		retryAfter: after,
+		reason:     reason,
 	}
 }
 
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -11,10 +11,19 @@
 // observer turns what became of requests into metrics.
 type observer struct{ metrics *metrics.Metrics }
 
+// Received counts a request as it comes in.
+func (o observer) Received(class string) { o.metrics.Request(class).Received() }
+
+// Refused counts a request that came in and was turned away at once.
+func (o observer) Refused(class, reason string) {
+	m := o.metrics.Request(class)
+	m.Received()
+	m.Refused(metrics.Reason(reason))
+}
+
 // Ended counts a request's final answer.
 func (o observer) Ended(class targets.Class, r dispatch.Result, took time.Duration) {
 	m := o.metrics.Request(class.Name)
-	m.Received()
 	for range r.Attempts - 1 {
 		m.Retried()
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -44,7 +44,7 @@
 	// later names together.
 	MaxClasses = targets.MaxClasses
 	// MaxReasons is how many reasons of refusal have series of their own.
-	MaxReasons = 16
+	MaxReasons = 24
 )
 
 // other is the label's value of all names past a bound.
