Engines are ordered to load only models that exist, and retry a failed order ever later

Cause: a class with a mistyped model name made the lease's holder order an engine to load it; the agent drained the engine, failed, and did so again every 10 s.

Ruled out: refusing such classes (a class may be set before its engines are there); dropping a failed order for good (the engine may only have been away).

Change: models are wanted only if the VM list names them or an agent was seen serving them by the holder. A failed order is tried again after 1 minute, then after twice as long each time, up to 30 minutes; another order at once.

Not covered: a model that exists but that engines can't load is still ordered of another engine each minute.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -30,6 +30,8 @@
 	sweeper *claim.Sweeper
 	ring    *timeline.Ring
 	log     *zap.Logger
+	// known are the models that classes may want.
+	known knownModels
 }
 
 // run campaigns for the lease until ctx ends.
@@ -66,7 +68,8 @@
 		case <-ctx.Done():
 			return
 		case now := <-timer.C:
-			if move, ok := mover.Next(now, d.wanted(), d.engines()); ok {
+			d.noteModels()
+			if move, ok := mover.Next(now, d.known.only(d.wanted()), d.engines()); ok {
 				d.order(ctx, held, move)
 			}
 		}
@@ -82,6 +85,17 @@
 	d.log.Info(logging.EventOrderGiven, logging.Peer(move.Engine), zap.String("model", move.Model), zap.Uint64("fence", held.Fence()))
 }
 
+// noteModels notes which models there are: those that the VM list names, and
+// those that agents serve while this process holds the lease.
+func (d *duties) noteModels() {
+	d.known.note(d.fleet.Serves()...)
+	for _, v := range d.fleet.Agents() {
+		if v.Serves != "" {
+			d.known.note(v.Serves)
+		}
+	}
+}
+
 // wanted lists the models that classes run on.
 func (d *duties) wanted() []string {
 	var models []string
--- a/internal/lease/orders/follower.go
+++ b/internal/lease/orders/follower.go
@@ -34,6 +34,8 @@
 	log   *zap.Logger
 	// done is the id of the last order that was carried out.
 	done string
+	// attempts are the last order's that failed.
+	attempts attempts
 }
 
 // NewFollower returns a Follower of the orders that the guard lets through. A
@@ -45,7 +47,8 @@
 	return &Follower{book: guard.book, guard: guard, apply: apply, log: log}
 }
 
-// Run follows until ctx ends. An order that failed is tried again.
+// Run follows until ctx ends. An order that failed is tried again
+// ever later, as retryFrom says; another order is carried out at once.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
@@ -72,6 +75,7 @@
 		return err
 	}
 	if err := f.apply(ctx, order); err != nil {
+		f.attempts.failed(order.ID, time.Now())
 		return errors.Wrap(err, "carry out the order")
 	}
 	f.done = order.ID
@@ -87,7 +91,7 @@
 	if err != nil {
 		return Order{}, err
 	}
-	if order.ID == f.done {
+	if order.ID == f.done || !f.attempts.due(order.ID, time.Now()) {
 		return Order{}, ErrNone
 	}
 	if err := f.guard.Restore(ctx); err != nil {
