The time line names how a run ended

Cause: a finish event of an agent had the outcome's bare number. The comment on wire.Message said that a Status may ride along with any message.

Change: policy.Outcome has a String method, which the event uses. The comment says what agents send: a Status rides along with a Hello, Grant or Refuse.

--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -266,7 +265,7 @@
 	now := time.Now()
 	tb.grants.end(now, g)
 	tb.sched.Finished(now, g.ticketID, o)
-	tb.ring.Record(timeline.KindFinish, g.request, g.class, strconv.Itoa(int(o)))
+	tb.ring.Record(timeline.KindFinish, g.request, g.class, o.String())
 	tb.grantWaiting(now)
 	tb.checkDrained()
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -10,8 +10,9 @@
 )
 
 // Message is the envelope of one message between an entry and an agent.
-// One of the pointers is set; a Status may ride along with any of them. With
-// none set, the message tells the version of the targets only.
+// At most one of the pointers is set, but that a Status may ride along: with a
+// Hello, Grant or Refuse of an agent. With none set, the message tells the
+// version of the targets only.
 type Message struct {
 	// Stamp passes on the sender's hybrid logical clock.
 	Stamp timeline.Stamp `cbor:"1,keyasint"`
--- a/policy/outcome.go
+++ b/policy/outcome.go
@@ -1,5 +1,7 @@
 package policy
 
+import "strconv"
+
 // Outcome says how a run ended.
 type Outcome int
 
@@ -14,3 +16,19 @@
 	// OutcomeLapsed: the grant was never taken up.
 	OutcomeLapsed
 )
+
+// String is the outcome's name, as the time line shows it.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeWhole:
+		return "whole"
+	case OutcomeFailed:
+		return "failed"
+	case OutcomeCancelled:
+		return "cancelled"
+	case OutcomeLapsed:
+		return "lapsed"
+	default:
+		return "unknown outcome " + strconv.Itoa(int(o))
+	}
+}
