applepier status asks the agents how they are

Cause: an agent tells its Status with grants and refusals, so that an idle one was shown with the runs it had at its last message.

Ruled out: a Status at the end of each run (33 B more for each request and entry, for a figure that operators seldom read); an HTTP question to each agent (connections are there already).

Test: TestAskStatus fails without the pings (Running stays 0).

--- a/internal/entry/census.go
+++ b/internal/entry/census.go
@@ -90,8 +90,10 @@
 	return "entry"
 }
 
-// Engines lists the backend servers whose agents this entry connects to.
+// Engines lists the backend servers whose agents this entry connects to, as
+// the agents tell when asked.
 func (c *census) Engines() []admin.Engine {
+	c.fleet.AskStatus(context.Background())
 	var engines []admin.Engine
 	for _, v := range c.fleet.Agents() {
 		engines = append(engines, admin.Engine{
--- a/internal/entry/fleet/link.go
+++ b/internal/entry/fleet/link.go
@@ -43,6 +43,8 @@
 	liveness liveness
 	pingSeq  uint64
 	down     bool
+	// told is closed with the next Status; nil when nobody waits for it.
+	told chan struct{}
 }
 
 func newLink(f *Fleet, vm platform.VM) *link {
@@ -182,7 +184,7 @@
 	l.liveness.noteSeen(l.seen)
 	l.targets = m.Targets
 	if m.Status != nil {
-		l.status = *m.Status
+		l.noteStatus(*m.Status)
 	}
 	if m.Hello != nil {
 		l.hello = *m.Hello
