--- a/internal/entry/api/answer_test.go
+++ b/internal/entry/api/answer_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	chatBody   = `{"model":"apple","messages":[{"role":"user","content":"hi"}]}`
+	wholeBody   = `{"model":"apple","messages":[{"role":"user","content":"hi"}]}`
 	streamBody = `{"model":"apple","stream":true,"messages":[{"role":"user","content":"hi"}]}`
 
 	opening  = `{"id":"run-1","created":1,"choices":[{"index":0,"delta":{"role":"assistant"},"finish_reason":null}]}`
@@ -78,7 +78,7 @@
 func TestWholeAnswerIsPutTogether(t *testing.T) {
 	r := newRig(t)
 	r.dispatcher.script = sends(dispatch.Whole, opening, first, reopened, second, usage)
-	w := r.post("/v1/chat/completions", "", chatBody)
+	w := r.post("/v1/chat/completions", "", wholeBody)
 	var got completion
 	if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
 		t.Fatal(err)
@@ -92,7 +92,7 @@
 func TestCutWholeAnswerIsAnError(t *testing.T) {
 	r := newRig(t)
 	r.dispatcher.script = sends(dispatch.Unknown, opening, first)
-	w := r.post("/v1/chat/completions", "", chatBody)
+	w := r.post("/v1/chat/completions", "", wholeBody)
 	if w.Code != http.StatusGatewayTimeout || strings.Contains(w.Body.String(), "one") {
 		t.Fatalf("got %d %s", w.Code, w.Body)
 	}
@@ -105,7 +105,7 @@
 		`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]},"finish_reason":"tool_calls"}]}`,
 	)
 	var got completion
-	if err := json.Unmarshal(r.post("/v1/chat/completions", "", chatBody).Body.Bytes(), &got); err != nil {
+	if err := json.Unmarshal(r.post("/v1/chat/completions", "", wholeBody).Body.Bytes(), &got); err != nil {
 		t.Fatal(err)
 	}
 	calls := got.Choices[0].Message.ToolCalls
@@ -119,7 +119,7 @@
 	r.dispatcher.script = func(*dispatch.Request, dispatch.Sink) dispatch.Result {
 		return dispatch.Result{Outcome: dispatch.Rejected, Status: http.StatusBadRequest, Body: []byte(`{"error":{"code":"context_length_exceeded"}}`)}
 	}
-	w := r.post("/v1/chat/completions", "", chatBody)
+	w := r.post("/v1/chat/completions", "", wholeBody)
 	if w.Code != http.StatusBadRequest || !strings.Contains(w.Body.String(), "context_length_exceeded") {
 		t.Fatalf("got %d %s", w.Code, w.Body)
 	}
--- a/internal/entry/api/fake_test.go
+++ b/internal/entry/api/fake_test.go
@@ -52,6 +52,10 @@
 
 func (fakeParts) Caller(*targets.Set, *http.Request) (string, error) { return "customer", nil }
 
+func (fakeParts) Received(string) {}
+
+func (fakeParts) Refused(string, string) {}
+
 func (fakeParts) Ended(targets.Class, dispatch.Result, time.Duration) {}
 
 // rig is an API over fakes, with claims in a table in memory.
