--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -94,7 +94,7 @@
 	if starved := s.starved(now); starved != nil && (full || starved != class) {
 		return s.grant(now, starved, true), true
 	}
-	if full {
+	if full || !s.heldUntil(now, class.head()).IsZero() {
 		return Ticket{}, false
 	}
 	return s.grant(now, class, false), true
@@ -159,7 +159,7 @@
 		return
 	}
 	interval := r.tokens(now, n)
-	if len(s.running.byID) <= s.limiter.limit {
+	if len(s.running.byID) <= s.limiter.limit+s.limiter.trial() {
 		s.limiter.interval(now, r.ticket, interval)
 	}
 }
