matrix: bursts of a lower class under faults

Cause: no cell of the matrix saturated its engines, so that the top tier's place in a burst and the eventual service of the lowest tier rested on the simulations of package policy alone.

Change: cells of subject burst: one class sends 3 times the capacity of the engines, steadily and whatever becomes of earlier calls; top-tier callers and long calls of the lowest tier go beside it; a fault strikes while tickets wait at every agent. Refused callers come back after their Retry-After until they are served.

Ruled out: a limit of 150 s on how long callers come back.

--- /dev/null
+++ b/testbed/history/bound.go
@@ -0,0 +1,31 @@
+package history
+
+import "fmt"
+
+// checkBound looks for served calls that took longer than their bound, and for
+// work with a bound that was never served although its caller came back.
+func checkBound(h *indexed) []Violation {
+	var found []Violation
+	served, asked := map[string]bool{}, map[string]Call{}
+	for _, call := range h.Calls {
+		if call.Within <= 0 {
+			continue
+		}
+		asked[call.Marker] = call
+		if call.Told != ToldWhole {
+			continue
+		}
+		served[call.Marker] = true
+		if took := call.Done.Sub(call.Sent); took > call.Within {
+			found = append(found, Violation{PointServed, call.Marker,
+				fmt.Sprintf("class %s was served after %s, bound %s", call.Class, took, call.Within)})
+		}
+	}
+	for marker, last := range asked {
+		if !served[marker] {
+			found = append(found, Violation{PointServed, marker,
+				fmt.Sprintf("class %s was never served: %s %s", last.Class, last.Told, last.Detail)})
+		}
+	}
+	return found
+}
--- a/testbed/history/call.go
+++ b/testbed/history/call.go
@@ -40,6 +40,11 @@
 	Repeatable bool `json:"repeatable"`
 	// Probe calls are sent when all faults are lifted and must be served.
 	Probe bool `json:"probe,omitempty"`
+	// Within, when set, is how long the call may take if it is served; its
+	// work must be served by one of the calls that repeat it.
+	Within time.Duration `json:"within,omitempty"`
+	// RetryAfter is when a refused caller was told to come back.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
 
 	Sent time.Time `json:"sent"`
 	// Done is when the caller was told.
--- a/testbed/history/check.go
+++ b/testbed/history/check.go
@@ -52,6 +52,7 @@
 	for _, check := range []func(*indexed) []Violation{
 		checkTopTier,
 		checkServed,
+		checkBound,
 		checkWhole,
 		checkNotRun,
 		checkOnce,
--- a/testbed/history/check_test.go
+++ b/testbed/history/check_test.go
@@ -66,6 +66,19 @@
 			h.Calls[docket].Probe = true
 			h.Runs = h.Runs[:1]
 		}},
+		{"served after its bound", PointServed, func(h *History) { h.Calls[docket].Within = time.Second }},
+		{"never served although its caller came back", PointServed, func(h *History) {
+			failed(&h.Calls[docket], ToldNotRun)
+			h.Calls[docket].Within = time.Minute
+			h.Runs = h.Runs[:1]
+		}},
+		{"not run, ran before in a run of no other call", PointNotRun, func(h *History) {
+			repeat := h.Calls[docket]
+			repeat.RequestID, repeat.Sent, repeat.Done = "r-repeat", at(10), at(14)
+			failed(&repeat, ToldNotRun)
+			h.Calls = append(h.Calls, repeat)
+			h.Runs[docket].Request = "r-nobody"
+		}},
 		{"another's answer", PointWhole, func(h *History) { h.Calls[docket].Text = h.Calls[flag].Text }},
 		{"shorter answer that looks whole", PointWhole, func(h *History) { h.Calls[docket].Text = "answer" }},
 		{"answer twice", PointWhole, func(h *History) { h.Calls[docket].Text += h.Calls[docket].Text }},
@@ -155,6 +168,19 @@
 			h.Runs[docket].Request, h.Runs[docket].Started = "r-repeat", at(11)
 			h.Leavings = nil
 		}},
+		{"without a key: ran and failed, then refused", func(h *History) {
+			repeat := h.Calls[docket]
+			repeat.RequestID, repeat.Sent, repeat.Done = "r-repeat", at(10), at(14)
+			failed(&repeat, ToldNotRun)
+			h.Calls = append(h.Calls, repeat)
+		}},
+		{"refused, then served within the bound", func(h *History) {
+			h.Calls[docket].Within = time.Minute
+			refused := h.Calls[docket]
+			refused.RequestID, refused.Sent, refused.Done = "r-first", at(-9), at(-8)
+			failed(&refused, ToldNotRun)
+			h.Calls = append(h.Calls, refused)
+		}},
 		{"top tier refused while nothing lower is let in", func(h *History) {
 			failed(&h.Calls[flag], ToldNotRun)
 			h.Calls[flag].Code = CodeOverloaded
--- a/testbed/matrix/answer.go
+++ b/testbed/matrix/answer.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -103,6 +105,9 @@
 		call.Code = history.CodeOverloaded
 	}
 	call.Told = toldByCode(response.Header.Get(headerOutcome))
+	if seconds, err := strconv.Atoi(response.Header.Get(headerRetryAfter)); err == nil {
+		call.RetryAfter = time.Duration(seconds) * time.Second
+	}
 	return nil
 }
 
--- a/testbed/matrix/ask.go
+++ b/testbed/matrix/ask.go
@@ -22,11 +22,12 @@
 
 // Headers of the callers' API.
 const (
-	headerClass    = "X-Applepier-Class"
-	headerCustomer = "X-Applepier-Customer"
-	headerKey      = "Idempotency-Key"
-	headerOutcome  = "X-Applepier-Outcome"
-	headerRequest  = "X-Request-Id"
+	headerClass      = "X-Applepier-Class"
+	headerCustomer   = "X-Applepier-Customer"
+	headerKey        = "Idempotency-Key"
+	headerOutcome    = "X-Applepier-Outcome"
+	headerRequest    = "X-Request-Id"
+	headerRetryAfter = "Retry-After"
 )
 
 // ask is one request that a caller makes.
@@ -39,6 +40,7 @@
 	tokens   int
 	whole    bool // not streamed
 	probe    bool
+	within   time.Duration // see history.Call
 }
 
 // chatBody is the request's body.
@@ -95,6 +97,7 @@
 		Serves:         a.serves(),
 		Repeatable:     class.Repeatable,
 		Probe:          a.probe,
+		Within:         a.within,
 		Sent:           time.Now(),
 	}
 	ctx, cancel := context.WithTimeout(ctx, callerLimit)
--- a/testbed/matrix/cells.go
+++ b/testbed/matrix/cells.go
@@ -64,5 +64,10 @@
 	for _, faults := range LeavingFaults {
 		cells = append(cells, Cell{Subject: SubjectLeaving, Step: StepUnderLoad, Faults: faults, Seed: seed})
 	}
+	for _, step := range []Step{StepBurst, StepSaturation} {
+		for _, kind := range BurstFaults {
+			cells = append(cells, Cell{Subject: SubjectBurst, Step: step, Faults: []Kind{kind}, Seed: seed})
+		}
+	}
 	return append(cells, PairCells(seed, pairs)...)
 }
--- a/testbed/matrix/classes.go
+++ b/testbed/matrix/classes.go
@@ -39,7 +39,7 @@
 }
 
 func classOf(name string) targets.Class {
-	for _, class := range append(classes(), lostClass()) {
+	for _, class := range append(classes(), lostClass(), burstClass()) {
 		if class.Name == name {
 			return class
 		}
--- a/testbed/matrix/fixed.go
+++ b/testbed/matrix/fixed.go
@@ -26,6 +26,7 @@
 		single(SubjectTargets, StepSpreading, PauseAgent),
 		Cell{Subject: SubjectTargets, Step: StepAccepted, Faults: []Kind{PlatformDown, FreshEntry}, Seed: 1},
 		single(SubjectStop, StepUnderLoad, StopEntry),
+		single(SubjectBurst, StepBurst, KillEntry),
 		Cell{Subject: SubjectStop, Step: StepUnderLoad, Faults: []Kind{StopEntry, LeaveVM}, Seed: 1},
 		Cell{Subject: SubjectLeaving, Step: StepUnderLoad, Faults: []Kind{LeaveVM, ListLags}, Seed: 1},
 	)
--- a/testbed/matrix/rig.go
+++ b/testbed/matrix/rig.go
@@ -50,6 +50,9 @@
 		backends = append(backends, fleet.Engines(1, lostModel, engineCapacity, tokenInterval)...)
 		served = append(served, lostClass())
 	}
+	if c.Subject == SubjectBurst {
+		served = append(served, burstClass())
+	}
 	if c.Subject == SubjectService {
 		backends = append(backends, services()...)
 		served = append(served, serviceClass())
--- a/testbed/matrix/run.go
+++ b/testbed/matrix/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -90,6 +92,8 @@
 		return r.serviceCell(ctx, c)
 	case SubjectLease:
 		return r.leaseCell(ctx, c)
+	case SubjectBurst:
+		return r.burstCell(ctx, c)
 	case SubjectLeaving:
 		return r.leavingCell(ctx, c)
 	}
@@ -112,6 +116,22 @@
 	}
 }
 
+// toldShown is how many ends are listed one by one.
+const toldShown = 12
+
+// countTold counts the ends of many calls.
+func countTold(told []string) string {
+	counts := map[string]int{}
+	for _, t := range told {
+		counts[t]++
+	}
+	var parts []string
+	for _, t := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[t], t))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // toldOf lists what the subject's caller was told.
 func toldOf(h history.History, c Cell) string {
 	var told []string
@@ -121,6 +141,9 @@
 			told = append(told, string(call.Told))
 		}
 	}
+	if len(told) > toldShown {
+		return countTold(told)
+	}
 	return strings.Join(told, ", ")
 }
 
