matrix: death of a plain service while it carries a call out

Cause: the stand-in's record of calls died with it, so that nothing could be said of calls under way at its death.

The fleet reads the file in place of the service's own answer, and the matrix kills the service at each step of a call that must not be repeated.

Ruled out: one file for each start as the engines have it; calls aren't numbered, so appending does.

--- a/testbed/cmd/standin/others.go
+++ b/testbed/cmd/standin/others.go
@@ -27,9 +27,22 @@
 		Flags: []cli.Flag{
 			listenFlag(),
 			&cli.StringFlag{Name: "name", Usage: "the service's name, which only tells processes apart"},
+			&cli.StringFlag{Name: "record-file", Usage: "file that takes the record of calls as JSON lines"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			return serve(ctx, cmd.String("listen"), plain.New())
+			return runService(ctx, cmd.String("listen"), cmd.String("record-file"))
 		},
 	}
 }
+
+func runService(ctx context.Context, listen, record string) error {
+	if record == "" {
+		return serve(ctx, listen, plain.New())
+	}
+	server, err := plain.Open(record)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = server.Close() }()
+	return serve(ctx, listen, server)
+}
--- a/testbed/fleet/server.go
+++ b/testbed/fleet/server.go
@@ -25,7 +25,7 @@
 	Spec BackendSpec
 
 	mu      sync.Mutex
-	records []string // record files of an engine's starts, oldest first
+	records []string // record files: of an engine one for each start, oldest first
 }
 
 func (f *Fleet) newServer(name string, spec BackendSpec) (*Server, error) {
@@ -34,7 +34,11 @@
 		return nil, err
 	}
 	s := &Server{URL: "http://" + addr, Spec: spec}
-	s.Process = f.newProcess(name, addr, f.options.Binaries.StandIn, "service", "--listen", addr)
+	calls := filepath.Join(f.dir, name+".calls")
+	s.Process = f.newProcess(name, addr, f.options.Binaries.StandIn, "service", "--listen", addr, "--record-file", calls)
+	if spec.Kind == settings.BackendService {
+		s.records = []string{calls}
+	}
 	if spec.Kind == settings.BackendEngine {
 		s.argsFor = func(start int) []string { return s.engineArgs(f.dir, start) }
 	}
@@ -82,11 +86,18 @@
 	return all, nil
 }
 
-// Calls returns a plain service's record of the calls that took effect.
-func (s *Server) Calls(ctx context.Context) ([]plain.Call, error) {
-	var calls []plain.Call
-	_, err := call{method: http.MethodGet, url: s.URL + "/record", answer: &calls}.do(ctx)
-	return calls, err
+// Calls returns a plain service's record of the calls that took effect, those
+// of killed starts included.
+func (s *Server) Calls() ([]plain.Call, error) {
+	var all []plain.Call
+	for _, file := range s.records {
+		calls, err := plain.ReadRecordFile(file)
+		if err != nil {
+			return nil, errors.Wrapf(err, "record of %s", s.Name)
+		}
+		all = append(all, calls...)
+	}
+	return all, nil
 }
 
 // Orders returns the orders that an engine has carried out.
--- a/testbed/matrix/collect.go
+++ b/testbed/matrix/collect.go
@@ -1,7 +1,6 @@
 package matrix
 
 import (
-	"context"
 	"strings"
 	"time"
 
@@ -12,10 +11,10 @@
 )
 
 // collect adds the engines' own record to the history and returns it.
-func (r *rig) collect(ctx context.Context) (history.History, error) {
+func (r *rig) collect() (history.History, error) {
 	for _, backend := range r.fleet.Backends {
 		if backend.Server.Spec.Kind == settings.BackendService {
-			if err := r.collectCalls(ctx, backend); err != nil {
+			if err := r.collectCalls(backend); err != nil {
 				return history.History{}, err
 			}
 			continue
@@ -34,8 +33,8 @@
 }
 
 // collectCalls adds a plain service's record of the calls that took effect.
-func (r *rig) collectCalls(ctx context.Context, backend *fleet.Backend) error {
-	calls, err := backend.Server.Calls(ctx)
+func (r *rig) collectCalls(backend *fleet.Backend) error {
+	calls, err := backend.Server.Calls()
 	if err != nil {
 		return err
 	}
--- a/testbed/matrix/fault.go
+++ b/testbed/matrix/fault.go
@@ -43,7 +43,7 @@
 func (f *fault) begin(ctx context.Context) error {
 	process := f.place.process(f.kind)
 	switch f.kind {
-	case KillEntry, KillAgent, KillEngine:
+	case KillEntry, KillAgent, KillEngine, KillService:
 		return process.Kill()
 	case PauseEntry, PauseAgent, PauseEngine:
 		return process.Stop()
@@ -100,7 +100,7 @@
 func (f *fault) end(ctx context.Context) error {
 	process := f.place.process(f.kind)
 	switch f.kind {
-	case KillEntry, KillAgent, KillEngine:
+	case KillEntry, KillAgent, KillEngine, KillService:
 		return process.Restart(ctx)
 	case PauseEntry, PauseAgent, PauseEngine:
 		return process.Continue()
--- a/testbed/matrix/fixed.go
+++ b/testbed/matrix/fixed.go
@@ -20,6 +20,7 @@
 		single(SubjectService, StepStarted, KillEntry),
 		single(SubjectService, StepStarted, SilentDown),
 		single(SubjectService, StepStarted, CutAnswer),
+		single(SubjectService, StepStarted, KillService),
 		single(SubjectTargets, StepWriteLost, TwoOperators),
 		single(SubjectTargets, StepWriteLost, KillEntry),
 		single(SubjectTargets, StepAccepted, KillEntry),
--- a/testbed/matrix/place.go
+++ b/testbed/matrix/place.go
@@ -21,7 +21,7 @@
 	switch kind {
 	case KillEntry, PauseEntry, StopEntry:
 		return p.entry.Process
-	case CutAnswer, KillEngine, PauseEngine, Straggler, Stall, CutStream, StaleLoad:
+	case CutAnswer, KillService, KillEngine, PauseEngine, Straggler, Stall, CutStream, StaleLoad:
 		return p.backend().Server.Process
 	case PlatformDown, PlatformSlow, LostAnswer, ListLags:
 		return p.rig.fleet.Platform.Process
--- a/testbed/matrix/run.go
+++ b/testbed/matrix/run.go
@@ -63,7 +63,7 @@
 	}
 	defer rig.close()
 	result.Err = rig.play(ctx, c)
-	result.judge(ctx, rig)
+	result.judge(rig)
 	result.Took = time.Since(start)
 	return result
 }
@@ -100,8 +100,8 @@
 	return errors.Errorf("unknown subject %s", c.Subject)
 }
 
-func (r *Result) judge(ctx context.Context, rig *rig) {
-	h, err := rig.collect(ctx)
+func (r *Result) judge(rig *rig) {
+	h, err := rig.collect()
 	if err != nil {
 		r.Err = errors.Join(r.Err, err)
 		return
--- a/testbed/matrix/service.go
+++ b/testbed/matrix/service.go
@@ -20,16 +20,18 @@
 // SubjectService is a plain service's call that must not be repeated.
 const SubjectService Subject = "service"
 
+// KillService kills the plain service; its record outlives it.
+const KillService Kind = "kill-service"
+
 // CutAnswer makes the plain service take the call and cut the connection.
 const CutAnswer Kind = "cut-answer"
 
-// ServiceSteps and ServiceFaults are those of a plain service's call. The
-// service itself is not killed: its record would die with it.
+// ServiceSteps and ServiceFaults are those of a plain service's call.
 var (
 	ServiceSteps  = []Step{StepBeforeTicket, StepGranted, StepBodySent, StepStarted, StepAfterEnd}
 	ServiceFaults = []Kind{
 		KillEntry, KillAgent, PauseEntry, PauseAgent, Cut, Silent, SilentUp, SilentDown, Refuse,
-		Delay, PlatformDown, LostAnswer, StopEntry, StopAgent, CutAnswer,
+		Delay, PlatformDown, LostAnswer, StopEntry, StopAgent, CutAnswer, KillService,
 	}
 )
 
@@ -93,19 +95,19 @@
 		told <- call
 	}
 	agent := -1
-	if !until(ctx, func() bool { agent = r.servedAt(ctx, marker); return agent >= 0 }) {
+	if !until(ctx, func() bool { agent = r.servedAt(marker); return agent >= 0 }) {
 		return 0, errors.Errorf("step %s of %s was not reached", step, marker)
 	}
 	return agent, nil
 }
 
 // servedAt finds the backend that took a call; -1 when none has.
-func (r *rig) servedAt(ctx context.Context, marker string) int {
+func (r *rig) servedAt(marker string) int {
 	for i, backend := range r.fleet.Backends {
 		if backend.Server.Spec.Kind != settings.BackendService {
 			continue
 		}
-		calls, err := backend.Server.Calls(ctx)
+		calls, err := backend.Server.Calls()
 		if err != nil {
 			continue
 		}
--- a/testbed/plain/server.go
+++ b/testbed/plain/server.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 
 	mu    sync.Mutex
 	calls []Call
+	file  *os.File // nil without a record file
 }
 
 // New returns a service without faults.
@@ -58,7 +60,10 @@
 		http.Error(w, "out of order", k.FailStatus)
 		return
 	}
-	s.note(r)
+	if err := s.note(r); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	time.Sleep(time.Duration(k.SlowMS) * time.Millisecond)
 	if s.takeCut() {
 		panic(http.ErrAbortHandler)
@@ -74,10 +79,12 @@
 }
 
 // note records that a call takes effect.
-func (s *Server) note(r *http.Request) {
+func (s *Server) note(r *http.Request) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls = append(s.calls, newCall(r, time.Now()))
+	call := newCall(r, time.Now())
+	s.calls = append(s.calls, call)
+	return s.write(call)
 }
 
 func (s *Server) takeCut() bool {
