--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -38,15 +38,20 @@
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds one write to a caller that stops reading.
 	writeTimeout = 30 * time.Second
-	// maxInFlight bounds the requests that an entry holds; with bodies of up
-	// to maxBody read only after admission to this number, memory stays
-	// bounded. At the target size an entry has 3,600/410 = 9 requests a
+	// maxInFlight bounds the requests that an entry holds, as maxHeld bounds
+	// the bytes of their bodies. At the target size an entry has 3,600/410 = 9 requests a
 	// second, so that this is far more than any queue that meets a target.
 	maxInFlight = 2048
 	// busyRetryAfter is when to come back to an entry that is full.
 	busyRetryAfter = 2 * time.Second
 )
 
+// Reasons why an entry itself refuses a request.
+const (
+	reasonEntryFull  = "entry_full"
+	reasonBodiesFull = "bodies_full"
+)
+
 // Dispatcher carries a request to its final answer.
 type Dispatcher interface {
 	Do(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) dispatch.Result
@@ -64,6 +69,12 @@
 
 // Observer hears what became of each request, for the metrics.
 type Observer interface {
+	// Received is called once for each request that is taken in.
+	Received(class string)
+	// Refused is called for a request that is turned away before its class is
+	// certain; class is UnknownClass where it names none that there is.
+	Refused(class, reason string)
+	// Ended is called once for each request that was received.
 	Ended(class targets.Class, r dispatch.Result, took time.Duration)
 }
 
@@ -84,6 +95,8 @@
 type API struct {
 	config Config
 
+	held heldBytes
+
 	mu       sync.Mutex
 	inFlight int
 }
@@ -112,7 +125,7 @@
 func (a *API) counted(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !a.enter() {
-			writeError(w, notRun("entry_full", busyRetryAfter))
+			a.turnAway(w, r, reasonEntryFull)
 			return
 		}
 		defer a.leave()
@@ -120,6 +133,20 @@
 	}
 }
 
+// UnknownClass stands in the metrics for the class of a request that was
+// refused before it was known. No class can have this name.
+const UnknownClass = "(unknown)"
+
+// turnAway refuses a request for want of room before its class is certain.
+func (a *API) turnAway(w http.ResponseWriter, r *http.Request, reason string) {
+	class := UnknownClass
+	if named, ok := a.config.Holder.Current().Class(r.Header.Get(HeaderClass)); ok {
+		class = named.Name
+	}
+	a.config.Observer.Refused(class, reason)
+	writeError(w, notRun(reason, busyRetryAfter))
+}
+
 func (a *API) enter() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
