--- a/internal/entry/api/answer_test.go
+++ b/internal/entry/api/answer_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	wholeBody   = `{"model":"apple","messages":[{"role":"user","content":"hi"}]}`
+	wholeBody  = `{"model":"apple","messages":[{"role":"user","content":"hi"}]}`
 	streamBody = `{"model":"apple","stream":true,"messages":[{"role":"user","content":"hi"}]}`
 
 	opening  = `{"id":"run-1","created":1,"choices":[{"index":0,"delta":{"role":"assistant"},"finish_reason":null}]}`
