--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -38,7 +38,7 @@
 func (emptyStream) Close() error { return nil }
 
 // newRunningAgent is an agent beside the engine, with one grant on offer.
-func newRunningAgent(t *testing.T, e engine.Engine) (*httptest.Server, *wire.Grant) {
+func newRunningAgent(t testing.TB, e engine.Engine) (*httptest.Server, *wire.Grant) {
 	t.Helper()
 	a := New(settings.Agent{
 		Process:  "agent",
