--- a/policy/guarantee.go
+++ b/policy/guarantee.go
@@ -5,7 +5,7 @@
 const (
 	// starvedAfter is how long a class may wait without a grant before the
 	// guarantee serves it. Shorter, and every burst of a few seconds in an
-	// urgent class would hand slots to summaries; longer, and the bound on
+	// urgent class would hand slots to the lowest tier; longer, and the bound on
 	// the longest wait grows by as much for each class.
 	starvedAfter = 10 * time.Second
 	// guaranteedShare is the share of an engine's slot time that the starved
@@ -24,9 +24,9 @@
 // the engine's slot time, longest waiting class first.
 //
 // It answers saturation by urgent classes that lasts: strict priority would
-// then never run a summary. The share is of slot time and not of grants,
-// since a summary may hold its slot for a hundred times as long as a hazard
-// flag, and one grant in eight would soon fill the engine with summaries.
+// then never run the lowest tier. The share is of slot time and not of grants,
+// since a long answer may hold its slot for a hundred times as long as a short
+// one, and one grant in eight would soon fill the engine with long ones.
 //
 // The bound: with C slots, k classes starved and no run longer than L, a
 // class that has a ticket waiting is granted within
--- a/policy/preemption.go
+++ b/policy/preemption.go
@@ -17,17 +17,17 @@
 // called until it reports false; the cancelled runs end with Finished as
 // usual, and their requests come back by Resume.
 //
-// It answers a burst of hazard flags that meets engines full of long answers:
-// more flags than slots kept back would wait for an answer to end, which
+// It answers a burst of urgent requests that meets engines full of long answers:
+// more of them than slots kept back would wait for an answer to end, which
 // takes longer than their whole target. A run is cancelled when the chance
 // that another one ends in time is below 999 in 1,000, taking ends as a
 // Poisson process at the engine's true rate; and when an urgent run is held up
 // inside the engine, since the limit was too high. Only runs that say so are
 // cancelled, and none that the guarantee has granted.
 //
-// It pays: of 40 flags a second on engines full of summaries 0.966 were on
+// It pays: of 40 urgent requests a second on engines full of long ones 0.966 were on
 // time without it and 0.997 with it, for 1.5% of the slot time; and beside a
-// burst of planner questions it lets the slots that are kept back be lent,
+// burst of a middle tier it lets the slots that are kept back be lent,
 // which brought 17.6 answers on time a second in place of 15.6, for 0.1% of
 // the slot time (trials in virtual time, docs/DECISIONS.md). The slot time is
 // that of reading the prompt again; the answer is resumed where it was cut.
