--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -6,12 +6,9 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -20,7 +17,6 @@
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
-	"github.com/applepier/applepier/policy"
 )
 
 const (
@@ -155,37 +151,6 @@
 	}
 }
 
-// subset picks, for each model and service, the agents this entry connects
-// to, by rendezvous hashing: stable as VMs come and go, and even over entries.
-func (f *Fleet) subset(vms []platform.VM) map[string]platform.VM {
-	byServes := make(map[string][]platform.VM)
-	for _, vm := range vms {
-		if vm.Role == platform.RoleBackend {
-			byServes[vm.Serves] = append(byServes[vm.Serves], vm)
-		}
-	}
-	wanted := make(map[string]platform.VM)
-	for _, group := range byServes {
-		slices.SortFunc(group, f.compareRendezvous)
-		for _, vm := range group[:min(len(group), subsetSize)] {
-			wanted[vm.Name] = vm
-		}
-	}
-	return wanted
-}
-
-func (f *Fleet) compareRendezvous(a, b platform.VM) int {
-	ha := xxhash.Sum64String(f.config.Process + "/" + a.Name)
-	hb := xxhash.Sum64String(f.config.Process + "/" + b.Name)
-	if ha != hb {
-		if ha < hb {
-			return -1
-		}
-		return 1
-	}
-	return strings.Compare(a.Name, b.Name)
-}
-
 // spread tells all agents when newer targets are in force here.
 func (f *Fleet) spread(ctx context.Context) {
 	for {
@@ -224,59 +189,3 @@
 	}
 	return m.link, true
 }
-
-// Candidates lists the agents of a model or service that may take a ticket.
-func (f *Fleet) Candidates(serves string) []policy.Candidate {
-	var candidates []policy.Candidate
-	for _, l := range f.snapshot() {
-		if c, ok := l.candidate(serves); ok {
-			candidates = append(candidates, c)
-		}
-	}
-	return candidates
-}
-
-// Serves lists the models or services that any listed VM has.
-func (f *Fleet) Serves() []string {
-	vms, _ := f.VMs()
-	var names []string
-	for _, vm := range vms {
-		if vm.Role == platform.RoleBackend && vm.Serves != "" {
-			names = append(names, vm.Serves)
-		}
-	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
-// Place sends a ticket to an agent; false means that it can't be reached now.
-func (f *Fleet) Place(agent string, t *wire.Ticket, listener Listener) bool {
-	l, ok := f.find(agent)
-	return ok && l.place(t, listener)
-}
-
-// Withdraw takes a ticket back from an agent.
-func (f *Fleet) Withdraw(agent, request string, attempt int) {
-	if l, ok := f.find(agent); ok {
-		l.withdraw(request, attempt)
-	}
-}
-
-// Void asks an agent to make a grant unusable; ErrNoAnswer when it can't be
-// asked.
-func (f *Fleet) Void(ctx context.Context, agent, grant string) (wire.VoidResult, error) {
-	l, ok := f.find(agent)
-	if !ok {
-		return "", ErrNoAnswer
-	}
-	return l.void(ctx, grant)
-}
-
-// Addr is an agent's address.
-func (f *Fleet) Addr(agent string) (string, bool) {
-	l, ok := f.find(agent)
-	if !ok {
-		return "", false
-	}
-	return l.addr(), true
-}
