entry: what is known of an agent goes with it

Cause: found by reading. Change: the fleet tells the dispatcher of each agent it drops; tests of that and of how little a subset changes when one VM leaves.

--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -91,6 +91,10 @@
 	return result
 }
 
+// Forget drops what is remembered of an agent that has gone; VMs' names are
+// never used again.
+func (d *Dispatcher) Forget(agent string) { d.shared.forget(agent) }
+
 func (d *Dispatcher) record(r *Request, result Result) {
 	kind, event := endOf(result.Outcome)
 	d.config.Ring.Record(kind, r.ID, r.Class.Name, result.Reason)
--- a/internal/entry/dispatch/shared.go
+++ b/internal/entry/dispatch/shared.go
@@ -39,3 +39,9 @@
 	defer s.mu.Unlock()
 	return s.placer.Pick(now, want, all, n)
 }
+
+func (s *shared) forget(agent string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ejector.Forget(agent)
+}
--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -41,6 +41,9 @@
 	Log       *zap.Logger
 	// Fallback is asked for the VM list while the platform is down.
 	Fallback func(ctx context.Context) ([]platform.VM, error)
+	// Gone hears of each agent that this entry no longer connects to. It must
+	// not call the Fleet.
+	Gone func(agent string)
 }
 
 // Fleet holds the links. Lock order: Fleet.mu before link.mu.
@@ -134,6 +137,7 @@
 		m.cancel()
 		delete(f.links, name)
 		f.config.Ring.Record(timeline.KindLeave, "", "", name)
+		f.config.Gone(name)
 	}
 }
 
--- /dev/null
+++ b/internal/entry/fleet/fleet_test.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/metrics"
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/internal/timeline"
+	"github.com/applepier/applepier/internal/wire"
+)
+
+func TestAgentsThatLeaveTheListAreForgotten(t *testing.T) {
+	var gone []string
+	clock := &timeline.Clock{}
+	f := New(Config{
+		Process: "entry",
+		Local:   wire.Local{Clock: clock, TargetsVersion: func() uint64 { return 0 }, Traffic: metrics.New().Control},
+		Holder:  targets.NewHolder(),
+		Ring:    timeline.NewRing("entry", clock, 16),
+		Log:     zap.NewNop(),
+		Gone:    func(agent string) { gone = append(gone, agent) },
+	})
+	stays := platform.VM{Name: "stays", Addr: "127.0.0.1:1", Role: platform.RoleBackend, Serves: "m"}
+	leaves := platform.VM{Name: "leaves", Addr: "127.0.0.1:1", Role: platform.RoleBackend, Serves: "m"}
+	f.adopt(t.Context(), []platform.VM{stays, leaves})
+	f.adopt(t.Context(), []platform.VM{stays})
+	if !slices.Equal(gone, []string{"leaves"}) {
+		t.Fatalf("gone: %q", gone)
+	}
+	if _, ok := f.find("stays"); !ok {
+		t.Fatal("an agent that is still listed was dropped")
+	}
+}
+
+func TestSubsetIsStableAsVMsComeAndGo(t *testing.T) {
+	f := New(Config{Process: "entry"})
+	var vms []platform.VM
+	for i := range 100 {
+		vms = append(vms, platform.VM{Name: string(rune('a'+i%26)) + string(rune('a'+i/26)), Role: platform.RoleBackend, Serves: "m"})
+	}
+	before := f.subset(vms)
+	after := f.subset(vms[1:])
+	changed := 0
+	for name := range after {
+		if _, ok := before[name]; !ok {
+			changed++
+		}
+	}
+	if len(before) != subsetSize || len(after) != subsetSize || changed > 1 {
+		t.Fatalf("subset: %d, then %d with %d new ones", len(before), len(after), changed)
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -52,17 +52,18 @@
 	keys     keys
 	log      *zap.Logger
 
-	clock    timeline.Clock
-	ring     *timeline.Ring
-	holder   *targets.Holder
-	metrics  *metrics.Metrics
-	platform *counted.Platform
-	store    *store.Store
-	claimer  *claim.Claimer
-	fleet    *fleet.Fleet
-	api      *api.API
-	census   *census
-	leaving  atomic.Bool
+	clock      timeline.Clock
+	ring       *timeline.Ring
+	holder     *targets.Holder
+	metrics    *metrics.Metrics
+	platform   *counted.Platform
+	store      *store.Store
+	claimer    *claim.Claimer
+	fleet      *fleet.Fleet
+	dispatcher *dispatch.Dispatcher
+	api        *api.API
+	census     *census
+	leaving    atomic.Bool
 }
 
 // Serve runs an entry until ctx ends, then shuts it down gracefully: it fails
@@ -104,6 +105,7 @@
 		Ring:      e.ring,
 		Log:       log,
 		Fallback:  e.askSeeds,
+		Gone:      func(agent string) { e.dispatcher.Forget(agent) },
 	})
 	e.census = &census{own: e.ownProcess, fleet: e.fleet, key: k.system}
 	e.api = e.newAPI()
@@ -116,7 +118,7 @@
 func (e *entry) newAPI() *api.API {
 	ejector := policy.NewEjector()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	dispatcher := dispatch.New(dispatch.Config{
+	e.dispatcher = dispatch.New(dispatch.Config{
 		Zone:      e.settings.Zone,
 		SystemKey: e.keys.system,
 		Agents:    agents{e.fleet},
@@ -128,7 +130,7 @@
 	})
 	return api.New(api.Config{
 		Holder:     e.holder,
-		Dispatcher: dispatcher,
+		Dispatcher: e.dispatcher,
 		Served:     e.fleet,
 		Auth:       callerAuth{trustHeader: e.settings.Callers.TrustCustomerHeader},
 		Claims:     e.claimer,
