entry/fleet: a link's row is read under its lock

A re-read address could be torn. Ruled out: the test alone; the processes do the same every 3 s. Change: the name is fixed apart from the row; the address is read under the lock.

--- a/internal/entry/fleet/link.go
+++ b/internal/entry/fleet/link.go
@@ -13,9 +13,11 @@
 // blocks; listeners are called without it.
 type link struct {
 	fleet *Fleet
-	vm    platform.VM
+	// name is the VM's, which never changes; the rest of its row may.
+	name string
 
 	mu       sync.Mutex
+	vm       platform.VM
 	conn     *wire.Conn
 	status   wire.Status
 	hello    wire.Hello
@@ -32,6 +34,7 @@
 func newLink(f *Fleet, vm platform.VM) *link {
 	return &link{
 		fleet:   f,
+		name:    vm.Name,
 		vm:      vm,
 		tickets: newWaitingTickets(),
 		voids:   make(map[string]chan wire.VoidResult),
@@ -95,7 +98,7 @@
 // at once, so that the engine's slot doesn't wait until it lapses.
 func (l *link) granted(g *wire.Grant) {
 	listener, ok := l.takeListener(attemptKey{g.Request, g.Attempt})
-	if !ok || !listener.Granted(l.vm.Name, g.ID) {
+	if !ok || !listener.Granted(l.name, g.ID) {
 		l.send(wire.Message{Withdraw: &wire.Withdraw{Request: g.Request, Attempt: g.Attempt}})
 	}
 }
@@ -103,7 +106,7 @@
 func (l *link) refused(r *wire.Refuse) {
 	listener, ok := l.takeListener(attemptKey{r.Request, r.Attempt})
 	if ok {
-		listener.Refused(l.vm.Name, r.Reason, time.Duration(r.RetryAfterMS)*time.Millisecond)
+		listener.Refused(l.name, r.Reason, time.Duration(r.RetryAfterMS)*time.Millisecond)
 	}
 }
 
--- a/internal/entry/fleet/link_conn.go
+++ b/internal/entry/fleet/link_conn.go
@@ -21,7 +21,7 @@
 func (l *link) run(ctx context.Context) {
 	pause := redialFrom
 	for ctx.Err() == nil {
-		conn, err := wire.Dial(ctx, l.vm.Addr, l.fleet.config.SystemKey, l.fleet.config.Local)
+		conn, err := wire.Dial(ctx, l.addr(), l.fleet.config.SystemKey, l.fleet.config.Local)
 		if err != nil {
 			pause = min(2*pause, redialTo)
 		} else {
@@ -42,7 +42,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l.attach(conn)
-	log := l.fleet.config.Log.With(logging.Peer(l.vm.Name))
+	log := l.fleet.config.Log.With(logging.Peer(l.name))
 	log.Info(logging.EventConnected)
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
@@ -83,7 +83,7 @@
 	l.voids = make(map[string]chan wire.VoidResult)
 	l.mu.Unlock()
 	for _, t := range lost {
-		t.listener.Lost(l.vm.Name)
+		t.listener.Lost(l.name)
 	}
 }
 
