--- /dev/null
+++ b/internal/claim/bench_test.go
@@ -0,0 +1,56 @@
+package claim
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/applepier/applepier/internal/platform/platformtest"
+)
+
+// BenchmarkClaimedCall takes one call through its claim, grant and end, with a
+// kept answer of 500 B, against a table in memory. commits/op is how many
+// transactions that costs the table service; callers that run at once share
+// them.
+func BenchmarkClaimedCall(b *testing.B) {
+	for _, callers := range []int{1, 16} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			table := platformtest.NewTable()
+			claimer := NewClaimer(table)
+			defer claimer.Close()
+			var calls atomic.Int64
+			b.ReportAllocs()
+			b.SetParallelism(callers)
+			b.ResetTimer()
+			if callers == 1 {
+				for range b.N {
+					claimedCall(b, claimer, calls.Add(1))
+				}
+			} else {
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						claimedCall(b, claimer, calls.Add(1))
+					}
+				})
+			}
+			b.ReportMetric(float64(table.Commits())/float64(b.N), "commits/op")
+		})
+	}
+}
+
+func claimedCall(b *testing.B, claimer *Claimer, n int64) {
+	ctx := b.Context()
+	c, err := claimer.Claim(ctx, "customer", fmt.Sprintf("key-%d", n), "fingerprint", fmt.Sprintf("attempt-%d", n))
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	if c, err = claimer.Grant(ctx, c, "vm-1", "grant-1"); err != nil {
+		b.Error(err)
+		return
+	}
+	outcome := Outcome{Whole: true, Status: 200, ContentType: "application/json", Answer: make([]byte, 500)}
+	if _, err = claimer.Finish(ctx, c, outcome); err != nil {
+		b.Error(err)
+	}
+}
