--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -31,16 +31,17 @@
 )
 
 const (
-	// maxBody bounds a request's body in bytes; a well's full history is some
-	// hundred kilobytes.
+	// maxBody bounds a request's body in bytes; the long prompts of the lowest
+	// tiers have some hundred kilobytes.
 	maxBody = 4 << 20
 	// bodyTimeout bounds the reading of a body from a slow caller.
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds one write to a caller that stops reading.
 	writeTimeout = 30 * time.Second
 	// maxInFlight bounds the requests that an entry holds, as maxHeld bounds
-	// the bytes of their bodies. At the target size an entry has 3,600/410 = 9 requests a
-	// second, so that this is far more than any queue that meets a target.
+	// the bytes of their bodies. At the target size an entry has 3,600/410 = 9
+	// requests a second, so that this is far more than any queue that meets a
+	// target.
 	maxInFlight = 2048
 	// busyRetryAfter is when to come back to an entry that is full.
 	busyRetryAfter = 2 * time.Second
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,8 +15,8 @@
 	"github.com/applepier/applepier/internal/targets"
 )
 
-// ErrUnreachable: no peer answered.
-var ErrUnreachable = errors.New("no peer answered")
+// ErrUnreachable: no peer answered with what was asked for.
+var ErrUnreachable = errors.New("no peer answered with what was asked for")
 
 // StatePath is where a process tells its State.
 const StatePath = "/internal/v1/state"
@@ -56,22 +56,20 @@
 }
 
 // AskAny asks peers in turn, takes the newest targets into holder, and returns
-// the first VM list that one of them has.
+// the first VM list that one of them has; ErrUnreachable when none has one.
 func AskAny(ctx context.Context, addrs []string, systemKey string, holder *targets.Holder) ([]platform.VM, error) {
 	var vms []platform.VM
-	answered := false
 	for _, addr := range addrs {
 		s, err := Ask(ctx, addr, systemKey)
 		if err != nil {
 			continue
 		}
-		answered = true
 		holder.Offer(s.Targets)
 		if len(vms) == 0 {
 			vms = s.VMs
 		}
 	}
-	if !answered || len(vms) == 0 {
+	if len(vms) == 0 {
 		return nil, ErrUnreachable
 	}
 	return vms, nil
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/auth"
+	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/targets"
+)
+
+const testKey = "system-key-of-the-test"
+
+// startPeer answers with a State to bearers of the system's key.
+func startPeer(t *testing.T, s State) string {
+	t.Helper()
+	server := httptest.NewServer(auth.System(testKey)(Handler(func() State { return s })))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestFreshProcessLearnsTheNewestOfItsPeers(t *testing.T) {
+	addrs := []string{
+		"127.0.0.1:1",
+		startPeer(t, State{Process: "old", Targets: &targets.Set{Version: 3}}),
+		startPeer(t, State{Process: "new", Targets: &targets.Set{Version: 5}, VMs: []platform.VM{{Name: "vm-1"}}}),
+		startPeer(t, State{Process: "older", Targets: &targets.Set{Version: 4}, VMs: []platform.VM{{Name: "vm-2"}}}),
+	}
+	holder := targets.NewHolder()
+	vms, err := AskAny(t.Context(), addrs, testKey, holder)
+	if err != nil || len(vms) != 1 || vms[0].Name != "vm-1" {
+		t.Fatalf("VMs: got %+v, %v", vms, err)
+	}
+	if got := holder.Current().Version; got != 5 {
+		t.Fatalf("targets: got version %d, want the newest", got)
+	}
+}
+
+func TestPeersWithoutAListStillGiveTargets(t *testing.T) {
+	holder := targets.NewHolder()
+	_, err := AskAny(t.Context(), []string{startPeer(t, State{Targets: &targets.Set{Version: 2}})}, testKey, holder)
+	if !errors.Is(err, ErrUnreachable) || holder.Current().Version != 2 {
+		t.Fatalf("got %v with version %d", err, holder.Current().Version)
+	}
+}
+
+func TestStateIsForBearersOfTheSystemsKey(t *testing.T) {
+	addr := startPeer(t, State{Targets: &targets.Set{Version: 2}})
+	if _, err := Ask(t.Context(), addr, "another-key"); !errors.Is(err, ErrUnreachable) {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+}
