--- a/internal/cli/class.go
+++ b/internal/cli/class.go
@@ -60,29 +60,20 @@
 		ArgsUsage:   "NAME",
 		Description: "Example:\n   applepier class get hazard-flag",
 		Flags:       adminFlags(),
-		Action:      runClassGet,
+		Action:      onClass(runClassGet),
 	}
 }
 
-func runClassGet(ctx context.Context, command *cli.Command) error {
-	name, err := className(command)
+func runClassGet(ctx context.Context, s *session, command *cli.Command, name string) error {
+	answer, err := s.class(ctx, name)
 	if err != nil {
 		return err
 	}
-	ctx, session, err := open(ctx, command)
-	if err != nil {
-		return err
-	}
-	defer session.cancel()
-	answer, err := session.class(ctx, name)
-	if err != nil {
-		return err
-	}
-	err = session.printer.print(answer, func() []table { return []table{classTable([]classDocument{answer.Class})} })
+	err = s.printer.print(answer, func() []table { return []table{classTable([]classDocument{answer.Class})} })
 	if err != nil {
 		return err
 	}
-	session.noteVersion(answer.Version, answer.Source)
+	s.noteVersion(answer.Version, answer.Source)
 	return nil
 }
 
--- a/internal/cli/class_retire.go
+++ b/internal/cli/class_retire.go
@@ -15,25 +15,16 @@
 		Description: "Requests that run are ended as usual; class set takes a class into use again.\n\n" +
 			"Example:\n   applepier class retire summary --wait 14s",
 		Flags:  adminFlags(changeFlags()...),
-		Action: runClassRetire,
+		Action: onClass(runClassRetire),
 	}
 }
 
-func runClassRetire(ctx context.Context, command *cli.Command) error {
-	name, err := className(command)
+func runClassRetire(ctx context.Context, s *session, command *cli.Command, name string) error {
+	answer, err := s.class(ctx, name)
 	if err != nil {
 		return err
 	}
-	ctx, session, err := open(ctx, command)
-	if err != nil {
-		return err
-	}
-	defer session.cancel()
-	answer, err := session.class(ctx, name)
-	if err != nil {
-		return err
-	}
-	return session.change(ctx, command, call{
+	return s.change(ctx, command, call{
 		method:  http.MethodDelete,
 		path:    classPath(name),
 		version: &answer.Version,
--- a/internal/cli/class_set.go
+++ b/internal/cli/class_set.go
@@ -41,26 +41,17 @@
 			&cli.DurationFlag{Name: flagCompletion, Usage: "target `TIME` to the whole answer"},
 			&cli.BoolFlag{Name: flagRepeatable, Usage: "whether a request may run again when its outcome is unknown"},
 		}, changeFlags()...)...),
-		Action: runClassSet,
+		Action: onClass(runClassSet),
 	}
 }
 
-func runClassSet(ctx context.Context, command *cli.Command) error {
-	name, err := className(command)
-	if err != nil {
-		return err
-	}
-	ctx, session, err := open(ctx, command)
-	if err != nil {
-		return err
-	}
-	defer session.cancel()
-	class, version, err := session.present(ctx, name)
+func runClassSet(ctx context.Context, s *session, command *cli.Command, name string) error {
+	class, version, err := s.present(ctx, name)
 	if err != nil {
 		return err
 	}
 	class.apply(command)
-	return session.change(ctx, command, call{
+	return s.change(ctx, command, call{
 		method:  http.MethodPut,
 		path:    classPath(name),
 		version: &version,
