--- a/cmd/applepier/main.go
+++ b/cmd/applepier/main.go
@@ -8,8 +8,10 @@
 
 	"github.com/applepier/applepier/internal/cli"
 	"github.com/applepier/applepier/internal/entry"
+	"github.com/applepier/applepier/platform"
 )
 
 func main() {
-	os.Exit(int(cli.Run(context.Background(), os.Args, os.Stdout, os.Stderr, entry.Serve)))
+	gateway := cli.GatewayCommand(platform.ServeGateway, platform.SettingsEnv)
+	os.Exit(int(cli.Run(context.Background(), os.Args, os.Stdout, os.Stderr, entry.Serve, gateway)))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,8 +17,8 @@
 type Serve func(ctx context.Context, settings settings.Entry, log *zap.Logger) error
 
 // Run runs the command line in args, which starts with the program's name, and
-// returns the exit code.
-func Run(ctx context.Context, args []string, out, errOut io.Writer, serve Serve) program.ExitCode {
+// returns the exit code. More are commands beside those of this package.
+func Run(ctx context.Context, args []string, out, errOut io.Writer, serve Serve, more ...*cli.Command) program.ExitCode {
 	return program.Program[settings.Entry]{
 		Name:     "applepier",
 		Usage:    "a router for language-model traffic with latency targets and tiers",
@@ -26,7 +26,7 @@
 		Load:     settings.LoadEntry,
 		Identify: identify,
 		Serve:    serve,
-		Commands: []*cli.Command{classCommand(), statusCommand(), timelineCommand()},
+		Commands: append([]*cli.Command{classCommand(), statusCommand(), timelineCommand()}, more...),
 	}.Run(ctx, args, out, errOut)
 }
 
--- /dev/null
+++ b/internal/gateway/backend/registry.go
@@ -0,0 +1,167 @@
+// Package backend keeps which backend servers there are, and what this process
+// has running at each. Start reading at Registry.
+package backend
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// lapseGrace is for how long after the list's store is back a server is still
+// trusted whose entry lapsed while the store was away: live ones are back in
+// about two seconds, and what is missing then is gone.
+const lapseGrace = 2 * time.Second
+
+// Registry follows the list of backend servers. Readers take snapshots without
+// a lock. It implements the sink of a follower.
+type Registry struct {
+	byService atomic.Pointer[map[string][]*Server]
+	known     atomic.Bool
+
+	// mu guards what follows; nothing is locked while it is held.
+	mu      sync.Mutex
+	servers map[string]*Server
+	// lapsed holds the servers whose entries went while the store was away,
+	// with when they count as gone.
+	lapsed map[string]time.Time
+	// away says that the store didn't answer last; back is when it last did
+	// again after that.
+	away bool
+	back time.Time
+}
+
+// NewRegistry returns a Registry that knows no server.
+func NewRegistry() *Registry {
+	r := &Registry{servers: map[string]*Server{}, lapsed: map[string]time.Time{}}
+	r.publish()
+	return r
+}
+
+// Servers returns the servers of a service, ordered by id; not to be changed.
+func (r *Registry) Servers(service string) []*Server {
+	return (*r.byService.Load())[service]
+}
+
+// Known reports whether the list has ever been read.
+func (r *Registry) Known() bool { return r.known.Load() }
+
+// Server returns a listed server, or nil.
+func (r *Registry) Server(id string) *Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.servers[id]
+}
+
+// Reset takes the whole list; of those in unknown nothing is said.
+func (r *Registry) Reset(now time.Time, all []Info, unknown []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered(now)
+	listed := make(map[string]bool, len(all))
+	for _, id := range unknown {
+		listed[id] = true
+	}
+	for _, info := range all {
+		listed[info.ID] = true
+		r.put(info)
+	}
+	for id := range r.servers {
+		if !listed[id] {
+			r.remove(now, id)
+		}
+	}
+	r.publish()
+	r.known.Store(true)
+}
+
+// Change takes what has changed in the list.
+func (r *Registry) Change(now time.Time, changed []Info, removed []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered(now)
+	for _, info := range changed {
+		r.put(info)
+	}
+	for _, id := range removed {
+		r.remove(now, id)
+	}
+	if len(changed)+len(removed) > 0 {
+		r.publish()
+	}
+}
+
+// Unavailable notes that the store doesn't answer.
+func (r *Registry) Unavailable() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = true
+}
+
+// Sweep removes what has lapsed and isn't back. It is to be called a few times
+// a second.
+func (r *Registry) Sweep(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	removed := false
+	for id, gone := range r.lapsed {
+		if !now.Before(gone) && !r.away {
+			delete(r.lapsed, id)
+			delete(r.servers, id)
+			removed = true
+		}
+	}
+	if removed {
+		r.publish()
+	}
+}
+
+func (r *Registry) answered(now time.Time) {
+	if r.away {
+		r.away = false
+		r.back = now
+	}
+}
+
+func (r *Registry) put(info Info) {
+	delete(r.lapsed, info.ID)
+	s := r.servers[info.ID]
+	if s == nil {
+		s = &Server{}
+		r.servers[info.ID] = s
+	}
+	s.info.Store(&info)
+}
+
+// remove takes a server out, at once unless its entry may have lapsed since it
+// could not be renewed.
+func (r *Registry) remove(now time.Time, id string) {
+	s := r.servers[id]
+	if s == nil {
+		return
+	}
+	gone := r.back.Add(lapseGrace)
+	if now.Before(gone) && !s.Info().Leaving {
+		if _, ok := r.lapsed[id]; !ok {
+			r.lapsed[id] = gone
+		}
+		return
+	}
+	delete(r.lapsed, id)
+	delete(r.servers, id)
+}
+
+// publish makes the snapshot that readers take.
+func (r *Registry) publish() {
+	snapshot := map[string][]*Server{}
+	for _, s := range r.servers {
+		service := s.Info().Service
+		snapshot[service] = append(snapshot[service], s)
+	}
+	for _, list := range snapshot {
+		slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.Info().ID, b.Info().ID) })
+	}
+	r.byService.Store(&snapshot)
+}
--- /dev/null
+++ b/internal/gateway/desired.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/internal/logging"
+)
+
+// feedSilence is for how long a store's feed may stay silent while changes are
+// made. An answer of the feed without news proves only that the state was the
+// newest this long before the call.
+const feedSilence = time.Second
+
+// desired takes the desired state from its follower into the holder.
+type desired struct {
+	holder *routes.Holder
+	log    *zap.Logger
+	// unreadable says that the newest state can't be read, so that nothing
+	// proves the one in force to be the newest.
+	unreadable atomic.Bool
+}
+
+var _ follow.Sink[*routes.Set] = (*desired)(nil)
+
+// Reset implements follow.Sink.
+func (d *desired) Reset(moment time.Duration, all follow.Batch[*routes.Set]) {
+	d.take(moment, all)
+}
+
+// Change implements follow.Sink.
+func (d *desired) Change(moment time.Duration, changes follow.Batch[*routes.Set]) {
+	d.take(moment-feedSilence, changes)
+}
+
+// Unavailable implements follow.Sink.
+func (d *desired) Unavailable(error) {}
+
+func (d *desired) take(moment time.Duration, batch follow.Batch[*routes.Set]) {
+	if len(batch.Unreadable) > 0 {
+		d.unreadable.Store(true)
+	}
+	for _, s := range batch.Items {
+		if s == nil {
+			continue
+		}
+		d.unreadable.Store(false)
+		if d.holder.Offer(s, moment) {
+			d.log.Info(logging.EventTargetsAdopted, zap.Uint64("version", s.Version), zap.Int("routes", s.Routes()))
+		}
+	}
+	if !d.unreadable.Load() {
+		d.holder.Prove(d.holder.Version(), moment)
+	}
+}
--- /dev/null
+++ b/internal/gateway/drain.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/applepier/applepier/internal/logging"
+)
+
+const (
+	// drainNotice is how long a gateway that leaves goes on taking requests
+	// after its health check has begun to fail: the balancer asks once a
+	// second and takes a VM out after two misses.
+	drainNotice = 2500 * time.Millisecond
+	// endMargin is how long before the end of the grace period whatever still
+	// runs is broken off.
+	endMargin = 400 * time.Millisecond
+)
+
+// drain ends what is in progress within the grace period.
+func (g *gateway) drain(front *http.Server) {
+	began := time.Now()
+	g.leaving.Store(true)
+	g.log.Info(logging.EventStopping)
+	time.Sleep(min(drainNotice, g.settings.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.Grace-endMargin))
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		g.log.Warn(logging.EventStopping, logging.Reason("requests are broken off"))
+		_ = front.Close()
+	}
+}
--- /dev/null
+++ b/internal/gateway/exchange/pool.go
@@ -0,0 +1,154 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// idleKept is how long an idle connection is kept when the backend server
+	// doesn't say how long it keeps it.
+	idleKept = 4 * time.Second
+	// closeMargin is how long before the backend server's own limit a
+	// connection isn't used any more, so that a request doesn't cross its
+	// close: a round trip with a lost packet, and the second that the
+	// Keep-Alive header rounds by.
+	closeMargin = 1200 * time.Millisecond
+	// dialTimeout is how long a new connection may take. It takes a round
+	// trip of a few milliseconds; a lost opening packet is sent again after a
+	// second, and another backend server is reached sooner.
+	dialTimeout = 250 * time.Millisecond
+	// unacknowledged is how long sent bytes may stay unacknowledged before
+	// the connection counts as broken: several resends of a lost packet, which
+	// come after 0.2, 0.6 and 1.4 seconds.
+	unacknowledged = time.Second
+	// probeEvery and probeCount are the keep-alive probes on a connection on
+	// which nothing is on its way, so that one that went silent is noticed
+	// while an answer is awaited.
+	probeEvery = time.Second
+	probeCount = 2
+	// idlePerPeer bounds the idle connections to one backend server.
+	idlePerPeer = 32
+)
+
+// Peer is one start of a backend server at its address. Connections of an
+// earlier start are never used for a later one.
+type Peer struct {
+	Addr     string
+	Instance string
+}
+
+// Pool keeps open connections to backend servers. All methods may be called
+// concurrently.
+type Pool struct {
+	dialer net.Dialer
+	// mu guards idle; nothing else is locked while it is held.
+	mu   sync.Mutex
+	idle map[Peer][]*conn
+	// Dialled is told of each connection that was opened; may be nil.
+	Dialled func(Peer)
+}
+
+// NewPool returns an empty Pool.
+func NewPool() *Pool {
+	return &Pool{
+		idle: map[Peer][]*conn{},
+		dialer: net.Dialer{
+			Timeout:         dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
+			Control:         boundUnacknowledged,
+		},
+	}
+}
+
+func boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// take returns an idle connection that has been idle for less than young, or
+// opens one. The error wraps ErrNotSent.
+func (p *Pool) take(ctx context.Context, peer Peer, young time.Duration) (*conn, error) {
+	for {
+		c := p.pop(peer)
+		if c == nil {
+			break
+		}
+		now := time.Now()
+		if !c.stale(now) && now.Sub(c.idleSince) < young && c.quiet() {
+			return c, nil
+		}
+		c.close()
+	}
+	opened, err := p.dialer.DialContext(ctx, "tcp", peer.Addr)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "connect: %v", err)
+	}
+	if p.Dialled != nil {
+		p.Dialled(peer)
+	}
+	return newConn(opened, peer), nil
+}
+
+// pop takes the connection that was used last, so that those that aren't
+// needed grow old.
+func (p *Pool) pop(peer Peer) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[peer]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	list[len(list)-1] = nil
+	p.idle[peer] = list[:len(list)-1]
+	return c
+}
+
+// give takes back a connection whose exchange ended whole.
+func (p *Pool) give(c *conn) {
+	c.used = true
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.peer]) >= idlePerPeer {
+		c.close()
+		return
+	}
+	p.idle[c.peer] = append(p.idle[c.peer], c)
+}
+
+// Sweep closes idle connections that are too old to be used, and all to peers
+// that aren't wanted any more. It is to be called every second or so.
+func (p *Pool) Sweep(now time.Time, wanted func(Peer) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for peer, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if wanted(peer) && !c.stale(now) {
+				kept = append(kept, c)
+			} else {
+				c.close()
+			}
+		}
+		clear(list[len(kept):])
+		if len(kept) == 0 {
+			delete(p.idle, peer)
+		} else {
+			p.idle[peer] = kept
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/follow/follower.go
@@ -0,0 +1,142 @@
+// Package follow keeps a copy of a table of the platform's store up to date: it
+// reads the whole, then waits for changes, and begins again where the store
+// has lost the history. Start reading at Follower.
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/logging"
+)
+
+// ErrHistoryGone: the changes since a position can't be had any more; the
+// whole has to be read.
+var ErrHistoryGone = errors.New("history of the store is gone")
+
+const (
+	// firstPause and longestPause bound the pause after a failed call: short
+	// enough that a store that is back is noticed within a fraction of the
+	// two seconds in which its news has to be in force.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 500 * time.Millisecond
+	// gonePause is the pause before the whole is read again, so that a store
+	// that keeps no history at all isn't read without end.
+	gonePause = 50 * time.Millisecond
+)
+
+// Batch is the answer to a read: all that there is, or the changes.
+type Batch[T any] struct {
+	Items   []T
+	Removed []string
+	// Unreadable names the rows that could not be read: what was known of them
+	// before stays.
+	Unreadable []string
+	// At is the position to go on from.
+	At uint64
+}
+
+// Source is a table of the store.
+type Source[T any] interface {
+	// Read returns the whole table.
+	Read(ctx context.Context) (Batch[T], error)
+	// Next waits for changes after a position, up to wait; the batch may be
+	// empty. ErrHistoryGone asks for a Read.
+	Next(ctx context.Context, after uint64, wait time.Duration) (Batch[T], error)
+}
+
+// Sink takes what a Follower learns. The moment is, on the clock of boottime,
+// when the call was made that the news came with.
+type Sink[T any] interface {
+	Reset(moment time.Duration, all Batch[T])
+	Change(moment time.Duration, changes Batch[T])
+	// Unavailable is told of each failed call.
+	Unavailable(err error)
+}
+
+// Follower follows one table.
+type Follower[T any] struct {
+	// Name is what logs call the table.
+	Name   string
+	Source Source[T]
+	Sink   Sink[T]
+	// Wait is how long the store may hold back an answer without news.
+	Wait time.Duration
+	Log  *zap.Logger
+
+	failing bool
+}
+
+// Run follows until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	var at uint64
+	known := false
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, at, known)
+		switch {
+		case err == nil:
+			at, known = next, true
+			f.answered()
+			pause.Reset()
+			continue
+		case errors.Is(err, ErrHistoryGone):
+			known = false
+			sleep(ctx, gonePause)
+			continue
+		case ctx.Err() != nil:
+			return
+		}
+		f.failed(err)
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// step makes one call and hands on what came.
+func (f *Follower[T]) step(ctx context.Context, at uint64, known bool) (uint64, error) {
+	moment := boottime.Now()
+	if !known {
+		batch, err := f.Source.Read(ctx)
+		if err != nil {
+			return 0, err
+		}
+		f.Sink.Reset(moment, batch)
+		return batch.At, nil
+	}
+	batch, err := f.Source.Next(ctx, at, f.Wait)
+	if err != nil {
+		return 0, err
+	}
+	f.Sink.Change(moment, batch)
+	return batch.At, nil
+}
+
+func (f *Follower[T]) answered() {
+	if f.failing {
+		f.failing = false
+		f.Log.Info(logging.EventPlatformUp, zap.String("table", f.Name))
+	}
+}
+
+func (f *Follower[T]) failed(err error) {
+	f.Sink.Unavailable(err)
+	if !f.failing {
+		f.failing = true
+		f.Log.Warn(logging.EventPlatformDown, zap.String("table", f.Name), logging.Reason(err.Error()))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,183 @@
+// Package gateway is the process of an entry VM that sends callers' requests
+// straight to the backend servers. Start reading at Serve.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/exchange"
+	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/internal/gateway/router"
+	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/policy"
+)
+
+const (
+	// desiredWait is how long the store may hold back an answer about the
+	// desired state: each answer proves that the state in force is the
+	// newest, so that the proof is one to two seconds old.
+	desiredWait = time.Second
+	// serversWait is the same for the list of backend servers. It bounds how
+	// long a connection to the store that went silent goes unnoticed, within
+	// the two seconds in which a leaving server has to be left alone.
+	serversWait = 1500 * time.Millisecond
+	// sweepEvery is how often what has lapsed and idle connections are looked
+	// through.
+	sweepEvery = 500 * time.Millisecond
+	// headerTimeout bounds the reading of a caller's headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes a caller's connection that asks nothing. Operators'
+	// limits are shorter, and callers keep to those.
+	idleTimeout = 2 * time.Minute
+	// maxHeader bounds a caller's headers in bytes; operators' limits are
+	// lower.
+	maxHeader = 64 << 10
+	// memoryUse is the part of the memory that the collector is told to keep
+	// to; the rest is for what it doesn't see: sockets' buffers and stacks.
+	memoryUse = 0.6
+	// collectAt is by how many percent the heap grows between collections.
+	collectAt = 60
+)
+
+// gateway is the process's parts.
+type gateway struct {
+	settings settings.Gateway
+	platform Platform
+	log      *zap.Logger
+
+	holder   *routes.Holder
+	registry *backend.Registry
+	pool     *exchange.Pool
+	router   *router.Router
+	leaving  atomic.Bool
+}
+
+// Serve runs a gateway until ctx ends, then shuts it down gracefully. Reload
+// reads the settings again when the process is told that they changed.
+func Serve(ctx context.Context, s settings.Gateway, reload func() (settings.Gateway, error), p Platform, log *zap.Logger) error {
+	boundMemory(s.MemoryMB)
+	g := newGateway(s, p, log)
+	callers, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.Wrap(ErrListen, err.Error())
+	}
+	admin, err := net.Listen("tcp", s.AdminListen)
+	if err != nil {
+		_ = callers.Close()
+		return errors.Wrap(ErrListen, err.Error())
+	}
+	g.serve(ctx, callers, admin, reload)
+	return nil
+}
+
+func newGateway(s settings.Gateway, p Platform, log *zap.Logger) *gateway {
+	g := &gateway{
+		settings: s, platform: p, log: log,
+		holder: &routes.Holder{}, registry: backend.NewRegistry(), pool: exchange.NewPool(),
+	}
+	ejector := policy.NewEjector()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	g.router = router.New(router.Config{
+		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
+		Others: nobody{}, Gateways: func() int { return 4 },
+		Chooser: policy.NewChooser(random, ejector), Ejector: ejector,
+		Observer: ends{log}, Log: log,
+	}, boundsOf(s), g.leaving.Load)
+	return g
+}
+
+// serve runs all parts; it returns when they have ended.
+func (g *gateway) serve(ctx context.Context, callers, admin net.Listener, reload func() (settings.Gateway, error)) {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	wg.Go(func() { g.followDesired(work) })
+	wg.Go(func() { g.followServers(work) })
+	wg.Go(func() { g.sweep(work) })
+	wg.Go(func() { g.reloadOnSignal(work, reload) })
+
+	front := &http.Server{
+		Handler: g.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(zap.NewNop()),
+	}
+	back := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	// Serve returns when the server is shut down.
+	wg.Go(func() { _ = front.Serve(callers) })
+	wg.Go(func() { _ = back.Serve(admin) })
+	g.log.Info(logging.EventStarted, zap.String("listen", callers.Addr().String()), zap.String("admin_listen", admin.Addr().String()))
+
+	<-ctx.Done()
+	g.drain(front)
+	_ = back.Close()
+	stop()
+	wg.Wait()
+}
+
+func (g *gateway) followDesired(ctx context.Context) {
+	f := follow.Follower[*routes.Set]{
+		Name: "desired state", Source: g.platform.Desired, Sink: &desired{holder: g.holder, log: g.log},
+		Wait: desiredWait, Log: g.log,
+	}
+	f.Run(ctx)
+}
+
+func (g *gateway) followServers(ctx context.Context) {
+	f := follow.Follower[backend.Info]{
+		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry},
+		Wait: serversWait, Log: g.log,
+	}
+	f.Run(ctx)
+}
+
+// sweep removes what has lapsed.
+func (g *gateway) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.registry.Sweep(now)
+			g.pool.Sweep(now, func(p exchange.Peer) bool {
+				s := g.registry.Server(p.Instance)
+				return s != nil && !s.Info().Leaving
+			})
+		}
+	}
+}
+
+// ready reports whether the balancer may send new connections here.
+func (g *gateway) ready() bool {
+	return !g.leaving.Load() && g.holder.Current() != nil && g.registry.Known()
+}
+
+func (g *gateway) adminRoutes() http.Handler {
+	routes := httprouter.New()
+	routes.GET(g.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return routes
+}
+
+func boundMemory(megabytes float64) {
+	debug.SetGCPercent(collectAt)
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryUse * megabytes * (1 << 20)))
+	}
+}
--- /dev/null
+++ b/internal/gateway/ports.go
@@ -0,0 +1,18 @@
+package gateway
+
+import (
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/internal/gateway/protocol"
+	"github.com/applepier/applepier/internal/gateway/routes"
+)
+
+// Platform is what a gateway needs of the platform that it runs on.
+type Platform struct {
+	// Desired is the operators' desired state; items may be nil.
+	Desired follow.Source[*routes.Set]
+	// Servers is the list of backend servers.
+	Servers follow.Source[backend.Info]
+	// Dialect is the HTTP that callers and backend servers speak.
+	Dialect protocol.Dialect
+}
--- /dev/null
+++ b/internal/gateway/protocol/hop.go
@@ -0,0 +1,31 @@
+package protocol
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopHeaders concern one connection only (RFC 9110, 7.6.1), or are written
+// anew with the message's body.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// EndToEnd returns a copy of the headers without those that concern only one
+// connection. The values aren't copied.
+func EndToEnd(h http.Header) http.Header {
+	kept := make(http.Header, len(h)+4)
+	for name, values := range h {
+		kept[name] = values
+	}
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(kept, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(kept, name)
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/applepier/applepier/internal/gateway/router"
+	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/settings"
+)
+
+const (
+	// reloadEvery is how often the settings are read without a signal, since
+	// the file may change without one.
+	reloadEvery = 5 * time.Second
+	// proofMargin is what the bound on the age of the desired state is
+	// shortened by: a request may be on its way to a backend server for a
+	// moment after it was let in.
+	proofMargin = 300 * time.Millisecond
+)
+
+// reloadOnSignal puts changed settings in force. Addresses and names are of
+// the VM; they count from the next start.
+func (g *gateway) reloadOnSignal(ctx context.Context, reload func() (settings.Gateway, error)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	current := g.settings
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		case <-ticker.C:
+		}
+		changed, err := reload()
+		switch {
+		case err != nil:
+			g.log.Warn(logging.EventSettingsRefused, logging.Reason(err.Error()))
+		case changed != current:
+			current = changed
+			boundMemory(changed.MemoryMB)
+			g.router.SetBounds(boundsOf(changed))
+			g.log.Info(logging.EventSettingsChanged)
+		}
+	}
+}
+
+// boundsOf are the router's bounds under the settings.
+func boundsOf(s settings.Gateway) router.Bounds {
+	b := router.Bounds{RetryRatio: s.Retry.Ratio, RetryExtra: s.Retry.Extra, RetryWindow: s.Retry.Window}
+	if s.Revoke.Strict {
+		b.Proof = max(s.Revoke.Within-proofMargin, time.Millisecond)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/gateway/router/call.go
@@ -0,0 +1,235 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/exchange"
+	"github.com/applepier/applepier/internal/gateway/protocol"
+	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/policy"
+)
+
+const (
+	// stateHint is when to come back to a gateway that doesn't know the
+	// desired state, or not for certain: another one may know it already.
+	stateHint = 150 * time.Millisecond
+	// refusedHint is when to come back after the backend servers had no room.
+	refusedHint = 300 * time.Millisecond
+	// youngest bounds how long a connection may have been idle that carries a
+	// request which runs once at most: on a longer one the request may cross
+	// the backend server's close, and then nobody can say whether it ran.
+	youngest = time.Second
+	// mostDials bounds the servers that can't be reached before a request is
+	// refused; each takes up to the time-out of a new connection.
+	mostDials = 4
+)
+
+// call is one request and its answer.
+type call struct {
+	router *Router
+	w      http.ResponseWriter
+	req    *http.Request
+
+	arrived time.Time
+	// end is when the final answer is due.
+	end      time.Time
+	ask      protocol.Ask
+	route    *routes.Route
+	customer string
+	tier     int
+	limit    int64
+	body     []byte
+	service  string
+
+	// tried names the servers that got it or couldn't be reached; sends counts
+	// the former, dials the latter.
+	tried []string
+	sends int
+	dials int
+	// mayHaveRun says that some backend server may have run it.
+	mayHaveRun bool
+	// failure is a backend server's own failure, to be passed on if no other
+	// server does better.
+	failure *heldAnswer
+	stream  streamed
+	// served says that a whole answer of a server was passed on.
+	served bool
+	first  time.Duration
+}
+
+// verdict is what came of one attempt.
+type verdict int
+
+const (
+	// done: the request has had its final answer, or its caller has left.
+	done verdict = iota
+	// notSent: the server wasn't reached.
+	notSent
+	// notRun: the server said that it didn't run the request.
+	notRun
+	// unclear: the request may have run.
+	unclear
+	// failed: the server ran the request and failed; the failure is kept.
+	failed
+)
+
+// run sends the request until it has an answer or no other send is allowed.
+func (c *call) run(ctx context.Context) {
+	c.service = c.route.Service(hashID(c.ask.ID))
+	c.router.countRequest(c.service)
+	for {
+		server := c.choose()
+		if server == nil {
+			c.giveUp()
+			return
+		}
+		v := c.attempt(ctx, server)
+		if v == done {
+			return
+		}
+		if !c.mayGoOn(ctx, v) {
+			c.giveUp()
+			return
+		}
+	}
+}
+
+// mayGoOn reports whether the request may be sent to another server after an
+// attempt that came to v, and takes that from the retry budget.
+func (c *call) mayGoOn(ctx context.Context, v verdict) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if v == notSent {
+		return c.dials < mostDials
+	}
+	if v != notRun && !c.route.Idempotent() {
+		return false
+	}
+	return c.sends < max(c.route.Attempts, 1) && c.router.allowRepeat(c.service)
+}
+
+// choose has the policy choose a server; nil when there is none to be used.
+func (c *call) choose() *backend.Server {
+	servers := c.router.Registry.Servers(c.service)
+	spots := c.router.spots(servers)
+	errand := policy.Errand{Zone: c.router.Zone, Tokens: c.ask.PromptTokens, Tried: c.tried}
+	errand.Prefix, errand.PrefixTokens = sharedPart(c.ask.Parts)
+	at, ok := c.router.pick(errand, spots)
+	if !ok {
+		return nil
+	}
+	return servers[at]
+}
+
+// attempt sends the request to a server and passes on what comes.
+func (c *call) attempt(ctx context.Context, server *backend.Server) verdict {
+	info := server.Info()
+	c.tried = append(c.tried, info.ID)
+	left := time.Until(c.end)
+	if left <= 0 {
+		return unclear
+	}
+	load := enter(server, c.ask.PromptTokens)
+	defer load.leave()
+	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, left))
+	if errors.Is(err, exchange.ErrNotSent) {
+		c.dials++
+		c.router.observe(info.ID, policy.OutcomeFailed)
+		return notSent
+	}
+	c.sends++
+	if err != nil {
+		return c.broken(ctx, info.ID)
+	}
+	defer answer.Abandon()
+	v := c.take(ctx, answer, load)
+	c.router.observe(info.ID, c.outcome(ctx, v))
+	return v
+}
+
+// broken judges an attempt whose answer ended in an error.
+func (c *call) broken(ctx context.Context, server string) verdict {
+	c.mayHaveRun = true
+	if c.req.Context().Err() != nil {
+		c.note(0, ReasonCallerLeft)
+		return done
+	}
+	if ctx.Err() == nil {
+		c.router.observe(server, policy.OutcomeFailed)
+	}
+	return unclear
+}
+
+// take reads an answer and passes it on if it is to be the final one.
+func (c *call) take(ctx context.Context, answer *exchange.Answer, load *load) verdict {
+	reply := c.router.Dialect.Reply(answer.Status, answer.Header)
+	switch {
+	case reply.NotRun:
+		// The body is read so that the connection can be kept.
+		_, _ = readLimited(answer, maxRefusal)
+		return notRun
+	case reply.Encoded, isSuccess(answer.Status) && !reply.Signed:
+		c.mayHaveRun = true
+		return unclear
+	case isSuccess(answer.Status) && c.route.Kind == routes.KindStream:
+		c.mayHaveRun = true
+		return c.relay(ctx, answer, load)
+	default:
+		c.mayHaveRun = true
+		return c.passOn(ctx, answer, load)
+	}
+}
+
+// request is the request as it goes to a server.
+func (c *call) request(info *backend.Info, left time.Duration) *exchange.Request {
+	send := protocol.Send{Instance: info.ID, Customer: c.customer, Tier: c.tier, Left: left, After: c.ask.After}
+	if c.stream.last > 0 {
+		send.After = strconv.FormatInt(c.stream.last, 10)
+	}
+	young := time.Hour
+	if !c.route.Idempotent() {
+		young = youngest
+	}
+	return &exchange.Request{
+		Method: c.req.Method,
+		Target: c.req.RequestURI,
+		Host:   c.req.Host,
+		Header: c.router.Dialect.Request(c.req.Header, send),
+		Body:   c.body,
+		Young:  young,
+		Mine:   func(h http.Header) bool { return c.router.Dialect.Reply(0, h).ID == c.ask.ID },
+	}
+}
+
+// sharedPart is the longest part of a prompt that other requests share: up to
+// the last part but one.
+func sharedPart(parts []protocol.Part) (id uint64, tokens int) {
+	if len(parts) < 2 {
+		return 0, 0
+	}
+	for _, p := range parts[:len(parts)-1] {
+		tokens += p.Tokens
+	}
+	return parts[len(parts)-2].ID, tokens
+}
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
+// outcome is what an attempt's end says of its server.
+func (c *call) outcome(ctx context.Context, v verdict) policy.Outcome {
+	switch {
+	case c.served:
+		return policy.OutcomeWhole
+	case v == notRun, ctx.Err() != nil:
+		return policy.OutcomeCancelled
+	default:
+		return policy.OutcomeFailed
+	}
+}
--- /dev/null
+++ b/internal/gateway/router/config.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/exchange"
+	"github.com/applepier/applepier/internal/gateway/protocol"
+	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/policy"
+)
+
+// Bounds are what the operators of a platform bound a gateway by.
+type Bounds struct {
+	// Proof is how old the proof may be that the desired state in force here
+	// is the newest, for requests with a key; 0 is no bound.
+	Proof time.Duration
+	// RetryRatio and RetryExtra bound sends beyond the first for a service
+	// within RetryWindow, over all gateways.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
+
+// Config is what a Router needs.
+type Config struct {
+	Zone     string
+	Dialect  protocol.Dialect
+	Holder   *routes.Holder
+	Registry *backend.Registry
+	Pool     *exchange.Pool
+	// Others tells what other gateways have at a server.
+	Others Others
+	// Gateways counts the gateways that share the retry budget.
+	Gateways func() int
+	Chooser  *policy.Chooser
+	Ejector  *policy.Ejector
+	Observer Observer
+	Log      *zap.Logger
+}
+
+// Others tells what other gateways have at a backend server.
+type Others interface {
+	// At returns their requests that have begun to answer, those that haven't
+	// and the tokens of the latter's prompts.
+	At(server string) (running, pending, pendingTokens int)
+}
+
+// Observer counts requests.
+type Observer interface {
+	// Ended is told of the end of each request.
+	Ended(e End)
+}
+
+// End is how a request ended.
+type End struct {
+	ID      string
+	Route   string
+	Service string
+	// Status is what the caller was answered with; 0 when it left.
+	Status int
+	// Reason is why, in a fixed word.
+	Reason Reason
+	// Sends counts the backend servers that it was sent to.
+	Sends int
+	// First is how long the first byte of the answer took.
+	First time.Duration
+	Took  time.Duration
+}
+
+// Reason is why a request ended as it did.
+type Reason string
+
+// Reasons.
+const (
+	ReasonServed       Reason = "served"
+	ReasonPassedOn     Reason = "backend_failure"
+	ReasonCallerLeft   Reason = "caller_left"
+	ReasonNoState      Reason = "no_desired_state"
+	ReasonNotFresh     Reason = "state_not_proved_fresh"
+	ReasonNoRoute      Reason = "no_route"
+	ReasonNoKey        Reason = "unknown_key"
+	ReasonNoID         Reason = "no_request_id"
+	ReasonTooLarge     Reason = "body_too_large"
+	ReasonBodyCut      Reason = "body_not_read"
+	ReasonNoServer     Reason = "no_server"
+	ReasonUnreachable  Reason = "servers_unreachable"
+	ReasonNotRun       Reason = "servers_refused"
+	ReasonUnknown      Reason = "outcome_unknown"
+	ReasonTimeUp       Reason = "time_up"
+	ReasonNotStarted   Reason = "time_up_not_sent"
+	ReasonStreamBroken Reason = "stream_broken"
+	ReasonCrowded      Reason = "crowded"
+)
--- /dev/null
+++ b/internal/gateway/router/refuse.go
@@ -0,0 +1,70 @@
+package router
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// giveUp gives the final answer when no other send is allowed: a server's own
+// failure if there is one, a refusal if the request certainly didn't run, and
+// otherwise that nobody can say.
+func (c *call) giveUp() {
+	switch {
+	case c.req.Context().Err() != nil:
+		c.note(0, ReasonCallerLeft)
+	case c.stream.begun:
+		c.breakOff()
+	case c.failure != nil:
+		c.write(c.failure)
+		c.note(c.failure.status, ReasonPassedOn)
+	case c.mayHaveRun && !time.Now().Before(c.end):
+		c.fail(http.StatusGatewayTimeout, ReasonTimeUp)
+	case c.mayHaveRun:
+		c.fail(http.StatusBadGateway, ReasonUnknown)
+	case c.sends > 0:
+		c.refuse(ReasonNotRun, refusedHint)
+	case !time.Now().Before(c.end):
+		c.refuse(ReasonNotStarted, refusedHint)
+	case c.dials > 0:
+		c.refuse(ReasonUnreachable, refusedHint)
+	default:
+		c.refuse(ReasonNoServer, refusedHint)
+	}
+}
+
+// refuse answers that the request didn't run and won't, and when to come back.
+func (c *call) refuse(reason Reason, after time.Duration) {
+	c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	c.fail(http.StatusServiceUnavailable, reason)
+}
+
+// fail gives an answer of the gateway's own.
+func (c *call) fail(status int, reason Reason) {
+	h := c.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	c.w.WriteHeader(status)
+	// A caller that doesn't take the answer has left.
+	_, _ = c.w.Write([]byte(string(reason) + "\n"))
+	c.note(status, reason)
+}
+
+// breakOff ends a stream that can't be completed, such that it doesn't look
+// complete.
+func (c *call) breakOff() {
+	c.note(0, ReasonStreamBroken)
+	panic(http.ErrAbortHandler)
+}
+
+// note tells the observer how the request ended.
+func (c *call) note(status int, reason Reason) {
+	end := End{
+		ID: c.ask.ID, Service: c.service, Status: status, Reason: reason,
+		Sends: c.sends, First: c.first, Took: time.Since(c.arrived),
+	}
+	if c.route != nil {
+		end.Route = c.route.Name
+	}
+	c.router.Observer.Ended(end)
+}
--- /dev/null
+++ b/internal/gateway/router/router.go
@@ -0,0 +1,185 @@
+// Package router carries callers' requests to backend servers and their
+// answers back: it finds the route and the customer, has the policy choose a
+// server, sends, and sends again where that is certain to do no harm. It
+// doesn't know how headers are called. Start reading at Router.ServeHTTP.
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/policy"
+)
+
+// defaultPatience bounds a request whose caller and route both don't.
+const defaultPatience = 60 * time.Second
+
+// Router serves callers. It implements http.Handler.
+type Router struct {
+	Config
+	// mu guards the Chooser, the Ejector and budgets, which are used for
+	// moments only; nothing else is locked while it is held.
+	mu      sync.Mutex
+	budgets map[string]*policy.WindowBudget
+	bounds  atomic.Pointer[Bounds]
+	leaving func() bool
+}
+
+// New returns a Router. Leaving reports whether the process is shutting down.
+func New(c Config, bounds Bounds, leaving func() bool) *Router {
+	r := &Router{Config: c, budgets: map[string]*policy.WindowBudget{}, leaving: leaving}
+	r.SetBounds(bounds)
+	return r
+}
+
+// SetBounds puts other bounds in force.
+func (r *Router) SetBounds(b Bounds) { r.bounds.Store(&b) }
+
+// ServeHTTP carries one request.
+func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	c := &call{router: r, w: w, req: req, arrived: time.Now(), ask: r.Dialect.Ask(req)}
+	if r.leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if !c.admit() || !c.readBody() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(req.Context(), c.end)
+	defer cancel()
+	c.run(ctx)
+}
+
+// admit finds the request's route and customer, or answers it.
+func (c *call) admit() bool {
+	r := c.router
+	set := r.Holder.Current()
+	if set == nil {
+		c.refuse(ReasonNoState, stateHint)
+		return false
+	}
+	fresh := r.fresh()
+	c.route = set.Match(c.req.Host, c.req.URL.Path)
+	switch {
+	case c.route == nil && !fresh:
+		c.refuse(ReasonNotFresh, stateHint)
+		return false
+	case c.route == nil:
+		c.fail(http.StatusNotFound, ReasonNoRoute)
+		return false
+	case c.ask.ID == "":
+		c.fail(http.StatusBadRequest, ReasonNoID)
+		return false
+	}
+	c.tier = c.route.Tier
+	c.limit = set.Limits.BodyBytes
+	c.bound()
+	customer, known := set.Customer(c.ask.Key)
+	if known {
+		c.takeCustomer(customer)
+	}
+	if !set.NeedsKey(c.route) || known && fresh {
+		return true
+	}
+	if !fresh {
+		// The key may have been taken away, or added, since.
+		c.refuse(ReasonNotFresh, stateHint)
+		return false
+	}
+	c.fail(http.StatusUnauthorized, ReasonNoKey)
+	return false
+}
+
+func (c *call) takeCustomer(customer *routes.Customer) {
+	c.customer = customer.Name
+	if customer.Tier != nil {
+		c.tier = *customer.Tier
+	}
+}
+
+// bound sets when the final answer is due.
+func (c *call) bound() {
+	patience := defaultPatience
+	if c.route.Timeout > 0 {
+		patience = c.route.Timeout
+	}
+	if c.ask.Patience > 0 {
+		patience = min(patience, c.ask.Patience)
+	}
+	c.end = c.arrived.Add(patience)
+}
+
+// fresh reports whether the desired state is proved to be new enough for
+// requests whose keys may be taken away.
+func (r *Router) fresh() bool {
+	bound := r.bounds.Load().Proof
+	return bound == 0 || boottime.Now()-r.Holder.ProvenAt() <= bound
+}
+
+// readBody reads the whole body, or answers the request.
+func (c *call) readBody() bool {
+	if c.req.Body == nil || c.req.Body == http.NoBody {
+		return true
+	}
+	body := io.Reader(c.req.Body)
+	if c.limit > 0 {
+		body = http.MaxBytesReader(c.w, c.req.Body, c.limit)
+	}
+	var err error
+	c.body, err = readAll(body, c.req.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &tooLarge):
+		c.fail(http.StatusRequestEntityTooLarge, ReasonTooLarge)
+	default:
+		c.note(0, ReasonBodyCut)
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
+
+// readAll reads a body whose length is known, or -1, without growing a buffer
+// step by step where that can be helped.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	const trusted = 1 << 20
+	if length < 0 || length > trusted {
+		return io.ReadAll(body)
+	}
+	whole := make([]byte, length)
+	_, err := io.ReadFull(body, whole)
+	if err != nil {
+		return nil, err
+	}
+	// The end has to be read too, before net/http watches for callers that
+	// leave.
+	if _, err := body.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return whole, nil
+}
+
+// budget returns a service's retry budget; r.mu is held.
+func (r *Router) budget(service string) *policy.WindowBudget {
+	bounds := r.bounds.Load()
+	b := r.budgets[service]
+	if b == nil {
+		b = &policy.WindowBudget{Window: bounds.RetryWindow}
+		r.budgets[service] = b
+	}
+	b.Ratio = budgetUse * bounds.RetryRatio
+	b.Extra = budgetUse * bounds.RetryExtra / float64(max(r.Gateways(), 1))
+	return b
+}
+
+// budgetUse is the part of the shared retry budget that is spent: gateways
+// count in windows of their own, and one may not know all others.
+const budgetUse = 0.75
--- /dev/null
+++ b/internal/gateway/routes/set.go
@@ -0,0 +1,126 @@
+// Package routes is the desired state that a gateway serves by: routes,
+// services, customers and limits under one version. A Set is immutable; a
+// Holder keeps the newest one and how old the proof is that it is the newest.
+// Start reading at Set.
+package routes
+
+import (
+	"strings"
+	"time"
+)
+
+// Service is a group of backend servers that run the same requests.
+type Service struct {
+	Name string
+	// MaxConns is how many connections one of its servers accepts from all
+	// callers together; 0 when that isn't known.
+	MaxConns int
+	// Engine is set where the servers are model engines.
+	Engine *Engine
+}
+
+// Engine is what a service's model engines can hold.
+type Engine struct {
+	// Slots is how many requests run at once.
+	Slots int
+	// MemoryTokens is how many tokens running requests and cached parts share.
+	MemoryTokens int
+}
+
+// Customer is who holds keys.
+type Customer struct {
+	Name string
+	// Tier goes before the route's tier; nil where the route's counts.
+	Tier *int
+	Keys []string
+}
+
+// Limits bound what a caller may send and how long it may take; zero is no
+// limit.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Set is one version of the desired state. It isn't changed after NewSet.
+type Set struct {
+	Version   uint64
+	Limits    Limits
+	Services  map[string]*Service
+	hosts     map[string]map[string]*Route
+	customers map[string]*Customer
+	// keyed says that requests of routes that aren't public need a key.
+	keyed bool
+}
+
+// NewSet returns a Set with its indexes built. Customers is nil where no keys
+// are asked for.
+func NewSet(version uint64, limits Limits, all []*Route, services []*Service, customers []*Customer) *Set {
+	s := &Set{
+		Version:   version,
+		Limits:    limits,
+		Services:  make(map[string]*Service, len(services)),
+		hosts:     map[string]map[string]*Route{},
+		customers: map[string]*Customer{},
+		keyed:     customers != nil,
+	}
+	for _, service := range services {
+		s.Services[service.Name] = service
+	}
+	for _, r := range all {
+		host := strings.ToLower(r.Host)
+		if s.hosts[host] == nil {
+			s.hosts[host] = map[string]*Route{}
+		}
+		s.hosts[host][r.Prefix] = r
+	}
+	for _, c := range customers {
+		for _, key := range c.Keys {
+			s.customers[key] = c
+		}
+	}
+	return s
+}
+
+// Match returns the route of the host with the longest prefix that begins the
+// path, or nil. Prefixes end with a slash, so only as many look-ups are made
+// as the path has slashes.
+func (s *Set) Match(host, path string) *Route {
+	prefixes := s.hosts[strings.ToLower(withoutPort(host))]
+	if prefixes == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// NeedsKey reports whether requests of a route need a key.
+func (s *Set) NeedsKey(r *Route) bool { return s.keyed && !r.Public }
+
+// Customer returns who holds a key.
+func (s *Set) Customer(key string) (*Customer, bool) {
+	c, ok := s.customers[key]
+	return c, ok
+}
+
+// Routes counts the routes.
+func (s *Set) Routes() int {
+	n := 0
+	for _, prefixes := range s.hosts {
+		n += len(prefixes)
+	}
+	return n
+}
+
+func withoutPort(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:at]
+	}
+	return host
+}
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -12,12 +12,22 @@
 	EventStopped = "stopped"
 	// EventFailed: the process can't go on.
 	EventFailed = "failed"
+	// EventSettingsChanged: a changed settings file was taken up.
+	EventSettingsChanged = "settings_changed"
+	// EventSettingsRefused: a changed settings file can't be used; what was in
+	// force stays.
+	EventSettingsRefused = "settings_refused"
 	// EventConnected: a connection to another process was opened.
 	EventConnected = "connected"
 	// EventDisconnected: a connection was closed, or went silent.
 	EventDisconnected = "disconnected"
 	// EventPlatformDown: a platform service doesn't answer.
 	EventPlatformDown = "platform_down"
+	// EventPlatformUp: it answers again.
+	EventPlatformUp = "platform_up"
+	// EventRowUnreadable: a row of the platform's store can't be used; what was
+	// known of it stays.
+	EventRowUnreadable = "row_unreadable"
 	// EventEngineDown: the backend server can't be reached.
 	EventEngineDown = "engine_down"
 	// EventEngineUp: it can be reached, at first or again.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -23,9 +23,15 @@
 	Load func(path string) (S, error)
 	// Identify picks from the settings what the logger needs.
 	Identify func(settings S) Identity
+	// SettingsEnv names an environment variable that holds the settings file's
+	// path where the command line doesn't; empty for none.
+	SettingsEnv string
 	// Serve runs the program until ctx is done and then shuts down
 	// gracefully: it ends what runs before it returns.
 	Serve func(ctx context.Context, settings S, log *zap.Logger) error
+	// ServeReloading stands in Serve's place for a program that takes up a
+	// changed settings file while it runs; reload reads the file again.
+	ServeReloading func(ctx context.Context, settings S, reload func() (S, error), log *zap.Logger) error
 	// Commands are the program's own commands.
 	Commands []*cli.Command
 }
@@ -55,6 +61,12 @@
 	return report(errOut, p.Name, root.Run(ctx, args))
 }
 
+// Command returns the program as a command of another one, with serve and
+// settings check below it.
+func (p Program[S]) Command(name string) *cli.Command {
+	return &cli.Command{Name: name, Usage: p.Usage, Commands: append([]*cli.Command{p.serve(), p.settings()}, p.Commands...)}
+}
+
 // prepare gives each command the same treatment of wrong usage.
 func prepare(command *cli.Command) {
 	command.OnUsageError = usageError
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -20,17 +20,25 @@
 			"A second signal ends the process at once.\n\n" +
 			"Example:\n   " + p.Name + " serve --settings " + p.Example,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: flagSettings, Usage: "read the settings from `FILE`", Required: true},
+			&cli.StringFlag{Name: flagSettings, Usage: "read the settings from `FILE`", Required: true, Sources: p.settingsSources()},
 		},
 		Action: p.runServe,
 	}
 }
 
+func (p Program[S]) settingsSources() cli.ValueSourceChain {
+	if p.SettingsEnv == "" {
+		return cli.ValueSourceChain{}
+	}
+	return cli.EnvVars(p.SettingsEnv)
+}
+
 func (p Program[S]) runServe(ctx context.Context, command *cli.Command) error {
 	if command.Args().Present() {
 		return Usage(command, "serve takes no arguments")
 	}
-	settings, err := p.load(command.String(flagSettings))
+	path := command.String(flagSettings)
+	settings, err := p.load(path)
 	if err != nil {
 		return err
 	}
@@ -40,6 +48,9 @@
 		return errors.Wrap(err, "logging")
 	}
 	return serveUntilSignal(ctx, log, func(ctx context.Context) error {
+		if p.ServeReloading != nil {
+			return p.ServeReloading(ctx, settings, func() (S, error) { return p.Load(path) }, log)
+		}
 		return p.Serve(ctx, settings, log)
 	})
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -72,6 +72,12 @@
 		return "must be an http or https address, for example http://10.0.0.9:8500"
 	case "oneof":
 		return "must be one of: " + strings.Join(strings.Fields(failure.Param()), ", ")
+	case "startswith":
+		return "must begin with " + failure.Param()
+	case "gte":
+		return "must be " + failure.Param() + " or more"
+	case "gt":
+		return "must be more than " + failure.Param()
 	case "nefield":
 		return "must differ from " + strings.ToLower(failure.Param())
 	case tagOneSource:
