--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -55,6 +55,15 @@
 	return r.servers[id]
 }
 
+// All returns all listed servers.
+func (r *Registry) All() []*Server {
+	var all []*Server
+	for _, list := range *r.byService.Load() {
+		all = append(all, list...)
+	}
+	return all
+}
+
 // Reset takes the whole list; of those in unknown nothing is said.
 func (r *Registry) Reset(now time.Time, all []Info, unknown []string) {
 	r.mu.Lock()
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -19,9 +19,3 @@
 		zap.String("service", end.Service), zap.Int("status", end.Status), logging.Reason(string(end.Reason)),
 		zap.Int("sends", end.Sends), zap.Duration("took", end.Took))
 }
-
-// nobody is that no other gateway is known.
-type nobody struct{}
-
-// At implements router.Others.
-func (nobody) At(string) (running, pending, pendingTokens int) { return 0, 0, 0 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
@@ -19,6 +20,7 @@
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/exchange"
 	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/internal/gateway/routes"
 	"github.com/applepier/applepier/internal/logging"
@@ -35,6 +37,13 @@
 	// long a connection to the store that went silent goes unnoticed, within
 	// the two seconds in which a leaving server has to be left alone.
 	serversWait = 1500 * time.Millisecond
+	// entriesWait is the same for the list of gateways, on which nothing
+	// hangs: who isn't in it yet is heard of.
+	entriesWait = 15 * time.Second
+	// registerFirst and registerLongest bound the pause before a gateway tries
+	// again to enter itself in that list.
+	registerFirst   = 200 * time.Millisecond
+	registerLongest = 5 * time.Second
 	// sweepEvery is how often what has lapsed and idle connections are looked
 	// through.
 	sweepEvery = 500 * time.Millisecond
@@ -63,6 +72,7 @@
 	registry *backend.Registry
 	pool     *exchange.Pool
 	router   *router.Router
+	mesh     *peers.Mesh
 	leaving  atomic.Bool
 }
 
@@ -70,7 +80,10 @@
 // reads the settings again when the process is told that they changed.
 func Serve(ctx context.Context, s settings.Gateway, reload func() (settings.Gateway, error), p Platform, log *zap.Logger) error {
 	boundMemory(s.MemoryMB)
-	g := newGateway(s, p, log)
+	g, err := newGateway(s, p, log)
+	if err != nil {
+		return err
+	}
 	callers, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return errors.Wrap(ErrListen, err.Error())
@@ -84,20 +97,43 @@
 	return nil
 }
 
-func newGateway(s settings.Gateway, p Platform, log *zap.Logger) *gateway {
+func newGateway(s settings.Gateway, p Platform, log *zap.Logger) (*gateway, error) {
 	g := &gateway{
 		settings: s, platform: p, log: log,
 		holder: &routes.Holder{}, registry: backend.NewRegistry(), pool: exchange.NewPool(),
 	}
+	var err error
+	g.mesh, err = peers.Listen(peers.Config{
+		Self:  peers.Entry{Name: s.Process, Addr: s.PeerListen},
+		Loads: g.loads,
+		Proof: func() peers.Proof { return peers.Proof{Version: g.holder.Version(), At: g.holder.ProvenAt()} },
+		Prove: func(p peers.Proof) { g.holder.Prove(p.Version, p.At) },
+		Log:   log,
+	})
+	if err != nil {
+		return nil, err
+	}
 	ejector := policy.NewEjector()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.router = router.New(router.Config{
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
-		Others: nobody{}, Gateways: func() int { return 4 },
+		Others: g.mesh, Gateways: g.mesh.Listed,
 		Chooser: policy.NewChooser(random, ejector), Ejector: ejector,
 		Observer: ends{log}, Log: log,
 	}, boundsOf(s), g.leaving.Load)
-	return g
+	return g, nil
+}
+
+// loads is what this gateway has at the backend servers.
+func (g *gateway) loads() []peers.Load {
+	var loads []peers.Load
+	for _, s := range g.registry.All() {
+		loads = append(loads, peers.Load{
+			Server: s.Info().ID, Running: int(s.Running.Load()),
+			Pending: int(s.Pending.Load()), PendingTokens: int(s.PendingTokens.Load()),
+		})
+	}
+	return loads
 }
 
 // serve runs all parts; it returns when they have ended.
@@ -106,6 +142,8 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { g.followDesired(work) })
 	wg.Go(func() { g.followServers(work) })
+	wg.Go(func() { g.mesh.Run(work) })
+	wg.Go(func() { g.followEntries(work) })
 	wg.Go(func() { g.sweep(work) })
 	wg.Go(func() { g.reloadOnSignal(work, reload) })
 
@@ -142,6 +180,25 @@
 	f.Run(ctx)
 }
 
+// followEntries enters this gateway in the list of gateways and then follows
+// the list. Whoever starts later is heard of by its datagrams as well.
+func (g *gateway) followEntries(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = registerFirst, registerLongest
+	for ctx.Err() == nil {
+		err := g.platform.Register(ctx, g.mesh.Self)
+		if err == nil {
+			break
+		}
+		g.log.Warn(logging.EventRegisterFailed, logging.Reason(err.Error()))
+		time.Sleep(pause.NextBackOff())
+	}
+	f := follow.Follower[peers.Entry]{
+		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: entriesWait, Log: g.log,
+	}
+	f.Run(ctx)
+}
+
 // sweep removes what has lapsed.
 func (g *gateway) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
--- /dev/null
+++ b/internal/gateway/peers/peers.go
@@ -0,0 +1,210 @@
+// Package peers lets gateways tell each other, by datagram, what they have at
+// each backend server and how certain they are of the desired state. A lost
+// datagram is made good by the next. Start reading at Mesh.
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/internal/logging"
+)
+
+// ErrListen: the address for datagrams can't be listened on.
+var ErrListen = errors.New("can't listen for datagrams")
+
+const (
+	// tellEvery is how often a gateway tells the others what it has: a request
+	// takes 20 to 2,000 ms, and a datagram a fraction of a millisecond.
+	tellEvery = 100 * time.Millisecond
+	// maxDatagram bounds a datagram in bytes; it holds some 4,000 servers.
+	maxDatagram = 60 << 10
+)
+
+// Entry is a gateway in the platform's list.
+type Entry struct {
+	// Name is the VM's name; Addr the host:port for datagrams.
+	Name string
+	Addr string
+}
+
+// Load is what a gateway has at one backend server.
+type Load struct {
+	Server                          string
+	Running, Pending, PendingTokens int
+}
+
+// Proof is how certain a gateway is of its desired state.
+type Proof struct {
+	Version uint64
+	// At is when that version was the newest, on boottime's clock; 0 for never.
+	At time.Duration
+}
+
+// Config is what a Mesh needs.
+type Config struct {
+	Self Entry
+	// Loads returns what this gateway has; servers without anything may be
+	// left out.
+	Loads func() []Load
+	// Proof returns this gateway's proof, and Prove takes another's.
+	Proof func() Proof
+	Prove func(Proof)
+	Log   *zap.Logger
+}
+
+// Mesh is this gateway's end of the exchange. It implements the sink of a
+// follower of the gateways' list.
+type Mesh struct {
+	Config
+	conn     net.PacketConn
+	table    *table
+	boot     uint64
+	sequence uint64
+}
+
+var _ follow.Sink[Entry] = (*Mesh)(nil)
+
+// Listen returns a Mesh that listens on its own address.
+func Listen(c Config) (*Mesh, error) {
+	conn, err := net.ListenPacket("udp4", c.Self.Addr)
+	if err != nil {
+		return nil, errors.Wrap(ErrListen, err.Error())
+	}
+	return &Mesh{Config: c, conn: conn, table: newTable(), boot: rand.Uint64()}, nil
+}
+
+// Run exchanges datagrams until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { m.listen(ctx) })
+	ticker := time.NewTicker(tellEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case now := <-ticker.C:
+			m.table.expire(now)
+			m.tell()
+		}
+	}
+	wg.Wait()
+}
+
+// At returns what all other gateways have at a backend server.
+func (m *Mesh) At(server string) (running, pending, pendingTokens int) {
+	s := m.table.at(hash(server))
+	return s.running, s.pending, s.tokens
+}
+
+// Gateways counts the gateways, this one included: those that were heard of
+// lately.
+func (m *Mesh) Gateways() int { return 1 + m.table.heard(time.Now()) }
+
+// Listed counts the gateways in the list, this one included, whether they run
+// or not.
+func (m *Mesh) Listed() int { return 1 + m.table.listed() }
+
+// Reset implements follow.Sink.
+func (m *Mesh) Reset(moment time.Duration, all follow.Batch[Entry]) { m.Change(moment, all) }
+
+// Change implements follow.Sink.
+func (m *Mesh) Change(_ time.Duration, changes follow.Batch[Entry]) {
+	for _, e := range changes.Items {
+		if e.Name != m.Self.Name {
+			m.table.know(e.Name, e.Addr)
+		}
+	}
+	for _, name := range changes.Removed {
+		m.table.forget(name)
+	}
+}
+
+// Unavailable implements follow.Sink.
+func (m *Mesh) Unavailable(error) {}
+
+// tell sends a datagram to each other gateway.
+func (m *Mesh) tell() {
+	destinations := m.table.destinations()
+	if len(destinations) == 0 {
+		return
+	}
+	m.sequence++
+	proof := m.Proof()
+	now := boottime.Now()
+	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Stamp: uint64(now)}
+	if proof.At > 0 {
+		out.Version, out.ProofAge = proof.Version, uint64((now-proof.At).Milliseconds()+1)
+	}
+	for _, l := range m.Loads() {
+		if l.Running+l.Pending > 0 {
+			out.Loads = append(out.Loads, load{Server: hash(l.Server), Running: uint32(l.Running), Pending: uint32(l.Pending), Tokens: uint32(max(l.PendingTokens, 0))})
+		}
+	}
+	for _, d := range destinations {
+		out.Echo = d.echo
+		m.send(d.addr, &out)
+	}
+}
+
+func (m *Mesh) send(addr string, out *message) {
+	datagram, err := cbor.Marshal(out)
+	if err != nil {
+		m.Log.Error(logging.EventPeerUnreadable, logging.Reason(err.Error()))
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		m.Log.Warn(logging.EventPeerUnreadable, logging.Peer(addr), logging.Reason(err.Error()))
+		return
+	}
+	// A datagram that isn't sent is as good as one that was lost.
+	_, _ = m.conn.WriteTo(datagram, to)
+}
+
+// listen takes datagrams until the connection is closed.
+func (m *Mesh) listen(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := m.conn.ReadFrom(buffer)
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				m.Log.Warn(logging.EventPeerUnreadable, logging.Reason(err.Error()))
+			}
+			continue
+		}
+		var in message
+		if err := cbor.Unmarshal(buffer[:n], &in); err != nil || in.From == "" {
+			m.Log.Warn(logging.EventPeerUnreadable, logging.Peer(from.String()), logging.Reason("datagram of another form"))
+			continue
+		}
+		m.take(from.String(), &in)
+	}
+}
+
+// take takes one datagram. A proof counts from the moment at which this
+// gateway sent the stamp that comes back: however long the datagrams were on
+// their way, the other's proof was as old as it says at a later moment.
+func (m *Mesh) take(from string, in *message) {
+	if in.From == m.Self.Name || !m.table.take(time.Now(), from, in) {
+		return
+	}
+	age := time.Duration(in.ProofAge) * time.Millisecond
+	if in.Echo != 0 && in.Version != 0 && time.Duration(in.Echo) > age {
+		m.Prove(Proof{Version: in.Version, At: time.Duration(in.Echo) - age})
+	}
+}
+
+func hash(server string) uint32 { return uint32(xxhash.Sum64String(server)) }
--- /dev/null
+++ b/internal/gateway/peers/table.go
@@ -0,0 +1,147 @@
+package peers
+
+import (
+	"sync"
+	"time"
+)
+
+// silentAfter is how long counts are believed after the last datagram: long
+// enough for a few lost ones, short enough that a gateway that died doesn't
+// keep servers looking busy.
+const silentAfter = time.Second
+
+// peer is what is known of another gateway.
+type peer struct {
+	addr     string
+	boot     uint64
+	sequence uint64
+	heard    time.Time
+	// stamp is the last stamp that came, to be echoed.
+	stamp uint64
+	loads []load
+}
+
+// sum is what all other gateways have at a backend server.
+type sum struct{ running, pending, tokens int }
+
+// table keeps the other gateways' counts and their sums. All methods may be
+// called concurrently.
+type table struct {
+	// mu guards what follows; nothing is locked while it is held.
+	mu    sync.Mutex
+	peers map[string]*peer
+	sums  map[uint32]sum
+}
+
+func newTable() *table {
+	return &table{peers: map[string]*peer{}, sums: map[uint32]sum{}}
+}
+
+// take takes a datagram's counts; false if it is older than what is known.
+func (t *table) take(now time.Time, addr string, m *message) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[m.From]
+	if p == nil {
+		p = &peer{}
+		t.peers[m.From] = p
+	}
+	if p.boot == m.Boot && m.Sequence <= p.sequence {
+		return false
+	}
+	t.add(p.loads, -1)
+	p.addr, p.boot, p.sequence, p.heard, p.stamp, p.loads = addr, m.Boot, m.Sequence, now, m.Stamp, m.Loads
+	t.add(p.loads, 1)
+	return true
+}
+
+// know notes a gateway's address from the list.
+func (t *table) know(name, addr string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[name]
+	if p == nil {
+		p = &peer{}
+		t.peers[name] = p
+	}
+	p.addr = addr
+}
+
+// forget drops a gateway that isn't listed any more.
+func (t *table) forget(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[name]; p != nil {
+		t.add(p.loads, -1)
+		delete(t.peers, name)
+	}
+}
+
+// expire drops the counts of gateways that are silent.
+func (t *table) expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if len(p.loads) > 0 && now.Sub(p.heard) > silentAfter {
+			t.add(p.loads, -1)
+			p.loads = nil
+		}
+	}
+}
+
+// destination is where a datagram goes, and which stamp it echoes.
+type destination struct {
+	addr string
+	echo uint64
+}
+
+func (t *table) destinations() []destination {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]destination, 0, len(t.peers))
+	for _, p := range t.peers {
+		all = append(all, destination{addr: p.addr, echo: p.stamp})
+	}
+	return all
+}
+
+// heard counts the gateways that were heard of lately.
+func (t *table) heard(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.peers {
+		if now.Sub(p.heard) <= silentAfter {
+			n++
+		}
+	}
+	return n
+}
+
+// listed counts the gateways that are known, heard of or not.
+func (t *table) listed() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.peers)
+}
+
+func (t *table) at(server uint32) sum {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sums[server]
+}
+
+// add adds or takes away counts; t.mu is held.
+func (t *table) add(loads []load, sign int) {
+	for _, l := range loads {
+		s := t.sums[l.Server]
+		s.running += sign * int(l.Running)
+		s.pending += sign * int(l.Pending)
+		s.tokens += sign * int(l.Tokens)
+		if s == (sum{}) {
+			delete(t.sums, l.Server)
+		} else {
+			t.sums[l.Server] = s
+		}
+	}
+}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
+
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/internal/gateway/routes"
 )
@@ -13,6 +16,9 @@
 	Desired follow.Source[*routes.Set]
 	// Servers is the list of backend servers.
 	Servers follow.Source[backend.Info]
+	// Entries is the list of gateways, in which Register enters one.
+	Entries  follow.Source[peers.Entry]
+	Register func(ctx context.Context, self peers.Entry) error
 	// Dialect is the HTTP that callers and backend servers speak.
 	Dialect protocol.Dialect
 }
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -84,12 +84,12 @@
 	c.service = c.route.Service(hashID(c.ask.ID))
 	c.router.countRequest(c.service)
 	for {
-		server := c.choose()
+		server, reading := c.choose()
 		if server == nil {
 			c.giveUp()
 			return
 		}
-		v := c.attempt(ctx, server)
+		v := c.attempt(ctx, server, reading)
 		if v == done {
 			return
 		}
@@ -115,28 +115,29 @@
 	return c.sends < max(c.route.Attempts, 1) && c.router.allowRepeat(c.service)
 }
 
-// choose has the policy choose a server; nil when there is none to be used.
-func (c *call) choose() *backend.Server {
+// choose has the policy choose a server, and returns how many tokens it is
+// expected to read; nil when there is none to be used.
+func (c *call) choose() (server *backend.Server, reading int) {
 	servers := c.router.Registry.Servers(c.service)
 	spots := c.router.spots(servers)
 	errand := policy.Errand{Zone: c.router.Zone, Tokens: c.ask.PromptTokens, Tried: c.tried}
 	errand.Prefix, errand.PrefixTokens = sharedPart(c.ask.Parts)
-	at, ok := c.router.pick(errand, spots)
+	at, reading, ok := c.router.pick(errand, spots)
 	if !ok {
-		return nil
+		return nil, 0
 	}
-	return servers[at]
+	return servers[at], reading
 }
 
 // attempt sends the request to a server and passes on what comes.
-func (c *call) attempt(ctx context.Context, server *backend.Server) verdict {
+func (c *call) attempt(ctx context.Context, server *backend.Server, reading int) verdict {
 	info := server.Info()
 	c.tried = append(c.tried, info.ID)
 	left := time.Until(c.end)
 	if left <= 0 {
 		return unclear
 	}
-	load := enter(server, c.ask.PromptTokens)
+	load := enter(server, reading)
 	defer load.leave()
 	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, left))
 	if errors.Is(err, exchange.ErrNotSent) {
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -24,7 +24,7 @@
 	return spots
 }
 
-func (r *Router) pick(errand policy.Errand, spots []policy.Spot) (int, bool) {
+func (r *Router) pick(errand policy.Errand, spots []policy.Spot) (at, reading int, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.Chooser.Choose(time.Now(), errand, spots)
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -28,6 +28,12 @@
 	// EventRowUnreadable: a row of the platform's store can't be used; what was
 	// known of it stays.
 	EventRowUnreadable = "row_unreadable"
+	// EventPeerUnreadable: a datagram between gateways could not be written or
+	// read.
+	EventPeerUnreadable = "peer_unreadable"
+	// EventRegisterFailed: a gateway could not enter itself in the list of
+	// gateways this time.
+	EventRegisterFailed = "register_failed"
 	// EventEngineDown: the backend server can't be reached.
 	EventEngineDown = "engine_down"
 	// EventEngineUp: it can be reached, at first or again.
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -20,6 +20,9 @@
 	// warmingTokens is what a server counts for that is slow after its start:
 	// a long prompt, so that it gets work but not its full share.
 	warmingTokens = 4000
+	// rereadWeight is what reading a shared part again counts for against
+	// waiting: the reading delays all that come later, the wait only one.
+	rereadWeight = 2.0
 	// secondHome is the part of a prefix that its second home is expected to
 	// have to read: a prefix that is too much for its first home lives on both.
 	secondHome = 0.5
@@ -50,16 +53,17 @@
 	return &Chooser{random: random, ejector: ejector}
 }
 
-// Choose returns the place of the best spot, or false if none may be used.
-// Ejected ones are used when all others may not be.
-func (c *Chooser) Choose(now time.Time, errand Errand, spots []Spot) (int, bool) {
-	if at, ok := c.choose(now, errand, spots, true); ok {
-		return at, true
+// Choose returns the place of the best spot and how many tokens it is expected
+// to read, or false if none may be used. Ejected ones are used when all others
+// may not be.
+func (c *Chooser) Choose(now time.Time, errand Errand, spots []Spot) (at, reading int, ok bool) {
+	if at, reading, ok = c.choose(now, errand, spots, true); ok {
+		return at, reading, true
 	}
 	return c.choose(now, errand, spots, false)
 }
 
-func (c *Chooser) choose(now time.Time, errand Errand, spots []Spot, healthy bool) (int, bool) {
+func (c *Chooser) choose(now time.Time, errand Errand, spots []Spot, healthy bool) (at, reading int, ok bool) {
 	usable := func(s *Spot) bool {
 		return !s.Leaving && !errand.tried(s.Name) && !(healthy && c.ejector.Ejected(now, s.Name))
 	}
@@ -69,7 +73,7 @@
 		if !usable(&spots[i]) {
 			continue
 		}
-		cost := spots[i].wait() + errand.reading(i, first, second)
+		cost := spots[i].wait() + rereadWeight*errand.reading(i, first, second)
 		if spots[i].Zone != errand.Zone {
 			cost += otherZoneTokens
 		}
@@ -79,7 +83,10 @@
 			best, least = i, cost
 		}
 	}
-	return best, best >= 0
+	if best < 0 {
+		return 0, 0, false
+	}
+	return best, errand.Tokens - errand.PrefixTokens + int(errand.reading(best, first, second)), true
 }
 
 // wait is what is in front of a new request at a spot, in tokens of prompt.
