--- a/internal/gateway/protocol/protocol.go
+++ b/internal/gateway/protocol/protocol.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// Levels is how many levels of urgency backend servers tell apart.
+const Levels = 10
+
 // Part is one part of a request's prompt.
 type Part struct {
 	// ID is the part's hash.
@@ -42,8 +45,8 @@
 	Instance string
 	// Customer is whose key the caller showed; empty where none is needed.
 	Customer string
-	// Tier is the request's priority; 0 is the most urgent.
-	Tier int
+	// Urgency is from 0, the most urgent, to below Levels.
+	Urgency int
 	// Left is how long the backend server may work on it.
 	Left time.Duration
 	// After is the id of the last event that the caller has.
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -42,10 +42,11 @@
 	ask      protocol.Ask
 	route    *routes.Route
 	customer string
-	tier     int
-	limit    int64
-	body     []byte
-	service  string
+	// urgency is from 0, the most urgent, to below protocol.Levels.
+	urgency int
+	limit   int64
+	body    []byte
+	service string
 
 	// tried names the servers that got it or couldn't be reached; sends counts
 	// the former, dials the latter.
@@ -190,7 +191,7 @@
 
 // request is the request as it goes to a server.
 func (c *call) request(info *backend.Info, left time.Duration) *exchange.Request {
-	send := protocol.Send{Instance: info.ID, Customer: c.customer, Tier: c.tier, Left: left, After: c.ask.After}
+	send := protocol.Send{Instance: info.ID, Customer: c.customer, Urgency: c.urgency, Left: left, After: c.ask.After}
 	if c.stream.last > 0 {
 		send.After = strconv.FormatInt(c.stream.last, 10)
 	}
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -15,7 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/boottime"
-	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/policy"
 )
 
@@ -78,13 +78,13 @@
 		c.fail(http.StatusBadRequest, ReasonNoID)
 		return false
 	}
-	c.tier = c.route.Tier
 	c.limit = set.Limits.BodyBytes
 	c.bound()
 	customer, known := set.Customer(c.ask.Key)
 	if known {
-		c.takeCustomer(customer)
+		c.customer = customer.Name
 	}
+	c.urgency = set.Urgency(c.route, customer, protocol.Levels)
 	if !set.NeedsKey(c.route) || known && fresh {
 		return true
 	}
@@ -97,13 +97,6 @@
 	return false
 }
 
-func (c *call) takeCustomer(customer *routes.Customer) {
-	c.customer = customer.Name
-	if customer.Tier != nil {
-		c.tier = *customer.Tier
-	}
-}
-
 // bound sets when the final answer is due.
 func (c *call) bound() {
 	patience := defaultPatience
--- a/internal/gateway/routes/set.go
+++ b/internal/gateway/routes/set.go
@@ -30,7 +30,8 @@
 // Customer is who holds keys.
 type Customer struct {
 	Name string
-	// Tier goes before the route's tier; nil where the route's counts.
+	// Tier goes before the route's tier, which decides among equals; nil where
+	// only the route's counts.
 	Tier *int
 	Keys []string
 }
@@ -53,6 +54,7 @@
 	customers map[string]*Customer
 	// keyed says that requests of routes that aren't public need a key.
 	keyed bool
+	ranks []rank
 }
 
 // NewSet returns a Set with its indexes built. Customers is nil where no keys
@@ -65,6 +67,7 @@
 		hosts:     map[string]map[string]*Route{},
 		customers: map[string]*Customer{},
 		keyed:     customers != nil,
+		ranks:     ranksOf(all, customers),
 	}
 	for _, service := range services {
 		s.Services[service.Name] = service
