peers: a stamp of an earlier start proves nothing

A VM that lost power counts its clock from zero; its peers still echoed the stamp of before, which read as a proof from the future. The echo now names the start that it belongs to, and a stamp later than now is none. Ruled out: proofs that go in circles (each is as old as the first at least). The test fails before.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -17,5 +17,5 @@
 	}
 	e.log.Info(logging.EventRequestFinished, logging.Request(end.ID), logging.Class(end.Route),
 		zap.String("service", end.Service), zap.Int("status", end.Status), logging.Reason(string(end.Reason)),
-		zap.Int("sends", end.Sends), zap.Duration("took", end.Took))
+		zap.String("customer", end.Customer), zap.Int("urgency", end.Urgency), zap.Int("sends", end.Sends), zap.Duration("took", end.Took))
 }
--- /dev/null
+++ b/internal/gateway/peers/mesh_test.go
@@ -0,0 +1,76 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/boottime"
+)
+
+// meshes returns two meshes on loopback that know each other, and what the
+// second was told to take as proved.
+func meshes(t *testing.T) (a, b *Mesh, proved *[]Proof) {
+	t.Helper()
+	proved = &[]Proof{}
+	listen := func(name string, prove func(Proof)) *Mesh {
+		m, err := Listen(Config{
+			Self:  Entry{Name: name, Addr: "127.0.0.1:0"},
+			Loads: func() []Load { return nil },
+			Proof: func() Proof { return Proof{Version: 7, At: boottime.Now() - time.Second} },
+			Prove: prove,
+			Log:   zap.NewNop(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = m.conn.Close() })
+		return m
+	}
+	a = listen("a", func(Proof) {})
+	b = listen("b", func(p Proof) { *proved = append(*proved, p) })
+	return a, b, proved
+}
+
+// pass has from write a datagram for to and hands it over.
+func pass(t *testing.T, from, to *Mesh) {
+	t.Helper()
+	from.table.know(to.Self.Name, to.conn.LocalAddr().String())
+	from.tell()
+	addr, in, err := to.receive(make([]byte, maxDatagram))
+	if err != nil {
+		t.Fatal(err)
+	}
+	to.take(addr, in)
+}
+
+func TestProofCountsFromTheEchoedStamp(t *testing.T) {
+	a, b, proved := meshes(t)
+	pass(t, a, b)
+	if len(*proved) != 0 {
+		t.Fatal("a proof was taken from a gateway that echoed nothing")
+	}
+	before := boottime.Now()
+	pass(t, b, a)
+	pass(t, a, b)
+	if len(*proved) != 1 {
+		t.Fatalf("%d proofs, want 1", len(*proved))
+	}
+	p := (*proved)[0]
+	if p.Version != 7 || p.At > boottime.Now()-time.Second || p.At < before-time.Second-10*time.Millisecond {
+		t.Fatalf("proof %+v, want a second before %v", p, before)
+	}
+}
+
+// A VM that lost power counts its clock from zero. A stamp of the time before
+// would prove the desired state for as long as the VM had been up.
+func TestStampOfAnEarlierStartProvesNothing(t *testing.T) {
+	a, b, proved := meshes(t)
+	pass(t, b, a)
+	b.boot++
+	pass(t, a, b)
+	if len(*proved) != 0 {
+		t.Fatalf("a stamp of an earlier start proved %+v", *proved)
+	}
+}
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -10,9 +10,11 @@
 	Boot     uint64
 	Sequence uint64
 	// Stamp is the sender's clock; Echo is the last stamp that it had from
-	// the receiver, 0 when it had none.
-	Stamp uint64
-	Echo  uint64
+	// the receiver, and EchoBoot the receiver's start then: a VM's clock
+	// begins anew when the VM does. Both are 0 when there was none.
+	Stamp    uint64
+	Echo     uint64
+	EchoBoot uint64
 	// Version is the desired state in force at the sender, and ProofAge how
 	// old its proof is that there is no newer one, in milliseconds.
 	Version  uint64
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -20,8 +20,13 @@
 	"github.com/applepier/applepier/internal/logging"
 )
 
-// ErrListen: the address for datagrams can't be listened on.
-var ErrListen = errors.New("can't listen for datagrams")
+// Errors of the exchange.
+var (
+	// ErrListen: the address for datagrams can't be listened on.
+	ErrListen = errors.New("can't listen for datagrams")
+	// ErrForm: a datagram isn't of this protocol.
+	ErrForm = errors.New("datagram of another form")
+)
 
 const (
 	// tellEvery is how often a gateway tells the others what it has: a request
@@ -154,7 +159,7 @@
 		}
 	}
 	for _, d := range destinations {
-		out.Echo = d.echo
+		out.Echo, out.EchoBoot = d.echo, d.boot
 		m.send(d.addr, &out)
 	}
 }
@@ -178,22 +183,32 @@
 func (m *Mesh) listen(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, from, err := m.conn.ReadFrom(buffer)
-		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				m.Log.Warn(logging.EventPeerUnreadable, logging.Reason(err.Error()))
-			}
-			continue
-		}
-		var in message
-		if err := cbor.Unmarshal(buffer[:n], &in); err != nil || in.From == "" {
-			m.Log.Warn(logging.EventPeerUnreadable, logging.Peer(from.String()), logging.Reason("datagram of another form"))
-			continue
+		from, in, err := m.receive(buffer)
+		switch {
+		case err == nil:
+			m.take(from, in)
+		case !errors.Is(err, net.ErrClosed):
+			m.Log.Warn(logging.EventPeerUnreadable, logging.Peer(from), logging.Reason(err.Error()))
 		}
-		m.take(from.String(), &in)
 	}
 }
 
+// receive waits for a datagram and reads it.
+func (m *Mesh) receive(buffer []byte) (from string, in *message, err error) {
+	n, addr, err := m.conn.ReadFrom(buffer)
+	if err != nil {
+		return "", nil, err
+	}
+	in = &message{}
+	if err := cbor.Unmarshal(buffer[:n], in); err != nil {
+		return addr.String(), nil, errors.Wrap(ErrForm, err.Error())
+	}
+	if in.From == "" {
+		return addr.String(), nil, errors.Wrap(ErrForm, "no sender")
+	}
+	return addr.String(), in, nil
+}
+
 // take takes one datagram. A proof counts from the moment at which this
 // gateway sent the stamp that comes back: however long the datagrams were on
 // their way, the other's proof was as old as it says at a later moment.
@@ -202,8 +217,9 @@
 		return
 	}
 	age := time.Duration(in.ProofAge) * time.Millisecond
-	if in.Echo != 0 && in.Version != 0 && time.Duration(in.Echo) > age {
-		m.Prove(Proof{Version: in.Version, At: time.Duration(in.Echo) - age})
+	stamp := time.Duration(in.Echo)
+	if in.EchoBoot == m.boot && in.Version != 0 && stamp > age && stamp <= boottime.Now() {
+		m.Prove(Proof{Version: in.Version, At: stamp - age})
 	}
 }
 
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -93,6 +93,7 @@
 type destination struct {
 	addr string
 	echo uint64
+	boot uint64
 }
 
 func (t *table) destinations() []destination {
@@ -100,7 +101,7 @@
 	defer t.mu.Unlock()
 	all := make([]destination, 0, len(t.peers))
 	for _, p := range t.peers {
-		all = append(all, destination{addr: p.addr, echo: p.stamp})
+		all = append(all, destination{addr: p.addr, echo: p.stamp, boot: p.boot})
 	}
 	return all
 }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -59,6 +59,9 @@
 	ID      string
 	Route   string
 	Service string
+	// Customer is who asked, and Urgency how urgent that made it.
+	Customer string
+	Urgency  int
 	// Status is what the caller was answered with; 0 when it left.
 	Status int
 	// Reason is why, in a fixed word.
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -61,7 +61,7 @@
 func (c *call) note(status int, reason Reason) {
 	end := End{
 		ID: c.ask.ID, Service: c.service, Status: status, Reason: reason,
-		Sends: c.sends, First: c.first, Took: time.Since(c.arrived),
+		Customer: c.customer, Urgency: c.urgency, Sends: c.sends, First: c.first, Took: time.Since(c.arrived),
 	}
 	if c.route != nil {
 		end.Route = c.route.Name
