policy: the expected first token decides who is let in, and where

A request's expected time to its first token is what waits before it at its urgency, in tokens to be read, at a rate learned from what callers see. The chooser keeps to a prefix's homes while that is in time; if no server is in time, or has a slot, the request is refused at once with the time to come back.

--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -24,14 +24,11 @@
 }
 
 // Server is a backend server and what this process has there. Info is replaced
-// as the list changes; the counters last as long as the server is listed.
+// as the list changes; the counts last as long as the server is listed.
 type Server struct {
 	info atomic.Pointer[Info]
-	// Running counts this process's requests there whose first byte has come;
-	// Pending those without, and PendingTokens their prompts' tokens.
-	Running       atomic.Int64
-	Pending       atomic.Int64
-	PendingTokens atomic.Int64
+	// Load is what this process has there.
+	Load Load
 }
 
 // Info is what the list says of the server. It is not to be changed.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,10 +128,7 @@
 func (g *gateway) loads() []peers.Load {
 	var loads []peers.Load
 	for _, s := range g.registry.All() {
-		loads = append(loads, peers.Load{
-			Server: s.Info().ID, Running: int(s.Running.Load()),
-			Pending: int(s.Pending.Load()), PendingTokens: int(s.PendingTokens.Load()),
-		})
+		loads = append(loads, peers.Load{Server: s.Info().ID, Counts: s.Load.Counts()})
 	}
 	return loads
 }
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -1,5 +1,7 @@
 package peers
 
+import "github.com/applepier/applepier/internal/gateway/backend"
+
 // message is one datagram. The keys are small numbers, since it is sent ten
 // times a second to every other gateway.
 type message struct {
@@ -29,6 +31,38 @@
 	// Server is the hash of the server's id.
 	Server  uint32
 	Running uint32
-	Pending uint32
-	Tokens  uint32
+	// Pending is what waits for its first token; levels of urgency at which
+	// nothing does are left out.
+	Pending []pending
+}
+
+// pending is what waits at one level of urgency.
+type pending struct {
+	_        struct{} `cbor:",toarray"`
+	Urgency  uint8
+	Requests uint32
+	Tokens   uint32
+}
+
+// loadOf packs counts.
+func loadOf(server string, c *backend.Counts) load {
+	l := load{Server: hash(server), Running: uint32(max(c.Running, 0))}
+	for urgency, level := range c.Pending {
+		if level.Requests > 0 {
+			l.Pending = append(l.Pending, pending{Urgency: uint8(urgency), Requests: uint32(level.Requests), Tokens: uint32(max(level.Tokens, 0))})
+		}
+	}
+	return l
+}
+
+// counts unpacks a load. A level that isn't known here counts as the least
+// urgent.
+func (l *load) counts() backend.Counts {
+	c := backend.Counts{Running: int(l.Running)}
+	for _, p := range l.Pending {
+		level := &c.Pending[min(int(p.Urgency), len(c.Pending)-1)]
+		level.Requests += int(p.Requests)
+		level.Tokens += int(p.Tokens)
+	}
+	return c
 }
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/logging"
 )
@@ -45,8 +46,8 @@
 
 // Load is what a gateway has at one backend server.
 type Load struct {
-	Server                          string
-	Running, Pending, PendingTokens int
+	Server string
+	Counts backend.Counts
 }
 
 // Proof is how certain a gateway is of its desired state.
@@ -109,10 +110,7 @@
 }
 
 // At returns what all other gateways have at a backend server.
-func (m *Mesh) At(server string) (running, pending, pendingTokens int) {
-	s := m.table.at(hash(server))
-	return s.running, s.pending, s.tokens
-}
+func (m *Mesh) At(server string) backend.Counts { return m.table.at(hash(server)) }
 
 // Gateways counts the gateways, this one included: those that were heard of
 // lately.
@@ -154,8 +152,8 @@
 		out.Version, out.ProofAge = proof.Version, uint64((now-proof.At).Milliseconds()+1)
 	}
 	for _, l := range m.Loads() {
-		if l.Running+l.Pending > 0 {
-			out.Loads = append(out.Loads, load{Server: hash(l.Server), Running: uint32(l.Running), Pending: uint32(l.Pending), Tokens: uint32(max(l.PendingTokens, 0))})
+		if l.Counts != (backend.Counts{}) {
+			out.Loads = append(out.Loads, loadOf(l.Server, &l.Counts))
 		}
 	}
 	for _, d := range destinations {
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/applepier/applepier/internal/gateway/backend"
 )
 
 // silentAfter is how long counts are believed after the last datagram: long
@@ -21,20 +23,17 @@
 	loads []load
 }
 
-// sum is what all other gateways have at a backend server.
-type sum struct{ running, pending, tokens int }
-
 // table keeps the other gateways' counts and their sums. All methods may be
 // called concurrently.
 type table struct {
 	// mu guards what follows; nothing is locked while it is held.
 	mu    sync.Mutex
 	peers map[string]*peer
-	sums  map[uint32]sum
+	sums  map[uint32]backend.Counts
 }
 
 func newTable() *table {
-	return &table{peers: map[string]*peer{}, sums: map[uint32]sum{}}
+	return &table{peers: map[string]*peer{}, sums: map[uint32]backend.Counts{}}
 }
 
 // take takes a datagram's counts; false if it is older than what is known.
@@ -126,7 +125,7 @@
 	return len(t.peers)
 }
 
-func (t *table) at(server uint32) sum {
+func (t *table) at(server uint32) backend.Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.sums[server]
@@ -134,15 +133,14 @@
 
 // add adds or takes away counts; t.mu is held.
 func (t *table) add(loads []load, sign int) {
-	for _, l := range loads {
-		s := t.sums[l.Server]
-		s.running += sign * int(l.Running)
-		s.pending += sign * int(l.Pending)
-		s.tokens += sign * int(l.Tokens)
-		if s == (sum{}) {
-			delete(t.sums, l.Server)
+	for i := range loads {
+		s := t.sums[loads[i].Server]
+		counts := loads[i].counts()
+		s.Add(&counts, sign)
+		if s == (backend.Counts{}) {
+			delete(t.sums, loads[i].Server)
 		} else {
-			t.sums[l.Server] = s
+			t.sums[loads[i].Server] = s
 		}
 	}
 }
--- a/internal/gateway/protocol/protocol.go
+++ b/internal/gateway/protocol/protocol.go
@@ -6,10 +6,12 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/applepier/applepier/policy"
 )
 
 // Levels is how many levels of urgency backend servers tell apart.
-const Levels = 10
+const Levels = policy.UrgencyLevels
 
 // Part is one part of a request's prompt.
 type Part struct {
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -21,6 +21,10 @@
 	stateHint = 150 * time.Millisecond
 	// refusedHint is when to come back after the backend servers had no room.
 	refusedHint = 300 * time.Millisecond
+	// crowdedHint is when to come back when no server is expected to answer in
+	// time: soon enough to be answered in time after all, by a server that has
+	// read what it had.
+	crowdedHint = 150 * time.Millisecond
 	// youngest bounds how long a connection may have been idle that carries a
 	// request which runs once at most: on a longer one the request may cross
 	// the backend server's close, and then nobody can say whether it ran.
@@ -85,12 +89,16 @@
 	c.service = c.route.Service(hashID(c.ask.ID))
 	c.router.countRequest(c.service)
 	for {
-		server, reading := c.choose()
+		server, choice := c.choose()
 		if server == nil {
 			c.giveUp()
 			return
 		}
-		v := c.attempt(ctx, server, reading)
+		if !c.letIn(choice) {
+			c.refuse(ReasonCrowded, crowdedHint)
+			return
+		}
+		v := c.attempt(ctx, server, choice)
 		if v == done {
 			return
 		}
@@ -116,30 +124,37 @@
 	return c.sends < max(c.route.Attempts, 1) && c.router.allowRepeat(c.service)
 }
 
-// choose has the policy choose a server, and returns how many tokens it is
-// expected to read; nil when there is none to be used.
-func (c *call) choose() (server *backend.Server, reading int) {
+// choose has the policy choose a server; nil when there is none to be used.
+func (c *call) choose() (*backend.Server, policy.Choice) {
 	servers := c.router.Registry.Servers(c.service)
-	spots := c.router.spots(servers)
-	errand := policy.Errand{Zone: c.router.Zone, Tokens: c.ask.PromptTokens, Tried: c.tried}
+	errand := policy.Errand{
+		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
+		Tokens: c.ask.PromptTokens, Tried: c.tried,
+	}
 	errand.Prefix, errand.PrefixTokens = sharedPart(c.ask.Parts)
-	at, reading, ok := c.router.pick(errand, spots)
-	if !ok {
-		return nil, 0
+	choice := c.router.pick(c.service, errand, c.router.spots(servers))
+	if !choice.Found {
+		return nil, choice
 	}
-	return servers[at], reading
+	return servers[choice.At], choice
+}
+
+// letIn reports whether the request is let in at the chosen server. What was
+// sent before is: it has used up time and work that would be lost.
+func (c *call) letIn(choice policy.Choice) bool {
+	return choice.InTime || c.ask.PromptTokens == 0 || c.sends > 0
 }
 
 // attempt sends the request to a server and passes on what comes.
-func (c *call) attempt(ctx context.Context, server *backend.Server, reading int) verdict {
+func (c *call) attempt(ctx context.Context, server *backend.Server, choice policy.Choice) verdict {
 	info := server.Info()
 	c.tried = append(c.tried, info.ID)
 	left := time.Until(c.end)
 	if left <= 0 {
 		return unclear
 	}
-	load := enter(server, reading)
-	defer load.leave()
+	stay := &visit{Stay: server.Load.Enter(c.urgency, choice.Reading), call: c, ahead: choice.Ahead, sent: time.Now()}
+	defer stay.Leave()
 	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, left))
 	if errors.Is(err, exchange.ErrNotSent) {
 		c.dials++
@@ -151,7 +166,7 @@
 		return c.broken(ctx, info.ID)
 	}
 	defer answer.Abandon()
-	v := c.take(ctx, answer, load)
+	v := c.take(ctx, answer, stay)
 	c.router.observe(info.ID, c.outcome(ctx, v))
 	return v
 }
@@ -170,7 +185,7 @@
 }
 
 // take reads an answer and passes it on if it is to be the final one.
-func (c *call) take(ctx context.Context, answer *exchange.Answer, load *load) verdict {
+func (c *call) take(ctx context.Context, answer *exchange.Answer, stay *visit) verdict {
 	reply := c.router.Dialect.Reply(answer.Status, answer.Header)
 	switch {
 	case reply.NotRun:
@@ -182,10 +197,10 @@
 		return unclear
 	case isSuccess(answer.Status) && c.route.Kind == routes.KindStream:
 		c.mayHaveRun = true
-		return c.relay(ctx, answer, load)
+		return c.relay(ctx, answer, stay)
 	default:
 		c.mayHaveRun = true
-		return c.passOn(ctx, answer, load)
+		return c.passOn(ctx, answer, stay)
 	}
 }
 
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -43,9 +43,7 @@
 
 // Others tells what other gateways have at a backend server.
 type Others interface {
-	// At returns their requests that have begun to answer, those that haven't
-	// and the tokens of the latter's prompts.
-	At(server string) (running, pending, pendingTokens int)
+	At(server string) backend.Counts
 }
 
 // Observer counts requests.
@@ -95,5 +93,5 @@
 	ReasonTimeUp       Reason = "time_up"
 	ReasonNotStarted   Reason = "time_up_not_sent"
 	ReasonStreamBroken Reason = "stream_broken"
-	ReasonCrowded      Reason = "crowded"
+	ReasonCrowded      Reason = "no_room_in_time"
 )
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -29,13 +29,14 @@
 	// moments only; nothing else is locked while it is held.
 	mu      sync.Mutex
 	budgets map[string]*policy.WindowBudget
+	rates   map[string]*policy.ReadingRate
 	bounds  atomic.Pointer[Bounds]
 	leaving func() bool
 }
 
 // New returns a Router. Leaving reports whether the process is shutting down.
 func New(c Config, bounds Bounds, leaving func() bool) *Router {
-	r := &Router{Config: c, budgets: map[string]*policy.WindowBudget{}, leaving: leaving}
+	r := &Router{Config: c, budgets: map[string]*policy.WindowBudget{}, rates: map[string]*policy.ReadingRate{}, leaving: leaving}
 	r.SetBounds(bounds)
 	return r
 }
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -12,22 +12,35 @@
 	spots := make([]policy.Spot, len(servers))
 	for i, s := range servers {
 		info := s.Info()
-		running, pending, tokens := r.Others.At(info.ID)
+		counts := r.Others.At(info.ID)
+		own := s.Load.Counts()
+		counts.Add(&own, 1)
 		spots[i] = policy.Spot{
 			Name: info.ID, Zone: info.Zone, Slots: info.Slots,
 			Leaving: info.Leaving, Warming: info.WarmupLeft > 0,
-			Running:       running + int(s.Running.Load()),
-			Pending:       pending + int(s.Pending.Load()),
-			PendingTokens: tokens + int(s.PendingTokens.Load()),
+			Running: counts.Running, Pending: counts.Pending,
 		}
 	}
 	return spots
 }
 
-func (r *Router) pick(errand policy.Errand, spots []policy.Spot) (at, reading int, ok bool) {
+func (r *Router) pick(service string, errand policy.Errand, spots []policy.Spot) policy.Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Chooser.Choose(time.Now(), errand, spots)
+	return r.Chooser.Choose(time.Now(), errand, spots, r.rates[service])
+}
+
+// observeFirst takes how long a first token took with so much to be read
+// before it.
+func (r *Router) observeFirst(service string, ahead float64, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rate := r.rates[service]
+	if rate == nil {
+		rate = &policy.ReadingRate{}
+		r.rates[service] = rate
+	}
+	rate.Observe(ahead, took)
 }
 
 func (r *Router) observe(server string, o policy.Outcome) {
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -23,7 +23,7 @@
 }
 
 // relay passes a stream's events on as they come, each whole.
-func (c *call) relay(ctx context.Context, answer *exchange.Answer, load *load) verdict {
+func (c *call) relay(ctx context.Context, answer *exchange.Answer, stay *visit) verdict {
 	if c.stream.last == 0 {
 		// A caller that resumes has the events up to the one it names.
 		c.stream.last, _ = strconv.ParseInt(c.ask.After, 10, 64)
@@ -34,7 +34,7 @@
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			if whole := cut.add(buffer[:n]); len(whole) > 0 {
-				load.begun()
+				stay.begun()
 				if !c.sendEvents(answer, whole) {
 					return c.unclearOrLeft()
 				}
--- a/internal/gateway/router/whole.go
+++ b/internal/gateway/router/whole.go
@@ -30,8 +30,8 @@
 }
 
 // passOn passes a server's answer on, whole or not at all.
-func (c *call) passOn(ctx context.Context, answer *exchange.Answer, load *load) verdict {
-	load.begun()
+func (c *call) passOn(ctx context.Context, answer *exchange.Answer, stay *visit) verdict {
+	stay.begun()
 	body, err := readLimited(answer, maxHeld)
 	if err != nil {
 		return c.unclearOrLeft()
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -28,20 +28,44 @@
 	// secondHome is the part of a prefix that its second home is expected to
 	// have to read: a prefix that is too much for its first home lives on both.
 	secondHome = 0.5
+	// inTime is the part of the target that an expected first token may take:
+	// the expectation is a moment old and its error grows with it.
+	inTime = 0.7
+	// fullSlots is the part of a server's slots that the most urgent requests
+	// fill, and slotsPerLevel what each level less urgent leaves free for
+	// those above. A server that is full puts back what runs for what is more
+	// urgent; the part that is left covers what other senders send in the
+	// tenth of a second before they tell.
+	fullSlots     = 0.95
+	slotsPerLevel = 0.02
 )
 
-// Chooser decides to which backend server a request is sent straight away: the
-// one where its first token is expected soonest.
+// Choice is the outcome of choosing a server.
+type Choice struct {
+	// At is the spot's place; it means something only if Found.
+	At    int
+	Found bool
+	// Reading is how many tokens the spot is expected to read, and Ahead what
+	// it reads before the first token, this request's included.
+	Reading int
+	Ahead   float64
+	// InTime says that the first token is expected within the target, and
+	// that the spot has a slot.
+	InTime bool
+}
+
+// Chooser decides to which backend server a request is sent straight away.
 //
 // It answers prompts that share long beginnings, prefixes that take most of
 // the load, and servers that carry unequal load. A prefix has a first and a
 // second home, the servers with the highest hash of prefix and name, so that
 // all senders agree without a word and a change of the servers moves only the
-// prefixes of those that changed. What a server would have to read anew and
-// what waits there already are counted in the same unit, tokens of prompt: a
-// request leaves its home when the wait there is longer than the reading
-// elsewhere. Without the first part each server reads every prefix again;
-// without the second a hot prefix takes all its load to one server.
+// prefixes of those that changed. Of the servers where the first token is
+// expected in time the one is chosen that has the least to read anew; what
+// waits there counts in the same unit, tokens of prompt. Where none is in time
+// the soonest is named, and admission decides. Without the homes each server
+// reads every prefix again; without the expected time a hot prefix takes all
+// its load to one server, as long as its home is let keep it.
 //
 // It keeps no state but the Ejector's; not safe for concurrent use.
 type Chooser struct {
@@ -55,54 +79,66 @@
 	return &Chooser{random: random, ejector: ejector}
 }
 
-// Choose returns the place of the best spot and how many tokens it is expected
-// to read, or false if none may be used. Ejected ones are used when all others
-// may not be.
-func (c *Chooser) Choose(now time.Time, errand Errand, spots []Spot) (at, reading int, ok bool) {
-	if at, reading, ok = c.choose(now, errand, spots, true); ok {
-		return at, reading, true
+// Choose returns the best spot at a rate of reading. Ejected ones are used
+// when all others may not be.
+func (c *Chooser) Choose(now time.Time, errand Errand, spots []Spot, rate *ReadingRate) Choice {
+	if choice := c.choose(now, errand, spots, rate, true); choice.Found {
+		return choice
 	}
-	return c.choose(now, errand, spots, false)
+	return c.choose(now, errand, spots, rate, false)
 }
 
-func (c *Chooser) choose(now time.Time, errand Errand, spots []Spot, healthy bool) (at, reading int, ok bool) {
+func (c *Chooser) choose(now time.Time, errand Errand, spots []Spot, rate *ReadingRate, healthy bool) Choice {
 	usable := func(s *Spot) bool {
 		return !s.Leaving && !errand.tried(s.Name) && !(healthy && c.ejector.Ejected(now, s.Name))
 	}
 	first, second := homes(errand.Prefix, spots, usable)
-	best, least := -1, 0.0
+	var best Choice
+	least := 0.0
 	for i := range spots {
 		if !usable(&spots[i]) {
 			continue
 		}
-		cost := spots[i].wait() + rereadWeight*errand.reading(i, first, second)
-		if spots[i].Zone != errand.Zone {
-			cost += otherZoneTokens
-		}
-		// Equals are drawn from, so that senders don't all go the same way.
-		cost += c.random.Float64() * pendingTokens / 2
-		if best < 0 || cost < least {
-			best, least = i, cost
+		choice, cost := c.weigh(errand, &spots[i], errand.rereading(i, first, second), rate)
+		choice.At = i
+		if !best.Found || choice.InTime && !best.InTime || choice.InTime == best.InTime && cost < least {
+			best, least = choice, cost
 		}
 	}
-	if best < 0 {
-		return 0, 0, false
+	return best
+}
+
+// weigh says what sending to a spot would cost. Where the first token would be
+// late anyway only the time counts.
+func (c *Chooser) weigh(errand Errand, s *Spot, again float64, rate *ReadingRate) (Choice, float64) {
+	own := errand.Tokens - errand.PrefixTokens
+	choice := Choice{Found: true, Reading: own + int(again)}
+	choice.Ahead = s.ahead(errand.Urgency) + float64(choice.Reading)
+	choice.InTime = s.hasSlot(errand) && (errand.Target == 0 || rate.firstToken(choice.Ahead) <= time.Duration(inTime*float64(errand.Target)))
+	cost := choice.Ahead + float64(s.Running*runningTokens)
+	if choice.InTime {
+		cost += (rereadWeight - 1) * again
+	}
+	if s.Zone != errand.Zone {
+		cost += otherZoneTokens
 	}
-	return best, errand.Tokens - errand.PrefixTokens + int(errand.reading(best, first, second)), true
+	// Equals are drawn from, so that senders don't all go the same way.
+	return choice, cost + c.random.Float64()*pendingTokens/2
 }
 
-// wait is what is in front of a new request at a spot, in tokens of prompt.
-func (s *Spot) wait() float64 {
-	tokens := float64(s.PendingTokens) + float64(s.Pending*pendingTokens) + float64(s.Running*runningTokens)
-	if s.Warming {
-		tokens += warmingTokens
+// hasSlot reports whether a model's server has a slot for the errand. Plain
+// services queue shortly and say themselves when they are full.
+func (s *Spot) hasSlot(errand Errand) bool {
+	if errand.Tokens == 0 || s.Slots == 0 {
+		return true
 	}
-	return tokens
+	share := fullSlots - slotsPerLevel*float64(errand.Urgency)
+	return float64(s.inFlight()) < share*float64(s.Slots)
 }
 
-// reading is what the spot at a place is expected to read of the shared part
+// rereading is what the spot at a place is expected to read of the shared part
 // of the prompt.
-func (e *Errand) reading(at, first, second int) float64 {
+func (e *Errand) rereading(at, first, second int) float64 {
 	switch {
 	case e.Prefix == 0 || at == first:
 		return 0
--- a/policy/spot.go
+++ b/policy/spot.go
@@ -1,5 +1,18 @@
 package policy
 
+import "time"
+
+// UrgencyLevels is how many levels of urgency spots tell apart; 0 is the most
+// urgent.
+const UrgencyLevels = 10
+
+// Ahead is what waits at a spot for its first token, by urgency.
+type Ahead [UrgencyLevels]struct {
+	// Requests counts them, Tokens is what they have to have read.
+	Requests int
+	Tokens   int
+}
+
 // Spot is a backend server as a sender sees it that sends straight to it. The
 // counts are of all senders as far as this one knows: its own are exact, those
 // of others a moment old.
@@ -9,21 +22,46 @@
 	Zone string
 	// Slots is how many requests it runs at once; 0 when that isn't known.
 	Slots int
-	// Running counts requests that have begun to answer, Pending those that
-	// haven't, and PendingTokens is the length of their prompts.
-	Running       int
-	Pending       int
-	PendingTokens int
+	// Running counts requests that have begun to answer.
+	Running int
+	// Pending is what hasn't begun yet.
+	Pending Ahead
 	// Leaving servers take no new work.
 	Leaving bool
 	// Warming servers have just started and are slow for a while.
 	Warming bool
 }
 
+// inFlight counts all requests at the spot.
+func (s *Spot) inFlight() int {
+	n := s.Running
+	for _, level := range s.Pending {
+		n += level.Requests
+	}
+	return n
+}
+
+// ahead is what is read at the spot before a new request of an urgency, in
+// tokens: a server admits the more urgent first, and equals in turn.
+func (s *Spot) ahead(urgency int) float64 {
+	tokens := 0
+	for _, level := range s.Pending[:urgency+1] {
+		tokens += level.Tokens + level.Requests*pendingTokens
+	}
+	if s.Warming {
+		tokens += warmingTokens
+	}
+	return float64(tokens)
+}
+
 // Errand is what is to be sent to a spot.
 type Errand struct {
 	// Zone is the sender's availability zone.
 	Zone string
+	// Urgency is from 0, the most urgent, to below UrgencyLevels.
+	Urgency int
+	// Target is within what time the first token is wanted; 0 for none.
+	Target time.Duration
 	// Tokens is the length of the prompt; 0 for a plain service.
 	Tokens int
 	// Prefix identifies the longest part of the prompt that other requests
