--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -30,7 +30,10 @@
 	secondHome = 0.5
 	// inTime is the part of the target that an expected first token may take:
 	// the expectation is a moment old and its error grows with it.
-	inTime = 0.7
+	longestWait = 0.7
+	shortestWait = 0.12
+	againWeight = 2.0
+	ownWeight = 0.8
 	// fullSlots is the part of a server's slots that the most urgent requests
 	// fill, and slotsPerLevel what each level less urgent leaves free for
 	// those above. A server that is full puts back what runs for what is more
@@ -114,7 +117,7 @@
 	own := errand.Tokens - errand.PrefixTokens
 	choice := Choice{Found: true, Reading: own + int(again)}
 	choice.Ahead = s.ahead(errand.Urgency) + float64(choice.Reading)
-	choice.InTime = s.hasSlot(errand) && (errand.Target == 0 || rate.firstToken(choice.Ahead) <= time.Duration(inTime*float64(errand.Target)))
+	choice.InTime = s.hasSlot(errand) && errand.inTime(rate, choice.Ahead-float64(choice.Reading), again)
 	cost := choice.Ahead + float64(s.Running*runningTokens)
 	if choice.InTime {
 		cost += (rereadWeight - 1) * again
@@ -126,6 +129,20 @@
 	return choice, cost + c.random.Float64()*pendingTokens/2
 }
 
+// inTime reports whether a request is let in where others' prompts wait before
+// it and a shared part has to be read again. It may be sent anyway where next
+// to nothing does, so that prompts of every length are served.
+func (e *Errand) inTime(rate *ReadingRate, others, again float64) bool {
+	if e.Target == 0 {
+		return true
+	}
+	within := func(part, tokens float64) bool {
+		return rate.firstToken(tokens) <= time.Duration(part*float64(e.Target))
+	}
+	own := float64(e.Tokens - e.PrefixTokens)
+	return within(longestWait, others+againWeight*again+ownWeight*own) || within(shortestWait, others+again)
+}
+
 // hasSlot reports whether a model's server has a slot for the errand. Plain
 // services queue shortly and say themselves when they are full.
 func (s *Spot) hasSlot(errand Errand) bool {
