--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -30,10 +30,19 @@
 	secondHome = 0.5
 	// inTime is the part of the target that an expected first token may take:
 	// the expectation is a moment old and its error grows with it.
-	longestWait = 0.7
+	// longestWait is the part of the target within which a first token has to
+	// be expected for a request to be let in; ownWeight is what its own prompt
+	// counts for in that, and againWeight by how much more a shared part does
+	// that is read again when what waits takes the whole target. Under load
+	// each part that is read away from its home delays what is at home there,
+	// which then goes elsewhere in turn: without the weight all is late.
+	longestWait = 0.9
+	ownWeight   = 1.0
+	againWeight = 15.0
+	// shortestWait is the part of the target that any request may wait for
+	// others, so that the longest prompts are let in where little is before
+	// them.
 	shortestWait = 0.12
-	againWeight = 2.0
-	ownWeight = 0.8
 	// fullSlots is the part of a server's slots that the most urgent requests
 	// fill, and slotsPerLevel what each level less urgent leaves free for
 	// those above. A server that is full puts back what runs for what is more
@@ -96,13 +105,14 @@
 		return !s.Leaving && !errand.tried(s.Name) && !(healthy && c.ejector.Ejected(now, s.Name))
 	}
 	first, second := homes(errand.Prefix, spots, usable)
+	dear := errand.rereadPrice(spots, usable, rate)
 	var best Choice
 	least := 0.0
 	for i := range spots {
 		if !usable(&spots[i]) {
 			continue
 		}
-		choice, cost := c.weigh(errand, &spots[i], errand.rereading(i, first, second), rate)
+		choice, cost := c.weigh(errand, &spots[i], errand.rereading(i, first, second), dear, rate)
 		choice.At = i
 		if !best.Found || choice.InTime && !best.InTime || choice.InTime == best.InTime && cost < least {
 			best, least = choice, cost
@@ -113,11 +123,11 @@
 
 // weigh says what sending to a spot would cost. Where the first token would be
 // late anyway only the time counts.
-func (c *Chooser) weigh(errand Errand, s *Spot, again float64, rate *ReadingRate) (Choice, float64) {
+func (c *Chooser) weigh(errand Errand, s *Spot, again, dear float64, rate *ReadingRate) (Choice, float64) {
 	own := errand.Tokens - errand.PrefixTokens
 	choice := Choice{Found: true, Reading: own + int(again)}
 	choice.Ahead = s.ahead(errand.Urgency) + float64(choice.Reading)
-	choice.InTime = s.hasSlot(errand) && errand.inTime(rate, choice.Ahead-float64(choice.Reading), again)
+	choice.InTime = s.hasSlot(errand) && errand.inTime(rate, choice.Ahead-float64(choice.Reading), again, dear)
 	cost := choice.Ahead + float64(s.Running*runningTokens)
 	if choice.InTime {
 		cost += (rereadWeight - 1) * again
@@ -129,10 +139,28 @@
 	return choice, cost + c.random.Float64()*pendingTokens/2
 }
 
+// rereadPrice is what a token of a shared part counts for that is read again,
+// from one, while the servers have time to spare, upwards with the share of the
+// target that all that waits takes at a server in the mean.
+func (e *Errand) rereadPrice(spots []Spot, usable func(*Spot) bool, rate *ReadingRate) float64 {
+	if e.Target == 0 {
+		return 1
+	}
+	sum, n := 0.0, 0
+	for i := range spots {
+		if usable(&spots[i]) {
+			sum += spots[i].ahead(UrgencyLevels - 1)
+			n++
+		}
+	}
+	wait := sum / float64(max(n, 1)) / rate.rate() * float64(time.Millisecond)
+	return 1 + againWeight*min(wait/float64(e.Target), 1)
+}
+
 // inTime reports whether a request is let in where others' prompts wait before
 // it and a shared part has to be read again. It may be sent anyway where next
 // to nothing does, so that prompts of every length are served.
-func (e *Errand) inTime(rate *ReadingRate, others, again float64) bool {
+func (e *Errand) inTime(rate *ReadingRate, others, again, dear float64) bool {
 	if e.Target == 0 {
 		return true
 	}
@@ -140,7 +168,7 @@
 		return rate.firstToken(tokens) <= time.Duration(part*float64(e.Target))
 	}
 	own := float64(e.Tokens - e.PrefixTokens)
-	return within(longestWait, others+againWeight*again+ownWeight*own) || within(shortestWait, others+again)
+	return within(longestWait, others+dear*again+ownWeight*own) || within(shortestWait, others+again)
 }
 
 // hasSlot reports whether a model's server has a slot for the errand. Plain
