--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -41,6 +41,10 @@
 	At uint64
 }
 
+func (b *Batch[T]) empty() bool {
+	return len(b.Items)+len(b.Removed)+len(b.Unreadable) == 0
+}
+
 // Source is a table of the store.
 type Source[T any] interface {
 	// Read returns the whole table.
@@ -50,8 +54,10 @@
 	Next(ctx context.Context, after uint64, wait time.Duration) (Batch[T], error)
 }
 
-// Sink takes what a Follower learns. The moment is, on the clock of boottime,
-// when the call was made that the news came with.
+// Sink takes what a Follower learns. The moment is one, on the clock of
+// boottime, before which everything that had happened is in the news: when the
+// call was made, or, where the store held back an answer without news for the
+// whole wait, when the wait was over.
 type Sink[T any] interface {
 	Reset(moment time.Duration, all Batch[T])
 	Change(moment time.Duration, changes Batch[T])
@@ -113,6 +119,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if held := boottime.Now() - moment; batch.empty() && held >= f.Wait {
+		moment += f.Wait
+	}
 	f.Sink.Change(moment, batch)
 	return batch.At, nil
 }
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -17,9 +17,8 @@
 	// the file may change without one.
 	reloadEvery = 5 * time.Second
 	// proofMargin is what the bound on the age of the desired state is
-	// shortened by: a request may be on its way to a backend server for a
-	// moment after it was let in.
-	proofMargin = 300 * time.Millisecond
+	// shortened by, for clocks that run a little apart.
+	proofMargin = 100 * time.Millisecond
 )
 
 // reloadOnSignal puts changed settings in force. Addresses and names are of
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -21,10 +21,6 @@
 	stateHint = 150 * time.Millisecond
 	// refusedHint is when to come back after the backend servers had no room.
 	refusedHint = 300 * time.Millisecond
-	// crowdedHint is when to come back when no server is expected to answer in
-	// time: soon enough to be answered in time after all, by a server that has
-	// read what it had.
-	crowdedHint = 150 * time.Millisecond
 	// youngest bounds how long a connection may have been idle that carries a
 	// request which runs once at most: on a longer one the request may cross
 	// the backend server's close, and then nobody can say whether it ran.
@@ -95,7 +91,7 @@
 			return
 		}
 		if !c.letIn(choice) {
-			c.refuse(ReasonCrowded, crowdedHint)
+			c.refuse(ReasonCrowded, policy.ComeBack(c.route.Target))
 			return
 		}
 		v := c.attempt(ctx, server, choice)
