--- /dev/null
+++ b/internal/gateway/follow/follower_test.go
@@ -0,0 +1,94 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+)
+
+// step is what a scripted source answers to one call.
+type step struct {
+	takes time.Duration
+	batch Batch[string]
+	err   error
+}
+
+// source plays its steps and then waits for the end; it notes what was asked.
+type source struct {
+	steps []step
+	asked []string
+}
+
+func (s *source) play(ctx context.Context, what string) (Batch[string], error) {
+	s.asked = append(s.asked, what)
+	if len(s.steps) == 0 {
+		<-ctx.Done()
+		return Batch[string]{}, ctx.Err()
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	time.Sleep(next.takes)
+	return next.batch, next.err
+}
+
+func (s *source) Read(ctx context.Context) (Batch[string], error) { return s.play(ctx, "read") }
+
+func (s *source) Next(ctx context.Context, after uint64, _ time.Duration) (Batch[string], error) {
+	return s.play(ctx, "next after "+string(rune('0'+after)))
+}
+
+type sink struct {
+	news   []string
+	failed int
+}
+
+func (s *sink) Reset(_ time.Duration, all Batch[string]) {
+	s.news = append(append(s.news, "all"), all.Items...)
+}
+
+func (s *sink) Change(_ time.Duration, c Batch[string]) { s.news = append(s.news, c.Items...) }
+
+func (s *sink) Unavailable(error) { s.failed++ }
+
+func TestFollowerReadsThenFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &source{steps: []step{
+			{err: errors.New("down")},
+			{batch: Batch[string]{Items: []string{"a"}, At: 3}},
+			{batch: Batch[string]{Items: []string{"b"}, At: 5}},
+			{err: errors.New("slow")},
+			{batch: Batch[string]{Items: []string{"c"}, At: 6}},
+			{err: ErrHistoryGone},
+			{batch: Batch[string]{Items: []string{"d"}, At: 9}},
+		}}
+		out := &sink{}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f := Follower[string]{Name: "t", Source: src, Sink: out, Wait: time.Second, Log: zap.NewNop()}
+		f.Run(ctx)
+		if got, want := join(src.asked), "read read next after 3 next after 5 next after 5 next after 6 read next after 9"; got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+		if got, want := join(out.news), "all a b c all d"; got != want {
+			t.Errorf("news %q, want %q", got, want)
+		}
+		if out.failed != 2 {
+			t.Errorf("%d failures told, a lost history is none", out.failed)
+		}
+	})
+}
+
+func join(words []string) string {
+	text := ""
+	for i, w := range words {
+		if i > 0 {
+			text += " "
+		}
+		text += w
+	}
+	return text
+}
