testbed: a gateway between scripted servers and a stand-in of the store

Through real sockets and the adapter: what is passed on, who is let in, what may be sent again after each kind of failure, streams that go on elsewhere, callers that leave, time-outs, draining, reused addresses, states that can't be read or are older, keys taken away while the store is away in four ways, graceful stop.

--- /dev/null
+++ b/testbed/gateway/fleet.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/platform"
+	"github.com/applepier/applepier/testbed/rowstore"
+)
+
+// The operators' document that a Fleet begins with: two services, three kinds
+// of routes, and two customers' keys.
+const firstState = `{
+ "version": %d,
+ "routes": [
+  {"name":"safe","host":"h.example","prefix":"/safe/","type":"safe","timeout-ms":2000,"slo-ms":100,"service":"plain","attempts":2},
+  {"name":"unsafe","host":"h.example","prefix":"/unsafe/","type":"unsafe","timeout-ms":2000,"slo-ms":100,"service":"plain","attempts":2},
+  {"name":"stream","host":"h.example","prefix":"/stream/","type":"stream","timeout-ms":3000,"slo-ms":500,"priority":1,"service":"plain","attempts":2},
+  {"name":"resume","host":"h.example","prefix":"/resume/","type":"stream","timeout-ms":3000,"slo-ms":500,"service":"plain","attempts":2,"resumable":true},
+  {"name":"quick","host":"h.example","prefix":"/quick/","type":"unsafe","timeout-ms":200,"slo-ms":100,"service":"plain","attempts":1},
+  {"name":"open","host":"h.example","prefix":"/open/","type":"safe","timeout-ms":2000,"service":"plain","attempts":2,"public":true}%s
+ ],
+ "services": [{"name":"plain","max-conns":100}],
+ "limits": {"max-header-bytes":16384,"max-body-bytes":100000,"idle-timeout-ms":15000},
+ "tenants": [{"name":"crew","api-keys":["key-1"%s],"priority":1}]
+}`
+
+// Fleet is a gateway between the platform's store and backend servers, all in
+// this process.
+type Fleet struct {
+	t     testing.TB
+	Store *rowstore.Store
+	// Front is where callers reach the gateway, Admin where the balancer asks.
+	Front string
+	Admin string
+	// Stop tells the gateway to stop; Stopped is closed when it has.
+	Stop    context.CancelFunc
+	Stopped chan struct{}
+	// mu guards arrivals; nothing is locked while it is held.
+	mu       sync.Mutex
+	arrivals []*Arrival
+}
+
+// shortGrace ends a gateway soon after its test.
+const shortGrace = 500 * time.Millisecond
+
+// Options change what a Fleet begins with.
+type Options struct {
+	// Revoke is within what time a key that is taken away stops working; 0
+	// where that isn't strict.
+	Revoke time.Duration
+	// Grace is how long the gateway may take to stop; 0 for next to nothing.
+	Grace time.Duration
+	// Unready starts the gateway with a store that knows nothing.
+	Unready bool
+}
+
+// NewFleet starts a store and a gateway and waits until it is ready.
+func NewFleet(t testing.TB, o Options) *Fleet {
+	t.Helper()
+	f := &Fleet{t: t, Store: rowstore.New(), Stopped: make(chan struct{})}
+	if !o.Unready {
+		f.Desire(1, "", "")
+	}
+	web := httptest.NewServer(f.Store)
+	t.Cleanup(func() { f.Store.SetFault(rowstore.Busy); web.CloseClientConnections(); web.Close() })
+	f.Front, f.Admin = freeAddr(t), freeAddr(t)
+	s := settings.Gateway{
+		Process: "gateway-1", Zone: "z", Listen: f.Front, AdminListen: f.Admin, ReadyPath: "/ready",
+		PeerListen: "127.0.0.1:0", Store: strings.TrimPrefix(web.URL, "http://"), Grace: max(o.Grace, shortGrace),
+		Revoke: settings.Revoke{Strict: o.Revoke > 0, Within: o.Revoke},
+		Retry:  settings.Retry{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	f.Stop = stop
+	go func() {
+		defer close(f.Stopped)
+		reload := func() (settings.Gateway, error) { return s, nil }
+		if err := platform.ServeGateway(ctx, s, reload, zap.NewNop()); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { stop(); <-f.Stopped })
+	if !o.Unready {
+		f.Wait("the gateway is ready", f.Ready)
+	}
+	return f
+}
+
+// Desire writes a version of the operators' document, with more routes and
+// keys as the document spells them.
+func (f *Fleet) Desire(version int, routes, keys string) {
+	f.Store.Put("op", "config", []byte(fmt.Sprintf(firstState, version, routes, keys)))
+}
+
+// Serve starts a backend server that does as script says, and lists it.
+func (f *Fleet) Serve(instance string, script Script) *Server {
+	f.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s := &Server{Instance: instance, Addr: l.Addr().String(), fleet: f, listener: l, script: script, conns: map[net.Conn]bool{}}
+	go s.accept()
+	f.t.Cleanup(s.Stop)
+	f.List(s, "ready")
+	return s
+}
+
+// List writes a server's entry in a state.
+func (f *Fleet) List(s *Server, state string) {
+	f.Store.PutJSON("servers", s.Instance, map[string]any{
+		"service": "plain", "addr": s.Addr, "zone": "z", "slots": 8, "state": state, "seq": 1,
+	})
+}
+
+// Ready reports whether the gateway says that it is ready.
+func (f *Fleet) Ready() bool {
+	resp, err := http.Get("http://" + f.Admin + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Wait waits until something can be seen.
+func (f *Fleet) Wait(what string, seen func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if seen() {
+			return
+		}
+	}
+	f.t.Fatalf("not seen in time: %s", what)
+}
+
+// Arrivals returns the requests with an id that reached backend servers.
+func (f *Fleet) Arrivals(id string) []*Arrival {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*Arrival
+	for _, a := range f.arrivals {
+		if a.ID == id {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+func (f *Fleet) arrived(a *Arrival) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals = append(f.arrivals, a)
+}
+
+// Request returns a caller's request with the first key.
+func (f *Fleet) Request(ctx context.Context, method, path, id string, body io.Reader) *http.Request {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.Front+path, body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("Authorization", "Bearer key-1")
+	return req
+}
+
+// Got is what a caller got.
+type Got struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Err says that the answer wasn't whole.
+	Err error
+}
+
+// Do sends a request on a connection of its own and reads the answer.
+func (f *Fleet) Do(req *http.Request) Got {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Got{Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return Got{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err}
+}
+
+// Call sends a POST with an empty body.
+func (f *Fleet) Call(path, id string) Got {
+	return f.Do(f.Request(context.Background(), http.MethodPost, path, id, nil))
+}
+
+func freeAddr(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/testbed/gateway/helpers_test.go
@@ -0,0 +1,33 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+type netConn = net.Conn
+
+// tryOn calls until a request's first arrival is at the named server, and
+// returns what its caller got and how often it was sent.
+func tryOn(f *gateway.Fleet, path, server string) (got gateway.Got, sends int) {
+	for i := range 50 {
+		try := fmt.Sprintf("try-%d", i)
+		got = f.Call(path, try)
+		if a := f.Arrivals(try); len(a) > 0 && a[0].Server == server {
+			return got, len(a)
+		}
+	}
+	return got, 0
+}
+
+// usedBoth reports whether requests with an id reached two servers.
+func usedBoth(f *gateway.Fleet, id string) bool {
+	servers := map[string]bool{}
+	for _, a := range f.Arrivals(id) {
+		servers[strings.Clone(a.Server)] = true
+	}
+	return len(servers) == 2
+}
