--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -64,6 +64,17 @@
 	return all
 }
 
+// Usable counts the listed servers that aren't leaving.
+func (r *Registry) Usable() int {
+	n := 0
+	for _, s := range r.All() {
+		if !s.Info().Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Reset takes the whole list; of those in unknown nothing is said.
 func (r *Registry) Reset(now time.Time, all []Info, unknown []string) {
 	r.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,7 +171,7 @@
 
 func (g *gateway) followServers(ctx context.Context) {
 	f := follow.Follower[backend.Info]{
-		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry},
+		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry, g.log},
 		Wait: serversWait, Log: g.log,
 	}
 	f.Run(ctx)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -3,23 +3,36 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/internal/logging"
 )
 
 // servers takes the list of backend servers from its follower.
-type servers struct{ registry *backend.Registry }
+type servers struct {
+	registry *backend.Registry
+	log      *zap.Logger
+}
 
 var _ follow.Sink[backend.Info] = servers{}
 
 // Reset implements follow.Sink.
 func (s servers) Reset(_ time.Duration, all follow.Batch[backend.Info]) {
 	s.registry.Reset(time.Now(), all.Items, all.Unreadable)
+	s.log.Info(logging.EventServersListed, zap.Int("servers", len(all.Items)), zap.Int("usable", s.registry.Usable()))
 }
 
 // Change implements follow.Sink.
 func (s servers) Change(_ time.Duration, changes follow.Batch[backend.Info]) {
 	s.registry.Change(time.Now(), changes.Items, changes.Removed)
+	for _, info := range changes.Items {
+		s.log.Info(logging.EventServerChanged, logging.Peer(info.ID), zap.String("service", info.Service), zap.Bool("leaving", info.Leaving), zap.Int("usable", s.registry.Usable()))
+	}
+	for _, id := range changes.Removed {
+		s.log.Info(logging.EventServerRemoved, logging.Peer(id), zap.Int("usable", s.registry.Usable()))
+	}
 }
 
 // Unavailable implements follow.Sink.
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -34,6 +34,12 @@
 	// EventRegisterFailed: a gateway could not enter itself in the list of
 	// gateways this time.
 	EventRegisterFailed = "register_failed"
+	// EventServersListed: a gateway read the whole list of backend servers.
+	EventServersListed = "servers_listed"
+	// EventServerChanged: a backend server's entry is new or has changed.
+	EventServerChanged = "server_changed"
+	// EventServerRemoved: a backend server's entry was removed.
+	EventServerRemoved = "server_removed"
 	// EventEngineDown: the backend server can't be reached.
 	EventEngineDown = "engine_down"
 	// EventEngineUp: it can be reached, at first or again.
--- a/testbed/gateway/gateway_test.go
+++ b/testbed/gateway/gateway_test.go
@@ -234,6 +234,33 @@
 	}
 }
 
+// While the store is away the entry of a live server lapses and is written
+// again, and that of one that has left the other way round. The feed then tells
+// of each change, in order.
+func TestLastChangeOfAnEntryCounts(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	stays, leaves := f.Serve("i-1", gateway.Answer("whole")), f.Serve("i-2", gateway.Answer("whole"))
+	f.Wait("both are used", func() bool { f.Call("/safe/x", "warm"); return usedBoth(f, "warm") })
+	f.Store.SetFault(rowstore.Busy)
+	time.Sleep(1600 * time.Millisecond)
+	f.Store.Remove("servers", stays.Instance)
+	f.List(stays, "ready")
+	f.List(leaves, "draining")
+	f.Store.Remove("servers", leaves.Instance)
+	f.Store.SetFault(rowstore.Well)
+	time.Sleep(3500 * time.Millisecond)
+	for range 10 {
+		if got := f.Call("/safe/x", "after"); got.Status != 200 {
+			t.Fatalf("status %d while a server is listed", got.Status)
+		}
+	}
+	for _, a := range f.Arrivals("after") {
+		if a.Server == leaves.Instance {
+			t.Error("a server that has left got a request")
+		}
+	}
+}
+
 func TestReusedAddressIsNoticed(t *testing.T) {
 	f := gateway.NewFleet(t, gateway.Options{})
 	s := f.Serve("i-1", gateway.Answer("whole"))
--- a/testbed/rowstore/calls.go
+++ b/testbed/rowstore/calls.go
@@ -37,8 +37,8 @@
 	}
 	s.mu.Lock()
 	out := answer{Version: s.version}
-	for _, row := range s.table(q.Get("table"), 0) {
-		if !row.Removed && row.Part == q.Get("part") && row.Key >= q.Get("from") && (q.Get("to") == "" || row.Key < q.Get("to")) {
+	for _, row := range s.table(q.Get("table")) {
+		if row.Part == q.Get("part") && row.Key >= q.Get("from") && (q.Get("to") == "" || row.Key < q.Get("to")) {
 			out.Rows = append(out.Rows, row)
 		}
 	}
@@ -97,8 +97,7 @@
 		out.Version = after
 		return out, s.changed, false
 	}
-	out.Rows = s.table(table, after)
-	slices.SortFunc(out.Rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	out.Rows = s.changes(table, after)
 	return out, s.changed, false
 }
 
@@ -135,10 +134,10 @@
 	s.version++
 	for _, row := range tx.Puts {
 		row.Version = s.version
-		s.rows[row.Table+"\x00"+row.Part+"\x00"+row.Key] = &row
+		s.keep(row)
 	}
 	for _, row := range tx.Deletes {
-		s.rows[row.Table+"\x00"+row.Part+"\x00"+row.Key] = &Row{Table: row.Table, Part: row.Part, Key: row.Key, Version: s.version, Removed: true}
+		s.keep(Row{Table: row.Table, Part: row.Part, Key: row.Key, Version: s.version, Removed: true})
 	}
 	s.wake()
 	write(w, http.StatusOK, answer{Version: s.version})
--- a/testbed/rowstore/store.go
+++ b/testbed/rowstore/store.go
@@ -47,6 +47,9 @@
 	mu      sync.Mutex
 	version uint64
 	rows    map[string]*Row
+	// history holds all changes in order: a row that changed twice is in it
+	// twice, and feeds say so.
+	history []Row
 	changed chan struct{}
 	// since is the version from which on the history is kept.
 	since uint64
@@ -105,10 +108,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var keys []string
-	for _, r := range s.table(table, 0) {
-		if !r.Removed {
-			keys = append(keys, r.Key)
-		}
+	for _, r := range s.table(table) {
+		keys = append(keys, r.Key)
 	}
 	slices.Sort(keys)
 	return keys
@@ -119,28 +120,45 @@
 	defer s.mu.Unlock()
 	s.version++
 	r.Version = s.version
-	s.rows[r.Table+"\x00"+r.Part+"\x00"+r.Key] = &r
+	s.keep(r)
 	s.wake()
 	return s.version
 }
 
+// keep takes a changed row; s.mu is held.
+func (s *Store) keep(r Row) {
+	s.rows[r.Table+"\x00"+r.Part+"\x00"+r.Key] = &r
+	s.history = append(s.history, r)
+}
+
 // wake wakes all feeds; s.mu is held.
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// table returns a table's rows that changed after a version; s.mu is held.
-func (s *Store) table(name string, after uint64) []Row {
+// table returns a table's rows; s.mu is held.
+func (s *Store) table(name string) []Row {
 	var rows []Row
 	for _, r := range s.rows {
-		if r.Table == name && r.Version > after {
+		if r.Table == name && !r.Removed {
 			rows = append(rows, *r)
 		}
 	}
 	return rows
 }
 
+// changes returns a table's changes after a version, in order; s.mu is held.
+func (s *Store) changes(name string, after uint64) []Row {
+	var rows []Row
+	for _, r := range s.history {
+		if r.Table == name && r.Version > after {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !s.admit(w, r) {
