--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -14,8 +14,8 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/applepier/applepier/internal/auth"
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/targets/store"
 )
@@ -37,7 +37,7 @@
 
 // bench is an API on a table in memory.
 type bench struct {
-	table  *platformtest.Table
+	table  *storagetest.Table
 	holder *targets.Holder
 	router *httprouter.Router
 	// inForce is the version that the process "a" tells.
@@ -45,7 +45,7 @@
 }
 
 func newBench() *bench {
-	b := &bench{table: platformtest.NewTable(), holder: targets.NewHolder(), router: httprouter.New()}
+	b := &bench{table: storagetest.NewTable(), holder: targets.NewHolder(), router: httprouter.New()}
 	fleet := fakeFleet{processes: func() []Process {
 		return []Process{{Name: "a", Heard: true, Version: b.inForce.Load()}, {Name: "silent", Heard: true, Age: time.Minute}, {Name: "never"}}
 	}}
@@ -163,7 +163,7 @@
 func TestChangeUnderFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench()
-		b.table.FailCommits(platformtest.FaultLost)
+		b.table.FailCommits(storagetest.FaultLost)
 		accepted := want[changeAnswer](t, b.do(http.MethodPut, "/classes/hazard-flag", "0", flagBody), http.StatusOK)
 		if accepted.Version != 1 {
 			t.Fatalf("after a lost answer: %+v", accepted)
@@ -178,8 +178,8 @@
 			t.Fatalf("read while the table is down: %+v", read)
 		}
 		b.table.SetDown(false)
-		b.table.FailCommits(platformtest.FaultLate)
-		b.table.BeforeCommit(func([]platform.Write) { b.table.SetDown(b.table.Commits() > 1) })
+		b.table.FailCommits(storagetest.FaultLate)
+		b.table.BeforeCommit(func([]storage.Write) { b.table.SetDown(b.table.Commits() > 1) })
 		unknown := want[errorAnswer](t, b.do(http.MethodPut, "/classes/gate-check", "1", flagBody), http.StatusGatewayTimeout)
 		if unknown.Error.Code != codeOutcomeUnknown || unknown.Version != 2 {
 			t.Fatalf("unknown outcome: %+v", unknown)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,9 +20,9 @@
 	"github.com/applepier/applepier/internal/ids"
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/counted"
 	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/counted"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
@@ -56,12 +56,12 @@
 	ring    *timeline.Ring
 	holder  *targets.Holder
 	metrics *metrics.Metrics
-	list    platform.VMList
-	tables  platform.Table
+	list    storage.VMList
+	tables  storage.Table
 
 	// listMu is a leaf; it guards vms.
 	listMu sync.Mutex
-	vms    []platform.VM
+	vms    []storage.VM
 
 	table *table
 }
@@ -71,7 +71,7 @@
 	a := &Agent{settings: s, incarnation: ids.New(), systemKey: systemKey, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
 	a.ring = timeline.NewRing(s.Process, &a.clock, eventRing)
 	a.table = newTable(a.incarnation, s.Backend.Serves, a.ring, a.holder, a.metrics.Queue)
-	services := counted.New(platform.NewHTTP(s.Platform.URL), a.metrics.Platform)
+	services := counted.New(storage.NewHTTP(s.Platform.URL), a.metrics.Platform)
 	a.list = services
 	a.tables = services
 	a.metrics.OnRead(func() { a.metrics.TargetsVersion(a.holder.Current().Version) })
--- a/internal/agent/routes.go
+++ b/internal/agent/routes.go
@@ -11,7 +11,7 @@
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/peer"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
 )
@@ -65,7 +65,7 @@
 	}
 }
 
-func (a *Agent) adoptList(vms []platform.VM) {
+func (a *Agent) adoptList(vms []storage.VM) {
 	a.listMu.Lock()
 	a.vms = vms
 	a.listMu.Unlock()
--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 // BenchmarkClaimedCall takes one call through its claim, grant and end, with a
@@ -15,7 +15,7 @@
 func BenchmarkClaimedCall(b *testing.B) {
 	for _, callers := range []int{1, 16} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
-			table := platformtest.NewTable()
+			table := storagetest.NewTable()
 			claimer := NewClaimer(table)
 			defer claimer.Close()
 			var calls atomic.Int64
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // maxClaimTries bounds how often Claim starts over on a key that others claim
@@ -20,12 +20,12 @@
 // Claimer makes claims and moves them on. It is safe for concurrent use; the
 // steps of concurrent callers share transactions.
 type Claimer struct {
-	table     platform.Table
+	table     storage.Table
 	committer committer
 }
 
 // NewClaimer returns a Claimer on the table service.
-func NewClaimer(table platform.Table) *Claimer {
+func NewClaimer(table storage.Table) *Claimer {
 	return &Claimer{table: table, committer: committer{table: table}}
 }
 
@@ -122,7 +122,7 @@
 		return nil, ErrAnswerGone
 	}
 	row, err := c.table.Get(ctx, answerKey(claim.row))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return nil, ErrAnswerGone
 	}
 	if err != nil {
--- a/internal/claim/claimer_test.go
+++ b/internal/claim/claimer_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 const (
@@ -40,7 +40,7 @@
 }
 
 // find claims the key for another attempt, which must not get it.
-func find(t *testing.T, table platform.Table) Claim {
+func find(t *testing.T, table storage.Table) Claim {
 	t.Helper()
 	c := NewClaimer(table)
 	defer c.Close()
@@ -52,7 +52,7 @@
 }
 
 func TestRepeatOfTheCallFindsEachState(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	c := NewClaimer(table)
 	claim := mustClaim(t, c, "first")
 	if found := find(t, table); found.State != StateClaimed || found.Attempt != "first" {
@@ -80,7 +80,7 @@
 }
 
 func TestAnswerTooLongIsGone(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	c := NewClaimer(table)
 	claim := mustGrant(t, c, mustClaim(t, c, "first"), "grant-1")
 	if _, err := c.Finish(t.Context(), claim, Outcome{Whole: true, Answer: make([]byte, MaxAnswer+1)}); err != nil {
@@ -92,7 +92,7 @@
 }
 
 func TestKeyReusedForAnotherRequest(t *testing.T) {
-	c := NewClaimer(platformtest.NewTable())
+	c := NewClaimer(storagetest.NewTable())
 	mustClaim(t, c, "first")
 	_, err := c.Claim(t.Context(), customer, key, "f2", "second")
 	if !errors.Is(err, ErrKeyReused) {
@@ -105,7 +105,7 @@
 }
 
 func TestReleasedKeyMayBeClaimedAgain(t *testing.T) {
-	c := NewClaimer(platformtest.NewTable())
+	c := NewClaimer(storagetest.NewTable())
 	if err := c.Release(t.Context(), mustClaim(t, c, "first")); err != nil {
 		t.Fatal(err)
 	}
@@ -114,18 +114,18 @@
 
 // Whatever happens to the writes, one of many attempts gets the key.
 func TestOneOfManyAttemptsGetsTheKey(t *testing.T) {
-	faults := map[string][]platformtest.Fault{
+	faults := map[string][]storagetest.Fault{
 		"none":    nil,
-		"lost":    {platformtest.FaultLost},
-		"dropped": {platformtest.FaultDropped},
-		"late":    {platformtest.FaultLate},
-		"outage":  {platformtest.FaultDropped, platformtest.FaultDropped, platformtest.FaultLost},
-		"several": {platformtest.FaultLost, platformtest.FaultLate, platformtest.FaultDropped, platformtest.FaultLost},
+		"lost":    {storagetest.FaultLost},
+		"dropped": {storagetest.FaultDropped},
+		"late":    {storagetest.FaultLate},
+		"outage":  {storagetest.FaultDropped, storagetest.FaultDropped, storagetest.FaultLost},
+		"several": {storagetest.FaultLost, storagetest.FaultLate, storagetest.FaultDropped, storagetest.FaultLost},
 	}
 	for name, faults := range faults {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := platformtest.NewTable()
+				table := storagetest.NewTable()
 				table.FailCommits(faults...)
 				if won := race(t, NewClaimer(table), NewClaimer(table)); won != 1 {
 					t.Fatalf("attempts that got the key: %d, want 1", won)
@@ -164,9 +164,9 @@
 }
 
 func TestStepsSurviveLostAnswers(t *testing.T) {
-	for _, fault := range []platformtest.Fault{platformtest.FaultLost, platformtest.FaultDropped, platformtest.FaultLate, platformtest.FaultSlow} {
+	for _, fault := range []storagetest.Fault{storagetest.FaultLost, storagetest.FaultDropped, storagetest.FaultLate, storagetest.FaultSlow} {
 		synctest.Test(t, func(t *testing.T) {
-			table := platformtest.NewTable()
+			table := storagetest.NewTable()
 			c := NewClaimer(table)
 			table.FailCommits(fault)
 			claim := mustClaim(t, c, "first")
@@ -185,7 +185,7 @@
 }
 
 func TestNothingGoesOnWhileTheTableIsDown(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	c := NewClaimer(table)
 	claim := mustClaim(t, c, "first")
 	table.SetDown(true)
@@ -204,7 +204,7 @@
 // The owner of a claim sleeps; another entry takes the claim over. The owner
 // must not be able to take up a grant any more.
 func TestOwnerLosesAClaimThatWasTakenOver(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	owner, other := NewClaimer(table), NewClaimer(table)
 	claim := mustClaim(t, owner, "first")
 	taken, err := other.TakeOver(t.Context(), find(t, table), "second")
@@ -220,7 +220,7 @@
 }
 
 func TestTwoTakeOversOneWins(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	c := NewClaimer(table)
 	mustGrant(t, c, mustClaim(t, c, "first"), "grant-1")
 	found := find(t, table)
@@ -235,8 +235,8 @@
 
 func TestCallerThatGoesAwayIsToldTheTruth(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
-		table.FailCommits(platformtest.FaultSlow)
+		table := storagetest.NewTable()
+		table.FailCommits(storagetest.FaultSlow)
 		c := NewClaimer(table)
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
@@ -254,9 +254,9 @@
 // A write whose answer was lost just before an outage may have taken effect,
 // so the claimer must not say that nothing was written.
 func TestOutageAfterALostAnswerIsNotCalledUnavailable(t *testing.T) {
-	for _, fault := range []platformtest.Fault{platformtest.FaultLost, platformtest.FaultLate} {
+	for _, fault := range []storagetest.Fault{storagetest.FaultLost, storagetest.FaultLate} {
 		synctest.Test(t, func(t *testing.T) {
-			table := platformtest.NewTable()
+			table := storagetest.NewTable()
 			c := NewClaimer(downAfterCommit{table})
 			table.FailCommits(fault)
 			_, err := c.Claim(t.Context(), customer, key, fingerprint, "first")
@@ -268,9 +268,9 @@
 }
 
 // downAfterCommit is a table that goes down after the first commit.
-type downAfterCommit struct{ *platformtest.Table }
+type downAfterCommit struct{ *storagetest.Table }
 
-func (d downAfterCommit) Commit(ctx context.Context, writes []platform.Write) error {
+func (d downAfterCommit) Commit(ctx context.Context, writes []storage.Write) error {
 	defer d.SetDown(true)
 	return d.Table.Commit(ctx, writes)
 }
--- a/internal/claim/committer.go
+++ b/internal/claim/committer.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Bounds of a committer.
@@ -26,7 +26,7 @@
 // committer gathers steps into groups. While transactions are under way,
 // arriving steps wait, and the next transaction takes them all.
 type committer struct {
-	table   platform.Table
+	table   storage.Table
 	writers conc.WaitGroup
 
 	mu       sync.Mutex
--- a/internal/claim/faults_test.go
+++ b/internal/claim/faults_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 // Three entries work on the same keys while the table service fails at random,
@@ -17,10 +17,10 @@
 	const seeds = 100
 	for seed := range int64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
-			table := platformtest.NewTable()
+			table := storagetest.NewTable()
 			random := rand.New(rand.NewSource(seed))
 			for range 12 {
-				table.FailCommits(platformtest.Fault(random.Intn(int(platformtest.FaultSlow) + 1)))
+				table.FailCommits(storagetest.Fault(random.Intn(int(storagetest.FaultSlow) + 1)))
 			}
 			for key, count := range countGrants(t, table) {
 				if count > 1 {
@@ -33,7 +33,7 @@
 
 // countGrants makes several entries attempt the same keys and counts the
 // grants taken up by key.
-func countGrants(t *testing.T, table *platformtest.Table) map[string]int {
+func countGrants(t *testing.T, table *storagetest.Table) map[string]int {
 	const entries, attempts, keys = 3, 6, 3
 	var mu sync.Mutex
 	grants := map[string]int{}
--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -7,7 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Bounds of settling a group.
@@ -23,7 +23,7 @@
 
 // group is steps on different rows that are written in one transaction.
 type group struct {
-	table platform.Table
+	table storage.Table
 	steps []*step
 	// doubt says that an earlier try may have taken effect, or may yet.
 	doubt bool
@@ -66,11 +66,11 @@
 	case err == nil:
 		g.endAll(nil)
 		return nil
-	case errors.Is(err, platform.ErrUnavailable) && !g.doubt:
+	case errors.Is(err, storage.ErrUnavailable) && !g.doubt:
 		return backoff.Permanent(err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return err
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return g.afterConflict(ctx, err)
 	}
 	g.doubt = true
@@ -95,7 +95,7 @@
 	for _, s := range g.steps {
 		row, err := g.get(ctx, s.row)
 		exists := err == nil
-		certain := exists || errors.Is(err, platform.ErrNotFound)
+		certain := exists || errors.Is(err, storage.ErrNotFound)
 		if certain && s.settle(row, exists) {
 			continue
 		}
@@ -109,7 +109,7 @@
 }
 
 func (g *group) commit(ctx context.Context) error {
-	var writes []platform.Write
+	var writes []storage.Write
 	for _, s := range g.steps {
 		w, err := s.writes()
 		if err != nil {
@@ -122,7 +122,7 @@
 	return g.table.Commit(ctx, writes)
 }
 
-func (g *group) get(ctx context.Context, key string) (platform.Row, error) {
+func (g *group) get(ctx context.Context, key string) (storage.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	return g.table.Get(ctx, key)
--- a/internal/claim/group_test.go
+++ b/internal/claim/group_test.go
@@ -9,15 +9,15 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 // claimTogether claims the keys at once while the table service is slow, so
 // that they gather in one group, and returns the results in order of keys.
-func claimTogether(t *testing.T, c *Claimer, table *platformtest.Table, keys []string) []result {
+func claimTogether(t *testing.T, c *Claimer, table *storagetest.Table, keys []string) []result {
 	t.Helper()
-	table.FailCommits(slices.Repeat([]platformtest.Fault{platformtest.FaultSlow}, maxInFlight)...)
+	table.FailCommits(slices.Repeat([]storagetest.Fault{storagetest.FaultSlow}, maxInFlight)...)
 	var occupied sync.WaitGroup
 	for i := range maxInFlight {
 		occupied.Go(func() {
@@ -48,11 +48,11 @@
 
 func TestManyClaimsShareATransaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		c := NewClaimer(table)
 		defer c.Close()
 		var sizes []int
-		table.BeforeCommit(func(writes []platform.Write) { sizes = append(sizes, len(writes)) })
+		table.BeforeCommit(func(writes []storage.Write) { sizes = append(sizes, len(writes)) })
 		for i, r := range claimTogether(t, c, table, keysOf(50)) {
 			if r.err != nil || r.found.Attempt != "grouped" {
 				t.Fatalf("claim %d: %+v", i, r)
@@ -65,9 +65,9 @@
 }
 
 func TestOneConflictDoesNotFailTheGroup(t *testing.T) {
-	for _, fault := range []platformtest.Fault{platformtest.FaultNone, platformtest.FaultLost, platformtest.FaultDropped, platformtest.FaultLate} {
+	for _, fault := range []storagetest.Fault{storagetest.FaultNone, storagetest.FaultLost, storagetest.FaultDropped, storagetest.FaultLate} {
 		synctest.Test(t, func(t *testing.T) {
-			table := platformtest.NewTable()
+			table := storagetest.NewTable()
 			other := NewClaimer(table)
 			if _, err := other.Claim(t.Context(), customer, "key-07", fingerprint, "other"); err != nil {
 				t.Fatal(err)
@@ -90,9 +90,9 @@
 }
 
 // occupyThen makes the first transaction of several steps meet the fault.
-func occupyThen(table *platformtest.Table, fault platformtest.Fault) {
+func occupyThen(table *storagetest.Table, fault storagetest.Fault) {
 	var once sync.Once
-	table.BeforeCommit(func(writes []platform.Write) {
+	table.BeforeCommit(func(writes []storage.Write) {
 		if len(writes) > 1 {
 			once.Do(func() { table.FailCommits(fault) })
 		}
@@ -101,10 +101,10 @@
 
 func TestGroupWhileTheTableIsDownFailsWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		c := NewClaimer(table)
 		defer c.Close()
-		table.BeforeCommit(func(writes []platform.Write) {
+		table.BeforeCommit(func(writes []storage.Write) {
 			if len(writes) > 1 {
 				table.SetDown(true)
 			}
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Prefixes of the rows' keys. The rest is a hash of customer and key, which is
@@ -55,7 +55,7 @@
 	return hex.EncodeToString(hash.Sum(nil))
 }
 
-func parseRecord(row platform.Row) (record, error) {
+func parseRecord(row storage.Row) (record, error) {
 	var r record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return record{}, errors.Join(ErrCorrupt, err)
--- a/internal/claim/step.go
+++ b/internal/claim/step.go
@@ -5,7 +5,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // step is one write of a claim's row, waiting for its outcome.
@@ -34,14 +34,14 @@
 var errLost = errors.New("row holds another write")
 
 // writes returns the step's part of a transaction.
-func (s *step) writes() ([]platform.Write, error) {
+func (s *step) writes() ([]storage.Write, error) {
 	value, err := json.Marshal(s.next)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the claim")
 	}
-	writes := []platform.Write{{Key: s.row, Value: value, Expect: s.version}}
+	writes := []storage.Write{{Key: s.row, Value: value, Expect: s.version}}
 	if s.next.Outcome.Kept {
-		writes = append(writes, platform.Write{Key: answerKey(s.row), Value: s.answer, Expect: platform.AnyVersion})
+		writes = append(writes, storage.Write{Key: answerKey(s.row), Value: s.answer, Expect: storage.AnyVersion})
 	}
 	return writes, nil
 }
@@ -53,7 +53,7 @@
 
 // settle looks at the row as read back and ends the step if its outcome is
 // certain. It reports whether it did.
-func (s *step) settle(row platform.Row, exists bool) bool {
+func (s *step) settle(row storage.Row, exists bool) bool {
 	if !exists {
 		return s.settleAbsent()
 	}
--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/logging"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Bounds of the sweep. A pass over all shards takes 68 minutes and one read a
@@ -28,12 +28,12 @@
 // Sweeper removes claims after their retention. One process at a time should
 // sweep, under a lease; two at once do no harm but double the reads.
 type Sweeper struct {
-	table platform.Table
+	table storage.Table
 	log   *zap.Logger
 }
 
 // NewSweeper returns a Sweeper on the table service. A nil log logs nothing.
-func NewSweeper(table platform.Table, log *zap.Logger) *Sweeper {
+func NewSweeper(table storage.Table, log *zap.Logger) *Sweeper {
 	if log == nil {
 		log = zap.NewNop()
 	}
@@ -81,8 +81,8 @@
 }
 
 // remove removes those of the rows that began before oldest.
-func (s *Sweeper) remove(ctx context.Context, rows []platform.Row, oldest time.Time) (int, error) {
-	var writes []platform.Write
+func (s *Sweeper) remove(ctx context.Context, rows []storage.Row, oldest time.Time) (int, error) {
+	var writes []storage.Write
 	count := 0
 	for _, row := range rows {
 		r, err := parseRecord(row)
@@ -94,9 +94,9 @@
 			continue
 		}
 		count++
-		writes = append(writes, platform.Write{Key: row.Key, Expect: row.Version, Delete: true})
+		writes = append(writes, storage.Write{Key: row.Key, Expect: row.Version, Delete: true})
 		if r.Outcome.Kept {
-			writes = append(writes, platform.Write{Key: answerKey(row.Key), Expect: platform.AnyVersion, Delete: true})
+			writes = append(writes, storage.Write{Key: answerKey(row.Key), Expect: storage.AnyVersion, Delete: true})
 		}
 	}
 	if count == 0 {
--- a/internal/claim/sweeper_test.go
+++ b/internal/claim/sweeper_test.go
@@ -8,12 +8,12 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 var errNotHeld = errors.New("lease is not held")
 
-func sweepAll(t *testing.T, table *platformtest.Table) int {
+func sweepAll(t *testing.T, table *storagetest.Table) int {
 	t.Helper()
 	s := NewSweeper(table, nil)
 	removed := 0
@@ -29,7 +29,7 @@
 
 func TestSweepKeepsTheRetentionAndRemovesTheAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		c := NewClaimer(table)
 		claim := mustGrant(t, c, mustClaim(t, c, "first"), "grant-1")
 		if _, err := c.Finish(t.Context(), claim, Outcome{Whole: true, Answer: []byte("a")}); err != nil {
@@ -54,7 +54,7 @@
 func TestSweepStopsWithoutTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		asked := 0
-		err := NewSweeper(platformtest.NewTable(), nil).Run(context.Background(), func() error {
+		err := NewSweeper(storagetest.NewTable(), nil).Run(context.Background(), func() error {
 			asked++
 			if asked > 3 {
 				return errNotHeld
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/applepier/applepier/internal/admin"
 	"github.com/applepier/applepier/internal/auth"
-	"github.com/applepier/applepier/internal/platform/platformtest"
 	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/targets/store"
 	"github.com/applepier/applepier/internal/timeline"
@@ -50,14 +50,14 @@
 
 // bench is an administration API on a table in memory, with a silent process.
 type bench struct {
-	table *platformtest.Table
+	table *storagetest.Table
 	fleet staticFleet
 	view  timeline.View
 	url   string
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{table: platformtest.NewTable(), view: view}
+	b := &bench{table: storagetest.NewTable(), view: view}
 	b.fleet.processes = []admin.Process{
 		{Name: "entry-1", Role: "entry", Zone: "zone-a", Version: 99, Heard: true, Age: 40 * time.Millisecond},
 		{Name: "engine-1", Role: "agent", Zone: "zone-a", Version: 99, Heard: true, Age: 80 * time.Millisecond, Leaving: true},
--- a/internal/entry/api/fake_test.go
+++ b/internal/entry/api/fake_test.go
@@ -14,7 +14,7 @@
 	"github.com/applepier/applepier/internal/claim"
 	"github.com/applepier/applepier/internal/entry/dispatch"
 	"github.com/applepier/applepier/internal/entry/fleet"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
@@ -62,7 +62,7 @@
 type rig struct {
 	dispatcher *fakeDispatcher
 	grants     *fakeGrants
-	table      *platformtest.Table
+	table      *storagetest.Table
 	router     *httprouter.Router
 }
 
@@ -73,7 +73,7 @@
 		{Name: "summary", Model: "apple", Tier: 4},
 		{Name: "docket", Service: "ledger", Tier: 2},
 	}})
-	r := &rig{dispatcher: &fakeDispatcher{}, grants: &fakeGrants{}, table: platformtest.NewTable(), router: httprouter.New()}
+	r := &rig{dispatcher: &fakeDispatcher{}, grants: &fakeGrants{}, table: storagetest.NewTable(), router: httprouter.New()}
 	claimer := claim.NewClaimer(r.table)
 	t.Cleanup(claimer.Close)
 	New(Config{
--- a/internal/entry/api/observed_test.go
+++ b/internal/entry/api/observed_test.go
@@ -6,14 +6,14 @@
 	"testing"
 
 	"github.com/applepier/applepier/internal/claim"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // unavailable are claims whose table service is down.
 type unavailable struct{ Claims }
 
 func (unavailable) Claim(context.Context, string, string, string, string) (claim.Claim, error) {
-	return claim.Claim{}, platform.ErrUnavailable
+	return claim.Claim{}, storage.ErrUnavailable
 }
 
 func (f *fixture) wantHeard(want ...string) {
--- a/internal/entry/census.go
+++ b/internal/entry/census.go
@@ -10,7 +10,7 @@
 	"github.com/applepier/applepier/internal/admin"
 	"github.com/applepier/applepier/internal/entry/fleet"
 	"github.com/applepier/applepier/internal/peer"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 const (
@@ -69,7 +69,7 @@
 }
 
 // askOne keeps what was heard before, grown older, of one that doesn't answer.
-func (c *census) askOne(vm platform.VM, before admin.Process) admin.Process {
+func (c *census) askOne(vm storage.VM, before admin.Process) admin.Process {
 	p := admin.Process{Name: vm.Name, Zone: vm.Zone, Role: roleOf(vm.Role), Leaving: vm.Leaving}
 	v, err := peer.AskVersion(context.Background(), vm.Addr, c.key)
 	if err == nil && v.Process == vm.Name {
@@ -83,8 +83,8 @@
 	return p
 }
 
-func roleOf(role platform.VMRole) string {
-	if role == platform.RoleBackend {
+func roleOf(role storage.VMRole) string {
+	if role == storage.RoleBackend {
 		return "agent"
 	}
 	return "entry"
--- a/internal/entry/fleet/ask_test.go
+++ b/internal/entry/fleet/ask_test.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 )
@@ -19,10 +19,10 @@
 func TestAskStatus(t *testing.T) {
 	web := httptest.NewServer(waitingAgent(benchLocal(&countedBytes{})))
 	defer web.Close()
-	vm := platform.VM{Name: "backend-1", Addr: strings.TrimPrefix(web.URL, "http://"), Role: platform.RoleBackend, Serves: "m"}
+	vm := storage.VM{Name: "backend-1", Addr: strings.TrimPrefix(web.URL, "http://"), Role: storage.RoleBackend, Serves: "m"}
 	f := New(Config{
 		Process: "entry-1", Local: benchLocal(&countedBytes{}), Holder: targets.NewHolder(),
-		List: platformtest.NewVMList(vm), Ring: timeline.NewRing("entry-1", &timeline.Clock{}, 16), Log: zap.NewNop(),
+		List: storagetest.NewVMList(vm), Ring: timeline.NewRing("entry-1", &timeline.Clock{}, 16), Log: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/entry/fleet/bench_test.go
+++ b/internal/entry/fleet/bench_test.go
@@ -12,8 +12,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
@@ -69,9 +69,9 @@
 func BenchmarkWatching(b *testing.B) {
 	web := httptest.NewServer(waitingAgent(benchLocal(&countedBytes{})))
 	b.Cleanup(web.Close)
-	var vms []platform.VM
+	var vms []storage.VM
 	for i := range benchModels * subsetSize {
-		vms = append(vms, platform.VM{Name: fmt.Sprintf("backend-%03d", i), Addr: strings.TrimPrefix(web.URL, "http://"), Role: platform.RoleBackend, Serves: fmt.Sprintf("model-%d", i%benchModels)})
+		vms = append(vms, storage.VM{Name: fmt.Sprintf("backend-%03d", i), Addr: strings.TrimPrefix(web.URL, "http://"), Role: storage.RoleBackend, Serves: fmt.Sprintf("model-%d", i%benchModels)})
 	}
 	for _, tier := range []int{0, 2} {
 		b.Run(fmt.Sprintf("tier=%d", tier), func(b *testing.B) {
@@ -82,12 +82,12 @@
 	}
 }
 
-func watchedBytes(b *testing.B, vms []platform.VM, tier int) float64 {
+func watchedBytes(b *testing.B, vms []storage.VM, tier int) float64 {
 	var traffic countedBytes
 	clock := &timeline.Clock{}
 	f := New(Config{
 		Process: "entry-1", Local: benchLocal(&traffic), Holder: targets.NewHolder(),
-		List: platformtest.NewVMList(vms...), Ring: timeline.NewRing("entry-1", clock, 16), Log: zap.NewNop(),
+		List: storagetest.NewVMList(vms...), Ring: timeline.NewRing("entry-1", clock, 16), Log: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/entry/fleet/calls.go
+++ b/internal/entry/fleet/calls.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/wire"
 	"github.com/applepier/applepier/policy"
 )
@@ -25,7 +25,7 @@
 	vms, _ := f.VMs()
 	var names []string
 	for _, vm := range vms {
-		if vm.Role == platform.RoleBackend && vm.Serves != "" {
+		if vm.Role == storage.RoleBackend && vm.Serves != "" {
 			names = append(names, vm.Serves)
 		}
 	}
--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/logging"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
@@ -36,11 +36,11 @@
 	SystemKey string
 	Local     wire.Local
 	Holder    *targets.Holder
-	List      platform.VMList
+	List      storage.VMList
 	Ring      *timeline.Ring
 	Log       *zap.Logger
 	// Fallback is asked for the VM list while the platform is down.
-	Fallback func(ctx context.Context) ([]platform.VM, error)
+	Fallback func(ctx context.Context) ([]storage.VM, error)
 	// Gone hears of each agent that this entry no longer connects to. It must
 	// not call the Fleet.
 	Gone func(agent string)
@@ -51,7 +51,7 @@
 	config Config
 
 	mu     sync.Mutex
-	vms    []platform.VM
+	vms    []storage.VM
 	listed time.Time
 	links  map[string]*member
 	wg     conc.WaitGroup
@@ -111,13 +111,13 @@
 }
 
 // VMs returns the last list that was read and when.
-func (f *Fleet) VMs() ([]platform.VM, time.Time) {
+func (f *Fleet) VMs() ([]storage.VM, time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.vms, f.listed
 }
 
-func (f *Fleet) adopt(ctx context.Context, vms []platform.VM) {
+func (f *Fleet) adopt(ctx context.Context, vms []storage.VM) {
 	wanted := f.subset(vms)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -129,7 +129,7 @@
 
 // drop ends the links to VMs that are no longer wanted, unless an answer is
 // still expected there.
-func (f *Fleet) drop(wanted map[string]platform.VM) {
+func (f *Fleet) drop(wanted map[string]storage.VM) {
 	for name, m := range f.links {
 		if _, ok := wanted[name]; ok || m.link.busy() {
 			continue
@@ -141,7 +141,7 @@
 	}
 }
 
-func (f *Fleet) add(ctx context.Context, wanted map[string]platform.VM) {
+func (f *Fleet) add(ctx context.Context, wanted map[string]storage.VM) {
 	for name, vm := range wanted {
 		if m, ok := f.links[name]; ok {
 			m.link.update(vm)
--- a/internal/entry/fleet/fleet_test.go
+++ b/internal/entry/fleet/fleet_test.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/metrics"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
 	"github.com/applepier/applepier/internal/wire"
@@ -24,10 +24,10 @@
 		Log:     zap.NewNop(),
 		Gone:    func(agent string) { gone = append(gone, agent) },
 	})
-	stays := platform.VM{Name: "stays", Addr: "127.0.0.1:1", Role: platform.RoleBackend, Serves: "m"}
-	leaves := platform.VM{Name: "leaves", Addr: "127.0.0.1:1", Role: platform.RoleBackend, Serves: "m"}
-	f.adopt(t.Context(), []platform.VM{stays, leaves})
-	f.adopt(t.Context(), []platform.VM{stays})
+	stays := storage.VM{Name: "stays", Addr: "127.0.0.1:1", Role: storage.RoleBackend, Serves: "m"}
+	leaves := storage.VM{Name: "leaves", Addr: "127.0.0.1:1", Role: storage.RoleBackend, Serves: "m"}
+	f.adopt(t.Context(), []storage.VM{stays, leaves})
+	f.adopt(t.Context(), []storage.VM{stays})
 	if !slices.Equal(gone, []string{"leaves"}) {
 		t.Fatalf("gone: %q", gone)
 	}
@@ -38,9 +38,9 @@
 
 func TestSubsetIsStableAsVMsComeAndGo(t *testing.T) {
 	f := New(Config{Process: "entry"})
-	var vms []platform.VM
+	var vms []storage.VM
 	for i := range 100 {
-		vms = append(vms, platform.VM{Name: string(rune('a'+i%26)) + string(rune('a'+i/26)), Role: platform.RoleBackend, Serves: "m"})
+		vms = append(vms, storage.VM{Name: string(rune('a'+i%26)) + string(rune('a'+i/26)), Role: storage.RoleBackend, Serves: "m"})
 	}
 	before := f.subset(vms)
 	after := f.subset(vms[1:])
--- a/internal/entry/fleet/link.go
+++ b/internal/entry/fleet/link.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/wire"
 )
 
@@ -17,7 +17,7 @@
 	name string
 
 	mu       sync.Mutex
-	vm       platform.VM
+	vm       storage.VM
 	conn     *wire.Conn
 	status   wire.Status
 	hello    wire.Hello
@@ -31,7 +31,7 @@
 	told chan struct{}
 }
 
-func newLink(f *Fleet, vm platform.VM) *link {
+func newLink(f *Fleet, vm storage.VM) *link {
 	return &link{
 		fleet:   f,
 		name:    vm.Name,
--- a/internal/entry/fleet/view.go
+++ b/internal/entry/fleet/view.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/policy"
 )
 
 // AgentView is what is known of one agent, and how old that is.
 type AgentView struct {
-	VM        platform.VM
+	VM        storage.VM
 	Connected bool
 	Leaving   bool
 	// EngineDown says that the agent can't reach its backend server.
@@ -74,7 +74,7 @@
 	return l.tickets.count() > 0 || len(l.voids) > 0
 }
 
-func (l *link) update(vm platform.VM) {
+func (l *link) update(vm storage.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.vm = vm
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -11,7 +11,7 @@
 	"github.com/applepier/applepier/internal/auth"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/peer"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/targets/store"
 	"github.com/applepier/applepier/internal/timeline"
@@ -63,7 +63,7 @@
 	return admin.Process{
 		Name:    e.settings.Process,
 		Zone:    e.settings.Zone,
-		Role:    roleOf(platform.RoleEntry),
+		Role:    roleOf(storage.RoleEntry),
 		Version: e.targetsVersion(),
 		Heard:   true,
 		Leaving: e.leaving.Load(),
@@ -89,7 +89,7 @@
 }
 
 // askSeeds takes the place of the VM list while the platform is down.
-func (e *entry) askSeeds(ctx context.Context) ([]platform.VM, error) {
+func (e *entry) askSeeds(ctx context.Context) ([]storage.VM, error) {
 	return peer.AskAny(ctx, e.settings.Seeds, e.keys.system, e.holder)
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -21,9 +21,9 @@
 	"github.com/applepier/applepier/internal/entry/fleet"
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/counted"
 	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/counted"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/targets/store"
 	"github.com/applepier/applepier/internal/timeline"
@@ -92,7 +92,7 @@
 	}
 	e := &entry{settings: s, keys: k, log: log, holder: targets.NewHolder(), metrics: metrics.New()}
 	e.ring = timeline.NewRing(s.Process, &e.clock, eventRing)
-	e.platform = counted.New(platform.NewHTTP(s.Platform.URL), e.metrics.Platform)
+	e.platform = counted.New(storage.NewHTTP(s.Platform.URL), e.metrics.Platform)
 	e.store = store.New(e.platform)
 	e.claimer = claim.NewClaimer(e.platform)
 	e.fleet = fleet.New(fleet.Config{
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 // acts counts who acts at a time.
@@ -42,7 +42,7 @@
 
 func TestOneOfManyKeepersActsThroughAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		ctx, cancel := context.WithCancel(t.Context())
 		var seen acts
 		var wg sync.WaitGroup
@@ -70,7 +70,7 @@
 
 func TestStoppingKeeperGivesTheLeaseUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		var seen acts
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -28,8 +28,8 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/confirm"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/confirm"
 )
 
 // Timing of leases. What is done under a lease may pause for half a minute
@@ -50,7 +50,7 @@
 //
 // Lock order: writing before mu.
 type Lease struct {
-	table  platform.Table
+	table  storage.Table
 	row    string
 	holder string
 
@@ -71,7 +71,7 @@
 // New returns a process's part in the named lease, which is not held yet. The
 // holder names the process for operators; each Lease is a holder of its own,
 // also under the same name.
-func New(table platform.Table, name, holder string) *Lease {
+func New(table storage.Table, name, holder string) *Lease {
 	return &Lease{table: table, row: rowKey(name), holder: holder + "/" + uuid.NewString()}
 }
 
@@ -107,7 +107,7 @@
 // late they arrive. Errors: ErrLost; ErrConflict when a row of the writes was
 // at another version; ErrUnavailable, after which the lease still holds until
 // its end, and the writes may have taken effect.
-func (l *Lease) Commit(ctx context.Context, writes []platform.Write) error {
+func (l *Lease) Commit(ctx context.Context, writes []storage.Write) error {
 	l.writing.Lock()
 	defer l.writing.Unlock()
 	if err := l.Check(); err != nil {
@@ -170,12 +170,12 @@
 }
 
 // write replaces the row as read by next, together with the other writes.
-func (l *Lease) write(ctx context.Context, now stored, next record, others []platform.Write) error {
+func (l *Lease) write(ctx context.Context, now stored, next record, others []storage.Write) error {
 	write, err := next.write(l.row, now.version)
 	if err != nil {
 		return err
 	}
-	writes := append([]platform.Write{write}, others...)
+	writes := append([]storage.Write{write}, others...)
 	err = confirm.Commit(ctx, l.table, writes, func(ctx context.Context) (confirm.Verdict, error) {
 		return verdict(ctx, l.table, l.row, now.version, next.Write)
 	})
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 const name = "claims-sweep"
@@ -34,7 +34,7 @@
 
 func TestChallengerWaitsUntilTheHolderHasStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		a, b := New(table, name, "a"), New(table, name, "b")
 		mustAcquire(t, a)
 		began := time.Now()
@@ -56,7 +56,7 @@
 
 func TestRenewedLeaseIsNotTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		a, b := New(table, name, "a"), New(table, name, "b")
 		mustAcquire(t, a)
 		for range 10 {
@@ -72,7 +72,7 @@
 }
 
 func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	a, b := New(table, name, "a"), New(table, name, "b")
 	mustAcquire(t, a)
 	if err := a.Release(t.Context()); err != nil {
@@ -85,9 +85,9 @@
 }
 
 func TestLostAnswers(t *testing.T) {
-	for _, fault := range []platformtest.Fault{platformtest.FaultLost, platformtest.FaultDropped, platformtest.FaultLate, platformtest.FaultSlow} {
+	for _, fault := range []storagetest.Fault{storagetest.FaultLost, storagetest.FaultDropped, storagetest.FaultLate, storagetest.FaultSlow} {
 		synctest.Test(t, func(t *testing.T) {
-			table := platformtest.NewTable()
+			table := storagetest.NewTable()
 			l := New(table, name, "a")
 			table.FailCommits(fault)
 			mustAcquire(t, l)
@@ -105,9 +105,9 @@
 // The time that a slow write takes counts against the holder.
 func TestHolderCountsFromBeforeTheWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		l := New(table, name, "a")
-		table.BeforeCommit(func([]platform.Write) { time.Sleep(time.Second) })
+		table.BeforeCommit(func([]storage.Write) { time.Sleep(time.Second) })
 		mustAcquire(t, l)
 		if got := l.Remaining(); got > Duration-Margin-time.Second {
 			t.Fatalf("remaining: %v", got)
@@ -118,11 +118,11 @@
 // The holder is stopped past its lease, as by SIGSTOP, and goes on.
 func TestPausedHolderFindsItsLeaseLapsedAndWritesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		a, b := New(table, name, "a"), New(table, name, "b")
 		mustAcquire(t, a)
 		challenge(t, b)
-		order := []platform.Write{{Key: "orders/vm", Value: []byte("old"), Expect: platform.AnyVersion}}
+		order := []storage.Write{{Key: "orders/vm", Value: []byte("old"), Expect: storage.AnyVersion}}
 		if err := a.Commit(t.Context(), order); !errors.Is(err, ErrLost) {
 			t.Fatalf("commit of the old holder: %v", err)
 		}
@@ -133,13 +133,13 @@
 // another process holds the lease.
 func TestLateWriteOfAnOldHolderTakesNoEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		a, b := New(table, name, "a"), New(table, name, "b")
 		mustAcquire(t, a)
-		table.FailCommits(platformtest.FaultLate)
+		table.FailCommits(storagetest.FaultLate)
 		ctx, cancel := context.WithCancel(t.Context())
-		table.BeforeCommit(func([]platform.Write) { cancel() })
-		order := []platform.Write{{Key: "orders/vm", Value: []byte("old"), Expect: platform.AnyVersion}}
+		table.BeforeCommit(func([]storage.Write) { cancel() })
+		order := []storage.Write{{Key: "orders/vm", Value: []byte("old"), Expect: storage.AnyVersion}}
 		if err := a.Commit(ctx, order); !errors.Is(err, ErrUnavailable) {
 			t.Fatalf("commit without an answer: %v", err)
 		}
@@ -155,12 +155,12 @@
 // holder and must be able to go on.
 func TestRenewalThatLandsLateDoesNotLoseTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		l := New(table, name, "a")
 		mustAcquire(t, l)
-		table.FailCommits(platformtest.FaultLate)
+		table.FailCommits(storagetest.FaultLate)
 		ctx, cancel := context.WithCancel(t.Context())
-		table.BeforeCommit(func([]platform.Write) { cancel() })
+		table.BeforeCommit(func([]storage.Write) { cancel() })
 		if err := l.Renew(ctx); !errors.Is(err, ErrUnavailable) {
 			t.Fatalf("renewal without an answer: %v", err)
 		}
--- a/internal/lease/orders/attempts_test.go
+++ b/internal/lease/orders/attempts_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 // TestFailedOrderIsRetriedEverLater counts how often an order is carried out
 // that always fails: each time drains the engine.
 func TestFailedOrderIsRetriedEverLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		var tried []string
 		f := NewFollower(NewGuard(table, leaseName, vm), func(_ context.Context, o Order) error {
 			tried = append(tried, o.Model)
--- a/internal/lease/orders/book.go
+++ b/internal/lease/orders/book.go
@@ -8,16 +8,16 @@
 	"github.com/google/uuid"
 
 	"github.com/applepier/applepier/internal/lease"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Book gives and reads orders in the table service.
 type Book struct {
-	table platform.Table
+	table storage.Table
 }
 
 // NewBook returns a Book on the table service.
-func NewBook(table platform.Table) *Book {
+func NewBook(table storage.Table) *Book {
 	return &Book{table: table}
 }
 
@@ -48,7 +48,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the order")
 	}
-	return held.Commit(ctx, []platform.Write{{Key: rowKey(vm), Value: value, Expect: version}})
+	return held.Commit(ctx, []storage.Write{{Key: rowKey(vm), Value: value, Expect: version}})
 }
 
 // Read reads the newest order to a VM's agent: ErrNone, ErrUnavailable or
@@ -60,7 +60,7 @@
 
 func (b *Book) read(ctx context.Context, vm string) (Order, uint64, error) {
 	row, err := b.table.Get(ctx, rowKey(vm))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return Order{}, 0, ErrNone
 	}
 	if err != nil {
--- a/internal/lease/orders/guard.go
+++ b/internal/lease/orders/guard.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/lease"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Guard refuses orders under old fencing numbers, in the place of an engine
@@ -15,7 +15,7 @@
 // reads the newest number from the table service, and refuses all orders until
 // then.
 type Guard struct {
-	table platform.Table
+	table storage.Table
 	lease string
 	book  *Book
 	vm    string
@@ -27,7 +27,7 @@
 
 // NewGuard returns the guard of a VM's agent against orders under the named
 // lease. Restore must come first.
-func NewGuard(table platform.Table, leaseName, vm string) *Guard {
+func NewGuard(table storage.Table, leaseName, vm string) *Guard {
 	return &Guard{table: table, lease: leaseName, book: NewBook(table), vm: vm}
 }
 
--- a/internal/lease/orders/order.go
+++ b/internal/lease/orders/order.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // LeaseName names the lease that orders are given under.
@@ -30,7 +30,7 @@
 // rowKey returns the key of the row of a VM's order.
 func rowKey(vm string) string { return "orders/" + vm }
 
-func parse(row platform.Row) (Order, error) {
+func parse(row storage.Row) (Order, error) {
 	var order Order
 	if err := json.Unmarshal(row.Value, &order); err != nil {
 		return Order{}, errors.Join(ErrCorrupt, err)
--- a/internal/lease/orders/orders_test.go
+++ b/internal/lease/orders/orders_test.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/lease"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 const (
@@ -19,7 +19,7 @@
 )
 
 // acquire returns a lease that is held, after waiting for its last holder.
-func acquire(t *testing.T, table *platformtest.Table) *lease.Lease {
+func acquire(t *testing.T, table *storagetest.Table) *lease.Lease {
 	t.Helper()
 	l := lease.New(table, leaseName, "entry")
 	err := l.Acquire(t.Context())
@@ -33,7 +33,7 @@
 	return l
 }
 
-func mustGive(t *testing.T, table *platformtest.Table, held *lease.Lease, model string) {
+func mustGive(t *testing.T, table *storagetest.Table, held *lease.Lease, model string) {
 	t.Helper()
 	if err := NewBook(table).Give(t.Context(), held, vm, model); err != nil {
 		t.Fatal(err)
@@ -42,7 +42,7 @@
 
 // newFollower returns a Follower as after a start of its agent, and the models
 // that it loads.
-func newFollower(table *platformtest.Table) (*Follower, *[]string) {
+func newFollower(table *storagetest.Table) (*Follower, *[]string) {
 	var loaded []string
 	apply := func(_ context.Context, o Order) error {
 		loaded = append(loaded, o.Model)
@@ -53,7 +53,7 @@
 
 func TestAgentFollowsOrdersOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		f, loaded := newFollower(table)
 		held := acquire(t, table)
 		for _, model := range []string{"a", "a", "b"} {
@@ -75,7 +75,7 @@
 
 func TestPausedHolderGivesNoOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		old := acquire(t, table)
 		next := acquire(t, table)
 		mustGive(t, table, next, "b")
@@ -93,7 +93,7 @@
 // late under the old number.
 func TestRestartedAgentRefusesAnOldNumber(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		old := acquire(t, table)
 		mustGive(t, table, old, "a")
 		next := acquire(t, table)
@@ -126,7 +126,7 @@
 
 func TestFailedOrderIsTriedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		mustGive(t, table, acquire(t, table), "a")
 		tries := 0
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/confirm"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/confirm"
 )
 
 // rowPrefix begins the key of each lease's row.
@@ -32,16 +32,16 @@
 
 // CurrentFence reads the newest fencing number of the named lease; zero when
 // it was never held. It returns ErrUnavailable or ErrCorrupt.
-func CurrentFence(ctx context.Context, table platform.Table, name string) (uint64, error) {
+func CurrentFence(ctx context.Context, table storage.Table, name string) (uint64, error) {
 	now, err := read(ctx, table, rowKey(name))
 	return now.record.Fence, err
 }
 
 func rowKey(name string) string { return rowPrefix + name }
 
-func read(ctx context.Context, table platform.Table, row string) (stored, error) {
+func read(ctx context.Context, table storage.Table, row string) (stored, error) {
 	r, err := table.Get(ctx, row)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return stored{}, nil
 	}
 	if err != nil {
@@ -54,16 +54,16 @@
 	return stored{record: rec, version: r.Version}, nil
 }
 
-func (r record) write(row string, expect uint64) (platform.Write, error) {
+func (r record) write(row string, expect uint64) (storage.Write, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
-		return platform.Write{}, errors.Wrap(err, "encode the lease")
+		return storage.Write{}, errors.Wrap(err, "encode the lease")
 	}
-	return platform.Write{Key: row, Value: value, Expect: expect}, nil
+	return storage.Write{Key: row, Value: value, Expect: expect}, nil
 }
 
 // verdict finds out whether a write of the row took effect.
-func verdict(ctx context.Context, table platform.Table, row string, expected uint64, write string) (confirm.Verdict, error) {
+func verdict(ctx context.Context, table storage.Table, row string, expected uint64, write string) (confirm.Verdict, error) {
 	now, err := read(ctx, table, row)
 	switch {
 	case err != nil:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/targets"
 )
 
@@ -35,7 +35,7 @@
 	// Targets is the newest Set it has.
 	Targets *targets.Set `json:"targets"`
 	// VMs is the last VM list it read; empty when it never read one.
-	VMs []platform.VM `json:"vms"`
+	VMs []storage.VM `json:"vms"`
 }
 
 // Handler tells the State of this process.
@@ -57,8 +57,8 @@
 
 // AskAny asks peers in turn, takes the newest targets into holder, and returns
 // the first VM list that one of them has; ErrUnreachable when none has one.
-func AskAny(ctx context.Context, addrs []string, systemKey string, holder *targets.Holder) ([]platform.VM, error) {
-	var vms []platform.VM
+func AskAny(ctx context.Context, addrs []string, systemKey string, holder *targets.Holder) ([]storage.VM, error) {
+	var vms []storage.VM
 	for _, addr := range addrs {
 		s, err := Ask(ctx, addr, systemKey)
 		if err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/auth"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/targets"
 )
 
@@ -26,8 +26,8 @@
 	addrs := []string{
 		"127.0.0.1:1",
 		startPeer(t, State{Process: "old", Targets: &targets.Set{Version: 3}}),
-		startPeer(t, State{Process: "new", Targets: &targets.Set{Version: 5}, VMs: []platform.VM{{Name: "vm-1"}}}),
-		startPeer(t, State{Process: "older", Targets: &targets.Set{Version: 4}, VMs: []platform.VM{{Name: "vm-2"}}}),
+		startPeer(t, State{Process: "new", Targets: &targets.Set{Version: 5}, VMs: []storage.VM{{Name: "vm-1"}}}),
+		startPeer(t, State{Process: "older", Targets: &targets.Set{Version: 4}, VMs: []storage.VM{{Name: "vm-2"}}}),
 	}
 	holder := targets.NewHolder()
 	vms, err := AskAny(t.Context(), addrs, testKey, holder)
--- a/internal/platform/bench_test.go
+++ b/internal/storage/bench_test.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"encoding/json"
--- a/internal/platform/confirm/confirm.go
+++ b/internal/storage/confirm/confirm.go
@@ -10,7 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Errors of Commit.
@@ -65,7 +65,7 @@
 // again if the rows are unchanged: at most one of the two can take effect,
 // since both expect the same version. Stopping at "unchanged" instead would
 // be wrong, because a delayed call could still land.
-func Commit(ctx context.Context, table platform.Table, writes []platform.Write, readBack ReadBack) error {
+func Commit(ctx context.Context, table storage.Table, writes []storage.Write, readBack ReadBack) error {
 	ctx, cancel := context.WithTimeout(ctx, Limit)
 	defer cancel()
 	a := attempt{table: table, writes: writes, readBack: readBack}
@@ -86,8 +86,8 @@
 
 // attempt is one Commit in progress.
 type attempt struct {
-	table    platform.Table
-	writes   []platform.Write
+	table    storage.Table
+	writes   []storage.Write
 	readBack ReadBack
 	// doubt says that an earlier try may have taken effect, or may yet.
 	doubt bool
@@ -98,9 +98,9 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return a.refused(err, ErrUnavailable)
-	case errors.Is(err, platform.ErrConflict) && !a.doubt:
+	case errors.Is(err, storage.ErrConflict) && !a.doubt:
 		return backoff.Permanent(ErrConflict)
 	}
 	a.doubt = true
@@ -134,5 +134,5 @@
 	case verdict == Overtaken:
 		return backoff.Permanent(ErrConflict)
 	}
-	return platform.ErrOutcomeUnknown
+	return storage.ErrOutcomeUnknown
 }
--- a/internal/platform/confirm/confirm_test.go
+++ b/internal/storage/confirm/confirm_test.go
@@ -8,20 +8,20 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/confirm"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/confirm"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 const key = "row"
 
 // create writes the row with the given content, which must not exist.
-func create(ctx context.Context, table *platformtest.Table, content string) error {
-	writes := []platform.Write{{Key: key, Value: []byte(content)}}
+func create(ctx context.Context, table *storagetest.Table, content string) error {
+	writes := []storage.Write{{Key: key, Value: []byte(content)}}
 	return confirm.Commit(ctx, table, writes, func(ctx context.Context) (confirm.Verdict, error) {
 		row, err := table.Get(ctx, key)
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, storage.ErrNotFound):
 			return confirm.Pending, nil
 		case err != nil:
 			return 0, err
@@ -34,28 +34,28 @@
 
 func TestCommitUnderFaults(t *testing.T) {
 	const (
-		lost    = platformtest.FaultLost
-		dropped = platformtest.FaultDropped
-		late    = platformtest.FaultLate
-		down    = platformtest.FaultDown
+		lost    = storagetest.FaultLost
+		dropped = storagetest.FaultDropped
+		late    = storagetest.FaultLate
+		down    = storagetest.FaultDown
 	)
 	tests := []struct {
 		name   string
-		faults []platformtest.Fault
+		faults []storagetest.Fault
 		want   error
 	}{
 		{"no fault", nil, nil},
-		{"down", []platformtest.Fault{down}, confirm.ErrUnavailable},
-		{"answer lost", []platformtest.Fault{lost}, nil},
-		{"call lost", []platformtest.Fault{dropped}, nil},
-		{"call lost three times", []platformtest.Fault{dropped, dropped, dropped}, nil},
-		{"call late", []platformtest.Fault{late}, nil},
-		{"call lost, then down", []platformtest.Fault{dropped, down, lost}, nil},
+		{"down", []storagetest.Fault{down}, confirm.ErrUnavailable},
+		{"answer lost", []storagetest.Fault{lost}, nil},
+		{"call lost", []storagetest.Fault{dropped}, nil},
+		{"call lost three times", []storagetest.Fault{dropped, dropped, dropped}, nil},
+		{"call late", []storagetest.Fault{late}, nil},
+		{"call lost, then down", []storagetest.Fault{dropped, down, lost}, nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := platformtest.NewTable()
+				table := storagetest.NewTable()
 				table.FailCommits(tt.faults...)
 				err := create(t.Context(), table, "ours")
 				if !errors.Is(err, tt.want) {
@@ -70,9 +70,9 @@
 }
 
 func TestCommitAfterAnotherWriter(t *testing.T) {
-	for _, fault := range []platformtest.Fault{platformtest.FaultNone, platformtest.FaultDropped} {
+	for _, fault := range []storagetest.Fault{storagetest.FaultNone, storagetest.FaultDropped} {
 		synctest.Test(t, func(t *testing.T) {
-			table := platformtest.NewTable()
+			table := storagetest.NewTable()
 			if err := create(t.Context(), table, "theirs"); err != nil {
 				t.Fatal(err)
 			}
@@ -86,9 +86,9 @@
 
 func TestCommitSaysThatItCouldNotSettle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
-		table.FailCommits(platformtest.FaultLate)
-		table.BeforeCommit(func([]platform.Write) {
+		table := storagetest.NewTable()
+		table.FailCommits(storagetest.FaultLate)
+		table.BeforeCommit(func([]storage.Write) {
 			if table.Commits() == 1 {
 				table.SetDown(true)
 			}
@@ -101,8 +101,8 @@
 
 func TestSlowServiceEndsWithTheContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
-		table.FailCommits(platformtest.FaultSlow)
+		table := storagetest.NewTable()
+		table.FailCommits(storagetest.FaultSlow)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		if err := create(ctx, table, "ours"); !errors.Is(err, confirm.ErrUnsettled) {
@@ -113,8 +113,8 @@
 
 func TestOneSlowCallLeavesTimeToSettle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
-		table.FailCommits(platformtest.FaultSlow)
+		table := storagetest.NewTable()
+		table.FailCommits(storagetest.FaultSlow)
 		if err := create(t.Context(), table, "ours"); err != nil {
 			t.Fatalf("got %v, want the write to be settled after one slow call", err)
 		}
--- a/internal/platform/counted/counted.go
+++ b/internal/storage/counted/counted.go
@@ -8,14 +8,14 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/metrics"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Services are all that the platform offers.
 type Services interface {
-	platform.Table
-	platform.Objects
-	platform.VMList
+	storage.Table
+	storage.Objects
+	storage.VMList
 }
 
 // Platform passes each call on and counts it.
@@ -31,43 +31,43 @@
 	return &Platform{services: services, calls: calls}
 }
 
-// Get implements platform.Table.
-func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (p *Platform) Get(ctx context.Context, key string) (storage.Row, error) {
 	row, err := p.services.Get(ctx, key)
 	p.calls.Read(failure(err))
 	return row, err
 }
 
-// List implements platform.Table.
-func (p *Platform) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements storage.Table.
+func (p *Platform) List(ctx context.Context, prefix string) ([]storage.Row, error) {
 	rows, err := p.services.List(ctx, prefix)
 	p.calls.Read(failure(err))
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (p *Platform) Commit(ctx context.Context, writes []platform.Write) error {
+// Commit implements storage.Table.
+func (p *Platform) Commit(ctx context.Context, writes []storage.Write) error {
 	err := p.services.Commit(ctx, writes)
 	p.calls.Write(failure(err))
 	return err
 }
 
-// PutObject implements platform.Objects.
+// PutObject implements storage.Objects.
 func (p *Platform) PutObject(ctx context.Context, key string, value []byte) error {
 	err := p.services.PutObject(ctx, key, value)
 	p.calls.Write(failure(err))
 	return err
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements storage.Objects.
 func (p *Platform) GetObject(ctx context.Context, key string) ([]byte, error) {
 	value, err := p.services.GetObject(ctx, key)
 	p.calls.Read(failure(err))
 	return value, err
 }
 
-// VMs implements platform.VMList.
-func (p *Platform) VMs(ctx context.Context) ([]platform.VM, error) {
+// VMs implements storage.VMList.
+func (p *Platform) VMs(ctx context.Context) ([]storage.VM, error) {
 	vms, err := p.services.VMs(ctx)
 	p.calls.Read(failure(err))
 	return vms, err
@@ -76,7 +76,7 @@
 // failure drops the errors by which a healthy service answers: there is no
 // such row, or it is at another version.
 func failure(err error) error {
-	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrNotFound) || errors.Is(err, storage.ErrConflict) {
 		return nil
 	}
 	return err
--- a/internal/platform/counted/counted_test.go
+++ b/internal/storage/counted/counted_test.go
@@ -7,25 +7,25 @@
 	"testing"
 
 	"github.com/applepier/applepier/internal/metrics"
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 )
 
 // services are the platform's in memory.
 type services struct {
-	*platformtest.Table
-	*platformtest.Objects
-	*platformtest.VMList
+	*storagetest.Table
+	*storagetest.Objects
+	*storagetest.VMList
 }
 
 func TestCallsAndFailuresAreCounted(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	m := metrics.New()
 	p := New(services{Table: table}, m.Platform)
 
 	_, _ = p.Get(t.Context(), "none")
-	_ = p.Commit(t.Context(), []platform.Write{{Key: "a", Expect: 0}})
-	_ = p.Commit(t.Context(), []platform.Write{{Key: "a", Expect: 0}})
+	_ = p.Commit(t.Context(), []storage.Write{{Key: "a", Expect: 0}})
+	_ = p.Commit(t.Context(), []storage.Write{{Key: "a", Expect: 0}})
 	table.SetDown(true)
 	_, _ = p.List(t.Context(), "a")
 
--- a/internal/platform/platform.go
+++ b/internal/storage/platform.go
@@ -1,8 +1,8 @@
-// Package platform is what the processes know of the platform: a
+// Package storage is what the processes know of the platform: a
 // transactional table service, an object store and a list of VMs. The
 // interfaces are narrow; one implementation speaks the platform's HTTP
 // protocol. Start reading at Table.
-package platform
+package storage
 
 import (
 	"context"
--- a/internal/platform/platformtest/fault.go
+++ b/internal/storage/storagetest/fault.go
@@ -1,4 +1,4 @@
-package platformtest
+package storagetest
 
 // Fault is what goes wrong with one Commit.
 type Fault int
--- a/internal/platform/platformtest/objects.go
+++ b/internal/storage/storagetest/objects.go
@@ -1,21 +1,21 @@
-package platformtest
+package storagetest
 
 import (
 	"context"
 	"slices"
 	"sync"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
-// Objects is a platform.Objects in memory.
+// Objects is a storage.Objects in memory.
 type Objects struct {
 	mu      sync.Mutex
 	objects map[string][]byte
 	down    bool
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ storage.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object store.
 func NewObjects() *Objects {
@@ -29,27 +29,27 @@
 	o.down = down
 }
 
-// PutObject implements platform.Objects.
+// PutObject implements storage.Objects.
 func (o *Objects) PutObject(ctx context.Context, key string, value []byte) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.down || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	o.objects[key] = slices.Clone(value)
 	return nil
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements storage.Objects.
 func (o *Objects) GetObject(ctx context.Context, key string) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.down || ctx.Err() != nil {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	value, ok := o.objects[key]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	return slices.Clone(value), nil
 }
--- a/internal/platform/platformtest/table.go
+++ b/internal/storage/storagetest/table.go
@@ -1,6 +1,6 @@
-// Package platformtest is an in-memory platform with faults, for unit tests.
+// Package storagetest is an in-memory platform with faults, for unit tests.
 // Start reading at Table.
-package platformtest
+package storagetest
 
 import (
 	"context"
@@ -9,26 +9,26 @@
 	"strings"
 	"sync"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
-// Table is a platform.Table in memory whose calls fail on demand.
+// Table is a storage.Table in memory whose calls fail on demand.
 type Table struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	down    bool
 	faults  []Fault
-	late    [][]platform.Write
-	before  func(writes []platform.Write)
+	late    [][]storage.Write
+	before  func(writes []storage.Write)
 	reads   int
 	commits int
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ storage.Table = (*Table)(nil)
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{rows: map[string]platform.Row{}}
+	return &Table{rows: map[string]storage.Row{}}
 }
 
 // SetDown makes all calls fail with ErrUnavailable, or ends that.
@@ -47,7 +47,7 @@
 
 // BeforeCommit sets a function that runs before each commit is applied,
 // without the table's lock; nil removes it. It may use the table.
-func (t *Table) BeforeCommit(f func(writes []platform.Write)) {
+func (t *Table) BeforeCommit(f func(writes []storage.Write)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.before = f
@@ -82,30 +82,30 @@
 	return t.commits
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (t *Table) Get(ctx context.Context, key string) (storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
 	if t.down || ctx.Err() != nil {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return copyRow(row), nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements storage.Table.
+func (t *Table) List(ctx context.Context, prefix string) ([]storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
 	if t.down || ctx.Err() != nil {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, copyRow(t.rows[key]))
@@ -114,10 +114,10 @@
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, writes []platform.Write) error {
+// Commit implements storage.Table.
+func (t *Table) Commit(ctx context.Context, writes []storage.Write) error {
 	if ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	if before := t.hook(); before != nil {
 		before(writes)
@@ -125,34 +125,34 @@
 	fault := t.nextFault()
 	if fault == FaultSlow {
 		<-ctx.Done()
-		return platform.ErrOutcomeUnknown
+		return storage.ErrOutcomeUnknown
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.commit(fault, writes)
 }
 
-func (t *Table) commit(fault Fault, writes []platform.Write) error {
+func (t *Table) commit(fault Fault, writes []storage.Write) error {
 	switch {
 	case t.down || fault == FaultDown:
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	case fault == FaultDropped:
-		return platform.ErrOutcomeUnknown
+		return storage.ErrOutcomeUnknown
 	case fault == FaultLate:
 		t.late = append(t.late, slices.Clone(writes))
-		return platform.ErrOutcomeUnknown
+		return storage.ErrOutcomeUnknown
 	}
 	err := t.apply(writes)
 	if fault == FaultLost {
-		return platform.ErrOutcomeUnknown
+		return storage.ErrOutcomeUnknown
 	}
 	return err
 }
 
-func (t *Table) apply(writes []platform.Write) error {
+func (t *Table) apply(writes []storage.Write) error {
 	for _, w := range writes {
-		if w.Expect != platform.AnyVersion && t.rows[w.Key].Version != w.Expect {
-			return platform.ErrConflict
+		if w.Expect != storage.AnyVersion && t.rows[w.Key].Version != w.Expect {
+			return storage.ErrConflict
 		}
 	}
 	for _, w := range writes {
@@ -161,12 +161,12 @@
 			continue
 		}
 		version := t.rows[w.Key].Version + 1
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: version}
+		t.rows[w.Key] = storage.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: version}
 	}
 	return nil
 }
 
-func (t *Table) hook() func([]platform.Write) {
+func (t *Table) hook() func([]storage.Write) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.before
@@ -184,7 +184,7 @@
 	return fault
 }
 
-func copyRow(row platform.Row) platform.Row {
+func copyRow(row storage.Row) storage.Row {
 	row.Value = slices.Clone(row.Value)
 	return row
 }
--- a/internal/platform/platformtest/table_test.go
+++ b/internal/storage/storagetest/table_test.go
@@ -1,4 +1,4 @@
-package platformtest
+package storagetest
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 func TestFaultsOfACommit(t *testing.T) {
@@ -18,16 +18,16 @@
 		landed  int
 	}{
 		{"none", FaultNone, nil, true, 0},
-		{"down", FaultDown, platform.ErrUnavailable, false, 0},
-		{"lost", FaultLost, platform.ErrOutcomeUnknown, true, 0},
-		{"dropped", FaultDropped, platform.ErrOutcomeUnknown, false, 0},
-		{"late", FaultLate, platform.ErrOutcomeUnknown, false, 1},
+		{"down", FaultDown, storage.ErrUnavailable, false, 0},
+		{"lost", FaultLost, storage.ErrOutcomeUnknown, true, 0},
+		{"dropped", FaultDropped, storage.ErrOutcomeUnknown, false, 0},
+		{"late", FaultLate, storage.ErrOutcomeUnknown, false, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			table := NewTable()
 			table.FailCommits(tt.fault)
-			err := table.Commit(t.Context(), []platform.Write{{Key: "k", Value: []byte("v")}})
+			err := table.Commit(t.Context(), []storage.Write{{Key: "k", Value: []byte("v")}})
 			if !errors.Is(err, tt.err) {
 				t.Fatalf("error: got %v, want %v", err, tt.err)
 			}
@@ -44,8 +44,8 @@
 
 func TestCommitWritesAllOrNothing(t *testing.T) {
 	table := NewTable()
-	writes := []platform.Write{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1"), Expect: 7}}
-	if err := table.Commit(t.Context(), writes); !errors.Is(err, platform.ErrConflict) {
+	writes := []storage.Write{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1"), Expect: 7}}
+	if err := table.Commit(t.Context(), writes); !errors.Is(err, storage.ErrConflict) {
 		t.Fatalf("got %v, want a conflict", err)
 	}
 	rows, err := table.List(t.Context(), "")
@@ -58,9 +58,9 @@
 	table := NewTable()
 	table.FailCommits(FaultSlow)
 	ctx, cancel := context.WithCancel(t.Context())
-	table.BeforeCommit(func([]platform.Write) { cancel() })
-	err := table.Commit(ctx, []platform.Write{{Key: "k"}})
-	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+	table.BeforeCommit(func([]storage.Write) { cancel() })
+	err := table.Commit(ctx, []storage.Write{{Key: "k"}})
+	if !errors.Is(err, storage.ErrOutcomeUnknown) {
 		t.Fatalf("got %v, want an unknown outcome", err)
 	}
 }
--- a/internal/platform/platformtest/vmlist.go
+++ b/internal/storage/storagetest/vmlist.go
@@ -1,29 +1,29 @@
-package platformtest
+package storagetest
 
 import (
 	"context"
 	"slices"
 	"sync"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
-// VMList is a platform.VMList that answers what it was last told.
+// VMList is a storage.VMList that answers what it was last told.
 type VMList struct {
 	mu   sync.Mutex
-	vms  []platform.VM
+	vms  []storage.VM
 	down bool
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ storage.VMList = (*VMList)(nil)
 
 // NewVMList returns a list of the given VMs.
-func NewVMList(vms ...platform.VM) *VMList {
+func NewVMList(vms ...storage.VM) *VMList {
 	return &VMList{vms: vms}
 }
 
 // Set replaces the list; until then the list lags.
-func (l *VMList) Set(vms ...platform.VM) {
+func (l *VMList) Set(vms ...storage.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.vms = vms
@@ -36,12 +36,12 @@
 	l.down = down
 }
 
-// VMs implements platform.VMList.
-func (l *VMList) VMs(ctx context.Context) ([]platform.VM, error) {
+// VMs implements storage.VMList.
+func (l *VMList) VMs(ctx context.Context) ([]storage.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down || ctx.Err() != nil {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	return slices.Clone(l.vms), nil
 }
--- a/internal/platform/transaction.go
+++ b/internal/storage/transaction.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 // Transaction is the body of a commit: all of its writes or none.
 type Transaction struct {
--- a/internal/targets/store/record.go
+++ b/internal/targets/store/record.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/targets"
 )
 
@@ -41,7 +41,7 @@
 	rowVersion uint64
 }
 
-func parseSet(row platform.Row) (storedSet, error) {
+func parseSet(row storage.Row) (storedSet, error) {
 	var record setRecord
 	if err := json.Unmarshal(row.Value, &record); err != nil {
 		return storedSet{}, errors.Join(ErrCorrupt, err)
@@ -59,7 +59,7 @@
 
 // writes returns the transaction that replaces the stored Set by next. The
 // set's row guards both, since the head is never written without it.
-func (s storedSet) writes(next *targets.Set, change string) ([]platform.Write, error) {
+func (s storedSet) writes(next *targets.Set, change string) ([]storage.Write, error) {
 	changes := append(slices.Clone(s.changes), change)
 	if len(changes) > keptChanges {
 		changes = changes[len(changes)-keptChanges:]
@@ -72,8 +72,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the targets' version")
 	}
-	return []platform.Write{
-		{Key: headKey, Value: head, Expect: platform.AnyVersion},
+	return []storage.Write{
+		{Key: headKey, Value: head, Expect: storage.AnyVersion},
 		{Key: setKey, Value: set, Expect: s.rowVersion},
 	}, nil
 }
--- a/internal/targets/store/size_test.go
+++ b/internal/targets/store/size_test.go
@@ -5,13 +5,13 @@
 	"testing"
 	"time"
 
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 	"github.com/applepier/applepier/internal/targets"
 )
 
 // At the target size the set's row has to stay small enough for one read.
 func TestRowAtTheTargetSize(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	_, err := New(table).Change(t.Context(), 0, func(set *targets.Set) error {
 		for i := range 400 {
 			set.Customers = append(set.Customers, targets.Customer{Name: fmt.Sprintf("customer-%03d", i), KeyHash: fmt.Sprintf("%064x", i)})
--- a/internal/targets/store/store.go
+++ b/internal/targets/store/store.go
@@ -28,18 +28,18 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/confirm"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/confirm"
 	"github.com/applepier/applepier/internal/targets"
 )
 
 // Store reads and changes the targets in the table service.
 type Store struct {
-	table platform.Table
+	table storage.Table
 }
 
 // New returns a Store on the table service.
-func New(table platform.Table) *Store {
+func New(table storage.Table) *Store {
 	return &Store{table: table}
 }
 
@@ -57,7 +57,7 @@
 // It returns ErrUnavailable or ErrCorrupt.
 func (s *Store) Version(ctx context.Context) (uint64, error) {
 	row, err := s.table.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
@@ -144,7 +144,7 @@
 
 func (s *Store) read(ctx context.Context) (storedSet, error) {
 	row, err := s.table.Get(ctx, setKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return storedSet{set: &targets.Set{}}, nil
 	}
 	if err != nil {
--- a/internal/targets/store/store_test.go
+++ b/internal/targets/store/store_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
-	"github.com/applepier/applepier/internal/platform/platformtest"
+	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/storage/storagetest"
 	"github.com/applepier/applepier/internal/targets"
 )
 
@@ -31,7 +31,7 @@
 }
 
 func TestChangeIsReadBackWhole(t *testing.T) {
-	s := New(platformtest.NewTable())
+	s := New(storagetest.NewTable())
 	mustChange(t, s, 0, "planner-question")
 	mustChange(t, s, 1, "hazard-flag")
 	set, err := s.Load(t.Context())
@@ -50,20 +50,20 @@
 func TestChangeUnderFaultsOfTheTable(t *testing.T) {
 	tests := []struct {
 		name   string
-		faults []platformtest.Fault
+		faults []storagetest.Fault
 		want   error
 		next   uint64
 	}{
-		{"answer lost after the write", []platformtest.Fault{platformtest.FaultLost}, nil, 1},
-		{"call lost before the write", []platformtest.Fault{platformtest.FaultDropped}, nil, 1},
-		{"call delayed past the answer", []platformtest.Fault{platformtest.FaultLate}, nil, 1},
-		{"no answer in time", []platformtest.Fault{platformtest.FaultSlow}, nil, 1},
-		{"service down", []platformtest.Fault{platformtest.FaultDown}, ErrUnavailable, 0},
+		{"answer lost after the write", []storagetest.Fault{storagetest.FaultLost}, nil, 1},
+		{"call lost before the write", []storagetest.Fault{storagetest.FaultDropped}, nil, 1},
+		{"call delayed past the answer", []storagetest.Fault{storagetest.FaultLate}, nil, 1},
+		{"no answer in time", []storagetest.Fault{storagetest.FaultSlow}, nil, 1},
+		{"service down", []storagetest.Fault{storagetest.FaultDown}, ErrUnavailable, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := platformtest.NewTable()
+				table := storagetest.NewTable()
 				s := New(table)
 				table.FailCommits(tt.faults...)
 				_, err := s.Change(t.Context(), 0, add("hazard-flag"))
@@ -81,10 +81,10 @@
 }
 
 func TestSecondOfTwoOperatorsSeesTheNewerSet(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	s := New(table)
 	var once atomic.Bool
-	table.BeforeCommit(func([]platform.Write) {
+	table.BeforeCommit(func([]storage.Write) {
 		if once.CompareAndSwap(false, true) {
 			mustChange(t, New(table), 0, "gate-check")
 		}
@@ -106,12 +106,12 @@
 // change the targets: the first operator must still be told that it was taken.
 func TestLostAnswerIsFoundUnderLaterChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		s := New(readBackAfter{table, func() {
 			mustChange(t, New(table), 1, "gate-check")
 			mustChange(t, New(table), 2, "tank-alert")
 		}})
-		table.FailCommits(platformtest.FaultLost)
+		table.FailCommits(storagetest.FaultLost)
 		set, err := s.Change(t.Context(), 0, add("hazard-flag"))
 		if err != nil || set.Version != 1 {
 			t.Fatalf("got %+v, %v, want version 1 accepted", set, err)
@@ -121,11 +121,11 @@
 
 // readBackAfter runs others once between a commit and what follows it.
 type readBackAfter struct {
-	*platformtest.Table
+	*storagetest.Table
 	others func()
 }
 
-func (r readBackAfter) Commit(ctx context.Context, writes []platform.Write) error {
+func (r readBackAfter) Commit(ctx context.Context, writes []storage.Write) error {
 	err := r.Table.Commit(ctx, writes)
 	r.others()
 	return err
@@ -133,9 +133,9 @@
 
 func TestUnsettledChangeSaysSo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		s := New(readBackAfter{table, func() { table.SetDown(true) }})
-		table.FailCommits(platformtest.FaultLost)
+		table.FailCommits(storagetest.FaultLost)
 		_, err := s.Change(t.Context(), 0, add("hazard-flag"))
 		var unsettled *UnsettledError
 		if !errors.As(err, &unsettled) || unsettled.Version != 1 {
@@ -145,7 +145,7 @@
 }
 
 func TestRefusedChangeWritesNothing(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	s := New(table)
 	_, err := s.Change(t.Context(), 0, func(set *targets.Set) error {
 		set.PutClass(targets.Class{Name: "hazard-flag", Tier: 9})
@@ -162,7 +162,7 @@
 
 func TestPollerFollowsAndSurvivesAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := storagetest.NewTable()
 		s := New(table)
 		mustChange(t, s, 0, "hazard-flag")
 		holder := targets.NewHolder()
@@ -191,7 +191,7 @@
 }
 
 func TestIdlePollIsOneSmallRead(t *testing.T) {
-	table := platformtest.NewTable()
+	table := storagetest.NewTable()
 	s := New(table)
 	mustChange(t, s, 0, "hazard-flag")
 	holder := targets.NewHolder()
--- a/testbed/fleet/backend.go
+++ b/testbed/fleet/backend.go
@@ -4,14 +4,14 @@
 	"context"
 	"fmt"
 
-	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Backend is a backend server VM: the server and the agent beside it.
 type Backend struct {
 	// VM is its row in the platform's list.
-	VM platform.VM
+	VM storage.VM
 	// Server is the engine or plain service, Agent the process beside it.
 	Server *Server
 	Agent  *Process
@@ -40,7 +40,7 @@
 	}
 	agent := f.newProcess(name, agentAddr, f.options.Binaries.Agent, "serve", "--settings", path)
 	agent.ready = httpReady(agentAddr)
-	vm := platform.VM{Name: name, Addr: seenAddr, Zone: f.zone(number), Role: platform.RoleBackend, Serves: spec.Serves}
+	vm := storage.VM{Name: name, Addr: seenAddr, Zone: f.zone(number), Role: storage.RoleBackend, Serves: spec.Serves}
 	return &Backend{VM: vm, Server: server, Agent: agent, fleet: f}, nil
 }
 
--- a/testbed/fleet/entry.go
+++ b/testbed/fleet/entry.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/applepier/applepier/internal/peer"
-	"github.com/applepier/applepier/internal/platform"
 	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/targets"
 )
 
@@ -18,7 +18,7 @@
 type Entry struct {
 	*Process
 	// VM is its row in the platform's list.
-	VM platform.VM
+	VM storage.VM
 	// URL is the base address for callers, AdminURL that for operators.
 	URL      string
 	AdminURL string
@@ -42,7 +42,7 @@
 	}
 	process := f.newProcess(name, addr, f.options.Binaries.Entry, "serve", "--settings", path)
 	process.ready = httpReady(adminAddr)
-	vm := platform.VM{Name: name, Addr: adminAddr, Zone: f.zone(len(f.Entries)), Role: platform.RoleEntry}
+	vm := storage.VM{Name: name, Addr: adminAddr, Zone: f.zone(len(f.Entries)), Role: storage.RoleEntry}
 	return &Entry{Process: process, VM: vm, URL: "http://" + addr, AdminURL: "http://" + adminAddr, fleet: f}, nil
 }
 
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -15,7 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc/pool"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // stopLimit is how long Close waits for a process to end by itself.
@@ -201,7 +201,7 @@
 }
 
 // register puts a VM on the platform's list.
-func (f *Fleet) register(ctx context.Context, vm platform.VM) error {
+func (f *Fleet) register(ctx context.Context, vm storage.VM) error {
 	if err := f.Platform.PutVM(ctx, vm); err != nil {
 		return errors.Wrapf(err, "register VM %s", vm.Name)
 	}
--- a/testbed/fleet/platform.go
+++ b/testbed/fleet/platform.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/auth"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/targets/store"
 	standin "github.com/applepier/applepier/testbed/platform"
@@ -22,7 +22,7 @@
 }
 
 // PutVM puts a VM on the list, or replaces it there.
-func (p *Platform) PutVM(ctx context.Context, vm platform.VM) error {
+func (p *Platform) PutVM(ctx context.Context, vm storage.VM) error {
 	_, err := call{method: http.MethodPut, url: p.vmURL(vm.Name), body: vm}.do(ctx)
 	return err
 }
@@ -53,13 +53,13 @@
 
 // Targets reads the newest targets that the table holds.
 func (p *Platform) Targets(ctx context.Context) (*targets.Set, error) {
-	return store.New(platform.NewHTTP(p.URL)).Load(ctx)
+	return store.New(storage.NewHTTP(p.URL)).Load(ctx)
 }
 
 // writeTargets writes the first targets, before any entry runs: an entry is
 // not ready without.
 func (p *Platform) writeTargets(ctx context.Context, classes []targets.Class, customers []string) error {
-	_, err := store.New(platform.NewHTTP(p.URL)).Change(ctx, 0, func(set *targets.Set) error {
+	_, err := store.New(storage.NewHTTP(p.URL)).Change(ctx, 0, func(set *targets.Set) error {
 		set.Classes = append(set.Classes, classes...)
 		for _, name := range customers {
 			set.Customers = append(set.Customers, targets.Customer{Name: name, KeyHash: auth.HashKey(CustomerKey(name))})
--- a/testbed/matrix/lease.go
+++ b/testbed/matrix/lease.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/lease/orders"
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/testbed/fleet"
 	"github.com/applepier/applepier/testbed/history"
 )
@@ -215,4 +215,4 @@
 	return row, stored.Version, err
 }
 
-func newTable(f *fleet.Fleet) platform.Table { return platform.NewHTTP(f.Platform.URL) }
+func newTable(f *fleet.Fleet) storage.Table { return storage.NewHTTP(f.Platform.URL) }
--- a/testbed/matrix/rig.go
+++ b/testbed/matrix/rig.go
@@ -9,7 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/testbed/faultproxy"
 	"github.com/applepier/applepier/testbed/fleet"
 	"github.com/applepier/applepier/testbed/history"
@@ -27,7 +27,7 @@
 type rig struct {
 	fleet    *fleet.Fleet
 	proxies  []*faultproxy.Proxy // by agent, in the order of fleet.Backends
-	table    platform.Table
+	table    storage.Table
 	recorder history.Recorder
 	random   *rand.Rand
 	calls    conc.WaitGroup // calls that nobody else waits for
--- a/testbed/platform/bench_test.go
+++ b/testbed/platform/bench_test.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	standin "github.com/applepier/applepier/testbed/platform"
 )
 
@@ -58,7 +58,7 @@
 		name := fmt.Sprintf("/vms/backend-%04d", i)
 		f.admin(http.MethodPut, name, fmt.Sprintf(`{"addr":"10.0.%d.%d:8090","zone":"zone-%02d","role":"backend","serves":"model-%02d"}`, i/256, i%256, i%12, i%12))
 	}
-	client := platform.NewHTTP(web.URL)
+	client := storage.NewHTTP(web.URL)
 	read := func() {
 		if vms, err := client.VMs(context.Background()); err != nil || len(vms) != targetVMs {
 			b.Fatalf("%d VMs, error %v", len(vms), err)
--- a/testbed/platform/server.go
+++ b/testbed/platform/server.go
@@ -12,7 +12,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	"github.com/applepier/applepier/testbed/knobs"
 )
 
@@ -43,8 +43,8 @@
 // New returns an empty platform without faults.
 func New() *Server {
 	s := &Server{objects: map[string][]byte{}}
-	s.table.rows = map[string]platform.Row{}
-	s.vms.now = map[string]platform.VM{}
+	s.table.rows = map[string]storage.Row{}
+	s.vms.now = map[string]storage.VM{}
 	s.knobs.Update(func(k *Knobs) {
 		k.WritesPerSecond = defaultWrites
 		k.ReadsPerSecond = defaultReads
@@ -99,7 +99,7 @@
 }
 
 func (s *Server) commit(body []byte, _ *http.Request) int {
-	var tx platform.Transaction
+	var tx storage.Transaction
 	if err := json.Unmarshal(body, &tx); err != nil {
 		return http.StatusBadRequest
 	}
@@ -148,7 +148,7 @@
 }
 
 func (s *Server) putVM(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	var vm platform.VM
+	var vm storage.VM
 	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/testbed/platform/server_test.go
+++ b/testbed/platform/server_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 	standin "github.com/applepier/applepier/testbed/platform"
 )
 
@@ -20,7 +20,7 @@
 	t      testing.TB
 	server *standin.Server
 	web    *httptest.Server
-	client *platform.HTTP
+	client *storage.HTTP
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -28,7 +28,7 @@
 	server := standin.New()
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
-	return &fixture{t: t, server: server, web: web, client: platform.NewHTTP(web.URL)}
+	return &fixture{t: t, server: server, web: web, client: storage.NewHTTP(web.URL)}
 }
 
 // admin makes a call that only tests make.
@@ -56,41 +56,41 @@
 	}
 }
 
-func put(key, value string, expect uint64) platform.Write {
-	return platform.Write{Key: key, Value: []byte(value), Expect: expect}
+func put(key, value string, expect uint64) storage.Write {
+	return storage.Write{Key: key, Value: []byte(value), Expect: expect}
 }
 
 func TestCommitIsAllOrNothing(t *testing.T) {
 	f := newFixture(t)
 	ctx := context.Background()
-	f.want(f.client.Commit(ctx, []platform.Write{put("a/1", "x", 0), put("a/2", "y", 0), put("b", "z", 0)}), nil)
-	f.want(f.client.Commit(ctx, []platform.Write{put("a/1", "new", 1), put("a/2", "new", 7)}), platform.ErrConflict)
+	f.want(f.client.Commit(ctx, []storage.Write{put("a/1", "x", 0), put("a/2", "y", 0), put("b", "z", 0)}), nil)
+	f.want(f.client.Commit(ctx, []storage.Write{put("a/1", "new", 1), put("a/2", "new", 7)}), storage.ErrConflict)
 	rows, err := f.client.List(ctx, "a/")
 	f.want(err, nil)
 	if len(rows) != 2 || string(rows[0].Value) != "x" || rows[1].Key != "a/2" || rows[1].Version != 1 {
 		t.Fatalf("rows: %+v", rows)
 	}
-	f.want(f.client.Commit(ctx, []platform.Write{put("a/1", "new", 1), {Key: "a/2", Expect: platform.AnyVersion, Delete: true}}), nil)
+	f.want(f.client.Commit(ctx, []storage.Write{put("a/1", "new", 1), {Key: "a/2", Expect: storage.AnyVersion, Delete: true}}), nil)
 	row, err := f.client.Get(ctx, "a/1")
 	f.want(err, nil)
 	if string(row.Value) != "new" || row.Version != 2 {
 		t.Errorf("row: %+v", row)
 	}
 	_, err = f.client.Get(ctx, "a/2")
-	f.want(err, platform.ErrNotFound)
+	f.want(err, storage.ErrNotFound)
 }
 
 func TestLostAnswerLeavesTheWrite(t *testing.T) {
 	f := newFixture(t)
 	ctx := context.Background()
 	f.admin(http.MethodPut, "/knobs", `{"lose_answers":1}`)
-	f.want(f.client.Commit(ctx, []platform.Write{put("a", "x", 0)}), platform.ErrOutcomeUnknown)
+	f.want(f.client.Commit(ctx, []storage.Write{put("a", "x", 0)}), storage.ErrOutcomeUnknown)
 	row, err := f.client.Get(ctx, "a")
 	f.want(err, nil)
 	if row.Version != 1 {
 		t.Errorf("version: got %d, want 1: the write was sent more than once", row.Version)
 	}
-	f.want(f.client.Commit(ctx, []platform.Write{put("a", "y", 1)}), nil)
+	f.want(f.client.Commit(ctx, []storage.Write{put("a", "y", 1)}), nil)
 	stats := f.server.Stats()
 	if stats.Writes != 2 || stats.Rows != 2 || stats.Lost != 1 || stats.Reads != 1 {
 		t.Errorf("stats: %+v", stats)
@@ -107,15 +107,15 @@
 		t.Errorf("object: %q", value)
 	}
 	_, err = f.client.GetObject(ctx, "w/2")
-	f.want(err, platform.ErrNotFound)
+	f.want(err, storage.ErrNotFound)
 	f.admin(http.MethodPut, "/knobs", `{"down":true}`)
 	_, err = f.client.GetObject(ctx, "w/ 1?")
-	f.want(err, platform.ErrUnavailable)
-	f.want(f.client.Commit(ctx, []platform.Write{put("a", "x", 0)}), platform.ErrUnavailable)
+	f.want(err, storage.ErrUnavailable)
+	f.want(f.client.Commit(ctx, []storage.Write{put("a", "x", 0)}), storage.ErrUnavailable)
 	_, err = f.client.VMs(ctx)
-	f.want(err, platform.ErrUnavailable)
+	f.want(err, storage.ErrUnavailable)
 	f.web.Close()
-	f.want(f.client.Commit(ctx, []platform.Write{put("a", "x", 0)}), platform.ErrUnavailable)
+	f.want(f.client.Commit(ctx, []storage.Write{put("a", "x", 0)}), storage.ErrUnavailable)
 }
 
 func TestSlowWriteLandsAfterItsClientGaveUp(t *testing.T) {
@@ -123,11 +123,11 @@
 	f.admin(http.MethodPut, "/knobs", `{"slow_ms":200}`)
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	err := f.client.Commit(ctx, []platform.Write{put("a", "x", 0)})
-	if !errors.Is(err, platform.ErrOutcomeUnknown) && !errors.Is(err, platform.ErrUnavailable) {
+	err := f.client.Commit(ctx, []storage.Write{put("a", "x", 0)})
+	if !errors.Is(err, storage.ErrOutcomeUnknown) && !errors.Is(err, storage.ErrUnavailable) {
 		t.Fatalf("got %v, want ErrOutcomeUnknown, or ErrUnavailable when no connection was made in time", err)
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		return
 	}
 	f.admin(http.MethodPut, "/knobs", `{"slow_ms":0}`)
@@ -174,7 +174,7 @@
 func TestCallsAboveTheLimitAreRefused(t *testing.T) {
 	f := newFixture(t)
 	f.admin(http.MethodPut, "/knobs", `{"writes_per_second":0}`)
-	f.want(f.client.Commit(context.Background(), []platform.Write{put("a", "x", 0)}), platform.ErrUnavailable)
+	f.want(f.client.Commit(context.Background(), []storage.Write{put("a", "x", 0)}), storage.ErrUnavailable)
 	if stats := f.server.Stats(); stats.Throttled != 1 || stats.Writes != 0 {
 		t.Errorf("stats: %+v", stats)
 	}
--- a/testbed/platform/table.go
+++ b/testbed/platform/table.go
@@ -5,26 +5,26 @@
 	"strings"
 	"sync"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // table keeps rows in memory.
 type table struct {
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]storage.Row
 }
 
-func (t *table) get(key string) (platform.Row, bool) {
+func (t *table) get(key string) (storage.Row, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
 	return row, ok
 }
 
-func (t *table) list(prefix string) []platform.Row {
+func (t *table) list(prefix string) []storage.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rows := []platform.Row{}
+	rows := []storage.Row{}
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
@@ -35,11 +35,11 @@
 }
 
 // commit applies all writes or none and reports which it was.
-func (t *table) commit(writes []platform.Write) bool {
+func (t *table) commit(writes []storage.Write) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, w := range writes {
-		if w.Expect != platform.AnyVersion && w.Expect != t.rows[w.Key].Version {
+		if w.Expect != storage.AnyVersion && w.Expect != t.rows[w.Key].Version {
 			return false
 		}
 	}
@@ -49,11 +49,11 @@
 	return true
 }
 
-func (t *table) apply(w platform.Write) {
+func (t *table) apply(w storage.Write) {
 	if w.Delete {
 		delete(t.rows, w.Key)
 		return
 	}
 	next := t.rows[w.Key].Version + 1
-	t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: next}
+	t.rows[w.Key] = storage.Row{Key: w.Key, Value: w.Value, Version: next}
 }
--- a/testbed/platform/vmlist.go
+++ b/testbed/platform/vmlist.go
@@ -8,14 +8,14 @@
 	"sync"
 	"time"
 
-	"github.com/applepier/applepier/internal/platform"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // vmList keeps who is there, with its history, since readers see it late.
 type vmList struct {
 	mu sync.Mutex
 	// now holds the list as it is; history what was there from when on.
-	now     map[string]platform.VM
+	now     map[string]storage.VM
 	history []vmChange
 }
 
@@ -24,7 +24,7 @@
 	at time.Time
 	// number is that of the change in the history; the first is 1.
 	number int
-	vms    []platform.VM
+	vms    []storage.VM
 }
 
 // etag names the list's state. It starts with the moment of the change, so
@@ -34,7 +34,7 @@
 }
 
 // put adds or replaces a VM.
-func (l *vmList) put(vm platform.VM, at time.Time) {
+func (l *vmList) put(vm storage.VM, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.now[vm.Name] = vm
@@ -72,11 +72,11 @@
 			return change
 		}
 	}
-	return vmChange{vms: []platform.VM{}}
+	return vmChange{vms: []storage.VM{}}
 }
 
 func (l *vmList) note(at time.Time) {
-	vms := slices.SortedFunc(maps.Values(l.now), func(a, b platform.VM) int {
+	vms := slices.SortedFunc(maps.Values(l.now), func(a, b storage.VM) int {
 		return strings.Compare(a.Name, b.Name)
 	})
 	l.history = append(l.history, vmChange{at: at, number: len(l.history) + 1, vms: vms})
