gateway: metrics, one line for each request that wasn't served, logs that never block

A line names the inputs that decided (version and age of its proof, server, expected first token, urgency). Lines are queued, never waited for; floods of one event are thinned; what is left out is counted.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -1,21 +1,73 @@
 package gateway
 
 import (
+	"net/http"
+
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/metrics"
 )
 
-// ends logs how requests ended; those that were served have no line.
-type ends struct{ log *zap.Logger }
+// ends counts how requests ended, and logs those that weren't served.
+type ends struct {
+	metrics *metrics.Metrics
+	log     *zap.Logger
+}
 
 // Ended implements router.Observer.
 func (e ends) Ended(end router.End) {
-	if end.Reason == router.ReasonServed {
-		return
+	class := e.metrics.Request(end.Route)
+	class.Received()
+	for range end.Sends - 1 {
+		class.Retried()
+	}
+	if end.First > 0 {
+		class.FirstToken(end.First)
+	}
+	e.count(class, end)
+	if end.Reason != router.ReasonServed {
+		e.log.Info(eventOf(end), logging.Request(end.ID), logging.Class(end.Route), logging.Reason(string(end.Reason)),
+			zap.Int("status", end.Status), zap.String("service", end.Service), zap.String("customer", end.Customer),
+			zap.Int("urgency", end.Urgency), zap.Int("sends", end.Sends), zap.String("last_server", end.Server),
+			zap.Uint64("version", end.Version), zap.Duration("proof_age", end.ProofAge),
+			zap.Duration("expected", end.Expected), zap.Duration("took", end.Took))
+	}
+}
+
+func (e ends) count(class *metrics.Class, end router.End) {
+	switch eventOf(end) {
+	case logging.EventRequestRefused:
+		class.Refused(metrics.Reason(end.Reason))
+	case logging.EventRequestUnknown:
+		class.Unknown()
+	case logging.EventRequestCancelled:
+		class.Cancelled()
+	default:
+		if end.Reason != router.ReasonServed {
+			class.Failed()
+			return
+		}
+		timing := metrics.OnTime
+		if end.Target > 0 && end.First > end.Target {
+			timing = metrics.Late
+		}
+		class.Finished(timing, 0)
+	}
+}
+
+// eventOf names the event of a request's end: whether it ran decides.
+func eventOf(end router.End) string {
+	switch {
+	case end.Reason == router.ReasonCallerLeft:
+		return logging.EventRequestCancelled
+	case end.Status == http.StatusServiceUnavailable, end.Reason == router.ReasonNoRoute, end.Reason == router.ReasonNoKey,
+		end.Reason == router.ReasonNoID, end.Reason == router.ReasonTooLarge:
+		return logging.EventRequestRefused
+	case end.Reason == router.ReasonUnknown, end.Reason == router.ReasonTimeUp:
+		return logging.EventRequestUnknown
+	default:
+		return logging.EventRequestFinished
 	}
-	e.log.Info(logging.EventRequestFinished, logging.Request(end.ID), logging.Class(end.Route),
-		zap.String("service", end.Service), zap.Int("status", end.Status), logging.Reason(string(end.Reason)),
-		zap.String("customer", end.Customer), zap.Int("urgency", end.Urgency), zap.Int("sends", end.Sends), zap.Duration("took", end.Took))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/exchange"
 	"github.com/applepier/applepier/internal/gateway/follow"
@@ -24,6 +25,7 @@
 	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/internal/gateway/routes"
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/policy"
 )
@@ -119,11 +121,20 @@
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
 		Others: g.mesh, Gateways: g.mesh.Listed,
 		Chooser: policy.NewChooser(random, ejector), Ejector: ejector,
-		Observer: ends{log}, Log: log,
+		Observer: ends{p.Metrics, log}, Log: log,
 	}, boundsOf(s), g.leaving.Load)
+	p.Metrics.ReadGateway(g.surroundings)
 	return g, nil
 }
 
+// surroundings is what the metrics tell of them.
+func (g *gateway) surroundings() metrics.Gateway {
+	return metrics.Gateway{
+		Version: g.holder.Version(), ProofAge: boottime.Now() - g.holder.ProvenAt(),
+		Gateways: g.mesh.Gateways(), Servers: g.registry.Usable(), LinesDropped: logging.Dropped(),
+	}
+}
+
 // loads is what this gateway has at the backend servers.
 func (g *gateway) loads() []peers.Load {
 	var loads []peers.Load
@@ -226,6 +237,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	routes.HandlerFunc(http.MethodGet, metrics.PathMetrics, g.platform.Metrics.Serve)
 	return routes
 }
 
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -8,6 +8,7 @@
 	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/internal/metrics"
 )
 
 // Platform is what a gateway needs of the platform that it runs on.
@@ -21,4 +22,6 @@
 	Register func(ctx context.Context, self peers.Entry) error
 	// Dialect is the HTTP that callers and backend servers speak.
 	Dialect protocol.Dialect
+	// Metrics counts, also the calls to the platform.
+	Metrics *metrics.Metrics
 }
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -45,8 +45,14 @@
 	// urgency is from 0, the most urgent, to below protocol.Levels.
 	urgency int
 	limit   int64
-	body    []byte
-	service string
+	// version is the desired state's that the request is served by.
+	version uint64
+	// server is the last one that was chosen, and expected when the first
+	// token was expected there.
+	server   string
+	expected time.Duration
+	body     []byte
+	service  string
 
 	// tried names the servers that got it or couldn't be reached; sends counts
 	// the former, dials the latter.
@@ -132,6 +138,7 @@
 	if !choice.Found {
 		return nil, choice
 	}
+	c.server, c.expected = servers[choice.At].Info().ID, choice.Expected
 	return servers[choice.At], choice
 }
 
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -66,9 +66,19 @@
 	Reason Reason
 	// Sends counts the backend servers that it was sent to.
 	Sends int
-	// First is how long the first byte of the answer took.
-	First time.Duration
-	Took  time.Duration
+	// Server is the last backend server that was chosen; empty for none.
+	Server string
+	// Expected is when the first token was expected there when it was chosen.
+	Expected time.Duration
+	// Version is the desired state's that decided, and ProofAge how old the
+	// proof was that it is the newest.
+	Version  uint64
+	ProofAge time.Duration
+	// Target is the route's latency target, First how long the first byte of
+	// the answer took, and Took how long all of it did.
+	Target time.Duration
+	First  time.Duration
+	Took   time.Duration
 }
 
 // Reason is why a request ended as it did.
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/applepier/applepier/internal/boottime"
 )
 
 // giveUp gives the final answer when no other send is allowed: a server's own
@@ -60,11 +62,13 @@
 // note tells the observer how the request ended.
 func (c *call) note(status int, reason Reason) {
 	end := End{
-		ID: c.ask.ID, Service: c.service, Status: status, Reason: reason,
-		Customer: c.customer, Urgency: c.urgency, Sends: c.sends, First: c.first, Took: time.Since(c.arrived),
+		ID: c.ask.ID, Service: c.service, Customer: c.customer, Urgency: c.urgency,
+		Status: status, Reason: reason, Sends: c.sends, Server: c.server, Expected: c.expected,
+		Version: c.version, ProofAge: boottime.Now() - c.router.Holder.ProvenAt(),
+		First: c.first, Took: time.Since(c.arrived),
 	}
 	if c.route != nil {
-		end.Route = c.route.Name
+		end.Route, end.Target = c.route.Name, c.route.Target
 	}
 	c.router.Observer.Ended(end)
 }
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -66,6 +66,7 @@
 		c.refuse(ReasonNoState, stateHint)
 		return false
 	}
+	c.version = set.Version
 	fresh := r.fresh()
 	c.route = set.Match(c.req.Host, c.req.URL.Path)
 	switch {
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -12,6 +12,8 @@
 	EventStopped = "stopped"
 	// EventFailed: the process can't go on.
 	EventFailed = "failed"
+	// EventLinesDropped: lines were left out, since the log's reader is slow.
+	EventLinesDropped = "lines_dropped"
 	// EventSettingsChanged: a changed settings file was taken up.
 	EventSettingsChanged = "settings_changed"
 	// EventSettingsRefused: a changed settings file can't be used; what was in
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,6 +7,7 @@
 import (
 	"io"
 	"os"
+	"time"
 
 	"github.com/go-faster/errors"
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -17,6 +18,15 @@
 // ErrLevel: the level is not debug, info, warn or error.
 var ErrLevel = errors.New("log level must be debug, info, warn or error")
 
+const (
+	// sampledFirst and sampledThen thin a flood of lines of one event: so many
+	// in a second are written, and of those beyond one in so many. A line
+	// costs some microseconds, and a burst refuses thousands of requests a
+	// second on a VM with a tenth of a core.
+	sampledFirst = 50
+	sampledThen  = 20
+)
+
 // New returns a logger for the named process. The empty level means info. The
 // message of each line is its event's name:
 //
@@ -25,13 +35,24 @@
 	return newLogger(os.Stderr, level, process)
 }
 
+// newCore writes to out without ever blocking, and thins floods. What is left
+// out is counted.
+func newCore(out io.Writer, enabled zapcore.LevelEnabler) zapcore.Core {
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding()), newLossyWriter(out), enabled)
+	return zapcore.NewSamplerWithOptions(core, time.Second, sampledFirst, sampledThen,
+		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+			if decision&zapcore.LogDropped != 0 {
+				dropped.Add(1)
+			}
+		}))
+}
+
 func newLogger(out io.Writer, level string, process string) (*zap.Logger, error) {
 	enabled, err := parseLevel(level)
 	if err != nil {
 		return nil, err
 	}
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding()), zapcore.Lock(zapcore.AddSync(out)), enabled)
-	return zap.New(core).With(zap.String(keyProcess, process)), nil
+	return zap.New(newCore(out, enabled)).With(zap.String(keyProcess, process)), nil
 }
 
 func parseLevel(level string) (zapcore.Level, error) {
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -18,6 +18,9 @@
 	log.Info(EventRequestRefused, Request("r-1"), Class("flag"), Reason("two\nlines event=\"forged\""))
 	log.Warn(EventDisconnected, Peer("engine-1"))
 
+	if err := log.Sync(); err != nil {
+		t.Fatal(err)
+	}
 	lines := strings.Split(strings.TrimSuffix(out.String(), "\n"), "\n")
 	if len(lines) != 2 {
 		t.Fatalf("got %d lines, want 2:\n%s", len(lines), out.String())
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -24,6 +24,10 @@
 	familyPlatformCalls    family = "applepier_platform_calls_total"
 	familyPlatformFailures family = "applepier_platform_failures_total"
 	familyTargetsVersion   family = "applepier_targets_version"
+	familyProofAge         family = "applepier_targets_proof_age_milliseconds"
+	familyGateways         family = "applepier_gateways"
+	familyServers          family = "applepier_backend_servers"
+	familyLinesDropped     family = "applepier_log_lines_dropped_total"
 	familyCPU              family = "applepier_process_cpu_seconds_total"
 	familyMemory           family = "applepier_process_memory_bytes"
 	familyGoroutines       family = "applepier_process_goroutines"
@@ -50,6 +54,10 @@
 	familyPlatformCalls:    "Calls to the platform's services.",
 	familyPlatformFailures: "Calls to the platform's services that failed.",
 	familyTargetsVersion:   "Version of the targets in force in this process.",
+	familyProofAge:         "Age of the proof that the targets in force are the newest.",
+	familyGateways:         "Gateways that this one hears of, itself included.",
+	familyServers:          "Backend servers that may get requests.",
+	familyLinesDropped:     "Log lines that were left out.",
 	familyCPU:              "CPU time of this process, user and system.",
 	familyMemory:           "Memory that this process has from the operating system.",
 	familyGoroutines:       "Goroutines of this process.",
--- /dev/null
+++ b/internal/metrics/gateway.go
@@ -0,0 +1,34 @@
+package metrics
+
+import "time"
+
+// Gateway is what a gateway knows of its surroundings when the metrics are
+// read.
+type Gateway struct {
+	// Version is the desired state's in force, and ProofAge how old the proof
+	// is that there is no newer one.
+	Version  uint64
+	ProofAge time.Duration
+	// Gateways counts the gateways that are heard of, itself included.
+	Gateways int
+	// Servers counts the backend servers that may get requests.
+	Servers int
+	// LinesDropped counts the log lines that were left out.
+	LinesDropped int64
+}
+
+// ReadGateway has read called before each read of the metrics.
+func (m *Metrics) ReadGateway(read func() Gateway) {
+	age := gauge(m.registry, familyProofAge)
+	gateways := gauge(m.registry, familyGateways)
+	servers := gauge(m.registry, familyServers)
+	dropped := counter(m.registry, familyLinesDropped)
+	m.OnRead(func() {
+		g := read()
+		m.TargetsVersion(g.Version)
+		age.Update(g.ProofAge.Milliseconds())
+		gateways.Update(int64(g.Gateways))
+		servers.Update(int64(g.Servers))
+		dropped.Inc(g.LinesDropped - dropped.Count())
+	})
+}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -58,6 +58,8 @@
 // serveUntilSignal logs the process's start and end and runs serve with a
 // context that the first signal cancels.
 func serveUntilSignal(ctx context.Context, log *zap.Logger, serve func(context.Context) error) error {
+	// The last lines are written before the process ends.
+	defer func() { _ = log.Sync() }()
 	ctx, release := untilSignal(ctx, log, endAtOnce)
 	defer release()
 	if err := serve(ctx); err != nil {
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -62,6 +62,8 @@
 	// it reads before the first token, this request's included.
 	Reading int
 	Ahead   float64
+	// Expected is when the first token is expected.
+	Expected time.Duration
 	// InTime says that the first token is expected within the target, and
 	// that the spot has a slot.
 	InTime bool
@@ -129,6 +131,7 @@
 	choice := Choice{Found: true, Reading: own + int(again)}
 	choice.Ahead = s.ahead(errand.Urgency) + float64(choice.Reading)
 	choice.InTime = s.hasSlot(errand) && errand.inTime(rate, choice.Ahead-float64(choice.Reading), again, dear)
+	choice.Expected = rate.firstToken(choice.Ahead)
 	cost := choice.Ahead + float64(s.Running*runningTokens)
 	if choice.InTime {
 		cost += (rereadWeight - 1) * again
