--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -22,6 +22,21 @@
 		t.Fatal(err)
 	}
 	sameAsStrictDecoding(t, "../../examples/agent.yaml", agent)
+
+	gateway, err := LoadGateway("../../examples/gateway.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sameAsStrictDecoding(t, "../../examples/gateway.yaml", gateway)
+}
+
+func TestGatewayProblems(t *testing.T) {
+	_, err := LoadGateway("testdata/bad-gateway.yaml")
+	var invalid *InvalidError
+	if !errors.As(err, &invalid) {
+		t.Fatalf("got %v, want an InvalidError", err)
+	}
+	goldie.New(t).Assert(t, "bad-gateway", []byte(invalid.Error()))
 }
 
 // sameAsStrictDecoding compares with the YAML library's own strict decoding.
