--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"os"
 	"path/filepath"
@@ -9,7 +10,10 @@
 	"strings"
 	"testing"
 
+	"go.uber.org/zap"
+
 	"github.com/applepier/applepier/internal/program"
+	"github.com/applepier/applepier/internal/settings"
 )
 
 // docFiles are the pages whose commands and links are checked.
@@ -59,6 +63,9 @@
 	t.Setenv(envAdmin, "http://"+listener.Addr().String())
 	_ = listener.Close()
 	t.Chdir("../..")
+	gateway := GatewayCommand(func(context.Context, settings.Gateway, func() (settings.Gateway, error), *zap.Logger) error {
+		return nil
+	}, "")
 	found := 0
 	for _, file := range []string{"README.md", "docs/OPERATING.md", "docs/API.md", "docs/SETTINGS.md"} {
 		for _, line := range commands(read(t, file)) {
@@ -67,7 +74,7 @@
 			}
 			found++
 			var out, errOut bytes.Buffer
-			code := Run(t.Context(), append([]string{"applepier"}, strings.Fields(line)...), &out, &errOut, nil)
+			code := Run(t.Context(), append([]string{"applepier"}, strings.Fields(line)...), &out, &errOut, nil, gateway)
 			if code == program.ExitUsage {
 				t.Errorf("%s: applepier %s: %s", file, line, errOut.String())
 			}
