gateway: bounds on what is held, on heads, idle connections and connections to servers

Memory of requests in progress (40% of the VM's, 32 KB and the body each) is bounded and more is refused as not run; heads over the operators' limit get 431; idle callers' connections follow the limit in force; plain services get at most 0.7 of the connections that they accept.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -63,7 +63,7 @@
 	case end.Reason == router.ReasonCallerLeft:
 		return logging.EventRequestCancelled
 	case end.Status == http.StatusServiceUnavailable, end.Reason == router.ReasonNoRoute, end.Reason == router.ReasonNoKey,
-		end.Reason == router.ReasonNoID, end.Reason == router.ReasonTooLarge:
+		end.Reason == router.ReasonNoID, end.Reason == router.ReasonTooLarge, end.Reason == router.ReasonHeaderTooLarge:
 		return logging.EventRequestRefused
 	case end.Reason == router.ReasonUnknown, end.Reason == router.ReasonTimeUp:
 		return logging.EventRequestUnknown
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,8 +51,8 @@
 	sweepEvery = 500 * time.Millisecond
 	// headerTimeout bounds the reading of a caller's headers.
 	headerTimeout = 10 * time.Second
-	// idleTimeout closes a caller's connection that asks nothing. Operators'
-	// limits are shorter, and callers keep to those.
+	// idleTimeout closes a connection that asks nothing, where operators set
+	// no limit.
 	idleTimeout = 2 * time.Minute
 	// maxHeader bounds a caller's headers in bytes; operators' limits are
 	// lower.
@@ -60,6 +60,8 @@
 	// memoryUse is the part of the memory that the collector is told to keep
 	// to; the rest is for what it doesn't see: sockets' buffers and stacks.
 	memoryUse = 0.6
+	// heldPart is the part of the memory that requests in progress may take.
+	heldPart = 0.4
 	// collectAt is by how many percent the heap grows between collections.
 	collectAt = 60
 )
@@ -119,7 +121,8 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.router = router.New(router.Config{
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
-		Others: g.mesh, Gateways: g.mesh.Listed,
+		HeldBytes: int64(heldPart * s.MemoryMB * (1 << 20)),
+		Others:    g.mesh, Gateways: g.mesh.Listed,
 		Chooser: policy.NewChooser(random, ejector), Ejector: ejector,
 		Observer: ends{p.Metrics, log}, Log: log,
 	}, boundsOf(s), g.leaving.Load)
@@ -127,6 +130,14 @@
 	return g, nil
 }
 
+// idleLimit is how long a caller's connection may ask nothing.
+func (g *gateway) idleLimit() time.Duration {
+	if s := g.holder.Current(); s != nil && s.Limits.IdleTime > 0 {
+		return s.Limits.IdleTime
+	}
+	return idleTimeout
+}
+
 // surroundings is what the metrics tell of them.
 func (g *gateway) surroundings() metrics.Gateway {
 	return metrics.Gateway{
@@ -156,7 +167,7 @@
 	wg.Go(func() { g.reloadOnSignal(work, reload) })
 
 	front := &http.Server{
-		Handler: g.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: g.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: newIdle(g.idleLimit).state,
 		MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
 	back := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -134,7 +134,7 @@
 		Tokens: c.ask.PromptTokens, Tried: c.tried,
 	}
 	errand.Prefix, errand.PrefixTokens = sharedPart(c.ask.Parts)
-	choice := c.router.pick(c.service, errand, c.router.spots(servers))
+	choice := c.router.pick(c.service, errand, c.router.spots(servers, c.conns()))
 	if !choice.Found {
 		return nil, choice
 	}
@@ -142,10 +142,19 @@
 	return servers[choice.At], choice
 }
 
+// conns is how many connections each of the service's servers accepts; 0 when
+// that isn't known.
+func (c *call) conns() int {
+	if set := c.router.Holder.Current(); set != nil && set.Services[c.service] != nil {
+		return set.Services[c.service].MaxConns
+	}
+	return 0
+}
+
 // letIn reports whether the request is let in at the chosen server. What was
 // sent before is: it has used up time and work that would be lost.
 func (c *call) letIn(choice policy.Choice) bool {
-	return choice.InTime || c.ask.PromptTokens == 0 || c.sends > 0
+	return choice.InTime || c.sends > 0 || c.ask.PromptTokens == 0 && choice.Room
 }
 
 // attempt sends the request to a server and passes on what comes.
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -33,6 +33,8 @@
 	Pool     *exchange.Pool
 	// Others tells what other gateways have at a server.
 	Others Others
+	// HeldBytes bounds the memory of requests in progress; 0 is no bound.
+	HeldBytes int64
 	// Gateways counts the gateways that share the retry budget.
 	Gateways func() int
 	Chooser  *policy.Chooser
@@ -86,22 +88,24 @@
 
 // Reasons.
 const (
-	ReasonServed       Reason = "served"
-	ReasonPassedOn     Reason = "backend_failure"
-	ReasonCallerLeft   Reason = "caller_left"
-	ReasonNoState      Reason = "no_desired_state"
-	ReasonNotFresh     Reason = "state_not_proved_fresh"
-	ReasonNoRoute      Reason = "no_route"
-	ReasonNoKey        Reason = "unknown_key"
-	ReasonNoID         Reason = "no_request_id"
-	ReasonTooLarge     Reason = "body_too_large"
-	ReasonBodyCut      Reason = "body_not_read"
-	ReasonNoServer     Reason = "no_server"
-	ReasonUnreachable  Reason = "servers_unreachable"
-	ReasonNotRun       Reason = "servers_refused"
-	ReasonUnknown      Reason = "outcome_unknown"
-	ReasonTimeUp       Reason = "time_up"
-	ReasonNotStarted   Reason = "time_up_not_sent"
-	ReasonStreamBroken Reason = "stream_broken"
-	ReasonCrowded      Reason = "no_room_in_time"
+	ReasonServed         Reason = "served"
+	ReasonPassedOn       Reason = "backend_failure"
+	ReasonCallerLeft     Reason = "caller_left"
+	ReasonNoState        Reason = "no_desired_state"
+	ReasonNotFresh       Reason = "state_not_proved_fresh"
+	ReasonNoRoute        Reason = "no_route"
+	ReasonNoKey          Reason = "unknown_key"
+	ReasonNoID           Reason = "no_request_id"
+	ReasonTooLarge       Reason = "body_too_large"
+	ReasonHeaderTooLarge Reason = "header_too_large"
+	ReasonMemory         Reason = "too_much_held"
+	ReasonBodyCut        Reason = "body_not_read"
+	ReasonNoServer       Reason = "no_server"
+	ReasonUnreachable    Reason = "servers_unreachable"
+	ReasonNotRun         Reason = "servers_refused"
+	ReasonUnknown        Reason = "outcome_unknown"
+	ReasonTimeUp         Reason = "time_up"
+	ReasonNotStarted     Reason = "time_up_not_sent"
+	ReasonStreamBroken   Reason = "stream_broken"
+	ReasonCrowded        Reason = "no_room_in_time"
 )
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -31,12 +31,14 @@
 	budgets map[string]*policy.WindowBudget
 	rates   map[string]*policy.ReadingRate
 	bounds  atomic.Pointer[Bounds]
+	held    held
 	leaving func() bool
 }
 
 // New returns a Router. Leaving reports whether the process is shutting down.
 func New(c Config, bounds Bounds, leaving func() bool) *Router {
 	r := &Router{Config: c, budgets: map[string]*policy.WindowBudget{}, rates: map[string]*policy.ReadingRate{}, leaving: leaving}
+	r.held.limit = c.HeldBytes
 	r.SetBounds(bounds)
 	return r
 }
@@ -50,7 +52,16 @@
 	if r.leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.admit() || !c.readBody() {
+	if !c.admit() {
+		return
+	}
+	taken, ok := r.held.take(req.ContentLength)
+	if !ok {
+		c.refuse(ReasonMemory, refusedHint)
+		return
+	}
+	defer r.held.give(taken)
+	if !c.readBody() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.end)
@@ -80,6 +91,10 @@
 		c.fail(http.StatusBadRequest, ReasonNoID)
 		return false
 	}
+	if limit := set.Limits.HeaderBytes; limit > 0 && headerBytes(c.req) > limit {
+		c.fail(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge)
+		return false
+	}
 	c.limit = set.Limits.BodyBytes
 	c.bound()
 	customer, known := set.Customer(c.ask.Key)
@@ -111,6 +126,18 @@
 	c.end = c.arrived.Add(patience)
 }
 
+// headerBytes is the size of a request's head.
+func headerBytes(req *http.Request) int {
+	const lineEnds = 4
+	n := len(req.Method) + len(req.RequestURI) + len(req.Proto) + len("Host") + len(req.Host) + 2*lineEnds
+	for name, values := range req.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + lineEnds
+		}
+	}
+	return n
+}
+
 // fresh reports whether the desired state is proved to be new enough for
 // requests whose keys may be taken away.
 func (r *Router) fresh() bool {
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -8,7 +8,7 @@
 )
 
 // spots are the servers as the policy sees them.
-func (r *Router) spots(servers []*backend.Server) []policy.Spot {
+func (r *Router) spots(servers []*backend.Server, conns int) []policy.Spot {
 	spots := make([]policy.Spot, len(servers))
 	for i, s := range servers {
 		info := s.Info()
@@ -16,7 +16,7 @@
 		own := s.Load.Counts()
 		counts.Add(&own, 1)
 		spots[i] = policy.Spot{
-			Name: info.ID, Zone: info.Zone, Slots: info.Slots,
+			Name: info.ID, Zone: info.Zone, Slots: info.Slots, Conns: conns,
 			Leaving: info.Leaving, Warming: info.WarmupLeft > 0,
 			Running: counts.Running, Pending: counts.Pending,
 		}
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -51,6 +51,9 @@
 	// tenth of a second before they tell.
 	fullSlots     = 0.95
 	slotsPerLevel = 0.02
+	// usedConns is the part of a server's connections that requests may take;
+	// idle ones and those of senders that haven't told yet take the rest.
+	usedConns = 0.7
 )
 
 // Choice is the outcome of choosing a server.
@@ -64,6 +67,8 @@
 	Ahead   float64
 	// Expected is when the first token is expected.
 	Expected time.Duration
+	// Room says that the spot takes one more request at all.
+	Room bool
 	// InTime says that the first token is expected within the target, and
 	// that the spot has a slot.
 	InTime bool
@@ -130,7 +135,8 @@
 	own := errand.Tokens - errand.PrefixTokens
 	choice := Choice{Found: true, Reading: own + int(again)}
 	choice.Ahead = s.ahead(errand.Urgency) + float64(choice.Reading)
-	choice.InTime = s.hasSlot(errand) && errand.inTime(rate, choice.Ahead-float64(choice.Reading), again, dear)
+	choice.Room = s.hasSlot(errand)
+	choice.InTime = choice.Room && errand.inTime(rate, choice.Ahead-float64(choice.Reading), again, dear)
 	choice.Expected = rate.firstToken(choice.Ahead)
 	cost := choice.Ahead + float64(s.Running*runningTokens)
 	if choice.InTime {
@@ -179,9 +185,14 @@
 	return within(longestWait, others+dear*again+ownWeight*own) || within(shortestWait, others+again)
 }
 
-// hasSlot reports whether a model's server has a slot for the errand. Plain
-// services queue shortly and say themselves when they are full.
+// hasSlot reports whether a spot takes one more request. A model's server has
+// slots; a plain service queues shortly and says itself when it is full, but
+// resets connections beyond those that it accepts, and then nobody can say what
+// became of their requests.
 func (s *Spot) hasSlot(errand Errand) bool {
+	if s.Conns > 0 && float64(s.inFlight()) >= usedConns*float64(s.Conns) {
+		return false
+	}
 	if errand.Tokens == 0 || s.Slots == 0 {
 		return true
 	}
--- a/policy/chooser_test.go
+++ b/policy/chooser_test.go
@@ -88,6 +88,23 @@
 	}
 }
 
+// A plain service that has as many requests as connections would reset the
+// next one.
+func TestPlainServicesAreLeftTheirConnections(t *testing.T) {
+	c, spots := newTestChooser(), spotsOf(3)
+	for i := range spots {
+		spots[i].Conns, spots[i].Slots, spots[i].Running = 100, 6, 80
+	}
+	call := Errand{Zone: "z", Target: 100 * time.Millisecond}
+	if choice := c.Choose(testStart, call, spots, nil); choice.Room {
+		t.Errorf("a call is let in beyond the connections: %+v", choice)
+	}
+	spots[1].Running = 20
+	if choice := c.Choose(testStart, call, spots, nil); choice.At != 1 || !choice.Room {
+		t.Errorf("choice %+v, 1 has connections left and queues beyond its slots", choice)
+	}
+}
+
 func TestLongestPromptIsLetInWhereLittleWaits(t *testing.T) {
 	c, spots := newTestChooser(), spotsOf(4)
 	long := summary(5)
--- a/policy/spot.go
+++ b/policy/spot.go
@@ -22,6 +22,9 @@
 	Zone string
 	// Slots is how many requests it runs at once; 0 when that isn't known.
 	Slots int
+	// Conns is how many connections it accepts from all senders; 0 when that
+	// isn't known.
+	Conns int
 	// Running counts requests that have begun to answer.
 	Running int
 	// Pending is what hasn't begun yet.
--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -62,6 +62,8 @@
 	Revoke time.Duration
 	// Grace is how long the gateway may take to stop; 0 for next to nothing.
 	Grace time.Duration
+	// MemoryMB is the memory that the gateway may use; 0 for no bound.
+	MemoryMB float64
 	// Unready starts the gateway with a store that knows nothing.
 	Unready bool
 }
@@ -78,7 +80,7 @@
 	f.Front, f.Admin = freeAddr(t), freeAddr(t)
 	s := settings.Gateway{
 		Process: "gateway-1", Zone: "z", Listen: f.Front, AdminListen: f.Admin, ReadyPath: "/ready",
-		PeerListen: "127.0.0.1:0", Store: strings.TrimPrefix(web.URL, "http://"), Grace: max(o.Grace, shortGrace),
+		PeerListen: "127.0.0.1:0", Store: strings.TrimPrefix(web.URL, "http://"), Grace: max(o.Grace, shortGrace), MemoryMB: o.MemoryMB,
 		Revoke: settings.Revoke{Strict: o.Revoke > 0, Within: o.Revoke},
 		Retry:  settings.Retry{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 	}
--- a/testbed/gateway/gateway_test.go
+++ b/testbed/gateway/gateway_test.go
@@ -357,3 +357,45 @@
 		t.Error("the gateway hasn't ended within its grace period")
 	}
 }
+
+// Callers that send large bodies at once are refused before they end the
+// process.
+func TestHeldBodiesAreBounded(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{MemoryMB: 1})
+	f.Serve("i-1", gateway.Hang)
+	f.Wait("it is listed", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		f.Do(f.Request(ctx, http.MethodPost, "/stream/x", "warm", nil))
+		return len(f.Arrivals("warm")) > 0
+	})
+	got := make(chan gateway.Got, 10)
+	for range 10 {
+		go func() {
+			got <- f.Do(f.Request(t.Context(), http.MethodPost, "/quick/x", "big", strings.NewReader(strings.Repeat("x", 90_000))))
+		}()
+	}
+	refused := 0
+	for range 10 {
+		if (<-got).Status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	if sent := len(f.Arrivals("big")); sent == 0 || sent > 4 || refused != 10-sent {
+		t.Errorf("%d of 10 requests of 90 KB sent and %d refused, 0.4 MB may be held", sent, refused)
+	}
+	if got := f.Call("/quick/x", "small"); got.Status != http.StatusGatewayTimeout {
+		t.Errorf("status %d for a small request after that", got.Status)
+	}
+}
+
+func TestCallersLimits(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	f.Serve("i-1", gateway.Answer("whole"))
+	f.Wait("it is served", func() bool { return f.Call("/safe/x", "warm").Status == 200 })
+	req := f.Request(t.Context(), http.MethodPost, "/safe/x", "1", nil)
+	req.Header.Set("X-Long", strings.Repeat("x", 17000))
+	if got := f.Do(req); got.Status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d for a head over the limit", got.Status)
+	}
+}
