--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,10 +35,10 @@
 	// desired state: each answer proves that the state in force is the
 	// newest, so that the proof is one to two seconds old.
 	desiredWait = time.Second
-	// serversWait is the same for the list of backend servers. It bounds how
-	// long a connection to the store that went silent goes unnoticed, within
-	// the two seconds in which a leaving server has to be left alone.
-	serversWait = 1500 * time.Millisecond
+	// serversWait is the same for the list of backend servers, which proves
+	// nothing. It bounds, beside keep-alive probes, how long a connection to
+	// the store that went silent goes unnoticed; each call is paid for.
+	serversWait = 2500 * time.Millisecond
 	// entriesWait is the same for the list of gateways, on which nothing
 	// hangs: who isn't in it yet is heard of.
 	entriesWait = 15 * time.Second
