gateway: the list of gateways is kept tidy

VMs' names are never used again, so that entries of VMs that are gone would stay for good, and each counts in the shares of the retry budget. Who was silent for ten minutes is removed; who is removed by mistake enters itself again. Tests: TestSilentGatewaysAreGoneAfterAWhile, TestGatewayStaysListed.

--- /dev/null
+++ b/internal/gateway/entries.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/internal/gateway/peers"
+	"github.com/applepier/applepier/internal/logging"
+)
+
+const (
+	// registerFirst and registerLongest bound the pause before a gateway tries
+	// again to enter itself in the list of gateways.
+	registerFirst   = 200 * time.Millisecond
+	registerLongest = 5 * time.Second
+	// tidyEvery is how often the list is looked through for gateways that are
+	// gone; one write for each that is.
+	tidyEvery = time.Minute
+)
+
+// followEntries follows the list of gateways. Whoever starts later is heard of
+// by its datagrams as well.
+func (g *gateway) followEntries(ctx context.Context) {
+	f := follow.Follower[peers.Entry]{
+		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: entriesWait, Log: g.log,
+	}
+	f.Run(ctx)
+}
+
+// stayListed enters this gateway in the list of gateways, again if somebody
+// took it for gone, and removes those that are gone.
+func (g *gateway) stayListed(ctx context.Context) {
+	ticker := time.NewTicker(tidyEvery)
+	defer ticker.Stop()
+	g.register(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.mesh.Struck:
+			g.register(ctx)
+		case <-ticker.C:
+			g.tidy(ctx)
+		}
+	}
+}
+
+// register tries until it is done or ctx ends.
+func (g *gateway) register(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = registerFirst, registerLongest
+	for ctx.Err() == nil {
+		err := g.platform.Register(ctx, g.mesh.Self)
+		if err == nil {
+			return
+		}
+		g.log.Warn(logging.EventRegisterFailed, logging.Reason(err.Error()))
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+}
+
+// tidy removes the entries of gateways that are gone.
+func (g *gateway) tidy(ctx context.Context) {
+	for _, name := range g.mesh.Gone() {
+		if err := g.platform.Unregister(ctx, name); err != nil {
+			g.log.Warn(logging.EventRegisterFailed, logging.Peer(name), logging.Reason(err.Error()))
+			return
+		}
+		g.log.Info(logging.EventGatewayGone, logging.Peer(name))
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
@@ -42,10 +41,6 @@
 	// entriesWait is the same for the list of gateways, on which nothing
 	// hangs: who isn't in it yet is heard of.
 	entriesWait = 15 * time.Second
-	// registerFirst and registerLongest bound the pause before a gateway tries
-	// again to enter itself in that list.
-	registerFirst   = 200 * time.Millisecond
-	registerLongest = 5 * time.Second
 	// sweepEvery is how often what has lapsed and idle connections are looked
 	// through.
 	sweepEvery = 500 * time.Millisecond
@@ -163,6 +158,7 @@
 	wg.Go(func() { g.followServers(work) })
 	wg.Go(func() { g.mesh.Run(work) })
 	wg.Go(func() { g.followEntries(work) })
+	wg.Go(func() { g.stayListed(work) })
 	wg.Go(func() { g.sweep(work) })
 	wg.Go(func() { g.reloadOnSignal(work, reload) })
 
@@ -199,25 +195,6 @@
 	f.Run(ctx)
 }
 
-// followEntries enters this gateway in the list of gateways and then follows
-// the list. Whoever starts later is heard of by its datagrams as well.
-func (g *gateway) followEntries(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = registerFirst, registerLongest
-	for ctx.Err() == nil {
-		err := g.platform.Register(ctx, g.mesh.Self)
-		if err == nil {
-			break
-		}
-		g.log.Warn(logging.EventRegisterFailed, logging.Reason(err.Error()))
-		time.Sleep(pause.NextBackOff())
-	}
-	f := follow.Follower[peers.Entry]{
-		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: entriesWait, Log: g.log,
-	}
-	f.Run(ctx)
-}
-
 // sweep removes what has lapsed.
 func (g *gateway) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
--- a/internal/gateway/peers/mesh_test.go
+++ b/internal/gateway/peers/mesh_test.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/follow"
 )
 
 // meshes returns two meshes on loopback that know each other, and what the
@@ -74,3 +75,21 @@
 		t.Fatalf("a stamp of an earlier start proved %+v", *proved)
 	}
 }
+
+func TestSilentGatewaysAreGoneAfterAWhile(t *testing.T) {
+	a, b, _ := meshes(t)
+	now := time.Now()
+	pass(t, a, b)
+	b.table.know("listed", "127.0.0.1:1")
+	if names := b.table.silent(now.Add(goneAfter), goneAfter); len(names) != 0 {
+		t.Errorf("gone too soon: %v", names)
+	}
+	later := now.Add(goneAfter + time.Minute)
+	if names := b.table.silent(later, goneAfter); len(names) != 2 {
+		t.Errorf("%v are gone, a and listed were silent", names)
+	}
+	b.Change(0, follow.Batch[Entry]{Removed: []string{"a", "b"}})
+	if b.Listed() != 2 || len(b.Struck) != 1 {
+		t.Errorf("%d listed, struck %d; a is forgotten, b hears that it was struck", b.Listed(), len(b.Struck))
+	}
+}
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -33,6 +33,9 @@
 	// tellEvery is how often a gateway tells the others what it has: a request
 	// takes 20 to 2,000 ms, and a datagram a fraction of a millisecond.
 	tellEvery = 100 * time.Millisecond
+	// goneAfter is how long a gateway that was listed or heard of is waited for:
+	// a VM that restarts, or a network that is mended, takes less.
+	goneAfter = 10 * time.Minute
 	// maxDatagram bounds a datagram in bytes; it holds some 4,000 servers.
 	maxDatagram = 60 << 10
 )
@@ -73,6 +76,8 @@
 // follower of the gateways' list.
 type Mesh struct {
 	Config
+	// Struck tells that this gateway's own entry was removed from the list.
+	Struck   chan struct{}
 	conn     net.PacketConn
 	table    *table
 	boot     uint64
@@ -87,7 +92,7 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrListen, err.Error())
 	}
-	return &Mesh{Config: c, conn: conn, table: newTable(), boot: rand.Uint64()}, nil
+	return &Mesh{Config: c, Struck: make(chan struct{}, 1), conn: conn, table: newTable(), boot: rand.Uint64()}, nil
 }
 
 // Run exchanges datagrams until ctx ends.
@@ -131,10 +136,28 @@
 		}
 	}
 	for _, name := range changes.Removed {
+		if name == m.Self.Name {
+			m.struck()
+			continue
+		}
 		m.table.forget(name)
 	}
 }
 
+// struck notes that this gateway's entry was removed.
+func (m *Mesh) struck() {
+	select {
+	case m.Struck <- struct{}{}:
+	default:
+		// It is known already.
+	}
+}
+
+// Gone names the listed gateways that have been silent for so long that their
+// VMs are gone: a VM's name is never used again, so their entries would stay
+// for good and count in the shared budgets.
+func (m *Mesh) Gone() []string { return m.table.silent(time.Now(), goneAfter) }
+
 // Unavailable implements follow.Sink.
 func (m *Mesh) Unavailable(error) {}
 
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -18,6 +18,8 @@
 	boot     uint64
 	sequence uint64
 	heard    time.Time
+	// known is when it was first heard of, from the list or itself.
+	known time.Time
 	// stamp is the last stamp that came, to be echoed.
 	stamp uint64
 	loads []load
@@ -40,11 +42,7 @@
 func (t *table) take(now time.Time, addr string, m *message) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.peers[m.From]
-	if p == nil {
-		p = &peer{}
-		t.peers[m.From] = p
-	}
+	p := t.peer(m.From)
 	if p.boot == m.Boot && m.Sequence <= p.sequence {
 		return false
 	}
@@ -58,12 +56,30 @@
 func (t *table) know(name, addr string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.peer(name).addr = addr
+}
+
+// peer returns a gateway, known from now on at least; t.mu is held.
+func (t *table) peer(name string) *peer {
 	p := t.peers[name]
 	if p == nil {
-		p = &peer{}
+		p = &peer{known: time.Now()}
 		t.peers[name] = p
 	}
-	p.addr = addr
+	return p
+}
+
+// silent names the gateways that nothing was heard of for a time.
+func (t *table) silent(now time.Time, than time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, p := range t.peers {
+		if now.Sub(p.heard) > than && now.Sub(p.known) > than {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // forget drops a gateway that isn't listed any more.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -17,9 +17,11 @@
 	Desired follow.Source[*routes.Set]
 	// Servers is the list of backend servers.
 	Servers follow.Source[backend.Info]
-	// Entries is the list of gateways, in which Register enters one.
-	Entries  follow.Source[peers.Entry]
-	Register func(ctx context.Context, self peers.Entry) error
+	// Entries is the list of gateways, in which Register enters one and from
+	// which Unregister removes one.
+	Entries    follow.Source[peers.Entry]
+	Register   func(ctx context.Context, self peers.Entry) error
+	Unregister func(ctx context.Context, name string) error
 	// Dialect is the HTTP that callers and backend servers speak.
 	Dialect protocol.Dialect
 	// Metrics counts, also the calls to the platform.
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -36,6 +36,8 @@
 	// EventRegisterFailed: a gateway could not enter itself in the list of
 	// gateways this time.
 	EventRegisterFailed = "register_failed"
+	// EventGatewayGone: the entry of a gateway that is gone was removed.
+	EventGatewayGone = "gateway_gone"
 	// EventServersListed: a gateway read the whole list of backend servers.
 	EventServersListed = "servers_listed"
 	// EventServerChanged: a backend server's entry is new or has changed.
--- a/testbed/gateway/gateway_test.go
+++ b/testbed/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -438,3 +439,12 @@
 		t.Fatalf("%+v, %v", resp, err)
 	}
 }
+
+// A gateway that somebody took for gone enters itself again.
+func TestGatewayStaysListed(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	listed := func() bool { return slices.Equal(f.Store.Keys("gateways"), []string{"gateway-1"}) }
+	f.Wait("the gateway is listed", listed)
+	f.Store.Remove("gateways", "gateway-1")
+	f.Wait("it is listed again", listed)
+}
