--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -20,8 +20,11 @@
 type Registry struct {
 	byService atomic.Pointer[map[string][]*Server]
 	known     atomic.Bool
+	// Gone is told of each server that isn't listed any more; may be nil. It
+	// is called with the lock held, so it must not call the Registry.
+	Gone func(id string)
 
-	// mu guards what follows; nothing is locked while it is held.
+	// mu guards what follows; Gone may lock what comes after it in order.
 	mu      sync.Mutex
 	servers map[string]*Server
 	// lapsed holds the servers whose entries went while the store was away,
@@ -128,8 +131,7 @@
 	removed := false
 	for id, gone := range r.lapsed {
 		if !now.Before(gone) && !r.away {
-			delete(r.lapsed, id)
-			delete(r.servers, id)
+			r.drop(id)
 			removed = true
 		}
 	}
@@ -169,8 +171,16 @@
 		}
 		return
 	}
+	r.drop(id)
+}
+
+// drop forgets a server; r.mu is held.
+func (r *Registry) drop(id string) {
 	delete(r.lapsed, id)
 	delete(r.servers, id)
+	if r.Gone != nil {
+		r.Gone(id)
+	}
 }
 
 // publish makes the snapshot that readers take.
--- a/internal/gateway/backend/registry_test.go
+++ b/internal/gateway/backend/registry_test.go
@@ -37,8 +37,14 @@
 		t.Error("known before it was read")
 	}
 	r.Reset(start, infos("a", "b", "c"), nil)
+	gone := ""
+	r.Gone = func(id string) { gone += id }
 	r.Change(start.Add(time.Second), infos("d"), []string{"b", "unheard of"})
 	expect(t, r, "a c d")
+	if gone != "b" {
+		t.Errorf("told that %q is gone", gone)
+	}
+	r.Gone = nil
 	r.Reset(start.Add(2*time.Second), infos("a", "e"), []string{"c"})
 	expect(t, r, "a c e")
 }
--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -21,8 +21,6 @@
 	keep time.Duration
 	// idleSince is when its last exchange ended.
 	idleSince time.Time
-	// used says that it has carried an exchange before.
-	used bool
 }
 
 func newConn(c net.Conn, peer Peer) *conn {
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -144,9 +144,6 @@
 	}
 }
 
-// SetReadDeadline bounds the reading of what is still to come.
-func (a *Answer) SetReadDeadline(t time.Time) { _ = a.ex.conn.net.SetReadDeadline(t) }
-
 // Abandon ends the exchange by closing its connection, which tells the backend
 // server to stop. After the whole body was read it does nothing.
 func (a *Answer) Abandon() { a.ex.end(false) }
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
+
+	"github.com/applepier/applepier/internal/dial"
 )
 
 const (
@@ -28,11 +28,6 @@
 	// the connection counts as broken: several resends of a lost packet, which
 	// come after 0.2, 0.6 and 1.4 seconds.
 	unacknowledged = time.Second
-	// probeEvery and probeCount are the keep-alive probes on a connection on
-	// which nothing is on its way, so that one that went silent is noticed
-	// while an answer is awaited.
-	probeEvery = time.Second
-	probeCount = 2
 	// idlePerPeer bounds the idle connections to one backend server.
 	idlePerPeer = 32
 )
@@ -51,31 +46,14 @@
 	// mu guards idle; nothing else is locked while it is held.
 	mu   sync.Mutex
 	idle map[Peer][]*conn
-	// Dialled is told of each connection that was opened; may be nil.
-	Dialled func(Peer)
 }
 
 // NewPool returns an empty Pool.
 func NewPool() *Pool {
 	return &Pool{
-		idle: map[Peer][]*conn{},
-		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
-			Control:         boundUnacknowledged,
-		},
-	}
-}
-
-func boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
-	})
-	if err != nil {
-		return err
+		idle:   map[Peer][]*conn{},
+		dialer: dial.Dialer(dialTimeout, unacknowledged),
 	}
-	return failed
 }
 
 // take returns an idle connection that has been idle for less than young, or
@@ -96,9 +74,6 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect: %v", err)
 	}
-	if p.Dialled != nil {
-		p.Dialled(peer)
-	}
 	return newConn(opened, peer), nil
 }
 
@@ -119,7 +94,6 @@
 
 // give takes back a connection whose exchange ended whole.
 func (p *Pool) give(c *conn) {
-	c.used = true
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,8 +119,9 @@
 		HeldBytes: int64(heldPart * s.MemoryMB * (1 << 20)),
 		Others:    g.mesh, Gateways: g.mesh.Listed,
 		Chooser: policy.NewChooser(random, ejector), Ejector: ejector,
-		Observer: ends{p.Metrics, log}, Log: log,
+		Observer: ends{p.Metrics, log},
 	}, boundsOf(s), g.leaving.Load)
+	g.registry.Gone = g.router.Forget
 	p.Metrics.ReadGateway(g.surroundings)
 	return g, nil
 }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/exchange"
 	"github.com/applepier/applepier/internal/gateway/protocol"
@@ -40,7 +38,6 @@
 	Chooser  *policy.Chooser
 	Ejector  *policy.Ejector
 	Observer Observer
-	Log      *zap.Logger
 }
 
 // Others tells what other gateways have at a backend server.
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -25,8 +25,9 @@
 // Router serves callers. It implements http.Handler.
 type Router struct {
 	Config
-	// mu guards the Chooser, the Ejector and budgets, which are used for
-	// moments only; nothing else is locked while it is held.
+	// mu guards the policy's parts: the Chooser, the Ejector, budgets and
+	// rates. It comes after the Registry's lock; nothing is locked while it is
+	// held.
 	mu      sync.Mutex
 	budgets map[string]*policy.WindowBudget
 	rates   map[string]*policy.ReadingRate
