--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -29,8 +29,6 @@
 	// secondHome is the part of a prefix that its second home is expected to
 	// have to read: a prefix that is too much for its first home lives on both.
 	secondHome = 0.5
-	// inTime is the part of the target that an expected first token may take:
-	// the expectation is a moment old and its error grows with it.
 	// longestWait is the part of the target within which a first token has to
 	// be expected for a request to be let in; ownWeight is what its own prompt
 	// counts for in that, and againWeight by how much more a shared part does
@@ -99,19 +97,26 @@
 	return &Chooser{random: random, ejector: ejector}
 }
 
-// Choose returns the best spot at a rate of reading. Ejected ones are used
-// when all others may not be.
+// Choose returns the best spot at a rate of reading. Ejected ones are left out
+// unless more than ejectPanic of the spots are.
 func (c *Chooser) Choose(now time.Time, errand Errand, spots []Spot, rate *ReadingRate) Choice {
-	if choice := c.choose(now, errand, spots, rate, true); choice.Found {
-		return choice
+	usable := func(s *Spot) bool { return !s.Leaving && !errand.tried(s.Name) }
+	all, ejected := 0, 0
+	for i := range spots {
+		if usable(&spots[i]) {
+			all++
+			if c.ejector.Ejected(now, spots[i].Name) {
+				ejected++
+			}
+		}
 	}
-	return c.choose(now, errand, spots, rate, false)
+	if float64(ejected) > ejectPanic*float64(all) {
+		return c.choose(errand, spots, rate, usable)
+	}
+	return c.choose(errand, spots, rate, func(s *Spot) bool { return usable(s) && !c.ejector.Ejected(now, s.Name) })
 }
 
-func (c *Chooser) choose(now time.Time, errand Errand, spots []Spot, rate *ReadingRate, healthy bool) Choice {
-	usable := func(s *Spot) bool {
-		return !s.Leaving && !errand.tried(s.Name) && !(healthy && c.ejector.Ejected(now, s.Name))
-	}
+func (c *Chooser) choose(errand Errand, spots []Spot, rate *ReadingRate, usable func(*Spot) bool) Choice {
 	first, second := homes(errand.Prefix, spots, usable)
 	dear := errand.rereadPrice(spots, usable, rate)
 	var best Choice
--- a/policy/chooser_test.go
+++ b/policy/chooser_test.go
@@ -130,6 +130,21 @@
 	if choice := c.Choose(testStart, errand, spots, nil); choice.At != 2 || !choice.Found {
 		t.Errorf("choice %+v, the ejected one is the last resort", choice)
 	}
+	// Where most fail the fault is not theirs alone, and the rest can't carry
+	// the load.
+	many := spotsOf(9)
+	for i := range 6 {
+		for range ejectAfter {
+			c.ejector.Observe(testStart, many[i].Name, OutcomeFailed)
+		}
+	}
+	used := map[int]bool{}
+	for range 200 {
+		used[c.Choose(testStart, Errand{Zone: "z"}, many, nil).At] = true
+	}
+	if len(used) != 9 {
+		t.Errorf("%d of 9 are used while six are ejected", len(used))
+	}
 	if choice := c.Choose(testStart, errand, spots[:2], nil); choice.Found {
 		t.Errorf("choice %+v where none may be used", choice)
 	}
--- /dev/null
+++ b/testbed/gateway/admission_test.go
@@ -0,0 +1,155 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	f.Serve("i-1", gateway.Answer("whole"))
+	f.Wait("it is served", func() bool { return f.Call("/safe/x", "warm").Status == 200 })
+	req := f.Request(t.Context(), http.MethodPost, "/unsafe/a%2Fb//c/../d?q=%20&r", "id-1", strings.NewReader("body"))
+	for name, value := range map[string]string{
+		"X-Tenant": "forged", "X-Retain": "r", "X-Pin-Ms": "9", "X-Kv-Backup": "a", "Kv-From": "b", "Kv-Fetch": "c",
+		"X-Request-Priority": "0", "X-Expect-Instance": "i-9", "X-Deadline-Ms": "900",
+		"X-Own": "kept", "Connection": "X-Hop", "X-Hop": "dropped",
+	} {
+		req.Header.Set(name, value)
+	}
+	got := f.Do(req)
+	if got.Status != 200 || got.Body != "whole" || got.Header.Get("X-Signature") != "by-i-1" || got.Err != nil {
+		t.Fatalf("got %+v", got)
+	}
+	a := f.Arrivals("id-1")[0]
+	if a.Target != "/unsafe/a%2Fb//c/../d?q=%20&r" || a.Method != "POST" || a.Body != "body" {
+		t.Errorf("arrived as %s %s %q", a.Method, a.Target, a.Body)
+	}
+	want := map[string]string{
+		"X-Tenant": "crew", "X-Expect-Instance": "i-1", "X-Own": "kept", "X-Request-Id": "id-1",
+		"Authorization": "", "X-Retain": "", "X-Pin-Ms": "", "X-Kv-Backup": "", "Kv-From": "", "Kv-Fetch": "", "X-Hop": "",
+	}
+	for name, value := range want {
+		if a.Header.Get(name) != value {
+			t.Errorf("%s arrived as %q, want %q", name, a.Header.Get(name), value)
+		}
+	}
+	if left := a.Header.Get("X-Deadline-Ms"); len(left) != 3 || left > "900" {
+		t.Errorf("deadline %q, the caller waits 900 ms", left)
+	}
+}
+
+func TestWhoIsLetIn(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	f.Serve("i-1", gateway.Answer("whole"))
+	f.Wait("it is served", func() bool { return f.Call("/open/x", "warm").Status == 200 })
+	cases := []struct {
+		name, path, key, id string
+		want                int
+	}{
+		{"a key", "/safe/x", "Bearer key-1", "1", 200},
+		{"another scheme's case", "/safe/x", "bearer key-1", "2", 200},
+		{"an unknown key", "/safe/x", "Bearer key-9", "3", 401},
+		{"no key", "/safe/x", "", "4", 401},
+		{"no key where none is needed", "/open/x", "", "5", 200},
+		{"no route", "/none/x", "Bearer key-1", "6", 404},
+		{"a prefix without its slash", "/safe", "Bearer key-1", "7", 404},
+		{"no id", "/safe/x", "Bearer key-1", "", 400},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			req := f.Request(t.Context(), http.MethodPost, c.path, c.id, nil)
+			req.Header.Del("Authorization")
+			if c.key != "" {
+				req.Header.Set("Authorization", c.key)
+			}
+			if got := f.Do(req); got.Status != c.want {
+				t.Errorf("status %d, want %d", got.Status, c.want)
+			}
+			if c.want != 200 && len(f.Arrivals(c.id)) > 0 {
+				t.Error("a backend server got it")
+			}
+		})
+	}
+	if a := f.Arrivals("5"); len(a) != 1 || a[0].Header.Get("X-Tenant") != "" {
+		t.Error("a request without a key has a customer")
+	}
+	if got := f.Do(f.Request(t.Context(), http.MethodPost, "/safe/x", "8", strings.NewReader(strings.Repeat("x", 100001)))); got.Status != 413 {
+		t.Errorf("a body over the limit: %d", got.Status)
+	}
+}
+
+func TestHeldBodiesAreBounded(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{MemoryMB: 1})
+	f.Serve("i-1", gateway.Hang)
+	f.Wait("it is listed", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		f.Do(f.Request(ctx, http.MethodPost, "/stream/x", "warm", nil))
+		return len(f.Arrivals("warm")) > 0
+	})
+	got := make(chan gateway.Got, 10)
+	for range 10 {
+		go func() {
+			// The servers hang; there is time enough for each body to arrive.
+			got <- f.Do(f.Request(t.Context(), http.MethodPost, "/unsafe/x", "big", strings.NewReader(strings.Repeat("x", 90_000))))
+		}()
+	}
+	refused := 0
+	for range 10 {
+		if (<-got).Status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	if sent := len(f.Arrivals("big")); sent == 0 || sent > 4 || refused != 10-sent {
+		t.Errorf("%d of 10 requests of 90 KB sent and %d refused, 0.4 MB may be held", sent, refused)
+	}
+	if got := f.Call("/quick/x", "small"); got.Status != http.StatusGatewayTimeout {
+		t.Errorf("status %d for a small request after that", got.Status)
+	}
+}
+
+func TestCallersLimits(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	f.Serve("i-1", gateway.Answer("whole"))
+	f.Wait("it is served", func() bool { return f.Call("/safe/x", "warm").Status == 200 })
+	req := f.Request(t.Context(), http.MethodPost, "/safe/x", "1", nil)
+	req.Header.Set("X-Long", strings.Repeat("x", 17000))
+	if got := f.Do(req); got.Status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d for a head over the limit", got.Status)
+	}
+}
+
+func TestRefusalReachesCallersThatStillSend(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	c, err := net.Dial("tcp", f.Front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	head := "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 1\r\nConnection: close\r\nContent-Length: 90000\r\n\r\n"
+	if _, err := io.WriteString(c, head); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	if n, _ := c.Read(make([]byte, 1)); n != 0 {
+		t.Error("answered, and the connection closed, while the body is on its way")
+	}
+	if _, err := io.WriteString(c, strings.Repeat("x", 90_000)); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusUnauthorized {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+}
--- /dev/null
+++ b/testbed/gateway/state_test.go
@@ -0,0 +1,104 @@
+package gateway_test
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/gateway"
+	"github.com/applepier/applepier/testbed/rowstore"
+)
+
+func TestDesiredStateIsFollowed(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	f.Serve("i-1", gateway.Answer("whole"))
+	f.Wait("it is served", func() bool { return f.Call("/safe/x", "warm").Status == 200 })
+	route := `,{"name":"new","host":"h.example","prefix":"/new/","type":"safe","timeout-ms":2000,"service":"plain","attempts":1}`
+	f.Desire(2, route, "")
+	f.Wait("a new route is in force", func() bool { return f.Call("/new/x", "n").Status == 200 })
+	f.Store.Put("op", "config", []byte(`{"version":3,"routes":[{"type":"odd"}]}`))
+	f.Desire(1, "", "")
+	f.Store.Forget()
+	time.Sleep(200 * time.Millisecond)
+	if got := f.Call("/new/x", "m"); got.Status != 200 {
+		t.Errorf("status %d after a state that can't be read and an older one", got.Status)
+	}
+	f.Desire(4, "", "")
+	f.Wait("a dropped route is gone", func() bool { return f.Call("/new/x", "o").Status == 404 })
+}
+
+func TestUnknownStateAnswersNotRun(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{Unready: true})
+	f.Wait("it listens", func() bool { return f.Call("/safe/x", "1").Status != 0 })
+	if got := f.Call("/safe/x", "2"); got.Status != 503 || got.Header.Get("Retry-After") == "" || f.Ready() {
+		t.Errorf("status %d, ready %v, without a desired state", got.Status, f.Ready())
+	}
+}
+
+func TestRevokedKeysStopWorkingWhileTheStoreIsAway(t *testing.T) {
+	for name, fault := range map[string]rowstore.Fault{
+		"refuses": rowstore.Busy, "throttles": rowstore.Throttled, "is silent": rowstore.Silent, "resets": rowstore.Reset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const within = 3 * time.Second
+			f := gateway.NewFleet(t, gateway.Options{Revoke: within})
+			f.Serve("i-1", gateway.Answer("whole"))
+			f.Wait("it is served", func() bool { return f.Call("/safe/x", "warm").Status == 200 })
+			f.Store.SetFault(fault)
+			cut := time.Now()
+			f.Desire(2, "", "")
+			for time.Since(cut) < within+time.Second {
+				sent := time.Since(cut)
+				if got := f.Call("/safe/x", "k"); got.Status == 200 && sent > within {
+					t.Fatalf("a request sent %v after the key may have been taken away ran", sent)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			if got := f.Call("/safe/x", "k"); got.Status != 503 || got.Header.Get("Retry-After") == "" {
+				t.Errorf("status %d for a request with a key", got.Status)
+			}
+			if got := f.Call("/open/x", "o"); got.Status != 200 {
+				t.Errorf("status %d for one that needs none", got.Status)
+			}
+			f.Store.SetFault(rowstore.Well)
+			f.Wait("it is served again", func() bool { return f.Call("/safe/x", "b").Status == 200 })
+		})
+	}
+}
+
+func TestGracefulStop(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{Grace: 4 * time.Second})
+	f.Serve("i-1", gateway.Events(30, 0, 70*time.Millisecond))
+	f.Wait("it is listed", func() bool { return len(f.Arrivals("warm")) > 0 || f.Call("/stream/x", "warm").Status == 200 })
+	ended := make(chan gateway.Got, 1)
+	go func() { ended <- f.Call("/stream/x", "running") }()
+	f.Wait("it runs", func() bool { return len(f.Arrivals("running")) > 0 })
+	f.Stop()
+	f.Wait("it isn't ready", func() bool { return !f.Ready() })
+	req := f.Request(t.Context(), http.MethodPost, "/stream/x", "during", nil)
+	req.Header.Set("X-Deadline-Ms", "200")
+	if got := f.Do(req); got.Status == 0 && got.Err == nil {
+		t.Errorf("a request before the balancer has noticed: %+v", got)
+	} else if len(f.Arrivals("during")) != 1 {
+		t.Error("it wasn't served")
+	}
+	if got := <-ended; got.Err != nil || !strings.HasSuffix(got.Body, gateway.Event(30)) {
+		t.Errorf("what ran at the signal: %v, ends %q", got.Err, got.Body[max(0, len(got.Body)-40):])
+	}
+	select {
+	case <-f.Stopped:
+	case <-time.After(5 * time.Second):
+		t.Error("the gateway hasn't ended within its grace period")
+	}
+}
+
+func TestGatewayStaysListed(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	listed := func() bool { return slices.Equal(f.Store.Keys("gateways"), []string{"gateway-1"}) }
+	f.Wait("the gateway is listed", listed)
+	f.Store.Remove("gateways", "gateway-1")
+	f.Wait("it is listed again", listed)
+}
