--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -64,6 +64,8 @@
 	Grace time.Duration
 	// MemoryMB is the memory that the gateway may use; 0 for no bound.
 	MemoryMB float64
+	// Log takes the gateway's lines; nil for nowhere.
+	Log *zap.Logger
 	// Unready starts the gateway with a store that knows nothing.
 	Unready bool
 }
@@ -84,12 +86,16 @@
 		Revoke: settings.Revoke{Strict: o.Revoke > 0, Within: o.Revoke},
 		Retry:  settings.Retry{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 	}
+	log := o.Log
+	if log == nil {
+		log = zap.NewNop()
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	f.Stop = stop
 	go func() {
 		defer close(f.Stopped)
 		reload := func() (settings.Gateway, error) { return s, nil }
-		if err := platform.ServeGateway(ctx, s, reload, zap.NewNop()); err != nil {
+		if err := platform.ServeGateway(ctx, s, reload, log); err != nil {
 			t.Error(err)
 		}
 	}()
