--- /dev/null
+++ b/internal/gateway/follow/moment_test.go
@@ -0,0 +1,51 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/boottime"
+)
+
+// moments keeps when each batch counts from, seen from when it came.
+type moments struct{ ages []time.Duration }
+
+func (m *moments) Reset(moment time.Duration, _ Batch[string]) { m.take(moment) }
+
+func (m *moments) Change(moment time.Duration, _ Batch[string]) { m.take(moment) }
+
+func (m *moments) Unavailable(error) {}
+
+func (m *moments) take(moment time.Duration) { m.ages = append(m.ages, boottime.Now()-moment) }
+
+// An answer without news that the store held back for the whole wait tells of
+// the end of the wait; any other only of when it was asked for.
+func TestHeldAnswersCountFromTheEndOfTheWait(t *testing.T) {
+	const wait = 200 * time.Millisecond
+	src := &source{steps: []step{
+		{batch: Batch[string]{At: 1}},
+		{takes: wait, batch: Batch[string]{At: 1}},
+		{takes: wait, batch: Batch[string]{At: 2, Items: []string{"news"}}},
+		{takes: wait / 4, batch: Batch[string]{At: 2}},
+	}}
+	seen := &moments{}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*wait)
+	defer cancel()
+	f := Follower[string]{Name: "t", Source: src, Sink: seen, Wait: wait, Log: zap.NewNop()}
+	f.Run(ctx)
+	if len(seen.ages) != 4 {
+		t.Fatalf("%d batches", len(seen.ages))
+	}
+	if held := seen.ages[1]; held >= wait {
+		t.Errorf("an answer held for %v is %v old when it comes", wait, held)
+	}
+	if news := seen.ages[2]; news < wait {
+		t.Errorf("news of an answer that took %v are %v old", wait, news)
+	}
+	if early := seen.ages[3]; early < wait/4 {
+		t.Errorf("an answer without news that came early is %v old", early)
+	}
+}
