--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -40,7 +40,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.mesh.Struck:
+		case <-g.mesh.Unlisted:
 			g.register(ctx)
 		case <-ticker.C:
 			g.tidy(ctx)
--- a/internal/gateway/peers/mesh_test.go
+++ b/internal/gateway/peers/mesh_test.go
@@ -89,7 +89,7 @@
 		t.Errorf("%v are gone, a and listed were silent", names)
 	}
 	b.Change(0, follow.Batch[Entry]{Removed: []string{"a", "b"}})
-	if b.Listed() != 2 || len(b.Struck) != 1 {
-		t.Errorf("%d listed, struck %d; a is forgotten, b hears that it was struck", b.Listed(), len(b.Struck))
+	if b.Listed() != 2 || len(b.Unlisted) != 1 {
+		t.Errorf("%d listed, unlisted %d; a is forgotten, b hears that it was unlisted", b.Listed(), len(b.Unlisted))
 	}
 }
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -76,8 +76,8 @@
 // follower of the gateways' list.
 type Mesh struct {
 	Config
-	// Struck tells that this gateway's own entry was removed from the list.
-	Struck   chan struct{}
+	// Unlisted tells that this gateway's own entry was removed from the list.
+	Unlisted chan struct{}
 	conn     net.PacketConn
 	table    *table
 	boot     uint64
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrListen, err.Error())
 	}
-	return &Mesh{Config: c, Struck: make(chan struct{}, 1), conn: conn, table: newTable(), boot: rand.Uint64()}, nil
+	return &Mesh{Config: c, Unlisted: make(chan struct{}, 1), conn: conn, table: newTable(), boot: rand.Uint64()}, nil
 }
 
 // Run exchanges datagrams until ctx ends.
@@ -137,17 +137,17 @@
 	}
 	for _, name := range changes.Removed {
 		if name == m.Self.Name {
-			m.struck()
+			m.unlisted()
 			continue
 		}
 		m.table.forget(name)
 	}
 }
 
-// struck notes that this gateway's entry was removed.
-func (m *Mesh) struck() {
+// unlisted notes that this gateway's entry was removed.
+func (m *Mesh) unlisted() {
 	select {
-	case m.Struck <- struct{}{}:
+	case m.Unlisted <- struct{}{}:
 	default:
 		// It is known already.
 	}
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -131,12 +131,12 @@
 // choose has the policy choose a server; nil when there is none to be used.
 func (c *call) choose() (*backend.Server, policy.Choice) {
 	servers := c.router.Registry.Servers(c.service)
-	errand := policy.Errand{
+	job := policy.Job{
 		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
 		Tokens: c.ask.PromptTokens, Tried: c.tried,
 	}
-	errand.Prefix, errand.PrefixTokens = sharedPart(c.ask.Parts)
-	choice := c.router.pick(c.service, errand, c.router.spots(servers, c.conns()))
+	job.Prefix, job.PrefixTokens = sharedPart(c.ask.Parts)
+	choice := c.router.pick(c.service, job, c.router.loads(servers, c.conns()))
 	if !choice.Found {
 		return nil, choice
 	}
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -7,27 +7,27 @@
 	"github.com/applepier/applepier/policy"
 )
 
-// spots are the servers as the policy sees them.
-func (r *Router) spots(servers []*backend.Server, conns int) []policy.Spot {
-	spots := make([]policy.Spot, len(servers))
+// loads are the servers as the policy sees them.
+func (r *Router) loads(servers []*backend.Server, conns int) []policy.Server {
+	loads := make([]policy.Server, len(servers))
 	for i, s := range servers {
 		info := s.Info()
 		counts := r.Others.At(info.ID)
 		own := s.Load.Counts()
 		counts.Add(&own, 1)
-		spots[i] = policy.Spot{
+		loads[i] = policy.Server{
 			Name: info.ID, Zone: info.Zone, Slots: info.Slots, Conns: conns,
 			Leaving: info.Leaving, Warming: info.WarmupLeft > 0,
 			Running: counts.Running, Pending: counts.Pending,
 		}
 	}
-	return spots
+	return loads
 }
 
-func (r *Router) pick(service string, errand policy.Errand, spots []policy.Spot) policy.Choice {
+func (r *Router) pick(service string, job policy.Job, loads []policy.Server) policy.Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Chooser.Choose(time.Now(), errand, spots, r.rates[service])
+	return r.Chooser.Choose(time.Now(), job, loads, r.rates[service])
 }
 
 // observeFirst takes how long a first token took with so much to be read
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -56,19 +56,19 @@
 
 // Choice is the outcome of choosing a server.
 type Choice struct {
-	// At is the spot's place; it means something only if Found.
+	// At is the server's place; it means something only if Found.
 	At    int
 	Found bool
-	// Reading is how many tokens the spot is expected to read, and Ahead what
+	// Reading is how many tokens the server is expected to read, and Ahead what
 	// it reads before the first token, this request's included.
 	Reading int
 	Ahead   float64
 	// Expected is when the first token is expected.
 	Expected time.Duration
-	// Room says that the spot takes one more request at all.
+	// Room says that the server takes one more request at all.
 	Room bool
 	// InTime says that the first token is expected within the target, and
-	// that the spot has a slot.
+	// that the server has a slot.
 	InTime bool
 }
 
@@ -97,35 +97,35 @@
 	return &Chooser{random: random, ejector: ejector}
 }
 
-// Choose returns the best spot at a rate of reading. Ejected ones are left out
-// unless more than ejectPanic of the spots are.
-func (c *Chooser) Choose(now time.Time, errand Errand, spots []Spot, rate *ReadingRate) Choice {
-	usable := func(s *Spot) bool { return !s.Leaving && !errand.tried(s.Name) }
+// Choose returns the best server at a rate of reading. Ejected ones are left out
+// unless more than ejectPanic of the servers are.
+func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *ReadingRate) Choice {
+	usable := func(s *Server) bool { return !s.Leaving && !job.tried(s.Name) }
 	all, ejected := 0, 0
-	for i := range spots {
-		if usable(&spots[i]) {
+	for i := range servers {
+		if usable(&servers[i]) {
 			all++
-			if c.ejector.Ejected(now, spots[i].Name) {
+			if c.ejector.Ejected(now, servers[i].Name) {
 				ejected++
 			}
 		}
 	}
 	if float64(ejected) > ejectPanic*float64(all) {
-		return c.choose(errand, spots, rate, usable)
+		return c.choose(job, servers, rate, usable)
 	}
-	return c.choose(errand, spots, rate, func(s *Spot) bool { return usable(s) && !c.ejector.Ejected(now, s.Name) })
+	return c.choose(job, servers, rate, func(s *Server) bool { return usable(s) && !c.ejector.Ejected(now, s.Name) })
 }
 
-func (c *Chooser) choose(errand Errand, spots []Spot, rate *ReadingRate, usable func(*Spot) bool) Choice {
-	first, second := homes(errand.Prefix, spots, usable)
-	dear := errand.rereadPrice(spots, usable, rate)
+func (c *Chooser) choose(job Job, servers []Server, rate *ReadingRate, usable func(*Server) bool) Choice {
+	first, second := homes(job.Prefix, servers, usable)
+	rereadPrice := job.priceOfRereading(servers, usable, rate)
 	var best Choice
 	least := 0.0
-	for i := range spots {
-		if !usable(&spots[i]) {
+	for i := range servers {
+		if !usable(&servers[i]) {
 			continue
 		}
-		choice, cost := c.weigh(errand, &spots[i], errand.rereading(i, first, second), dear, rate)
+		choice, cost := c.weigh(job, &servers[i], job.rereading(i, first, second), rereadPrice, rate)
 		choice.At = i
 		if !best.Found || choice.InTime && !best.InTime || choice.InTime == best.InTime && cost < least {
 			best, least = choice, cost
@@ -134,38 +134,38 @@
 	return best
 }
 
-// weigh says what sending to a spot would cost. Where the first token would be
+// weigh says what sending to a server would cost. Where the first token would be
 // late anyway only the time counts.
-func (c *Chooser) weigh(errand Errand, s *Spot, again, dear float64, rate *ReadingRate) (Choice, float64) {
-	own := errand.Tokens - errand.PrefixTokens
+func (c *Chooser) weigh(job Job, s *Server, again, rereadPrice float64, rate *ReadingRate) (Choice, float64) {
+	own := job.Tokens - job.PrefixTokens
 	choice := Choice{Found: true, Reading: own + int(again)}
-	choice.Ahead = s.ahead(errand.Urgency) + float64(choice.Reading)
-	choice.Room = s.hasSlot(errand)
-	choice.InTime = choice.Room && errand.inTime(rate, choice.Ahead-float64(choice.Reading), again, dear)
+	choice.Ahead = s.ahead(job.Urgency) + float64(choice.Reading)
+	choice.Room = s.hasSlot(job)
+	choice.InTime = choice.Room && job.inTime(rate, choice.Ahead-float64(choice.Reading), again, rereadPrice)
 	choice.Expected = rate.firstToken(choice.Ahead)
 	cost := choice.Ahead + float64(s.Running*runningTokens)
 	if choice.InTime {
 		cost += (rereadWeight - 1) * again
 	}
-	if s.Zone != errand.Zone {
+	if s.Zone != job.Zone {
 		cost += otherZoneTokens
 	}
 	// Equals are drawn from, so that senders don't all go the same way.
 	return choice, cost + c.random.Float64()*pendingTokens/2
 }
 
-// rereadPrice is what a token of a shared part counts for that is read again,
+// priceOfRereading is what a token of a shared part counts for that is read again,
 // from one, while most servers have time to spare, upwards with the share of
 // the target that what waits takes at the server in the middle: one hot home
-// among idle servers makes nothing dear.
-func (e *Errand) rereadPrice(spots []Spot, usable func(*Spot) bool, rate *ReadingRate) float64 {
+// among idle servers makes none dear.
+func (e *Job) priceOfRereading(servers []Server, usable func(*Server) bool, rate *ReadingRate) float64 {
 	if e.Target == 0 || e.Prefix == 0 {
 		return 1
 	}
-	waits := make([]float64, 0, len(spots))
-	for i := range spots {
-		if usable(&spots[i]) {
-			waits = append(waits, spots[i].ahead(UrgencyLevels-1))
+	waits := make([]float64, 0, len(servers))
+	for i := range servers {
+		if usable(&servers[i]) {
+			waits = append(waits, servers[i].ahead(UrgencyLevels-1))
 		}
 	}
 	if len(waits) == 0 {
@@ -179,7 +179,7 @@
 // inTime reports whether a request is let in where others' prompts wait before
 // it and a shared part has to be read again. It may be sent anyway where next
 // to nothing does, so that prompts of every length are served.
-func (e *Errand) inTime(rate *ReadingRate, others, again, dear float64) bool {
+func (e *Job) inTime(rate *ReadingRate, others, again, rereadPrice float64) bool {
 	if e.Target == 0 {
 		return true
 	}
@@ -187,27 +187,27 @@
 		return rate.firstToken(tokens) <= time.Duration(part*float64(e.Target))
 	}
 	own := float64(e.Tokens - e.PrefixTokens)
-	return within(longestWait, others+dear*again+ownWeight*own) || within(shortestWait, others+again)
+	return within(longestWait, others+rereadPrice*again+ownWeight*own) || within(shortestWait, others+again)
 }
 
-// hasSlot reports whether a spot takes one more request. A model's server has
+// hasSlot reports whether a server takes one more request. A model's server has
 // slots; a plain service queues shortly and says itself when it is full, but
 // resets connections beyond those that it accepts, and then nobody can say what
 // became of their requests.
-func (s *Spot) hasSlot(errand Errand) bool {
+func (s *Server) hasSlot(job Job) bool {
 	if s.Conns > 0 && float64(s.inFlight()) >= usedConns*float64(s.Conns) {
 		return false
 	}
-	if errand.Tokens == 0 || s.Slots == 0 {
+	if job.Tokens == 0 || s.Slots == 0 {
 		return true
 	}
-	share := fullSlots - slotsPerLevel*float64(errand.Urgency)
+	share := fullSlots - slotsPerLevel*float64(job.Urgency)
 	return float64(s.inFlight()) < share*float64(s.Slots)
 }
 
-// rereading is what the spot at a place is expected to read of the shared part
+// rereading is what the server at a place is expected to read of the shared part
 // of the prompt.
-func (e *Errand) rereading(at, first, second int) float64 {
+func (e *Job) rereading(at, first, second int) float64 {
 	switch {
 	case e.Prefix == 0 || at == first:
 		return 0
@@ -218,18 +218,18 @@
 	}
 }
 
-// homes are the places of the usable spots with the two highest hashes.
-func homes(prefix uint64, spots []Spot, usable func(*Spot) bool) (first, second int) {
+// homes are the places of the usable servers with the two highest hashes.
+func homes(prefix uint64, servers []Server, usable func(*Server) bool) (first, second int) {
 	first, second = -1, -1
 	if prefix == 0 {
 		return first, second
 	}
 	var highest, next uint64
-	for i := range spots {
-		if !usable(&spots[i]) {
+	for i := range servers {
+		if !usable(&servers[i]) {
 			continue
 		}
-		h := mix(prefix ^ hashName(spots[i].Name))
+		h := mix(prefix ^ hashName(servers[i].Name))
 		switch {
 		case first < 0 || h > highest:
 			second, next = first, highest
--- a/policy/chooser_test.go
+++ b/policy/chooser_test.go
@@ -11,79 +11,79 @@
 	return NewChooser(rand.New(rand.NewPCG(1, 2)), NewEjector())
 }
 
-// spotsOf returns idle spots with 32 slots.
-func spotsOf(n int) []Spot {
-	spots := make([]Spot, n)
-	for i := range spots {
-		spots[i] = Spot{Name: fmt.Sprintf("e-%d", i), Zone: "z", Slots: 32}
+// serversOf returns idle servers with 32 slots.
+func serversOf(n int) []Server {
+	servers := make([]Server, n)
+	for i := range servers {
+		servers[i] = Server{Name: fmt.Sprintf("e-%d", i), Zone: "z", Slots: 32}
 	}
-	return spots
+	return servers
 }
 
-func summary(prefix uint64) Errand {
-	return Errand{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Prefix: prefix, PrefixTokens: 6000}
+func summary(prefix uint64) Job {
+	return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Prefix: prefix, PrefixTokens: 6000}
 }
 
 func TestPrefixStaysHomeWhileInTime(t *testing.T) {
-	c, spots := newTestChooser(), spotsOf(8)
-	home := c.Choose(testStart, summary(77), spots, nil).At
+	c, servers := newTestChooser(), serversOf(8)
+	home := c.Choose(testStart, summary(77), servers, nil).At
 	for range 50 {
-		if at := c.Choose(testStart, summary(77), spots, nil).At; at != home {
+		if at := c.Choose(testStart, summary(77), servers, nil).At; at != home {
 			t.Fatalf("chose %d on idle servers, then %d", home, at)
 		}
 	}
 	// A wait that leaves the target alone is borne.
-	spots[home].Pending[4].Requests, spots[home].Pending[4].Tokens = 2, 5000
-	if at := c.Choose(testStart, summary(77), spots, nil).At; at != home {
+	servers[home].Pending[4].Requests, servers[home].Pending[4].Tokens = 2, 5000
+	if at := c.Choose(testStart, summary(77), servers, nil).At; at != home {
 		t.Errorf("left home for a wait of 5,000 tokens")
 	}
 	// One that doesn't is not.
-	spots[home].Pending[4].Requests, spots[home].Pending[4].Tokens = 8, 40_000
-	choice := c.Choose(testStart, summary(77), spots, nil)
+	servers[home].Pending[4].Requests, servers[home].Pending[4].Tokens = 8, 40_000
+	choice := c.Choose(testStart, summary(77), servers, nil)
 	if choice.At == home || !choice.InTime {
 		t.Errorf("with 40,000 tokens before it the choice is %+v, home %d", choice, home)
 	}
 }
 
 func TestChangeOfServersMovesOnlyTheirPrefixes(t *testing.T) {
-	c, spots := newTestChooser(), spotsOf(10)
+	c, servers := newTestChooser(), serversOf(10)
 	before := map[uint64]string{}
 	for p := uint64(1); p <= 200; p++ {
-		before[p] = spots[c.Choose(testStart, summary(p*0x9e3779b97f4a7c15), spots, nil).At].Name
+		before[p] = servers[c.Choose(testStart, summary(p*0x9e3779b97f4a7c15), servers, nil).At].Name
 	}
-	gone := spots[3].Name
-	spots = append(spots[:3:3], spots[4:]...)
+	gone := servers[3].Name
+	servers = append(servers[:3:3], servers[4:]...)
 	for p, was := range before {
-		if is := spots[c.Choose(testStart, summary(p*0x9e3779b97f4a7c15), spots, nil).At].Name; is != was && was != gone {
+		if is := servers[c.Choose(testStart, summary(p*0x9e3779b97f4a7c15), servers, nil).At].Name; is != was && was != gone {
 			t.Errorf("prefix %d moved from %s to %s when %s left", p, was, is, gone)
 		}
 	}
 }
 
 func TestUrgentRequestsPassWhatWaits(t *testing.T) {
-	c, spots := newTestChooser(), spotsOf(4)
-	for i := range spots {
-		spots[i].Pending[4].Requests, spots[i].Pending[4].Tokens = 10, 100_000
+	c, servers := newTestChooser(), serversOf(4)
+	for i := range servers {
+		servers[i].Pending[4].Requests, servers[i].Pending[4].Tokens = 10, 100_000
 	}
-	question := Errand{Zone: "z", Urgency: 3, Target: 250 * time.Millisecond, Tokens: 800}
-	if choice := c.Choose(testStart, question, spots, nil); !choice.InTime {
+	question := Job{Zone: "z", Urgency: 3, Target: 250 * time.Millisecond, Tokens: 800}
+	if choice := c.Choose(testStart, question, servers, nil); !choice.InTime {
 		t.Errorf("an urgent question is refused for the sake of summaries: %+v", choice)
 	}
-	if choice := c.Choose(testStart, summary(5), spots, nil); choice.InTime {
+	if choice := c.Choose(testStart, summary(5), servers, nil); choice.InTime {
 		t.Errorf("a summary is let in behind 100,000 tokens: %+v", choice)
 	}
 }
 
 func TestFullBatchesTakeNoMore(t *testing.T) {
-	c, spots := newTestChooser(), spotsOf(4)
-	for i := range spots {
-		spots[i].Running = 31
+	c, servers := newTestChooser(), serversOf(4)
+	for i := range servers {
+		servers[i].Running = 31
 	}
-	if choice := c.Choose(testStart, summary(5), spots, nil); choice.InTime {
+	if choice := c.Choose(testStart, summary(5), servers, nil); choice.InTime {
 		t.Errorf("a request is let in that would put back another: %+v", choice)
 	}
-	spots[2].Running = 3
-	if choice := c.Choose(testStart, summary(5), spots, nil); choice.At != 2 {
+	servers[2].Running = 3
+	if choice := c.Choose(testStart, summary(5), servers, nil); choice.At != 2 {
 		t.Errorf("chose %d, the only one with a slot is 2", choice.At)
 	}
 }
@@ -91,48 +91,48 @@
 // A plain service that has as many requests as connections would reset the
 // next one.
 func TestPlainServicesAreLeftTheirConnections(t *testing.T) {
-	c, spots := newTestChooser(), spotsOf(3)
-	for i := range spots {
-		spots[i].Conns, spots[i].Slots, spots[i].Running = 100, 6, 80
+	c, servers := newTestChooser(), serversOf(3)
+	for i := range servers {
+		servers[i].Conns, servers[i].Slots, servers[i].Running = 100, 6, 80
 	}
-	call := Errand{Zone: "z", Target: 100 * time.Millisecond}
-	if choice := c.Choose(testStart, call, spots, nil); choice.Room {
+	call := Job{Zone: "z", Target: 100 * time.Millisecond}
+	if choice := c.Choose(testStart, call, servers, nil); choice.Room {
 		t.Errorf("a call is let in beyond the connections: %+v", choice)
 	}
-	spots[1].Running = 20
-	if choice := c.Choose(testStart, call, spots, nil); choice.At != 1 || !choice.Room {
+	servers[1].Running = 20
+	if choice := c.Choose(testStart, call, servers, nil); choice.At != 1 || !choice.Room {
 		t.Errorf("choice %+v, 1 has connections left and queues beyond its slots", choice)
 	}
 }
 
 func TestLongestPromptIsLetInWhereLittleWaits(t *testing.T) {
-	c, spots := newTestChooser(), spotsOf(4)
+	c, servers := newTestChooser(), serversOf(4)
 	long := summary(5)
 	long.Tokens = 46_000
-	if choice := c.Choose(testStart, long, spots, nil); !choice.InTime {
+	if choice := c.Choose(testStart, long, servers, nil); !choice.InTime {
 		t.Errorf("a prompt of 40,000 tokens is refused by idle servers: %+v", choice)
 	}
 }
 
-func TestUnusableSpots(t *testing.T) {
-	c, spots := newTestChooser(), spotsOf(3)
-	spots[0].Leaving = true
-	errand := summary(5)
-	errand.Tried = []string{spots[1].Name}
+func TestUnusableServers(t *testing.T) {
+	c, servers := newTestChooser(), serversOf(3)
+	servers[0].Leaving = true
+	job := summary(5)
+	job.Tried = []string{servers[1].Name}
 	for range 20 {
-		if choice := c.Choose(testStart, errand, spots, nil); choice.At != 2 || !choice.Found {
+		if choice := c.Choose(testStart, job, servers, nil); choice.At != 2 || !choice.Found {
 			t.Fatalf("choice %+v, only 2 may be used", choice)
 		}
 	}
 	for range ejectAfter {
-		c.ejector.Observe(testStart, spots[2].Name, OutcomeFailed)
+		c.ejector.Observe(testStart, servers[2].Name, OutcomeFailed)
 	}
-	if choice := c.Choose(testStart, errand, spots, nil); choice.At != 2 || !choice.Found {
+	if choice := c.Choose(testStart, job, servers, nil); choice.At != 2 || !choice.Found {
 		t.Errorf("choice %+v, the ejected one is the last resort", choice)
 	}
 	// Where most fail the fault is not theirs alone, and the rest can't carry
 	// the load.
-	many := spotsOf(9)
+	many := serversOf(9)
 	for i := range 6 {
 		for range ejectAfter {
 			c.ejector.Observe(testStart, many[i].Name, OutcomeFailed)
@@ -140,12 +140,12 @@
 	}
 	used := map[int]bool{}
 	for range 200 {
-		used[c.Choose(testStart, Errand{Zone: "z"}, many, nil).At] = true
+		used[c.Choose(testStart, Job{Zone: "z"}, many, nil).At] = true
 	}
 	if len(used) != 9 {
 		t.Errorf("%d of 9 are used while six are ejected", len(used))
 	}
-	if choice := c.Choose(testStart, errand, spots[:2], nil); choice.Found {
+	if choice := c.Choose(testStart, job, servers[:2], nil); choice.Found {
 		t.Errorf("choice %+v where none may be used", choice)
 	}
 }
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -49,12 +49,12 @@
 	rate    ReadingRate
 	// seen is what it knows of each engine: its own sends at once, all others'
 	// as of the last telling.
-	own, all []Spot
+	own, all []Server
 }
 
 type directRequest struct {
 	class   string
-	errand  Errand
+	job     Job
 	arrived time.Duration
 	sent    time.Duration
 	again   bool
@@ -93,8 +93,8 @@
 	for range senders {
 		s := &directSender{chooser: NewChooser(p.random, NewEjector())}
 		for i := range engines {
-			spot := Spot{Name: fmt.Sprintf("engine-%d", i), Zone: "z", Slots: 48}
-			s.own, s.all = append(s.own, spot), append(s.all, spot)
+			server := Server{Name: fmt.Sprintf("engine-%d", i), Zone: "z", Slots: 48}
+			s.own, s.all = append(s.own, server), append(s.all, server)
 		}
 		p.senders = append(p.senders, s)
 	}
@@ -108,7 +108,7 @@
 // tell shares the senders' views.
 func (p *directPlay) tell() {
 	for i := range p.engines {
-		var sum Spot
+		var sum Server
 		for _, s := range p.senders {
 			sum.add(&s.own[i], 1)
 		}
@@ -121,7 +121,7 @@
 	p.after(tellDelay, p.tell)
 }
 
-func (s *Spot) add(o *Spot, sign int) {
+func (s *Server) add(o *Server, sign int) {
 	s.Running += sign * o.Running
 	for l := range s.Pending {
 		s.Pending[l].Requests += sign * o.Pending[l].Requests
@@ -130,9 +130,9 @@
 }
 
 // stream has requests of a class arrive at a rate between two times.
-func (p *directPlay) stream(class string, perSecond float64, from, to time.Duration, make func() Errand, holds time.Duration) {
+func (p *directPlay) stream(class string, perSecond float64, from, to time.Duration, make func() Job, holds time.Duration) {
 	for at := from; at < to; at += time.Duration(p.random.ExpFloat64() / perSecond * float64(time.Second)) {
-		r := &directRequest{class: class, errand: make(), arrived: at, holds: holds}
+		r := &directRequest{class: class, job: make(), arrived: at, holds: holds}
 		heap.Push(&p.events, playEvent{at, func() {
 			if r.arrived >= p.countFrom {
 				p.arrived[class]++
@@ -145,21 +145,21 @@
 func (p *directPlay) offer(r *directRequest) {
 	r.sender = p.random.IntN(len(p.senders))
 	s := p.senders[r.sender]
-	spots := make([]Spot, len(p.engines))
-	for i := range spots {
-		spots[i] = s.all[i]
-		spots[i].add(&s.own[i], 1)
+	servers := make([]Server, len(p.engines))
+	for i := range servers {
+		servers[i] = s.all[i]
+		servers[i].add(&s.own[i], 1)
 	}
-	choice := s.chooser.Choose(testStart.Add(p.now), r.errand, spots, &s.rate)
+	choice := s.chooser.Choose(testStart.Add(p.now), r.job, servers, &s.rate)
 	if p.admit && !choice.InTime {
 		if !r.again {
 			r.again = true
-			p.after(ComeBack(r.errand.Target), func() { p.offer(r) })
+			p.after(ComeBack(r.job.Target), func() { p.offer(r) })
 		}
 		return
 	}
 	r.engine, r.sent, r.ahead, r.reading = choice.At, p.now, choice.Ahead, choice.Reading
-	level := &s.own[r.engine].Pending[r.errand.Urgency]
+	level := &s.own[r.engine].Pending[r.job.Urgency]
 	level.Requests++
 	level.Tokens += r.reading
 	p.engines[r.engine].take(r)
@@ -175,14 +175,14 @@
 }
 
 func (p *directPlay) settle(r *directRequest) {
-	level := &p.senders[r.sender].own[r.engine].Pending[r.errand.Urgency]
+	level := &p.senders[r.sender].own[r.engine].Pending[r.job.Urgency]
 	level.Requests--
 	level.Tokens -= r.reading
 }
 
 func (e *directEngine) take(r *directRequest) {
 	at := len(e.queue)
-	for at > 0 && e.queue[at-1].errand.Urgency > r.errand.Urgency {
+	for at > 0 && e.queue[at-1].job.Urgency > r.job.Urgency {
 		at--
 	}
 	e.queue = append(e.queue[:at], append([]*directRequest{r}, e.queue[at:]...)...)
@@ -198,10 +198,10 @@
 			continue
 		}
 		e.reading = r
-		tokens := r.errand.Tokens - r.errand.PrefixTokens
-		if !e.keeps(r.errand.Prefix) {
-			tokens += r.errand.PrefixTokens
-			e.play.readMore += r.errand.PrefixTokens
+		tokens := r.job.Tokens - r.job.PrefixTokens
+		if !e.keeps(r.job.Prefix) {
+			tokens += r.job.PrefixTokens
+			e.play.readMore += r.job.PrefixTokens
 		}
 		e.play.after(firstStep/4+time.Duration(float64(tokens)/directRate*float64(time.Millisecond)), func() { e.first(r) })
 	}
@@ -236,7 +236,7 @@
 	s.rate.Observe(r.ahead, p.now-r.sent)
 	s.own[r.engine].Running++
 	e.running++
-	if p.now-r.arrived <= r.errand.Target && r.arrived >= p.countFrom {
+	if p.now-r.arrived <= r.job.Target && r.arrived >= p.countFrom {
 		p.onTime[r.class]++
 	}
 	p.after(r.holds, func() {
@@ -261,11 +261,11 @@
 	p := newDirectPlay(t, 12, 6, admit)
 	capacity := 12 * directRate * 1000 / 3000.0 // summaries a second
 	parts := func() uint64 { return uint64(p.random.IntN(120)+1) * 0x9e3779b97f4a7c15 }
-	p.stream("summary", multiple*capacity, 0, 10*time.Second, func() Errand {
-		return Errand{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, PrefixTokens: 6000, Prefix: parts()}
+	p.stream("summary", multiple*capacity, 0, 10*time.Second, func() Job {
+		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, PrefixTokens: 6000, Prefix: parts()}
 	}, 300*time.Millisecond)
-	p.stream("question", 60, 0, 10*time.Second, func() Errand {
-		return Errand{Zone: "z", Urgency: 3, Target: 250 * time.Millisecond, Tokens: 800}
+	p.stream("question", 60, 0, 10*time.Second, func() Job {
+		return Job{Zone: "z", Urgency: 3, Target: 250 * time.Millisecond, Tokens: 800}
 	}, 1500*time.Millisecond)
 	p.run(15 * time.Second)
 	return p
@@ -296,12 +296,12 @@
 func TestHotPartIsServedInTime(t *testing.T) {
 	p := newDirectPlay(t, 12, 6, true)
 	p.countFrom = 3 * time.Second
-	p.stream("summary", 80, 0, 10*time.Second, func() Errand {
+	p.stream("summary", 80, 0, 10*time.Second, func() Job {
 		part := uint64(p.random.IntN(120)+1) * 0x9e3779b97f4a7c15
 		if p.random.IntN(10) < 6 {
 			part = 42
 		}
-		return Errand{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, PrefixTokens: 6000, Prefix: part}
+		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, PrefixTokens: 6000, Prefix: part}
 	}, 300*time.Millisecond)
 	p.run(15 * time.Second)
 	if got, asked := p.onTime["summary"], p.arrived["summary"]; float64(got) < 0.9*float64(asked) {
--- a/policy/spot.go
+++ b/policy/server.go
@@ -2,21 +2,21 @@
 
 import "time"
 
-// UrgencyLevels is how many levels of urgency spots tell apart; 0 is the most
+// UrgencyLevels is how many levels of urgency servers tell apart; 0 is the most
 // urgent.
 const UrgencyLevels = 10
 
-// Ahead is what waits at a spot for its first token, by urgency.
+// Ahead is what waits at a server for its first token, by urgency.
 type Ahead [UrgencyLevels]struct {
 	// Requests counts them, Tokens is what they have to have read.
 	Requests int
 	Tokens   int
 }
 
-// Spot is a backend server as a sender sees it that sends straight to it. The
+// Server is a backend server as a sender sees it that sends straight to it. The
 // counts are of all senders as far as this one knows: its own are exact, those
 // of others a moment old.
-type Spot struct {
+type Server struct {
 	// Name identifies the server's start; Zone is its availability zone.
 	Name string
 	Zone string
@@ -35,8 +35,8 @@
 	Warming bool
 }
 
-// inFlight counts all requests at the spot.
-func (s *Spot) inFlight() int {
+// inFlight counts all requests at the server.
+func (s *Server) inFlight() int {
 	n := s.Running
 	for _, level := range s.Pending {
 		n += level.Requests
@@ -44,9 +44,9 @@
 	return n
 }
 
-// ahead is what is read at the spot before a new request of an urgency, in
+// ahead is what is read at the server before a new request of an urgency, in
 // tokens: a server admits the more urgent first, and equals in turn.
-func (s *Spot) ahead(urgency int) float64 {
+func (s *Server) ahead(urgency int) float64 {
 	tokens := 0
 	for _, level := range s.Pending[:urgency+1] {
 		tokens += level.Tokens + level.Requests*pendingTokens
@@ -57,8 +57,8 @@
 	return float64(tokens)
 }
 
-// Errand is what is to be sent to a spot.
-type Errand struct {
+// Job is what is to be sent to a server.
+type Job struct {
 	// Zone is the sender's availability zone.
 	Zone string
 	// Urgency is from 0, the most urgent, to below UrgencyLevels.
@@ -71,11 +71,11 @@
 	// share; 0 for none. PrefixTokens is the length up to its end.
 	Prefix       uint64
 	PrefixTokens int
-	// Tried names the spots that aren't to be used again.
+	// Tried names the servers that aren't to be used again.
 	Tried []string
 }
 
-func (e *Errand) tried(name string) bool {
+func (e *Job) tried(name string) bool {
 	for _, t := range e.Tried {
 		if t == name {
 			return true
