gateway: late answers count the route's pauses as well

A class's timing="late" went by the first token alone, so that an answer with a pause beyond what its route allows counted as on time. The router now measures the longest pause between two sends of events.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -50,7 +50,7 @@
 			return
 		}
 		timing := metrics.OnTime
-		if end.Target > 0 && end.First > end.Target {
+		if end.Late() {
 			timing = metrics.Late
 		}
 		class.Finished(timing, 0)
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -78,6 +78,15 @@
 	Target time.Duration
 	First  time.Duration
 	Took   time.Duration
+	// PauseTarget is the longest pause between events that the route allows,
+	// and Pause the longest that there was.
+	PauseTarget time.Duration
+	Pause       time.Duration
+}
+
+// Late reports whether a target of the route was missed.
+func (e *End) Late() bool {
+	return e.Target > 0 && e.First > e.Target || e.PauseTarget > 0 && e.Pause > e.PauseTarget
 }
 
 // Reason is why a request ended as it did.
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -88,10 +88,10 @@
 		ID: c.ask.ID, Service: c.service, Customer: c.customer, Urgency: c.urgency,
 		Status: status, Reason: reason, Sends: c.sends, Server: c.server, Expected: c.expected,
 		Version: c.version, ProofAge: boottime.Now() - c.router.Holder.ProvenAt(),
-		First: c.first, Took: time.Since(c.arrived),
+		First: c.first, Pause: c.stream.pause, Took: time.Since(c.arrived),
 	}
 	if c.route != nil {
-		end.Route, end.Target = c.route.Name, c.route.Target
+		end.Route, end.Target, end.PauseTarget = c.route.Name, c.route.Target, c.route.Pause
 	}
 	c.router.Observer.Ended(end)
 }
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -20,6 +20,22 @@
 	begun bool
 	// last is the id of the last event that the caller has; 0 for none.
 	last int64
+	// sentAt is when events were passed on last, and pause the longest time
+	// between two such moments.
+	sentAt time.Time
+	pause  time.Duration
+}
+
+// passed notes that events were passed on; it returns the pause before them, 0
+// before the first.
+func (s *streamed) passed(now time.Time) time.Duration {
+	pause := time.Duration(0)
+	if !s.sentAt.IsZero() {
+		pause = now.Sub(s.sentAt)
+	}
+	s.sentAt = now
+	s.pause = max(s.pause, pause)
+	return pause
 }
 
 // relay passes a stream's events on as they come, each whole.
@@ -72,6 +88,7 @@
 		return true
 	}
 	c.begin(answer)
+	c.stream.passed(time.Now())
 	if _, err := c.w.Write(out); err != nil {
 		return false
 	}
