--- a/internal/gateway/backend/load.go
+++ b/internal/gateway/backend/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/applepier/applepier/policy"
 )
@@ -26,52 +27,65 @@
 // Load counts what this process has at a server. All methods may be called
 // concurrently.
 type Load struct {
-	// mu guards counts; nothing is locked while it is held.
-	mu     sync.Mutex
-	counts Counts
+	// mu guards what follows; nothing is locked while it is held.
+	mu      sync.Mutex
+	running int
+	// pending holds the requests whose first byte hasn't come.
+	pending map[*Stay]struct{}
 }
 
-// Counts returns the counts.
-func (l *Load) Counts() Counts {
+// Counts returns the counts; of prompts that are being read it counts what is
+// expected to be left.
+func (l *Load) Counts(now time.Time) Counts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.counts
-}
-
-// Enter counts a request that was sent, with the tokens that the server is
-// expected to read for it.
-func (l *Load) Enter(urgency, tokens int) *Stay {
-	l.add(urgency, 1, tokens, 0)
-	return &Stay{load: l, urgency: urgency, tokens: tokens}
+	c := Counts{Running: l.running}
+	for s := range l.pending {
+		level := &c.Pending[s.urgency]
+		level.Requests++
+		level.Tokens += s.plan.Left(now)
+	}
+	return c
 }
 
-func (l *Load) add(urgency, pending, tokens, running int) {
+// Enter counts a request that was sent, with when the server is expected to
+// read its prompt.
+func (l *Load) Enter(urgency int, plan policy.ReadingPlan) *Stay {
+	s := &Stay{load: l, urgency: urgency, plan: plan}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.counts.Pending[urgency].Requests += pending
-	l.counts.Pending[urgency].Tokens += tokens
-	l.counts.Running += running
+	if l.pending == nil {
+		l.pending = map[*Stay]struct{}{}
+	}
+	l.pending[s] = struct{}{}
+	return s
 }
 
 // Stay is one request's part of a Load. It is used by one goroutine.
 type Stay struct {
-	load            *Load
-	urgency, tokens int
-	running         bool
+	load    *Load
+	urgency int
+	plan    policy.ReadingPlan
+	begun   bool
 }
 
 // Begun notes that the answer has begun; it reports whether that is news.
 func (s *Stay) Begun() bool {
-	if s.running {
+	if s.begun {
 		return false
 	}
-	s.running = true
-	s.load.add(s.urgency, -1, -s.tokens, 1)
+	s.begun = true
+	s.load.mu.Lock()
+	defer s.load.mu.Unlock()
+	delete(s.load.pending, s)
+	s.load.running++
 	return true
 }
 
 // Leave ends the stay.
 func (s *Stay) Leave() {
 	s.Begun()
-	s.load.add(s.urgency, 0, 0, -1)
+	s.load.mu.Lock()
+	defer s.load.mu.Unlock()
+	s.load.running--
 }
--- a/internal/gateway/backend/registry_test.go
+++ b/internal/gateway/backend/registry_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/applepier/applepier/policy"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -52,21 +54,21 @@
 func TestCountsOutliveChanges(t *testing.T) {
 	r := NewRegistry()
 	r.Reset(start, infos("a"), nil)
-	stay := r.Server("a").Load.Enter(3, 100)
+	stay := r.Server("a").Load.Enter(3, (&policy.ReadingRate{}).Plan(start, 100, 100))
 	leaving := infos("a")
 	leaving[0].Leaving = true
 	r.Change(start, leaving, nil)
-	if s := r.Server("a"); !s.Info().Leaving || s.Load.Counts().Pending[3].Tokens != 100 {
-		t.Errorf("after a change: %+v, %+v", s.Info(), s.Load.Counts())
+	if s := r.Server("a"); !s.Info().Leaving || s.Load.Counts(start).Pending[3].Tokens != 100 {
+		t.Errorf("after a change: %+v, %+v", s.Info(), s.Load.Counts(start))
 	}
 	if !stay.Begun() || stay.Begun() {
 		t.Error("an answer begins once")
 	}
-	if c := r.Server("a").Load.Counts(); c.Running != 1 || c.Pending[3].Requests != 0 || c.Pending[3].Tokens != 0 {
+	if c := r.Server("a").Load.Counts(start); c.Running != 1 || c.Pending[3].Requests != 0 || c.Pending[3].Tokens != 0 {
 		t.Errorf("running: %+v", c)
 	}
 	stay.Leave()
-	if c := r.Server("a").Load.Counts(); c != (Counts{}) {
+	if c := r.Server("a").Load.Counts(start); c != (Counts{}) {
 		t.Errorf("left behind: %+v", c)
 	}
 }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -37,12 +37,13 @@
 	Gateways func() int
 	Chooser  *policy.Chooser
 	Ejector  *policy.Ejector
+	Memories *policy.Memories
 	Observer Observer
 }
 
 // Others tells what other gateways have at a backend server.
 type Others interface {
-	At(server string) backend.Counts
+	At(server uint32) backend.Counts
 }
 
 // Observer counts requests.
--- a/policy/reading_rate.go
+++ b/policy/reading_rate.go
@@ -3,57 +3,96 @@
 import "time"
 
 const (
-	// firstRate is the rate, in tokens a millisecond, from which a sender
-	// starts: what a server with some streams in its batch reads.
+	// firstRate is the rate, in tokens a millisecond, and firstStep the fixed
+	// time, from which a sender starts: what a server with some streams in its
+	// batch reads, and the way there and back with a step of the batch.
 	firstRate = 40.0
+	firstStep = 20 * time.Millisecond
 	// leastRate and mostRate bound what is learned.
 	leastRate = 8.0
 	mostRate  = 400.0
-	// firstStep is the part of the time to a first token that no reading is
-	// the cause of: the way there and back, and the first step.
-	firstStep = 20 * time.Millisecond
-	// readingMemory is the weight of the newest sample. With some ten samples a
-	// second a change is learned in two or three seconds.
-	readingMemory = 1.0 / 32
-	// sampleTokens is the least that a sample must have had to read, so that
-	// it tells of reading and not of the way.
-	sampleTokens = 1500
+	// readingMemory is the weight of the newest sample: with some twenty
+	// samples a second a change is learned in a few seconds, and a hundred
+	// samples tell slope and fixed time apart.
+	readingMemory = 1.0 / 100
+	// longReading is where the second of the two points lies, in tokens, that
+	// the line to start from goes through.
+	longReading = 8000.0
+	// mostLate bounds a sample by how many times what was expected: a server
+	// that crashed or froze tells nothing of reading.
+	mostLate = 4
 )
 
-// ReadingRate learns how many tokens of prompt servers of one service read in
-// a millisecond, between the steps of what they generate. It goes by the times
-// to the first token that callers get, so that it is the rate that counts,
-// caches that weren't as warm as thought included. Not safe for concurrent
-// use.
+// ReadingRate learns when servers of one service send the first token: after a
+// fixed time (the way, the first step) and the time for reading what is before
+// it, at so many tokens a millisecond. It goes by the times that callers get,
+// so that caches that weren't as warm as thought are included.
+//
+// Fixed time and slope are told apart by the line through the samples that
+// leaves the least squares, the newest counting most. One rate for both would
+// take a model whose first step is slow for one that reads slowly, and refuse
+// what servers that are half idle could answer in time.
+//
+// Not safe for concurrent use.
 type ReadingRate struct {
-	tokens float64
-	millis float64
+	// Weighted means of the tokens, the milliseconds, and their products.
+	tokens, millis, square, product float64
 }
 
 // Observe takes that a first token came after a time, with so many tokens to
 // be read before it.
 func (r *ReadingRate) Observe(tokens float64, took time.Duration) {
-	if tokens < sampleTokens {
-		return
+	if r.square == 0 {
+		r.start()
 	}
-	millis := max(float64(took-firstStep)/float64(time.Millisecond), tokens/mostRate)
-	if r.millis == 0 {
-		r.tokens, r.millis = firstRate*millis, millis
-	}
-	r.tokens += readingMemory * (tokens - r.tokens)
-	r.millis += readingMemory * (millis - r.millis)
+	millis := min(inMillis(took), mostLate*inMillis(r.firstToken(tokens)))
+	r.take(readingMemory, tokens, millis)
+}
+
+// start takes the line to start from as samples, as if it had been seen often.
+func (r *ReadingRate) start() {
+	near, far := inMillis(firstStep), inMillis(firstStep)+longReading/firstRate
+	r.tokens, r.millis = longReading/2, (near+far)/2
+	r.square, r.product = longReading*longReading/2, longReading*far/2
+}
+
+func (r *ReadingRate) take(weight, tokens, millis float64) {
+	r.tokens += weight * (tokens - r.tokens)
+	r.millis += weight * (millis - r.millis)
+	r.square += weight * (tokens*tokens - r.square)
+	r.product += weight * (tokens*millis - r.product)
 }
 
 // rate is in tokens a millisecond.
 func (r *ReadingRate) rate() float64 {
-	if r == nil || r.millis == 0 {
+	if r == nil || r.square == 0 {
 		return firstRate
 	}
-	return min(max(r.tokens/r.millis, leastRate), mostRate)
+	spread, together := r.square-r.tokens*r.tokens, r.product-r.tokens*r.millis
+	if together*mostRate <= spread {
+		return mostRate
+	}
+	return max(spread/together, leastRate)
+}
+
+// fixed is the time to a first token with nothing to be read before it.
+func (r *ReadingRate) fixed() time.Duration {
+	if r == nil || r.square == 0 {
+		return firstStep
+	}
+	millis := max(r.millis-r.tokens/r.rate(), 0)
+	return time.Duration(millis * float64(time.Millisecond))
 }
 
 // firstToken is when a first token is expected with so many tokens to be read
 // before it.
 func (r *ReadingRate) firstToken(tokens float64) time.Duration {
-	return firstStep + time.Duration(tokens/r.rate()*float64(time.Millisecond))
+	return r.fixed() + r.reads(tokens)
 }
+
+// reads is how long reading so many tokens takes.
+func (r *ReadingRate) reads(tokens float64) time.Duration {
+	return time.Duration(tokens / r.rate() * float64(time.Millisecond))
+}
+
+func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/policy/reading_rate_test.go
@@ -0,0 +1,66 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// readingSamples has a ReadingRate see prompts of many lengths at servers with
+// a fixed time and a rate, in tokens a millisecond; one in twenty takes a
+// second whatever its length.
+func readingSamples(r *ReadingRate, n int, fixed time.Duration, rate float64) {
+	random := rand.New(rand.NewPCG(5, 6))
+	for i := range n {
+		tokens := random.ExpFloat64() * 5000
+		took := fixed + time.Duration(tokens/rate*float64(time.Millisecond))
+		took = time.Duration(float64(took) * (0.8 + 0.4*random.Float64()))
+		if i%20 == 0 {
+			took = time.Second
+		}
+		r.Observe(tokens, took)
+	}
+}
+
+// A model whose first step is slow reads as fast as any: one rate for both
+// would be a sixth of the true one here.
+func TestReadingRateTellsFixedTimeFromReading(t *testing.T) {
+	var r ReadingRate
+	if got := r.rate(); got != firstRate {
+		t.Fatalf("starts from %v", got)
+	}
+	for _, c := range []struct {
+		fixed time.Duration
+		rate  float64
+	}{{100 * time.Millisecond, 70}, {15 * time.Millisecond, 20}, {40 * time.Millisecond, 150}} {
+		readingSamples(&r, 1000, c.fixed, c.rate)
+		for _, tokens := range []float64{500, 3000, 12_000} {
+			want := c.fixed + time.Duration(tokens/c.rate*float64(time.Millisecond))
+			if got := r.firstToken(tokens); float64(got) < 0.75*float64(want) || float64(got) > 1.4*float64(want)+10e6 {
+				t.Errorf("fixed %v, %v tokens a ms: %v tokens expected after %v, true %v", c.fixed, c.rate, tokens, got, want)
+			}
+		}
+	}
+}
+
+// Samples that all come from one length, or that contradict each other, leave
+// an estimate within the bounds.
+func TestReadingRateStaysWithinBounds(t *testing.T) {
+	var r ReadingRate
+	for range 500 {
+		r.Observe(9000, 120*time.Millisecond)
+	}
+	if got := r.firstToken(9000); got < 100*time.Millisecond || got > 140*time.Millisecond {
+		t.Errorf("9,000 tokens always took 120 ms; expected after %v", got)
+	}
+	for range 500 {
+		r.Observe(9000, 120*time.Millisecond)
+		r.Observe(100, time.Second)
+	}
+	if got := r.rate(); got < leastRate || got > mostRate {
+		t.Errorf("learned %v tokens a ms", got)
+	}
+	if got := r.fixed(); got < 0 || got > time.Second {
+		t.Errorf("learned a fixed time of %v", got)
+	}
+}
