--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -19,7 +19,6 @@
 // a lock. It implements the sink of a follower.
 type Registry struct {
 	byService atomic.Pointer[map[string][]*Server]
-	byKey     atomic.Pointer[map[uint32]string]
 	known     atomic.Bool
 	// Gone is told of each server that isn't listed any more; may be nil. It
 	// is called with the lock held, so it must not call the Registry.
@@ -59,12 +58,6 @@
 	return r.servers[id]
 }
 
-// ServiceOf returns the service of the listed server with a key.
-func (r *Registry) ServiceOf(key uint32) (service string, ok bool) {
-	service, ok = (*r.byKey.Load())[key]
-	return service, ok
-}
-
 // All returns all listed servers.
 func (r *Registry) All() []*Server {
 	var all []*Server
@@ -158,7 +151,7 @@
 	delete(r.lapsed, info.ID)
 	s := r.servers[info.ID]
 	if s == nil {
-		s = &Server{key: KeyOf(info.ID)}
+		s = &Server{}
 		r.servers[info.ID] = s
 	}
 	s.info.Store(&info)
@@ -192,15 +185,13 @@
 
 // publish makes the snapshot that readers take.
 func (r *Registry) publish() {
-	snapshot, keys := map[string][]*Server{}, make(map[uint32]string, len(r.servers))
+	snapshot := map[string][]*Server{}
 	for _, s := range r.servers {
 		service := s.Info().Service
-		keys[s.Key()] = service
 		snapshot[service] = append(snapshot[service], s)
 	}
 	for _, list := range snapshot {
 		slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.Info().ID, b.Info().ID) })
 	}
 	r.byService.Store(&snapshot)
-	r.byKey.Store(&keys)
 }
--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -4,8 +4,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/applepier/applepier/internal/gateway/exchange"
 )
 
@@ -29,7 +27,6 @@
 // as the list changes; the counts last as long as the server is listed.
 type Server struct {
 	info atomic.Pointer[Info]
-	key  uint32
 	// Load is what this process has there.
 	Load Load
 }
@@ -37,12 +34,6 @@
 // Info is what the list says of the server. It is not to be changed.
 func (s *Server) Info() *Info { return s.info.Load() }
 
-// Key is the short hash of the server's id by which gateways speak of it.
-func (s *Server) Key() uint32 { return s.key }
-
-// KeyOf is the Key of the server with an id.
-func KeyOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
-
 // Peer is the server as connections know it.
 func (s *Server) Peer() exchange.Peer {
 	info := s.Info()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,8 +105,6 @@
 	g.mesh, err = peers.Listen(peers.Config{
 		Self:  peers.Entry{Name: s.Process, Addr: s.PeerListen},
 		Loads: g.loads,
-		Reads: func() []policy.KeptRead { return g.router.News() },
-		Heard: func(reads []policy.KeptRead) { g.router.Heard(reads) },
 		Proof: func() peers.Proof { return peers.Proof{Version: g.holder.Version(), At: g.holder.ProvenAt()} },
 		Prove: func(p peers.Proof) { g.holder.Prove(p.Version, p.At) },
 		Log:   log,
@@ -114,13 +112,13 @@
 	if err != nil {
 		return nil, err
 	}
-	ejector, memories := policy.NewEjector(), policy.NewMemories()
+	ejector := policy.NewEjector()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.router = router.New(router.Config{
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
 		HeldBytes: int64(heldPart * s.MemoryMB * (1 << 20)),
 		Others:    g.mesh, Gateways: g.mesh.Listed,
-		Chooser: policy.NewChooser(random, ejector, memories), Ejector: ejector, Memories: memories,
+		Chooser: policy.NewChooser(random, ejector), Ejector: ejector,
 		Observer: ends{p.Metrics, log},
 	}, boundsOf(s), g.leaving.Load)
 	g.registry.Gone = g.router.Forget
@@ -149,7 +147,7 @@
 	var loads []peers.Load
 	now := time.Now()
 	for _, s := range g.registry.All() {
-		loads = append(loads, peers.Load{Server: s.Key(), Counts: s.Load.Counts(now)})
+		loads = append(loads, peers.Load{Server: s.Info().ID, Counts: s.Load.Counts(now)})
 	}
 	return loads
 }
--- a/internal/gateway/peers/mesh_test.go
+++ b/internal/gateway/peers/mesh_test.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -9,7 +8,6 @@
 
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/follow"
-	"github.com/applepier/applepier/policy"
 )
 
 // meshes returns two meshes on loopback that know each other, and what the
@@ -21,8 +19,6 @@
 		m, err := Listen(Config{
 			Self:  Entry{Name: name, Addr: "127.0.0.1:0"},
 			Loads: func() []Load { return nil },
-			Reads: func() []policy.KeptRead { return nil },
-			Heard: func([]policy.KeptRead) {},
 			Proof: func() Proof { return Proof{Version: 7, At: boottime.Now() - time.Second} },
 			Prove: prove,
 			Log:   zap.NewNop(),
@@ -97,15 +93,3 @@
 		t.Errorf("%d listed, unlisted %d; a is forgotten, b hears that it was unlisted", b.Listed(), len(b.Unlisted))
 	}
 }
-
-func TestReadsAreTold(t *testing.T) {
-	a, b, _ := meshes(t)
-	told := []policy.KeptRead{{Server: 5, Part: 1 << 40, Tokens: 3780}, {Server: 6, Part: 2, Tokens: 119}}
-	a.Reads = func() []policy.KeptRead { return told }
-	var heard []policy.KeptRead
-	b.Heard = func(reads []policy.KeptRead) { heard = append(heard, reads...) }
-	pass(t, a, b)
-	if !slices.Equal(heard, told) {
-		t.Errorf("heard %+v of %+v", heard, told)
-	}
-}
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -1,9 +1,6 @@
 package peers
 
-import (
-	"github.com/applepier/applepier/internal/gateway/backend"
-	"github.com/applepier/applepier/policy"
-)
+import "github.com/applepier/applepier/internal/gateway/backend"
 
 // message is one datagram. The keys are small numbers, since it is sent ten
 // times a second to every other gateway.
@@ -26,34 +23,6 @@
 	ProofAge uint64
 	// Loads is what the sender has at backend servers; others have nothing.
 	Loads []load
-	// Reads is what it has sent to them to read since the last datagram.
-	Reads []read
-}
-
-// read is a shared part of a prompt that a server was sent to read.
-type read struct {
-	_      struct{} `cbor:",toarray"`
-	Server uint32
-	Part   uint64
-	Tokens uint32
-}
-
-// readsOf packs what is to be told of servers' memories.
-func readsOf(all []policy.KeptRead) []read {
-	reads := make([]read, len(all))
-	for i, r := range all {
-		reads[i] = read{Server: r.Server, Part: r.Part, Tokens: uint32(max(r.Tokens, 0))}
-	}
-	return reads
-}
-
-// keptReads unpacks them.
-func (m *message) keptReads() []policy.KeptRead {
-	all := make([]policy.KeptRead, len(m.Reads))
-	for i, r := range m.Reads {
-		all[i] = policy.KeptRead{Server: r.Server, Part: r.Part, Tokens: int(r.Tokens)}
-	}
-	return all
 }
 
 // load is what a gateway has at one backend server.
@@ -76,8 +45,8 @@
 }
 
 // loadOf packs counts.
-func loadOf(server uint32, c *backend.Counts) load {
-	l := load{Server: server, Running: uint32(max(c.Running, 0))}
+func loadOf(server string, c *backend.Counts) load {
+	l := load{Server: hash(server), Running: uint32(max(c.Running, 0))}
 	for urgency, level := range c.Pending {
 		if level.Requests > 0 {
 			l.Pending = append(l.Pending, pending{Urgency: uint8(urgency), Requests: uint32(level.Requests), Tokens: uint32(max(level.Tokens, 0))})
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
@@ -18,7 +19,6 @@
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/logging"
-	"github.com/applepier/applepier/policy"
 )
 
 // Errors of the exchange.
@@ -49,8 +49,7 @@
 
 // Load is what a gateway has at one backend server.
 type Load struct {
-	// Server is its key.
-	Server uint32
+	Server string
 	Counts backend.Counts
 }
 
@@ -67,10 +66,6 @@
 	// Loads returns what this gateway has; servers without anything may be
 	// left out.
 	Loads func() []Load
-	// Reads returns what this gateway has sent to servers to read since it was
-	// asked last, and Heard takes what another tells of that.
-	Reads func() []policy.KeptRead
-	Heard func([]policy.KeptRead)
 	// Proof returns this gateway's proof, and Prove takes another's.
 	Proof func() Proof
 	Prove func(Proof)
@@ -120,7 +115,7 @@
 }
 
 // At returns what all other gateways have at a backend server.
-func (m *Mesh) At(server uint32) backend.Counts { return m.table.at(server) }
+func (m *Mesh) At(server string) backend.Counts { return m.table.at(hash(server)) }
 
 // Gateways counts the gateways, this one included: those that were heard of
 // lately.
@@ -168,8 +163,6 @@
 
 // tell sends a datagram to each other gateway.
 func (m *Mesh) tell() {
-	// What is told of is taken even if nobody hears it, so that it doesn't grow.
-	reads := m.Reads()
 	destinations := m.table.destinations()
 	if len(destinations) == 0 {
 		return
@@ -177,7 +170,7 @@
 	m.sequence++
 	proof := m.Proof()
 	now := boottime.Now()
-	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Stamp: uint64(now), Reads: readsOf(reads)}
+	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Stamp: uint64(now)}
 	if proof.At > 0 {
 		out.Version, out.ProofAge = proof.Version, uint64((now-proof.At).Milliseconds()+1)
 	}
@@ -244,10 +237,11 @@
 	if in.From == m.Self.Name || !m.table.take(time.Now(), from, in) {
 		return
 	}
-	m.Heard(in.keptReads())
 	age := time.Duration(in.ProofAge) * time.Millisecond
 	stamp := time.Duration(in.Echo)
 	if in.EchoBoot == m.boot && in.Version != 0 && stamp > age && stamp <= boottime.Now() {
 		m.Prove(Proof{Version: in.Version, At: stamp - age})
 	}
 }
+
+func hash(server string) uint32 { return uint32(xxhash.Sum64String(server)) }
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -135,7 +135,7 @@
 		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
 		Tokens: c.ask.PromptTokens, Tried: c.tried,
 	}
-	job.Shared = sharedParts(c.ask.Parts)
+	job.Prefix, job.PrefixTokens = sharedPart(c.ask.Parts)
 	choice := c.router.pick(c.service, job, c.router.loads(servers, c.conns()))
 	if !choice.Found {
 		return nil, choice
@@ -167,7 +167,7 @@
 	if left <= 0 {
 		return unclear
 	}
-	stay := &visit{Stay: server.Load.Enter(c.urgency, c.router.send(c.service, server, sharedParts(c.ask.Parts), choice)), call: c, ahead: choice.Ahead, sent: time.Now()}
+	stay := &visit{Stay: server.Load.Enter(c.urgency, c.router.plan(c.service, choice)), call: c, ahead: choice.Ahead, sent: time.Now()}
 	defer stay.Leave()
 	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, left))
 	if errors.Is(err, exchange.ErrNotSent) {
@@ -239,17 +239,16 @@
 	}
 }
 
-// sharedParts are the parts of a prompt that other requests share: all but the
-// last one.
-func sharedParts(parts []protocol.Part) []policy.Part {
+// sharedPart is the longest part of a prompt that other requests share: up to
+// the last part but one.
+func sharedPart(parts []protocol.Part) (id uint64, tokens int) {
 	if len(parts) < 2 {
-		return nil
+		return 0, 0
 	}
-	shared := make([]policy.Part, len(parts)-1)
-	for i := range shared {
-		shared[i] = policy.Part{ID: parts[i].ID, Tokens: parts[i].Tokens}
+	for _, p := range parts[:len(parts)-1] {
+		tokens += p.Tokens
 	}
-	return shared
+	return parts[len(parts)-2].ID, tokens
 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -37,13 +37,12 @@
 	Gateways func() int
 	Chooser  *policy.Chooser
 	Ejector  *policy.Ejector
-	Memories *policy.Memories
 	Observer Observer
 }
 
 // Others tells what other gateways have at a backend server.
 type Others interface {
-	At(server uint32) backend.Counts
+	At(server string) backend.Counts
 }
 
 // Observer counts requests.
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -13,11 +13,11 @@
 	now := time.Now()
 	for i, s := range servers {
 		info := s.Info()
-		counts := r.Others.At(s.Key())
+		counts := r.Others.At(info.ID)
 		own := s.Load.Counts(now)
 		counts.Add(&own, 1)
 		loads[i] = policy.Server{
-			Name: info.ID, Key: s.Key(), Zone: info.Zone, Slots: info.Slots, Conns: conns,
+			Name: info.ID, Zone: info.Zone, Slots: info.Slots, Conns: conns,
 			Leaving: info.Leaving, Warming: info.WarmupLeft > 0,
 			Running: counts.Running, Pending: counts.Pending,
 		}
@@ -25,47 +25,12 @@
 	return loads
 }
 
-// send notes that a prompt goes to a server now, and returns when it is expected
-// to be read there.
-func (r *Router) send(service string, server *backend.Server, shared []policy.Part, choice policy.Choice) policy.ReadingPlan {
-	now, memory := time.Now(), r.memory(service)
+// plan is when a server of a service is expected to read a prompt that goes
+// there now.
+func (r *Router) plan(service string, choice policy.Choice) policy.ReadingPlan {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Memories.Sent(now, server.Key(), shared, memory)
-	return r.rates[service].Plan(now, choice.Reading, choice.Ahead)
-}
-
-// memory is the size of the memory of a service's servers in tokens; 0 when
-// that isn't known.
-func (r *Router) memory(service string) int {
-	set := r.Holder.Current()
-	if set == nil || set.Services[service] == nil || set.Services[service].Engine == nil {
-		return 0
-	}
-	return set.Services[service].Engine.MemoryTokens
-}
-
-// News returns what is to be told to other gateways of the servers' memories.
-func (r *Router) News() []policy.KeptRead {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.Memories.News()
-}
-
-// Heard takes what another gateway tells of the servers' memories. What it
-// tells of servers that aren't listed here is left out: nothing would forget it.
-func (r *Router) Heard(reads []policy.KeptRead) {
-	known := reads[:0]
-	sizes := make(map[uint32]int, len(reads))
-	for _, read := range reads {
-		if service, ok := r.Registry.ServiceOf(read.Server); ok {
-			sizes[read.Server] = r.memory(service)
-			known = append(known, read)
-		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.Memories.Heard(time.Now(), known, func(server uint32) int { return sizes[server] })
+	return r.rates[service].Plan(time.Now(), choice.Reading, choice.Ahead)
 }
 
 func (r *Router) pick(service string, job policy.Job, loads []policy.Server) policy.Choice {
@@ -98,7 +63,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Ejector.Forget(server)
-	r.Memories.Forget(backend.KeyOf(server))
 }
 
 func (r *Router) countRequest(service string) {
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -26,10 +26,9 @@
 	// this request alone. Measured: of 1, 2, 4, 8 and 16, 8 served best on
 	// days of high load at both sites (docs/MEASUREMENTS.md).
 	rereadWeight = 8.0
-	// homeWeight is what a part that no server keeps counts for at its home,
-	// against the other servers: all senders send it there until they have
-	// told each other that it is read, unless more than that waits there.
-	homeWeight = 2.0
+	// secondHome is the part of a prefix that its second home is expected to
+	// have to read: a prefix that is too much for its first home lives on both.
+	secondHome = 0.5
 	// longestWait is the part of the target within which a first token has to
 	// be expected for a request to be let in; ownWeight is what its own prompt
 	// counts for in that, and againWeight by how much more a shared part does
@@ -76,30 +75,26 @@
 // Chooser decides to which backend server a request is sent straight away.
 //
 // It answers prompts that share long beginnings, prefixes that take most of
-// the load, and servers that carry unequal load. Of the servers where the first
-// token is expected in time the one is chosen that has the least to read that
-// another has read already; what waits there counts in the same unit, tokens
-// of prompt. A prefix that no server keeps has a home, the server with the
-// highest hash of prefix and name, so that all senders agree without a word
-// and a change of the servers moves only the prefixes of those that changed.
-// Where no server is in time the soonest is named, and admission decides.
-// Without what is known of the servers' memories each of them reads every
-// prefix again; without the expected time a hot prefix takes all its load to
-// one server.
+// the load, and servers that carry unequal load. A prefix has a first and a
+// second home, the servers with the highest hash of prefix and name, so that
+// all senders agree without a word and a change of the servers moves only the
+// prefixes of those that changed. Of the servers where the first token is
+// expected in time the one is chosen that has the least to read anew; what
+// waits there counts in the same unit, tokens of prompt. Where none is in time
+// the soonest is named, and admission decides. Without the homes each server
+// reads every prefix again; without the expected time a hot prefix takes all
+// its load to one server, as long as its home is let keep it.
 //
-// It keeps no state but the Ejector's and the Memories'; not safe for
-// concurrent use.
+// It keeps no state but the Ejector's; not safe for concurrent use.
 type Chooser struct {
-	random   *rand.Rand
-	ejector  *Ejector
-	memories *Memories
+	random  *rand.Rand
+	ejector *Ejector
 }
 
-// NewChooser returns a Chooser that leaves out what ejector ejected and goes by
-// what memories foretells. The caller hands in the randomness, so that a run
-// can be repeated.
-func NewChooser(random *rand.Rand, ejector *Ejector, memories *Memories) *Chooser {
-	return &Chooser{random: random, ejector: ejector, memories: memories}
+// NewChooser returns a Chooser that leaves out what ejector ejected. The
+// caller hands in the randomness, so that a run can be repeated.
+func NewChooser(random *rand.Rand, ejector *Ejector) *Chooser {
+	return &Chooser{random: random, ejector: ejector}
 }
 
 // Choose returns the best server at a rate of reading. Ejected ones are left out
@@ -122,7 +117,7 @@
 }
 
 func (c *Chooser) choose(job Job, servers []Server, rate *ReadingRate, usable func(*Server) bool) Choice {
-	shared := c.sharedAt(job, servers, usable)
+	first, second := homes(job.Prefix, servers, usable)
 	rereadPrice := job.priceOfRereading(servers, usable, rate)
 	var best Choice
 	least := 0.0
@@ -130,7 +125,7 @@
 		if !usable(&servers[i]) {
 			continue
 		}
-		choice, cost := c.weigh(job, &servers[i], shared, i, rereadPrice, rate)
+		choice, cost := c.weigh(job, &servers[i], job.rereading(i, first, second), rereadPrice, rate)
 		choice.At = i
 		if !best.Found || choice.InTime && !best.InTime || choice.InTime == best.InTime && cost < least {
 			best, least = choice, cost
@@ -141,21 +136,16 @@
 
 // weigh says what sending to a server would cost. Where the first token would be
 // late anyway only the time counts.
-func (c *Chooser) weigh(job Job, s *Server, shared sharedParts, at int, rereadPrice float64, rate *ReadingRate) (Choice, float64) {
-	missing := shared.missing[at]
-	again := float64(missing - shared.least)
-	choice := Choice{Found: true, Reading: job.own() + missing}
-	waiting := s.ahead(job.Urgency)
-	choice.Ahead = waiting + float64(choice.Reading)
+func (c *Chooser) weigh(job Job, s *Server, again, rereadPrice float64, rate *ReadingRate) (Choice, float64) {
+	own := job.Tokens - job.PrefixTokens
+	choice := Choice{Found: true, Reading: own + int(again)}
+	choice.Ahead = s.ahead(job.Urgency) + float64(choice.Reading)
 	choice.Room = s.hasSlot(job)
-	choice.InTime = choice.Room && job.inTime(rate, waiting+float64(shared.least), again, rereadPrice)
+	choice.InTime = choice.Room && job.inTime(rate, choice.Ahead-float64(choice.Reading), again, rereadPrice)
 	choice.Expected = rate.firstToken(choice.Ahead)
 	cost := choice.Ahead + float64(s.Running*runningTokens)
 	if choice.InTime {
 		cost += (rereadWeight - 1) * again
-		if at == shared.home {
-			cost -= homeWeight * float64(shared.least)
-		}
 	}
 	if s.Zone != job.Zone {
 		cost += otherZoneTokens
@@ -164,44 +154,12 @@
 	return choice, cost + c.random.Float64()*pendingTokens/2
 }
 
-// sharedParts is what the servers would have to read of the shared parts of a
-// prompt.
-type sharedParts struct {
-	// missing is what each server would, in tokens, and least the smallest of
-	// them: what has to be read wherever the request goes.
-	missing []int
-	least   int
-	// home is the place of the server that reads what none keeps; -1 for none.
-	home int
-}
-
-func (c *Chooser) sharedAt(job Job, servers []Server, usable func(*Server) bool) sharedParts {
-	shared := sharedParts{missing: make([]int, len(servers)), least: -1, home: -1}
-	if len(job.Shared) == 0 {
-		shared.least = 0
-		return shared
-	}
-	for i := range servers {
-		if !usable(&servers[i]) {
-			continue
-		}
-		shared.missing[i] = c.memories.missing(servers[i].Key, job.Shared)
-		if shared.least < 0 || shared.missing[i] < shared.least {
-			shared.least = shared.missing[i]
-		}
-	}
-	if shared.least > 0 {
-		shared.home = home(job.Shared[len(job.Shared)-1].ID, servers, usable)
-	}
-	return shared
-}
-
 // priceOfRereading is what a token of a shared part counts for that is read again,
 // from one, while most servers have time to spare, upwards with the share of
 // the target that what waits takes at the server in the middle: one hot home
 // among idle servers makes none dear.
 func (e *Job) priceOfRereading(servers []Server, usable func(*Server) bool, rate *ReadingRate) float64 {
-	if e.Target == 0 || len(e.Shared) == 0 {
+	if e.Target == 0 || e.Prefix == 0 {
 		return 1
 	}
 	waits := make([]float64, 0, len(servers))
@@ -228,7 +186,7 @@
 	within := func(part, tokens float64) bool {
 		return rate.firstToken(tokens) <= time.Duration(part*float64(e.Target))
 	}
-	own := float64(e.own())
+	own := float64(e.Tokens - e.PrefixTokens)
 	return within(longestWait, others+rereadPrice*again+ownWeight*own) || within(shortestWait, others+again)
 }
 
@@ -247,17 +205,38 @@
 	return float64(s.inFlight()) < share*float64(s.Slots)
 }
 
-// home is the place of the usable server with the highest hash; -1 for none.
-func home(prefix uint64, servers []Server, usable func(*Server) bool) int {
-	at := -1
-	var highest uint64
+// rereading is what the server at a place is expected to read of the shared part
+// of the prompt.
+func (e *Job) rereading(at, first, second int) float64 {
+	switch {
+	case e.Prefix == 0 || at == first:
+		return 0
+	case at == second:
+		return secondHome * float64(e.PrefixTokens)
+	default:
+		return float64(e.PrefixTokens)
+	}
+}
+
+// homes are the places of the usable servers with the two highest hashes.
+func homes(prefix uint64, servers []Server, usable func(*Server) bool) (first, second int) {
+	first, second = -1, -1
+	if prefix == 0 {
+		return first, second
+	}
+	var highest, next uint64
 	for i := range servers {
 		if !usable(&servers[i]) {
 			continue
 		}
-		if h := mix(prefix ^ hashName(servers[i].Name)); at < 0 || h > highest {
-			at, highest = i, h
+		h := mix(prefix ^ hashName(servers[i].Name))
+		switch {
+		case first < 0 || h > highest:
+			second, next = first, highest
+			first, highest = i, h
+		case second < 0 || h > next:
+			second, next = i, h
 		}
 	}
-	return at
+	return first, second
 }
--- a/policy/chooser_test.go
+++ b/policy/chooser_test.go
@@ -8,20 +8,20 @@
 )
 
 func newTestChooser() *Chooser {
-	return NewChooser(rand.New(rand.NewPCG(1, 2)), NewEjector(), NewMemories())
+	return NewChooser(rand.New(rand.NewPCG(1, 2)), NewEjector())
 }
 
 // serversOf returns idle servers with 32 slots.
 func serversOf(n int) []Server {
 	servers := make([]Server, n)
 	for i := range servers {
-		servers[i] = Server{Name: fmt.Sprintf("e-%d", i), Key: uint32(i + 1), Zone: "z", Slots: 32}
+		servers[i] = Server{Name: fmt.Sprintf("e-%d", i), Zone: "z", Slots: 32}
 	}
 	return servers
 }
 
 func summary(prefix uint64) Job {
-	return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Shared: []Part{{ID: prefix, Tokens: 6000}}}
+	return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Prefix: prefix, PrefixTokens: 6000}
 }
 
 func TestPrefixStaysHomeWhileInTime(t *testing.T) {
@@ -32,7 +32,6 @@
 			t.Fatalf("chose %d on idle servers, then %d", home, at)
 		}
 	}
-	c.memories.Sent(testStart, servers[home].Key, summary(77).Shared, 0)
 	// A wait that leaves the target alone is borne.
 	servers[home].Pending[4].Requests, servers[home].Pending[4].Tokens = 2, 5000
 	if at := c.Choose(testStart, summary(77), servers, nil).At; at != home {
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -32,11 +32,8 @@
 const (
 	directRate  = 60.0 // tokens a millisecond
 	directParts = 20   // shared parts that an engine keeps
-	// directMemory is the size of an engine's memory in tokens: half of it is
-	// taken by what runs.
-	directMemory = 2 * directParts * 6000
-	tellDelay    = 100 * time.Millisecond
-	patience     = 2 * time.Second
+	tellDelay   = 100 * time.Millisecond
+	patience    = 2 * time.Second
 )
 
 type directEngine struct {
@@ -94,9 +91,9 @@
 		p.engines = append(p.engines, &directEngine{play: p})
 	}
 	for range senders {
-		s := &directSender{chooser: NewChooser(p.random, NewEjector(), NewMemories())}
+		s := &directSender{chooser: NewChooser(p.random, NewEjector())}
 		for i := range engines {
-			server := Server{Name: fmt.Sprintf("engine-%d", i), Key: uint32(i), Zone: "z", Slots: 48}
+			server := Server{Name: fmt.Sprintf("engine-%d", i), Zone: "z", Slots: 48}
 			s.own, s.all = append(s.own, server), append(s.all, server)
 		}
 		p.senders = append(p.senders, s)
@@ -121,15 +118,6 @@
 			s.all[i].Running, s.all[i].Pending = others.Running, others.Pending
 		}
 	}
-	memory := func(uint32) int { return directMemory }
-	for _, from := range p.senders {
-		news := from.chooser.memories.News()
-		for _, to := range p.senders {
-			if to != from {
-				to.chooser.memories.Heard(testStart.Add(p.now), news, memory)
-			}
-		}
-	}
 	p.after(tellDelay, p.tell)
 }
 
@@ -174,7 +162,6 @@
 	level := &s.own[r.engine].Pending[r.job.Urgency]
 	level.Requests++
 	level.Tokens += r.reading
-	s.chooser.memories.Sent(testStart.Add(p.now), servers[choice.At].Key, r.job.Shared, directMemory)
 	p.engines[r.engine].take(r)
 	p.after(patience, func() { p.leave(r) })
 }
@@ -211,12 +198,10 @@
 			continue
 		}
 		e.reading = r
-		tokens := r.job.own()
-		for _, part := range r.job.Shared {
-			if !e.keeps(part.ID) {
-				tokens += part.Tokens
-				e.play.readMore += part.Tokens
-			}
+		tokens := r.job.Tokens - r.job.PrefixTokens
+		if !e.keeps(r.job.Prefix) {
+			tokens += r.job.PrefixTokens
+			e.play.readMore += r.job.PrefixTokens
 		}
 		e.play.after(firstStep/4+time.Duration(float64(tokens)/directRate*float64(time.Millisecond)), func() { e.first(r) })
 	}
@@ -277,7 +262,7 @@
 	capacity := 12 * directRate * 1000 / 3000.0 // summaries a second
 	parts := func() uint64 { return uint64(p.random.IntN(120)+1) * 0x9e3779b97f4a7c15 }
 	p.stream("summary", multiple*capacity, 0, 10*time.Second, func() Job {
-		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Shared: []Part{{ID: parts(), Tokens: 6000}}}
+		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, PrefixTokens: 6000, Prefix: parts()}
 	}, 300*time.Millisecond)
 	p.stream("question", 60, 0, 10*time.Second, func() Job {
 		return Job{Zone: "z", Urgency: 3, Target: 250 * time.Millisecond, Tokens: 800}
@@ -316,7 +301,7 @@
 		if p.random.IntN(10) < 6 {
 			part = 42
 		}
-		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Shared: []Part{{ID: part, Tokens: 6000}}}
+		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, PrefixTokens: 6000, Prefix: part}
 	}, 300*time.Millisecond)
 	p.run(15 * time.Second)
 	if got, asked := p.onTime["summary"], p.arrived["summary"]; float64(got) < 0.9*float64(asked) {
--- a/policy/server.go
+++ b/policy/server.go
@@ -17,10 +17,8 @@
 // counts are of all senders as far as this one knows: its own are exact, those
 // of others a moment old.
 type Server struct {
-	// Name identifies the server's start, and Key is a short hash of it; Zone
-	// is its availability zone.
+	// Name identifies the server's start; Zone is its availability zone.
 	Name string
-	Key  uint32
 	Zone string
 	// Slots is how many requests it runs at once; 0 when that isn't known.
 	Slots int
@@ -69,22 +67,14 @@
 	Target time.Duration
 	// Tokens is the length of the prompt; 0 for a plain service.
 	Tokens int
-	// Shared are the parts at the beginning of the prompt that other requests
-	// share, in order.
-	Shared []Part
+	// Prefix identifies the longest part of the prompt that other requests
+	// share; 0 for none. PrefixTokens is the length up to its end.
+	Prefix       uint64
+	PrefixTokens int
 	// Tried names the servers that aren't to be used again.
 	Tried []string
 }
 
-// own is the length of the part of the prompt that no other request shares.
-func (e *Job) own() int {
-	own := e.Tokens
-	for _, p := range e.Shared {
-		own -= p.Tokens
-	}
-	return max(own, 0)
-}
-
 func (e *Job) tried(name string) bool {
 	for _, t := range e.Tried {
 		if t == name {
