policy: admission allows for how far first tokens deviate from what was expected

Cause: with the fixed time learned apart, the expected time is no longer biased towards refusing, and about half of what was let in at nine tenths of the target came late (first/expected at the 90th percentile 1.7 to 2.2).

--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -29,13 +29,14 @@
 	// secondHome is the part of a prefix that its second home is expected to
 	// have to read: a prefix that is too much for its first home lives on both.
 	secondHome = 0.5
-	// longestWait is the part of the target within which a first token has to
-	// be expected for a request to be let in; ownWeight is what its own prompt
-	// counts for in that, and againWeight by how much more a shared part does
-	// that is read again when what waits takes the whole target. Under load
-	// each part that is read away from its home delays what is at home there,
-	// which then goes elsewhere in turn: without the weight all is late.
-	longestWait = 0.9
+	// longestWait is the part of the target within which a first token is
+	// likely for a request to be let in, the usual deviation from the expected
+	// time included; ownWeight is what its own prompt counts for in that, and
+	// againWeight by how much more a shared part does that is read again when
+	// what waits takes the whole target. Under load each part that is read away
+	// from its home delays what is at home there, which then goes elsewhere in
+	// turn: without the weight all is late.
+	longestWait = 1.0
 	ownWeight   = 1.0
 	againWeight = 15.0
 	// shortestWait is the part of the target that any request may wait for
@@ -184,7 +185,7 @@
 		return true
 	}
 	within := func(part, tokens float64) bool {
-		return rate.firstToken(tokens) <= time.Duration(part*float64(e.Target))
+		return rate.likely(tokens) <= time.Duration(part*float64(e.Target))
 	}
 	own := float64(e.Tokens - e.PrefixTokens)
 	return within(longestWait, others+rereadPrice*again+ownWeight*own) || within(shortestWait, others+again)
--- a/policy/reading_rate.go
+++ b/policy/reading_rate.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// firstRate is the rate, in tokens a millisecond, and firstStep the fixed
@@ -8,6 +11,8 @@
 	// batch reads, and the way there and back with a step of the batch.
 	firstRate = 40.0
 	firstStep = 20 * time.Millisecond
+	// firstDoubt is the mean deviation to start from.
+	firstDoubt = 0.4
 	// leastRate and mostRate bound what is learned.
 	leastRate = 8.0
 	mostRate  = 400.0
@@ -37,6 +42,8 @@
 type ReadingRate struct {
 	// Weighted means of the tokens, the milliseconds, and their products.
 	tokens, millis, square, product float64
+	// doubt is the mean deviation from what was expected, as a part of it.
+	doubt float64
 }
 
 // Observe takes that a first token came after a time, with so many tokens to
@@ -45,7 +52,11 @@
 	if r.square == 0 {
 		r.start()
 	}
-	millis := min(inMillis(took), mostLate*inMillis(r.firstToken(tokens)))
+	expected := inMillis(r.firstToken(tokens))
+	millis := min(inMillis(took), mostLate*expected)
+	if expected > 0 {
+		r.doubt += readingMemory * (math.Abs(millis-expected)/expected - r.doubt)
+	}
 	r.take(readingMemory, tokens, millis)
 }
 
@@ -54,6 +65,7 @@
 	near, far := inMillis(firstStep), inMillis(firstStep)+longReading/firstRate
 	r.tokens, r.millis = longReading/2, (near+far)/2
 	r.square, r.product = longReading*longReading/2, longReading*far/2
+	r.doubt = firstDoubt
 }
 
 func (r *ReadingRate) take(weight, tokens, millis float64) {
@@ -90,6 +102,16 @@
 	return r.fixed() + r.reads(tokens)
 }
 
+// likely is by when a first token has come in most cases, with so many tokens to
+// be read before it: the expected time and the mean deviation from it.
+func (r *ReadingRate) likely(tokens float64) time.Duration {
+	doubt := firstDoubt
+	if r != nil && r.square > 0 {
+		doubt = r.doubt
+	}
+	return time.Duration(float64(r.firstToken(tokens)) * (1 + doubt))
+}
+
 // reads is how long reading so many tokens takes.
 func (r *ReadingRate) reads(tokens float64) time.Duration {
 	return time.Duration(tokens / r.rate() * float64(time.Millisecond))
--- a/policy/reading_rate_test.go
+++ b/policy/reading_rate_test.go
@@ -64,3 +64,28 @@
 		t.Errorf("learned a fixed time of %v", got)
 	}
 }
+
+// Where times scatter, less is let in: half of what is expected just within the
+// target would come late.
+func TestScatteredTimesLeaveMoreRoom(t *testing.T) {
+	learned := func(scatter float64) *ReadingRate {
+		r, random := &ReadingRate{}, rand.New(rand.NewPCG(7, 8))
+		for range 2000 {
+			tokens := random.ExpFloat64() * 5000
+			millis := (30 + tokens/50) * (1 - scatter + 2*scatter*random.Float64())
+			r.Observe(tokens, time.Duration(millis*float64(time.Millisecond)))
+		}
+		return r
+	}
+	steady, scattered := learned(0.1), learned(0.9)
+	servers := serversOf(1)
+	servers[0].Pending[4].Requests, servers[0].Pending[4].Tokens = 4, 14_000
+	job := Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 3000}
+	c := newTestChooser()
+	if choice := c.Choose(testStart, job, servers, steady); !choice.InTime {
+		t.Errorf("refused at %v of 500 ms where times hardly differ", choice.Expected)
+	}
+	if choice := c.Choose(testStart, job, servers, scattered); choice.InTime {
+		t.Errorf("let in at %v of 500 ms where times scatter by nine tenths", choice.Expected)
+	}
+}
