gateway: servers that were replaced are left alone; who is cut off alone isn't ready

The gateways that had been cut off from the store trusted the lapsed entries for two seconds more, and an engine that refuses at once looks idle and draws everything. A 421 now takes the start out for good, until its entry goes (TestReplacedServerIsLeftAlone, TestReplacedServersStayOut, failed before). Ruled out: full queues or memory (all had status 421), attempts. - 6,358 requests were refused as state_not_proved_fresh by ten gateways cut off from the store and the others, which went on saying that they were ready. Now a gateway that can't prove its state and hears less than half of the listed gateways isn't ready, and such refusals close the connection so that callers go elsewhere (TestCutOffGatewayIsNotReady, failed before). Where the store is away from all, nothing changes.

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -123,6 +123,21 @@
 	r.away = true
 }
 
+// Replaced notes that another start answers at a server's address: the server is
+// gone for good, whatever the list says of it for some time to come. It reports
+// whether that is news.
+func (r *Registry) Replaced(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[id]
+	if s == nil || s.replaced {
+		return false
+	}
+	s.replaced = true
+	r.publish()
+	return true
+}
+
 // Sweep removes what has lapsed and isn't back. It is to be called a few times
 // a second.
 func (r *Registry) Sweep(now time.Time) {
@@ -187,6 +202,9 @@
 func (r *Registry) publish() {
 	snapshot := map[string][]*Server{}
 	for _, s := range r.servers {
+		if s.replaced {
+			continue
+		}
 		service := s.Info().Service
 		snapshot[service] = append(snapshot[service], s)
 	}
--- a/internal/gateway/backend/registry_test.go
+++ b/internal/gateway/backend/registry_test.go
@@ -104,3 +104,18 @@
 	r.Reset(start.Add(time.Second), nil, nil)
 	expect(t, r, "b")
 }
+
+// Its entry may be read again until the list has noticed.
+func TestReplacedServersStayOut(t *testing.T) {
+	r := NewRegistry()
+	r.Reset(start, infos("a", "b"), nil)
+	r.Replaced("a")
+	r.Replaced("unheard of")
+	expect(t, r, "b")
+	r.Change(start, infos("a"), nil)
+	r.Reset(start, infos("a", "b", "c"), nil)
+	expect(t, r, "b c")
+	r.Change(start, nil, []string{"a"})
+	r.Change(start, infos("a"), nil)
+	expect(t, r, "a b c")
+}
--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -27,6 +27,9 @@
 // as the list changes; the counts last as long as the server is listed.
 type Server struct {
 	info atomic.Pointer[Info]
+	// replaced says that another start was met at its address. The Registry's
+	// lock guards it.
+	replaced bool
 	// Load is what this process has there.
 	Load Load
 }
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -36,6 +36,11 @@
 	}
 }
 
+// Replaced implements router.Observer.
+func (e ends) Replaced(server string) {
+	e.log.Info(logging.EventServerRemoved, logging.Peer(server), logging.Reason("replaced"))
+}
+
 func (e ends) count(class *metrics.Class, end router.End) {
 	switch eventOf(end) {
 	case logging.EventRequestRefused:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,7 +217,16 @@
 
 // ready reports whether the balancer may send new connections here.
 func (g *gateway) ready() bool {
-	return !g.leaving.Load() && g.holder.Current() != nil && g.registry.Known()
+	return !g.leaving.Load() && g.holder.Current() != nil && g.registry.Known() && !g.isolated()
+}
+
+// isolated reports whether this gateway alone, or with a few others, is cut off
+// from the store, so that callers are served elsewhere: requests with a key are
+// refused here, and most other gateways aren't heard of. Where the store is
+// away from all of them nobody would serve them better, and public routes are
+// served on.
+func (g *gateway) isolated() bool {
+	return !g.router.Fresh() && 2*g.mesh.Gateways() <= g.mesh.Listed()
 }
 
 func (g *gateway) adminRoutes() http.Handler {
--- a/internal/gateway/protocol/protocol.go
+++ b/internal/gateway/protocol/protocol.go
@@ -63,6 +63,9 @@
 	Signed bool
 	// NotRun says that the request didn't run and won't.
 	NotRun bool
+	// OtherServer says that another start than the one that was meant answers
+	// at the address.
+	OtherServer bool
 	// Encoded says that the body isn't the backend server's own bytes.
 	Encoded bool
 }
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -203,6 +203,9 @@
 	reply := c.router.Dialect.Reply(answer.Status, answer.Header)
 	switch {
 	case reply.NotRun:
+		if reply.OtherServer && c.router.Registry.Replaced(c.server) {
+			c.router.Observer.Replaced(c.server)
+		}
 		// The body is read so that the connection can be kept.
 		_, _ = readLimited(answer, maxRefusal)
 		return notRun
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -49,6 +49,8 @@
 type Observer interface {
 	// Ended is told of the end of each request.
 	Ended(e End)
+	// Replaced is told of each server at whose address another start was met.
+	Replaced(server string)
 }
 
 // End is how a request ended.
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -37,7 +37,12 @@
 }
 
 // refuse answers that the request didn't run and won't, and when to come back.
+// A gateway that isn't certain of its desired state sends the caller to another
+// one: a connection that is kept stays with its gateway.
 func (c *call) refuse(reason Reason, after time.Duration) {
+	if reason == ReasonNotFresh || reason == ReasonNoState {
+		c.w.Header().Set("Connection", "close")
+	}
 	c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	c.fail(http.StatusServiceUnavailable, reason)
 }
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -79,7 +79,7 @@
 		return false
 	}
 	c.version = set.Version
-	fresh := r.fresh()
+	fresh := r.Fresh()
 	c.route = set.Match(c.req.Host, c.req.URL.Path)
 	switch {
 	case c.route == nil && !fresh:
@@ -139,9 +139,9 @@
 	return n
 }
 
-// fresh reports whether the desired state is proved to be new enough for
+// Fresh reports whether the desired state is proved to be new enough for
 // requests whose keys may be taken away.
-func (r *Router) fresh() bool {
+func (r *Router) Fresh() bool {
 	bound := r.bounds.Load().Proof
 	return bound == 0 || boottime.Now()-r.Holder.ProvenAt() <= bound
 }
--- a/testbed/gateway/helpers_test.go
+++ b/testbed/gateway/helpers_test.go
@@ -31,3 +31,13 @@
 	}
 	return len(servers) == 2
 }
+
+// usedServer reports whether a request with an id reached a server.
+func usedServer(f *gateway.Fleet, id, server string) bool {
+	for _, a := range f.Arrivals(id) {
+		if a.Server == server {
+			return true
+		}
+	}
+	return false
+}
--- a/testbed/gateway/servers_test.go
+++ b/testbed/gateway/servers_test.go
@@ -72,3 +72,32 @@
 		t.Errorf("status %d, a server at the address that is another one doesn't run it", got.Status)
 	}
 }
+
+// A server whose address answers for another start is gone, though its entry
+// stays in the list for seconds: idle as it looks, it would draw one request
+// after the other and refuse them all.
+func TestReplacedServerIsLeftAlone(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	replaced := f.Serve("i-1", gateway.Answer("whole"))
+	f.Serve("i-2", gateway.Answer("whole"))
+	f.Wait("both are used", func() bool { f.Call("/safe/x", "warm"); return usedBoth(f, "warm") })
+	replaced.Instance = "i-3"
+	refused := 0
+	for range 30 {
+		if f.Call("/quick/x", "after").Status != 200 {
+			refused++
+		}
+	}
+	if refused > 1 {
+		t.Errorf("%d requests were refused by a server that is gone", refused)
+	}
+	f.List(&gateway.Server{Instance: "i-1", Addr: replaced.Addr}, "ready")
+	time.Sleep(100 * time.Millisecond)
+	for range 20 {
+		if got := f.Call("/quick/x", "again"); got.Status != 200 {
+			t.Fatalf("status %d after its old entry was written again", got.Status)
+		}
+	}
+	f.List(replaced, "ready")
+	f.Wait("the new start is used", func() bool { f.Call("/safe/x", "new"); return usedServer(f, "new", "i-3") })
+}
--- a/testbed/gateway/state_test.go
+++ b/testbed/gateway/state_test.go
@@ -102,3 +102,33 @@
 	f.Store.Remove("gateways", "gateway-1")
 	f.Wait("it is listed again", listed)
 }
+
+// A gateway that is cut off alone sends its callers to others; one that is cut
+// off as all are goes on with what it may still serve.
+func TestCutOffGatewayIsNotReady(t *testing.T) {
+	const within = 2500 * time.Millisecond
+	alone := gateway.NewFleet(t, gateway.Options{Revoke: within})
+	one := gateway.NewFleet(t, gateway.Options{Revoke: within})
+	for _, name := range []string{"gateway-2", "gateway-3", "gateway-4"} {
+		one.Store.Put("gateways", name, []byte("127.0.0.1:9"))
+	}
+	// The list of gateways is followed.
+	time.Sleep(300 * time.Millisecond)
+	alone.Store.SetFault(rowstore.Silent)
+	one.Store.SetFault(rowstore.Silent)
+	one.Wait("the one among four isn't ready", func() bool { return !one.Ready() })
+	resp, err := http.DefaultClient.Do(one.Request(t.Context(), http.MethodPost, "/safe/x", "k", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("status %d, connection closed %v for a request with a key", resp.StatusCode, resp.Close)
+	}
+	alone.Wait("the only one refuses keys", func() bool { return alone.Call("/safe/x", "k").Status == 503 })
+	if !alone.Ready() {
+		t.Error("the only gateway isn't ready while the store is away")
+	}
+	one.Store.SetFault(rowstore.Well)
+	one.Wait("it is ready again", one.Ready)
+}
