gateway: changes of a table are gathered, and answers held back longer

TestCutOffGatewayIsNotReady lists its gateways before the start: they were heard of only after the pause.

--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -71,9 +72,14 @@
 	Name   string
 	Source Source[T]
 	Sink   Sink[T]
-	// Wait is how long the store may hold back an answer without news.
+	// Wait is how long the store may hold back an answer without news, at the
+	// most: each call's wait is drawn from the upper quarter, so that followers
+	// that heard the same news don't all ask at the same time from then on.
 	Wait time.Duration
-	Log  *zap.Logger
+	// Gather is the pause after news: what changes meanwhile comes with one
+	// call, and each call is paid for.
+	Gather time.Duration
+	Log    *zap.Logger
 
 	failing bool
 }
@@ -115,14 +121,18 @@
 		f.Sink.Reset(moment, batch)
 		return batch.At, nil
 	}
-	batch, err := f.Source.Next(ctx, at, f.Wait)
+	wait := f.Wait - rand.N(f.Wait/4+1)
+	batch, err := f.Source.Next(ctx, at, wait)
 	if err != nil {
 		return 0, err
 	}
-	if held := boottime.Now() - moment; batch.empty() && held >= f.Wait {
-		moment += f.Wait
+	if held := boottime.Now() - moment; batch.empty() && held >= wait {
+		moment += wait
 	}
 	f.Sink.Change(moment, batch)
+	if !batch.empty() && f.Gather > 0 {
+		sleep(ctx, f.Gather)
+	}
 	return batch.At, nil
 }
 
--- a/internal/gateway/follow/follower_test.go
+++ b/internal/gateway/follow/follower_test.go
@@ -92,3 +92,42 @@
 	}
 	return text
 }
+
+// Servers that start together change the list one by one.
+func TestChangesThatComeTogetherTakeOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		changes := &changing{began: time.Now()}
+		out := &sink{}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		f := Follower[string]{Name: "t", Source: changes, Sink: out, Wait: time.Second, Gather: 250 * time.Millisecond, Log: zap.NewNop()}
+		f.Run(ctx)
+		if changes.calls > 15 {
+			t.Errorf("%d calls for 100 changes within two seconds", changes.calls)
+		}
+		if got := len(out.news) - 1; got != 100 {
+			t.Errorf("%d changes of 100 were heard of", got)
+		}
+	})
+}
+
+// changing has an item more every 20 milliseconds, up to a hundred.
+type changing struct {
+	began time.Time
+	calls int
+}
+
+func (c *changing) Read(context.Context) (Batch[string], error) { return Batch[string]{}, nil }
+
+func (c *changing) Next(ctx context.Context, after uint64, wait time.Duration) (Batch[string], error) {
+	c.calls++
+	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if now := min(uint64(time.Since(c.began)/(20*time.Millisecond)), 100); now > after {
+			return Batch[string]{Items: make([]string, now-after), At: now}, nil
+		}
+		if ctx.Err() != nil {
+			return Batch[string]{}, ctx.Err()
+		}
+	}
+	return Batch[string]{At: after}, nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,16 +31,28 @@
 
 const (
 	// desiredWait is how long the store may hold back an answer about the
-	// desired state: each answer proves that the state in force is the
-	// newest, so that the proof is one to two seconds old.
-	desiredWait = time.Second
+	// desired state, where operators set no bound for keys that are taken away.
+	// Where they do, it is proofPart of that bound: each answer proves that the
+	// state in force is the newest, and its proof is a second old, for which a
+	// feed may be silent. A proof that gets no older than half of the bound and
+	// a second outlives a call that fails, alone; other gateways' proofs come
+	// to that.
+	desiredWait = 2500 * time.Millisecond
+	proofPart   = 0.5
 	// serversWait is the same for the list of backend servers, which proves
-	// nothing. It bounds, beside keep-alive probes, how long a connection to
-	// the store that went silent goes unnoticed; each call is paid for.
-	serversWait = 2500 * time.Millisecond
+	// nothing: keep-alive probes notice within three seconds that a connection
+	// to the store went silent. Each call is paid for.
+	serversWait = 5 * time.Second
+	// serversGather is the pause after news of backend servers: short against
+	// the two seconds within which leaving ones get no more work, long enough
+	// that a start of all servers takes a dozen calls and not one for each.
+	serversGather = 250 * time.Millisecond
 	// entriesWait is the same for the list of gateways, on which nothing
 	// hangs: who isn't in it yet is heard of.
 	entriesWait = 15 * time.Second
+	// entriesGather is the same for gateways: each hears of all others within
+	// two seconds of a start of all.
+	entriesGather = 2 * time.Second
 	// sweepEvery is how often what has lapsed and idle connections are looked
 	// through.
 	sweepEvery = 500 * time.Millisecond
@@ -184,15 +196,24 @@
 func (g *gateway) followDesired(ctx context.Context) {
 	f := follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: &desired{holder: g.holder, log: g.log},
-		Wait: desiredWait, Log: g.log,
+		Wait: provedWithin(boundsOf(g.settings).Proof), Log: g.log,
 	}
 	f.Run(ctx)
 }
 
+// provedWithin is how long the store may hold back an answer about the desired
+// state, by how old its proof may be; 0 for no bound.
+func provedWithin(bound time.Duration) time.Duration {
+	if bound == 0 {
+		return desiredWait
+	}
+	return min(desiredWait, time.Duration(proofPart*float64(bound)))
+}
+
 func (g *gateway) followServers(ctx context.Context) {
 	f := follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry, g.log},
-		Wait: serversWait, Log: g.log,
+		Wait: serversWait, Gather: serversGather, Log: g.log,
 	}
 	f.Run(ctx)
 }
--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -66,6 +66,8 @@
 	MemoryMB float64
 	// Log takes the gateway's lines; nil for nowhere.
 	Log *zap.Logger
+	// Listed names gateways that are in the list though they don't run.
+	Listed []string
 	// Unready starts the gateway with a store that knows nothing.
 	Unready bool
 }
@@ -77,6 +79,9 @@
 	if !o.Unready {
 		f.Desire(1, "", "")
 	}
+	for _, name := range o.Listed {
+		f.Store.Put("gateways", name, []byte("127.0.0.1:9"))
+	}
 	web := httptest.NewServer(f.Store)
 	t.Cleanup(func() { f.Store.SetFault(rowstore.Busy); web.CloseClientConnections(); web.Close() })
 	f.Front, f.Admin = freeAddr(t), freeAddr(t)
