--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -78,17 +77,6 @@
 	return newConn(opened, peer), nil
 }
 
-// Ended reports whether nothing listens at a peer's address any more. A peer that
-// can't be reached may be there all the same.
-func (p *Pool) Ended(ctx context.Context, peer Peer) bool {
-	c, err := p.dialer.DialContext(ctx, "tcp", peer.Addr)
-	if err == nil {
-		_ = c.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // pop takes the connection that was used last, so that those that aren't
 // needed grow old.
 func (p *Pool) pop(peer Peer) *conn {
--- a/internal/gateway/protocol/protocol.go
+++ b/internal/gateway/protocol/protocol.go
@@ -53,11 +53,6 @@
 	Left time.Duration
 	// After is the id of the last event that the caller has.
 	After string
-	// CopyTo is the address of the server that is to keep a copy of what the
-	// run has in memory, CopyFrom of the one that the run goes on from; empty
-	// for none.
-	CopyTo   string
-	CopyFrom string
 }
 
 // Reply is what the head of a backend server's answer says.
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -67,7 +67,6 @@
 	// server does better.
 	failure *heldAnswer
 	stream  streamed
-	copy    copyOfRun
 	// served says that a whole answer of a server was passed on.
 	served bool
 	first  time.Duration
@@ -104,7 +103,7 @@
 			return
 		}
 		v := c.attempt(ctx, server, choice)
-		if v == done || v == unclear && c.goOnFromCopy(ctx) {
+		if v == done {
 			return
 		}
 		if !c.mayGoOn(ctx, v) {
@@ -160,22 +159,17 @@
 	return choice.InTime || c.sends > 0 || c.ask.PromptTokens == 0 && choice.Room
 }
 
-// attempt sends the request to a chosen server and passes on what comes.
+// attempt sends the request to a server and passes on what comes.
 func (c *call) attempt(ctx context.Context, server *backend.Server, choice policy.Choice) verdict {
-	c.tried = append(c.tried, server.Info().ID)
-	if time.Until(c.end) <= 0 {
+	info := server.Info()
+	c.tried = append(c.tried, info.ID)
+	left := time.Until(c.end)
+	if left <= 0 {
 		return unclear
 	}
 	stay := &visit{Stay: server.Load.Enter(c.urgency, c.router.plan(c.service, choice)), call: c, ahead: choice.Ahead, sent: time.Now()}
 	defer stay.Leave()
-	c.copy = c.keepCopy(server)
-	return c.exchange(ctx, server, stay)
-}
-
-// exchange sends the request to a server and passes on what comes.
-func (c *call) exchange(ctx context.Context, server *backend.Server, stay *visit) verdict {
-	info := server.Info()
-	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, time.Until(c.end)))
+	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, left))
 	if errors.Is(err, exchange.ErrNotSent) {
 		c.dials++
 		c.router.observe(info.ID, policy.OutcomeFailed)
@@ -233,9 +227,6 @@
 	if c.stream.last > 0 {
 		send.After = strconv.FormatInt(c.stream.last, 10)
 	}
-	if c.copy.at != nil {
-		send.CopyTo, send.CopyFrom = c.copy.addresses()
-	}
 	young := time.Hour
 	if !c.route.Idempotent() {
 		young = youngest
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -31,7 +31,6 @@
 	mu      sync.Mutex
 	budgets map[string]*policy.WindowBudget
 	rates   map[string]*policy.ReadingRate
-	guard   policy.CopyGuard
 	bounds  atomic.Pointer[Bounds]
 	held    held
 	leaving func() bool
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -39,24 +39,6 @@
 	return r.Chooser.Choose(time.Now(), job, loads, r.rates[service])
 }
 
-func (r *Router) copiesWanted() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.guard.Wanted(time.Now())
-}
-
-func (r *Router) streamBroke() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.guard.Broke(time.Now())
-}
-
-func (r *Router) copyPlace(run string, loads []policy.Server) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.Chooser.CopyPlace(time.Now(), run, loads)
-}
-
 // observeFirst takes how long a first token took with so much to be read
 // before it.
 func (r *Router) observeFirst(service string, ahead float64, took time.Duration) {
--- a/internal/gateway/router/visit.go
+++ b/internal/gateway/router/visit.go
@@ -14,14 +14,11 @@
 	// the request was sent.
 	ahead float64
 	sent  time.Time
-	// goesOn says that the run goes on from a copy: how soon tells nothing of
-	// reading.
-	goesOn bool
 }
 
 // begun notes that the answer has begun.
 func (v *visit) begun() {
-	if v.Begun() && !v.goesOn {
+	if v.Begun() {
 		v.call.router.observeFirst(v.call.service, v.ahead, time.Since(v.sent))
 	}
 }
