gateway: it is known at once when the store is back

The gateway's log: the store turned it away from 2.5 to 11.5 s; its next call about servers was held back by the store until there was news, at 15.013, so that the store counted as back only then, and the removal that came with it as an entry that may have lapsed, trusted for two seconds more. Change: the first call after a failure is not held back; the calls about the desired state tell the registry as well, so that an outage that the long call about servers sleeps through is known too. Tests that failed before: TestServerThatLeavesAfterTheStoreIsBack, TestFirstCallAfterAFailureIsNotHeldBack.

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -116,7 +116,8 @@
 	}
 }
 
-// Unavailable notes that the store doesn't answer.
+// Unavailable notes that the list's store doesn't answer, whatever it was asked
+// for.
 func (r *Registry) Unavailable() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -155,6 +156,13 @@
 	}
 }
 
+// Available notes that the list's store answers, whatever it was asked for.
+func (r *Registry) Available(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered(now)
+}
+
 func (r *Registry) answered(now time.Time) {
 	if r.away {
 		r.away = false
--- a/internal/gateway/desired.go
+++ b/internal/gateway/desired.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/routes"
 	"github.com/applepier/applepier/internal/logging"
@@ -19,7 +20,11 @@
 // desired takes the desired state from its follower into the holder.
 type desired struct {
 	holder *routes.Holder
-	log    *zap.Logger
+	// registry is told when the store is away and back: calls about the desired
+	// state are held back for a shorter time than those about servers, and
+	// notice it first.
+	registry *backend.Registry
+	log      *zap.Logger
 	// unreadable says that the newest state can't be read, so that nothing
 	// proves the one in force to be the newest.
 	unreadable atomic.Bool
@@ -38,9 +43,10 @@
 }
 
 // Unavailable implements follow.Sink.
-func (d *desired) Unavailable(error) {}
+func (d *desired) Unavailable(error) { d.registry.Unavailable() }
 
 func (d *desired) take(moment time.Duration, batch follow.Batch[*routes.Set]) {
+	d.registry.Available(time.Now())
 	if len(batch.Unreadable) > 0 {
 		d.unreadable.Store(true)
 	}
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -26,6 +26,9 @@
 	// two seconds in which its news has to be in force.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 500 * time.Millisecond
+	// recheckWait is how long the store may hold back its first answer after a
+	// failure.
+	recheckWait = 50 * time.Millisecond
 	// gonePause is the pause before the whole is read again, so that a store
 	// that keeps no history at all isn't read without end.
 	gonePause = 50 * time.Millisecond
@@ -121,7 +124,7 @@
 		f.Sink.Reset(moment, batch)
 		return batch.At, nil
 	}
-	wait := f.Wait - rand.N(f.Wait/4+1)
+	wait := f.wait()
 	batch, err := f.Source.Next(ctx, at, wait)
 	if err != nil {
 		return 0, err
@@ -136,6 +139,15 @@
 	return batch.At, nil
 }
 
+// wait is how long the store may hold back the next answer. The first one after a
+// failure comes at once, so that it is known when the store was back.
+func (f *Follower[T]) wait() time.Duration {
+	if f.failing {
+		return min(f.Wait, recheckWait)
+	}
+	return f.Wait - rand.N(f.Wait/4+1)
+}
+
 func (f *Follower[T]) answered() {
 	if f.failing {
 		f.failing = false
--- a/internal/gateway/follow/follower_test.go
+++ b/internal/gateway/follow/follower_test.go
@@ -93,6 +93,35 @@
 	return text
 }
 
+// The first answer after a failure shows when the store was back; it isn't held
+// back until there is news.
+func TestFirstCallAfterAFailureIsNotHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := &holding{}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		f := Follower[string]{Name: "t", Source: held, Sink: &sink{}, Wait: 4 * time.Second, Log: zap.NewNop()}
+		f.Run(ctx)
+		if len(held.waits) < 4 || held.waits[0] < 3*time.Second || held.waits[1] > recheckWait || held.waits[2] < 3*time.Second {
+			t.Errorf("waits of %v; the second is the first after a failure", held.waits)
+		}
+	})
+}
+
+// holding has no news; its first call that waits fails.
+type holding struct{ waits []time.Duration }
+
+func (h *holding) Read(context.Context) (Batch[string], error) { return Batch[string]{}, nil }
+
+func (h *holding) Next(_ context.Context, _ uint64, wait time.Duration) (Batch[string], error) {
+	h.waits = append(h.waits, wait)
+	if len(h.waits) == 1 {
+		return Batch[string]{}, errors.New("down")
+	}
+	time.Sleep(wait)
+	return Batch[string]{}, nil
+}
+
 // Servers that start together change the list one by one.
 func TestChangesThatComeTogetherTakeOneCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,7 +195,7 @@
 
 func (g *gateway) followDesired(ctx context.Context) {
 	f := follow.Follower[*routes.Set]{
-		Name: "desired state", Source: g.platform.Desired, Sink: &desired{holder: g.holder, log: g.log},
+		Name: "desired state", Source: g.platform.Desired, Sink: &desired{holder: g.holder, registry: g.registry, log: g.log},
 		Wait: provedWithin(boundsOf(g.settings).Proof), Log: g.log,
 	}
 	f.Run(ctx)
--- a/testbed/gateway/servers_test.go
+++ b/testbed/gateway/servers_test.go
@@ -102,3 +102,25 @@
 	f.List(replaced, "ready")
 	f.Wait("the new start is used", func() bool { f.Call("/safe/x", "new"); return usedServer(f, "new", "i-3") })
 }
+
+// Entries that went while the store was away are trusted for two seconds after
+// it is back. The call that shows that it is may be held back by the store for
+// longer, until there is news: a server that leaves then has left.
+func TestServerThatLeavesAfterTheStoreIsBack(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	leaves := f.Serve("i-1", gateway.Answer("whole"))
+	f.Serve("i-2", gateway.Answer("whole"))
+	f.Wait("both are used", func() bool { f.Call("/safe/x", "warm"); return usedBoth(f, "warm") })
+	f.Store.SetFault(rowstore.Busy)
+	time.Sleep(300 * time.Millisecond)
+	f.Store.SetFault(rowstore.Well)
+	time.Sleep(2800 * time.Millisecond)
+	f.Store.Remove("servers", leaves.Instance)
+	time.Sleep(500 * time.Millisecond)
+	for range 20 {
+		f.Call("/safe/x", "after")
+	}
+	if usedServer(f, "after", leaves.Instance) {
+		t.Error("a server that left after the store was back got a request")
+	}
+}
