--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -26,6 +26,9 @@
 	if end.First > 0 {
 		class.FirstToken(end.First)
 	}
+	if end.Pause > 0 {
+		class.Pause(end.Pause)
+	}
 	e.count(class, end)
 	if end.Reason != router.ReasonServed {
 		e.log.Info(eventOf(end), logging.Request(end.ID), logging.Class(end.Route), logging.Reason(string(end.Reason)),
--- a/internal/metrics/class.go
+++ b/internal/metrics/class.go
@@ -35,6 +35,7 @@
 	retried   gometrics.Counter
 	wasted    gometrics.Counter
 	first     gometrics.Histogram
+	pause     gometrics.Histogram
 }
 
 // goodput counts whole answers on time, over all classes.
@@ -58,6 +59,7 @@
 		retried:   counter(m.registry, familyRetried, class),
 		wasted:    counter(m.registry, familyWasted, class),
 		first:     histogram(m.registry, familyFirstToken, class),
+		pause:     histogram(m.registry, familyPause, class),
 	}
 }
 
@@ -97,5 +99,8 @@
 // whole answer.
 func (c *Class) Wasted(tokens int) { c.wasted.Inc(int64(tokens)) }
 
+// Pause takes the longest pause between two events of a stream.
+func (c *Class) Pause(longest time.Duration) { c.pause.Update(longest.Microseconds()) }
+
 // FirstToken records the time from a request's arrival to its first token.
 func (c *Class) FirstToken(wait time.Duration) { c.first.Update(wait.Microseconds()) }
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -14,6 +14,7 @@
 	familyRetried          family = "applepier_requests_retried_total"
 	familyWasted           family = "applepier_wasted_tokens_total"
 	familyFirstToken       family = "applepier_first_token_seconds"
+	familyPause            family = "applepier_event_pause_seconds"
 	familyGoodputRequests  family = "applepier_goodput_requests_total"
 	familyGoodputTokens    family = "applepier_goodput_tokens_total"
 	familyWaiting          family = "applepier_waiting"
@@ -44,6 +45,7 @@
 	familyRetried:          "Further attempts at requests.",
 	familyWasted:           "Tokens generated that reached no caller as part of a whole answer.",
 	familyFirstToken:       "Time from a request's arrival to its first token.",
+	familyPause:            "Longest pause between two events of a stream.",
 	familyGoodputRequests:  "Requests answered whole and on time.",
 	familyGoodputTokens:    "Tokens of requests answered whole and on time.",
 	familyWaiting:          "Tickets (agent) or requests (entry) that wait.",
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -31,6 +31,7 @@
 		flag.Received()
 	}
 	flag.FirstToken(320 * time.Millisecond)
+	flag.Pause(150 * time.Millisecond)
 	flag.Finished(OnTime, 40)
 	flag.Finished(Late, 50)
 	flag.Refused("overload")
