gateway: desired state and servers from other gateways while the store is away

Each gateway now hands its state over (package handover: HTTP with CBOR on the port of the datagrams, TCP); who hears of a newer version, or knows no servers, and isn't told by the store within 0.3 s, asks. What is learned so is proved as ever, by datagrams; an older version is never taken. With it: the first answer after news about the desired state isn't held back. An answer held for most of its wait and then news left the state unproved for two waits, 5.7 s of the 4.9 that keys may count (TestNewsAreConfirmedAtOnce); the wait is 0.6 of the bound less the second of a silent feed.

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -100,6 +100,22 @@
 	r.known.Store(true)
 }
 
+// Adopt takes the list from elsewhere as long as the store hasn't told any; it
+// reports whether it did.
+func (r *Registry) Adopt(all []Info) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known.Load() {
+		return false
+	}
+	for _, info := range all {
+		r.put(info)
+	}
+	r.publish()
+	r.known.Store(true)
+	return true
+}
+
 // Change takes what has changed in the list.
 func (r *Registry) Change(now time.Time, changed []Info, removed []string) {
 	r.mu.Lock()
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -26,8 +26,8 @@
 	// two seconds in which its news has to be in force.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 500 * time.Millisecond
-	// recheckWait is how long the store may hold back its first answer after a
-	// failure.
+	// recheckWait is how long the store may hold back an answer that is to come
+	// at once.
 	recheckWait = 50 * time.Millisecond
 	// gonePause is the pause before the whole is read again, so that a store
 	// that keeps no history at all isn't read without end.
@@ -82,9 +82,15 @@
 	// Gather is the pause after news: what changes meanwhile comes with one
 	// call, and each call is paid for.
 	Gather time.Duration
-	Log    *zap.Logger
+	// Confirm has the first answer after news not held back: only an answer
+	// without news proves what was the newest, and it would come late by what
+	// the one with the news has used of its wait.
+	Confirm bool
+	Log     *zap.Logger
 
 	failing bool
+	// news says that the last answer held some.
+	news bool
 }
 
 // Run follows until ctx ends.
@@ -133,6 +139,7 @@
 		moment += wait
 	}
 	f.Sink.Change(moment, batch)
+	f.news = !batch.empty()
 	if !batch.empty() && f.Gather > 0 {
 		sleep(ctx, f.Gather)
 	}
@@ -140,9 +147,10 @@
 }
 
 // wait is how long the store may hold back the next answer. The first one after a
-// failure comes at once, so that it is known when the store was back.
+// failure comes at once, so that it is known when the store was back; the first
+// one after news where it has to prove them.
 func (f *Follower[T]) wait() time.Duration {
-	if f.failing {
+	if f.failing || f.Confirm && f.news {
 		return min(f.Wait, recheckWait)
 	}
 	return f.Wait - rand.N(f.Wait/4+1)
--- a/internal/gateway/follow/follower_test.go
+++ b/internal/gateway/follow/follower_test.go
@@ -108,6 +108,38 @@
 	})
 }
 
+// News that come at the end of a wait would leave the proof as old as two waits.
+func TestNewsAreConfirmedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		changes := &changing{began: time.Now(), every: 1700 * time.Millisecond}
+		out := &proving{}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		f := Follower[string]{Name: "t", Source: changes, Sink: out, Wait: 2 * time.Second, Confirm: true, Log: zap.NewNop()}
+		f.Run(ctx)
+		if out.longest > 2*time.Second+recheckWait {
+			t.Errorf("%v passed without a proof, a wait is two seconds", out.longest)
+		}
+	})
+}
+
+// proving measures the time between answers that prove what is the newest.
+type proving struct {
+	last    time.Time
+	longest time.Duration
+}
+
+func (p *proving) Reset(time.Duration, Batch[string]) { p.last = time.Now() }
+
+func (p *proving) Change(_ time.Duration, changes Batch[string]) {
+	if changes.empty() {
+		p.longest = max(p.longest, time.Since(p.last))
+		p.last = time.Now()
+	}
+}
+
+func (p *proving) Unavailable(error) {}
+
 // holding has no news; its first call that waits fails.
 type holding struct{ waits []time.Duration }
 
@@ -125,7 +157,7 @@
 // Servers that start together change the list one by one.
 func TestChangesThatComeTogetherTakeOneCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		changes := &changing{began: time.Now()}
+		changes := &changing{began: time.Now(), every: 20 * time.Millisecond}
 		out := &sink{}
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
@@ -140,9 +172,10 @@
 	})
 }
 
-// changing has an item more every 20 milliseconds, up to a hundred.
+// changing has an item more ever so often, up to a hundred.
 type changing struct {
 	began time.Time
+	every time.Duration
 	calls int
 }
 
@@ -151,7 +184,7 @@
 func (c *changing) Next(ctx context.Context, after uint64, wait time.Duration) (Batch[string], error) {
 	c.calls++
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if now := min(uint64(time.Since(c.began)/(20*time.Millisecond)), 100); now > after {
+		if now := min(uint64(time.Since(c.began)/c.every), 100); now > after {
 			return Batch[string]{Items: make([]string, now-after), At: now}, nil
 		}
 		if ctx.Err() != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/exchange"
 	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/internal/gateway/handover"
 	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/internal/gateway/routes"
@@ -32,13 +33,14 @@
 const (
 	// desiredWait is how long the store may hold back an answer about the
 	// desired state, where operators set no bound for keys that are taken away.
-	// Where they do, it is proofPart of that bound: each answer proves that the
-	// state in force is the newest, and its proof is a second old, for which a
-	// feed may be silent. A proof that gets no older than half of the bound and
-	// a second outlives a call that fails, alone; other gateways' proofs come
-	// to that.
+	// Where they do, it is proofPart of what the bound leaves beside the second
+	// for which a feed may be silent: each answer proves that the state in
+	// force was the newest a second ago. The rest is for a call that fails, and
+	// for the way of proofs between gateways.
 	desiredWait = 2500 * time.Millisecond
-	proofPart   = 0.5
+	proofPart   = 0.6
+	// leastWait bounds the calls where the bound leaves hardly any time.
+	leastWait = 200 * time.Millisecond
 	// serversWait is the same for the list of backend servers, which proves
 	// nothing: keep-alive probes notice within three seconds that a connection
 	// to the store went silent. Each call is paid for.
@@ -58,6 +60,9 @@
 	sweepEvery = 500 * time.Millisecond
 	// headerTimeout bounds the reading of a caller's headers.
 	headerTimeout = 10 * time.Second
+	// handTimeout bounds what another gateway takes to ask for this one's state
+	// and to read it.
+	handTimeout = 2 * time.Second
 	// idleTimeout closes a connection that asks nothing, where operators set
 	// no limit.
 	idleTimeout = 2 * time.Minute
@@ -104,7 +109,12 @@
 		_ = callers.Close()
 		return errors.Wrap(ErrListen, err.Error())
 	}
-	g.serve(ctx, callers, admin, reload)
+	handing, err := net.Listen("tcp", g.mesh.Addr())
+	if err != nil {
+		_, _ = callers.Close(), admin.Close()
+		return errors.Wrap(ErrListen, err.Error())
+	}
+	g.serve(ctx, callers, admin, handing, reload)
 	return nil
 }
 
@@ -165,7 +175,7 @@
 }
 
 // serve runs all parts; it returns when they have ended.
-func (g *gateway) serve(ctx context.Context, callers, admin net.Listener, reload func() (settings.Gateway, error)) {
+func (g *gateway) serve(ctx context.Context, callers, admin, handing net.Listener, reload func() (settings.Gateway, error)) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
 	wg.Go(func() { g.followDesired(work) })
@@ -173,6 +183,7 @@
 	wg.Go(func() { g.mesh.Run(work) })
 	wg.Go(func() { g.followEntries(work) })
 	wg.Go(func() { g.stayListed(work) })
+	wg.Go(func() { g.learnFromPeers(work) })
 	wg.Go(func() { g.sweep(work) })
 	wg.Go(func() { g.reloadOnSignal(work, reload) })
 
@@ -181,14 +192,16 @@
 		MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
 	back := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	hand := &http.Server{Handler: handover.Server{State: g.state}, ReadTimeout: handTimeout, WriteTimeout: handTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
 	// Serve returns when the server is shut down.
 	wg.Go(func() { _ = front.Serve(callers) })
 	wg.Go(func() { _ = back.Serve(admin) })
+	wg.Go(func() { _ = hand.Serve(handing) })
 	g.log.Info(logging.EventStarted, zap.String("listen", callers.Addr().String()), zap.String("admin_listen", admin.Addr().String()))
 
 	<-ctx.Done()
 	g.drain(front)
-	_ = back.Close()
+	_, _ = back.Close(), hand.Close()
 	stop()
 	wg.Wait()
 }
@@ -196,7 +209,7 @@
 func (g *gateway) followDesired(ctx context.Context) {
 	f := follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: &desired{holder: g.holder, registry: g.registry, log: g.log},
-		Wait: provedWithin(boundsOf(g.settings).Proof), Log: g.log,
+		Wait: provedWithin(boundsOf(g.settings).Proof), Confirm: true, Log: g.log,
 	}
 	f.Run(ctx)
 }
@@ -207,7 +220,7 @@
 	if bound == 0 {
 		return desiredWait
 	}
-	return min(desiredWait, time.Duration(proofPart*float64(bound)))
+	return min(desiredWait, max(time.Duration(proofPart*float64(bound-feedSilence)), leastWait))
 }
 
 func (g *gateway) followServers(ctx context.Context) {
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -17,8 +17,9 @@
 	Stamp    uint64
 	Echo     uint64
 	EchoBoot uint64
-	// Version is the desired state in force at the sender, and ProofAge how
-	// old its proof is that there is no newer one, in milliseconds.
+	// Version is the desired state in force at the sender, 0 for none, and
+	// ProofAge how old its proof is that there is no newer one, in
+	// milliseconds; 0 for no proof.
 	Version  uint64
 	ProofAge uint64
 	// Loads is what the sender has at backend servers; others have nothing.
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -121,6 +121,13 @@
 // lately.
 func (m *Mesh) Gateways() int { return 1 + m.table.heard(time.Now()) }
 
+// Newest returns the address of a gateway with the newest desired state of those
+// that were heard of lately, and its version; empty for none.
+func (m *Mesh) Newest() (addr string, version uint64) { return m.table.newest(time.Now()) }
+
+// Addr is the address at which this gateway listens for datagrams.
+func (m *Mesh) Addr() string { return m.conn.LocalAddr().String() }
+
 // Listed counts the gateways in the list, this one included, whether they run
 // or not.
 func (m *Mesh) Listed() int { return 1 + m.table.listed() }
@@ -170,9 +177,9 @@
 	m.sequence++
 	proof := m.Proof()
 	now := boottime.Now()
-	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Stamp: uint64(now)}
+	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Version: proof.Version, Stamp: uint64(now)}
 	if proof.At > 0 {
-		out.Version, out.ProofAge = proof.Version, uint64((now-proof.At).Milliseconds()+1)
+		out.ProofAge = uint64((now - proof.At).Milliseconds() + 1)
 	}
 	for _, l := range m.Loads() {
 		if l.Counts != (backend.Counts{}) {
@@ -239,7 +246,7 @@
 	}
 	age := time.Duration(in.ProofAge) * time.Millisecond
 	stamp := time.Duration(in.Echo)
-	if in.EchoBoot == m.boot && in.Version != 0 && stamp > age && stamp <= boottime.Now() {
+	if in.EchoBoot == m.boot && in.Version != 0 && age > 0 && stamp > age && stamp <= boottime.Now() {
 		m.Prove(Proof{Version: in.Version, At: stamp - age})
 	}
 }
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -23,6 +23,8 @@
 	// stamp is the last stamp that came, to be echoed.
 	stamp uint64
 	loads []load
+	// version is the desired state that it had in force last.
+	version uint64
 }
 
 // table keeps the other gateways' counts and their sums. All methods may be
@@ -48,6 +50,7 @@
 	}
 	t.add(p.loads, -1)
 	p.addr, p.boot, p.sequence, p.heard, p.stamp, p.loads = addr, m.Boot, m.Sequence, now, m.Stamp, m.Loads
+	p.version = m.Version
 	t.add(p.loads, 1)
 	return true
 }
@@ -134,6 +137,19 @@
 	return n
 }
 
+// newest returns the address of a gateway that was heard of lately and has the
+// newest desired state of those; which of several is left to chance.
+func (t *table) newest(now time.Time) (addr string, version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if now.Sub(p.heard) <= silentAfter && p.version > version {
+			addr, version = p.addr, p.version
+		}
+	}
+	return addr, version
+}
+
 // listed counts the gateways that are known, heard of or not.
 func (t *table) listed() int {
 	t.mu.Lock()
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -15,6 +15,9 @@
 type Platform struct {
 	// Desired is the operators' desired state; items may be nil.
 	Desired follow.Source[*routes.Set]
+	// Decode reads a desired state as the platform wrote it, which is what
+	// gateways hand to each other.
+	Decode func(document []byte) (*routes.Set, error)
 	// Servers is the list of backend servers.
 	Servers follow.Source[backend.Info]
 	// Entries is the list of gateways, in which Register enters one and from
--- a/internal/gateway/routes/set.go
+++ b/internal/gateway/routes/set.go
@@ -47,9 +47,12 @@
 
 // Set is one version of the desired state. It isn't changed after NewSet.
 type Set struct {
-	Version   uint64
-	Limits    Limits
-	Services  map[string]*Service
+	Version  uint64
+	Limits   Limits
+	Services map[string]*Service
+	// Document is the version as the platform wrote it, for other gateways;
+	// set before the Set is handed on.
+	Document  []byte
 	hosts     map[string]map[string]*Route
 	customers map[string]*Customer
 	// keyed says that requests of routes that aren't public need a key.
--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -66,8 +66,14 @@
 	MemoryMB float64
 	// Log takes the gateway's lines; nil for nowhere.
 	Log *zap.Logger
-	// Listed names gateways that are in the list though they don't run.
-	Listed []string
+	// Name is the gateway's; gateway-1 if empty. PeerListen is where it exchanges
+	// with others; a free address if empty.
+	Name       string
+	PeerListen string
+	// Listed are other gateways that are in the list, and their addresses.
+	Listed map[string]string
+	// Fault is what becomes of calls to the store from the start on.
+	Fault rowstore.Fault
 	// Unready starts the gateway with a store that knows nothing.
 	Unready bool
 }
@@ -79,15 +85,22 @@
 	if !o.Unready {
 		f.Desire(1, "", "")
 	}
-	for _, name := range o.Listed {
-		f.Store.Put("gateways", name, []byte("127.0.0.1:9"))
+	for name, addr := range o.Listed {
+		f.Store.Put("gateways", name, []byte(addr))
 	}
+	f.Store.SetFault(o.Fault)
 	web := httptest.NewServer(f.Store)
 	t.Cleanup(func() { f.Store.SetFault(rowstore.Busy); web.CloseClientConnections(); web.Close() })
-	f.Front, f.Admin = freeAddr(t), freeAddr(t)
+	f.Front, f.Admin = FreeAddr(t), FreeAddr(t)
+	if o.Name == "" {
+		o.Name = "gateway-1"
+	}
+	if o.PeerListen == "" {
+		o.PeerListen = FreeAddr(t)
+	}
 	s := settings.Gateway{
-		Process: "gateway-1", Zone: "z", Listen: f.Front, AdminListen: f.Admin, ReadyPath: "/ready",
-		PeerListen: "127.0.0.1:0", Store: strings.TrimPrefix(web.URL, "http://"), Grace: max(o.Grace, shortGrace), MemoryMB: o.MemoryMB,
+		Process: o.Name, Zone: "z", Listen: f.Front, AdminListen: f.Admin, ReadyPath: "/ready",
+		PeerListen: o.PeerListen, Store: strings.TrimPrefix(web.URL, "http://"), Grace: max(o.Grace, shortGrace), MemoryMB: o.MemoryMB,
 		Revoke: settings.Revoke{Strict: o.Revoke > 0, Within: o.Revoke},
 		Retry:  settings.Retry{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 	}
@@ -217,7 +230,8 @@
 	return f.Do(f.Request(context.Background(), http.MethodPost, path, id, nil))
 }
 
-func freeAddr(t testing.TB) string {
+// FreeAddr is an address that nobody listens at.
+func FreeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/testbed/gateway/state_test.go
+++ b/testbed/gateway/state_test.go
@@ -108,7 +108,9 @@
 func TestCutOffGatewayIsNotReady(t *testing.T) {
 	const within = 2500 * time.Millisecond
 	alone := gateway.NewFleet(t, gateway.Options{Revoke: within})
-	one := gateway.NewFleet(t, gateway.Options{Revoke: within, Listed: []string{"gateway-2", "gateway-3", "gateway-4"}})
+	one := gateway.NewFleet(t, gateway.Options{Revoke: within, Listed: map[string]string{
+		"gateway-2": "127.0.0.1:9", "gateway-3": "127.0.0.1:9", "gateway-4": "127.0.0.1:9",
+	}})
 	// The list of gateways is read at the start.
 	time.Sleep(300 * time.Millisecond)
 	alone.Store.SetFault(rowstore.Silent)
@@ -129,3 +131,26 @@
 	one.Store.SetFault(rowstore.Well)
 	one.Wait("it is ready again", one.Ready)
 }
+
+// A gateway that starts while the store turns it away has the desired state and
+// the servers from one that is served, changes included, and its proofs.
+func TestGatewayLearnsFromOthers(t *testing.T) {
+	const within = 2500 * time.Millisecond
+	addr := gateway.FreeAddr(t)
+	late := gateway.NewFleet(t, gateway.Options{Name: "gateway-2", PeerListen: addr, Revoke: within, Unready: true, Fault: rowstore.Busy})
+	served := gateway.NewFleet(t, gateway.Options{Revoke: within, Listed: map[string]string{"gateway-2": addr}})
+	served.Serve("i-1", gateway.Answer("whole"))
+	served.Wait("it is served", func() bool { return served.Call("/safe/x", "warm").Status == 200 })
+	late.Wait("it is ready", late.Ready)
+	late.Wait("it serves", func() bool { return late.Call("/safe/x", "a").Status == 200 })
+	served.Desire(2, `,{"name":"new","host":"h.example","prefix":"/new/","type":"safe","timeout-ms":2000,"service":"plain","attempts":1}`, "")
+	late.Wait("it has the new route", func() bool { return late.Call("/new/x", "b").Status == 200 })
+	late.Wait("its state is proved", func() bool { return late.Call("/safe/x", "p").Status == 200 })
+	for end := time.Now().Add(2 * within); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if got := late.Call("/safe/x", "c"); got.Status != 200 {
+			t.Fatalf("status %d while another gateway proves the state", got.Status)
+		}
+	}
+	served.Store.SetFault(rowstore.Busy)
+	late.Wait("keys are refused when nobody can prove it", func() bool { return late.Call("/safe/x", "d").Status == 503 })
+}
