gateway: waits at the store are whole milliseconds

Found by TestGatewayLearnsFromOthers, which failed in about one run of two: the gateway that the store served was unproved itself. Waits drawn in nanoseconds are cut to milliseconds on the wire, so that an answer held for the whole wait came a fraction of a millisecond early and counted from when it was asked for: its proof was older by the whole wait. Ruled out: the way of proofs between gateways.

--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -153,7 +153,9 @@
 	if f.failing || f.Confirm && f.news {
 		return min(f.Wait, recheckWait)
 	}
-	return f.Wait - rand.N(f.Wait/4+1)
+	// Whole milliseconds, in which stores count: one that is rounded down would
+	// seem to have come early, and to prove nothing.
+	return (f.Wait - rand.N(f.Wait/4+1)).Truncate(time.Millisecond)
 }
 
 func (f *Follower[T]) answered() {
--- a/internal/gateway/follow/moment_test.go
+++ b/internal/gateway/follow/moment_test.go
@@ -49,3 +49,13 @@
 		t.Errorf("an answer without news that came early is %v old", early)
 	}
 }
+
+// Stores count waits in milliseconds.
+func TestWaitsAreWholeMilliseconds(t *testing.T) {
+	f := Follower[string]{Wait: 777777777 * time.Nanosecond}
+	for range 100 {
+		if wait := f.wait(); wait%time.Millisecond != 0 || wait > f.Wait || wait < f.Wait/2 {
+			t.Fatalf("a wait of %v", wait)
+		}
+	}
+}
--- a/testbed/gateway/state_test.go
+++ b/testbed/gateway/state_test.go
@@ -148,7 +148,7 @@
 	late.Wait("its state is proved", func() bool { return late.Call("/safe/x", "p").Status == 200 })
 	for end := time.Now().Add(2 * within); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		if got := late.Call("/safe/x", "c"); got.Status != 200 {
-			t.Fatalf("status %d while another gateway proves the state", got.Status)
+			t.Fatalf("status %d (%s) while another gateway proves the state, the other one answers %d", got.Status, got.Body, served.Call("/safe/x", "e").Status)
 		}
 	}
 	served.Store.SetFault(rowstore.Busy)
