gateway: senders share the last slots; who the store turns away sends callers on

A trial with lines of all requests shows the server at that moment: 28 in flight, then 11 sends by 11 gateways within 20 ms, 38 on 32 slots. Of the few servers with a slot left all gateways see the same ones, between two datagrams. A request now finds room there with the chance that a slot is left, by how many requests others are expected to have sent since they told (TestSendersShareTheLastSlots, which fails without: 30 of 30 send).

--- a/internal/gateway/desired.go
+++ b/internal/gateway/desired.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/routes"
@@ -25,6 +26,12 @@
 	// notice it first.
 	registry *backend.Registry
 	log      *zap.Logger
+	// provenAt is the latest moment, in nanoseconds of boottime's clock, that
+	// the store itself has proved; 0 for none.
+	provenAt atomic.Int64
+	// awaySince is when calls began to fail, in nanoseconds of the same clock;
+	// 0 while the store answers.
+	awaySince atomic.Int64
 	// unreadable says that the newest state can't be read, so that nothing
 	// proves the one in force to be the newest.
 	unreadable atomic.Bool
@@ -43,10 +50,23 @@
 }
 
 // Unavailable implements follow.Sink.
-func (d *desired) Unavailable(error) { d.registry.Unavailable() }
+func (d *desired) Unavailable(error) {
+	d.registry.Unavailable()
+	d.awaySince.CompareAndSwap(0, int64(boottime.Now()))
+}
+
+// away is for how long the store hasn't answered; 0 while it does.
+func (d *desired) away() time.Duration {
+	since := time.Duration(d.awaySince.Load())
+	if since == 0 {
+		return 0
+	}
+	return boottime.Now() - since
+}
 
 func (d *desired) take(moment time.Duration, batch follow.Batch[*routes.Set]) {
 	d.registry.Available(time.Now())
+	d.awaySince.Store(0)
 	if len(batch.Unreadable) > 0 {
 		d.unreadable.Store(true)
 	}
@@ -60,6 +80,7 @@
 		}
 	}
 	if !d.unreadable.Load() {
+		d.provenAt.Store(int64(moment))
 		d.holder.Prove(d.holder.Version(), moment)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,13 @@
 	// entriesGather is the same for gateways: each hears of all others within
 	// two seconds of a start of all.
 	entriesGather = 2 * time.Second
+	// othersAhead is by how much more than a call's wait others' proofs are ahead
+	// of this gateway's own when the store doesn't answer it: a call that failed
+	// once has been made again by then.
+	othersAhead = 800 * time.Millisecond
+	// turnedAway is for how long a store that turns this gateway away, while it
+	// answers others, is tried again before callers are sent to those.
+	turnedAway = 500 * time.Millisecond
 	// sweepEvery is how often what has lapsed and idle connections are looked
 	// through.
 	sweepEvery = 500 * time.Millisecond
@@ -85,6 +92,7 @@
 	log      *zap.Logger
 
 	holder   *routes.Holder
+	desired  *desired
 	registry *backend.Registry
 	pool     *exchange.Pool
 	router   *router.Router
@@ -123,6 +131,7 @@
 		settings: s, platform: p, log: log,
 		holder: &routes.Holder{}, registry: backend.NewRegistry(), pool: exchange.NewPool(),
 	}
+	g.desired = &desired{holder: g.holder, registry: g.registry, log: log}
 	var err error
 	g.mesh, err = peers.Listen(peers.Config{
 		Self:  peers.Entry{Name: s.Process, Addr: s.PeerListen},
@@ -142,7 +151,7 @@
 		Others:    g.mesh, Gateways: g.mesh.Listed,
 		Chooser: policy.NewChooser(random, ejector), Ejector: ejector,
 		Observer: ends{p.Metrics, log},
-	}, boundsOf(s), g.leaving.Load)
+	}, boundsOf(s), g.elsewhere)
 	g.registry.Gone = g.router.Forget
 	p.Metrics.ReadGateway(g.surroundings)
 	return g, nil
@@ -208,7 +217,7 @@
 
 func (g *gateway) followDesired(ctx context.Context) {
 	f := follow.Follower[*routes.Set]{
-		Name: "desired state", Source: g.platform.Desired, Sink: &desired{holder: g.holder, registry: g.registry, log: g.log},
+		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
 		Wait: provedWithin(boundsOf(g.settings).Proof), Confirm: true, Log: g.log,
 	}
 	f.Run(ctx)
@@ -254,12 +263,20 @@
 	return !g.leaving.Load() && g.holder.Current() != nil && g.registry.Known() && !g.isolated()
 }
 
-// isolated reports whether this gateway alone, or with a few others, is cut off
-// from the store, so that callers are served elsewhere: requests with a key are
-// refused here, and most other gateways aren't heard of. Where the store is
-// away from all of them nobody would serve them better, and public routes are
-// served on.
+// elsewhere reports whether callers are to go to another gateway.
+func (g *gateway) elsewhere() bool { return g.leaving.Load() || g.isolated() }
+
+// isolated reports whether callers are better served elsewhere: the store turns
+// this gateway away while it answers others, on whose proofs alone it serves; or
+// it is cut off from the store and from most other gateways, and refuses
+// requests with a key. Where the store is away from all of them nobody would
+// serve callers better, and public routes are served on.
 func (g *gateway) isolated() bool {
+	wait, proved := provedWithin(boundsOf(g.settings).Proof), g.holder.ProvenAt()
+	if answered := boottime.Now()-proved <= feedSilence+wait+othersAhead; answered {
+		own := time.Duration(g.desired.provenAt.Load())
+		return proved-own > wait+othersAhead || g.desired.away() > turnedAway && proved > own
+	}
 	return !g.router.Fresh() && 2*g.mesh.Gateways() <= g.mesh.Listed()
 }
 
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -128,6 +128,11 @@
 // Addr is the address at which this gateway listens for datagrams.
 func (m *Mesh) Addr() string { return m.conn.LocalAddr().String() }
 
+// Unseen is how old what other gateways told is on average: half of the time
+// between two datagrams, and the same again since a request that was refused or
+// sent elsewhere meanwhile is told of with the next one.
+func (m *Mesh) Unseen() time.Duration { return tellEvery }
+
 // Listed counts the gateways in the list, this one included, whether they run
 // or not.
 func (m *Mesh) Listed() int { return 1 + m.table.listed() }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -43,6 +43,10 @@
 // Others tells what other gateways have at a backend server.
 type Others interface {
 	At(server string) backend.Counts
+	// Gateways counts those that are heard of, this one included, and Unseen is
+	// how old what they told is on average.
+	Gateways() int
+	Unseen() time.Duration
 }
 
 // Observer counts requests.
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -28,17 +28,19 @@
 	// mu guards the policy's parts: the Chooser, the Ejector, budgets and
 	// rates. It comes after the Registry's lock; nothing is locked while it is
 	// held.
-	mu      sync.Mutex
-	budgets map[string]*policy.WindowBudget
-	rates   map[string]*policy.ReadingRate
-	bounds  atomic.Pointer[Bounds]
-	held    held
-	leaving func() bool
+	mu        sync.Mutex
+	budgets   map[string]*policy.WindowBudget
+	rates     map[string]*policy.ReadingRate
+	sends     map[string]*policy.SendRate
+	bounds    atomic.Pointer[Bounds]
+	held      held
+	elsewhere func() bool
 }
 
-// New returns a Router. Leaving reports whether the process is shutting down.
-func New(c Config, bounds Bounds, leaving func() bool) *Router {
-	r := &Router{Config: c, budgets: map[string]*policy.WindowBudget{}, rates: map[string]*policy.ReadingRate{}, leaving: leaving}
+// New returns a Router. Elsewhere reports whether callers are to go to another
+// gateway: connections are closed after their answer.
+func New(c Config, bounds Bounds, elsewhere func() bool) *Router {
+	r := &Router{Config: c, budgets: map[string]*policy.WindowBudget{}, rates: map[string]*policy.ReadingRate{}, sends: map[string]*policy.SendRate{}, elsewhere: elsewhere}
 	r.held.limit = c.HeldBytes
 	r.SetBounds(bounds)
 	return r
@@ -50,7 +52,7 @@
 // ServeHTTP carries one request.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	c := &call{router: r, w: w, req: req, arrived: time.Now(), ask: r.Dialect.Ask(req)}
-	if r.leaving() {
+	if r.elsewhere() {
 		w.Header().Set("Connection", "close")
 	}
 	if !c.admit() {
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -30,13 +30,27 @@
 func (r *Router) plan(service string, choice policy.Choice) policy.ReadingPlan {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.sendRate(service).Sent(time.Now())
 	return r.rates[service].Plan(time.Now(), choice.Reading, choice.Ahead)
 }
 
 func (r *Router) pick(service string, job policy.Job, loads []policy.Server) policy.Choice {
+	now, others := time.Now(), float64(r.Others.Gateways()-1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Chooser.Choose(time.Now(), job, loads, r.rates[service])
+	// Others have as many callers as this gateway, as far as it can know.
+	job.Unseen = others * r.sendRate(service).Within(now, r.Others.Unseen())
+	return r.Chooser.Choose(now, job, loads, r.rates[service])
+}
+
+// sendRate returns a service's rate of sends; r.mu is held.
+func (r *Router) sendRate(service string) *policy.SendRate {
+	rate := r.sends[service]
+	if rate == nil {
+		rate = &policy.SendRate{}
+		r.sends[service] = rate
+	}
+	return rate
 }
 
 // observeFirst takes how long a first token took with so much to be read
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -122,13 +123,14 @@
 func (c *Chooser) choose(job Job, servers []Server, rate *ReadingRate, usable func(*Server) bool) Choice {
 	first, second := homes(job.Prefix, servers, usable)
 	rereadPrice := job.priceOfRereading(servers, usable, rate)
+	unseen := job.unseenAtEach(servers, usable)
 	var best Choice
 	least := 0.0
 	for i := range servers {
 		if !usable(&servers[i]) {
 			continue
 		}
-		choice, cost := c.weigh(job, &servers[i], job.rereading(i, first, second), rereadPrice, rate)
+		choice, cost := c.weigh(job, &servers[i], job.rereading(i, first, second), rereadPrice, rate, unseen)
 		choice.At = i
 		if !best.Found || choice.InTime && !best.InTime || choice.InTime == best.InTime && cost < least {
 			best, least = choice, cost
@@ -139,11 +141,11 @@
 
 // weigh says what sending to a server would cost. Where the first token would be
 // late anyway only the time counts.
-func (c *Chooser) weigh(job Job, s *Server, again, rereadPrice float64, rate *ReadingRate) (Choice, float64) {
+func (c *Chooser) weigh(job Job, s *Server, again, rereadPrice float64, rate *ReadingRate, unseen float64) (Choice, float64) {
 	own := job.Tokens - job.PrefixTokens
 	choice := Choice{Found: true, Reading: own + int(again)}
 	choice.Ahead = s.ahead(job.Urgency) + float64(choice.Reading)
-	choice.Room = s.hasSlot(job)
+	choice.Room = c.hasRoom(s, job, unseen)
 	choice.InTime = choice.Room && job.inTime(rate, choice.Ahead-float64(choice.Reading), again, rereadPrice)
 	choice.Expected = rate.firstToken(choice.Ahead)
 	cost := choice.Ahead + float64(s.Running*runningTokens)
@@ -193,19 +195,43 @@
 
 func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
 
-// hasSlot reports whether a server takes one more request. A model's server has
+// hasRoom reports whether a server takes one more request. A model's server has
 // slots; a plain service queues shortly and says itself when it is full, but
 // resets connections beyond those that it accepts, and then nobody can say what
 // became of their requests.
-func (s *Server) hasSlot(job Job) bool {
+//
+// Where other senders are expected to have sent more, since they told last, than
+// the server has slots left, a request finds room there with the chance that a
+// slot is left for it. It answers servers that are nearly full: of the few with
+// a slot left, each sender sees the same one, and all of them send there.
+func (c *Chooser) hasRoom(s *Server, job Job, unseen float64) bool {
 	if s.Conns > 0 && float64(s.inFlight()) >= usedConns*float64(s.Conns) {
 		return false
 	}
+	left := s.slotsLeft(job)
+	return left > 0 && (left >= unseen || c.random.Float64() < left/unseen)
+}
+
+// slotsLeft is how many slots a request may still take; more than there are
+// requests where that isn't bounded.
+func (s *Server) slotsLeft(job Job) float64 {
 	if job.Tokens == 0 || s.Slots == 0 {
-		return true
+		return math.Inf(1)
 	}
 	share := fullSlots - slotsPerLevel*float64(job.Urgency)
-	return float64(s.inFlight()) < share*float64(s.Slots)
+	return share*float64(s.Slots) - float64(s.inFlight())
+}
+
+// unseenAtEach is how many requests other senders are expected to have sent to
+// each server that has a slot left.
+func (e *Job) unseenAtEach(servers []Server, usable func(*Server) bool) float64 {
+	roomy := 0
+	for i := range servers {
+		if usable(&servers[i]) && servers[i].slotsLeft(*e) > 0 {
+			roomy++
+		}
+	}
+	return e.Unseen / float64(max(roomy, 1))
 }
 
 // rereading is what the server at a place is expected to read of the shared part
--- a/policy/chooser_test.go
+++ b/policy/chooser_test.go
@@ -149,3 +149,43 @@
 		t.Errorf("choice %+v where none may be used", choice)
 	}
 }
+
+// Where few slots are left all senders see the same ones. Each takes its chance
+// of them, not all of them.
+func TestSendersShareTheLastSlots(t *testing.T) {
+	const senders = 30
+	sent := 0
+	servers := serversOf(20)
+	for i := range servers {
+		servers[i].Running = 32
+	}
+	servers[7].Running = 26
+	for i := range senders {
+		c := NewChooser(rand.New(rand.NewPCG(uint64(i), 9)), NewEjector())
+		question := Job{Zone: "z", Urgency: 0, Target: 250 * time.Millisecond, Tokens: 800, Unseen: senders - 1}
+		if choice := c.Choose(testStart, question, servers, nil); choice.InTime {
+			sent++
+		}
+	}
+	if sent < 1 || sent > 10 {
+		t.Errorf("%d of %d senders send to the one server with four slots left", sent, senders)
+	}
+	// A sender alone takes them.
+	question := Job{Zone: "z", Urgency: 0, Target: 250 * time.Millisecond, Tokens: 800}
+	if choice := newTestChooser().Choose(testStart, question, servers, nil); choice.At != 7 || !choice.InTime {
+		t.Errorf("choice %+v, 7 has slots left", choice)
+	}
+}
+
+func TestSendRateForgets(t *testing.T) {
+	var r SendRate
+	for i := range 100 {
+		r.Sent(testStart.Add(time.Duration(i) * 10 * time.Millisecond))
+	}
+	if got := r.Within(testStart.Add(time.Second), 100*time.Millisecond); got < 8 || got > 11 {
+		t.Errorf("%v requests expected in 100 ms of 100 a second", got)
+	}
+	if got := r.Within(testStart.Add(4*time.Second), 100*time.Millisecond); got > 0.1 {
+		t.Errorf("%v requests expected three seconds after the last", got)
+	}
+}
--- a/policy/server.go
+++ b/policy/server.go
@@ -71,6 +71,9 @@
 	// share; 0 for none. PrefixTokens is the length up to its end.
 	Prefix       uint64
 	PrefixTokens int
+	// Unseen is how many requests other senders are expected to have sent to the
+	// servers since they told last.
+	Unseen float64
 	// Tried names the servers that aren't to be used again.
 	Tried []string
 }
