--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -16,7 +16,8 @@
 	// ReadyPath is where the platform's balancer asks whether this process
 	// takes requests.
 	ReadyPath string `yaml:"ready_path" validate:"required,startswith=/"`
-	// PeerListen is the host:port for datagrams of other gateways.
+	// PeerListen is the host:port for other gateways: datagrams, and over TCP
+	// the handover of the desired state.
 	PeerListen string `yaml:"peer_listen" validate:"required,hostname_port"`
 	// Store is the host:port of the platform's store.
 	Store string `yaml:"store" validate:"required,hostname_port"`
