--- /dev/null
+++ b/testbed/rounds/rounds_test.go
@@ -0,0 +1,85 @@
+package rounds
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+func write(t *testing.T, dir, name, text string) string {
+	t.Helper()
+	path := filepath.Join(dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestMediansSideBySide(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, "1.json", `{"head":"aaa1","why":"base","site":"s","days":[{"name":"d","G":0.5,"served":0.8}]}`)
+	write(t, dir, "2.json", `{"head":"aaa1","why":"base","site":"s","days":[{"name":"d","G":0.7,"served":0.9}]}`)
+	write(t, dir, "3.json", `{"head":"bbb2","why":"trial: x","site":"s","days":[{"name":"d","G":0.65,"rules":{"TIER":1}},{"name":"e","G":0.1}]}`)
+	write(t, dir, "4.json", `{"head":"ccc3","why":"other","site":"s","days":[{"name":"d","G":0.9}]}`)
+	all, err := ReadJournal(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, after := range []string{"bbb", "trial: x"} {
+		var out strings.Builder
+		if err := Write(&out, Compare(all, "aaa", after)); err != nil {
+			t.Fatal(err)
+		}
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		if len(lines) != 3 {
+			t.Fatalf("%q", lines)
+		}
+		if got := strings.Join(strings.Fields(lines[1]), " "); got != "s d 2, 1 0.600, 0.650 0.850, 0.000 0.000, 0.000 0.000, 0.000 TIER" {
+			t.Errorf("day on both sides: %q", got)
+		}
+		if got := strings.Join(strings.Fields(lines[2]), " "); !strings.HasPrefix(got, "s e 0, 1 -, 0.100") {
+			t.Errorf("day on one side: %q", got)
+		}
+	}
+}
+
+func TestWhatCannotBeRead(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, "1.json", "{")
+	if _, err := ReadJournal(dir); !errors.Is(err, ErrUnreadable) {
+		t.Errorf("a broken journal: %v", err)
+	}
+	if _, err := ReadReport(filepath.Join(dir, "none")); !errors.Is(err, ErrUnreadable) {
+		t.Errorf("no report: %v", err)
+	}
+}
+
+func TestDayIsDrawn(t *testing.T) {
+	path := write(t, t.TempDir(), "r.json", `{"windows":[{"name":"0","in_aim":245,"late":29,"refused":8},{"name":"2","in_aim":231,"failed":2}]}`)
+	r, err := ReadReport(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	picture := filepath.Join(t.TempDir(), "day.svg")
+	if err := Draw(picture, "a day", r); err != nil {
+		t.Fatal(err)
+	}
+	drawn, err := os.ReadFile(picture)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"a day", "in time", "refused", "not owed"} {
+		if !strings.Contains(string(drawn), part) {
+			t.Errorf("the picture lacks %q", part)
+		}
+	}
+	if err := Draw(picture, "nothing", Report{}); !errors.Is(err, ErrNotDrawn) {
+		t.Errorf("a day without windows: %v", err)
+	}
+	if err := Draw(picture+".odd", "a day", r); !errors.Is(err, ErrNotDrawn) {
+		t.Errorf("a file of an unknown kind: %v", err)
+	}
+}
