--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/exchange"
-	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/handover"
 	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/router"
@@ -31,37 +30,6 @@
 )
 
 const (
-	// desiredWait is how long the store may hold back an answer about the
-	// desired state, where operators set no bound for keys that are taken away.
-	// Where they do, it is proofPart of what the bound leaves beside the second
-	// for which a feed may be silent: each answer proves that the state in
-	// force was the newest a second ago. The rest is for a call that fails, and
-	// for the way of proofs between gateways.
-	desiredWait = 2500 * time.Millisecond
-	proofPart   = 0.6
-	// leastWait bounds the calls where the bound leaves hardly any time.
-	leastWait = 200 * time.Millisecond
-	// serversWait is the same for the list of backend servers, which proves
-	// nothing: keep-alive probes notice within three seconds that a connection
-	// to the store went silent. Each call is paid for.
-	serversWait = 5 * time.Second
-	// serversGather is the pause after news of backend servers: short against
-	// the two seconds within which leaving ones get no more work, long enough
-	// that a start of all servers takes a dozen calls and not one for each.
-	serversGather = 250 * time.Millisecond
-	// entriesWait is the same for the list of gateways, on which nothing
-	// hangs: who isn't in it yet is heard of.
-	entriesWait = 15 * time.Second
-	// entriesGather is the same for gateways: each hears of all others within
-	// two seconds of a start of all.
-	entriesGather = 2 * time.Second
-	// othersAhead is by how much more than a call's wait others' proofs are ahead
-	// of this gateway's own when the store doesn't answer it: a call that failed
-	// once has been made again by then.
-	othersAhead = 800 * time.Millisecond
-	// turnedAway is for how long a store that turns this gateway away, while it
-	// answers others, is tried again before callers are sent to those.
-	turnedAway = 500 * time.Millisecond
 	// sweepEvery is how often what has lapsed and idle connections are looked
 	// through.
 	sweepEvery = 500 * time.Millisecond
@@ -215,31 +183,6 @@
 	wg.Wait()
 }
 
-func (g *gateway) followDesired(ctx context.Context) {
-	f := follow.Follower[*routes.Set]{
-		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
-		Wait: provedWithin(boundsOf(g.settings).Proof), Confirm: true, Log: g.log,
-	}
-	f.Run(ctx)
-}
-
-// provedWithin is how long the store may hold back an answer about the desired
-// state, by how old its proof may be; 0 for no bound.
-func provedWithin(bound time.Duration) time.Duration {
-	if bound == 0 {
-		return desiredWait
-	}
-	return min(desiredWait, max(time.Duration(proofPart*float64(bound-feedSilence)), leastWait))
-}
-
-func (g *gateway) followServers(ctx context.Context) {
-	f := follow.Follower[backend.Info]{
-		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry, g.log},
-		Wait: serversWait, Gather: serversGather, Log: g.log,
-	}
-	f.Run(ctx)
-}
-
 // sweep removes what has lapsed.
 func (g *gateway) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
@@ -258,28 +201,6 @@
 	}
 }
 
-// ready reports whether the balancer may send new connections here.
-func (g *gateway) ready() bool {
-	return !g.leaving.Load() && g.holder.Current() != nil && g.registry.Known() && !g.isolated()
-}
-
-// elsewhere reports whether callers are to go to another gateway.
-func (g *gateway) elsewhere() bool { return g.leaving.Load() || g.isolated() }
-
-// isolated reports whether callers are better served elsewhere: the store turns
-// this gateway away while it answers others, on whose proofs alone it serves; or
-// it is cut off from the store and from most other gateways, and refuses
-// requests with a key. Where the store is away from all of them nobody would
-// serve callers better, and public routes are served on.
-func (g *gateway) isolated() bool {
-	wait, proved := provedWithin(boundsOf(g.settings).Proof), g.holder.ProvenAt()
-	if answered := boottime.Now()-proved <= feedSilence+wait+othersAhead; answered {
-		own := time.Duration(g.desired.provenAt.Load())
-		return proved-own > wait+othersAhead || g.desired.away() > turnedAway && proved > own
-	}
-	return !g.router.Fresh() && 2*g.mesh.Gateways() <= g.mesh.Listed()
-}
-
 func (g *gateway) adminRoutes() http.Handler {
 	routes := httprouter.New()
 	routes.GET(g.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -26,16 +26,12 @@
 	pause  time.Duration
 }
 
-// passed notes that events were passed on; it returns the pause before them, 0
-// before the first.
-func (s *streamed) passed(now time.Time) time.Duration {
-	pause := time.Duration(0)
+// passed notes that events were passed on.
+func (s *streamed) passed(now time.Time) {
 	if !s.sentAt.IsZero() {
-		pause = now.Sub(s.sentAt)
+		s.pause = max(s.pause, now.Sub(s.sentAt))
 	}
 	s.sentAt = now
-	s.pause = max(s.pause, pause)
-	return pause
 }
 
 // relay passes a stream's events on as they come, each whole.
