logging: floods are thinned by event and reason

A burst refuses thousands of requests as no_room_in_time; lines of the same event with another reason were left out with them: of 20 refusals for an unproved state after 1,000 for want of room one was written (TestFloodOfOneReasonLeavesOthers, failed before). zap's sampler knows the message only, so that a core of our own takes its place, with the same figures.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,7 +7,6 @@
 import (
 	"io"
 	"os"
-	"time"
 
 	"github.com/go-faster/errors"
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -19,8 +18,9 @@
 var ErrLevel = errors.New("log level must be debug, info, warn or error")
 
 const (
-	// sampledFirst and sampledThen thin a flood of lines of one event: so many
-	// in a second are written, and of those beyond one in so many. A line
+	// sampledFirst and sampledThen thin a flood of lines of one event and one
+	// reason: so many in a second are written, and of those beyond one in so
+	// many. A line
 	// costs some microseconds, and a burst refuses thousands of requests a
 	// second on a VM with a tenth of a core.
 	sampledFirst = 50
@@ -39,12 +39,7 @@
 // out is counted.
 func newCore(out io.Writer, enabled zapcore.LevelEnabler) zapcore.Core {
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding()), newLossyWriter(out), enabled)
-	return zapcore.NewSamplerWithOptions(core, time.Second, sampledFirst, sampledThen,
-		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
-			if decision&zapcore.LogDropped != 0 {
-				dropped.Add(1)
-			}
-		}))
+	return newThinner(core)
 }
 
 func newLogger(out io.Writer, level string, process string) (*zap.Logger, error) {
--- a/internal/logging/lossy_test.go
+++ b/internal/logging/lossy_test.go
@@ -85,3 +85,23 @@
 		log.Info(EventRequestRefused, Request("9c41d07be2a35f68"), Class("summary"), Reason("no_room_in_time"), zap.Int("sends", 0))
 	}
 }
+
+// A burst refuses thousands of requests for one reason; those that are refused
+// for another are the ones that operators look for.
+func TestFloodOfOneReasonLeavesOthers(t *testing.T) {
+	out := &stuck{gate: make(chan struct{})}
+	close(out.gate)
+	log := zap.New(newCore(out, zap.InfoLevel)).With(zap.String("process", "p"))
+	for range 1000 {
+		log.Info(EventRequestRefused, Request("r"), Reason("no_room_in_time"))
+	}
+	for range 20 {
+		log.Info(EventRequestRefused, Request("kept"), Reason("state_not_proved_fresh"))
+	}
+	if err := log.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Count(out.text(), "request=kept"); got != 20 {
+		t.Errorf("%d lines of 20 with another reason", got)
+	}
+}
