--- a/policy/reading_plan.go
+++ b/policy/reading_plan.go
@@ -21,13 +21,12 @@
 }
 
 // Plan expects that a prompt of so many tokens, sent now, is read after what is
-// before it; ahead counts both, in tokens.
+// before it; ahead counts both, in tokens. Of the fixed time to a first token
+// only the way there counts: while a model makes its first step it reads the
+// next prompt already.
 func (r *ReadingRate) Plan(now time.Time, tokens int, ahead float64) ReadingPlan {
-	reads := func(tokens float64) time.Duration {
-		return time.Duration(tokens / r.rate() * float64(time.Millisecond))
-	}
-	until := now.Add(firstStep + reads(ahead))
-	return ReadingPlan{tokens: tokens, from: until.Add(-reads(float64(tokens))), until: until}
+	until := now.Add(firstStep + r.reads(ahead))
+	return ReadingPlan{tokens: tokens, from: until.Add(-r.reads(float64(tokens))), until: until}
 }
 
 // Left is how many tokens are expected to be left to read.
