entry: an agent that doesn't answer Void isn't waited for for ever

Cause: Void's wait ended after 2 s, but the entry kept the wait in its table until the connection went down. A link with such a wait counts as busy: it is pinged as closely as if an urgent ticket waited there, and is not dropped when the subset changes. Change: the wait is forgotten with the call that made it, also where the send failed.

--- a/internal/entry/fleet/link_void.go
+++ b/internal/entry/fleet/link_void.go
@@ -27,6 +27,7 @@
 // void asks the agent to make a grant unusable.
 func (l *link) void(ctx context.Context, grant string) (wire.VoidResult, error) {
 	answer := make(chan wire.VoidResult, 1)
+	defer l.forgetVoid(grant)
 	if !l.askVoid(grant, answer) {
 		return "", ErrNoAnswer
 	}
@@ -52,3 +53,11 @@
 	l.voids[grant] = answer
 	return l.conn.Send(wire.Message{Void: &wire.Void{Grant: grant}}) == nil
 }
+
+// forgetVoid ends the wait for an answer, also for one that didn't come: a link
+// that waits is watched closely.
+func (l *link) forgetVoid(grant string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.voids, grant)
+}
