router: a stream without event ids isn't sent again once it has begun

Cause: a stream that breaks off goes on at another server after the last event that its caller has, by its id. Where a server's events bear none, the other server began from the first one and the caller got events twice. Change: such a stream is broken off, as one that can't go on is. Result: TestStreamWithoutIDsIsNotSentAgain, red before (sent 2 times, events 1 and 2 twice, ended as whole), green three times after with the other stream tests.

--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -122,6 +122,10 @@
 	if v == notSent {
 		return c.dials < mostDials
 	}
+	if c.stream.begun && c.stream.last == 0 {
+		// Without ids nobody can say which events the caller has.
+		return false
+	}
 	if v != notRun && !c.route.Idempotent() {
 		return false
 	}
--- a/testbed/gateway/sending_test.go
+++ b/testbed/gateway/sending_test.go
@@ -108,6 +108,30 @@
 	})
 }
 
+// A stream without ids can't go on elsewhere: nobody can say which of its events
+// the caller has, and none may come twice.
+func TestStreamWithoutIDsIsNotSentAgain(t *testing.T) {
+	f := gateway.NewFleet(t, gateway.Options{})
+	f.Serve("i-1", gateway.Unnumbered(4, 0))
+	f.Wait("it is served", func() bool { return f.Call("/resume/x", "warm").Status == 200 })
+	whole := f.Call("/resume/x", "whole").Body
+	f.Serve("i-2", gateway.Unnumbered(4, 2))
+	tries := 0
+	f.Wait("a stream breaks off", func() bool {
+		tries++
+		id := fmt.Sprintf("broken-%d", tries)
+		got := f.Call("/resume/x", id)
+		a := f.Arrivals(id)
+		if len(a) > 0 && a[0].Server == "i-1" {
+			return false
+		}
+		if got.Err == nil || got.Body != whole[:len(whole)/2] || len(a) != 1 {
+			t.Errorf("%s: sent %d times, %q, %v", id, len(a), got.Body, got.Err)
+		}
+		return true
+	})
+}
+
 func TestLeavingCallersFreeTheServer(t *testing.T) {
 	f := gateway.NewFleet(t, gateway.Options{})
 	f.Serve("i-1", gateway.Hang)
--- a/testbed/gateway/server.go
+++ b/testbed/gateway/server.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// Unnumbered scripts a stream whose events bear no id, and which breaks off
+// after so many of them; 0 for never.
+func Unnumbered(last, cutAfter int) Script {
+	return func(c net.Conn, a *Arrival) bool {
+		if _, err := io.WriteString(c, Head(a, 200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream")); err != nil {
+			return false
+		}
+		for n := 1; n <= last; n++ {
+			event := fmt.Sprintf("data: token %d\n\n", n)
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil || n == cutAfter {
+				return false
+			}
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
 // Event is the event with an id.
 func Event(id int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id) }
 
