policy: a repeat counts against the retry budget for the whole window

Cause: the budget counted 20 parts of a window with the running one among them, that is 0.95 to 1.0 of the window: a repeat up to a twentieth of the window old was forgotten, and two could fall into one span of a window's length where one was allowed. The comment claimed the opposite. Change: 21 parts; the oldest one's repeats count and its requests don't, which is the safe side for both. Result: TestWindowBudgetRemembersForTheWholeWindow, red before at 23 of 25 moments, green after; TestWindowBudgetForgetsRequestsInTime is red with 21 parts counted for both and green now; the policy's tests pass.

--- a/policy/window_budget.go
+++ b/policy/window_budget.go
@@ -2,9 +2,12 @@
 
 import "time"
 
-// budgetSlots is into how many parts a window is counted; a part that is
-// half out counts whole, so that the budget errs on the safe side.
-const budgetSlots = 20
+const (
+	// budgetSlots is into how many parts a window is counted.
+	budgetSlots = 20
+	// budgetParts also has the part that the window's beginning falls in.
+	budgetParts = budgetSlots + 1
+)
 
 // WindowBudget allows sends beyond the first as a share of the requests in a
 // sliding window, plus a fixed number. It is one sender's part of a budget that
@@ -22,8 +25,8 @@
 	// Window is the length over which both are counted.
 	Window time.Duration
 
-	requests [budgetSlots]int
-	repeats  [budgetSlots]int
+	requests [budgetParts]int
+	repeats  [budgetParts]int
 	// start is the first call's time; slots are counted from it, so that a
 	// jump of the time of day changes nothing.
 	start time.Time
@@ -33,21 +36,24 @@
 // Request counts a request, sent or not.
 func (b *WindowBudget) Request(now time.Time) {
 	b.advance(now)
-	b.requests[b.slot%budgetSlots]++
+	b.requests[b.slot%budgetParts]++
 }
 
 // Allow reports whether one more send may be made now, and counts it.
 func (b *WindowBudget) Allow(now time.Time) bool {
 	b.advance(now)
 	requests, repeats := 0, 0
-	for i := range budgetSlots {
+	for i := range budgetParts {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
+	// The oldest part is in the window in part only: its repeats count and its
+	// requests don't, so that no span of a window's length has too many.
+	requests -= b.requests[(b.slot+1)%budgetParts]
 	if float64(repeats+1) > b.Ratio*float64(requests)+b.Extra {
 		return false
 	}
-	b.repeats[b.slot%budgetSlots]++
+	b.repeats[b.slot%budgetParts]++
 	return true
 }
 
@@ -56,14 +62,14 @@
 		b.start = now
 	}
 	slot := int64(now.Sub(b.start)) / max(int64(b.Window)/budgetSlots, 1)
-	if slot-b.slot >= budgetSlots {
-		b.requests, b.repeats = [budgetSlots]int{}, [budgetSlots]int{}
+	if slot-b.slot >= budgetParts {
+		b.requests, b.repeats = [budgetParts]int{}, [budgetParts]int{}
 		b.slot = slot
 		return
 	}
 	for b.slot < slot {
 		b.slot++
-		b.requests[b.slot%budgetSlots] = 0
-		b.repeats[b.slot%budgetSlots] = 0
+		b.requests[b.slot%budgetParts] = 0
+		b.repeats[b.slot%budgetParts] = 0
 	}
 }
--- a/policy/window_budget_test.go
+++ b/policy/window_budget_test.go
@@ -58,3 +58,31 @@
 		}
 	}
 }
+
+// A repeat counts for the whole window, wherever in its part it was spent.
+func TestWindowBudgetRemembersForTheWholeWindow(t *testing.T) {
+	const window = 10 * time.Second
+	for at := time.Duration(0); at < window/4; at += window / 100 {
+		b := WindowBudget{Extra: 1, Window: window}
+		b.Request(testStart)
+		if !b.Allow(testStart.Add(at)) {
+			t.Fatalf("at %v: the extra was refused", at)
+		}
+		if b.Allow(testStart.Add(at + window - time.Millisecond)) {
+			t.Errorf("two repeats, at %v and %v, within one window", at, at+window-time.Millisecond)
+		}
+	}
+}
+
+// A request earns nothing after the window.
+func TestWindowBudgetForgetsRequestsInTime(t *testing.T) {
+	const window = 10 * time.Second
+	for at := time.Duration(0); at < window/4; at += window / 100 {
+		b := WindowBudget{Ratio: 1, Window: window}
+		b.start = testStart
+		b.Request(testStart.Add(at))
+		if b.Allow(testStart.Add(at + window)) {
+			t.Errorf("a repeat at %v for a request at %v", at+window, at)
+		}
+	}
+}
