router: what is learned of a service is one type; a changed retry window counts

Cause: budgets, reading rates and rates of sends stood in three maps with the same keys, each made on first use by hand; and a budget kept the window it was made with, while docs/SETTINGS says that retry takes effect on reload. Change: type service holds the three. A budget whose window changes goes on with the new one; what it has counted counts as of that moment, so that a reload doesn't give the budget out twice.

--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -16,7 +16,6 @@
 
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/protocol"
-	"github.com/applepier/applepier/policy"
 )
 
 // defaultPatience bounds a request whose caller and route both don't.
@@ -25,13 +24,10 @@
 // Router serves callers. It implements http.Handler.
 type Router struct {
 	Config
-	// mu guards the policy's parts: the Chooser, the Ejector, budgets and
-	// rates. It comes after the Registry's lock; nothing is locked while it is
-	// held.
+	// mu guards the policy's parts: the Chooser, the Ejector and services. It
+	// comes after the Registry's lock; nothing is locked while it is held.
 	mu        sync.Mutex
-	budgets   map[string]*policy.WindowBudget
-	rates     map[string]*policy.ReadingRate
-	sends     map[string]*policy.SendRate
+	services  map[string]*service
 	bounds    atomic.Pointer[Bounds]
 	held      held
 	elsewhere func() bool
@@ -40,7 +36,7 @@
 // New returns a Router. Elsewhere reports whether callers are to go to another
 // gateway: connections are closed after their answer.
 func New(c Config, bounds Bounds, elsewhere func() bool) *Router {
-	r := &Router{Config: c, budgets: map[string]*policy.WindowBudget{}, rates: map[string]*policy.ReadingRate{}, sends: map[string]*policy.SendRate{}, elsewhere: elsewhere}
+	r := &Router{Config: c, services: map[string]*service{}, elsewhere: elsewhere}
 	r.held.limit = c.HeldBytes
 	r.SetBounds(bounds)
 	return r
@@ -192,20 +188,3 @@
 	}
 	return whole, nil
 }
-
-// budget returns a service's retry budget; r.mu is held.
-func (r *Router) budget(service string) *policy.WindowBudget {
-	bounds := r.bounds.Load()
-	b := r.budgets[service]
-	if b == nil {
-		b = &policy.WindowBudget{Window: bounds.RetryWindow}
-		r.budgets[service] = b
-	}
-	b.Ratio = budgetUse * bounds.RetryRatio
-	b.Extra = budgetUse * bounds.RetryExtra / float64(max(r.Gateways(), 1))
-	return b
-}
-
-// budgetUse is the part of the shared retry budget that is spent: gateways
-// count in windows of their own, and one may not know all others.
-const budgetUse = 0.75
--- /dev/null
+++ b/internal/gateway/router/service.go
@@ -0,0 +1,35 @@
+package router
+
+import "github.com/applepier/applepier/policy"
+
+// budgetUse is the part of the shared retry budget that is spent: gateways
+// count in windows of their own, and one may not know all others.
+const budgetUse = 0.75
+
+// service is what a Router has learned of one service.
+type service struct {
+	budget policy.WindowBudget
+	rate   policy.ReadingRate
+	sends  policy.SendRate
+}
+
+// service returns what is known of a service; r.mu is held.
+func (r *Router) service(name string) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{}
+		r.services[name] = s
+	}
+	return s
+}
+
+// budget returns a service's retry budget as the bounds in force make it; r.mu
+// is held.
+func (r *Router) budget(name string) *policy.WindowBudget {
+	bounds := r.bounds.Load()
+	b := &r.service(name).budget
+	b.Window = bounds.RetryWindow
+	b.Ratio = budgetUse * bounds.RetryRatio
+	b.Extra = budgetUse * bounds.RetryExtra / float64(max(r.Gateways(), 1))
+	return b
+}
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -30,8 +30,9 @@
 func (r *Router) plan(service string, choice policy.Choice) policy.ReadingPlan {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sendRate(service).Sent(time.Now())
-	return r.rates[service].Plan(time.Now(), choice.Reading, choice.Ahead)
+	s, now := r.service(service), time.Now()
+	s.sends.Sent(now)
+	return s.rate.Plan(now, choice.Reading, choice.Ahead)
 }
 
 func (r *Router) pick(service string, job policy.Job, loads []policy.Server) policy.Choice {
@@ -39,18 +40,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// Others have as many callers as this gateway, as far as it can know.
-	job.Unseen = others * r.sendRate(service).Within(now, r.Others.Unseen())
-	return r.Chooser.Choose(now, job, loads, r.rates[service])
-}
-
-// sendRate returns a service's rate of sends; r.mu is held.
-func (r *Router) sendRate(service string) *policy.SendRate {
-	rate := r.sends[service]
-	if rate == nil {
-		rate = &policy.SendRate{}
-		r.sends[service] = rate
-	}
-	return rate
+	s := r.service(service)
+	job.Unseen = others * s.sends.Within(now, r.Others.Unseen())
+	return r.Chooser.Choose(now, job, loads, &s.rate)
 }
 
 // observeFirst takes how long a first token took with so much to be read
@@ -58,12 +50,7 @@
 func (r *Router) observeFirst(service string, ahead float64, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rate := r.rates[service]
-	if rate == nil {
-		rate = &policy.ReadingRate{}
-		r.rates[service] = rate
-	}
-	rate.Observe(ahead, took)
+	r.service(service).rate.Observe(ahead, took)
 }
 
 func (r *Router) observe(server string, o policy.Outcome) {
--- a/policy/window_budget.go
+++ b/policy/window_budget.go
@@ -22,7 +22,8 @@
 	Ratio float64
 	// Extra is allowed in each window whatever the requests.
 	Extra float64
-	// Window is the length over which both are counted.
+	// Window is the length over which both are counted. It may change; what
+	// was counted before then counts as if it came at that moment.
 	Window time.Duration
 
 	requests [budgetParts]int
@@ -31,6 +32,8 @@
 	// jump of the time of day changes nothing.
 	start time.Time
 	slot  int64
+	// counted is the Window that slot is counted with.
+	counted time.Duration
 }
 
 // Request counts a request, sent or not.
@@ -58,8 +61,8 @@
 }
 
 func (b *WindowBudget) advance(now time.Time) {
-	if b.start.IsZero() {
-		b.start = now
+	if b.start.IsZero() || b.counted != b.Window {
+		b.restart(now)
 	}
 	slot := int64(now.Sub(b.start)) / max(int64(b.Window)/budgetSlots, 1)
 	if slot-b.slot >= budgetParts {
@@ -73,3 +76,14 @@
 		b.repeats[b.slot%budgetParts] = 0
 	}
 }
+
+// restart begins to count with another Window.
+func (b *WindowBudget) restart(now time.Time) {
+	var requests, repeats [budgetParts]int
+	for i := range budgetParts {
+		requests[0] += b.requests[i]
+		repeats[0] += b.repeats[i]
+	}
+	b.requests, b.repeats = requests, repeats
+	b.start, b.slot, b.counted = now, 0, b.Window
+}
--- a/policy/window_budget_test.go
+++ b/policy/window_budget_test.go
@@ -79,7 +79,7 @@
 	const window = 10 * time.Second
 	for at := time.Duration(0); at < window/4; at += window / 100 {
 		b := WindowBudget{Ratio: 1, Window: window}
-		b.start = testStart
+		b.advance(testStart)
 		b.Request(testStart.Add(at))
 		if b.Allow(testStart.Add(at + window)) {
 			t.Errorf("a repeat at %v for a request at %v", at+window, at)
