platform, gateway: fields that nobody reads are gone

Cause: the adapter decoded a route's affinity, a service's engine, the limit for headers and the most tokens of an answer into fields that no code read: they looked like features. Requests name their parts themselves, servers tell their slots in their own rows, and the time for headers is the gateway's own 10 s, within which the users' callers stay. Result: a search over all exported and unexported functions of the product finds none without a caller but test doubles; tests of internal/gateway and testbed/gateway pass.

--- a/internal/gateway/protocol/protocol.go
+++ b/internal/gateway/protocol/protocol.go
@@ -32,10 +32,8 @@
 	// After is the id of the last event that the caller has; empty when it
 	// asks for the whole stream.
 	After string
-	// PromptTokens and OutputTokens are the prompt's length and the most
-	// tokens of the answer; 0 where the request doesn't say.
+	// PromptTokens is the prompt's length; 0 where the request doesn't say.
 	PromptTokens int
-	OutputTokens int
 	// Parts are the prompt's parts in order; the last one is the request's or
 	// its session's own, those before are shared.
 	Parts []Part
--- a/internal/gateway/routes/route.go
+++ b/internal/gateway/routes/route.go
@@ -45,8 +45,6 @@
 	Attempts int
 	// Public routes need no key.
 	Public bool
-	// Affinity says that requests name the parts of their prompts.
-	Affinity bool
 	// Shares are the services that run the requests; at least one.
 	Shares []Share
 }
--- a/internal/gateway/routes/set.go
+++ b/internal/gateway/routes/set.go
@@ -15,16 +15,6 @@
 	// MaxConns is how many connections one of its servers accepts from all
 	// callers together; 0 when that isn't known.
 	MaxConns int
-	// Engine is set where the servers are model engines.
-	Engine *Engine
-}
-
-// Engine is what a service's model engines can hold.
-type Engine struct {
-	// Slots is how many requests run at once.
-	Slots int
-	// MemoryTokens is how many tokens running requests and cached parts share.
-	MemoryTokens int
 }
 
 // Customer is who holds keys.
@@ -36,12 +26,12 @@
 	Keys []string
 }
 
-// Limits bound what a caller may send and how long it may take; zero is no
-// limit.
+// Limits bound what a caller may send, and for how long it may ask nothing; zero
+// is no limit. For how long it may take to send headers is the gateway's own
+// bound.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	HeaderTime  time.Duration
 	IdleTime    time.Duration
 }
 
