one pause that ends with its context, one record file

Cause: a wait that ends with its context was written out eleven times, three of them as functions of their own under two names; and both stand-ins that keep a record file opened, wrote and read JSON lines by code of their own. Waits on something else besides (a channel, a ticker) stay as they are.

--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/internal/storage"
 )
 
@@ -51,10 +52,8 @@
 		if _, err := s.sweep(ctx, shard); err != nil {
 			s.log.Warn(logging.EventClaimSweepFailed, zap.Int("shard", shard), zap.Error(err))
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, sweepPause) {
 			return ctx.Err()
-		case <-time.After(sweepPause):
 		}
 	}
 }
--- a/internal/entry/fleet/link_conn.go
+++ b/internal/entry/fleet/link_conn.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/internal/wire"
 )
 
@@ -19,20 +20,16 @@
 
 // run keeps the connection up until ctx ends.
 func (l *link) run(ctx context.Context) {
-	pause := redialFrom
+	wait := redialFrom
 	for ctx.Err() == nil {
 		conn, err := wire.Dial(ctx, l.addr(), l.fleet.config.SystemKey, l.fleet.config.Local)
 		if err != nil {
-			pause = min(2*pause, redialTo)
+			wait = min(2*wait, redialTo)
 		} else {
-			pause = redialFrom
+			wait = redialFrom
 			l.serve(ctx, conn)
 		}
-		jittered := pause/2 + rand.N(pause/2)
-		select {
-		case <-ctx.Done():
-		case <-time.After(jittered):
-		}
+		pause.For(ctx, wait/2+rand.N(wait/2))
 	}
 }
 
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -9,6 +9,7 @@
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
 )
 
 const (
@@ -50,18 +51,15 @@
 
 // register tries until it is done or ctx ends.
 func (g *gateway) register(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = registerFirst, registerLongest
+	backOff := backoff.NewExponentialBackOff()
+	backOff.InitialInterval, backOff.MaxInterval = registerFirst, registerLongest
 	for ctx.Err() == nil {
 		err := g.platform.Register(ctx, g.mesh.Self)
 		if err == nil {
 			return
 		}
 		g.log.Warn(logging.EventRegisterFailed, logging.Reason(err.Error()))
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause.NextBackOff()):
-		}
+		pause.For(ctx, backOff.NextBackOff())
 	}
 }
 
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -14,6 +14,7 @@
 
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
 )
 
 // ErrHistoryGone: the changes since a position can't be had any more; the
@@ -95,8 +96,8 @@
 
 // Run follows until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	backOff := backoff.NewExponentialBackOff()
+	backOff.InitialInterval, backOff.MaxInterval = firstPause, longestPause
 	var at uint64
 	known := false
 	for ctx.Err() == nil {
@@ -105,17 +106,17 @@
 		case err == nil:
 			at, known = next, true
 			f.answered()
-			pause.Reset()
+			backOff.Reset()
 			continue
 		case errors.Is(err, ErrHistoryGone):
 			known = false
-			sleep(ctx, gonePause)
+			pause.For(ctx, gonePause)
 			continue
 		case ctx.Err() != nil:
 			return
 		}
 		f.failed(err)
-		sleep(ctx, pause.NextBackOff())
+		pause.For(ctx, backOff.NextBackOff())
 	}
 }
 
@@ -141,7 +142,7 @@
 	f.Sink.Change(moment, batch)
 	f.news = !batch.empty()
 	if !batch.empty() && f.Gather > 0 {
-		sleep(ctx, f.Gather)
+		pause.For(ctx, f.Gather)
 	}
 	return batch.At, nil
 }
@@ -172,12 +173,3 @@
 		f.Log.Warn(logging.EventPlatformDown, zap.String("table", f.Name), logging.Reason(err.Error()))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
 )
 
 // Timing of a Keeper.
@@ -48,7 +49,7 @@
 		if k.lease.Acquire(ctx) == nil {
 			k.hold(ctx, act)
 		}
-		pause(ctx, campaignInterval/2+rand.N(campaignInterval))
+		pause.For(ctx, campaignInterval/2+rand.N(campaignInterval))
 	}
 }
 
@@ -76,8 +77,7 @@
 // renew renews until ctx ends or the lease is lost.
 func (k *Keeper) renew(ctx context.Context, lapse *time.Timer) {
 	for {
-		pause(ctx, RenewInterval)
-		if ctx.Err() != nil {
+		if !pause.For(ctx, RenewInterval) {
 			return
 		}
 		if err := k.lease.Renew(ctx); err != nil {
@@ -98,12 +98,3 @@
 		k.log.Warn(logging.EventLeaseReleaseFailed, zap.Error(err))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/lease/orders/follower.go
+++ b/internal/lease/orders/follower.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
 )
 
 // Timing of a Follower.
@@ -54,12 +55,7 @@
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.log.Warn(logging.EventOrderFailed, zap.Error(err))
 		}
-		timer := time.NewTimer(followInterval - followJitter + rand.N(2*followJitter))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		pause.For(ctx, followInterval-followJitter+rand.N(2*followJitter))
 	}
 }
 
--- a/internal/targets/store/poller.go
+++ b/internal/targets/store/poller.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/internal/targets"
 )
 
@@ -48,7 +49,7 @@
 		if err := p.Poll(ctx); err != nil && ctx.Err() == nil {
 			p.log.Warn(logging.EventTargetsPollFailed, zap.Error(err))
 		}
-		pause(ctx, PollInterval-pollJitter+rand.N(2*pollJitter))
+		pause.For(ctx, PollInterval-pollJitter+rand.N(2*pollJitter))
 	}
 }
 
@@ -73,12 +74,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/testbed/engine/faults.go
+++ b/testbed/engine/faults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/applepier/applepier/internal/pause"
 )
 
 // noFault is the token count of a fault that never comes.
@@ -72,8 +74,8 @@
 
 // sleep waits for a time, and on while the engine is frozen.
 func (s *Server) sleep(ctx context.Context, d time.Duration) error {
-	if err := wait(ctx, d); err != nil {
-		return err
+	if !pause.For(ctx, d) {
+		return ctx.Err()
 	}
 	return s.awaitThaw(ctx)
 }
@@ -81,23 +83,9 @@
 // awaitThaw waits while the engine is frozen.
 func (s *Server) awaitThaw(ctx context.Context) error {
 	for s.knobs.Get().Frozen {
-		if err := wait(ctx, thawCheck); err != nil {
-			return err
+		if !pause.For(ctx, thawCheck) {
+			return ctx.Err()
 		}
 	}
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/testbed/engine/journal.go
+++ b/testbed/engine/journal.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"os"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
+	"github.com/applepier/applepier/testbed/recordfile"
 )
 
 // maxRecords bounds the record; the oldest are dropped first.
@@ -21,7 +19,7 @@
 	seq     int
 	records []*Record
 	active  map[*Record]context.CancelCauseFunc
-	file    *os.File
+	file    *recordfile.File
 }
 
 // newJournal returns an empty journal that also writes to path unless that is
@@ -31,12 +29,9 @@
 	if path == "" {
 		return j, nil
 	}
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
-	if err != nil {
-		return nil, errors.Wrap(err, "open record file")
-	}
-	j.file = file
-	return j, nil
+	var err error
+	j.file, err = recordfile.Open(path)
+	return j, err
 }
 
 // accept notes a run that has come, given what its request says of it; cancel
@@ -127,19 +122,8 @@
 func (j *journal) close() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.file != nil {
-		_ = j.file.Close()
-		j.file = nil
-	}
+	_ = j.file.Close()
+	j.file = nil
 }
 
-func (j *journal) write(r *Record) {
-	if j.file == nil {
-		return
-	}
-	line, err := json.Marshal(r)
-	if err != nil {
-		return
-	}
-	_, _ = j.file.Write(append(line, '\n'))
-}
+func (j *journal) write(r *Record) { _ = j.file.Write(r) }
--- a/testbed/engine/record.go
+++ b/testbed/engine/record.go
@@ -1,12 +1,9 @@
 package engine
 
 import (
-	"bufio"
-	"encoding/json"
-	"os"
 	"time"
 
-	"github.com/go-faster/errors"
+	"github.com/applepier/applepier/testbed/recordfile"
 )
 
 // Outcome says how a run ended.
@@ -63,23 +60,14 @@
 // written of each run, in order of their numbers. The number of tokens of a
 // run without an end is not known from it.
 func ReadRecordFile(path string) ([]Record, error) {
-	file, err := os.Open(path)
+	written, err := recordfile.Read[Record](path)
 	if err != nil {
-		return nil, errors.Wrap(err, "open record file")
+		return nil, err
 	}
-	defer func() { _ = file.Close() }()
 	var records []Record
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		var record Record
-		if err := json.Unmarshal(lines.Bytes(), &record); err != nil {
-			return nil, errors.Wrap(err, "decode record file")
-		}
+	for _, record := range written {
 		records = place(records, record)
 	}
-	if err := lines.Err(); err != nil {
-		return nil, errors.Wrap(err, "read record file")
-	}
 	return records, nil
 }
 
--- a/testbed/load/run.go
+++ b/testbed/load/run.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/testbed/engine"
 )
 
@@ -89,8 +90,8 @@
 	defer stopProgress()
 	phase := -1
 	for i, a := range r.arrivals {
-		if err := sleepUntil(ctx, r.started.Add(a.at)); err != nil {
-			return err
+		if !pause.For(ctx, time.Until(r.started.Add(a.at))) {
+			return ctx.Err()
 		}
 		if a.phase != phase {
 			phase = a.phase
@@ -122,7 +123,7 @@
 
 func (r *runner) comeBack(ctx context.Context, a arrival, body []byte, after time.Duration) *Result {
 	due := time.Now().Add(after)
-	if err := sleepUntil(ctx, due); err != nil {
+	if !pause.For(ctx, time.Until(due)) {
 		return nil
 	}
 	result := r.attempt(ctx, a, body, due)
@@ -170,14 +171,3 @@
 		Ended:   int(r.ended.Load()),
 	}
 }
-
-func sleepUntil(ctx context.Context, at time.Time) error {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/testbed/matrix/burst.go
+++ b/testbed/matrix/burst.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/policy"
 	"github.com/applepier/applepier/testbed/history"
@@ -88,14 +89,14 @@
 		r.calls.Go(func() { r.callPatiently(ctx, low, n) })
 	}
 	if c.Faults[0] == NoFault {
-		r.elapse(ctx, faultSpan)
+		pause.For(ctx, faultSpan)
 		return nil
 	}
 	f, err := strike(ctx, c.Faults[0], place{rig: r, entry: r.pick(int(c.Seed)), agent: r.random.IntN(engineCount)})
 	if err != nil {
 		return err
 	}
-	r.elapse(ctx, faultSpan)
+	pause.For(ctx, faultSpan)
 	return f.lift(ctx)
 }
 
@@ -114,7 +115,7 @@
 		}
 		a := ask{class: classBurst, marker: r.mark(classBurst), tokens: burstTokens, customer: customer, within: bound}
 		r.calls.Go(func() { r.callPatiently(ctx, a, n) })
-		r.elapse(ctx, gap)
+		pause.For(ctx, gap)
 	}
 }
 
@@ -136,6 +137,6 @@
 			return
 		}
 		n++
-		r.elapse(ctx, max(call.RetryAfter, pollPause))
+		pause.For(ctx, max(call.RetryAfter, pollPause))
 	}
 }
--- a/testbed/matrix/planned.go
+++ b/testbed/matrix/planned.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/testbed/history"
 )
 
@@ -110,7 +111,7 @@
 		faults = append(faults, f)
 	}
 	// Time itself is what is looked at here: nothing may happen in it.
-	r.elapse(ctx, leavingLimit+lookAfter)
+	pause.For(ctx, leavingLimit+lookAfter)
 	for _, f := range faults {
 		if err := f.lift(ctx); err != nil {
 			return err
@@ -127,11 +128,3 @@
 	}
 	return back
 }
-
-// elapse lets time pass under load.
-func (r *rig) elapse(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/testbed/matrix/versions.go
+++ b/testbed/matrix/versions.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/testbed/history"
 )
@@ -70,10 +71,7 @@
 				Excused: asked.Sub(absent) < changeLimit,
 			})
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(readEvery):
-		}
+		pause.For(ctx, readEvery)
 	}
 }
 
--- a/testbed/matrix/wait.go
+++ b/testbed/matrix/wait.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/applepier/applepier/internal/pause"
 )
 
 // pollPause is the pause between two looks at a condition.
@@ -11,10 +13,8 @@
 // until polls a condition and reports whether it was met before ctx ended.
 func until(ctx context.Context, met func() bool) bool {
 	for !met() {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, pollPause) {
 			return false
-		case <-time.After(pollPause):
 		}
 	}
 	return true
--- a/testbed/plain/server.go
+++ b/testbed/plain/server.go
@@ -7,11 +7,11 @@
 	"hash/fnv"
 	"io"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/applepier/applepier/testbed/knobs"
+	"github.com/applepier/applepier/testbed/recordfile"
 )
 
 // maxBody bounds a request, in bytes.
@@ -24,7 +24,7 @@
 
 	mu    sync.Mutex
 	calls []Call
-	file  *os.File // nil without a record file
+	file  *recordfile.File // nil without a record file
 }
 
 // New returns a service without faults.
@@ -84,7 +84,7 @@
 	defer s.mu.Unlock()
 	call := newCall(r, time.Now())
 	s.calls = append(s.calls, call)
-	return s.write(call)
+	return s.file.Write(call)
 }
 
 func (s *Server) takeCut() bool {
