gateway: changed revoke and memory settings take effect whole

Cause: of the settings that docs/SETTINGS lets take effect on reload, two did in part only. A shorter revoke.within bounded requests at once, while the store was asked as seldom as before: the state was proved too seldom and callers with good keys got 503 while all was well. Less memory_mb set the collector's bound, and not the one on requests in progress; and 0 left the former one. Change: the bound on requests in progress is one of the router's bounds, and how long a call may be held back is asked for before each call. Tests of internal/gateway pass.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -26,7 +26,7 @@
 // by its datagrams as well.
 func (g *gateway) followEntries(ctx context.Context) {
 	f := follow.Follower[peers.Entry]{
-		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: entriesWait, Gather: entriesGather, Log: g.log,
+		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: follow.Always(entriesWait), Gather: entriesGather, Log: g.log,
 	}
 	f.Run(ctx)
 }
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -78,8 +78,9 @@
 	Sink   Sink[T]
 	// Wait is how long the store may hold back an answer without news, at the
 	// most: each call's wait is drawn from the upper quarter, so that followers
-	// that heard the same news don't all ask at the same time from then on.
-	Wait time.Duration
+	// that heard the same news don't all ask at the same time from then on. It
+	// is asked for before each call.
+	Wait func() time.Duration
 	// Gather is the pause after news: what changes meanwhile comes with one
 	// call, and each call is paid for.
 	Gather time.Duration
@@ -151,12 +152,18 @@
 // failure comes at once, so that it is known when the store was back; the first
 // one after news where it has to prove them.
 func (f *Follower[T]) wait() time.Duration {
+	longest := f.Wait()
 	if f.failing || f.Confirm && f.news {
-		return min(f.Wait, recheckWait)
+		return min(longest, recheckWait)
 	}
 	// Whole milliseconds, in which stores count: one that is rounded down would
 	// seem to have come early, and to prove nothing.
-	return (f.Wait - rand.N(f.Wait/4+1)).Truncate(time.Millisecond)
+	return (longest - rand.N(longest/4+1)).Truncate(time.Millisecond)
+}
+
+// Always is a Wait that doesn't change.
+func Always(wait time.Duration) func() time.Duration {
+	return func() time.Duration { return wait }
 }
 
 func (f *Follower[T]) answered() {
--- a/internal/gateway/follow/follower_test.go
+++ b/internal/gateway/follow/follower_test.go
@@ -68,7 +68,7 @@
 		out := &sink{}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		f := Follower[string]{Name: "t", Source: src, Sink: out, Wait: time.Second, Log: zap.NewNop()}
+		f := Follower[string]{Name: "t", Source: src, Sink: out, Wait: Always(time.Second), Log: zap.NewNop()}
 		f.Run(ctx)
 		if got, want := join(src.asked), "read read next after 3 next after 5 next after 5 next after 6 read next after 9"; got != want {
 			t.Errorf("asked %q, want %q", got, want)
@@ -100,7 +100,7 @@
 		held := &holding{}
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
-		f := Follower[string]{Name: "t", Source: held, Sink: &sink{}, Wait: 4 * time.Second, Log: zap.NewNop()}
+		f := Follower[string]{Name: "t", Source: held, Sink: &sink{}, Wait: Always(4 * time.Second), Log: zap.NewNop()}
 		f.Run(ctx)
 		if len(held.waits) < 4 || held.waits[0] < 3*time.Second || held.waits[1] > recheckWait || held.waits[2] < 3*time.Second {
 			t.Errorf("waits of %v; the second is the first after a failure", held.waits)
@@ -115,7 +115,7 @@
 		out := &proving{}
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
-		f := Follower[string]{Name: "t", Source: changes, Sink: out, Wait: 2 * time.Second, Confirm: true, Log: zap.NewNop()}
+		f := Follower[string]{Name: "t", Source: changes, Sink: out, Wait: Always(2 * time.Second), Confirm: true, Log: zap.NewNop()}
 		f.Run(ctx)
 		if out.longest > 2*time.Second+recheckWait {
 			t.Errorf("%v passed without a proof, a wait is two seconds", out.longest)
@@ -161,7 +161,7 @@
 		out := &sink{}
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
-		f := Follower[string]{Name: "t", Source: changes, Sink: out, Wait: time.Second, Gather: 250 * time.Millisecond, Log: zap.NewNop()}
+		f := Follower[string]{Name: "t", Source: changes, Sink: out, Wait: Always(time.Second), Gather: 250 * time.Millisecond, Log: zap.NewNop()}
 		f.Run(ctx)
 		if changes.calls > 15 {
 			t.Errorf("%d calls for 100 changes within two seconds", changes.calls)
--- a/internal/gateway/follow/moment_test.go
+++ b/internal/gateway/follow/moment_test.go
@@ -34,7 +34,7 @@
 	seen := &moments{}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*wait)
 	defer cancel()
-	f := Follower[string]{Name: "t", Source: src, Sink: seen, Wait: wait, Log: zap.NewNop()}
+	f := Follower[string]{Name: "t", Source: src, Sink: seen, Wait: Always(wait), Log: zap.NewNop()}
 	f.Run(ctx)
 	if len(seen.ages) != 4 {
 		t.Fatalf("%d batches", len(seen.ages))
@@ -52,9 +52,9 @@
 
 // Stores count waits in milliseconds.
 func TestWaitsAreWholeMilliseconds(t *testing.T) {
-	f := Follower[string]{Wait: 777777777 * time.Nanosecond}
+	f := Follower[string]{Wait: Always(777777777 * time.Nanosecond)}
 	for range 100 {
-		if wait := f.wait(); wait%time.Millisecond != 0 || wait > f.Wait || wait < f.Wait/2 {
+		if wait := f.wait(); wait%time.Millisecond != 0 || wait > f.Wait() || wait < f.Wait()/2 {
 			t.Fatalf("a wait of %v", wait)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -51,6 +52,7 @@
 	heldPart = 0.4
 	// collectAt is by how many percent the heap grows between collections.
 	collectAt = 60
+	megabyte  = 1 << 20
 )
 
 // gateway is the process's parts.
@@ -115,8 +117,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.router = router.New(router.Config{
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
-		HeldBytes: int64(heldPart * s.MemoryMB * (1 << 20)),
-		Others:    g.mesh, Gateways: g.mesh.Listed,
+		Others: g.mesh, Gateways: g.mesh.Listed,
 		Chooser: policy.NewChooser(random, ejector), Ejector: ejector,
 		Observer: ends{p.Metrics, log},
 	}, boundsOf(s), g.elsewhere)
@@ -212,9 +213,12 @@
 	return routes
 }
 
+// boundMemory has the collector keep to its part of the memory; 0 is no bound.
 func boundMemory(megabytes float64) {
 	debug.SetGCPercent(collectAt)
+	limit := int64(math.MaxInt64)
 	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryUse * megabytes * (1 << 20)))
+		limit = int64(memoryUse * megabytes * megabyte)
 	}
+	debug.SetMemoryLimit(limit)
 }
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -30,7 +30,7 @@
 // requests with a key. Where the store is away from all of them nobody would
 // serve callers better, and public routes are served on.
 func (g *gateway) isolated() bool {
-	wait, proved := provedWithin(boundsOf(g.settings).Proof), g.holder.ProvenAt()
+	wait, proved := g.proofWait(), g.holder.ProvenAt()
 	if answered := boottime.Now()-proved <= feedSilence+wait+othersAhead; answered {
 		own := time.Duration(g.desired.provenAt.Load())
 		return proved-own > wait+othersAhead || g.desired.away() > turnedAway && proved > own
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -52,7 +52,7 @@
 
 // boundsOf are the router's bounds under the settings.
 func boundsOf(s settings.Gateway) router.Bounds {
-	b := router.Bounds{RetryRatio: s.Retry.Ratio, RetryExtra: s.Retry.Extra, RetryWindow: s.Retry.Window}
+	b := router.Bounds{RetryRatio: s.Retry.Ratio, RetryExtra: s.Retry.Extra, RetryWindow: s.Retry.Window, Held: int64(heldPart * s.MemoryMB * megabyte)}
 	if s.Revoke.Strict {
 		b.Proof = max(s.Revoke.Within-proofMargin, time.Millisecond)
 	}
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -20,6 +20,8 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// Held bounds the memory of requests in progress, in bytes; 0 is no bound.
+	Held int64
 }
 
 // Config is what a Router needs.
@@ -31,8 +33,6 @@
 	Pool     *exchange.Pool
 	// Others tells what other gateways have at a server.
 	Others Others
-	// HeldBytes bounds the memory of requests in progress; 0 is no bound.
-	HeldBytes int64
 	// Gateways counts the gateways that share the retry budget.
 	Gateways func() int
 	Chooser  *policy.Chooser
--- a/internal/gateway/router/held.go
+++ b/internal/gateway/router/held.go
@@ -15,18 +15,17 @@
 // bodies at once would otherwise end the process, and with it all others'
 // requests.
 type held struct {
-	limit int64
 	bytes atomic.Int64
 }
 
 // take counts a request with a body of a length, -1 where that isn't known;
-// false if there is no room for it.
-func (h *held) take(length int64) (taken int64, ok bool) {
+// false if there is no room for it below limit, 0 for none.
+func (h *held) take(length, limit int64) (taken int64, ok bool) {
 	if length < 0 {
 		length = unknownBody
 	}
 	taken = heldBase + length
-	if h.bytes.Add(taken) > h.limit && h.limit > 0 {
+	if h.bytes.Add(taken) > limit && limit > 0 {
 		h.bytes.Add(-taken)
 		return 0, false
 	}
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -37,7 +37,6 @@
 // gateway: connections are closed after their answer.
 func New(c Config, bounds Bounds, elsewhere func() bool) *Router {
 	r := &Router{Config: c, services: map[string]*service{}, elsewhere: elsewhere}
-	r.held.limit = c.HeldBytes
 	r.SetBounds(bounds)
 	return r
 }
@@ -45,6 +44,9 @@
 // SetBounds puts other bounds in force.
 func (r *Router) SetBounds(b Bounds) { r.bounds.Store(&b) }
 
+// Bounds are those in force.
+func (r *Router) Bounds() Bounds { return *r.bounds.Load() }
+
 // ServeHTTP carries one request.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	c := &call{router: r, w: w, req: req, arrived: time.Now(), ask: r.Dialect.Ask(req)}
@@ -54,7 +56,7 @@
 	if !c.admit() {
 		return
 	}
-	taken, ok := r.held.take(req.ContentLength)
+	taken, ok := r.held.take(req.ContentLength, r.Bounds().Held)
 	if !ok {
 		c.refuse(ReasonMemory, refusedHint)
 		return
@@ -140,7 +142,7 @@
 // Fresh reports whether the desired state is proved to be new enough for
 // requests whose keys may be taken away.
 func (r *Router) Fresh() bool {
-	bound := r.bounds.Load().Proof
+	bound := r.Bounds().Proof
 	return bound == 0 || boottime.Now()-r.Holder.ProvenAt() <= bound
 }
 
--- a/internal/gateway/router/service.go
+++ b/internal/gateway/router/service.go
@@ -26,7 +26,7 @@
 // budget returns a service's retry budget as the bounds in force make it; r.mu
 // is held.
 func (r *Router) budget(name string) *policy.WindowBudget {
-	bounds := r.bounds.Load()
+	bounds := r.Bounds()
 	b := &r.service(name).budget
 	b.Window = bounds.RetryWindow
 	b.Ratio = budgetUse * bounds.RetryRatio
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -40,11 +40,15 @@
 func (g *gateway) followDesired(ctx context.Context) {
 	f := follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
-		Wait: provedWithin(boundsOf(g.settings).Proof), Confirm: true, Log: g.log,
+		Wait: g.proofWait, Confirm: true, Log: g.log,
 	}
 	f.Run(ctx)
 }
 
+// proofWait is how long the store may hold back an answer about the desired
+// state under the settings in force.
+func (g *gateway) proofWait() time.Duration { return provedWithin(g.router.Bounds().Proof) }
+
 // provedWithin is how long the store may hold back an answer about the desired
 // state, by how old its proof may be; 0 for no bound.
 func provedWithin(bound time.Duration) time.Duration {
@@ -58,7 +62,7 @@
 func (g *gateway) followServers(ctx context.Context) {
 	f := follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry, g.log},
-		Wait: serversWait, Gather: serversGather, Log: g.log,
+		Wait: follow.Always(serversWait), Gather: serversGather, Log: g.log,
 	}
 	f.Run(ctx)
 }
--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -47,9 +47,12 @@
 	// Stop tells the gateway to stop; Stopped is closed when it has.
 	Stop    context.CancelFunc
 	Stopped chan struct{}
-	// mu guards arrivals; nothing is locked while it is held.
+	// mu guards what follows; nothing is locked while it is held.
 	mu       sync.Mutex
 	arrivals []*Arrival
+	settings settings.Gateway
+	// read is closed once the gateway has read the settings again.
+	read chan struct{}
 }
 
 // shortGrace ends a gateway soon after its test.
@@ -98,7 +101,7 @@
 	if o.PeerListen == "" {
 		o.PeerListen = FreeAddr(t)
 	}
-	s := settings.Gateway{
+	f.settings = settings.Gateway{
 		Process: o.Name, Zone: "z", Listen: f.Front, AdminListen: f.Admin, ReadyPath: "/ready",
 		PeerListen: o.PeerListen, Store: strings.TrimPrefix(web.URL, "http://"), Grace: max(o.Grace, shortGrace), MemoryMB: o.MemoryMB,
 		Revoke: settings.Revoke{Strict: o.Revoke > 0, Within: o.Revoke},
@@ -110,10 +113,10 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	f.Stop = stop
+	first := f.settings
 	go func() {
 		defer close(f.Stopped)
-		reload := func() (settings.Gateway, error) { return s, nil }
-		if err := platform.ServeGateway(ctx, s, reload, log); err != nil {
+		if err := platform.ServeGateway(ctx, first, f.reload, log); err != nil {
 			t.Error(err)
 		}
 	}()
@@ -124,6 +127,32 @@
 	return f
 }
 
+// Change changes the gateway's settings and waits until they are in force.
+func (f *Fleet) Change(change func(*settings.Gateway)) {
+	f.mu.Lock()
+	change(&f.settings)
+	read := make(chan struct{})
+	f.read = read
+	f.mu.Unlock()
+	// They are in force when they have been read, and are read once more.
+	<-read
+	f.mu.Lock()
+	f.read = make(chan struct{})
+	read = f.read
+	f.mu.Unlock()
+	<-read
+}
+
+func (f *Fleet) reload() (settings.Gateway, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.read != nil {
+		close(f.read)
+		f.read = nil
+	}
+	return f.settings, nil
+}
+
 // Desire writes a version of the operators' document, with more routes and
 // keys as the document spells them.
 func (f *Fleet) Desire(version int, routes, keys string) {
