gateway: asking others keeps to a pace; listeners, handover and mesh tidied

Cause: once another gateway's state was lacking here, it was asked for every 100 ms, also when what came was of no use (a document that this build can't read): ten handovers of up to 100 KB a second for as long as that lasts. A failed one was logged as peer_unreadable, which is said to mean datagrams. Beside it: the handover matched its path by hand, Serve closed its listeners by hand and left the datagrams' socket open, peers.go held five types and the whole exchange, and three comments were wrong (messages have no keys, Unseen is no average, "start reading at Get"). Change: type lag waits for the store again after each try; handover_failed is an event of its own; handover.Routes uses httprouter; listeners listens at all addresses or none; peers.go is split into types, Mesh, tell and hear.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,13 +6,11 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -78,21 +76,11 @@
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", s.Listen)
+	at, err := g.listen()
 	if err != nil {
-		return errors.Wrap(ErrListen, err.Error())
-	}
-	admin, err := net.Listen("tcp", s.AdminListen)
-	if err != nil {
-		_ = callers.Close()
-		return errors.Wrap(ErrListen, err.Error())
-	}
-	handing, err := net.Listen("tcp", g.mesh.Addr())
-	if err != nil {
-		_, _ = callers.Close(), admin.Close()
-		return errors.Wrap(ErrListen, err.Error())
+		return err
 	}
-	g.serve(ctx, callers, admin, handing, reload)
+	g.serve(ctx, at, reload)
 	return nil
 }
 
@@ -153,7 +141,7 @@
 }
 
 // serve runs all parts; it returns when they have ended.
-func (g *gateway) serve(ctx context.Context, callers, admin, handing net.Listener, reload func() (settings.Gateway, error)) {
+func (g *gateway) serve(ctx context.Context, at listeners, reload func() (settings.Gateway, error)) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
 	wg.Go(func() { g.followDesired(work) })
@@ -170,12 +158,12 @@
 		MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
 	back := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	hand := &http.Server{Handler: handover.Server{State: g.state}, ReadTimeout: handTimeout, WriteTimeout: handTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	hand := &http.Server{Handler: handover.Routes(g.state), ReadTimeout: handTimeout, WriteTimeout: handTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
 	// Serve returns when the server is shut down.
-	wg.Go(func() { _ = front.Serve(callers) })
-	wg.Go(func() { _ = back.Serve(admin) })
-	wg.Go(func() { _ = hand.Serve(handing) })
-	g.log.Info(logging.EventStarted, zap.String("listen", callers.Addr().String()), zap.String("admin_listen", admin.Addr().String()))
+	wg.Go(func() { _ = front.Serve(at.callers) })
+	wg.Go(func() { _ = back.Serve(at.admin) })
+	wg.Go(func() { _ = hand.Serve(at.gateways) })
+	g.log.Info(logging.EventStarted, zap.String("listen", at.callers.Addr().String()), zap.String("admin_listen", at.admin.Addr().String()))
 
 	<-ctx.Done()
 	g.drain(front)
--- a/internal/gateway/handover/handover_test.go
+++ b/internal/gateway/handover/handover_test.go
@@ -18,7 +18,7 @@
 		Version: 7, Document: []byte(`{"version":7}`),
 		Servers: []backend.Info{{ID: "i-1", Addr: "127.0.0.1:1", Service: "s", Zone: "z", Slots: 8, Leaving: true, WarmupLeft: time.Second}},
 	}
-	web := httptest.NewServer(Server{State: func() State { return want }})
+	web := httptest.NewServer(Routes(func() State { return want }))
 	defer web.Close()
 	got, err := NewClient().Get(t.Context(), strings.TrimPrefix(web.URL, "http://"))
 	if err != nil || !reflect.DeepEqual(got, want) {
--- a/internal/gateway/handover/server.go
+++ b/internal/gateway/handover/server.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/julienschmidt/httprouter"
 )
 
 // path is where a gateway hands over its state.
@@ -12,24 +13,18 @@
 // contentType is CBOR's (RFC 8949).
 const contentType = "application/cbor"
 
-// Server hands this gateway's state to others. It implements http.Handler.
-type Server struct {
-	// State returns what this gateway knows.
-	State func() State
-}
-
-// ServeHTTP implements http.Handler.
-func (s Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet || r.URL.Path != path {
-		http.NotFound(w, r)
-		return
-	}
-	body, err := cbor.Marshal(s.State())
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", contentType)
-	// Who asks and leaves asks again.
-	_, _ = w.Write(body)
+// Routes hands what state returns to other gateways.
+func Routes(state func() State) http.Handler {
+	routes := httprouter.New()
+	routes.GET(path, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		body, err := cbor.Marshal(state())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", contentType)
+		// Who asks and leaves asks again.
+		_, _ = w.Write(body)
+	})
+	return routes
 }
--- a/internal/gateway/handover/state.go
+++ b/internal/gateway/handover/state.go
@@ -1,7 +1,8 @@
 // Package handover lets gateways that can't reach the platform's store have the
 // desired state and the list of backend servers from one that knows them: one
 // that starts while the store is away, or that the store turns away while others
-// are served. Start reading at Server and Get.
+// are served. Start
+// reading at Routes and Client.Get.
 package handover
 
 import "github.com/applepier/applepier/internal/gateway/backend"
--- a/internal/gateway/learn.go
+++ b/internal/gateway/learn.go
@@ -10,13 +10,8 @@
 	"github.com/applepier/applepier/internal/logging"
 )
 
-const (
-	// learnEvery is how often a gateway looks whether others know more.
-	learnEvery = 100 * time.Millisecond
-	// storeFirst is how long the store is waited for before another gateway is
-	// asked: when all is well its feed tells of a change in milliseconds.
-	storeFirst = 300 * time.Millisecond
-)
+// learnEvery is how often a gateway looks whether others know more.
+const learnEvery = 100 * time.Millisecond
 
 // learnFromPeers has the desired state and the list of servers from another
 // gateway while the store doesn't tell them: a gateway that starts then serves
@@ -26,19 +21,15 @@
 	client := handover.NewClient()
 	ticker := time.NewTicker(learnEvery)
 	defer ticker.Stop()
-	var behind time.Time
+	var store lag
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			addr, version := g.mesh.Newest()
-			switch {
-			case addr == "" || version <= g.holder.Version() && g.registry.Known():
-				behind = time.Time{}
-			case behind.IsZero():
-				behind = now
-			case now.Sub(behind) >= storeFirst:
+			lacking := version > g.holder.Version() || !g.registry.Known()
+			if store.due(now, addr != "" && lacking) {
 				g.learn(ctx, client, addr)
 			}
 		}
@@ -52,7 +43,7 @@
 		err = g.adopt(addr, state)
 	}
 	if err != nil && ctx.Err() == nil {
-		g.log.Warn(logging.EventPeerUnreadable, logging.Peer(addr), logging.Reason(err.Error()))
+		g.log.Warn(logging.EventHandoverFailed, logging.Peer(addr), logging.Reason(err.Error()))
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/peers/mesh.go
@@ -0,0 +1,126 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/follow"
+)
+
+const (
+	// tellEvery is how often a gateway tells the others what it has: a request
+	// takes 20 to 2,000 ms, and a datagram a fraction of a millisecond.
+	tellEvery = 100 * time.Millisecond
+	// goneAfter is how long a gateway that was listed or heard of is waited for:
+	// a VM that restarts, or a network that is mended, takes less.
+	goneAfter = 10 * time.Minute
+)
+
+// Mesh is this gateway's end of the exchange. It implements the sink of a
+// follower of the gateways' list.
+type Mesh struct {
+	Config
+	// Unlisted tells that this gateway's own entry was removed from the list.
+	Unlisted chan struct{}
+	conn     net.PacketConn
+	table    *table
+	boot     uint64
+	sequence uint64
+}
+
+var _ follow.Sink[Entry] = (*Mesh)(nil)
+
+// Listen returns a Mesh that listens on its own address.
+func Listen(c Config) (*Mesh, error) {
+	conn, err := net.ListenPacket("udp4", c.Self.Addr)
+	if err != nil {
+		return nil, errors.Wrap(ErrListen, err.Error())
+	}
+	return &Mesh{Config: c, Unlisted: make(chan struct{}, 1), conn: conn, table: newTable(), boot: rand.Uint64()}, nil
+}
+
+// Run exchanges datagrams until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, m.Close)
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { m.listen(ctx) })
+	ticker := time.NewTicker(tellEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case now := <-ticker.C:
+			m.table.expire(now)
+			m.tell()
+		}
+	}
+	wg.Wait()
+}
+
+// Close stops a Mesh that doesn't run.
+func (m *Mesh) Close() { _ = m.conn.Close() }
+
+// At returns what all other gateways have at a backend server.
+func (m *Mesh) At(server string) backend.Counts { return m.table.at(hash(server)) }
+
+// Gateways counts the gateways, this one included: those that were heard of
+// lately.
+func (m *Mesh) Gateways() int { return 1 + m.table.heard(time.Now()) }
+
+// Newest returns the address of a gateway with the newest desired state of those
+// that were heard of lately, and its version; empty for none.
+func (m *Mesh) Newest() (addr string, version uint64) { return m.table.newest(time.Now()) }
+
+// Addr is the address at which this gateway listens for datagrams.
+func (m *Mesh) Addr() string { return m.conn.LocalAddr().String() }
+
+// Unseen is for how long what another gateway sends may go unseen here: up to
+// the time between two datagrams.
+func (m *Mesh) Unseen() time.Duration { return tellEvery }
+
+// Listed counts the gateways in the list, this one included, whether they run
+// or not.
+func (m *Mesh) Listed() int { return 1 + m.table.listed() }
+
+// Reset implements follow.Sink.
+func (m *Mesh) Reset(moment time.Duration, all follow.Batch[Entry]) { m.Change(moment, all) }
+
+// Change implements follow.Sink.
+func (m *Mesh) Change(_ time.Duration, changes follow.Batch[Entry]) {
+	for _, e := range changes.Items {
+		if e.Name != m.Self.Name {
+			m.table.know(e.Name, e.Addr)
+		}
+	}
+	for _, name := range changes.Removed {
+		if name == m.Self.Name {
+			m.unlisted()
+			continue
+		}
+		m.table.forget(name)
+	}
+}
+
+// unlisted notes that this gateway's entry was removed.
+func (m *Mesh) unlisted() {
+	select {
+	case m.Unlisted <- struct{}{}:
+	default:
+		// It is known already.
+	}
+}
+
+// Gone names the listed gateways that have been silent for so long that their
+// VMs are gone: a VM's name is never used again, so their entries would stay
+// for good and count in the shared budgets.
+func (m *Mesh) Gone() []string { return m.table.silent(time.Now(), goneAfter) }
+
+// Unavailable implements follow.Sink.
+func (m *Mesh) Unavailable(error) {}
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -2,8 +2,10 @@
 
 import "github.com/applepier/applepier/internal/gateway/backend"
 
-// message is one datagram. The keys are small numbers, since it is sent ten
-// times a second to every other gateway.
+// message is one datagram, an array without keys, since it is sent ten times a
+// second to every other gateway. Gateways whose arrays differ don't understand
+// each other: while a build with another one is rolled out, each half counts its
+// own sends only.
 type message struct {
 	_ struct{} `cbor:",toarray"`
 	// From is the sender's name, Boot its start: the counts of an earlier
--- /dev/null
+++ b/internal/gateway/peers/tell.go
@@ -0,0 +1,50 @@
+package peers
+
+import (
+	"net"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/logging"
+)
+
+// tell sends a datagram to each other gateway.
+func (m *Mesh) tell() {
+	destinations := m.table.destinations()
+	if len(destinations) == 0 {
+		return
+	}
+	m.sequence++
+	proof := m.Proof()
+	now := boottime.Now()
+	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Version: proof.Version, Stamp: uint64(now)}
+	if proof.At > 0 {
+		out.ProofAge = uint64((now - proof.At).Milliseconds() + 1)
+	}
+	for _, l := range m.Loads() {
+		if l.Counts != (backend.Counts{}) {
+			out.Loads = append(out.Loads, loadOf(l.Server, &l.Counts))
+		}
+	}
+	for _, d := range destinations {
+		out.Echo, out.EchoBoot = d.echo, d.boot
+		m.send(d.addr, &out)
+	}
+}
+
+func (m *Mesh) send(addr string, out *message) {
+	datagram, err := cbor.Marshal(out)
+	if err != nil {
+		m.Log.Error(logging.EventPeerUnreadable, logging.Reason(err.Error()))
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		m.Log.Warn(logging.EventPeerUnreadable, logging.Peer(addr), logging.Reason(err.Error()))
+		return
+	}
+	// A datagram that isn't sent is as good as one that was lost.
+	_, _ = m.conn.WriteTo(datagram, to)
+}
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -44,7 +44,7 @@
 type Others interface {
 	At(server string) backend.Counts
 	// Gateways counts those that are heard of, this one included, and Unseen is
-	// how old what they told is on average.
+	// for how long what they send may go unseen here.
 	Gateways() int
 	Unseen() time.Duration
 }
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -33,6 +33,9 @@
 	// EventPeerUnreadable: a datagram between gateways could not be written or
 	// read.
 	EventPeerUnreadable = "peer_unreadable"
+	// EventHandoverFailed: another gateway's desired state and list of servers
+	// could not be had, or not be used.
+	EventHandoverFailed = "handover_failed"
 	// EventRegisterFailed: a gateway could not enter itself in the list of
 	// gateways this time.
 	EventRegisterFailed = "register_failed"
