gateway: the store's proof never goes back; the list is tidied at drawn times

Cause: desired.provenAt is documented as the latest moment that the store has proved, and was the last one: an answer of the feed, which proves the moment a second before its call, took back up to a second of what a read of the whole had proved, and readiness compares it with others' proofs. And all gateways that started together looked through their list at the same second of each minute and each removed the same entries: 410 writes for one gateway that is gone. Change: the latest moment is kept; the pause between two looks is drawn. Result: TestProofOfTheStoreNeverGoesBack, red before ("proved at 9.5s, after 10s"), green after. TestTidyingIsSpread is of the new function. How many writes are left at 410 gateways isn't measured.

--- a/internal/gateway/desired.go
+++ b/internal/gateway/desired.go
@@ -80,7 +80,8 @@
 		}
 	}
 	if !d.unreadable.Load() {
-		d.provenAt.Store(int64(moment))
+		// One goroutine writes it.
+		d.provenAt.Store(max(d.provenAt.Load(), int64(moment)))
 		d.holder.Prove(d.holder.Version(), moment)
 	}
 }
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -17,8 +18,8 @@
 	// again to enter itself in the list of gateways.
 	registerFirst   = 200 * time.Millisecond
 	registerLongest = 5 * time.Second
-	// tidyEvery is how often the list is looked through for gateways that are
-	// gone; one write for each that is.
+	// tidyEvery is how often, on average, the list is looked through for
+	// gateways that are gone; one write for each that is.
 	tidyEvery = time.Minute
 )
 
@@ -34,21 +35,26 @@
 // stayListed enters this gateway in the list of gateways, again if somebody
 // took it for gone, and removes those that are gone.
 func (g *gateway) stayListed(ctx context.Context) {
-	ticker := time.NewTicker(tidyEvery)
-	defer ticker.Stop()
 	g.register(ctx)
+	tidy := time.NewTimer(tidyPause())
+	defer tidy.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.mesh.Unlisted:
 			g.register(ctx)
-		case <-ticker.C:
+		case <-tidy.C:
 			g.tidy(ctx)
+			tidy.Reset(tidyPause())
 		}
 	}
 }
 
+// tidyPause is drawn, so that gateways that started together don't all remove
+// the same entries: the list tells the others of the first one's removal.
+func tidyPause() time.Duration { return tidyEvery/2 + rand.N(tidyEvery) }
+
 // register tries until it is done or ctx ends.
 func (g *gateway) register(ctx context.Context) {
 	backOff := backoff.NewExponentialBackOff()
