gateway, entry: one way to listen at several addresses

Cause: both programs opened their listeners by hand and closed those that they had when one failed; the gateway had just got a type of its own for it. Change: internal/listen.All, used by both; each wraps the error in its own.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -19,6 +19,7 @@
 	"github.com/applepier/applepier/internal/entry/api"
 	"github.com/applepier/applepier/internal/entry/dispatch"
 	"github.com/applepier/applepier/internal/entry/fleet"
+	"github.com/applepier/applepier/internal/listen"
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/settings"
@@ -73,16 +74,11 @@
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", s.Listen)
+	at, err := listen.All(s.Listen, s.AdminListen)
 	if err != nil {
 		return errors.Wrap(ErrListen, err.Error())
 	}
-	operators, err := net.Listen("tcp", s.AdminListen)
-	if err != nil {
-		_ = callers.Close()
-		return errors.Wrap(ErrListen, err.Error())
-	}
-	return e.serve(ctx, callers, operators)
+	return e.serve(ctx, at[0], at[1])
 }
 
 func newEntry(s settings.Entry, log *zap.Logger) (*entry, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,11 +6,13 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -22,6 +24,7 @@
 	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/internal/listen"
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/internal/settings"
@@ -76,11 +79,13 @@
 	if err != nil {
 		return err
 	}
-	at, err := g.listen()
+	// Other gateways ask where they send their datagrams.
+	at, err := listen.All(s.Listen, s.AdminListen, g.mesh.Addr())
 	if err != nil {
-		return err
+		g.mesh.Close()
+		return errors.Wrap(ErrListen, err.Error())
 	}
-	g.serve(ctx, at, reload)
+	g.serve(ctx, at[0], at[1], at[2], reload)
 	return nil
 }
 
@@ -141,7 +146,7 @@
 }
 
 // serve runs all parts; it returns when they have ended.
-func (g *gateway) serve(ctx context.Context, at listeners, reload func() (settings.Gateway, error)) {
+func (g *gateway) serve(ctx context.Context, callers, admin, gateways net.Listener, reload func() (settings.Gateway, error)) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
 	wg.Go(func() { g.followDesired(work) })
@@ -160,10 +165,10 @@
 	back := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	hand := &http.Server{Handler: handover.Routes(g.state), ReadTimeout: handTimeout, WriteTimeout: handTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
 	// Serve returns when the server is shut down.
-	wg.Go(func() { _ = front.Serve(at.callers) })
-	wg.Go(func() { _ = back.Serve(at.admin) })
-	wg.Go(func() { _ = hand.Serve(at.gateways) })
-	g.log.Info(logging.EventStarted, zap.String("listen", at.callers.Addr().String()), zap.String("admin_listen", at.admin.Addr().String()))
+	wg.Go(func() { _ = front.Serve(callers) })
+	wg.Go(func() { _ = back.Serve(admin) })
+	wg.Go(func() { _ = hand.Serve(gateways) })
+	g.log.Info(logging.EventStarted, zap.String("listen", callers.Addr().String()), zap.String("admin_listen", admin.Addr().String()))
 
 	<-ctx.Done()
 	g.drain(front)
