router: a gap in a stream loses no event; one way to cut and count events

Cause: found while reading. Events before a gap, in the same read, were noted as the caller's and then not passed on: the stream went on elsewhere after an event that the caller never got. Events without an id after numbered ones (an end mark, say) could come twice when the stream went on. And ids were told apart from none by being above 0, in three places. Change: type streamed holds what a caller has and cuts what it lacks, for the first server's answer and for later ones alike; a stream with an event without an id, comments apart, doesn't go on elsewhere. Result: TestEventsComeOnceAndInOrder; its case "with a gap in a read" was red with the former handling ("", want event 1).

--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -122,8 +122,7 @@
 	if v == notSent {
 		return c.dials < mostDials
 	}
-	if c.stream.begun && c.stream.last == 0 {
-		// Without ids nobody can say which events the caller has.
+	if !c.stream.mayGoOn() {
 		return false
 	}
 	if v != notRun && !c.route.Idempotent() {
@@ -228,7 +227,7 @@
 // request is the request as it goes to a server.
 func (c *call) request(info *backend.Info, left time.Duration) *exchange.Request {
 	send := protocol.Send{Instance: info.ID, Customer: c.customer, Urgency: c.urgency, Left: left, After: c.ask.After}
-	if c.stream.last > 0 {
+	if c.stream.numbered {
 		send.After = strconv.FormatInt(c.stream.last, 10)
 	}
 	young := time.Hour
--- a/internal/gateway/router/events.go
+++ b/internal/gateway/router/events.go
@@ -66,3 +66,14 @@
 	}
 	return 0, false
 }
+
+// isComment reports whether an event has nothing but comments, which callers
+// pass over.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/applepier/applepier/internal/gateway/exchange"
@@ -14,31 +13,10 @@
 // streamBuffer is the size of the reads of a stream, in bytes: a few events.
 const streamBuffer = 2 << 10
 
-// streamed is what a caller has of a stream.
-type streamed struct {
-	// begun says that the head has been sent.
-	begun bool
-	// last is the id of the last event that the caller has; 0 for none.
-	last int64
-	// sentAt is when events were passed on last, and pause the longest time
-	// between two such moments.
-	sentAt time.Time
-	pause  time.Duration
-}
-
-// passed notes that events were passed on.
-func (s *streamed) passed(now time.Time) {
-	if !s.sentAt.IsZero() {
-		s.pause = max(s.pause, now.Sub(s.sentAt))
-	}
-	s.sentAt = now
-}
-
 // relay passes a stream's events on as they come, each whole.
 func (c *call) relay(ctx context.Context, answer *exchange.Answer, stay *visit) verdict {
-	if c.stream.last == 0 {
-		// A caller that resumes has the events up to the one it names.
-		c.stream.last, _ = strconv.ParseInt(c.ask.After, 10, 64)
+	if !c.stream.begun {
+		c.stream.resume(c.ask.After)
 	}
 	var cut events
 	buffer := make([]byte, streamBuffer)
@@ -71,56 +49,16 @@
 // sendEvents passes on those of the whole events that the caller doesn't have;
 // false if the stream can't go on so.
 func (c *call) sendEvents(answer *exchange.Answer, whole []byte) bool {
-	out := whole
-	if c.stream.last > 0 {
-		var ok bool
-		if out, ok = c.following(whole); !ok {
-			return false
-		}
-	} else {
-		c.noteLast(whole)
-	}
+	out, ok := c.stream.next(whole)
 	if len(out) == 0 {
-		return true
+		return ok
 	}
 	c.begin(answer)
 	c.stream.passed(time.Now())
 	if _, err := c.w.Write(out); err != nil {
 		return false
 	}
-	return http.NewResponseController(c.w).Flush() == nil
-}
-
-// following returns the events after the last one that the caller has; false
-// if there is a gap between them.
-func (c *call) following(whole []byte) ([]byte, bool) {
-	out := whole[:0:0]
-	for len(whole) > 0 {
-		var event []byte
-		event, whole = nextEvent(whole)
-		id, ok := eventID(event)
-		if ok && id <= c.stream.last {
-			continue
-		}
-		if ok && id != c.stream.last+1 {
-			return nil, false
-		}
-		if ok {
-			c.stream.last = id
-		}
-		out = append(out, event...)
-	}
-	return out, true
-}
-
-func (c *call) noteLast(whole []byte) {
-	for len(whole) > 0 {
-		var event []byte
-		event, whole = nextEvent(whole)
-		if id, ok := eventID(event); ok {
-			c.stream.last = id
-		}
-	}
+	return http.NewResponseController(c.w).Flush() == nil && ok
 }
 
 // begin sends the head of the first server's answer, once.
--- /dev/null
+++ b/internal/gateway/router/streamed_test.go
@@ -0,0 +1,40 @@
+package router
+
+import "testing"
+
+// What a caller gets of events that come in several reads, by what it has.
+func TestEventsComeOnceAndInOrder(t *testing.T) {
+	cases := map[string]struct {
+		after   string
+		reads   []string
+		want    string
+		broken  bool
+		mayGoOn bool
+	}{
+		"from the first":               {"", []string{"id: 1\n\n", "id: 2\n\nid: 3\n\n"}, "id: 1\n\nid: 2\n\nid: 3\n\n", false, true},
+		"from nought":                  {"", []string{"id: 0\n\nid: 1\n\n"}, "id: 0\n\nid: 1\n\n", false, true},
+		"after one":                    {"2", []string{"id: 3\n\n"}, "id: 3\n\n", false, true},
+		"from the first, though after": {"2", []string{"id: 1\n\nid: 2\n\nid: 3\n\n"}, "id: 3\n\n", false, true},
+		"with a gap":                   {"2", []string{"id: 4\n\n"}, "", true, true},
+		"with a gap later":             {"", []string{"id: 1\n\n", "id: 3\n\n"}, "id: 1\n\n", true, true},
+		"with a gap in a read":         {"", []string{"id: 1\n\nid: 3\n\n"}, "id: 1\n\n", true, true},
+		"with comments":                {"", []string{": wait\n\n", "id: 1\n\n"}, ": wait\n\nid: 1\n\n", false, true},
+		"without ids":                  {"", []string{"data: a\n\n"}, "data: a\n\n", false, false},
+		"without ids, after one":       {"2", []string{"data: a\n\n"}, "data: a\n\n", false, false},
+		"an end without an id":         {"", []string{"id: 1\n\ndata: [DONE]\n\n"}, "id: 1\n\ndata: [DONE]\n\n", false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var s streamed
+			s.resume(c.after)
+			got, broken := "", false
+			for _, read := range c.reads {
+				out, ok := s.next([]byte(read))
+				got, broken = got+string(out), broken || !ok
+			}
+			if got != c.want || broken != c.broken || s.mayGoOn() != c.mayGoOn {
+				t.Errorf("%q, broken %v, may go on %v; want %q, %v, %v", got, broken, s.mayGoOn(), c.want, c.broken, c.mayGoOn)
+			}
+		})
+	}
+}
