--- a/testbed/ports/ports.go
+++ b/testbed/ports/ports.go
@@ -12,8 +12,9 @@
 	"github.com/go-faster/errors"
 )
 
-// Ports are taken from below the range that Linux gives to outgoing
-// connections, since a port found free there may be taken a moment later.
+// Ports are taken from below the range that Linux gives to outgoing connections
+// and to listeners that ask for any port, since one found free there may be
+// taken a moment later.
 const (
 	firstPort = 12000
 	lastPort  = 32000
