policy: levels leave slots to what is more urgent by what that is refused, at all gateways

What lacked was slots, not time: first tokens were expected after some 100 ms of 300. Change: gateways tell each other by datagram what was offered and refused for want of a slot, by service and urgency; a level leaves more of the slots free while what is above it is refused, and takes them up again over four seconds. The log and the metric tell no_slot_free from no_room_in_time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,7 @@
 	var err error
 	g.mesh, err = peers.Listen(peers.Config{
 		Self:  peers.Entry{Name: s.Process, Addr: s.PeerListen},
-		Loads: g.loads,
+		Loads: g.loads, Shortages: func() map[string]policy.Shortage { return g.router.Shortages() },
 		Proof: func() peers.Proof { return peers.Proof{Version: g.holder.Version(), At: g.holder.ProvenAt()} },
 		Prove: func(p peers.Proof) { g.holder.Prove(p.Version, p.At) },
 		Log:   log,
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -11,6 +11,7 @@
 
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/policy"
 )
 
 const (
@@ -70,6 +71,9 @@
 // At returns what all other gateways have at a backend server.
 func (m *Mesh) At(server string) backend.Counts { return m.table.at(hash(server)) }
 
+// Shortage returns what all other gateways are short of at a service's servers.
+func (m *Mesh) Shortage(service string) policy.Shortage { return m.table.shortage(hash(service)) }
+
 // Gateways counts the gateways, this one included: those that were heard of
 // lately.
 func (m *Mesh) Gateways() int { return 1 + m.table.heard(time.Now()) }
--- a/internal/gateway/peers/mesh_test.go
+++ b/internal/gateway/peers/mesh_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/follow"
+	"github.com/applepier/applepier/policy"
 )
 
 // meshes returns two meshes on loopback that know each other, and what the
@@ -17,11 +18,12 @@
 	proved = &[]Proof{}
 	listen := func(name string, prove func(Proof)) *Mesh {
 		m, err := Listen(Config{
-			Self:  Entry{Name: name, Addr: "127.0.0.1:0"},
-			Loads: func() []Load { return nil },
-			Proof: func() Proof { return Proof{Version: 7, At: boottime.Now() - time.Second} },
-			Prove: prove,
-			Log:   zap.NewNop(),
+			Self:      Entry{Name: name, Addr: "127.0.0.1:0"},
+			Loads:     func() []Load { return nil },
+			Shortages: func() map[string]policy.Shortage { return nil },
+			Proof:     func() Proof { return Proof{Version: 7, At: boottime.Now() - time.Second} },
+			Prove:     prove,
+			Log:       zap.NewNop(),
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -26,6 +26,8 @@
 	ProofAge uint64
 	// Loads is what the sender has at backend servers; others have nothing.
 	Loads []load
+	// Shortages are of the services at which the sender had requests lately.
+	Shortages []shortage
 }
 
 // load is what a gateway has at one backend server.
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/policy"
 )
 
 // Errors of the exchange.
@@ -47,10 +48,12 @@
 	// Loads returns what this gateway has; servers without anything may be
 	// left out.
 	Loads func() []Load
+	// Shortages returns what this gateway is short of, by service.
+	Shortages func() map[string]policy.Shortage
 	// Proof returns this gateway's proof, and Prove takes another's.
 	Proof func() Proof
 	Prove func(Proof)
 	Log   *zap.Logger
 }
 
-func hash(server string) uint32 { return uint32(xxhash.Sum64String(server)) }
+func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/policy"
 )
 
 // silentAfter is how long counts are believed after the last datagram: long
@@ -23,6 +24,8 @@
 	// stamp is the last stamp that came, to be echoed.
 	stamp uint64
 	loads []load
+	// shortages are what it was short of when it told last.
+	shortages []shortage
 	// version is the desired state that it had in force last.
 	version uint64
 }
@@ -34,10 +37,12 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	sums  map[uint32]backend.Counts
+	// lacking sums the shortages by service.
+	lacking map[uint32]policy.Shortage
 }
 
 func newTable() *table {
-	return &table{peers: map[string]*peer{}, sums: map[uint32]backend.Counts{}}
+	return &table{peers: map[string]*peer{}, sums: map[uint32]backend.Counts{}, lacking: map[uint32]policy.Shortage{}}
 }
 
 // take takes a datagram's counts; false if it is older than what is known.
@@ -48,10 +53,12 @@
 	if p.boot == m.Boot && m.Sequence <= p.sequence {
 		return false
 	}
-	t.add(p.loads, -1)
-	p.addr, p.boot, p.sequence, p.heard, p.stamp, p.loads = addr, m.Boot, m.Sequence, now, m.Stamp, m.Loads
+	t.drop(p)
+	p.addr, p.boot, p.sequence, p.heard, p.stamp = addr, m.Boot, m.Sequence, now, m.Stamp
 	p.version = m.Version
+	p.loads, p.shortages = m.Loads, m.Shortages
 	t.add(p.loads, 1)
+	t.lack(p.shortages, 1)
 	return true
 }
 
@@ -90,7 +97,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p := t.peers[name]; p != nil {
-		t.add(p.loads, -1)
+		t.drop(p)
 		delete(t.peers, name)
 	}
 }
@@ -100,9 +107,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.peers {
-		if len(p.loads) > 0 && now.Sub(p.heard) > silentAfter {
-			t.add(p.loads, -1)
-			p.loads = nil
+		if now.Sub(p.heard) > silentAfter {
+			t.drop(p)
 		}
 	}
 }
@@ -163,6 +169,29 @@
 	return t.sums[server]
 }
 
+func (t *table) shortage(service uint32) policy.Shortage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lacking[service]
+}
+
+// drop takes away what a gateway told; t.mu is held.
+func (t *table) drop(p *peer) {
+	t.add(p.loads, -1)
+	t.lack(p.shortages, -1)
+	p.loads, p.shortages = nil, nil
+}
+
+// lack adds or takes away shortages; t.mu is held.
+func (t *table) lack(shortages []shortage, sign float64) {
+	for i := range shortages {
+		s := t.lacking[shortages[i].Service]
+		counts := shortages[i].counts()
+		s.Add(&counts, sign)
+		t.lacking[shortages[i].Service] = s
+	}
+}
+
 // add adds or takes away counts; t.mu is held.
 func (t *table) add(loads []load, sign int) {
 	for i := range loads {
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -28,6 +28,11 @@
 			out.Loads = append(out.Loads, loadOf(l.Server, &l.Counts))
 		}
 	}
+	for service, counts := range m.Shortages() {
+		if packed := shortageOf(service, &counts); len(packed.Levels) > 0 {
+			out.Shortages = append(out.Shortages, packed)
+		}
+	}
 	for _, d := range destinations {
 		out.Echo, out.EchoBoot = d.echo, d.boot
 		m.send(d.addr, &out)
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -99,7 +99,7 @@
 			return
 		}
 		if !c.letIn(choice) {
-			c.refuse(ReasonCrowded, policy.ComeBack(c.route.Target))
+			c.crowded(choice)
 			return
 		}
 		v := c.attempt(ctx, server, choice)
@@ -139,7 +139,7 @@
 		Tokens: c.ask.PromptTokens, Tried: c.tried,
 	}
 	job.Prefix, job.PrefixTokens = sharedPart(c.ask.Parts)
-	choice := c.router.pick(c.service, job, c.router.loads(servers, c.conns()))
+	choice := c.router.pick(c.service, job, c.router.loads(servers, c.conns()), len(c.tried) == 0)
 	if !choice.Found {
 		return nil, choice
 	}
@@ -162,6 +162,15 @@
 	return choice.InTime || c.sends > 0 || c.ask.PromptTokens == 0 && choice.Room
 }
 
+// crowded refuses a request that isn't let in, and says what is lacking.
+func (c *call) crowded(choice policy.Choice) {
+	reason := ReasonCrowded
+	if choice.OnlySlots {
+		reason = ReasonNoSlot
+	}
+	c.refuse(reason, policy.ComeBack(c.route.Target))
+}
+
 // attempt sends the request to a server and passes on what comes.
 func (c *call) attempt(ctx context.Context, server *backend.Server, choice policy.Choice) verdict {
 	info := server.Info()
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -43,6 +43,8 @@
 // Others tells what other gateways have at a backend server.
 type Others interface {
 	At(server string) backend.Counts
+	// Shortage is what they were short of lately at a service's servers.
+	Shortage(service string) policy.Shortage
 	// Gateways counts those that are heard of, this one included, and Unseen is
 	// for how long what they send may go unseen here.
 	Gateways() int
@@ -120,4 +122,5 @@
 	ReasonNotStarted     Reason = "time_up_not_sent"
 	ReasonStreamBroken   Reason = "stream_broken"
 	ReasonCrowded        Reason = "no_room_in_time"
+	ReasonNoSlot         Reason = "no_slot_free"
 )
--- a/internal/gateway/router/service.go
+++ b/internal/gateway/router/service.go
@@ -8,9 +8,11 @@
 
 // service is what a Router has learned of one service.
 type service struct {
-	budget policy.WindowBudget
-	rate   policy.ReadingRate
-	sends  policy.SendRate
+	budget   policy.WindowBudget
+	rate     policy.ReadingRate
+	sends    policy.SendRate
+	shortage policy.ShortageCount
+	yielding policy.Yielding
 }
 
 // service returns what is known of a service; r.mu is held.
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -35,14 +35,36 @@
 	return s.rate.Plan(now, choice.Reading, choice.Ahead)
 }
 
-func (r *Router) pick(service string, job policy.Job, loads []policy.Server) policy.Choice {
+// pick has the policy choose a server. First says that it is the request's first
+// choice: only that counts as offered.
+func (r *Router) pick(service string, job policy.Job, loads []policy.Server, first bool) policy.Choice {
+	lacking := r.Others.Shortage(service)
 	now, others := time.Now(), float64(r.Others.Gateways()-1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// Others have as many callers as this gateway, as far as it can know.
 	s := r.service(service)
 	job.Unseen = others * s.sends.Within(now, r.Others.Unseen())
-	return r.Chooser.Choose(now, job, loads, &s.rate)
+	own := s.shortage.Counts(now)
+	lacking.Add(&own, 1)
+	job.Yield = s.yielding.Share(now, &lacking, job.Urgency)
+	choice := r.Chooser.Choose(now, job, loads, &s.rate)
+	if first {
+		s.shortage.Offered(now, job.Urgency, choice.OnlySlots)
+	}
+	return choice
+}
+
+// Shortages are what this gateway was short of lately, by service.
+func (r *Router) Shortages() map[string]policy.Shortage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	shortages := make(map[string]policy.Shortage, len(r.services))
+	for name, s := range r.services {
+		shortages[name] = s.shortage.Counts(now)
+	}
+	return shortages
 }
 
 // observeFirst takes how long a first token took with so much to be read
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -63,6 +63,11 @@
 	// InTime says that the first token is likely within the target, and that
 	// the server has a slot.
 	InTime bool
+	// OnlySlots says that no server is in time, though some would be if it had
+	// a slot.
+	OnlySlots bool
+	// soon says that the first token is likely within the target, slot or not.
+	soon bool
 }
 
 // Chooser decides to which backend server a request is sent straight away.
@@ -114,17 +119,19 @@
 	rereadPrice := job.priceOfRereading(servers, usable, rate)
 	unseen := job.unseenAtEach(servers, usable)
 	var best Choice
-	least := 0.0
+	least, soon := 0.0, false
 	for i := range servers {
 		if !usable(&servers[i]) {
 			continue
 		}
 		choice, cost := c.weigh(job, &servers[i], job.rereading(i, first, second), rereadPrice, rate, unseen)
+		soon = soon || choice.soon
 		choice.At = i
 		if !best.Found || choice.InTime && !best.InTime || choice.InTime == best.InTime && cost < least {
 			best, least = choice, cost
 		}
 	}
+	best.OnlySlots = soon && !best.InTime
 	return best
 }
 
@@ -135,7 +142,8 @@
 	choice := Choice{Found: true, Reading: own + int(again)}
 	choice.Ahead = s.ahead(job.Urgency) + float64(choice.Reading)
 	choice.Room = c.hasRoom(s, job, unseen)
-	choice.InTime = choice.Room && job.inTime(rate, choice.Ahead-float64(choice.Reading), again, rereadPrice)
+	choice.soon = job.inTime(rate, choice.Ahead-float64(choice.Reading), again, rereadPrice)
+	choice.InTime = choice.Room && choice.soon
 	choice.Expected = rate.firstToken(choice.Ahead)
 	cost := choice.Ahead + float64(s.Running*runningTokens)
 	if choice.InTime {
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -49,6 +49,11 @@
 	// own is what it has at each engine, and all what all senders had there, it
 	// left out, when they told last.
 	own, all []Server
+	// lacked counts what it was short of, and others what the others were when
+	// they told last.
+	lacked   ShortageCount
+	others   Shortage
+	yielding Yielding
 }
 
 type directRequest struct {
@@ -117,9 +122,28 @@
 			s.all[i].Running, s.all[i].Pending = others.Running, others.Pending
 		}
 	}
+	var shortage Shortage
+	for _, s := range p.senders {
+		own := s.lacked.Counts(p.time())
+		shortage.Add(&own, 1)
+	}
+	for _, s := range p.senders {
+		own := s.lacked.Counts(p.time())
+		s.others = shortage
+		s.others.Add(&own, -1)
+	}
 	p.after(tellDelay, p.tell)
 }
 
+func (p *directPlay) time() time.Time { return testStart.Add(p.now) }
+
+// shortage is what all senders are short of as one of them knows it.
+func (s *directSender) shortage(now time.Time) *Shortage {
+	all := s.lacked.Counts(now)
+	all.Add(&s.others, 1)
+	return &all
+}
+
 func (s *Server) add(o *Server, sign int) {
 	s.Running += sign * o.Running
 	for l := range s.Pending {
@@ -149,7 +173,9 @@
 		servers[i] = s.all[i]
 		servers[i].add(&s.own[i], 1)
 	}
-	choice := s.chooser.Choose(testStart.Add(p.now), r.job, servers, &s.rate)
+	r.job.Yield = s.yielding.Share(p.time(), s.shortage(p.time()), r.job.Urgency)
+	choice := s.chooser.Choose(p.time(), r.job, servers, &s.rate)
+	s.lacked.Offered(p.time(), r.job.Urgency, choice.OnlySlots)
 	if p.admit && !choice.InTime {
 		if !r.again {
 			r.again = true
--- a/policy/room.go
+++ b/policy/room.go
@@ -40,7 +40,7 @@
 	if job.Tokens == 0 || s.Slots == 0 {
 		return math.Inf(1)
 	}
-	share := fullSlots - slotsPerLevel*float64(job.Urgency)
+	share := fullSlots - slotsPerLevel*float64(job.Urgency) - job.Yield
 	return share*float64(s.Slots) - float64(s.inFlight())
 }
 
--- a/policy/server.go
+++ b/policy/server.go
@@ -77,6 +77,9 @@
 	// Unseen is how many requests other senders are expected to have sent to the
 	// servers since they told last.
 	Unseen float64
+	// Yield is the part of each server's slots that is left to what is more
+	// urgent, beside what always is.
+	Yield float64
 	// Tried names the servers that aren't to be used again.
 	Tried []string
 }
