policy: servers' memories are known by what was sent, fetched from each other; rates by urgency from all gateways

In the first three seconds a home was sent 25 prefixes of 13,000 tokens that it had to read first; requests with 4,000 tokens 'ahead' took 4 s; the learned rate fell from 40 to 8 tokens a ms, the deviation rose to 0.9, and from second 3 to 10 55% of all requests were refused while half of the servers had under 10,000 tokens to read.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	g.mesh, err = peers.Listen(peers.Config{
 		Self:  peers.Entry{Name: s.Process, Addr: s.PeerListen},
 		Loads: g.loads, Shortages: func() map[string]policy.Shortage { return g.router.Shortages() },
+		News: func() policy.News { return g.router.News() }, Heard: func(n policy.News) { g.router.Heard(n) },
 		Proof: func() peers.Proof { return peers.Proof{Version: g.holder.Version(), At: g.holder.ProvenAt()} },
 		Prove: func(p peers.Proof) { g.holder.Prove(p.Version, p.At) },
 		Log:   log,
@@ -106,12 +107,12 @@
 	if err != nil {
 		return nil, err
 	}
-	ejector := policy.NewEjector()
+	ejector, index := policy.NewEjector(), policy.NewPrefixIndex()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.router = router.New(router.Config{
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
 		Others: g.mesh, Gateways: g.mesh.Listed,
-		Chooser: policy.NewChooser(random, ejector), Ejector: ejector,
+		Chooser: policy.NewChooser(random, ejector, index), Ejector: ejector, Index: index,
 		Observer: ends{p.Metrics, log},
 	}, boundsOf(s), g.elsewhere)
 	g.registry.Gone = g.router.Forget
--- a/internal/gateway/peers/hear.go
+++ b/internal/gateway/peers/hear.go
@@ -10,6 +10,7 @@
 
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/policy"
 )
 
 // maxDatagram bounds a datagram in bytes; it holds some 4,000 servers.
@@ -52,6 +53,9 @@
 	if in.From == m.Self.Name || !m.table.take(time.Now(), from, in) {
 		return
 	}
+	if len(in.Uses)+len(in.Firsts) > 0 {
+		m.Heard(policy.News{Uses: unpackUses(in.Uses), Firsts: unpackFirsts(in.Firsts)})
+	}
 	age := time.Duration(in.ProofAge) * time.Millisecond
 	stamp := time.Duration(in.Echo)
 	if in.EchoBoot == m.boot && in.Version != 0 && age > 0 && stamp > age && stamp <= boottime.Now() {
--- a/internal/gateway/peers/mesh_test.go
+++ b/internal/gateway/peers/mesh_test.go
@@ -20,6 +20,7 @@
 		m, err := Listen(Config{
 			Self:      Entry{Name: name, Addr: "127.0.0.1:0"},
 			Loads:     func() []Load { return nil },
+			News:      func() policy.News { return policy.News{} },
 			Shortages: func() map[string]policy.Shortage { return nil },
 			Proof:     func() Proof { return Proof{Version: 7, At: boottime.Now() - time.Second} },
 			Prove:     prove,
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -28,6 +28,10 @@
 	Loads []load
 	// Shortages are of the services at which the sender had requests lately.
 	Shortages []shortage
+	// Uses are the parts of prompts that servers were sent or have read lately.
+	Uses []use
+	// Firsts are the first tokens that the sender had since its last datagram.
+	Firsts []first
 }
 
 // load is what a gateway has at one backend server.
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -33,6 +33,8 @@
 			out.Shortages = append(out.Shortages, packed)
 		}
 	}
+	news := m.News()
+	out.Uses, out.Firsts = usesOf(news.Uses), firstsOf(news.Firsts)
 	for _, d := range destinations {
 		out.Echo, out.EchoBoot = d.echo, d.boot
 		m.send(d.addr, &out)
--- a/internal/gateway/protocol/protocol.go
+++ b/internal/gateway/protocol/protocol.go
@@ -51,6 +51,9 @@
 	Left time.Duration
 	// After is the id of the last event that the caller has.
 	After string
+	// FetchFrom is the address of the backend server from which this one is to
+	// fetch what that has read of the prompt; empty for none.
+	FetchFrom string
 }
 
 // Reply is what the head of a backend server's answer says.
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -56,6 +56,11 @@
 	bodyRead bool
 	service  string
 
+	// shared are the parts of the prompt that other requests share, and
+	// fetchFrom where the chosen server is to fetch what it lacks of them;
+	// empty for nowhere.
+	shared    []policy.Part
+	fetchFrom string
 	// tried names the servers that got it or couldn't be reached; sends counts
 	// the former, dials the latter.
 	tried []string
@@ -138,22 +143,29 @@
 		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
 		Tokens: c.ask.PromptTokens, Tried: c.tried,
 	}
-	job.Prefix, job.PrefixTokens = sharedPart(c.ask.Parts)
-	choice := c.router.pick(c.service, job, c.router.loads(servers, c.conns()), len(c.tried) == 0)
+	facts := c.facts()
+	job.FetchRate = facts.FetchRate
+	c.shared = shared(c.ask.Parts)
+	job.Shared = c.shared
+	choice := c.router.pick(c.service, job, c.router.loads(servers, facts.MaxConns), len(c.tried) == 0)
 	if !choice.Found {
 		return nil, choice
 	}
 	c.server, c.expected = servers[choice.At].Info().ID, choice.Expected
+	c.fetchFrom = ""
+	if choice.Fetches {
+		c.fetchFrom = servers[choice.From].Info().Addr
+	}
 	return servers[choice.At], choice
 }
 
-// conns is how many connections each of the service's servers accepts; 0 when
-// that isn't known.
-func (c *call) conns() int {
+// facts is what operators say of the service; of one that they don't list
+// nothing is known.
+func (c *call) facts() routes.Service {
 	if set := c.router.Holder.Current(); set != nil && set.Services[c.service] != nil {
-		return set.Services[c.service].MaxConns
+		return *set.Services[c.service]
 	}
-	return 0
+	return routes.Service{}
 }
 
 // letIn reports whether the request is let in at the chosen server. What was
@@ -179,12 +191,12 @@
 	if left <= 0 {
 		return unclear
 	}
-	stay := &visit{Stay: server.Load.Enter(c.urgency, c.router.plan(c.service, choice)), call: c, ahead: choice.Ahead, sent: time.Now()}
+	stay := &visit{Stay: server.Load.Enter(c.urgency, c.router.plan(c, choice)), call: c, ahead: choice.Ahead, sent: time.Now()}
 	defer stay.Leave()
 	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, left))
 	if errors.Is(err, exchange.ErrNotSent) {
 		c.dials++
-		c.router.observe(info.ID, policy.OutcomeFailed)
+		c.router.unreachable(info.ID)
 		return notSent
 	}
 	c.sends++
@@ -235,7 +247,7 @@
 
 // request is the request as it goes to a server.
 func (c *call) request(info *backend.Info, left time.Duration) *exchange.Request {
-	send := protocol.Send{Instance: info.ID, Customer: c.customer, Urgency: c.urgency, Left: left, After: c.ask.After}
+	send := protocol.Send{Instance: info.ID, Customer: c.customer, Urgency: c.urgency, Left: left, After: c.ask.After, FetchFrom: c.fetchFrom}
 	if c.stream.numbered {
 		send.After = strconv.FormatInt(c.stream.last, 10)
 	}
@@ -254,16 +266,17 @@
 	}
 }
 
-// sharedPart is the longest part of a prompt that other requests share: up to
-// the last part but one.
-func sharedPart(parts []protocol.Part) (id uint64, tokens int) {
+// shared are the parts of a prompt that other requests share: all but the last.
+func shared(parts []protocol.Part) []policy.Part {
 	if len(parts) < 2 {
-		return 0, 0
+		return nil
 	}
-	for _, p := range parts[:len(parts)-1] {
-		tokens += p.Tokens
+	all, upto := make([]policy.Part, len(parts)-1), 0
+	for i, p := range parts[:len(parts)-1] {
+		upto += p.Tokens
+		all[i] = policy.Part{ID: p.ID, Upto: upto}
 	}
-	return parts[len(parts)-2].ID, tokens
+	return all
 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -37,6 +37,7 @@
 	Gateways func() int
 	Chooser  *policy.Chooser
 	Ejector  *policy.Ejector
+	Index    *policy.PrefixIndex
 	Observer Observer
 }
 
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -24,10 +24,11 @@
 // Router serves callers. It implements http.Handler.
 type Router struct {
 	Config
-	// mu guards the policy's parts: the Chooser, the Ejector and services. It
+	// mu guards the policy's parts: the Chooser, the Ejector, the index and services. It
 	// comes after the Registry's lock; nothing is locked while it is held.
 	mu        sync.Mutex
 	services  map[string]*service
+	firsts    firsts
 	bounds    atomic.Pointer[Bounds]
 	held      held
 	elsewhere func() bool
--- a/internal/gateway/router/service.go
+++ b/internal/gateway/router/service.go
@@ -8,8 +8,10 @@
 
 // service is what a Router has learned of one service.
 type service struct {
-	budget   policy.WindowBudget
-	rate     policy.ReadingRate
+	budget policy.WindowBudget
+	// rates are by urgency: what is less urgent waits for all that comes after it
+	// and is more so, which its rate includes.
+	rates    [policy.UrgencyLevels]policy.ReadingRate
 	sends    policy.SendRate
 	shortage policy.ShortageCount
 	yielding policy.Yielding
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -27,12 +27,13 @@
 
 // plan is when a server of a service is expected to read a prompt that goes
 // there now.
-func (r *Router) plan(service string, choice policy.Choice) policy.ReadingPlan {
+func (r *Router) plan(c *call, choice policy.Choice) policy.ReadingPlan {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s, now := r.service(service), time.Now()
-	s.sends.Sent(now)
-	return s.rate.Plan(now, choice.Reading, choice.Ahead)
+	s, now := r.service(c.service), time.Now()
+	s.sends.Sent(now, c.urgency, choice.Reading)
+	r.Index.Sent(now, policy.KeyOf(c.server), c.shared)
+	return s.rates[c.urgency].Plan(now, choice.Reading, choice.Ahead)
 }
 
 // pick has the policy choose a server. First says that it is the request's first
@@ -44,11 +45,13 @@
 	defer r.mu.Unlock()
 	// Others have as many callers as this gateway, as far as it can know.
 	s := r.service(service)
-	job.Unseen = others * s.sends.Within(now, r.Others.Unseen())
+	requests, tokens := s.sends.Within(now, r.Others.Unseen(), job.Urgency)
+	// News is half as old as it can be at the mean.
+	job.Unseen, job.UnseenTokens, job.NewsAge = others*requests, others*tokens/2, r.Others.Unseen()/2
 	own := s.shortage.Counts(now)
 	lacking.Add(&own, 1)
 	job.Yield = s.yielding.Share(now, &lacking, job.Urgency)
-	choice := r.Chooser.Choose(now, job, loads, &s.rate)
+	choice := r.Chooser.Choose(now, job, loads, &s.rates[job.Urgency])
 	if first {
 		s.shortage.Offered(now, job.Urgency, choice.OnlySlots)
 	}
@@ -68,11 +71,55 @@
 }
 
 // observeFirst takes how long a first token took with so much to be read
-// before it.
-func (r *Router) observeFirst(service string, ahead float64, took time.Duration) {
+// before it; the server holds the prompt's parts from now on.
+func (r *Router) observeFirst(c *call, ahead float64, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.service(service).rate.Observe(ahead, took)
+	now := time.Now()
+	r.service(c.service).rates[c.urgency].Observe(now, ahead, took)
+	r.firsts.add(policy.FirstToken{Service: policy.KeyOf(c.service), Urgency: c.urgency, Ahead: ahead, Took: took})
+	r.Index.Read(now, policy.KeyOf(c.server), c.shared)
+}
+
+// Heard notes what another gateway tells of the parts that servers hold, and of
+// first tokens that it had.
+func (r *Router) Heard(news policy.News) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.Index.Heard(now, news.Uses)
+	for _, f := range news.Firsts {
+		if s := r.known(f.Service); s != nil {
+			s.rates[f.Urgency].Observe(now, f.Ahead, f.Took)
+		}
+	}
+}
+
+// known returns a service by its key; nil for one that hasn't been asked for
+// here.
+func (r *Router) known(key policy.Key) *service {
+	for name, s := range r.services {
+		if policy.KeyOf(name) == key {
+			return s
+		}
+	}
+	return nil
+}
+
+// News is what others have to be told.
+func (r *Router) News() policy.News {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return policy.News{Uses: r.Index.News(time.Now()), Firsts: r.firsts.take()}
+}
+
+// unreachable notes that a server can't be connected to: it may have crashed, and
+// then holds nothing when it is back.
+func (r *Router) unreachable(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Ejector.Observe(time.Now(), server, policy.OutcomeFailed)
+	r.Index.Forget(policy.KeyOf(server))
 }
 
 func (r *Router) observe(server string, o policy.Outcome) {
@@ -86,6 +133,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Ejector.Forget(server)
+	r.Index.Forget(policy.KeyOf(server))
 }
 
 func (r *Router) countRequest(service string) {
--- a/internal/gateway/router/visit.go
+++ b/internal/gateway/router/visit.go
@@ -19,6 +19,6 @@
 // begun notes that the answer has begun.
 func (v *visit) begun() {
 	if v.Begun() {
-		v.call.router.observeFirst(v.call.service, v.ahead, time.Since(v.sent))
+		v.call.router.observeFirst(v.call, v.ahead, time.Since(v.sent))
 	}
 }
--- a/internal/gateway/routes/set.go
+++ b/internal/gateway/routes/set.go
@@ -15,6 +15,9 @@
 	// MaxConns is how many connections one of its servers accepts from all
 	// callers together; 0 when that isn't known.
 	MaxConns int
+	// FetchRate is at how many tokens a millisecond one of its servers fetches
+	// what another has read; 0 where they can't or that isn't known.
+	FetchRate float64
 }
 
 // Customer is who holds keys.
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -21,14 +21,17 @@
 	// warmingTokens is what a server counts for that is slow after its start:
 	// a long prompt, so that it gets work but not its full share.
 	warmingTokens = 4000
-	// rereadWeight is what reading a shared part again counts for against
-	// waiting: the reading delays all that come to that server later, the wait
-	// this request alone. Measured: 2 and 4 serve less, 16 no more
-	// (docs/MEASUREMENTS.md).
+	// rereadWeight is what reading a shared part again that another server has
+	// counts for against waiting: the reading delays all that come to that
+	// server later, the wait this request alone. Measured: 2 and 4 serve less,
+	// 16 no more (docs/MEASUREMENTS.md).
 	rereadWeight = 8.0
-	// secondHome is the part of a prefix that its second home is expected to
-	// have to read: a prefix that is too much for its first home lives on both.
-	secondHome = 0.5
+	// drawn is how many servers a prompt that shares nothing looks at: with old
+	// news of the load two or three serve best (Mitzenmacher, How useful is old
+	// information, 2000). unknownCost is what the rest count for, in tokens: more
+	// than any of the few that is in time.
+	drawn       = 3
+	unknownCost = 1e6
 	// longestWait is the part of the target within which a first token is
 	// likely for a request to be let in, the usual deviation from the expected
 	// time included; ownWeight is what its own prompt counts for in that, and
@@ -53,9 +56,14 @@
 	At    int
 	Found bool
 	// Reading is how many tokens the server is expected to read, and Ahead what
-	// it reads before the first token, this request's included.
+	// it reads before the first token, this request's included. What it fetches
+	// counts for what it could read meanwhile.
 	Reading int
 	Ahead   float64
+	// From is the place of the server from which it is to fetch what that has
+	// read of the shared parts; it means something only if Fetches.
+	From    int
+	Fetches bool
 	// Expected is when the first token is expected.
 	Expected time.Duration
 	// Room says that the server takes one more request at all.
@@ -73,26 +81,30 @@
 // Chooser decides to which backend server a request is sent straight away.
 //
 // It answers prompts that share long beginnings, prefixes that take most of
-// the load, and servers that carry unequal load. A prefix has a first and a
-// second home, the servers with the highest hash of prefix and name, so that
-// all senders agree without a word and a change of the servers moves only the
-// prefixes of those that changed. Of the servers where the first token is
-// likely in time the one is chosen that has the least to read anew; what
-// waits there counts in the same unit, tokens of prompt. Where none is in time
-// the soonest is named, and admission decides. Without the homes each server
-// reads every prefix again; without the time a hot prefix takes all its load
-// to its home, however long the wait there.
+// the load, and servers that carry unequal load. Of the servers where the first
+// token is likely in time the one is chosen that has the least to read anew, by
+// the PrefixIndex; what waits there counts in the same unit, tokens of prompt. A
+// part that is held elsewhere is fetched from there where that is faster than
+// reading it. One that nobody holds is read at its home, the server with the
+// highest hash of prefix and name, unless that is much busier than others: so
+// senders agree that haven't heard of each other's choice yet. Where none is in
+// time the soonest is named, and admission decides. Without the index and homes
+// each server reads every prefix again; without the time a hot prefix takes all
+// its load to one server, however long the wait there.
 //
-// It keeps no state but the Ejector's; not safe for concurrent use.
+// It keeps no state but the Ejector's and the index's; not safe for concurrent
+// use.
 type Chooser struct {
 	random  *rand.Rand
 	ejector *Ejector
+	index   *PrefixIndex
 }
 
-// NewChooser returns a Chooser that leaves out what ejector ejected. The
-// caller hands in the randomness, so that a run can be repeated.
-func NewChooser(random *rand.Rand, ejector *Ejector) *Chooser {
-	return &Chooser{random: random, ejector: ejector}
+// NewChooser returns a Chooser that leaves out what ejector ejected and looks up
+// in index who holds what. The caller hands in the randomness, so that a run can
+// be repeated.
+func NewChooser(random *rand.Rand, ejector *Ejector, index *PrefixIndex) *Chooser {
+	return &Chooser{random: random, ejector: ejector, index: index}
 }
 
 // Choose returns the best server at a rate of reading. Ejected ones are left out
@@ -109,45 +121,83 @@
 		}
 	}
 	if float64(ejected) > ejectPanic*float64(all) {
-		return c.choose(job, servers, rate, usable)
+		return c.choose(now, job, servers, rate, usable)
 	}
-	return c.choose(job, servers, rate, func(s *Server) bool { return usable(s) && !c.ejector.Ejected(now, s.Name) })
+	return c.choose(now, job, servers, rate, func(s *Server) bool { return usable(s) && !c.ejector.Ejected(now, s.Name) })
 }
 
-func (c *Chooser) choose(job Job, servers []Server, rate *ReadingRate, usable func(*Server) bool) Choice {
-	first, second := homes(job.Prefix, servers, usable)
+func (c *Chooser) choose(now time.Time, job Job, servers []Server, rate *ReadingRate, usable func(*Server) bool) Choice {
+	shared := c.lookUp(now, &job, servers, usable)
 	rereadPrice := job.priceOfRereading(servers, usable, rate)
 	unseen := job.unseenAtEach(servers, usable)
+	known := c.known(servers, usable, &shared)
 	var best Choice
-	least, soon := 0.0, false
+	least, soon, inTime := 0.0, false, 0
 	for i := range servers {
 		if !usable(&servers[i]) {
 			continue
 		}
-		choice, cost := c.weigh(job, &servers[i], job.rereading(i, first, second), rereadPrice, rate, unseen)
+		choice, cost := c.weigh(job, &servers[i], shared.at(i, &job, rate), rereadPrice, rate, unseen)
 		soon = soon || choice.soon
+		if choice.InTime {
+			inTime++
+		}
 		choice.At = i
+		if !known[i] {
+			cost += unknownCost * (1 + c.random.Float64())
+		}
 		if !best.Found || choice.InTime && !best.InTime || choice.InTime == best.InTime && cost < least {
 			best, least = choice, cost
 		}
 	}
 	best.OnlySlots = soon && !best.InTime
+	best.InTime = best.InTime && c.sharesTime(&job, &best, rate, inTime)
 	return best
 }
 
+// known are the places that a sender considers first: who holds the prompt's
+// beginning, and its homes; for a prompt without one a few that are drawn at
+// random. The rest come after them, in random order.
+//
+// It answers many senders that hear of each other's sends a moment later: the
+// one server that waits for nothing is the best one for all of them, and gets
+// what all send until they have heard. That senders agree on the homes keeps the
+// copies of a part few that they make before they hear of each other's.
+func (c *Chooser) known(servers []Server, usable func(*Server) bool, shared *sharedParts) []bool {
+	known := make([]bool, len(servers))
+	if shared.held == nil {
+		for range drawn {
+			known[c.random.IntN(len(servers))] = true
+		}
+		return known
+	}
+	for i := range servers {
+		if usable(&servers[i]) && 2*shared.held[i].tokens > shared.length {
+			known[i] = true
+		}
+	}
+	for _, home := range shared.homes {
+		if home >= 0 {
+			known[home] = true
+		}
+	}
+	return known
+}
+
 // weigh says what sending to a server would cost. Where the first token would be
 // late anyway only the time counts.
-func (c *Chooser) weigh(job Job, s *Server, again, rereadPrice float64, rate *ReadingRate, unseen float64) (Choice, float64) {
-	own := job.Tokens - job.PrefixTokens
-	choice := Choice{Found: true, Reading: own + int(again)}
-	choice.Ahead = s.ahead(job.Urgency) + float64(choice.Reading)
+func (c *Chooser) weigh(job Job, s *Server, need need, rereadPrice float64, rate *ReadingRate, unseen float64) (Choice, float64) {
+	own := job.Tokens - job.prefix().Upto
+	choice := Choice{Found: true, Reading: own + need.reading(), From: need.from, Fetches: need.fetched > 0}
+	others := s.ahead(job.Urgency)
+	choice.Ahead = others + float64(choice.Reading)
 	choice.Room = c.hasRoom(s, job, unseen)
-	choice.soon = job.inTime(rate, choice.Ahead-float64(choice.Reading), again, rereadPrice)
+	choice.soon = job.inTime(rate, others, need, rereadPrice)
 	choice.InTime = choice.Room && choice.soon
 	choice.Expected = rate.firstToken(choice.Ahead)
 	cost := choice.Ahead + float64(s.Running*runningTokens)
 	if choice.InTime {
-		cost += (rereadWeight - 1) * again
+		cost += need.cost()
 	}
 	if s.Zone != job.Zone {
 		cost += otherZoneTokens
@@ -161,7 +211,7 @@
 // the target that what waits takes at the server in the middle: one hot home
 // among idle servers makes none dear.
 func (j *Job) priceOfRereading(servers []Server, usable func(*Server) bool, rate *ReadingRate) float64 {
-	if j.Target == 0 || j.Prefix == 0 {
+	if j.Target == 0 || len(j.Shared) == 0 {
 		return 1
 	}
 	waits := make([]float64, 0, len(servers))
@@ -181,50 +231,22 @@
 // inTime reports whether a request is let in where others' prompts wait before
 // it and a shared part has to be read again. It may be sent anyway where next
 // to nothing does, so that prompts of every length are served.
-func (j *Job) inTime(rate *ReadingRate, others, again, rereadPrice float64) bool {
+func (j *Job) inTime(rate *ReadingRate, others float64, need need, rereadPrice float64) bool {
 	if j.Target == 0 {
 		return true
 	}
-	own := float64(j.Tokens - j.PrefixTokens)
-	return rate.likely(others+rereadPrice*again+ownWeight*own) <= part(longestWait, j.Target) ||
+	own := float64(j.Tokens - j.prefix().Upto)
+	own += need.transfer
+	again := need.again
+	if need.home {
+		own += need.first
+	} else {
+		// Others may read it at its home meanwhile.
+		again += need.first
+	}
+	return rate.likely(others+rereadPrice*again, ownWeight*own) <= part(longestWait, j.Target) ||
 		rate.reads(others+again) <= part(shortestWait, j.Target)
 }
 
 // part is a share of a time.
 func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
-
-// rereading is what the server at a place is expected to read of the shared part
-// of the prompt.
-func (j *Job) rereading(at, first, second int) float64 {
-	switch {
-	case j.Prefix == 0 || at == first:
-		return 0
-	case at == second:
-		return secondHome * float64(j.PrefixTokens)
-	default:
-		return float64(j.PrefixTokens)
-	}
-}
-
-// homes are the places of the usable servers with the two highest hashes.
-func homes(prefix uint64, servers []Server, usable func(*Server) bool) (first, second int) {
-	first, second = -1, -1
-	if prefix == 0 {
-		return first, second
-	}
-	var highest, next uint64
-	for i := range servers {
-		if !usable(&servers[i]) {
-			continue
-		}
-		h := mix(prefix ^ hashName(servers[i].Name))
-		switch {
-		case first < 0 || h > highest:
-			second, next = first, highest
-			first, highest = i, h
-		case second < 0 || h > next:
-			second, next = i, h
-		}
-	}
-	return first, second
-}
--- a/policy/chooser_test.go
+++ b/policy/chooser_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 )
 
 func newTestChooser() *Chooser {
-	return NewChooser(rand.New(rand.NewPCG(1, 2)), NewEjector())
+	return NewChooser(rand.New(rand.NewPCG(1, 2)), NewEjector(), NewPrefixIndex())
 }
 
 // serversOf returns idle servers with 32 slots.
@@ -21,12 +22,13 @@
 }
 
 func summary(prefix uint64) Job {
-	return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Prefix: prefix, PrefixTokens: 6000}
+	return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Shared: []Part{{ID: prefix, Upto: 6000}}}
 }
 
 func TestPrefixStaysHomeWhileInTime(t *testing.T) {
 	c, servers := newTestChooser(), serversOf(8)
 	home := c.Choose(testStart, summary(77), servers, nil).At
+	c.index.Read(testStart, KeyOf(servers[home].Name), summary(77).Shared)
 	for range 50 {
 		if at := c.Choose(testStart, summary(77), servers, nil).At; at != home {
 			t.Fatalf("chose %d on idle servers, then %d", home, at)
@@ -161,7 +163,7 @@
 	}
 	servers[7].Running = 24
 	for i := range senders {
-		c := NewChooser(rand.New(rand.NewPCG(uint64(i), 9)), NewEjector())
+		c := NewChooser(rand.New(rand.NewPCG(uint64(i), 9)), NewEjector(), NewPrefixIndex())
 		question := Job{Zone: "z", Urgency: 0, Target: 250 * time.Millisecond, Tokens: 800, Unseen: senders - 1}
 		if choice := c.Choose(testStart, question, servers, nil); choice.InTime {
 			sent++
@@ -180,12 +182,12 @@
 func TestSendRateForgets(t *testing.T) {
 	var r SendRate
 	for i := range 100 {
-		r.Sent(testStart.Add(time.Duration(i) * 10 * time.Millisecond))
+		r.Sent(testStart.Add(time.Duration(i)*10*time.Millisecond), 3, 50)
 	}
-	if got := r.Within(testStart.Add(time.Second), 100*time.Millisecond); got < 8 || got > 11 {
-		t.Errorf("%v requests expected in 100 ms of 100 a second", got)
+	if got, tokens := r.Within(testStart.Add(time.Second), 100*time.Millisecond, 3); got < 8 || got > 11 || math.Abs(tokens-50*got) > 1 {
+		t.Errorf("%v requests with %v tokens expected in 100 ms of 100 a second with 50 each", got, tokens)
 	}
-	if got := r.Within(testStart.Add(4*time.Second), 100*time.Millisecond); got > 0.1 {
+	if got, tokens := r.Within(testStart.Add(4*time.Second), 100*time.Millisecond, 2); got > 0.1 || tokens != 0 {
 		t.Errorf("%v requests expected three seconds after the last", got)
 	}
 }
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -33,6 +34,7 @@
 	directParts = 20   // shared parts that an engine keeps
 	tellDelay   = 100 * time.Millisecond
 	patience    = 2 * time.Second
+	fetchSpeed  = 10 // times as fast as reading
 )
 
 type directEngine struct {
@@ -54,6 +56,7 @@
 	lacked   ShortageCount
 	others   Shortage
 	yielding Yielding
+	index    *PrefixIndex
 }
 
 type directRequest struct {
@@ -64,6 +67,7 @@
 	again   bool
 	ahead   float64
 	reading int
+	from    *directEngine
 	gone    bool
 	begun   bool
 	sender  int
@@ -95,7 +99,8 @@
 		p.engines = append(p.engines, &directEngine{play: p})
 	}
 	for range senders {
-		s := &directSender{chooser: NewChooser(p.random, NewEjector())}
+		index := NewPrefixIndex()
+		s := &directSender{chooser: NewChooser(p.random, NewEjector(), index), index: index}
 		for i := range engines {
 			server := Server{Name: fmt.Sprintf("engine-%d", i), Zone: "z", Slots: 48}
 			s.own, s.all = append(s.own, server), append(s.all, server)
@@ -128,6 +133,11 @@
 		shortage.Add(&own, 1)
 	}
 	for _, s := range p.senders {
+		for _, other := range p.senders {
+			if other != s {
+				s.index.Heard(p.time(), other.index.News(p.time()))
+			}
+		}
 		own := s.lacked.Counts(p.time())
 		s.others = shortage
 		s.others.Add(&own, -1)
@@ -184,6 +194,10 @@
 		return
 	}
 	r.engine, r.sent, r.ahead, r.reading = choice.At, p.now, choice.Ahead, choice.Reading
+	s.index.Sent(p.time(), KeyOf(servers[choice.At].Name), r.job.Shared)
+	if choice.Fetches {
+		r.from = p.engines[choice.From]
+	}
 	level := &s.own[r.engine].Pending[r.job.Urgency]
 	level.Requests++
 	level.Tokens += r.reading
@@ -223,10 +237,15 @@
 			continue
 		}
 		e.reading = r
-		tokens := r.job.Tokens - r.job.PrefixTokens
-		if !e.keeps(r.job.Prefix) {
-			tokens += r.job.PrefixTokens
-			e.play.readMore += r.job.PrefixTokens
+		prefix := r.job.prefix()
+		tokens := r.job.Tokens - prefix.Upto
+		switch {
+		case prefix.Upto == 0 || e.keeps(prefix.ID):
+		case r.from != nil && r.from.holds(prefix.ID):
+			tokens += prefix.Upto / fetchSpeed
+		default:
+			tokens += prefix.Upto
+			e.play.readMore += prefix.Upto
 		}
 		e.play.after(firstStep/4+time.Duration(float64(tokens)/directRate*float64(time.Millisecond)), func() { e.first(r) })
 	}
@@ -247,6 +266,9 @@
 	return false
 }
 
+// holds reports whether a shared part is kept.
+func (e *directEngine) holds(part uint64) bool { return slices.Contains(e.kept, part) }
+
 // first is a request's first token.
 func (e *directEngine) first(r *directRequest) {
 	e.reading = nil
@@ -258,7 +280,8 @@
 	r.begun = true
 	p.settle(r)
 	s := p.senders[r.sender]
-	s.rate.Observe(r.ahead, p.now-r.sent)
+	s.rate.Observe(p.time(), r.ahead, p.now-r.sent)
+	s.index.Read(p.time(), KeyOf(s.own[r.engine].Name), r.job.Shared)
 	s.own[r.engine].Running++
 	e.running++
 	if p.now-r.arrived <= r.job.Target && r.arrived >= p.countFrom {
@@ -287,7 +310,7 @@
 	capacity := 12 * directRate * 1000 / 3000.0 // summaries a second
 	parts := func() uint64 { return uint64(p.random.IntN(120)+1) * 0x9e3779b97f4a7c15 }
 	p.stream("summary", multiple*capacity, 0, 10*time.Second, func() Job {
-		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, PrefixTokens: 6000, Prefix: parts()}
+		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Shared: []Part{{ID: parts(), Upto: 6000}}}
 	}, 300*time.Millisecond)
 	p.stream("question", 60, 0, 10*time.Second, func() Job {
 		return Job{Zone: "z", Urgency: 3, Target: 250 * time.Millisecond, Tokens: 800}
@@ -326,7 +349,7 @@
 		if p.random.IntN(10) < 6 {
 			part = 42
 		}
-		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, PrefixTokens: 6000, Prefix: part}
+		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 9000, Shared: []Part{{ID: part, Upto: 6000}}}
 	}, 300*time.Millisecond)
 	p.run(15 * time.Second)
 	if got, asked := p.onTime["summary"], p.arrived["summary"]; float64(got) < 0.9*float64(asked) {
--- a/policy/reading_rate.go
+++ b/policy/reading_rate.go
@@ -16,10 +16,13 @@
 	// leastRate and mostRate bound what is learned.
 	leastRate = 8.0
 	mostRate  = 400.0
-	// readingMemory is the weight of the newest sample: with some twenty
-	// samples a second a change is learned in a few seconds, and a hundred
-	// samples tell slope and fixed time apart.
-	readingMemory = 1.0 / 100
+	// readingMemory is over how long samples are averaged: a change is learned
+	// in a few seconds. A sample weighs mostWeight at the most, since a hundred
+	// tell slope and fixed time apart.
+	readingMemory = 3 * time.Second
+	mostWeight    = 1.0 / 100
+	// priorSamples is how many samples the line to start from counts for.
+	priorSamples = 30
 	// longReading is where the second of the two points lies, in tokens, that
 	// the line to start from goes through.
 	longReading = 8000.0
@@ -44,20 +47,36 @@
 	tokens, millis, square, product float64
 	// doubt is the mean deviation from what was expected, as a part of it.
 	doubt float64
+	// samples counts them; last is when the newest came.
+	samples float64
+	last    time.Time
 }
 
 // Observe takes that a first token came after a time, with so many tokens to
 // be read before it.
-func (r *ReadingRate) Observe(tokens float64, took time.Duration) {
+func (r *ReadingRate) Observe(now time.Time, tokens float64, took time.Duration) {
 	if r.square == 0 {
 		r.start()
 	}
 	expected := inMillis(r.firstToken(tokens))
 	millis := min(inMillis(took), mostLate*expected)
+	weight := r.weight(now)
 	if expected > 0 {
-		r.doubt += readingMemory * (math.Abs(millis-expected)/expected - r.doubt)
+		r.doubt += weight * (math.Abs(millis-expected)/expected - r.doubt)
 	}
-	r.take(readingMemory, tokens, millis)
+	r.take(weight, tokens, millis)
+}
+
+// weight is that of the newest sample.
+func (r *ReadingRate) weight(now time.Time) float64 {
+	since := now.Sub(r.last)
+	if r.last.IsZero() {
+		since = 0
+	}
+	r.last = now
+	r.samples++
+	byTime := min(1-math.Exp(-float64(since)/float64(readingMemory)), mostWeight)
+	return max(byTime, 1/(priorSamples+r.samples))
 }
 
 // start takes the line to start from as samples, as if it had been seen often.
@@ -102,14 +121,28 @@
 	return r.fixed() + r.reads(tokens)
 }
 
-// likely is by when a first token has come in most cases, with so many tokens to
-// be read before it: the expected time and the mean deviation from it.
-func (r *ReadingRate) likely(tokens float64) time.Duration {
-	doubt := firstDoubt
-	if r != nil && r.square > 0 {
-		doubt = r.doubt
+// likely is by when a first token has come in most cases, with so many tokens of
+// others and of its own to be read before it: the expected time and the mean
+// deviation, as a part of the wait for others. Of the rest there is no doubt that
+// refusing could help: the model's first step and the own prompt take their time
+// at an idle server too.
+func (r *ReadingRate) likely(others, own float64) time.Duration {
+	return r.firstToken(own) + time.Duration(float64(r.reads(others))*(1+r.deviation()))
+}
+
+// within is how many tokens of others may be before a first token that is likely
+// to come within a time, with so many of its own.
+func (r *ReadingRate) within(d time.Duration, own float64) float64 {
+	left := d - r.firstToken(own)
+	return max(r.during(left)/(1+r.deviation()), 0)
+}
+
+// deviation is the mean one from what was expected, as a part of it.
+func (r *ReadingRate) deviation() float64 {
+	if r == nil || r.square == 0 {
+		return firstDoubt
 	}
-	return time.Duration(float64(r.firstToken(tokens)) * (1 + doubt))
+	return r.doubt
 }
 
 // reads is how long reading so many tokens takes.
@@ -117,4 +150,7 @@
 	return time.Duration(tokens / r.rate() * float64(time.Millisecond))
 }
 
+// during is how many tokens are read in a time.
+func (r *ReadingRate) during(d time.Duration) float64 { return r.rate() * inMillis(d) }
+
 func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/policy/reading_rate_test.go
+++ b/policy/reading_rate_test.go
@@ -10,7 +10,10 @@
 // a fixed time and a rate, in tokens a millisecond; one in twenty takes a
 // second whatever its length.
 func readingSamples(r *ReadingRate, n int, fixed time.Duration, rate float64) {
-	random := rand.New(rand.NewPCG(5, 6))
+	random, now := rand.New(rand.NewPCG(5, 6)), r.last
+	if now.IsZero() {
+		now = testStart
+	}
 	for i := range n {
 		tokens := random.ExpFloat64() * 5000
 		took := fixed + time.Duration(tokens/rate*float64(time.Millisecond))
@@ -18,7 +21,8 @@
 		if i%20 == 0 {
 			took = time.Second
 		}
-		r.Observe(tokens, took)
+		now = now.Add(50 * time.Millisecond)
+		r.Observe(now, tokens, took)
 	}
 }
 
@@ -47,15 +51,18 @@
 // an estimate within the bounds.
 func TestReadingRateStaysWithinBounds(t *testing.T) {
 	var r ReadingRate
+	now := testStart
 	for range 500 {
-		r.Observe(9000, 120*time.Millisecond)
+		now = now.Add(10 * time.Millisecond)
+		r.Observe(now, 9000, 120*time.Millisecond)
 	}
 	if got := r.firstToken(9000); got < 100*time.Millisecond || got > 140*time.Millisecond {
 		t.Errorf("9,000 tokens always took 120 ms; expected after %v", got)
 	}
 	for range 500 {
-		r.Observe(9000, 120*time.Millisecond)
-		r.Observe(100, time.Second)
+		now = now.Add(10 * time.Millisecond)
+		r.Observe(now, 9000, 120*time.Millisecond)
+		r.Observe(now, 100, time.Second)
 	}
 	if got := r.rate(); got < leastRate || got > mostRate {
 		t.Errorf("learned %v tokens a ms", got)
@@ -70,10 +77,10 @@
 func TestScatteredTimesLeaveMoreRoom(t *testing.T) {
 	learned := func(scatter float64) *ReadingRate {
 		r, random := &ReadingRate{}, rand.New(rand.NewPCG(7, 8))
-		for range 2000 {
+		for i := range 2000 {
 			tokens := random.ExpFloat64() * 5000
 			millis := (30 + tokens/50) * (1 - scatter + 2*scatter*random.Float64())
-			r.Observe(tokens, time.Duration(millis*float64(time.Millisecond)))
+			r.Observe(testStart.Add(time.Duration(i)*10*time.Millisecond), tokens, time.Duration(millis*float64(time.Millisecond)))
 		}
 		return r
 	}
--- a/policy/room.go
+++ b/policy/room.go
@@ -55,3 +55,19 @@
 	}
 	return j.Unseen / float64(max(roomy, 1))
 }
+
+// sharesTime reports whether a request takes its chance of the time that the
+// servers in time have left together. It answers a service that is nearly
+// saturated: the one server that is still in time is so for all senders, and each
+// would send there until it hears of the others' requests, which then wait for
+// seconds. Of what others are expected to send meanwhile, beyond what the servers
+// read in that time, as much finds room as there are tokens to spare.
+func (c *Chooser) sharesTime(job *Job, best *Choice, rate *ReadingRate, inTime int) bool {
+	if job.Target == 0 || job.UnseenTokens == 0 {
+		return true
+	}
+	unseen := job.UnseenTokens/float64(inTime) - rate.during(job.NewsAge)
+	own := float64(best.Reading)
+	spare := rate.within(job.Target, own) - (best.Ahead - own)
+	return spare >= unseen || c.random.Float64() < spare/unseen
+}
--- a/policy/server.go
+++ b/policy/server.go
@@ -70,13 +70,19 @@
 	Target time.Duration
 	// Tokens is the length of the prompt; 0 for a plain service.
 	Tokens int
-	// Prefix identifies the longest part of the prompt that other requests
-	// share; 0 for none. PrefixTokens is the length up to its end.
-	Prefix       uint64
-	PrefixTokens int
+	// Shared are the parts that the prompt begins with and others share, in
+	// order; its own rest isn't among them.
+	Shared []Part
+	// FetchRate is at how many tokens a millisecond a server fetches what
+	// another one has read; 0 where it can't.
+	FetchRate float64
 	// Unseen is how many requests other senders are expected to have sent to the
 	// servers since they told last.
 	Unseen float64
+	// UnseenTokens is what is read for those of them that are at least as urgent
+	// and were sent within the mean age of news, NewsAge.
+	UnseenTokens float64
+	NewsAge      time.Duration
 	// Yield is the part of each server's slots that is left to what is more
 	// urgent, beside what always is.
 	Yield float64
@@ -84,6 +90,15 @@
 	Tried []string
 }
 
+// prefix is the last shared part, which all requests with the same shared parts
+// have in common; its ID is 0 where there is none.
+func (j *Job) prefix() Part {
+	if len(j.Shared) == 0 {
+		return Part{}
+	}
+	return j.Shared[len(j.Shared)-1]
+}
+
 func (j *Job) tried(name string) bool {
 	return slices.Contains(j.Tried, name)
 }
--- a/policy/shortage_play_test.go
+++ b/policy/shortage_play_test.go
@@ -17,7 +17,7 @@
 	}, 1500*time.Millisecond)
 	p.stream("summary", 200, 0, 8*time.Second, func() Job {
 		part := uint64(p.random.IntN(40)+1) * 0x9e3779b97f4a7c15
-		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 7500, PrefixTokens: 6000, Prefix: part}
+		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 7500, Shared: []Part{{ID: part, Upto: 6000}}}
 	}, 2*time.Second)
 	p.run(12 * time.Second)
 	return p
