gateway, platform: servers that start again under their id; entries of other writers name no server

A later start kept the counts, the ejection and what was thought to be in its memory; an unreadable entry left what was known before in use, and any state or missing field passed. Change: an entry with another born, or a lower seq or another address where no date is said, is another server: counts, ejection, index and idle connections are forgotten; old news of the start before changes nothing. Our stand-in's entries lacked version and warm-up.

--- a/check.sh
+++ b/check.sh
@@ -32,3 +32,8 @@
     go test -race -count=1 -timeout 8m ${skip:+-skip "$skip"} ./...
   )
 done
+
+# What other writers may have written: seconds of random bytes beside the kept ones.
+for decoder in FuzzServerEntry FuzzDesiredState; do
+  go test -run '^$' -fuzz "^$decoder\$" -fuzztime 3s ./platform
+done
--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -78,15 +78,13 @@
 	return n
 }
 
-// Reset takes the whole list; of those in unknown nothing is said.
-func (r *Registry) Reset(now time.Time, all []Info, unknown []string) {
+// Reset takes the whole list. Unreadable entries name no server to use.
+func (r *Registry) Reset(now time.Time, all []Info, unreadable []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answered(now)
 	listed := make(map[string]bool, len(all))
-	for _, id := range unknown {
-		listed[id] = true
-	}
+	r.dropAll(unreadable)
 	for _, info := range all {
 		listed[info.ID] = true
 		r.put(info)
@@ -116,18 +114,20 @@
 	return true
 }
 
-// Change takes what has changed in the list.
-func (r *Registry) Change(now time.Time, changed []Info, removed []string) {
+// Change takes what has changed in the list. Entries that have become unreadable
+// name no server to use.
+func (r *Registry) Change(now time.Time, changed []Info, removed, unreadable []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answered(now)
+	r.dropAll(unreadable)
 	for _, info := range changed {
 		r.put(info)
 	}
 	for _, id := range removed {
 		r.remove(now, id)
 	}
-	if len(changed)+len(removed) > 0 {
+	if len(changed)+len(removed)+len(unreadable) > 0 {
 		r.publish()
 	}
 }
@@ -186,9 +186,19 @@
 	}
 }
 
+// put takes an entry; r.mu is held. A server that has started again under its id
+// holds and knows nothing of before: what was counted and learned goes.
 func (r *Registry) put(info Info) {
-	delete(r.lapsed, info.ID)
 	s := r.servers[info.ID]
+	if s != nil && info.Born != 0 && info.Born < s.Info().Born {
+		// Old news of the start before.
+		return
+	}
+	if s != nil && !s.Info().sameStart(&info) {
+		r.drop(info.ID)
+		s = nil
+	}
+	delete(r.lapsed, info.ID)
 	if s == nil {
 		s = &Server{}
 		r.servers[info.ID] = s
@@ -213,6 +223,15 @@
 	r.drop(id)
 }
 
+// dropAll forgets servers; r.mu is held.
+func (r *Registry) dropAll(ids []string) {
+	for _, id := range ids {
+		if r.servers[id] != nil {
+			r.drop(id)
+		}
+	}
+}
+
 // drop forgets a server; r.mu is held.
 func (r *Registry) drop(id string) {
 	delete(r.lapsed, id)
--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -9,11 +9,15 @@
 
 // Info is what the list of backend servers says of one start of a server.
 type Info struct {
-	// ID identifies this start; a later one has another.
-	ID      string
-	Addr    string
-	Service string
-	Zone    string
+	// ID identifies the server. A later start may have the same one.
+	ID string
+	// Born is the Unix millisecond of the start, 0 where servers don't say, and
+	// Sequence counts its entries from then on.
+	Born     int64
+	Sequence int64
+	Addr     string
+	Service  string
+	Zone     string
 	// Slots is how many requests it runs at once.
 	Slots int
 	// Leaving servers take no new work.
@@ -23,8 +27,17 @@
 	WarmupLeft time.Duration
 }
 
-// Server is a backend server and what this process has there. Info is replaced
-// as the list changes; the counts last as long as the server is listed.
+// sameStart reports whether a later entry under the same id is of the same start:
+// one that begins to count anew isn't, whether it says when it began or not.
+func (i *Info) sameStart(later *Info) bool {
+	if i.Born != 0 && later.Born != 0 {
+		return i.Born == later.Born
+	}
+	return later.Sequence >= i.Sequence && i.Addr == later.Addr
+}
+
+// Server is one start of a backend server and what this process has there. Info is
+// replaced as the list changes; the counts last as long as the start is listed.
 type Server struct {
 	info atomic.Pointer[Info]
 	// replaced says that another start was met at its address. The Registry's
@@ -40,5 +53,5 @@
 // Peer is the server as connections know it.
 func (s *Server) Peer() exchange.Peer {
 	info := s.Info()
-	return exchange.Peer{Addr: info.Addr, Instance: info.ID}
+	return exchange.Peer{Addr: info.Addr, Instance: info.ID, Born: info.Born}
 }
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -37,6 +37,8 @@
 type Peer struct {
 	Addr     string
 	Instance string
+	// Born is when it started, where one instance may start again.
+	Born int64
 }
 
 // Pool keeps open connections to backend servers. All methods may be called
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -39,8 +39,8 @@
 type Batch[T any] struct {
 	Items   []T
 	Removed []string
-	// Unreadable names the rows that could not be read: what was known of them
-	// before stays.
+	// Unreadable names the rows that could not be read. What that means for what
+	// was known of them is the sink's to say.
 	Unreadable []string
 	// At is the position to go on from.
 	At uint64
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -190,7 +190,7 @@
 			g.registry.Sweep(now)
 			g.pool.Sweep(now, func(p exchange.Peer) bool {
 				s := g.registry.Server(p.Instance)
-				return s != nil && !s.Info().Leaving
+				return s != nil && !s.Info().Leaving && s.Info().Born == p.Born
 			})
 		}
 	}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -26,7 +26,7 @@
 
 // Change implements follow.Sink.
 func (s servers) Change(_ time.Duration, changes follow.Batch[backend.Info]) {
-	s.registry.Change(time.Now(), changes.Items, changes.Removed)
+	s.registry.Change(time.Now(), changes.Items, changes.Removed, changes.Unreadable)
 	for _, info := range changes.Items {
 		s.log.Info(logging.EventServerChanged, logging.Peer(info.ID), zap.String("service", info.Service), zap.Bool("leaving", info.Leaving), zap.Int("usable", s.registry.Usable()))
 	}
--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -178,7 +178,7 @@
 // List writes a server's entry in a state.
 func (f *Fleet) List(s *Server, state string) {
 	f.Store.PutJSON("servers", s.Instance, map[string]any{
-		"service": "plain", "addr": s.Addr, "zone": "z", "slots": 8, "state": state, "seq": 1,
+		"service": "plain", "addr": s.Addr, "zone": "z", "version": "v1", "slots": 8, "state": state, "seq": 1, "warmup-left-ms": 0,
 	})
 }
 
