gateway: three prove the desired state for all; one call at a time while the store is away; second home unpriced

Change: the three gateways that come first by the hash of their names, of those that are heard of, ask for proofs as often as before; the others have them by datagram, hold calls for 15 s, and ask at once when the proof is older than 0.7 of the bound. While the store is away one follower of a gateway asks and the others wait for its success, 3 s at most. Calls about servers are held for 15 s (keep-alive notices a silent connection in three). Left: news of servers, one call a gateway each.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -27,7 +27,8 @@
 // by its datagrams as well.
 func (g *gateway) followEntries(ctx context.Context) {
 	f := follow.Follower[peers.Entry]{
-		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: follow.Always(entriesWait), Gather: entriesGather, Log: g.log,
+		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: follow.Always(entriesWait), Gather: entriesGather,
+		Store: &g.store, Log: g.log,
 	}
 	f.Run(ctx)
 }
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/boottime"
@@ -17,6 +19,9 @@
 	"github.com/applepier/applepier/internal/pause"
 )
 
+// errHurried: a call was given up to be made anew.
+var errHurried = errors.New("call was given up to be made anew")
+
 // ErrHistoryGone: the changes since a position can't be had any more; the
 // whole has to be read.
 var ErrHistoryGone = errors.New("history of the store is gone")
@@ -30,6 +35,12 @@
 	// recheckWait is how long the store may hold back an answer that is to come
 	// at once.
 	recheckWait = 50 * time.Millisecond
+	// hurryEvery is how often is asked whether a call that is held back has to
+	// hurry: short against the second or more that is left then.
+	hurryEvery = 200 * time.Millisecond
+	// longestAway is for how long a follower that doesn't lead waits for the one
+	// that does: a store may answer about one table and not about another.
+	longestAway = 3 * time.Second
 	// gonePause is the pause before the whole is read again, so that a store
 	// that keeps no history at all isn't read without end.
 	gonePause = 50 * time.Millisecond
@@ -84,13 +95,23 @@
 	// Gather is the pause after news: what changes meanwhile comes with one
 	// call, and each call is paid for.
 	Gather time.Duration
-	// Confirm has the first answer after news not held back: only an answer
-	// without news proves what was the newest, and it would come late by what
-	// the one with the news has used of its wait.
-	Confirm bool
-	Log     *zap.Logger
+	// Confirm says whether the first answer after news isn't to be held back: only
+	// an answer without news proves what was the newest, and it would come late
+	// by what the one with the news has used of its wait. May be nil, for never.
+	Confirm func() bool
+	// Hurry is asked while the store holds an answer back; when it says so the
+	// call is given up and made anew, to be answered at once. May be nil.
+	Hurry func() bool
+	// Store is what all followers of one store know of its health; may be nil.
+	// Leads says that this one asks while the store is away: the others wait for
+	// its success, so that an outage costs the calls of one.
+	Store *Health
+	Leads bool
+	Log   *zap.Logger
 
 	failing bool
+	// hurried says that the last call was given up.
+	hurried bool
 	// news says that the last answer held some.
 	news bool
 }
@@ -113,11 +134,16 @@
 			known = false
 			pause.For(ctx, gonePause)
 			continue
+		case errors.Is(err, errHurried):
+			continue
 		case ctx.Err() != nil:
 			return
 		}
 		f.failed(err)
 		pause.For(ctx, backOff.NextBackOff())
+		if f.Store != nil && !f.Leads {
+			f.Store.await(ctx, time.Now().Add(longestAway))
+		}
 	}
 }
 
@@ -133,7 +159,7 @@
 		return batch.At, nil
 	}
 	wait := f.wait()
-	batch, err := f.Source.Next(ctx, at, wait)
+	batch, err := f.next(ctx, at, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -148,12 +174,40 @@
 	return batch.At, nil
 }
 
+// next waits for changes, unless it has to hurry.
+func (f *Follower[T]) next(ctx context.Context, at uint64, wait time.Duration) (Batch[T], error) {
+	f.hurried = false
+	if f.Hurry == nil {
+		return f.Source.Next(ctx, at, wait)
+	}
+	call, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	var hurried atomic.Bool
+	var watch conc.WaitGroup
+	watch.Go(func() {
+		for pause.For(call, hurryEvery); call.Err() == nil; pause.For(call, hurryEvery) {
+			if f.Hurry() {
+				hurried.Store(true)
+				giveUp()
+			}
+		}
+	})
+	batch, err := f.Source.Next(call, at, wait)
+	giveUp()
+	watch.Wait()
+	if err != nil && hurried.Load() {
+		f.hurried = true
+		return batch, errHurried
+	}
+	return batch, err
+}
+
 // wait is how long the store may hold back the next answer. The first one after a
 // failure comes at once, so that it is known when the store was back; the first
 // one after news where it has to prove them.
 func (f *Follower[T]) wait() time.Duration {
 	longest := f.Wait()
-	if f.failing || f.Confirm && f.news {
+	if f.failing || f.hurried || f.news && f.Confirm != nil && f.Confirm() {
 		return min(longest, recheckWait)
 	}
 	// Whole milliseconds, in which stores count: one that is rounded down would
@@ -167,6 +221,7 @@
 }
 
 func (f *Follower[T]) answered() {
+	f.Store.answers()
 	if f.failing {
 		f.failing = false
 		f.Log.Info(logging.EventPlatformUp, zap.String("table", f.Name))
@@ -174,6 +229,7 @@
 }
 
 func (f *Follower[T]) failed(err error) {
+	f.Store.fails()
 	f.Sink.Unavailable(err)
 	if !f.failing {
 		f.failing = true
--- a/internal/gateway/follow/follower_test.go
+++ b/internal/gateway/follow/follower_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 )
 
@@ -115,7 +116,7 @@
 		out := &proving{}
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
-		f := Follower[string]{Name: "t", Source: changes, Sink: out, Wait: Always(2 * time.Second), Confirm: true, Log: zap.NewNop()}
+		f := Follower[string]{Name: "t", Source: changes, Sink: out, Wait: Always(2 * time.Second), Confirm: func() bool { return true }, Log: zap.NewNop()}
 		f.Run(ctx)
 		if out.longest > 2*time.Second+recheckWait {
 			t.Errorf("%v passed without a proof, a wait is two seconds", out.longest)
@@ -193,3 +194,104 @@
 	}
 	return Batch[string]{At: after}, nil
 }
+
+// A call that is held back is given up when its proof gets old, and the next one
+// asks for an answer at once; nobody is told of a failure.
+func TestFollowerHurries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &patient{}
+		out := &sink{}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		began := time.Now()
+		proved := began
+		f := Follower[string]{
+			Name: "t", Source: src, Sink: out, Wait: Always(8 * time.Second), Log: zap.NewNop(),
+			Hurry: func() bool { return time.Since(proved) > 3*time.Second },
+		}
+		src.answered = func() { proved = time.Now() }
+		f.Run(ctx)
+		if out.failed != 0 {
+			t.Errorf("%d failures told", out.failed)
+		}
+		if len(src.waits) < 8 || src.longest > 3*time.Second+2*hurryEvery {
+			t.Errorf("waits of %v, the longest unanswered %v", src.waits, src.longest)
+		}
+		for i := 1; i < len(src.waits); i += 2 {
+			if src.waits[i] != recheckWait {
+				t.Errorf("call %d waits %v after one that was given up", i, src.waits[i])
+			}
+		}
+	})
+}
+
+// patient holds each answer back for the whole wait.
+type patient struct {
+	waits    []time.Duration
+	longest  time.Duration
+	answered func()
+}
+
+func (*patient) Read(context.Context) (Batch[string], error) { return Batch[string]{At: 1}, nil }
+
+func (p *patient) Next(ctx context.Context, _ uint64, wait time.Duration) (Batch[string], error) {
+	p.waits = append(p.waits, wait)
+	began := time.Now()
+	select {
+	case <-ctx.Done():
+		p.longest = max(p.longest, time.Since(began))
+		return Batch[string]{}, ctx.Err()
+	case <-time.After(wait):
+		p.longest = max(p.longest, time.Since(began))
+		p.answered()
+		return Batch[string]{At: 1}, nil
+	}
+}
+
+// While the store is away one follower asks, and the others wait for its success.
+func TestOneFollowerAsksWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const away = 2 * time.Second
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		var store Health
+		leader, other := &outage{until: began.Add(away)}, &outage{until: began.Add(away)}
+		var wg conc.WaitGroup
+		for _, f := range []*Follower[string]{
+			{Name: "leads", Source: leader, Sink: &sink{}, Wait: Always(time.Minute), Store: &store, Leads: true, Log: zap.NewNop()},
+			{Name: "waits", Source: other, Sink: &sink{}, Wait: Always(time.Minute), Store: &store, Log: zap.NewNop()},
+		} {
+			wg.Go(func() { f.Run(ctx) })
+		}
+		wg.Wait()
+		if leader.failed < 4 || other.failed > 2 {
+			t.Errorf("%d and %d calls while the store was away", leader.failed, other.failed)
+		}
+		// Pauses are drawn from up to half as much again.
+		if late := other.back.Sub(began.Add(away)); late > longestPause*3/2+2*awaitEvery {
+			t.Errorf("the one that waits knew %v after the store was back", late)
+		}
+	})
+}
+
+// outage fails until a time.
+type outage struct {
+	until  time.Time
+	failed int
+	back   time.Time
+}
+
+func (o *outage) Read(context.Context) (Batch[string], error) {
+	if time.Now().Before(o.until) {
+		o.failed++
+		return Batch[string]{}, errors.New("away")
+	}
+	o.back = time.Now()
+	return Batch[string]{At: 1}, nil
+}
+
+func (o *outage) Next(ctx context.Context, _ uint64, _ time.Duration) (Batch[string], error) {
+	<-ctx.Done()
+	return Batch[string]{}, ctx.Err()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/exchange"
+	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/handover"
 	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/router"
@@ -69,6 +70,8 @@
 	router   *router.Router
 	mesh     *peers.Mesh
 	leaving  atomic.Bool
+	// store is whether the platform's store answers.
+	store follow.Health
 }
 
 // Serve runs a gateway until ctx ends, then shuts it down gracefully. Reload
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -78,6 +78,10 @@
 // lately.
 func (m *Mesh) Gateways() int { return 1 + m.table.heard(time.Now()) }
 
+// Before counts the gateways, of those that were heard of lately, that come before
+// this one in an order on which all agree that hear of each other.
+func (m *Mesh) Before() int { return m.table.before(time.Now(), m.Self.Name) }
+
 // Newest returns the address of a gateway with the newest desired state of those
 // that were heard of lately, and its version; empty for none.
 func (m *Mesh) Newest() (addr string, version uint64) { return m.table.newest(time.Now()) }
--- a/internal/gateway/peers/mesh_test.go
+++ b/internal/gateway/peers/mesh_test.go
@@ -96,3 +96,18 @@
 		t.Errorf("%d listed, unlisted %d; a is forgotten, b hears that it was unlisted", b.Listed(), len(b.Unlisted))
 	}
 }
+
+// Gateways that hear of each other agree on who comes first, and who falls silent
+// comes before nobody.
+func TestGatewaysAgreeOnTheirOrder(t *testing.T) {
+	a, b, _ := meshes(t)
+	pass(t, a, b)
+	pass(t, b, a)
+	if a.Before()+b.Before() != 1 {
+		t.Fatalf("%d come before a, %d before b", a.Before(), b.Before())
+	}
+	later := time.Now().Add(2 * silentAfter)
+	if got := a.table.before(later, "a") + b.table.before(later, "b"); got != 0 {
+		t.Errorf("%d silent gateways come before others", got)
+	}
+}
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -143,6 +143,20 @@
 	return n
 }
 
+// before counts the gateways that were heard of lately and whose names come
+// before one by their hashes.
+func (t *table) before(now time.Time, name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for other, p := range t.peers {
+		if now.Sub(p.heard) <= silentAfter && hash(other) < hash(name) {
+			n++
+		}
+	}
+	return n
+}
+
 // newest returns the address of a gateway that was heard of lately and has the
 // newest desired state of those; which of several is left to chance.
 func (t *table) newest(now time.Time) (addr string, version uint64) {
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -30,10 +30,11 @@
 // requests with a key. Where the store is away from all of them nobody would
 // serve callers better, and public routes are served on.
 func (g *gateway) isolated() bool {
-	wait, proved := g.proofWait(), g.holder.ProvenAt()
-	if answered := boottime.Now()-proved <= feedSilence+wait+othersAhead; answered {
+	proved := g.holder.ProvenAt()
+	usual := feedSilence + provedWithin(g.router.Bounds().Proof) + othersAhead
+	if answered := boottime.Now()-proved <= usual; answered {
 		own := time.Duration(g.desired.provenAt.Load())
-		return proved-own > wait+othersAhead || g.desired.away() > turnedAway && proved > own
+		return proved-own > g.proofWait()+othersAhead || g.desired.away() > turnedAway && proved > own
 	}
 	return !g.router.Fresh() && 2*g.mesh.Gateways() <= g.mesh.Listed()
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/routes"
@@ -18,12 +19,21 @@
 	// for the way of proofs between gateways.
 	desiredWait = 2500 * time.Millisecond
 	proofPart   = 0.6
+	// provers is how many gateways ask so often for the proof of the desired
+	// state; the others, which have it from them by datagram, ask every
+	// provedByOthers, or at once when it gets older than hurryPart of the bound.
+	// Two may be cut off or dying, and the third proves. Calls are paid for: at 28
+	// gateways a quarter of all calls on a quiet day and a fifth on a day of
+	// trouble were for proofs.
+	provers        = 3
+	provedByOthers = 15 * time.Second
+	hurryPart      = 0.7
 	// leastWait bounds the calls where the bound leaves hardly any time.
 	leastWait = 200 * time.Millisecond
 	// serversWait is the same for the list of backend servers, which proves
 	// nothing: keep-alive probes notice within three seconds that a connection
 	// to the store went silent. Each call is paid for.
-	serversWait = 5 * time.Second
+	serversWait = 15 * time.Second
 	// serversGather is the pause after news of backend servers: short against
 	// the two seconds within which leaving ones get no more work, long enough
 	// that a start of all servers takes a dozen calls and not one for each.
@@ -40,14 +50,33 @@
 func (g *gateway) followDesired(ctx context.Context) {
 	f := follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
-		Wait: g.proofWait, Confirm: true, Log: g.log,
+		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Store: &g.store, Leads: true, Log: g.log,
 	}
 	f.Run(ctx)
 }
 
 // proofWait is how long the store may hold back an answer about the desired
 // state under the settings in force.
-func (g *gateway) proofWait() time.Duration { return provedWithin(g.router.Bounds().Proof) }
+func (g *gateway) proofWait() time.Duration {
+	if !g.proves() {
+		return provedByOthers
+	}
+	return provedWithin(g.router.Bounds().Proof)
+}
+
+// proves reports whether this gateway is one of those that ask often, and at once
+// after news.
+func (g *gateway) proves() bool { return g.mesh.Before() < provers }
+
+// proofOld reports whether the proof of the desired state has to be renewed here,
+// whoever was to do it.
+func (g *gateway) proofOld() bool {
+	bound := g.router.Bounds().Proof
+	if bound == 0 {
+		return false
+	}
+	return boottime.Now()-g.holder.ProvenAt() > time.Duration(hurryPart*float64(bound))
+}
 
 // provedWithin is how long the store may hold back an answer about the desired
 // state, by how old its proof may be; 0 for no bound.
@@ -62,7 +91,7 @@
 func (g *gateway) followServers(ctx context.Context) {
 	f := follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry, g.log},
-		Wait: follow.Always(serversWait), Gather: serversGather, Log: g.log,
+		Wait: follow.Always(serversWait), Gather: serversGather, Store: &g.store, Log: g.log,
 	}
 	f.Run(ctx)
 }
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -238,10 +238,10 @@
 	own := float64(j.Tokens - j.prefix().Upto)
 	own += need.transfer
 	again := need.again
-	if need.home {
+	if need.home || need.second {
 		own += need.first
 	} else {
-		// Others may read it at its home meanwhile.
+		// Others may read it at one of its homes meanwhile.
 		again += need.first
 	}
 	return rate.likely(others+rereadPrice*again, ownWeight*own) <= part(longestWait, j.Target) ||
--- a/policy/need.go
+++ b/policy/need.go
@@ -32,8 +32,9 @@
 	fetched  float64
 	transfer float64
 	from     int
-	// home says that the server is the one that first is to be read at.
-	home bool
+	// home says that the server is the one that first is to be read at, and second
+	// that it is the next one.
+	home, second bool
 }
 
 // reading is what the server reads, or could while it fetches.
@@ -91,7 +92,7 @@
 	if p.held == nil {
 		return need{}
 	}
-	n := need{home: i == p.homes[0], first: float64(p.length - p.most), again: float64(p.most - p.held[i].tokens)}
+	n := need{home: i == p.homes[0], second: i == p.homes[1], first: float64(p.length - p.most), again: float64(p.most - p.held[i].tokens)}
 	if p.source < 0 || p.source == i || job.FetchRate == 0 {
 		return n
 	}
