--- a/testbed/rounds/draw.go
+++ b/testbed/rounds/draw.go
@@ -19,42 +19,19 @@
 	barWidth = 0.5 * vg.Centimeter
 )
 
-// Report is a day in full, as far as it is drawn.
-type Report struct {
-	Windows []Window `json:"windows"`
-}
-
-// Window is what became of the requests of a few seconds.
-type Window struct {
-	// Name is the second at which it begins.
-	Name    string `json:"name"`
-	InTime  int    `json:"in_aim"`
-	Late    int    `json:"late"`
-	Refused int    `json:"refused"`
-	Failed  int    `json:"failed"`
-	NotOwed int    `json:"not_owed"`
-}
-
 // series is one outcome of requests.
 type series struct {
 	name   string
 	colour color.RGBA
-	of     func(Window) int
+	of     func(Outcome) int
 }
 
 var outcomes = []series{
-	{"in time", color.RGBA{R: 46, G: 125, B: 50, A: 255}, func(w Window) int { return w.InTime }},
-	{"late", color.RGBA{R: 251, G: 192, B: 45, A: 255}, func(w Window) int { return w.Late }},
-	{"refused", color.RGBA{R: 239, G: 108, B: 0, A: 255}, func(w Window) int { return w.Refused }},
-	{"failed", color.RGBA{R: 198, G: 40, B: 40, A: 255}, func(w Window) int { return w.Failed }},
-	{"not owed", color.RGBA{R: 189, G: 189, B: 189, A: 255}, func(w Window) int { return w.NotOwed }},
-}
-
-// ReadReport reads a day's report.
-func ReadReport(name string) (Report, error) {
-	var r Report
-	err := readJSON(name, &r)
-	return r, err
+	{"in time", color.RGBA{R: 46, G: 125, B: 50, A: 255}, func(w Outcome) int { return w.InTime }},
+	{"late", color.RGBA{R: 251, G: 192, B: 45, A: 255}, func(w Outcome) int { return w.Late }},
+	{"refused", color.RGBA{R: 239, G: 108, B: 0, A: 255}, func(w Outcome) int { return w.Refused }},
+	{"failed", color.RGBA{R: 198, G: 40, B: 40, A: 255}, func(w Outcome) int { return w.Failed }},
+	{"not owed", color.RGBA{R: 189, G: 189, B: 189, A: 255}, func(w Outcome) int { return w.NotOwed }},
 }
 
 // Draw makes a picture of the day over time, stacked by what became of the
@@ -91,7 +68,7 @@
 	return nil
 }
 
-func valuesOf(r Report, of func(Window) int) plotter.Values {
+func valuesOf(r Report, of func(Outcome) int) plotter.Values {
 	values := make(plotter.Values, len(r.Windows))
 	for i, w := range r.Windows {
 		values[i] = float64(of(w))
--- a/testbed/rounds/rounds_test.go
+++ b/testbed/rounds/rounds_test.go
@@ -83,3 +83,48 @@
 		t.Errorf("a file of an unknown kind: %v", err)
 	}
 }
+
+const dayReport = `{"G":0.65,"parts":[["whole day",0.7,0.8],["worst windows",0.2,0.5],["worst class",0.1,0.7]],
+"prices":[["machines",100,0.04],["probes",0,0],["refused again",12.5,0.04]],
+"classes":[{"name":"long","n":120,"in_aim":60,"late":20,"refused":15,"failed":5,"not_owed":20,"worth":0.7},{"name":"short","n":100,"in_aim":90,"failed":10,"worth":0.9}],
+"windows":[{"name":"0","n":50,"in_aim":40,"refused":10,"worth":0.8}],
+"unserved_by":[["503",15,["an example"]],["deadline",5,[]]]}`
+
+func TestLossesAddUp(t *testing.T) {
+	r, err := ReadReport(write(t, t.TempDir(), "r.json", dayReport))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, err := Losses(&r, map[string]float64{"long": 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	sum := r.Worth
+	for _, l := range rows {
+		sum += l.Worth
+	}
+	if sum < 0.999 || sum > 1.001 {
+		t.Errorf("rows and worth make %v: %+v", sum, rows)
+	}
+	// 100 long ones that lost three tenths and count twice, 100 short ones that
+	// lost one: six to one.
+	if long, short := rows[0].Worth, rows[1].Worth; long < 5.9*short || long > 6.1*short {
+		t.Errorf("long lost %v, short %v", long, short)
+	}
+	var out strings.Builder
+	if err := WriteLosses(&out, &r, rows); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"worst windows", "refused again", "100 owed: 20 late, 15 refused, 5 failed", "deadline"} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("lacks %q:\n%s", part, out.String())
+		}
+	}
+	r.Worth += 0.01
+	if _, err := Losses(&r, nil); !errors.Is(err, ErrDoesNotAddUp) {
+		t.Errorf("a report that doesn't add up: %v", err)
+	}
+	if _, err := ReadReport(write(t, t.TempDir(), "r.json", `{"parts":[["whole day"]]}`)); !errors.Is(err, ErrUnreadable) {
+		t.Errorf("a part without a value: %v", err)
+	}
+}
