--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -32,15 +32,10 @@
 	// than any of the few that is in time.
 	drawn       = 3
 	unknownCost = 1e6
-	// longestWait is the part of the target within which a first token is
-	// likely for a request to be let in, the usual deviation from the expected
-	// time included; ownWeight is what its own prompt counts for in that, and
-	// againWeight by how much more a shared part does that is read again when
+	// againWeight is by how much more a shared part counts that is read again when
 	// what waits takes the whole target. Under load each part that is read away
-	// from its home delays what is at home there, which then goes elsewhere in
-	// turn: without the weight all is late.
-	longestWait = 1.0
-	ownWeight   = 1.0
+	// from where it is held delays what is at home there, which then goes
+	// elsewhere in turn.
 	againWeight = 15.0
 	// shortestWait is the part of the target that any request may wait for
 	// others, so that the longest prompts are let in where next to nothing is
@@ -244,7 +239,7 @@
 		// Others may read it at one of its homes meanwhile.
 		again += need.first
 	}
-	return rate.likely(others+rereadPrice*again, ownWeight*own) <= part(longestWait, j.Target) ||
+	return rate.likely(others+rereadPrice*again, own) <= j.Target ||
 		rate.reads(others+again) <= part(shortestWait, j.Target)
 }
 
