--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -145,7 +145,7 @@
 	}
 	facts := c.facts()
 	job.FetchRate = facts.FetchRate
-	c.shared = shared(c.ask.Parts)
+	c.shared = shared(c.ask.Parts, c.ask.PromptTokens)
 	job.Shared = c.shared
 	choice := c.router.pick(c.service, job, c.router.loads(servers, facts.MaxConns), len(c.tried) == 0)
 	if !choice.Found {
@@ -267,13 +267,14 @@
 }
 
 // shared are the parts of a prompt that other requests share: all but the last.
-func shared(parts []protocol.Part) []policy.Part {
+// Parts that claim more than the whole prompt are cut at its end.
+func shared(parts []protocol.Part, prompt int) []policy.Part {
 	if len(parts) < 2 {
 		return nil
 	}
 	all, upto := make([]policy.Part, len(parts)-1), 0
 	for i, p := range parts[:len(parts)-1] {
-		upto += p.Tokens
+		upto += min(p.Tokens, prompt-upto)
 		all[i] = policy.Part{ID: p.ID, Upto: upto}
 	}
 	return all
