policy: a service without any server leaves no choice

Cause: the draw of a few servers panicked on an empty list; the caller's connection was closed in place of a 503.

--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -105,6 +105,9 @@
 // Choose returns the best server at a rate of reading. Ejected ones are left out
 // unless more than ejectPanic of the servers are.
 func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *ReadingRate) Choice {
+	if len(servers) == 0 {
+		return Choice{}
+	}
 	usable := func(s *Server) bool { return !s.Leaving && !job.tried(s.Name) }
 	all, ejected := 0, 0
 	for i := range servers {
--- a/policy/chooser_test.go
+++ b/policy/chooser_test.go
@@ -191,3 +191,13 @@
 		t.Errorf("%v requests expected three seconds after the last", got)
 	}
 }
+
+// A service whose servers have all gone leaves no choice.
+func TestNoServersAtAll(t *testing.T) {
+	c := newTestChooser()
+	for _, job := range []Job{summary(5), {Zone: "z"}} {
+		if choice := c.Choose(testStart, job, nil, nil); choice.Found || choice.InTime {
+			t.Errorf("chose %+v of nothing", choice)
+		}
+	}
+}
