policy: what lacks where slots do isn't time

Where most servers have no slot, few are in time and roomy, and all that others send was counted as going to these few: refused by chance for time, beside the chance for slots. Change: the time is shared over all servers that are in time, slot or not. TestTimeIsNotShortWhereSlotsAre failed before.

--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -130,15 +130,14 @@
 	unseen := job.unseenAtEach(servers, usable)
 	known := c.known(servers, usable, &shared)
 	var best Choice
-	least, soon, inTime := 0.0, false, 0
+	least, soon := 0.0, 0
 	for i := range servers {
 		if !usable(&servers[i]) {
 			continue
 		}
 		choice, cost := c.weigh(job, &servers[i], shared.at(i, &job, rate), rereadPrice, rate, unseen)
-		soon = soon || choice.soon
-		if choice.InTime {
-			inTime++
+		if choice.soon {
+			soon++
 		}
 		choice.At = i
 		if !known[i] {
@@ -148,8 +147,8 @@
 			best, least = choice, cost
 		}
 	}
-	best.OnlySlots = soon && !best.InTime
-	best.InTime = best.InTime && c.sharesTime(&job, &best, rate, inTime)
+	best.OnlySlots = soon > 0 && !best.InTime
+	best.InTime = best.InTime && c.sharesTime(&job, &best, rate, soon)
 	return best
 }
 
--- a/policy/need_test.go
+++ b/policy/need_test.go
@@ -83,3 +83,21 @@
 		t.Errorf("%d of %d senders send to the one server in time, which reads three before the target", sent, senders)
 	}
 }
+
+// Where slots are what is lacking, the few servers that have some are shared by
+// slots alone: the others have time, and what others send isn't read here.
+func TestTimeIsNotShortWhereSlotsAre(t *testing.T) {
+	servers := serversOf(20)
+	for i := range servers {
+		servers[i].Running = 32
+	}
+	servers[7].Running = 4
+	for i := range 30 {
+		c := NewChooser(rand.New(rand.NewPCG(uint64(i), 9)), NewEjector(), NewPrefixIndex())
+		job := Job{Zone: "z", Urgency: 0, Target: 300 * time.Millisecond, Tokens: 800}
+		job.UnseenTokens, job.NewsAge = 20_000, 50*time.Millisecond
+		if choice := c.Choose(testStart, job, servers, nil); !choice.InTime || choice.At != 7 {
+			t.Fatalf("sender %d: %+v, 7 has slots and time", i, choice)
+		}
+	}
+}
--- a/policy/room.go
+++ b/policy/room.go
@@ -62,11 +62,14 @@
 // would send there until it hears of the others' requests, which then wait for
 // seconds. Of what others are expected to send meanwhile, beyond what the servers
 // read in that time, as much finds room as there are tokens to spare.
-func (c *Chooser) sharesTime(job *Job, best *Choice, rate *ReadingRate, inTime int) bool {
+//
+// Soon counts the servers that are in time, whether they have a slot or not: what
+// lacks where slots do isn't time.
+func (c *Chooser) sharesTime(job *Job, best *Choice, rate *ReadingRate, soon int) bool {
 	if job.Target == 0 || job.UnseenTokens == 0 {
 		return true
 	}
-	unseen := job.UnseenTokens/float64(inTime) - rate.during(job.NewsAge)
+	unseen := job.UnseenTokens/float64(soon) - rate.during(job.NewsAge)
 	own := float64(best.Reading)
 	spare := rate.within(job.Target, own) - (best.Ahead - own)
 	return spare >= unseen || c.random.Float64() < spare/unseen
