--- a/policy/need.go
+++ b/policy/need.go
@@ -4,10 +4,10 @@
 
 const (
 	// newElsewhere is what a part that nobody holds counts for at another server
-	// than its home, as a part of its length: senders go there only where the
-	// home isn't in time, since others don't hear of it for a tenth of a second
-	// and read the part at home. 1 and 2 serve less on the days of high load of
-	// three deployments, by a hundredth.
+	// than its home, as a part of its length: senders go there mostly where
+	// the home isn't in time, since others don't hear of it for a tenth of a
+	// second and read the part at home. 1 serves less by half a hundredth, at the
+	// mean of seven days of high load, which is within what plays differ by.
 	newElsewhere = 5.0
 	// homeCount is how many servers a part belongs to, in order: what is asked for
 	// more often than one can bear is copied to the next.
--- a/policy/reading_rate.go
+++ b/policy/reading_rate.go
@@ -123,9 +123,9 @@
 
 // likely is by when a first token has come in most cases, with so many tokens of
 // others and of its own to be read before it: the expected time and the mean
-// deviation, as a part of the wait for others. Of the rest there is no doubt that
-// refusing could help: the model's first step and the own prompt take their time
-// at an idle server too.
+// deviation, as a part of the wait for others. The model's first step and the own
+// prompt take their time at an idle server too: a deviation on these would refuse
+// all of a class with a tight target, and nothing would be learned any more.
 func (r *ReadingRate) likely(others, own float64) time.Duration {
 	return r.firstToken(own) + time.Duration(float64(r.reads(others))*(1+r.deviation()))
 }
--- a/policy/yielding.go
+++ b/policy/yielding.go
@@ -17,10 +17,10 @@
 	// free a sixth of a second after a burst's first refusals, as soon as those
 	// of the streams that run then have ended.
 	yieldGrowth = 0.5
-	// yieldMost bounds it, at half of the slots that the most urgent may fill: what
-	// is more urgent and comes at several times its rate needs most of them. 0.15
-	// left questions refused by 300 to 580 a second while as many summaries came,
-	// on two days of three bursts.
+	// yieldMost bounds it, at nearly half of the slots that the most urgent may
+	// fill: what is more urgent and comes at several times its rate needs most of
+	// them. With 0.15 questions were refused by 300 to 580 a second while nearly
+	// as many summaries were, on a day on which two bursts of questions overlap.
 	yieldMost = 0.4
 	// yieldMemory is the time in which a level takes up again two thirds of
 	// what it has left free: some turns of a batch, so that room is there while
@@ -33,10 +33,10 @@
 //
 // It answers two classes of neighbouring urgency that come in bursts at once and
 // fill all slots side by side: a freed slot is taken by whoever comes first, and
-// the more urgent are refused as often as the others. A few slots a server that
-// only they may take are enough, since the others' streams end and are not
-// followed by new ones. Fixed shares would have to be as wide, and leave slots
-// unused whenever nothing urgent comes.
+// the more urgent are refused as often as the others. Slots that only they may
+// take come free as the others' streams end and aren't followed by new ones.
+// Fixed shares would have to be as wide, and leave slots unused whenever nothing
+// urgent comes. It doesn't help against more of what is urgent than fits alone.
 //
 // In a play of 24 senders before 12 engines questions that miss their target fall
 // from one in eleven to one in 38. Its price is summaries that would have found
