gateway: what ended a caller's connection is told

Cause: request_cancelled reason=caller_left couldn't be told from a connection that the gateway closed itself, closes for idleness left no line, and the limit in force stood nowhere. Change: callers' connections remember what ended them and how long they had rested; the end of a request that wasn't served names it (connection, rested, requests), caller_closed tells each close for idleness, targets_adopted the limit for idle connections. No logic changed.

--- a/internal/gateway/desired.go
+++ b/internal/gateway/desired.go
@@ -76,7 +76,7 @@
 		}
 		d.unreadable.Store(false)
 		if d.holder.Offer(s, moment) {
-			d.log.Info(logging.EventTargetsAdopted, zap.Uint64("version", s.Version), zap.Int("routes", s.Routes()))
+			d.log.Info(logging.EventTargetsAdopted, zap.Uint64("version", s.Version), zap.Int("routes", s.Routes()), zap.Duration("idle_limit", s.Limits.IdleTime))
 		}
 	}
 	if !d.unreadable.Load() {
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -35,7 +35,8 @@
 			zap.Int("status", end.Status), zap.String("service", end.Service), zap.String("customer", end.Customer),
 			zap.Int("urgency", end.Urgency), zap.Int("sends", end.Sends), zap.String("last_server", end.Server),
 			zap.Uint64("version", end.Version), zap.Duration("proof_age", end.ProofAge),
-			zap.Duration("expected", end.Expected), zap.Duration("took", end.Took))
+			zap.Duration("expected", end.Expected), zap.Duration("took", end.Took),
+			zap.String("connection", string(end.Caller.Cause)), zap.Duration("rested", end.Caller.Rested), zap.Int("requests", end.Caller.Requests))
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/callers"
 	"github.com/applepier/applepier/internal/gateway/exchange"
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/handover"
@@ -150,7 +151,7 @@
 }
 
 // serve runs all parts; it returns when they have ended.
-func (g *gateway) serve(ctx context.Context, callers, admin, gateways net.Listener, reload func() (settings.Gateway, error)) {
+func (g *gateway) serve(ctx context.Context, public, admin, gateways net.Listener, reload func() (settings.Gateway, error)) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
 	wg.Go(func() { g.followDesired(work) })
@@ -163,16 +164,16 @@
 	wg.Go(func() { g.reloadOnSignal(work, reload) })
 
 	front := &http.Server{
-		Handler: g.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: newIdle(g.idleLimit).state,
-		MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(zap.NewNop()),
+		Handler: g.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: newIdle(g.idleLimit, g.log).state,
+		MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(zap.NewNop()), ConnContext: callers.Context,
 	}
 	back := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	hand := &http.Server{Handler: handover.Routes(g.state), ReadTimeout: handTimeout, WriteTimeout: handTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
 	// Serve returns when the server is shut down.
-	wg.Go(func() { _ = front.Serve(callers) })
+	wg.Go(func() { _ = front.Serve(callers.Listener{Listener: public}) })
 	wg.Go(func() { _ = back.Serve(admin) })
 	wg.Go(func() { _ = hand.Serve(gateways) })
-	g.log.Info(logging.EventStarted, zap.String("listen", callers.Addr().String()), zap.String("admin_listen", admin.Addr().String()))
+	g.log.Info(logging.EventStarted, zap.String("listen", public.Addr().String()), zap.String("admin_listen", admin.Addr().String()))
 
 	<-ctx.Done()
 	g.drain(front)
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -5,6 +5,11 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/gateway/callers"
+	"github.com/applepier/applepier/internal/logging"
 )
 
 // idleMargin is how much longer than the operators' limit a connection stays
@@ -15,13 +20,14 @@
 // that may change while the server runs, which net/http's own can't.
 type idle struct {
 	limit func() time.Duration
+	log   *zap.Logger
 	// mu guards timers; nothing is locked while it is held.
 	mu     sync.Mutex
 	timers map[net.Conn]*time.Timer
 }
 
-func newIdle(limit func() time.Duration) *idle {
-	return &idle{limit: limit, timers: map[net.Conn]*time.Timer{}}
+func newIdle(limit func() time.Duration, log *zap.Logger) *idle {
+	return &idle{limit: limit, log: log, timers: map[net.Conn]*time.Timer{}}
 }
 
 // state is the server's ConnState hook.
@@ -33,6 +39,23 @@
 		delete(i.timers, c)
 	}
 	if s == http.StateIdle {
-		i.timers[c] = time.AfterFunc(i.limit()+idleMargin, func() { _ = c.Close() })
+		limit := i.limit()
+		i.timers[c] = time.AfterFunc(limit+idleMargin, func() { i.close(c, limit) })
+	}
+	if known, ok := c.(*callers.Conn); ok {
+		known.State(s)
+	}
+}
+
+// close closes a connection that rested longer than its limit.
+func (i *idle) close(c net.Conn, limit time.Duration) {
+	known, ok := c.(*callers.Conn)
+	if !ok {
+		// It is of no use any more, whatever closing it says.
+		_ = c.Close()
+		return
 	}
+	end := known.CloseIdle()
+	i.log.Info(logging.EventCallerClosed, logging.Reason(string(end.Cause)), logging.Peer(c.RemoteAddr().String()),
+		zap.Duration("rested", end.Rested), zap.Duration("limit", limit), zap.Int("requests", end.Requests))
 }
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -7,12 +7,14 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 func TestIdleConnectionsAreClosedAfterTheLimitInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limit := 10 * time.Second
-		i := newIdle(func() time.Duration { return limit })
+		i := newIdle(func() time.Duration { return limit }, zap.NewNop())
 		ours, theirs := net.Pipe()
 		closed := make(chan time.Time, 1)
 		go func() {
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/callers"
 	"github.com/applepier/applepier/internal/gateway/exchange"
 	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/internal/gateway/routes"
@@ -91,6 +92,8 @@
 	// and Pause the longest that there was.
 	PauseTarget time.Duration
 	Pause       time.Duration
+	// Caller is how the caller's connection stands.
+	Caller callers.End
 }
 
 // Late reports whether a target of the route was missed.
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/callers"
 )
 
 // giveUp gives the final answer when no other send is allowed: a server's own
@@ -94,6 +95,7 @@
 		Status: status, Reason: reason, Sends: c.sends, Server: c.server, Expected: c.expected,
 		Version: c.version, ProofAge: boottime.Now() - c.router.Holder.ProvenAt(),
 		First: c.first, Pause: c.stream.pause, Took: time.Since(c.arrived),
+		Caller: callers.EndOf(c.req.Context()),
 	}
 	if c.route != nil {
 		end.Route, end.Target, end.PauseTarget = c.route.Name, c.route.Target, c.route.Pause
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -47,6 +47,9 @@
 	EventServerChanged = "server_changed"
 	// EventServerRemoved: a backend server's entry was removed.
 	EventServerRemoved = "server_removed"
+	// EventCallerClosed: a gateway closed a caller's connection that rested longer
+	// than its limit.
+	EventCallerClosed = "caller_closed"
 	// EventEngineDown: the backend server can't be reached.
 	EventEngineDown = "engine_down"
 	// EventEngineUp: it can be reached, at first or again.
