callers: a connection is closed only by who reads it

Cause: a request was read and handed on while a timer for idle connections, in a goroutine of its own, closed its connection. Class: state that is asked by one goroutine and acted on by another, with nothing that holds it in between. net/http itself counts a connection as idle until a whole head has been read, so neither its hook nor its Shutdown can tell. Change: callers' connections know when they rest: from the end of an answer to the first byte that comes. The end of a rest is a deadline for reading; the reader looks once more whether something came, and goes on if so, or if the limit was raised meanwhile; a lowered one is told to rests that have begun. A graceful stop uses the same, in place of net/http's Shutdown, so that requests that have begun to come are answered. net/http's own lines, panics among them, are logged.

--- /dev/null
+++ b/internal/callers/listener.go
@@ -0,0 +1,18 @@
+package callers
+
+import "net"
+
+// listener accepts callers' connections as Conns.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: c, server: l.server}, nil
+}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
+	"github.com/applepier/applepier/internal/callers"
 	"github.com/applepier/applepier/internal/logging"
 )
 
@@ -19,15 +19,14 @@
 )
 
 // drain ends what is in progress within the grace period.
-func (g *gateway) drain(front *http.Server) {
+func (g *gateway) drain(front *callers.Server) {
 	began := time.Now()
 	g.leaving.Store(true)
 	g.log.Info(logging.EventStopping)
 	time.Sleep(min(drainNotice, g.settings.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.Grace-endMargin))
 	defer cancel()
-	if err := front.Shutdown(ctx); err != nil {
-		g.log.Warn(logging.EventStopping, logging.Reason("requests are broken off"))
-		_ = front.Close()
+	if err := front.Drain(ctx); err != nil {
+		g.log.Warn(logging.EventStopping, logging.Reason(err.Error()))
 	}
 }
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,10 +13,12 @@
 
 	"go.uber.org/zap"
 
-	"github.com/applepier/applepier/internal/gateway/callers"
 	"github.com/applepier/applepier/internal/settings"
 )
 
+// closeMargin is how much longer than its limit a connection may rest.
+const closeMargin = time.Second
+
 // restLimit is for how long connections may rest in these tests.
 const restLimit = 15 * time.Second
 
@@ -43,6 +46,7 @@
 type oneConn struct {
 	conns  chan net.Conn
 	closed chan struct{}
+	once   sync.Once
 }
 
 func listenOnce(c net.Conn) *oneConn {
@@ -60,7 +64,7 @@
 	}
 }
 
-func (l *oneConn) Close() error   { close(l.closed); return nil }
+func (l *oneConn) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
 func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
 
 // post is a request that may run once at most.
@@ -89,8 +93,9 @@
 func TestRequestIsNotCutByTheIdleLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		read := make(chan struct{})
+		ours, theirs := net.Pipe()
 		var begun atomic.Int32
-		front := newFront(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		front := newFront(listenOnce(&slowConn{Conn: ours, read: read}), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if begun.Add(1) == 2 {
 				close(read)
 			}
@@ -101,17 +106,16 @@
 			case <-r.Context().Done():
 			}
 		}), func() time.Duration { return restLimit }, zap.NewNop())
-		ours, theirs := net.Pipe()
 		over := make(chan struct{})
 		go func() {
 			defer close(over)
-			_ = front.Serve(callers.Listener{Listener: listenOnce(&slowConn{Conn: ours, read: read})})
+			front.Serve()
 		}()
 		in := bufio.NewReader(theirs)
 		if err := ask(theirs, in, post); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(restLimit + idleMargin + time.Millisecond)
+		time.Sleep(restLimit + closeMargin + time.Millisecond)
 		err := ask(theirs, in, post)
 		if handedOn := begun.Load() == 2; handedOn && err != nil {
 			t.Errorf("a request that was handed on has no answer: %v", err)
@@ -125,14 +129,14 @@
 // begun to come doesn't rest any more, however long its head is on its way.
 func TestRequestThatBeganBeforeTheDrainIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		front := newFront(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		ours, theirs := net.Pipe()
+		front := newFront(listenOnce(ours), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, "done")
 		}), func() time.Duration { return restLimit }, zap.NewNop())
-		ours, theirs := net.Pipe()
 		over, drained := make(chan struct{}), make(chan struct{})
 		go func() {
 			defer close(over)
-			_ = front.Serve(callers.Listener{Listener: listenOnce(ours)})
+			front.Serve()
 		}()
 		in := bufio.NewReader(theirs)
 		if err := ask(theirs, in, post); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,8 +18,8 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/callers"
 	"github.com/applepier/applepier/internal/gateway/backend"
-	"github.com/applepier/applepier/internal/gateway/callers"
 	"github.com/applepier/applepier/internal/gateway/exchange"
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/handover"
@@ -160,14 +160,14 @@
 	wg.Go(func() { g.followEntries(work) })
 	wg.Go(func() { g.stayListed(work) })
 	wg.Go(func() { g.learnFromPeers(work) })
-	wg.Go(func() { g.sweep(work) })
 	wg.Go(func() { g.reloadOnSignal(work, reload) })
 
-	front := newFront(g.router, g.idleLimit, g.log)
+	front := newFront(public, g.router, g.idleLimit, g.log)
+	wg.Go(func() { g.sweep(work, front) })
 	back := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	hand := &http.Server{Handler: handover.Routes(g.state), ReadTimeout: handTimeout, WriteTimeout: handTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
-	// Serve returns when the server is shut down.
-	wg.Go(func() { _ = front.Serve(callers.Listener{Listener: public}) })
+	// They return when their servers are closed.
+	wg.Go(front.Serve)
 	wg.Go(func() { _ = back.Serve(admin) })
 	wg.Go(func() { _ = hand.Serve(gateways) })
 	g.log.Info(logging.EventStarted, zap.String("listen", public.Addr().String()), zap.String("admin_listen", admin.Addr().String()))
@@ -180,14 +180,19 @@
 }
 
 // sweep removes what has lapsed.
-func (g *gateway) sweep(ctx context.Context) {
+func (g *gateway) sweep(ctx context.Context, front *callers.Server) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
+	limit := g.idleLimit()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			before := limit
+			if limit = g.idleLimit(); limit < before {
+				front.Lower()
+			}
 			g.registry.Sweep(now)
 			g.pool.Sweep(now, func(p exchange.Peer) bool {
 				s := g.registry.Server(p.Instance)
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/applepier/applepier/internal/callers"
 	"github.com/applepier/applepier/internal/gateway/backend"
-	"github.com/applepier/applepier/internal/gateway/callers"
 	"github.com/applepier/applepier/internal/gateway/exchange"
 	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/internal/gateway/routes"
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/applepier/applepier/internal/boottime"
-	"github.com/applepier/applepier/internal/gateway/callers"
+	"github.com/applepier/applepier/internal/callers"
 )
 
 // giveUp gives the final answer when no other send is allowed: a server's own
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -50,6 +50,9 @@
 	// EventCallerClosed: a gateway closed a caller's connection that rested longer
 	// than its limit.
 	EventCallerClosed = "caller_closed"
+	// EventServerError: the HTTP server tells of an error of its own, such as a
+	// panic of what handles a request.
+	EventServerError = "server_error"
 	// EventEngineDown: the backend server can't be reached.
 	EventEngineDown = "engine_down"
 	// EventEngineUp: it can be reached, at first or again.
