testbed: requests that are cut when their connection is due

Cause, as a run shows it: the timer for idle connections closes from its own goroutine, whatever became of the connection since. The hook that stops it runs only after a request's head has been read, and what Timer.Stop says is dropped. A process that stood still finds the timer due and the request readable together: the request is read and handed on, the connection is closed under it, net/http's watch ends with "use of closed network connection", and the request is taken for one whose caller left.

Fleet can run a gateway apart, and set a limit for idle connections.

--- /dev/null
+++ b/testbed/gateway/apart_test.go
@@ -0,0 +1,79 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/platform"
+)
+
+// apartSettings is the environment's variable that makes this program a gateway
+// and holds its settings.
+const apartSettings = "APPLEPIER_TEST_GATEWAY"
+
+func TestMain(m *testing.M) {
+	if text := os.Getenv(apartSettings); text != "" {
+		if err := serveApart(text); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// serveApart runs a gateway until its standard input ends, which it does with
+// the test's process, however that ends.
+func serveApart(text string) error {
+	var s settings.Gateway
+	if err := json.Unmarshal([]byte(text), &s); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		defer stop()
+		_, _ = io.Copy(io.Discard, os.Stdin)
+	}()
+	return platform.ServeGateway(ctx, s, func() (settings.Gateway, error) { return s, nil }, zap.NewNop())
+}
+
+// apart is a gateway that runs as a process of its own, which can be stopped and
+// continued.
+type apart struct {
+	started chan *os.Process
+}
+
+func newApart() *apart { return &apart{started: make(chan *os.Process, 1)} }
+
+// run runs the process until ctx ends.
+func (a *apart) run(ctx context.Context, s settings.Gateway) error {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), apartSettings+"="+string(text))
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	a.started <- cmd.Process
+	context.AfterFunc(ctx, func() { _ = in.Close() })
+	return cmd.Wait()
+}
--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -21,8 +21,8 @@
 )
 
 // The operators' document that a Fleet begins with: one service, routes of all
-// kinds to it, and a customer's key; version, more routes and more keys are
-// filled in.
+// kinds to it, and a customer's key; version, more routes, the limit for idle
+// connections in milliseconds and more keys are filled in.
 const firstState = `{
  "version": %d,
  "routes": [
@@ -34,10 +34,14 @@
   {"name":"open","host":"h.example","prefix":"/open/","type":"safe","timeout-ms":2000,"service":"plain","attempts":2,"public":true}%s
  ],
  "services": [{"name":"plain","max-conns":100}],
- "limits": {"max-header-bytes":16384,"max-body-bytes":100000,"idle-timeout-ms":15000},
+ "limits": {"max-header-bytes":16384,"max-body-bytes":100000,"idle-timeout-ms":%d},
  "tenants": [{"name":"crew","api-keys":["key-1"%s],"priority":1}]
 }`
 
+// idleLimit is how long callers' connections may rest under a Fleet's first
+// state: longer than any test.
+const idleLimit = 15 * time.Second
+
 // Fleet is a gateway between the platform's store and backend servers, all in
 // this process.
 type Fleet struct {
@@ -79,6 +83,9 @@
 	Listed map[string]string
 	// Fault is what becomes of calls to the store from the start on.
 	Fault rowstore.Fault
+	// Run runs the gateway until the context ends; nil for within this process.
+	// Change then does nothing.
+	Run func(context.Context, settings.Gateway) error
 	// Unready starts the gateway with a store that knows nothing.
 	Unready bool
 }
@@ -115,10 +122,15 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	f.Stop = stop
-	first := f.settings
+	run, first := o.Run, f.settings
+	if run == nil {
+		run = func(ctx context.Context, s settings.Gateway) error {
+			return platform.ServeGateway(ctx, s, f.reload, log)
+		}
+	}
 	go func() {
 		defer close(f.Stopped)
-		if err := platform.ServeGateway(ctx, first, f.reload, log); err != nil {
+		if err := run(ctx, first); err != nil {
 			t.Error(err)
 		}
 	}()
@@ -158,7 +170,20 @@
 // Desire writes a version of the operators' document, with more routes and
 // keys as the document spells them.
 func (f *Fleet) Desire(version int, routes, keys string) {
-	f.Store.Put("op", "config", []byte(fmt.Sprintf(firstState, version, routes, keys)))
+	f.desire(version, routes, idleLimit, keys)
+}
+
+// Limit writes a version of the operators' document with a limit for idle
+// connections and waits until it is in force.
+func (f *Fleet) Limit(version int, limit time.Duration) {
+	f.t.Helper()
+	route := fmt.Sprintf(`,{"name":"mark","host":"h.example","prefix":"/mark-%d/","type":"safe","timeout-ms":2000,"service":"plain","attempts":2}`, version)
+	f.desire(version, route, limit, "")
+	f.Wait("the limit is in force", func() bool { return f.Call(fmt.Sprintf("/mark-%d/x", version), "mark").Status == http.StatusOK })
+}
+
+func (f *Fleet) desire(version int, routes string, idle time.Duration, keys string) {
+	f.Store.Put("op", "config", []byte(fmt.Sprintf(firstState, version, routes, idle.Milliseconds(), keys)))
 }
 
 // Serve starts a backend server that does as script says, and lists it.
