--- a/testbed/gateway/idle_test.go
+++ b/testbed/gateway/idle_test.go
@@ -28,7 +28,7 @@
 	f.Limit(3, higher)
 	time.Sleep(time.Until(k.rests.Add(lower + closeMargin)))
 	rested := time.Since(k.rests)
-	k.send(head("second"))
+	k.send(post("/unsafe/x", "second", 0))
 	if status, err := k.answer(); err != nil || status != 200 {
 		t.Errorf("status %d, %v, after a rest of %v under a limit of %v", status, err, rested, higher)
 	}
@@ -44,7 +44,7 @@
 	f.Limit(2, limit)
 	k := keep(t, f)
 	k.served(t, "first")
-	whole := head("second")
+	whole := post("/unsafe/x", "second", 0)
 	k.send(whole[:len(whole)/2])
 	time.Sleep(time.Until(k.rests.Add(limit + closeMargin)))
 	k.send(whole[len(whole)/2:])
@@ -85,7 +85,7 @@
 // on.
 func stoppedRound(t *testing.T, f *gateway.Fleet, process *os.Process, round int) (answered, handed int) {
 	t.Helper()
-	var all []*kept
+	var all []*keptConn
 	for n := range stoppedCallers {
 		k := keep(t, f)
 		k.served(t, fmt.Sprintf("first-%d-%d", round, n))
@@ -95,7 +95,7 @@
 		t.Fatal(err)
 	}
 	for n, k := range all {
-		k.send(head(fmt.Sprintf("second-%d-%d", round, n)))
+		k.send(post("/unsafe/x", fmt.Sprintf("second-%d-%d", round, n), 0))
 	}
 	time.Sleep(time.Until(all[len(all)-1].rests.Add(stoppedLimit + closeMargin)))
 	if err := process.Signal(syscall.SIGCONT); err != nil {
--- a/testbed/gateway/kept_test.go
+++ b/testbed/gateway/kept_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,8 +14,8 @@
 // answerWithin is how long a caller waits for an answer at most.
 const answerWithin = 10 * time.Second
 
-// kept is a caller's connection that is kept open between requests.
-type kept struct {
+// keptConn is a caller's connection that is kept open between requests.
+type keptConn struct {
 	net.Conn
 	in *bufio.Reader
 	// rests is when the last answer was whole.
@@ -24,26 +23,21 @@
 }
 
 // keep opens a caller's connection to a gateway.
-func keep(t *testing.T, f *gateway.Fleet) *kept {
+func keep(t *testing.T, f *gateway.Fleet) *keptConn {
 	t.Helper()
 	c, err := net.Dial("tcp", f.Front)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	return &kept{Conn: c, in: bufio.NewReader(c)}
-}
-
-// head is the head of a request that may run once, without a body.
-func head(id string) string {
-	return fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n", id)
+	return &keptConn{Conn: c, in: bufio.NewReader(c)}
 }
 
 // send writes bytes of a request. Whether they arrive, the answer tells.
-func (k *kept) send(text string) { _, _ = io.WriteString(k, text) }
+func (k *keptConn) send(text string) { _, _ = io.WriteString(k, text) }
 
 // answer reads an answer to its end; an error says that there is none.
-func (k *kept) answer() (status int, err error) {
+func (k *keptConn) answer() (status int, err error) {
 	if err := k.SetReadDeadline(time.Now().Add(answerWithin)); err != nil {
 		return 0, err
 	}
@@ -59,9 +53,9 @@
 }
 
 // served sends a request and expects that it is served.
-func (k *kept) served(t *testing.T, id string) {
+func (k *keptConn) served(t *testing.T, id string) {
 	t.Helper()
-	k.send(head(id))
+	k.send(post("/unsafe/x", id, 0))
 	if status, err := k.answer(); err != nil || status != http.StatusOK {
 		t.Fatalf("request %s: status %d, %v", id, status, err)
 	}
