--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -36,8 +36,19 @@
 	end      Cause
 	// deadline says that a read ended by a deadline last.
 	deadline bool
+	// ahead is what came while a request was in progress. Only who reads touches
+	// it, and net/http lets one read at a time.
+	ahead []byte
 }
 
+const (
+	// mostAhead bounds what is read ahead, in bytes. A caller that has sent more
+	// isn't noticed when it leaves before its answer.
+	mostAhead = 4 << 10
+	// readAhead is how much of it is read at once, in bytes: a request's head.
+	readAhead = 512
+)
+
 // phase is what a connection does.
 type phase int
 
@@ -52,6 +63,13 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.watching(p) {
+		return c.watch(p)
+	}
+	if len(c.ahead) > 0 {
+		c.woke()
+		return c.nextAhead(p), nil
+	}
 	for {
 		n, err := c.Conn.Read(p)
 		switch {
@@ -71,6 +89,51 @@
 	}
 }
 
+// watching reports whether a read is net/http's watch on a caller whose request
+// is in progress: it is the only one for a single byte.
+func (c *Conn) watching(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(p) == 1 && c.phase == busy
+}
+
+// watch reads until the caller leaves or the watch is taken back, which net/http
+// does by a deadline. It keeps what comes meanwhile: net/http's own watch ends
+// with the first byte, and doesn't see a caller leave that sent a line end too
+// many or its next request.
+func (c *Conn) watch(p []byte) (int, error) {
+	// Most callers send nothing more: for these one byte is enough to read into.
+	piece := p
+	for len(c.ahead) < mostAhead {
+		if len(c.ahead) > 0 && len(piece) == 1 {
+			piece = make([]byte, readAhead)
+		}
+		n, err := c.Conn.Read(piece)
+		c.ahead = append(c.ahead, piece[:n]...)
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if len(c.ahead) > 0 {
+				return c.nextAhead(p), nil
+			}
+			return 0, err
+		default:
+			c.broke(err)
+			return 0, err
+		}
+	}
+	return c.nextAhead(p), nil
+}
+
+// nextAhead hands out what was read ahead.
+func (c *Conn) nextAhead(p []byte) int {
+	n := copy(p, c.ahead)
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return n
+}
+
 // woke notes that bytes of a request came.
 func (c *Conn) woke() {
 	c.mu.Lock()
--- a/internal/callers/context.go
+++ b/internal/callers/context.go
@@ -21,3 +21,16 @@
 	}
 	return End{}
 }
+
+// Reset has the connection of a request's context end with a reset when it is
+// closed, so that an answer that ends with it doesn't look whole.
+func Reset(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return
+	}
+	if lingers, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		// On a connection that is closed already there is nothing to be reset.
+		_ = lingers.SetLinger(0)
+	}
+}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -68,6 +68,9 @@
 	s.http = &http.Server{
 		Handler: c.Handler, ReadHeaderTimeout: c.HeaderTime, MaxHeaderBytes: c.MaxHeader,
 		ConnState: s.state, ConnContext: withConn, ErrorLog: errorLog(c.Log),
+		// Its own answer to a question about the whole server would be a success
+		// that no backend server gave.
+		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -122,7 +122,12 @@
 func (e *exchange) answer(resp *http.Response) *Answer {
 	e.reuse = e.reuse && !resp.Close && resp.ProtoAtLeast(1, 1)
 	e.conn.keep = keepFor(resp.Header)
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, ex: e}
+	length := resp.ContentLength
+	if resp.Request.Method == http.MethodHead {
+		// Its header tells the length that the body of another method would have.
+		length = 0
+	}
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: length, body: resp.Body, ex: e}
 }
 
 // Read reads the body. io.EOF comes only after the whole body; any other error
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -54,7 +54,11 @@
 	body     []byte
 	// bodyRead says that the body has been read, as far as it is to be.
 	bodyRead bool
-	service  string
+	// bodyLate says that the body didn't come whole in time.
+	bodyLate bool
+	// left says that the caller left before it had its answer.
+	left    bool
+	service string
 
 	// shared are the parts of the prompt that other requests share, and
 	// fetchFrom where the chosen server is to fetch what it lacks of them;
@@ -212,8 +216,7 @@
 // broken judges an attempt whose answer ended in an error.
 func (c *call) broken(ctx context.Context, server string) verdict {
 	c.mayHaveRun = true
-	if c.req.Context().Err() != nil {
-		c.note(0, ReasonCallerLeft)
+	if c.callerLeft() {
 		return done
 	}
 	if ctx.Err() == nil {
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -118,6 +118,7 @@
 	ReasonHeaderTooLarge Reason = "header_too_large"
 	ReasonMemory         Reason = "too_much_held"
 	ReasonBodyCut        Reason = "body_not_read"
+	ReasonBodyLate       Reason = "body_late"
 	ReasonNoServer       Reason = "no_server"
 	ReasonUnreachable    Reason = "servers_unreachable"
 	ReasonNotRun         Reason = "servers_refused"
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,11 @@
 	ctx, cancel := context.WithDeadline(req.Context(), c.end)
 	defer cancel()
 	c.run(ctx)
+	if c.left {
+		// Without an answer net/http would give one of its own, a success, to a
+		// caller that closed only its sending side.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // admit finds the request's route and customer, or answers it.
@@ -157,6 +163,8 @@
 		body = http.MaxBytesReader(c.w, c.req.Body, c.limit)
 	}
 	c.bodyRead = true
+	// net/http takes the deadline away when the body's end has been read.
+	_ = http.NewResponseController(c.w).SetReadDeadline(c.end)
 	var err error
 	c.body, err = readAll(body, c.req.ContentLength)
 	var tooLarge *http.MaxBytesError
@@ -165,6 +173,9 @@
 		return true
 	case errors.As(err, &tooLarge):
 		c.fail(http.StatusRequestEntityTooLarge, ReasonTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.bodyLate = true
+		c.fail(http.StatusRequestTimeout, ReasonBodyLate)
 	default:
 		c.note(0, ReasonBodyCut)
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/router/whole.go
+++ b/internal/gateway/router/whole.go
@@ -27,6 +27,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// length is the body's as the server told it; empty where it didn't.
+	length string
 }
 
 // passOn passes a server's answer on, whole or not at all.
@@ -36,9 +38,16 @@
 	if err != nil {
 		return c.unclearOrLeft()
 	}
-	held := &heldAnswer{status: answer.Status, header: c.router.Dialect.Answer(answer.Header), body: body}
+	held := &heldAnswer{status: answer.Status, header: c.router.Dialect.Answer(answer.Header), body: body, length: answer.Header.Get("Content-Length")}
 	c.first = time.Since(c.arrived)
 	switch {
+	case promisesNotRun(answer.Status):
+		// The server doesn't say that the request didn't run; its status
+		// would.
+		return unclear
+	case c.stream.begun:
+		// A failure can't be put into a stream that has begun.
+		return unclear
 	case len(body) > maxHeld:
 		return c.passOnLong(held, answer)
 	case isSuccess(answer.Status):
@@ -46,10 +55,6 @@
 		c.write(held)
 		c.note(held.status, ReasonServed)
 		return done
-	case promisesNotRun(answer.Status):
-		// The server doesn't say that the request didn't run; its status
-		// would.
-		return unclear
 	default:
 		c.failure = held
 		if ctx.Err() != nil {
@@ -61,13 +66,22 @@
 
 // unclearOrLeft judges an answer that broke off.
 func (c *call) unclearOrLeft() verdict {
-	if c.req.Context().Err() != nil {
-		c.note(0, ReasonCallerLeft)
+	if c.callerLeft() {
 		return done
 	}
 	return unclear
 }
 
+// callerLeft notes the request's end if its caller has left.
+func (c *call) callerLeft() bool {
+	if c.req.Context().Err() == nil {
+		return false
+	}
+	c.left = true
+	c.note(0, ReasonCallerLeft)
+	return true
+}
+
 // promisesNotRun reports whether a status tells the caller that the request
 // did not run and never will.
 func promisesNotRun(status int) bool {
@@ -81,7 +95,14 @@
 // write gives the caller a whole answer.
 func (c *call) write(held *heldAnswer) {
 	c.copyHeader(held.header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(held.body)))
+	length := strconv.Itoa(len(held.body))
+	if c.req.Method == http.MethodHead {
+		// The length is that of the body that a GET would have had.
+		length = held.length
+	}
+	if length != "" {
+		c.w.Header().Set("Content-Length", length)
+	}
 	c.w.WriteHeader(held.status)
 	// A caller that doesn't take the answer has left; nothing is lost by it.
 	_, _ = c.w.Write(held.body)
