program, entry: a repeated SIGTERM and an early SIGHUP end nothing; entries close connections like gateways

Cause: looked for the same class elsewhere. Change: callers.Server for the entry's two servers; SIGHUP is asked for before the settings are read; only a SIGINT ends a stopping process at once. The early SIGHUP has no test: what is left is the runtime's own start. Left as it is: the agent's server, which has nothing in progress when it is shut down, and servers between gateways, which carry no caller's request.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/callers"
 	"github.com/applepier/applepier/internal/claim"
 	"github.com/applepier/applepier/internal/entry/api"
 	"github.com/applepier/applepier/internal/entry/dispatch"
@@ -137,7 +138,7 @@
 	})
 }
 
-func (e *entry) serve(ctx context.Context, callers, operators net.Listener) error {
+func (e *entry) serve(ctx context.Context, public, operators net.Listener) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
 	wg.Go(func() { e.fleet.Run(work) })
@@ -145,14 +146,15 @@
 	wg.Go(func() { e.runDuties(ctx) })
 	callerRouter := httprouter.New()
 	e.api.Register(callerRouter)
-	callerServer := newServer(callerRouter)
-	adminServer := newServer(e.adminRoutes())
-	wg.Go(func() { _ = callerServer.Serve(callers) })
-	wg.Go(func() { _ = adminServer.Serve(operators) })
-	e.log.Info(logging.EventStarted, zap.String("listen", callers.Addr().String()), zap.String("admin_listen", operators.Addr().String()))
+	callerServer := e.newServer(public, callerRouter)
+	adminServer := e.newServer(operators, e.adminRoutes())
+	wg.Go(callerServer.Serve)
+	wg.Go(adminServer.Serve)
+	e.log.Info(logging.EventStarted, zap.String("listen", public.Addr().String()), zap.String("admin_listen", operators.Addr().String()))
 	<-ctx.Done()
 	e.drain(callerServer)
-	_ = adminServer.Shutdown(context.Background())
+	// Without an end to the wait nothing is broken off.
+	_ = adminServer.Drain(context.Background())
 	stop()
 	wg.Wait()
 	e.claimer.Close()
@@ -160,17 +162,19 @@
 }
 
 // drain ends what is in progress, however long it takes: a long answer is
-// bounded by its own timeouts, and a second signal ends the process at once.
-func (e *entry) drain(server *http.Server) {
+// bounded by its own timeouts, and a SIGINT ends the process at once.
+func (e *entry) drain(server *callers.Server) {
 	e.leaving.Store(true)
 	e.ring.Record(timeline.KindLeave, "", "", "graceful shutdown")
 	e.log.Info(logging.EventStopping, zap.Int("in_flight", e.api.InFlight()))
 	time.Sleep(drainNotice)
-	_ = server.Shutdown(context.Background())
+	// Without an end to the wait nothing is broken off.
+	_ = server.Drain(context.Background())
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout}
+func (e *entry) newServer(l net.Listener, h http.Handler) *callers.Server {
+	limit := func() time.Duration { return idleTimeout }
+	return callers.New(l, callers.Config{Handler: h, HeaderTime: headerTimeout, MaxHeader: maxHeader, Limit: limit, Log: e.log})
 }
 
 // agents gives the dispatcher its view of the fleet.
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -4,7 +4,7 @@
 const (
 	// EventStarted: the process serves.
 	EventStarted = "started"
-	// EventSignal: the process was told to stop; a second one ends it at once.
+	// EventSignal: the process was told to stop; a SIGINT after it ends it at once.
 	EventSignal = "signal"
 	// EventStopping: the graceful shutdown has begun.
 	EventStopping = "stopping"
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
@@ -17,7 +20,7 @@
 		Name:  "serve",
 		Usage: "run the process until SIGTERM or SIGINT",
 		Description: "The first signal begins a graceful shutdown: no new work is taken and what runs is ended.\n" +
-			"A second signal ends the process at once.\n\n" +
+			"A SIGINT after it ends the process at once.\n\n" +
 			"Example:\n   " + p.Name + " serve --settings " + p.Example,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagSettings, Usage: "read the settings from `FILE`", Required: true, Sources: p.settingsSources()},
@@ -37,6 +40,11 @@
 	if command.Args().Present() {
 		return Usage(command, "serve takes no arguments")
 	}
+	// Told of changed settings before it listens for that, the process would end;
+	// it reads the settings after this anyway.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	path := command.String(flagSettings)
 	settings, err := p.load(path)
 	if err != nil {
--- a/internal/program/signal.go
+++ b/internal/program/signal.go
@@ -12,11 +12,13 @@
 	"github.com/applepier/applepier/internal/logging"
 )
 
-// endAtOnce is what a second signal does.
+// endAtOnce is what an operator at a terminal does to a process that stops.
 func endAtOnce() { os.Exit(int(ExitFailure)) }
 
 // untilSignal returns a context that the first SIGTERM or SIGINT cancels; a
-// second one calls atOnce. Release stops listening.
+// SIGINT after it calls atOnce. Another SIGTERM does nothing more: what stops
+// processes may say so twice, and requests are in progress. Release stops
+// listening.
 func untilSignal(parent context.Context, log *zap.Logger, atOnce func()) (ctx context.Context, release func()) {
 	ctx, cancel := context.WithCancel(parent)
 	signals := make(chan os.Signal, 2)
@@ -33,11 +35,19 @@
 }
 
 func listen(signals <-chan os.Signal, done <-chan struct{}, log *zap.Logger, first, second func()) {
-	for _, act := range []func(){first, second} {
+	stopping := false
+	for {
 		select {
 		case received := <-signals:
 			log.Info(logging.EventSignal, logging.Reason(received.String()))
-			act()
+			switch {
+			case !stopping:
+				stopping = true
+				first()
+			case received == syscall.SIGINT:
+				second()
+				return
+			}
 		case <-done:
 			return
 		}
--- a/internal/program/signal_test.go
+++ b/internal/program/signal_test.go
@@ -5,9 +5,11 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -28,6 +30,21 @@
 	<-atOnce
 }
 
+// What stops processes may say so twice; what is in progress still ends.
+func TestRepeatedTermEndsNothingAtOnce(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	ctx, release := untilSignal(t.Context(), zap.New(core), func() { t.Error("ended at once") })
+	signalSelf(t, syscall.SIGTERM)
+	<-ctx.Done()
+	signalSelf(t, syscall.SIGTERM)
+	for deadline := time.Now().Add(10 * time.Second); lines.Len() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the second signal wasn't seen")
+		}
+	}
+	release()
+}
+
 func TestReleaseWithoutSignal(t *testing.T) {
 	ctx, release := untilSignal(t.Context(), zap.NewNop(), func() { t.Error("ended at once") })
 	release()
