--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -164,12 +163,10 @@
 // Serve starts a backend server that does as script says, and lists it.
 func (f *Fleet) Serve(instance string, script Script) *Server {
 	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := Listen("127.0.0.1:0", instance, script, f.arrived)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	s := &Server{Instance: instance, Addr: l.Addr().String(), fleet: f, listener: l, script: script, conns: map[net.Conn]bool{}}
-	go s.accept()
 	f.t.Cleanup(s.Stop)
 	f.List(s, "ready")
 	return s
--- a/testbed/gateway/server.go
+++ b/testbed/gateway/server.go
@@ -34,7 +34,8 @@
 	// Instance is the id of its start.
 	Instance string
 	Addr     string
-	fleet    *Fleet
+	// arrived is told of each request.
+	arrived  func(*Arrival)
 	listener net.Listener
 	// mu guards what follows, and Instance once it serves; nothing is locked
 	// while it is held.
@@ -43,6 +44,18 @@
 	conns  map[net.Conn]bool
 }
 
+// Listen starts a server on a host:port that does as script says and tells of
+// each request that reaches it.
+func Listen(addr, instance string, script Script, arrived func(*Arrival)) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{Instance: instance, Addr: l.Addr().String(), arrived: arrived, listener: l, script: script, conns: map[net.Conn]bool{}}
+	go s.accept()
+	return s, nil
+}
+
 // Answer scripts a whole answer, signed.
 func Answer(body string) Script {
 	return func(c net.Conn, a *Arrival) bool {
@@ -197,7 +210,7 @@
 		if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != instance {
 			script = Refuse(http.StatusMisdirectedRequest)
 		}
-		s.fleet.arrived(a)
+		s.arrived(a)
 		// Whatever comes before the answer is given is the connection's end.
 		next := make(chan byte, 1)
 		go func() {
