testbed: delays of a path vary, addresses are given back, a check is strict again

A path's constant delay meets an idle timer only by chance.

Change: addresses are released; each piece of data is delayed by a time of its own.

--- a/testbed/soak/check.go
+++ b/testbed/soak/check.go
@@ -121,8 +121,8 @@
 	}
 	for _, a := range arrivals {
 		// An answer of which a part has been passed on ends where the
-		// server's does.
-		if x.hit(a.Server, c) || a.Broke && c.Status != 0 {
+		// server's does; before that there is still another one to give.
+		if x.hit(a.Server, c) || a.Cut && c.Status != 0 {
 			return false
 		}
 	}
--- a/testbed/soak/check_test.go
+++ b/testbed/soak/check_test.go
@@ -68,10 +68,10 @@
 		{"unsigned", func(h *History) { h.Calls[safeCall].Signed = false }, checkOwn},
 		{"stray bytes", func(h *History) { h.Calls[safeCall].Stray = true }, checkOwn},
 		{"another's bytes in part", func(h *History) {
-			h.Calls[safeCall].Whole, h.Calls[safeCall].Body, h.Arrivals[safeCall].Broke = false, "other", true
+			h.Calls[safeCall].Whole, h.Calls[safeCall].Body, h.Arrivals[safeCall].Cut = false, "other", true
 		}, checkOwn},
 		{"a part that doesn't look whole", func(h *History) {
-			h.Calls[safeCall].Whole, h.Calls[safeCall].Body, h.Arrivals[safeCall].Broke = false, h.Calls[safeCall].Body[:3], true
+			h.Calls[safeCall].Whole, h.Calls[safeCall].Body, h.Arrivals[safeCall].Cut = false, h.Calls[safeCall].Body[:3], true
 		}, ""},
 		{"ran twice", func(h *History) { h.again(unsafeCall) }, checkOnce},
 		{"a stream ran twice", func(h *History) { h.again(streamCall) }, checkOnce},
@@ -85,11 +85,12 @@
 		{"503 and refused", func(h *History) { h.Calls[unsafeCall].Status, h.Arrivals[unsafeCall].Ran = 503, false }, ""},
 		{"cut", func(h *History) { h.closed(unsafeCall) }, checkLost},
 		{"cut after a server refused", func(h *History) { h.closed(unsafeCall); h.Arrivals[unsafeCall].Ran = false }, checkLost},
-		{"cut where the server dropped it", func(h *History) { h.closed(safeCall); h.Arrivals[safeCall].Broke = true }, checkLost},
+		{"cut where the server dropped it", func(h *History) { h.closed(safeCall); h.Arrivals[safeCall].Script = "drop" }, checkLost},
+		{"cut where the server broke off its answer", func(h *History) { h.closed(safeCall); h.Arrivals[safeCall].Cut = true }, checkLost},
 		{"cut within the grace period", func(h *History) { c := h.closed(unsafeCall); c.Sent, c.Done = at(19.5), at(25.9); c.Key = lastingKey }, checkLost},
 		{"cut in the midst", func(h *History) { h.Calls[safeCall].Whole, h.Calls[safeCall].Body = false, "" }, checkLost},
 		{"cut in the midst by the server", func(h *History) {
-			h.Calls[safeCall].Whole, h.Calls[safeCall].Body, h.Arrivals[safeCall].Broke = false, "", true
+			h.Calls[safeCall].Whole, h.Calls[safeCall].Body, h.Arrivals[safeCall].Cut = false, "", true
 		}, ""},
 		{"cut in the midst when the time is up", func(h *History) {
 			c := &h.Calls[safeCall]
@@ -102,7 +103,7 @@
 		{"cut on a new connection", func(h *History) { h.closed(unsafeCall).Before = 0 }, ""},
 		{"not written whole", func(h *History) { h.closed(unsafeCall).Written = false }, ""},
 		{"an event is missing", func(h *History) {
-			h.Calls[streamCall].Whole, h.Arrivals[streamCall].Broke = false, true
+			h.Calls[streamCall].Whole, h.Arrivals[streamCall].Cut = false, true
 			h.Calls[streamCall].Body = eventOf(kindStream, 1) + eventOf(kindStream, 3)
 		}, checkOrder},
 		{"an event comes twice", func(h *History) { h.Calls[streamCall].Body = eventOf(kindStream, 1) + h.Calls[streamCall].Body }, checkOrder},
--- a/testbed/soak/gatewayprocess.go
+++ b/testbed/soak/gatewayprocess.go
@@ -104,6 +104,7 @@
 		return err
 	}
 	g.mu.Lock()
+	ports.Release(g.listen)
 	g.listen = addr
 	g.mu.Unlock()
 	g.front.lead(addr)
--- a/testbed/soak/history.go
+++ b/testbed/soak/history.go
@@ -40,11 +40,11 @@
 	ID     string
 	Server string
 	At     time.Time
-	// Script is what the server did with it, Ran whether that is a run, and
-	// Broke whether the server itself broke off or spoilt the answer.
+	// Script is what the server did with it, Ran whether that is a run, and Cut
+	// whether the server broke off an answer that it had begun.
 	Script string
 	Ran    bool
-	Broke  bool
+	Cut    bool
 }
 
 // Fault is something unplanned that hit a process or a path; Who is the name of
--- a/testbed/soak/proxy.go
+++ b/testbed/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -35,9 +36,10 @@
 	// mu guards what follows; nothing is locked while it is held.
 	mu     sync.Mutex
 	target string
-	delay  time.Duration
-	cut    [directions]int
-	conns  map[net.Conn]net.Conn
+	// least and most bound the delay, which is drawn for each piece of data.
+	least, most time.Duration
+	cut         [directions]int
+	conns       map[net.Conn]net.Conn
 }
 
 // newProxy opens a path to a host:port at an address.
@@ -60,11 +62,12 @@
 	p.target = target
 }
 
-// slow delays what comes from now on.
-func (p *proxy) slow(delay time.Duration) {
+// slow delays what comes from now on, each piece of data by a time of its own;
+// those of one connection keep their order.
+func (p *proxy) slow(least, most time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.delay = delay
+	p.least, p.most = least, most
 }
 
 // silence cuts a direction, or lifts one such cut: what came meanwhile passes
@@ -156,7 +159,7 @@
 				due = l.reserve(n, now)
 			}
 			p.mu.Lock()
-			due = due.Add(p.delay)
+			due = due.Add(p.least + rand.N(p.most-p.least+1))
 			p.mu.Unlock()
 			way <- chunk{data[:n], due}
 			if err != nil {
--- a/testbed/soak/rig.go
+++ b/testbed/soak/rig.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/testbed/fleet"
+	"github.com/applepier/applepier/testbed/ports"
 )
 
 const (
@@ -88,14 +89,17 @@
 		_ = g.Kill()
 		g.front.close()
 		g.store.close()
+		ports.Release(g.addr(), g.admin, g.peers, g.front.addr(), g.store.addr())
 	}
 	for _, s := range r.servers {
 		if s.Process != nil {
 			_ = s.Kill()
 		}
 		s.path.close()
+		ports.Release(s.listen, s.control, s.path.addr())
 	}
 	_ = r.store.Kill()
+	ports.Release(r.store.listen, r.store.control)
 	r.programs.Close()
 }
 
--- a/testbed/soak/script.go
+++ b/testbed/soak/script.go
@@ -50,9 +50,6 @@
 	}
 }
 
-// broke says that a server that follows a script spoils its answers.
-func broke(name string) bool { return name != "well" && name != "slow" && name != "refuse" }
-
 // after works for a while, which the request's id draws.
 func after(most uint64, then gateway.Script) gateway.Script {
 	return func(c net.Conn, a *gateway.Arrival) bool {
--- a/testbed/soak/standin.go
+++ b/testbed/soak/standin.go
@@ -42,7 +42,7 @@
 	recorded := func(as string) gateway.Script {
 		do := script(as)
 		return func(c net.Conn, a *gateway.Arrival) bool {
-			arrival := Arrival{ID: a.ID, Server: name, At: time.Now(), Script: as, Ran: as != "refuse", Broke: broke(as)}
+			arrival := Arrival{ID: a.ID, Server: name, At: time.Now(), Script: as, Ran: as != "refuse", Cut: as == "half"}
 			writing.Lock()
 			// Written before it runs, so that no run of a killed process is
 			// missing.
--- a/testbed/soak/trouble.go
+++ b/testbed/soak/trouble.go
@@ -89,9 +89,9 @@
 		g.front.reset()
 		lifted()
 	case kindDelay:
-		g.front.slow(delayLeast + time.Duration(s.How)*time.Millisecond%(delayMost-delayLeast))
+		g.front.slow(delayLeast, delayLeast+time.Duration(s.How)*time.Millisecond%(delayMost-delayLeast))
 		sleep(ctx, s.For)
-		g.front.slow(0)
+		g.front.slow(0, 0)
 	case kindHangUp:
 		g.hangUp()
 	case kindSettings:
@@ -198,8 +198,8 @@
 		return r.store.fault(context.WithoutCancel(ctx), rowstore.Well)
 	case kindSlow:
 		for _, g := range r.gateways {
-			g.store.slow(storeDelay)
-			defer g.store.slow(0)
+			g.store.slow(storeDelay, storeDelay)
+			defer g.store.slow(0, 0)
 		}
 		sleep(ctx, s.For)
 	case kindStoreCut:
