--- a/testbed/soak/rig.go
+++ b/testbed/soak/rig.go
@@ -15,9 +15,12 @@
 )
 
 const (
+	// servers are enough that half of them can be in trouble.
 	servers = 5
-	// callersEach is how many callers a gateway has.
+	// callersEach is how many callers a gateway has: a small VM's part of a core
+	// bears them.
 	callersEach = 30
+	// lookEvery is how often a gateway's metrics and descriptors are looked at.
 	lookEvery   = 150 * time.Millisecond
 	startWithin = 20 * time.Second
 )
