policy: a play that fails: urgent questions are refused as their streams add up, beside summaries let in until then

Until then some 180 summaries a second are let in, each of which a server reads for as long as four or five questions while all streams there wait; what levels leave follows refusals alone, and comes after.

--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -31,8 +31,10 @@
 	// told last. Begun counts requests that got a first token, late or not, and
 	// longest is the longest queue that an engine has had for want of slots.
 	expectUnseen bool
-	begun        map[string]int
-	longest      int
+	// readingDelays says that streams stand still while a prompt is read.
+	readingDelays bool
+	begun         map[string]int
+	longest       int
 }
 
 const (
@@ -48,7 +50,9 @@
 	queue   []*directRequest
 	reading *directRequest
 	running int
-	kept    []uint64
+	// read is for how long prompts have been read.
+	read time.Duration
+	kept []uint64
 }
 
 type directSender struct {
@@ -263,7 +267,9 @@
 			tokens += prefix.Upto
 			e.play.readMore += prefix.Upto
 		}
-		e.play.after(firstStep/4+time.Duration(float64(tokens)/directRate*float64(time.Millisecond)), func() { e.first(r) })
+		takes := firstStep/4 + time.Duration(float64(tokens)/directRate*float64(time.Millisecond))
+		e.read += takes
+		e.play.after(takes, func() { e.first(r) })
 	}
 }
 
@@ -306,13 +312,25 @@
 	if p.now-r.arrived <= r.job.Target && r.arrived >= p.countFrom {
 		p.onTime[r.class]++
 	}
-	p.after(r.holds, func() {
+	e.hold(r.holds, func() {
 		e.running--
 		s.own[r.engine].Running--
 		e.next()
 	})
 }
 
+// hold ends a stream after a time, and after what it was delayed by.
+func (e *directEngine) hold(d time.Duration, end func()) {
+	read := e.read
+	e.play.after(d, func() {
+		if delayed := e.read - read; e.play.readingDelays && delayed > 0 {
+			e.hold(delayed, end)
+			return
+		}
+		end()
+	})
+}
+
 func (p *directPlay) run(until time.Duration) {
 	p.after(0, p.tell)
 	for len(p.events) > 0 && p.events[0].at <= until {
--- a/policy/shortage_play_test.go
+++ b/policy/shortage_play_test.go
@@ -70,3 +70,36 @@
 		t.Errorf("%d of %d questions late", late, arrived)
 	}
 }
+
+// questionsRise plays questions whose rate rises nearly threefold, beside summaries.
+// Engines read a summary for as long as four questions, and all streams stand
+// still meanwhile. The questions fit alone, with what is read for them.
+func questionsRise() *directPlay {
+	p := newDirectPlay(24, 28, true)
+	p.expectUnseen, p.readingDelays = true, true
+	p.countFrom = 4 * time.Second
+	question := func() Job { return Job{Zone: "z", Urgency: 3, Target: 300 * time.Millisecond, Tokens: 800} }
+	const holds, summaryHolds = 2 * time.Second, 500 * time.Millisecond
+	p.stream("question", 130, 0, 4*time.Second, question, holds)
+	p.stream("question", 380, 4*time.Second, 8*time.Second, question, holds)
+	p.stream("summary", 130, 0, 8*time.Second, func() Job {
+		return Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 3200}
+	}, summaryHolds)
+	p.run(14 * time.Second)
+	return p
+}
+
+// A burst of what is urgent fills the slots only as its streams add up. What is
+// less urgent leaves the servers to it before the first is refused.
+func TestUrgentFindSlotsAsTheyRise(t *testing.T) {
+	p := questionsRise()
+	arrived, begun, inTime := p.arrived["question"], p.begun["question"], p.onTime["question"]
+	t.Logf("of %d questions %d began and %d in time; summaries in time %d of %d; longest queue for a slot %d",
+		arrived, begun, inTime, p.onTime["summary"], p.arrived["summary"], p.longest)
+	if missed := arrived - inTime; 12*missed > arrived {
+		t.Errorf("%d of %d questions got nothing or late beside %d summaries", missed, arrived, p.onTime["summary"])
+	}
+	if 16*p.onTime["summary"] < p.arrived["summary"] {
+		t.Errorf("%d of %d summaries in time: nearly all are refused", p.onTime["summary"], p.arrived["summary"])
+	}
+}
