--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -19,8 +19,14 @@
 	"github.com/applepier/applepier/internal/gateway/protocol"
 )
 
-// defaultPatience bounds a request whose caller and route both don't.
-const defaultPatience = 60 * time.Second
+const (
+	// defaultPatience bounds a request whose caller and route both don't.
+	defaultPatience = 60 * time.Second
+	// takeTime is how long after its answer is due a caller may still take it: a
+	// few times what a lost packet costs. One that reads no more would keep its
+	// part of the memory, and hold up a graceful stop, for as long as it likes.
+	takeTime = 2 * time.Second
+)
 
 // Router serves callers. It implements http.Handler.
 type Router struct {
@@ -67,6 +73,8 @@
 	if !c.readBody() {
 		return
 	}
+	// Where it can't be set the connection is gone.
+	_ = http.NewResponseController(w).SetWriteDeadline(c.end.Add(takeTime))
 	ctx, cancel := context.WithDeadline(req.Context(), c.end)
 	defer cancel()
 	c.run(ctx)
