callers: heads in any pieces, line ends too many, stops under a request that begins

Change: a phase of its own for a request that has begun to come, with the head's time; a watch is a single byte after the deadline was taken away; nothing follows what a stop lets end; the last look takes 250 ms, for processes that get none of a core for a tenth of a second; net/http's empty success no longer passes for an answer in the tests.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -31,53 +31,38 @@
 	// looked says that the connection is being looked at once more.
 	looked bool
 	// leaving says that the process stops: rests are over at once.
-	leaving  bool
+	leaving bool
+	// watched says that the next read is net/http's watch on the caller.
+	watched  bool
 	requests int
 	end      Cause
-	// deadline says that a read ended by a deadline last.
+	// deadline says that a read ended by a deadline during the last request.
 	deadline bool
-	// ahead is what came while a request was in progress. Only who reads touches
-	// it, and net/http lets one read at a time.
+	// ahead is what came while a request was in progress, and begun says that
+	// some of that was handed out and is a request's. Only who reads touches
+	// them, and net/http lets one read at a time.
 	ahead []byte
+	begun bool
 }
 
-const (
-	// mostAhead bounds what is read ahead, in bytes. A caller that has sent more
-	// isn't noticed when it leaves before its answer.
-	mostAhead = 4 << 10
-	// readAhead is how much of it is read at once, in bytes: a request's head.
-	readAhead = 512
-)
-
-// phase is what a connection does.
-type phase int
-
-const (
-	// fresh: it was opened, and nothing came yet.
-	fresh phase = iota
-	// resting: the last answer has been given, and nothing came since.
-	resting
-	// busy: bytes of a request came, and it hasn't had its whole answer.
-	busy
-)
-
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.watching(p) {
+	if c.watches(p) {
 		return c.watch(p)
 	}
 	if len(c.ahead) > 0 {
-		c.woke()
-		return c.nextAhead(p), nil
+		n := c.nextAhead(p)
+		c.woke(p[:n])
+		return n, nil
 	}
 	for {
 		n, err := c.Conn.Read(p)
 		switch {
 		case n > 0:
-			c.woke()
+			c.woke(p[:n])
 			return n, err
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if again, failed := c.goesOn(); failed != nil || !again {
+			if !c.goesOn() {
 				return 0, err
 			}
 		case err != nil:
@@ -89,83 +74,48 @@
 	}
 }
 
-// watching reports whether a read is net/http's watch on a caller whose request
-// is in progress: it is the only one for a single byte.
-func (c *Conn) watching(p []byte) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(p) == 1 && c.phase == busy
-}
-
-// watch reads until the caller leaves or the watch is taken back, which net/http
-// does by a deadline. It keeps what comes meanwhile: net/http's own watch ends
-// with the first byte, and doesn't see a caller leave that sent a line end too
-// many or its next request.
-func (c *Conn) watch(p []byte) (int, error) {
-	// Most callers send nothing more: for these one byte is enough to read into.
-	piece := p
-	for len(c.ahead) < mostAhead {
-		if len(c.ahead) > 0 && len(piece) == 1 {
-			piece = make([]byte, readAhead)
-		}
-		n, err := c.Conn.Read(piece)
-		c.ahead = append(c.ahead, piece[:n]...)
-		switch {
-		case err == nil:
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			if len(c.ahead) > 0 {
-				return c.nextAhead(p), nil
-			}
-			return 0, err
-		default:
-			c.broke(err)
-			return 0, err
-		}
-	}
-	return c.nextAhead(p), nil
-}
-
-// nextAhead hands out what was read ahead.
-func (c *Conn) nextAhead(p []byte) int {
-	n := copy(p, c.ahead)
-	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
-		c.ahead = nil
-	}
-	return n
-}
-
-// woke notes that bytes of a request came.
-func (c *Conn) woke() {
+// woke notes what came: a request's first byte ends a rest, and from it on its
+// head has its time. Line ends between requests, which some callers send too many
+// of, are none.
+func (c *Conn) woke(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != busy {
-		c.phase, c.looked, c.rested = busy, false, time.Since(c.since)
+	if c.phase != fresh && c.phase != resting || blank(p) {
+		return
 	}
+	c.phase, c.rested = begun, time.Since(c.since)
+	// On a connection that fails here the next read fails too.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.headTime))
 }
 
-// goesOn reports whether to read on after a deadline for reading has passed,
-// under another deadline. It isn't to while a request is in progress: then the
-// deadline is net/http's own.
-func (c *Conn) goesOn() (bool, error) {
+// goesOn reports whether to read on, under another deadline, after one has passed.
+// It isn't to while a request is in progress: then the deadline is net/http's or
+// the handler's own.
+func (c *Conn) goesOn() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == busy || c.phase == fresh && !c.leaving {
+	if c.phase != resting && (c.phase != fresh || !c.leaving) {
 		c.deadline = true
-		return false, nil
+		c.mu.Unlock()
+		return false
 	}
 	now := time.Now()
-	due := c.due()
+	next := c.due()
 	switch {
-	case now.Before(due):
-		// The limit was raised, or the process began to stop.
-		return true, c.Conn.SetReadDeadline(due)
+	case now.Before(next):
+		// The limit was raised.
 	case !c.looked:
 		c.looked = true
-		return true, c.Conn.SetReadDeadline(now.Add(lastLook))
+		next = now.Add(lastLook)
 	default:
-		c.over(now)
-		return false, nil
+		c.phase, c.end = over, CauseIdle
+		rested, requests := now.Sub(c.since), c.requests
+		c.mu.Unlock()
+		c.server.idled(c.RemoteAddr(), rested, requests)
+		return false
 	}
+	err := c.Conn.SetReadDeadline(next)
+	c.mu.Unlock()
+	return err == nil
 }
 
 // due is when the rest is over under the limit in force. The lock is held.
@@ -180,48 +130,46 @@
 	}
 }
 
-// over notes that the connection ends because it rests. The lock is held.
-func (c *Conn) over(now time.Time) {
-	if c.end != CauseNone {
-		return
-	}
-	c.end = CauseIdle
-	c.server.idled(c.RemoteAddr(), now.Sub(c.since), c.requests)
-}
-
 // SetReadDeadline implements net.Conn. net/http sets none while a connection
-// rests, and this is where the end of its rest comes in.
+// rests, and this is where the end of its rest comes in; and none before it
+// watches a caller whose request is in progress.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == resting && t.IsZero() || c.phase == fresh && c.leaving {
+	c.watched = c.phase == busy && t.IsZero()
+	switch {
+	case c.phase == resting && t.IsZero(), c.phase == fresh && c.leaving:
 		t = c.due()
+	case c.phase == begun && t.IsZero():
+		t = time.Now().Add(c.server.headTime)
+	case c.phase == over:
+		t = c.since
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// lower has the rest end by the limit in force.
-func (c *Conn) lower() {
+// leave has the connection end as soon as it rests.
+func (c *Conn) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == resting && !c.looked {
+	c.leaving = true
+	if c.phase == fresh || c.phase == resting {
 		// On a connection that is closed already there is nothing to be ended.
 		_ = c.Conn.SetReadDeadline(c.due())
 	}
 }
 
-// leave has the connection end as soon as it rests.
-func (c *Conn) leave() {
+// lower has the rest end by the limit in force.
+func (c *Conn) lower() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leaving = true
-	if c.phase != busy {
+	if c.phase == resting && !c.looked {
 		// On a connection that is closed already there is nothing to be ended.
 		_ = c.Conn.SetReadDeadline(c.due())
 	}
 }
 
-// state notes what net/http says of the connection.
+// state notes what net/http says of the connection, from who reads it.
 func (c *Conn) state(s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -229,16 +177,26 @@
 	case http.StateNew:
 		c.since = time.Now()
 	case http.StateActive:
-		c.requests++
-		c.deadline = false
-		if c.phase != busy {
-			// Its head came with the request before, and no byte since.
-			c.phase, c.rested = busy, 0
-			// A connection that fails here fails the request's next read too.
-			_ = c.Conn.SetReadDeadline(time.Time{})
+		if c.phase == resting {
+			// Its head came together with the request before.
+			c.rested = 0
 		}
+		c.phase, c.deadline, c.begun = busy, false, false
+		c.requests++
+		// The head's time is over. A connection that fails here fails the
+		// request's next read too.
+		_ = c.Conn.SetReadDeadline(time.Time{})
 	case http.StateIdle:
-		c.phase, c.since = resting, time.Now()
+		c.since, c.looked, c.watched = time.Now(), false, false
+		switch {
+		case c.leaving:
+			// What would follow would be broken off at the end of the stop.
+			c.phase, c.ahead = over, nil
+		case c.begun || !blank(c.ahead):
+			c.phase, c.rested = begun, 0
+		default:
+			c.phase = resting
+		}
 	}
 }
 
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -22,12 +22,13 @@
 	idleMargin = time.Second
 	// lastLook is how long a connection whose rest is over is looked at once
 	// more. What has arrived is seen at once; the time is for a process that
-	// stands still between setting the deadline and reading, on a VM with a
-	// small part of a core.
-	lastLook = 50 * time.Millisecond
+	// stands still between setting the deadline and reading: a VM with a small
+	// part of a core gets none for up to a tenth of a second.
+	lastLook = 250 * time.Millisecond
 	// firstRequest is how long a connection that was opened just before a stop
-	// may take to ask: an opening request that was lost is sent again within.
-	firstRequest = time.Second
+	// may take to ask. Requests that are taken later would be broken off at the
+	// end of a short grace period.
+	firstRequest = 250 * time.Millisecond
 )
 
 // Config is what a Server needs.
@@ -48,6 +49,7 @@
 	http     *http.Server
 	listener net.Listener
 	limit    func() time.Duration
+	headTime time.Duration
 	log      *zap.Logger
 	// accepted is closed when no connection comes any more.
 	accepted chan struct{}
@@ -62,7 +64,7 @@
 // New returns a Server. It owns the listener.
 func New(l net.Listener, c Config) *Server {
 	s := &Server{
-		listener: l, limit: c.Limit, log: c.Log,
+		listener: l, limit: c.Limit, headTime: c.HeaderTime, log: c.Log,
 		accepted: make(chan struct{}), open: map[*Conn]struct{}{}, empty: make(chan struct{}),
 	}
 	s.http = &http.Server{
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -57,7 +57,7 @@
 func newSite(t *testing.T, handler http.HandlerFunc, log *zap.Logger) *site {
 	s := &site{t: t, pipes: &pipes{make(chan net.Conn), make(chan struct{})}, over: make(chan struct{})}
 	s.limit.Store(int64(10 * time.Second))
-	s.Server = New(s.pipes, Config{Handler: handler, HeaderTime: 10 * time.Second, MaxHeader: 1 << 16, Limit: s.inForce, Log: log})
+	s.Server = New(s.pipes, Config{Handler: handler, HeaderTime: headTime, MaxHeader: 1 << 16, Limit: s.inForce, Log: log})
 	go func() { defer close(s.over); s.Serve() }()
 	return s
 }
@@ -78,6 +78,12 @@
 	return theirs, bufio.NewReader(theirs)
 }
 
+// headTime bounds the reading of a head.
+const headTime = 10 * time.Second
+
+// whole is an answer's body.
+const whole = "done"
+
 const get = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
 
 func answered(in *bufio.Reader) error {
@@ -85,7 +91,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = io.ReadAll(resp.Body)
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && (resp.StatusCode != http.StatusOK || string(body) != whole) {
+		err = errors.Errorf("status %d, %q", resp.StatusCode, body)
+	}
 	return err
 }
 
@@ -102,10 +111,10 @@
 		select {
 		case <-time.After(long):
 		case <-r.Context().Done():
-			return
+			panic(http.ErrAbortHandler)
 		}
 	}
-	_, _ = io.WriteString(w, "done")
+	_, _ = io.WriteString(w, whole)
 }
 
 func TestRestsEndAfterTheLimitInForce(t *testing.T) {
@@ -255,13 +264,54 @@
 		if err := answered(worksIn); err != nil {
 			t.Errorf("a request in progress: %v", err)
 		}
-		if took := <-drained; took != 3*time.Second+lastLook {
+		if took := <-drained; took != 3*time.Second {
 			t.Errorf("drained after %v", took)
 		}
 		<-s.over
 	})
 }
 
+// What was in progress at a stop ends, and nothing follows it on its connection:
+// a request that is taken late would be broken off at the end of the grace
+// period.
+func TestNothingFollowsWhatADrainLetsEnd(t *testing.T) {
+	for name, beside := range map[string]string{"asked after the answer": "", "asked beside the request": get} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var handed atomic.Int32
+				s := newSite(t, func(w http.ResponseWriter, r *http.Request) { handed.Add(1); lasting(w, r) }, zap.NewNop())
+				c, in := s.dial()
+				if _, err := io.WriteString(c, "GET /3s HTTP/1.1\r\nHost: h.example\r\n\r\n"); err != nil {
+					t.Fatal(err)
+				}
+				synctest.Wait()
+				if _, err := io.WriteString(c, beside); err != nil {
+					t.Fatal(err)
+				}
+				drained := make(chan error)
+				go func() { drained <- s.Drain(t.Context()) }()
+				if err := answered(in); err != nil {
+					t.Error(err)
+				}
+				if beside == "" {
+					// Whether it can still be written is up to the server.
+					_, _ = io.WriteString(c, get)
+				}
+				if err := answered(in); err == nil {
+					t.Error("a request that followed was answered")
+				}
+				if err := <-drained; err != nil {
+					t.Error(err)
+				}
+				<-s.over
+				if n := handed.Load(); n != 1 {
+					t.Errorf("%d requests were handed on", n)
+				}
+			})
+		})
+	}
+}
+
 func TestDrainBreaksOffWhatLastsTooLong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, lasting, zap.NewNop())
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -170,6 +171,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = io.ReadAll(resp.Body)
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && string(body) != "done" {
+		err = errors.New("another body: " + string(body))
+	}
 	return err
 }
--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -85,6 +85,9 @@
 	// Run runs the gateway until the context ends; nil for within this process.
 	// Change then does nothing.
 	Run func(context.Context, settings.Gateway) error
+	// StoreRate is how fast the store's answers come, in bytes a second; 0 for no
+	// bound.
+	StoreRate int
 	// Unready starts the gateway with a store that knows nothing.
 	Unready bool
 }
@@ -100,7 +103,7 @@
 		f.Store.Put("gateways", name, []byte(addr))
 	}
 	f.Store.SetFault(o.Fault)
-	web := httptest.NewServer(f.Store)
+	web := httptest.NewServer(slowLink{f.Store, o.StoreRate})
 	t.Cleanup(func() { f.Store.SetFault(rowstore.Busy); web.CloseClientConnections(); web.Close() })
 	f.Front, f.Admin = ports.For(t), ports.For(t)
 	if o.Name == "" {
