platform, gateway: a large desired state comes over a narrow link; what nobody waits for isn't sent

Besides, after 0.3 s the same state was asked of another gateway and came over the same link, in front of callers' requests: the 0.15 to 0.32 s that these waited in the incident are of that. (2) A request whose caller had left by then was written to a kept connection.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -63,6 +63,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ctx.Err(); err != nil {
+		// Nobody waits for it any more: a server needn't begin with it.
+		p.give(c)
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
 	e := &exchange{pool: p, conn: c, ctx: ctx, reuse: true}
 	e.release = context.AfterFunc(ctx, c.close)
 	if err := e.write(r.bytes()); err != nil {
--- a/internal/gateway/exchange/exchange_test.go
+++ b/internal/gateway/exchange/exchange_test.go
@@ -49,6 +49,40 @@
 	return req.Header.Get("Id"), true
 }
 
+// What nobody waits for any more doesn't reach a server, on a kept connection
+// either.
+func TestCancelledRequestIsNotSent(t *testing.T) {
+	var arrived atomic.Int32
+	addr, opened := scripted(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			id, ok := take(in)
+			if !ok {
+				return
+			}
+			arrived.Add(1)
+			_, _ = io.WriteString(c, reply(id, "whole"))
+		}
+	})
+	p := NewPool()
+	if _, err := ask(t, p, addr, "1", nil); err != nil {
+		t.Fatal(err)
+	}
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		_, err := p.Do(cancelled, Peer{Addr: addr, Instance: "i"}, &Request{Method: http.MethodPost, Target: "/", Header: http.Header{"Id": {"2"}}, Young: time.Hour, Mine: func(http.Header) bool { return true }})
+		if !errors.Is(err, ErrNotSent) {
+			t.Fatalf("got %v", err)
+		}
+	}
+	if _, err := ask(t, p, addr, "3", nil); err != nil {
+		t.Fatal(err)
+	}
+	if arrived.Load() != 2 || opened.Load() != 1 {
+		t.Errorf("%d requests arrived on %d connections", arrived.Load(), opened.Load())
+	}
+}
+
 func reply(id, body string) string {
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -102,6 +102,9 @@
 	// Hurry is asked while the store holds an answer back; when it says so the
 	// call is given up and made anew, to be answered at once. May be nil.
 	Hurry func() bool
+	// Arriving says whether an answer is on its way, which isn't given up then; may
+	// be nil.
+	Arriving *atomic.Bool
 	// Store is what all followers of one store know of its health; may be nil.
 	// Leads says that this one asks while the store is away: the others wait for
 	// its success, so that an outage costs the calls of one.
@@ -149,6 +152,10 @@
 
 // step makes one call and hands on what came.
 func (f *Follower[T]) step(ctx context.Context, at uint64, known bool) (uint64, error) {
+	if f.Arriving != nil {
+		ctx = withArrival(ctx, func() { f.Arriving.Store(true) })
+		defer f.Arriving.Store(false)
+	}
 	moment := boottime.Now()
 	if !known {
 		batch, err := f.Source.Read(ctx)
@@ -186,7 +193,7 @@
 	var watch conc.WaitGroup
 	watch.Go(func() {
 		for pause.For(call, hurryEvery); call.Err() == nil; pause.For(call, hurryEvery) {
-			if f.Hurry() {
+			if f.Hurry() && (f.Arriving == nil || !f.Arriving.Load()) {
 				hurried.Store(true)
 				giveUp()
 			}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,8 +39,7 @@
 	sweepEvery = 500 * time.Millisecond
 	// headerTimeout bounds the reading of a caller's headers.
 	headerTimeout = 10 * time.Second
-	// handTimeout bounds what another gateway takes to ask for this one's state
-	// and to read it.
+	// handTimeout bounds what another gateway takes to ask for this one's state.
 	handTimeout = 2 * time.Second
 	// idleTimeout closes a connection that asks nothing, where operators set
 	// no limit.
@@ -71,8 +70,10 @@
 	router   *router.Router
 	mesh     *peers.Mesh
 	leaving  atomic.Bool
-	// store is whether the platform's store answers.
-	store follow.Health
+	// store is whether the platform's store answers, and arriving whether an
+	// answer of it about the desired state is on its way.
+	store    follow.Health
+	arriving atomic.Bool
 }
 
 // Serve runs a gateway until ctx ends, then shuts it down gracefully. Reload
@@ -165,7 +166,7 @@
 	front := newFront(public, g.router, g.idleLimit, g.log)
 	wg.Go(func() { g.sweep(work, front) })
 	back := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	hand := &http.Server{Handler: handover.Routes(g.state), ReadTimeout: handTimeout, WriteTimeout: handTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	hand := &http.Server{Handler: handover.Routes(g.state), ReadTimeout: handTimeout, WriteTimeout: handTimeout + handover.Longest, ErrorLog: zap.NewStdLog(zap.NewNop())}
 	// They return when their servers are closed.
 	wg.Go(front.Serve)
 	wg.Go(func() { _ = back.Serve(admin) })
--- a/internal/gateway/learn.go
+++ b/internal/gateway/learn.go
@@ -28,7 +28,10 @@
 			return
 		case now := <-ticker.C:
 			addr, version := g.mesh.Newest()
-			lacking := version > g.holder.Version() || !g.registry.Known()
+			// What is on its way from the store needn't come over the same link from
+			// another gateway too: a large state takes seconds there, in which
+			// callers' requests wait behind it.
+			lacking := version > g.holder.Version() && !g.arriving.Load() || !g.registry.Known()
 			if store.due(now, addr != "" && lacking) {
 				g.learn(ctx, client, addr)
 			}
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -199,8 +199,10 @@
 	defer stay.Leave()
 	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, left))
 	if errors.Is(err, exchange.ErrNotSent) {
-		c.dials++
-		c.router.unreachable(info.ID)
+		if ctx.Err() == nil {
+			c.dials++
+			c.router.unreachable(info.ID)
+		}
 		return notSent
 	}
 	c.sends++
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -50,7 +50,7 @@
 func (g *gateway) followDesired(ctx context.Context) {
 	f := follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
-		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Store: &g.store, Leads: true, Log: g.log,
+		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Store: &g.store, Leads: true, Log: g.log,
 	}
 	f.Run(ctx)
 }
