wire: only a read that waits for bytes counts as silent

Cause: the timer for a stream's silence ran from a frame to the next call of Next, whatever lay in the buffer and whatever the reader's user was busy with, and cut the stream from a goroutine of its own; a process that stood still found the timer due beside the bytes that had come. A read that waits is cut after the same three seconds as before; any bytes end the wait now, not a whole frame only.

--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,8 +19,9 @@
 const (
 	// HeartbeatEvery is how often an agent sends on a stream with no data.
 	HeartbeatEvery = 500 * time.Millisecond
-	// SilenceBound is when a stream without any frame counts as dead,
-	// whatever TCP says: four heartbeats and some room for a busy machine.
+	// SilenceBound is when a stream counts as dead that sends nothing to who
+	// waits for it, whatever TCP says: four heartbeats and some room for a busy
+	// machine.
 	SilenceBound = 3 * time.Second
 	// frameWriteTimeout bounds one frame's write to a peer that stops reading.
 	frameWriteTimeout = 10 * time.Second
@@ -50,21 +50,20 @@
 	return nil
 }
 
-// FrameReader reads frames and gives up on a stream that goes silent.
+// FrameReader reads frames and gives up on a stream that goes silent. Only a
+// read that waits for bytes counts as silent: what its user does between two
+// frames may take its time.
 type FrameReader struct {
+	from    io.Reader
 	dec     *cbor.Decoder
-	silence *time.Timer
-	silent  atomic.Bool
+	silence *Silence
 }
 
-// NewFrameReader reads frames from r; cut is called when the stream has been
-// silent for SilenceBound and must make a pending Read of r return.
+// NewFrameReader reads frames from r; cut is called when a read of r has waited
+// for SilenceBound, and must make it return.
 func NewFrameReader(r io.Reader, cut func()) *FrameReader {
-	fr := &FrameReader{dec: cbor.NewDecoder(r)}
-	fr.silence = time.AfterFunc(SilenceBound, func() {
-		fr.silent.Store(true)
-		cut()
-	})
+	fr := &FrameReader{from: r, silence: NewSilence(cut)}
+	fr.dec = cbor.NewDecoder(readFunc(fr.read))
 	return fr
 }
 
@@ -73,14 +72,25 @@
 func (r *FrameReader) Next() (Frame, error) {
 	var f Frame
 	if err := r.dec.Decode(&f); err != nil {
-		if r.silent.Load() {
+		if r.silence.Over() {
 			return Frame{}, ErrSilent
 		}
 		return Frame{}, errors.Wrap(ErrNoEnd, err.Error())
 	}
-	r.silence.Reset(SilenceBound)
 	return f, nil
 }
 
+func (r *FrameReader) read(p []byte) (int, error) {
+	r.silence.Begin()
+	defer r.silence.End()
+	return r.from.Read(p)
+}
+
 // Close stops the watch for silence.
-func (r *FrameReader) Close() { r.silence.Stop() }
+func (r *FrameReader) Close() { r.silence.End() }
+
+// readFunc is a function as a reader.
+type readFunc func(p []byte) (int, error)
+
+// Read implements io.Reader.
+func (f readFunc) Read(p []byte) (int, error) { return f(p) }
