dispatch: a response whose head has come isn't cut by the wait for it

Cause: the timer that bounds the wait for a response's head ended the request's context from a goroutine of its own, and what Timer.Stop answered was dropped: a response that came while the timer was due was handed on with its context ended. A wait that was cut gives silence as its error, never a response that can't be read.

--- a/internal/entry/dispatch/run.go
+++ b/internal/entry/dispatch/run.go
@@ -87,16 +87,23 @@
 }
 
 // awaitHead bounds the wait for the agent's first bytes, which come with its
-// first heartbeat at the latest.
+// first heartbeat at the latest. A response that it returns isn't cut any more:
+// where the wait was given up while the head came, nothing of the response can
+// be read, and it counts as silent.
 func (d *Dispatcher) awaitHead(req *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
-	timer := time.AfterFunc(wire.SilenceBound, func() { cancel(wire.ErrSilent) })
-	defer timer.Stop()
+	silence := wire.NewSilence(func() { cancel(wire.ErrSilent) })
+	silence.Begin()
 	response, err := d.client.Do(req.WithContext(ctx))
+	inTime := silence.End()
 	if err != nil {
 		cancel(nil)
 		return nil, errors.Wrap(err, "send body")
 	}
+	if !inTime {
+		_ = response.Body.Close()
+		return nil, errors.Wrap(wire.ErrSilent, "send body")
+	}
 	return response, nil
 }
 
