agent: a step that has come goes before the bound on silence

Cause: the timer for a backend server's silence ran on while a write to the entry was held up; with it and a step both ready, either was taken, so that a run that went on could be cut. Change: silence is counted in heartbeats that were due, of which one at the most is due after a write that was held up or a stand-still; a step that has come goes before it. The bounds are as they were, by one heartbeat more at the most.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -94,41 +94,68 @@
 	return &engineSource{stream: stream}, nil
 }
 
-// relay passes steps on as frames, with heartbeats between them.
+// relay passes steps on as frames, with heartbeats between them. The backend
+// server's silence is counted in heartbeats that were due, not by a timer: while a
+// write to the entry is held up or the process stands still, one is due at the
+// most, and a step that has come goes before it.
 func (r *run) relay(ctx context.Context, steps <-chan step) policy.Outcome {
 	heartbeat := time.NewTicker(wire.HeartbeatEvery)
 	defer heartbeat.Stop()
 	bounds := r.bounds()
-	stall := time.NewTimer(bounds.first)
-	defer stall.Stop()
+	bound, silent := bounds.first, time.Duration(0)
 	for {
+		s, came := step{}, true
 		select {
-		case s := <-steps:
-			if s.notStarted {
-				return r.fail(ctx, startFailure(s.err), s.err)
-			}
-			if s.err != nil {
-				return r.end(ctx, s.err)
-			}
-			stall.Reset(bounds.next)
-			if s.frame.Tokens > 0 {
-				r.agent.table.tokens(r.grant, s.frame.Tokens)
-			}
-			if err := r.out.Write(s.frame); err != nil {
-				return policy.OutcomeCancelled
-			}
+		case s = <-steps:
 		case <-heartbeat.C:
-			if err := r.out.Write(wire.Frame{Kind: wire.FrameHeartbeat}); err != nil {
-				return policy.OutcomeCancelled
-			}
-		case <-stall.C:
-			return r.fail(ctx, wire.FailCut, engine.ErrCut)
+			s, came = handed(steps)
 		case <-r.grant.cancel:
 			_ = r.out.Write(wire.Frame{Kind: wire.FrameFail, Fail: wire.FailPreempted})
 			return policy.OutcomeCancelled
 		case <-ctx.Done():
 			return policy.OutcomeCancelled
 		}
+		if came {
+			bound, silent = bounds.next, 0
+			if outcome, ended := r.pass(ctx, s); ended {
+				return outcome
+			}
+			continue
+		}
+		// The first heartbeat may have been due at once after a step.
+		if silent += wire.HeartbeatEvery; silent > bound {
+			return r.fail(ctx, wire.FailCut, engine.ErrCut)
+		}
+		if err := r.out.Write(wire.Frame{Kind: wire.FrameHeartbeat}); err != nil {
+			return policy.OutcomeCancelled
+		}
+	}
+}
+
+// pass passes one step on and reports whether the run has ended with it.
+func (r *run) pass(ctx context.Context, s step) (outcome policy.Outcome, ended bool) {
+	if s.notStarted {
+		return r.fail(ctx, startFailure(s.err), s.err), true
+	}
+	if s.err != nil {
+		return r.end(ctx, s.err), true
+	}
+	if s.frame.Tokens > 0 {
+		r.agent.table.tokens(r.grant, s.frame.Tokens)
+	}
+	if err := r.out.Write(s.frame); err != nil {
+		return policy.OutcomeCancelled, true
+	}
+	return outcome, false
+}
+
+// handed returns a step that waits to be taken.
+func handed(steps <-chan step) (s step, ok bool) {
+	select {
+	case s = <-steps:
+		return s, true
+	default:
+		return s, false
 	}
 }
 
