entry/api: a refusal doesn't wait for the body that it refuses

Cause: a refusal for want of room came while the deadline for the body stood and without Connection: close, so that net/http read up to 256 KiB of the body before it sent the answer, for up to 30 s. And a body that came whole when its deadline passed was dispatched, though net/http may have ended the request's context. Change: internal/unread answers such requests as the gateways do: the rest of the body is read for half a second, else the connection is closed after the answer and a second of reading on. A deadline that has passed is noticed when it is taken back; the request is then refused as not read in time, and its connection closed. An error states its length, so that it is whole for its caller at once. Left: internal/gateway/router has the same logic of its own still.

--- a/internal/entry/api/body.go
+++ b/internal/entry/api/body.go
@@ -3,14 +3,19 @@
 import (
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/unread"
 )
 
 // errBodiesFull: the bytes of the bodies held have reached their bound.
 var errBodiesFull = errors.New("bodies held have reached their bound")
 
+// errBodyLate: a body came whole when the time to read it was up, at which its
+// caller may have been taken for gone.
+var errBodyLate = errors.New("body came too late")
+
 // heldBody is a request's body and its share of the bytes held.
 type heldBody struct {
 	data  []byte
@@ -38,20 +43,25 @@
 // that may be held up to bound. It answers the caller and returns false when
 // it can't; otherwise the caller of readBody releases the body.
 func (a *API) readBody(w http.ResponseWriter, r *http.Request, bound int64) (*heldBody, bool) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	late := unread.SetReadDeadline(w, bodyTimeout)
 	body := &heldBody{held: &a.held}
-	if err := body.read(w, r, bound); err != nil {
-		body.release()
+	err := body.read(w, r, bound)
+	if late() && err == nil {
+		err = errBodyLate
+	}
+	if err == nil {
+		return body, true
+	}
+	body.release()
+	waited := !errors.Is(err, errBodiesFull) && !tooLarge(err)
+	unread.Answer(w, r, waited, func() {
 		if errors.Is(err, errBodiesFull) {
 			a.turnAway(w, r, reasonBodiesFull)
 		} else {
 			writeError(w, bodyProblem(err))
 		}
-		return nil, false
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, true
+	})
+	return nil, false
 }
 
 // read takes the share of a declared length before the first byte, so that no
@@ -93,9 +103,13 @@
 	}
 }
 
+func tooLarge(err error) bool {
+	var limit *http.MaxBytesError
+	return errors.As(err, &limit)
+}
+
 func bodyProblem(err error) problem {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if tooLarge(err) {
 		p := badRequest("body_too_large", "", "the body is larger than 4 MiB")
 		p.status = http.StatusRequestEntityTooLarge
 		return p
--- a/internal/entry/api/problem.go
+++ b/internal/entry/api/problem.go
@@ -57,6 +57,7 @@
 	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(data)))
 	if p.outcome != "" {
 		h.Set(HeaderOutcome, string(p.outcome))
 	}
--- /dev/null
+++ b/internal/entry/api/refused_test.go
@@ -0,0 +1,123 @@
+package api
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// answerSoon is when an answer that waits for nothing has certainly come: far
+// below bodyTimeout, and enough for a busy machine.
+const answerSoon = 10 * time.Second
+
+// refusing is a server that holds as many bodies as it may, and a connection.
+func refusing(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	f := newFixture(t, nil)
+	f.holdOthers(maxHeld)
+	server := httptest.NewServer(f.router)
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(answerSoon)); err != nil {
+		t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+func sendHead(t *testing.T, conn net.Conn, length int) {
+	t.Helper()
+	if _, err := fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nContent-Length: %d\r\n\r\n", length); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readRefusal reads a whole refusal for want of room.
+func readRefusal(t *testing.T, from *bufio.Reader) *http.Response {
+	t.Helper()
+	response, err := http.ReadResponse(from, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	data, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(data), reasonBodiesFull) {
+		t.Fatalf("%d %s, %v", response.StatusCode, data, err)
+	}
+	return response
+}
+
+// A refusal once came only when the body did that it had no room for.
+func TestRefusalDoesNotWaitForItsBody(t *testing.T) {
+	conn, from := refusing(t)
+	sendHead(t, conn, 100<<10)
+	if response := readRefusal(t, from); !response.Close {
+		t.Fatal("the connection is kept with a body that hasn't come")
+	}
+	if _, err := from.ReadByte(); err != io.EOF {
+		t.Fatalf("after the refusal: %v, want its end", err)
+	}
+}
+
+// The caller of a body that is on its way sees the refusal, not a reset.
+func TestRefusalIsSeenByWhoSendsOn(t *testing.T) {
+	conn, from := refusing(t)
+	const length = 400 << 10
+	sendHead(t, conn, length)
+	if _, err := conn.Write(make([]byte, length)); err != nil {
+		t.Fatal(err)
+	}
+	readRefusal(t, from)
+}
+
+func TestRefusalOfBodyThatHasComeKeepsTheConnection(t *testing.T) {
+	conn, from := refusing(t)
+	for range 3 {
+		sendHead(t, conn, 1000)
+		if _, err := conn.Write(make([]byte, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		if response := readRefusal(t, from); response.Close {
+			t.Fatal("closed, though the body has come whole")
+		}
+	}
+}
+
+// slowBody comes whole, but only after a time.
+type slowBody struct {
+	io.Reader
+	after time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	time.Sleep(b.after)
+	b.after = 0
+	return b.Reader.Read(p)
+}
+
+// Once the deadline for its body has passed a caller may have been taken for
+// gone, so that its request would be cut wherever it was sent.
+func TestBodyThatComesWithItsDeadlineIsNotDispatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nil)
+		r := chatCall("lower", "m", 100)
+		r.Body = io.NopCloser(&slowBody{Reader: r.Body, after: bodyTimeout})
+		class, w := f.send(r)
+		if w == nil {
+			close(f.letGo)
+			t.Fatalf("dispatched, as %s", class)
+		}
+		if w.Code != http.StatusRequestTimeout || w.Header().Get("Connection") != "close" || f.api.held.used != 0 {
+			t.Fatalf("%d %v, %d bytes held", w.Code, w.Header(), f.api.held.used)
+		}
+	})
+}
