--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -1,15 +1,13 @@
 package router
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/callers"
+	"github.com/applepier/applepier/internal/unread"
 )
 
 // giveUp gives the final answer when no other send is allowed: a server's own
@@ -49,59 +47,22 @@
 	c.fail(http.StatusServiceUnavailable, reason)
 }
 
-const (
-	// drained is up to how many bytes of an unread body are read around an
-	// answer of the gateway's own: a connection that is closed with unread bytes
-	// is reset, and its caller may never see the answer.
-	drained = 256 << 10
-	// drainWait is how long the body is read before the answer, so that the
-	// connection can be kept, and lingerWait how long after it on a connection
-	// that is closed: time enough for a caller that sends on a slow link to come
-	// to the answer.
-	drainWait  = 500 * time.Millisecond
-	lingerWait = time.Second
-)
-
-// drainBody reads what is left of a body and reports whether that was all of it.
-// If not, the connection can't be kept: once a deadline has passed, net/http
-// takes its caller for gone, and each later request on it would be cut.
-func (c *call) drainBody() bool {
-	if c.bodyLate {
-		return false
-	}
-	if c.bodyRead || c.req.Body == nil || c.req.Body == http.NoBody {
-		return true
-	}
-	return c.discard(drainWait)
-}
-
-// discard reads what is left of a body for so long and reports whether that was
-// all of it.
-func (c *call) discard(wait time.Duration) bool {
-	// Where a deadline can't be set the server's own time-outs hold.
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(wait))
-	n, err := io.CopyN(io.Discard, c.req.Body, drained)
-	return n < drained && errors.Is(err, io.EOF)
-}
-
 // fail gives an answer of the gateway's own.
 func (c *call) fail(status int, reason Reason) {
-	whole := c.drainBody()
-	h := c.w.Header()
-	if !whole {
-		h.Set("Connection", "close")
+	answer := func() {
+		h := c.w.Header()
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+		h.Set("Content-Length", strconv.Itoa(len(reason)+1))
+		c.w.WriteHeader(status)
+		// A caller that doesn't take the answer has left.
+		_, _ = c.w.Write([]byte(string(reason) + "\n"))
+		c.note(status, reason)
 	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
-	c.w.WriteHeader(status)
-	// A caller that doesn't take the answer has left.
-	_, _ = c.w.Write([]byte(string(reason) + "\n"))
-	c.note(status, reason)
-	if !whole {
-		// The deadline stays: net/http reads on to the body's end otherwise.
-		_ = http.NewResponseController(c.w).Flush()
-		c.discard(lingerWait)
+	if c.bodyRead && !c.bodyLate {
+		answer()
+		return
 	}
+	unread.Answer(c.w, c.req, c.bodyLate, answer)
 }
 
 // breakOff ends a stream that can't be completed, such that it doesn't look
