--- a/policy/last_slots_test.go
+++ b/policy/last_slots_test.go
@@ -106,3 +106,23 @@
 		t.Errorf("%v of the slots in use, want half: unknown slots don't count", got)
 	}
 }
+
+// A handful of requests that are more urgent and find no slot doesn't take the
+// slots from hundreds that are less so: no level leaves more than the part that
+// is offered above it.
+func TestLevelsLeaveNoMoreThanIsOfferedAbove(t *testing.T) {
+	var y Yielding
+	var s Shortage
+	s[0].Offered, s[0].Lacked = 8, 4
+	s[3].Offered, s[3].Lacked = 392, 150
+	s[4].Offered, s[4].Lacked = 130, 130
+	for at := range 60 {
+		now := testStart.Add(time.Duration(at) * 50 * time.Millisecond)
+		if share := y.Share(now, &s, 0.9, 3); share > 0.04 {
+			t.Fatalf("%.2f of the slots left to 8 requests of 530, %v after the start", share, now.Sub(testStart))
+		}
+	}
+	if share := y.Share(testStart.Add(3*time.Second), &s, 0.9, 4); share < yieldMost-0.05 {
+		t.Errorf("%.2f left to 400 requests of 530 of which many are refused", share)
+	}
+}
