--- a/internal/entry/api/body.go
+++ b/internal/entry/api/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -12,10 +13,6 @@
 // errBodiesFull: the bytes of the bodies held have reached their bound.
 var errBodiesFull = errors.New("bodies held have reached their bound")
 
-// errBodyLate: a body came whole when the time to read it was up, at which its
-// caller may have been taken for gone.
-var errBodyLate = errors.New("body came too late")
-
 // heldBody is a request's body and its share of the bytes held.
 type heldBody struct {
 	data  []byte
@@ -43,13 +40,14 @@
 // that may be held up to bound. It answers the caller and returns false when
 // it can't; otherwise the caller of readBody releases the body.
 func (a *API) readBody(w http.ResponseWriter, r *http.Request, bound int64) (*heldBody, bool) {
-	late := unread.SetReadDeadline(w, bodyTimeout)
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body := &heldBody{held: &a.held}
 	err := body.read(w, r, bound)
-	if late() && err == nil {
-		err = errBodyLate
-	}
 	if err == nil {
+		// A body that has come counts, also if that was at the last moment:
+		// net/http took the deadline away with the body's end.
+		_ = control.SetReadDeadline(time.Time{})
 		return body, true
 	}
 	body.release()
--- a/internal/unread/unread.go
+++ b/internal/unread/unread.go
@@ -16,12 +16,12 @@
 const (
 	// drained is up to how many bytes of a body are read around an answer.
 	drained = 256 << 10
-	// DrainWait is how long a body is read before the answer, so that the
-	// connection can be kept, and LingerWait how long after it on a connection
+	// drainWait is how long a body is read before the answer, so that the
+	// connection can be kept, and lingerWait how long after it on a connection
 	// that is closed: time enough for a caller that sends on a slow link to come
 	// to the answer.
-	DrainWait  = 500 * time.Millisecond
-	LingerWait = time.Second
+	drainWait  = 500 * time.Millisecond
+	lingerWait = time.Second
 )
 
 // Answer calls answer for a request that a server has received; answer must write
@@ -38,17 +38,19 @@
 	control := http.NewResponseController(w)
 	_ = control.Flush()
 	// Where a deadline can't be set the server's own time-outs hold.
-	_ = control.SetReadDeadline(time.Now().Add(LingerWait))
+	_ = control.SetReadDeadline(time.Now().Add(lingerWait))
 	_, _ = discard(r.Body)
 }
 
 // drain reads what is left of a body and reports whether that was all of it and
-// the connection can be kept.
+// the connection can be kept. net/http takes the deadline away when it comes to a
+// body's end, but not if that had been read before: it watches the connection
+// already then, and takes the caller for gone if the deadline passes.
 func drain(w http.ResponseWriter, body io.Reader) bool {
 	if body == http.NoBody {
 		return true
 	}
-	late := SetReadDeadline(w, DrainWait)
+	late := setReadDeadline(w, drainWait)
 	n, err := discard(body)
 	return n < drained && errors.Is(err, io.EOF) && !late()
 }
@@ -57,11 +59,9 @@
 	return io.CopyN(io.Discard, body, drained)
 }
 
-// SetReadDeadline bounds the reading of a body. The function that it returns takes
-// the deadline back, and reports whether it had passed: net/http then takes the
-// caller for gone, also if the body has come, and would cut each later request on
-// the connection.
-func SetReadDeadline(w http.ResponseWriter, wait time.Duration) (late func() bool) {
+// setReadDeadline sets a deadline for reading. The function that it returns takes
+// it back and reports whether it had passed.
+func setReadDeadline(w http.ResponseWriter, wait time.Duration) (late func() bool) {
 	control := http.NewResponseController(w)
 	deadline := time.Now().Add(wait)
 	_ = control.SetReadDeadline(deadline)
