--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -40,8 +40,8 @@
 	if command.Args().Present() {
 		return Usage(command, "serve takes no arguments")
 	}
-	// Told of changed settings before it listens for that, the process would end;
-	// it reads the settings after this anyway.
+	// Told of changed settings before it listens for that, the process would end.
+	// What it is told before it serves it sees when it next looks by itself.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/internal/targets/class.go
+++ b/internal/targets/class.go
@@ -32,7 +32,7 @@
 	Retired bool `json:"retired,omitempty"`
 }
 
-// MaxTier is the least urgent tier; there are six (letter 1).
+// MaxTier is the least urgent tier; there are six.
 const MaxTier = 5
 
 // defaultStart is within what time work without a target for its first token
