testbed/gateway: failing test, a refusal waits for a body that never comes

Cause: after drainBody's half second net/http reads what is left of a body with a length before it writes the answer, and the deadline has been taken away by then: the refusal waits as long as the body does, a gateway that stops as well.

go test -race -run RefusalDoes ./gateway (in testbed)

--- /dev/null
+++ b/testbed/gateway/refused_waiting_test.go
@@ -0,0 +1,36 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// A refusal is given though the body never comes whole: its caller waits for it,
+// and a gateway that stops would wait for the body.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	for name, c := range refusals {
+		for form, body := range map[string]string{
+			"a length": "Content-Length: 8\r\n\r\nhalf", "chunks": "Transfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+			"a body that waits to be wanted": "Expect: 100-continue\r\nContent-Length: 8\r\n\r\n",
+		} {
+			t.Run(name+", "+form, func(t *testing.T) {
+				t.Parallel()
+				f, _ := served(t, gateway.Options{})
+				caller := connect(t, f)
+				began := time.Now()
+				caller.send(strings.TrimSuffix(refused(c.path, c.key, "refused"), "\r\n") + body)
+				got := caller.receive("POST")
+				if got.Status == http.StatusContinue {
+					got = caller.receive("POST")
+				}
+				if got.Status != c.status {
+					t.Errorf("after %v: %+v", time.Since(began), got)
+				}
+			})
+		}
+	}
+}
