testbed/gateway: failing test, a body that doesn't come whole is waited for without end

Cause: the route's timeout and the caller's patience bound what follows the body, not its reading. Whether a caller that is slow itself is owed an answer is the lead's to say: the rule on routes' timeouts doesn't except it.

Red on this commit, both cases, 2 runs of 2: nothing came in 6 s, the route's timeout is 0.2 s.

go test -race -run PartOfItsBody ./gateway (in testbed)

--- /dev/null
+++ b/testbed/gateway/slow_body_test.go
@@ -0,0 +1,27 @@
+package gateway_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// A request whose body doesn't come whole has its answer by the route's timeout.
+func TestRequestWithAPartOfItsBodyIsAnsweredByTheTimeout(t *testing.T) {
+	for form, body := range map[string]string{"a length": "Content-Length: 8\r\n\r\nhalf", "chunks": "Transfer-Encoding: chunked\r\n\r\n8\r\nhalf"} {
+		t.Run(form, func(t *testing.T) {
+			t.Parallel()
+			f, _ := served(t, gateway.Options{})
+			caller := connect(t, f)
+			began := time.Now()
+			caller.send(strings.TrimSuffix(head("POST", "/quick/x", "slow"), "\r\n") + body)
+			got := caller.receive("POST")
+			// The route's timeout is 200 ms; half a second is the rule's.
+			if took := time.Since(began); got.Status == 0 || took > 700*time.Millisecond {
+				t.Errorf("after %v: %+v", took, got)
+			}
+		})
+	}
+}
