testbed/gateway: failing test, a long failure is put into a stream that has begun

The second server's failure of over 256 KB is written into the stream after the first server's events, and the stream ends as whole: 327,743 bytes without an error, of which 63 are events.

go test -race -count=3 -run PutInto ./gateway (in testbed)

--- /dev/null
+++ b/testbed/gateway/stream_failure_test.go
@@ -0,0 +1,44 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// A stream that has begun goes on with events or breaks off: a failure of the
+// next server isn't put into it.
+func TestFailureIsNotPutIntoAStream(t *testing.T) {
+	for name, body := range map[string]string{"short": "fail", "long": longBody} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := gateway.NewFleet(t, gateway.Options{})
+			failure := bytesOf(true, []string{fmt.Sprintf("Content-Length: %d", len(body))}, 500, body)
+			for _, id := range []string{"i-1", "i-2"} {
+				// The first that gets a request breaks off, whichever it is.
+				f.Serve(id, func(c net.Conn, a *gateway.Arrival) bool {
+					if a.Header.Get("Last-Event-Id") != "" {
+						return failure(c, a)
+					}
+					return gateway.Events(6, 4, 0)(c, a)
+				})
+			}
+			tries := 0
+			f.Wait("a stream is sent on to the other", func() bool {
+				tries++
+				id := fmt.Sprintf("broken-%d", tries)
+				got := f.Call("/resume/x", id)
+				if len(f.Arrivals(id)) < 2 {
+					return false
+				}
+				whole := gateway.Event(1) + gateway.Event(2) + gateway.Event(3)
+				if got.Body != whole || got.Err == nil {
+					t.Errorf("%d bytes, ends %q, %v", len(got.Body), got.Body[max(0, len(got.Body)-20):], got.Err)
+				}
+				return true
+			})
+		})
+	}
+}
