testbed/gateway: failing test, an answer to HEAD with a length becomes 502

Cause: readLimited reads as many bytes as the head names; an answer to HEAD has none. The server has run the request and its answer is thrown away.

Callers aren't known to send HEAD.

go test -race -count=3 -run ToHead ./gateway (in testbed)

--- /dev/null
+++ b/testbed/gateway/head_test.go
@@ -0,0 +1,18 @@
+package gateway_test
+
+import (
+	"testing"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// An answer to a HEAD has a length and no body: it is passed on as it is.
+func TestAnswerToHeadIsPassedOn(t *testing.T) {
+	f, server := served(t, gateway.Options{})
+	server.Do(bytesOf(true, []string{"Content-Length: 5"}, 200, ""))
+	caller := connect(t, f)
+	caller.send(head("HEAD", "/unsafe/x", "head"))
+	if got := caller.receive("HEAD"); got.Status != 200 || unsigned(got) || got.Header.Get("Content-Length") != "5" {
+		t.Errorf("got %+v", got)
+	}
+}
