testbed/gateway: failing test, a broken answer to a caller of HTTP/1.0 looks whole

Cause: to HTTP/1.0 an answer without a length ends with its connection, and ErrAbortHandler closes that in order. It would have to be reset.

go test -race -count=3 -run OldCaller ./gateway (in testbed)

--- /dev/null
+++ b/testbed/gateway/old_caller_test.go
@@ -0,0 +1,40 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// An answer whose length isn't known ends, to a caller of HTTP/1.0, with its
+// connection: one that is broken off there has to be reset, or it looks whole.
+func TestBrokenAnswerToAnOldCallerLooksBroken(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		script gateway.Script
+	}{
+		"a stream":      {"/stream/x", gateway.Events(6, 4, 0)},
+		"a long answer": {"/unsafe/x", bytesOf(false, []string{"Transfer-Encoding: chunked"}, 200, fmt.Sprintf("%x\r\n%s\r\n", len(longBody), longBody))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, server := served(t, gateway.Options{})
+			server.Do(c.script)
+			caller := connect(t, f)
+			caller.send(strings.Replace(head("POST", c.path, "old"), "HTTP/1.1", "HTTP/1.0", 1))
+			resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(resp.Body)
+			if err == nil {
+				t.Errorf("status %d and %d bytes look whole, the server broke off", resp.StatusCode, len(body))
+			}
+		})
+	}
+}
