--- /dev/null
+++ b/testbed/gateway/idle_limit_test.go
@@ -0,0 +1,71 @@
+package gateway_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// idleState is a desired state with an idle limit.
+func idleState(version int, limit time.Duration) []byte {
+	return fmt.Appendf(nil, `{
+ "version": %d,
+ "routes": [{"name":"unsafe","host":"h.example","prefix":"/unsafe/","type":"unsafe","timeout-ms":2000,"slo-ms":100,"service":"plain","attempts":1},
+  {"name":"safe","host":"h.example","prefix":"/safe/","type":"safe","timeout-ms":2000,"slo-ms":100,"service":"plain","attempts":2},
+  {"name":"v%d","host":"h.example","prefix":"/v%d/","type":"safe","timeout-ms":2000,"service":"plain","attempts":1}],
+ "services": [{"name":"plain","max-conns":1000}],
+ "limits": {"max-header-bytes":16384,"max-body-bytes":100000,"idle-timeout-ms":%d},
+ "tenants": [{"name":"crew","api-keys":["key-1"]}]
+}`, version, version, version, limit.Milliseconds())
+}
+
+// limitIdle puts an idle limit in force.
+func limitIdle(f *gateway.Fleet, version int, limit time.Duration) {
+	f.Store.Put("op", "config", idleState(version, limit))
+	f.Wait("the limit is in force", func() bool { return f.Call(fmt.Sprintf("/v%d/x", version), "version").Status == 200 })
+}
+
+// A limit that is raised while connections rest holds for these.
+func TestRaisedIdleLimitHoldsForRestingConnections(t *testing.T) {
+	t.Parallel()
+	f, _ := served(t, gateway.Options{})
+	limitIdle(f, 2, time.Millisecond)
+	until := 2 * kept(t, f)
+	c := connect(t, f)
+	c.send(head("POST", "/unsafe/x", "first"))
+	if got := c.receive("POST"); got.Status != 200 {
+		t.Fatalf("%+v", got)
+	}
+	limitIdle(f, 3, time.Minute)
+	// Nothing comes on a connection that is kept; one that isn't ends.
+	_ = c.SetReadDeadline(time.Now().Add(until))
+	if _, err := c.in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the connection ended (%v), the limit in force is a minute", err)
+	}
+	c.send(head("POST", "/unsafe/x", "next"))
+	if got := c.receive("POST"); got.Status != 200 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A limit that is lowered while connections rest holds for these.
+func TestLoweredIdleLimitHoldsForRestingConnections(t *testing.T) {
+	t.Parallel()
+	f, _ := served(t, gateway.Options{})
+	limitIdle(f, 2, time.Minute)
+	c := connect(t, f)
+	c.send(head("POST", "/unsafe/x", "first"))
+	if got := c.receive("POST"); got.Status != 200 {
+		t.Fatalf("%+v", got)
+	}
+	limitIdle(f, 3, time.Millisecond)
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	if _, err := c.in.Peek(1); !errors.Is(err, io.EOF) {
+		t.Errorf("still open after %v, the limit in force is 1 ms: %v", patience, err)
+	}
+}
