--- a/testbed/gateway/conn_test.go
+++ b/testbed/gateway/conn_test.go
@@ -31,6 +31,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
+	return wrap(t, c)
+}
+
+// wrap makes a caller's connection of one that is open.
+func wrap(t testing.TB, c net.Conn) *conn {
 	return &conn{TCPConn: c.(*net.TCPConn), t: t, in: bufio.NewReader(c)}
 }
 
@@ -49,6 +54,10 @@
 	if err != nil {
 		return gateway.Got{Err: err}
 	}
+	if resp.Close {
+		// Reading takes it out of the headers.
+		resp.Header.Set("Connection", "close")
+	}
 	body, err := io.ReadAll(resp.Body)
 	return gateway.Got{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err}
 }
--- /dev/null
+++ b/testbed/gateway/stopping_test.go
@@ -0,0 +1,133 @@
+package gateway_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// asking calls on connections that are kept as long as the gateway keeps them,
+// with rests of any length, until no new one is taken or over is closed.
+type asking struct {
+	t *testing.T
+	f *gateway.Fleet
+	// whole, refused, closed and cut count how requests ended.
+	whole, refused, closed, cut atomic.Int64
+}
+
+// caller asks in turn; name makes its requests' ids.
+func (a *asking) caller(name string, over <-chan struct{}) {
+	var c *conn
+	for n := 0; ; n++ {
+		select {
+		case <-over:
+			return
+		default:
+		}
+		if c == nil {
+			opened, err := net.Dial("tcp", a.f.Front)
+			if err != nil {
+				return
+			}
+			c = wrap(a.t, opened)
+			defer func() { _ = opened.Close() }()
+		}
+		time.Sleep(rand.N(30 * time.Millisecond))
+		id := fmt.Sprintf("%s-%d", name, n)
+		if !a.ask(c, id) {
+			c = nil
+		}
+	}
+}
+
+// ask asks once, by any kind of route; false when the connection has ended.
+func (a *asking) ask(c *conn, id string) bool {
+	path := []string{"/safe/x", "/unsafe/x", "/stream/x", "/resume/x"}[rand.N(4)]
+	_, _ = c.Write([]byte(post(path, id, 4)))
+	if rand.N(2) == 0 {
+		time.Sleep(rand.N(5 * time.Millisecond))
+	}
+	_, _ = c.Write([]byte("body"))
+	got := c.receive("POST")
+	switch {
+	case got.Err == nil && got.Status == 200 && !unsigned(got):
+		a.whole.Add(1)
+	case got.Err == nil && got.Status >= 400:
+		a.refused.Add(1)
+	case errors.Is(got.Err, os.ErrDeadlineExceeded), unsigned(got), len(a.f.Arrivals(id)) > 0:
+		a.cut.Add(1)
+		a.t.Errorf("%s %s reached %d servers, and its caller got %+v", path, id, len(a.f.Arrivals(id)), got)
+	default:
+		a.closed.Add(1)
+	}
+	return got.Err == nil && got.Header.Get("Connection") != "close"
+}
+
+func (a *asking) report() {
+	a.t.Logf("%d served, %d refused, %d closed and not handed on, %d cut", a.whole.Load(), a.refused.Load(), a.closed.Load(), a.cut.Load())
+}
+
+// askers is how many callers ask at once.
+const askers = 60
+
+// What comes while a gateway stops is served, or not handed on.
+func TestRequestsBesideTheStopAreServedOrNotHandedOn(t *testing.T) {
+	f, server := served(t, gateway.Options{Grace: 4 * time.Second})
+	server.Do(slowly)
+	a := &asking{t: t, f: f}
+	var all sync.WaitGroup
+	for n := range askers {
+		all.Go(func() { a.caller(fmt.Sprint("c", n), nil) })
+	}
+	f.Wait("they are served", func() bool { return a.whole.Load() > 10*askers })
+	f.Stop()
+	all.Wait()
+	a.report()
+}
+
+// A request whose head, or whose body, is on its way when the gateway takes no
+// more connections is served, or not handed on.
+func TestRequestHalfSentAtTheStopIsServedOrNotHandedOn(t *testing.T) {
+	whole := post("/unsafe/x", "half", 4) + "body"
+	for name, at := range map[string]int{"nothing": 0, "a byte": 1, "a part of the head": 20, "the head": strings.Index(whole, "body"), "a part of the body": len(whole) - 2} {
+		for used, first := range map[string]bool{"a new connection": false, "a kept connection": true} {
+			t.Run(name+" on "+used, func(t *testing.T) {
+				t.Parallel()
+				f, _ := served(t, gateway.Options{Grace: 4 * time.Second})
+				c := connect(t, f)
+				if first {
+					c.send(head("POST", "/safe/x", "first"))
+					if got := c.receive("POST"); got.Status != 200 {
+						t.Fatalf("%+v", got)
+					}
+				}
+				c.send(whole[:at])
+				f.Stop()
+				f.Wait("it takes no more connections", func() bool {
+					probe, err := net.Dial("tcp", f.Front)
+					if err == nil {
+						_ = probe.Close()
+					}
+					return errors.Is(err, syscall.ECONNREFUSED)
+				})
+				_, err := io.WriteString(c, whole[at:])
+				got := c.receive("POST")
+				t.Logf("wrote the rest: %v; got %d, %v; handed on %d times", err, got.Status, got.Err, len(f.Arrivals("half")))
+				if unsigned(got) || got.Err != nil && len(f.Arrivals("half")) > 0 {
+					t.Errorf("handed on %d times, got %+v", len(f.Arrivals("half")), got)
+				}
+			})
+		}
+	}
+}
