testbed/gateway: failing test, OPTIONS * is answered with a success of net/http's own

Cause: http.Server answers 'OPTIONS *' itself, 200 without a body, unless DisableGeneralOptionsHandler is set. Callers aren't known to ask so.

go test -race -count=1 -run OptionsOf ./gateway (in testbed)

--- /dev/null
+++ b/testbed/gateway/options_test.go
@@ -0,0 +1,18 @@
+package gateway_test
+
+import (
+	"testing"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// No success comes but from a backend server, also for a request about the
+// gateway as a whole.
+func TestOptionsOfTheWholeServerAreNoSuccess(t *testing.T) {
+	f, _ := served(t, gateway.Options{})
+	c := connect(t, f)
+	c.send(head("OPTIONS", "*", "1"))
+	if got := c.receive("OPTIONS"); got.Status == 0 || unsigned(got) {
+		t.Errorf("got %+v", got)
+	}
+}
