--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -1,7 +1,8 @@
 // Package callers holds callers' connections: it serves what is asked on them,
-// ends those that rest too long, and ends all in a graceful stop, without ever
-// closing one under a request that has begun to come. It tells what ended a
-// connection. Start reading at Server and Conn.
+// ends those that rest too long, and ends all in a graceful stop. Neither closes
+// one under a request that has begun to come, but for what a stop breaks off when
+// its time is up. It tells what ended a connection. Start reading at Server and
+// Conn.
 package callers
 
 import (
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -118,7 +118,10 @@
 		}
 		time.Sleep(restLimit + closeMargin + time.Millisecond)
 		err := ask(theirs, in, post)
-		if handedOn := begun.Load() == 2; handedOn && err != nil {
+		switch handedOn := begun.Load() == 2; {
+		case !handedOn:
+			t.Errorf("the request that came at the end of the rest wasn't handed on: %v", err)
+		case err != nil:
 			t.Errorf("a request that was handed on has no answer: %v", err)
 		}
 		_, _ = front.Close(), theirs.Close()
--- a/testbed/gateway/idle_test.go
+++ b/testbed/gateway/idle_test.go
@@ -69,6 +69,9 @@
 	for round := 0; round < rounds && !t.Failed(); round++ {
 		answered, handed := stoppedRound(t, f, stopped, round)
 		t.Logf("round %d: %d requests handed on, %d answered", round, handed, answered)
+		if handed == 0 {
+			t.Errorf("round %d: nothing was handed on, so nothing was tested", round)
+		}
 	}
 }
 
--- a/testbed/gateway/stopping_test.go
+++ b/testbed/gateway/stopping_test.go
@@ -127,6 +127,9 @@
 				if unsigned(got) || got.Err != nil && len(f.Arrivals("half")) > 0 {
 					t.Errorf("handed on %d times, got %+v", len(f.Arrivals("half")), got)
 				}
+				if got.Err == nil && got.Status != 200 {
+					t.Errorf("a sound request got %+v", got)
+				}
 			})
 		}
 	}
