backend: an address belongs to its newest start

Cause: servers that crash start again at their addresses under other ids two seconds later; their entries of before are listed for 3.6 s. Change: a start that says when it began keeps out those at its address that began before. One that isn't met there (421) is left alone as ever, and keeps nobody out: an entry of another writer takes no address for good. Test: both fail before.

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -244,8 +244,9 @@
 // publish makes the snapshot that readers take.
 func (r *Registry) publish() {
 	snapshot := map[string][]*Server{}
+	newest := r.newestStarts()
 	for _, s := range r.servers {
-		if s.replaced {
+		if info := s.Info(); s.replaced || info.Born != 0 && info.Born < newest[info.Addr] {
 			continue
 		}
 		service := s.Info().Service
@@ -256,3 +257,16 @@
 	}
 	r.byService.Store(&snapshot)
 }
+
+// newestStarts is when the newest start at each address began, of those that say
+// so and weren't replaced. A server that crashed starts again at its address under
+// another id, while its entry of before is listed until it lapses.
+func (r *Registry) newestStarts() map[string]int64 {
+	newest := make(map[string]int64, len(r.servers))
+	for _, s := range r.servers {
+		if info := s.Info(); !s.replaced && info.Born > newest[info.Addr] {
+			newest[info.Addr] = info.Born
+		}
+	}
+	return newest
+}
--- a/internal/gateway/backend/registry_test.go
+++ b/internal/gateway/backend/registry_test.go
@@ -202,3 +202,43 @@
 	change(&i)
 	return i
 }
+
+// atAddr is an entry of a start at an address.
+func atAddr(id, addr string, born int64) Info {
+	return Info{ID: id, Addr: addr, Service: "s", Born: born}
+}
+
+// Servers that crash start again at their addresses long before their entries
+// lapse: each gateway would send a request to each of them to find out.
+func TestAddressBelongsToItsNewestStart(t *testing.T) {
+	r := NewRegistry()
+	r.Reset(start, []Info{atAddr("a", "10.0.0.1:1", 1000), atAddr("b", "10.0.0.2:1", 1000)}, nil)
+	r.Change(start, []Info{atAddr("c", "10.0.0.1:1", 2000)}, nil, nil)
+	expect(t, r, "b c")
+	if r.Server("a") == nil {
+		t.Error("the start before is forgotten, though it is still listed")
+	}
+	// Entries in any order, all at once.
+	r = NewRegistry()
+	r.Reset(start, []Info{atAddr("c", "10.0.0.1:1", 2000), atAddr("a", "10.0.0.1:1", 1000)}, nil)
+	expect(t, r, "c")
+	// The address may go to another service.
+	other := atAddr("d", "10.0.0.1:1", 3000)
+	other.Service = "other"
+	r.Change(start, []Info{other}, nil, nil)
+	expect(t, r, "")
+	// Whose start isn't told takes nobody's address, and loses its own to nobody.
+	r.Change(start, []Info{atAddr("e", "10.0.0.2:1", 0), atAddr("f", "10.0.0.2:1", 4000)}, nil, nil)
+	expect(t, r, "e f")
+}
+
+// An entry that claims another server's address, and isn't met there, doesn't
+// keep that one out.
+func TestFalseClaimOfAnAddress(t *testing.T) {
+	r := NewRegistry()
+	r.Reset(start, []Info{atAddr("a", "10.0.0.1:1", 1000)}, nil)
+	r.Change(start, []Info{atAddr("false", "10.0.0.1:1", 2000)}, nil, nil)
+	expect(t, r, "false")
+	r.Replaced("false")
+	expect(t, r, "a")
+}
