policy: levels leave as much as is refused above them, not as much as is offered

Change: what a level leaves by refusals is bounded by 1.5 times the slots that those refused above would hold, by the slots in use and how many are let in. Test first: .05 was left for 6 refusals beside 490 let in.

--- a/policy/last_slots_test.go
+++ b/policy/last_slots_test.go
@@ -126,3 +126,20 @@
 		t.Errorf("%.2f left to 400 requests of 530 of which many are refused", share)
 	}
 }
+
+// A few refusals above a level make it leave a few slots, however much is offered
+// there: what was let in above has its slots already.
+func TestLevelsLeaveAsMuchAsIsRefusedAbove(t *testing.T) {
+	var y Yielding
+	var s Shortage
+	s[0].Offered, s[0].Lacked = 182, 3
+	s[1].Offered, s[1].Lacked = 44, 3
+	s[3].Offered, s[3].Lacked = 470, 200
+	for at := range 60 {
+		now := testStart.Add(time.Duration(at) * 50 * time.Millisecond)
+		// 6 of the 490 that are let in would hold a hundredth of the slots in use.
+		if share := y.Share(now, &s, 0.9, 3); share > 0.03 {
+			t.Fatalf("%.2f of the slots left for 6 refusals beside 490 that are let in, %v after the start", share, now.Sub(testStart))
+		}
+	}
+}
--- a/policy/room.go
+++ b/policy/room.go
@@ -6,12 +6,8 @@
 	// fullSlots is the part of a server's slots that the most urgent requests
 	// fill, and slotsPerLevel what each level less urgent leaves free for
 	// those above. A server that is full puts back what runs for what is more
-	// urgent. Measured with levels 3 and 4 on a day of bursts before 29 senders
-	// and 53 servers with 64 slots: at 0.88 some 560 of 5,508 of level 3 got
-	// nothing; at 1.0 504, with 6 requests put back in the day; at 1.06, where level
-	// 3 may fill them all, 466, with 194 put back. What other senders send before
-	// they tell needs no part of its own: a chance for the last slots counts it
-	// (shareSlots).
+	// urgent. What other senders send before they tell needs no part of its own: a
+	// chance for the last slots counts it (shareSlots).
 	fullSlots     = 1.0
 	slotsPerLevel = 0.02
 	// usedConns is the part of a server's connections that requests may take;
--- a/policy/yielding.go
+++ b/policy/yielding.go
@@ -19,11 +19,13 @@
 	yieldGrowth = 0.5
 	// yieldMost bounds it, at nearly half of the slots that the most urgent may
 	// fill: what is more urgent and comes at several times its rate needs most of
-	// them. With 0.15 questions were refused by 300 to 580 a second while nearly
-	// as many summaries were, on a day on which two bursts of questions overlap.
-	// Nor does it grow beyond the part of all offers that is above the level: a
-	// handful of the most urgent took a fifth of the slots from hundreds.
+	// them. Nor does it grow beyond the part of all offers that is above the level,
+	// so that a handful of the most urgent doesn't take the slots from hundreds.
 	yieldMost = 0.4
+	// yieldRefused is how many times the slots that those refused above would hold a
+	// level leaves at the most: more than once, since others than they take some of
+	// what comes free.
+	yieldRefused = 1.5
 	// yieldMemory is the time in which a level takes up again two thirds of
 	// what it has left free: some turns of a batch, so that room is there while
 	// a burst lasts, and nothing is left unused for long after it.
@@ -53,12 +55,6 @@
 // slots, if more of them is offered than usual, at all senders: the slots in use
 // grow with the offers. Where that fits beside it nobody is refused for it.
 //
-// In a play of 24 senders before 12 engines questions that miss their target fall
-// from one in 15 to one in 50; its price is summaries that would have found room
-// between two bursts: 350 of 1,395 are in time there, 529 without. In one whose
-// questions rise nearly threefold the missed fall from 277 of 1,531 to 173 by
-// what is refused, and to 81 with the rise.
-//
 // Not safe for concurrent use.
 type Yielding struct {
 	left [UrgencyLevels]float64
@@ -73,13 +69,13 @@
 // Share is the part of each server's slots that a level leaves free now, by all
 // senders' shortage, and busy, the part of all slots in use.
 func (y *Yielding) Share(now time.Time, shortage *Shortage, busy float64, urgency int) float64 {
-	y.advance(now, shortage)
+	y.advance(now, shortage, busy)
 	return max(y.left[urgency], min(busy*y.more[urgency], yieldMost))
 }
 
 // advance accounts for the time since the last call. A long time counts as one
 // telling interval: what was short in all of it nobody has seen.
-func (y *Yielding) advance(now time.Time, shortage *Shortage) {
+func (y *Yielding) advance(now time.Time, shortage *Shortage, busy float64) {
 	const longestStep = 100 * time.Millisecond
 	since := now.Sub(y.last)
 	if y.last.IsZero() {
@@ -89,13 +85,14 @@
 	y.learn(since, shortage)
 	kept := math.Exp(-float64(since) / float64(yieldMemory))
 	growth := yieldGrowth * min(since, longestStep).Seconds()
-	all, offered, lacked := 0.0, 0.0, 0.0
+	all, letIn, offered, lacked := 0.0, 0.0, 0.0, 0.0
 	for _, level := range shortage {
 		all += level.Offered
+		letIn += level.Offered - level.Lacked
 	}
 	for urgency := range y.left {
 		y.left[urgency] *= kept
-		if most := min(yieldMost, offered/all); lacked >= yieldLeast && lacked > yieldAbove*offered && y.left[urgency] < most {
+		if most := min(yieldMost, offered/all, yieldRefused*busy*lacked/max(letIn, 1)); lacked >= yieldLeast && lacked > yieldAbove*offered && y.left[urgency] < most {
 			y.left[urgency] = min(y.left[urgency]+growth, most)
 		}
 		offered += shortage[urgency].Offered
