follow, platform: a table's read goes on at the page that was refused

Cause: the list of servers comes in pages of 500 rows. A read that was refused at one page began again at the first, so that hundreds of gateways that start at once before a store with a limited rate take each other's calls. Change: a source reads a page at a time, and the follower keeps what it has for ten seconds, within the store's history; it follows from the first page's position. A second test holds the order of pages, a third that old ones are read again.

--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -55,6 +55,8 @@
 	Unreadable []string
 	// At is the position to go on from.
 	At uint64
+	// More is where the next page of a whole table begins; empty after the last.
+	More string
 }
 
 func (b *Batch[T]) empty() bool {
@@ -63,8 +65,9 @@
 
 // Source is a table of the store.
 type Source[T any] interface {
-	// Read returns the whole table.
-	Read(ctx context.Context) (Batch[T], error)
+	// Read returns the page of the whole table that begins at a place, empty for
+	// the first.
+	Read(ctx context.Context, from string) (Batch[T], error)
 	// Next waits for changes after a position, up to wait; the batch may be
 	// empty. ErrHistoryGone asks for a Read.
 	Next(ctx context.Context, after uint64, wait time.Duration) (Batch[T], error)
@@ -117,6 +120,8 @@
 	hurried bool
 	// news says that the last answer held some.
 	news bool
+	// whole is what has been read of the whole table.
+	whole whole[T]
 }
 
 // Run follows until ctx ends.
@@ -158,11 +163,12 @@
 	}
 	moment := boottime.Now()
 	if !known {
-		batch, err := f.Source.Read(ctx)
-		if err != nil {
+		if err := f.whole.read(ctx, f.Source); err != nil {
 			return 0, err
 		}
-		f.Sink.Reset(moment, batch)
+		batch := f.whole.batch
+		f.Sink.Reset(f.whole.moment, batch)
+		f.whole = whole[T]{}
 		return batch.At, nil
 	}
 	wait := f.wait()
--- a/internal/gateway/follow/follower_test.go
+++ b/internal/gateway/follow/follower_test.go
@@ -36,7 +36,9 @@
 	return next.batch, next.err
 }
 
-func (s *source) Read(ctx context.Context) (Batch[string], error) { return s.play(ctx, "read") }
+func (s *source) Read(ctx context.Context, from string) (Batch[string], error) {
+	return s.play(ctx, "read"+from)
+}
 
 func (s *source) Next(ctx context.Context, after uint64, _ time.Duration) (Batch[string], error) {
 	return s.play(ctx, "next after "+string(rune('0'+after)))
@@ -144,7 +146,7 @@
 // holding has no news; its first call that waits fails.
 type holding struct{ waits []time.Duration }
 
-func (h *holding) Read(context.Context) (Batch[string], error) { return Batch[string]{}, nil }
+func (h *holding) Read(context.Context, string) (Batch[string], error) { return Batch[string]{}, nil }
 
 func (h *holding) Next(_ context.Context, _ uint64, wait time.Duration) (Batch[string], error) {
 	h.waits = append(h.waits, wait)
@@ -180,7 +182,7 @@
 	calls int
 }
 
-func (c *changing) Read(context.Context) (Batch[string], error) { return Batch[string]{}, nil }
+func (c *changing) Read(context.Context, string) (Batch[string], error) { return Batch[string]{}, nil }
 
 func (c *changing) Next(ctx context.Context, after uint64, wait time.Duration) (Batch[string], error) {
 	c.calls++
@@ -232,7 +234,9 @@
 	answered func()
 }
 
-func (*patient) Read(context.Context) (Batch[string], error) { return Batch[string]{At: 1}, nil }
+func (*patient) Read(context.Context, string) (Batch[string], error) {
+	return Batch[string]{At: 1}, nil
+}
 
 func (p *patient) Next(ctx context.Context, _ uint64, wait time.Duration) (Batch[string], error) {
 	p.waits = append(p.waits, wait)
@@ -282,7 +286,7 @@
 	back   time.Time
 }
 
-func (o *outage) Read(context.Context) (Batch[string], error) {
+func (o *outage) Read(context.Context, string) (Batch[string], error) {
 	if time.Now().Before(o.until) {
 		o.failed++
 		return Batch[string]{}, errors.New("away")
--- /dev/null
+++ b/internal/gateway/follow/whole_test.go
@@ -0,0 +1,141 @@
+package follow
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+// A page that is refused is asked for again, and not those before it.
+func TestReadGoesOnAtTheRefusedPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &source{steps: []step{
+			{batch: Batch[string]{Items: []string{"a"}, At: 7, More: "/b"}},
+			{err: errors.New("refused")},
+			{batch: Batch[string]{Items: []string{"b"}, Unreadable: []string{"x"}, At: 9, More: "/c"}},
+			{err: errors.New("refused")},
+			{batch: Batch[string]{Items: []string{"c"}, At: 8}},
+			{err: ErrHistoryGone},
+			{batch: Batch[string]{Items: []string{"d"}, At: 20}},
+		}}
+		out := &sink{}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f := Follower[string]{Name: "t", Source: src, Sink: out, Wait: Always(time.Second), Log: zap.NewNop()}
+		f.Run(ctx)
+		if got, want := join(src.asked[:7]), "read read/b read/b read/c read/c next after 7 read"; got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+		if got, want := join(out.news), "all a b c all d"; got != want {
+			t.Errorf("news %q, want %q", got, want)
+		}
+	})
+}
+
+// Pages of long ago are read again: the store may have lost what changed since.
+func TestOldPagesAreReadAgain(t *testing.T) {
+	var w whole[string]
+	src := &source{steps: []step{
+		{batch: Batch[string]{Items: []string{"a"}, At: 7, More: "/b"}},
+		{err: errors.New("refused")},
+		{batch: Batch[string]{Items: []string{"b"}, At: 9}},
+	}}
+	if err := w.read(t.Context(), src); err == nil {
+		t.Fatal("read past a refusal")
+	}
+	w.moment -= 2 * longestReading
+	if err := w.read(t.Context(), src); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := join(src.asked), "read read/b read"; got != want || w.batch.At != 9 {
+		t.Errorf("asked %q, want %q; at %d", got, want, w.batch.At)
+	}
+}
+
+// limitedStore answers so many calls a second and refuses the rest.
+type limitedStore struct {
+	mu      sync.Mutex
+	perTick int
+	left    int
+	pages   int
+	calls   int
+}
+
+const limitTick = 10 * time.Millisecond
+
+// refill lets as many calls through each tick as the rate allows.
+func (s *limitedStore) refill(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		s.left = s.perTick
+		s.mu.Unlock()
+		time.Sleep(limitTick)
+	}
+}
+
+func (s *limitedStore) Read(_ context.Context, from string) (Batch[string], error) {
+	const answer = 4 * time.Millisecond
+	time.Sleep(answer)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.left == 0 {
+		return Batch[string]{}, errors.New("too many calls")
+	}
+	s.left--
+	page, _ := strconv.Atoi(from)
+	batch := Batch[string]{Items: []string{from}, At: 1}
+	if page+1 < s.pages {
+		batch.More = strconv.Itoa(page + 1)
+	}
+	return batch, nil
+}
+
+func (s *limitedStore) Next(ctx context.Context, after uint64, wait time.Duration) (Batch[string], error) {
+	time.Sleep(wait)
+	return Batch[string]{At: after}, ctx.Err()
+}
+
+// listener notes when the whole was had.
+type listener struct {
+	all chan<- time.Time
+}
+
+func (l listener) Reset(time.Duration, Batch[string])  { l.all <- time.Now() }
+func (l listener) Change(time.Duration, Batch[string]) {}
+func (l listener) Unavailable(error)                   {}
+
+// Hundreds of gateways that start in one moment, after all were killed, have the
+// list of thousands of servers within two seconds from a store that answers no more
+// calls than they need in one.
+func TestHundredsStartBeforeALimitedStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gateways, perSecond, pages = 300, 2000, 6
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &limitedStore{perTick: perSecond / int(time.Second/limitTick), pages: pages}
+		var wg conc.WaitGroup
+		wg.Go(func() { store.refill(ctx) })
+		had, begun := make(chan time.Time, gateways), time.Now()
+		for range gateways {
+			f := Follower[string]{Name: "t", Source: store, Sink: listener{had}, Wait: Always(15 * time.Second), Log: zap.NewNop()}
+			wg.Go(func() { f.Run(ctx) })
+		}
+		var last time.Duration
+		for range gateways {
+			last = (<-had).Sub(begun)
+		}
+		t.Logf("the last of %d gateways had the list after %v; %d calls, %d needed", gateways, last, store.calls, gateways*pages)
+		if last > 2*time.Second {
+			t.Errorf("the last of %d gateways had the list after %v", gateways, last)
+		}
+		cancel()
+		wg.Wait()
+	})
+}
