--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -15,16 +15,15 @@
 	// desired state, where operators set no bound for keys that are taken away.
 	// Where they do, it is proofPart of what the bound leaves beside the second
 	// for which a feed may be silent: each answer proves that the state in
-	// force was the newest a second ago. The rest is for a call that fails, and
-	// for the way of proofs between gateways.
+	// force was the newest a second ago. The rest is for callers:
+	// requests with a key are served on so long while the store is away. Only a
+	// few gateways make these calls.
 	desiredWait = 2500 * time.Millisecond
-	proofPart   = 0.6
+	proofPart   = 0.25
 	// provers is how many gateways ask so often for the proof of the desired
 	// state; the others, which have it from them by datagram, ask every
 	// provedByOthers, or at once when it gets older than hurryPart of the bound.
-	// Two may be cut off or dying, and the third proves. Calls are paid for: at 28
-	// gateways a quarter of all calls on a quiet day and a fifth on a day of
-	// trouble were for proofs.
+	// Two may be cut off or dying, and the third proves. Calls are paid for.
 	provers        = 3
 	provedByOthers = 15 * time.Second
 	hurryPart      = 0.7
