policy: the prefix index finds a part at a server without a search

Cause: a part's holders stood in a list that each use was searched in. At 2,997 servers a hot part is held by nearly all of them, and hundreds of gateways tell tens of thousands of uses a second. Change: holders by server; a choice asks for each server in place of building a table of all holders. The tests ask the same of one server at a time.

--- a/policy/need.go
+++ b/policy/need.go
@@ -71,16 +71,15 @@
 	if prefix.ID == 0 {
 		return shared
 	}
-	all := c.index.at(now, job.Shared)
 	shared.held = make([]held, len(servers))
-	if len(all) == 0 {
+	if !c.index.knows(job.Shared) {
 		return shared
 	}
 	for i := range servers {
 		if !usable(&servers[i]) {
 			continue
 		}
-		h := all[KeyOf(servers[i].Name)]
+		h := c.index.at(now, KeyOf(servers[i].Name), job.Shared)
 		shared.held[i] = h
 		shared.most = max(shared.most, h.tokens)
 		if h.read > 0 && (shared.source < 0 || h.read > shared.held[shared.source].read || h.read == shared.held[shared.source].read && servers[i].inFlight() < servers[shared.source].inFlight()) {
--- a/policy/prefix_index.go
+++ b/policy/prefix_index.go
@@ -41,7 +41,6 @@
 
 // holding is a part at a server.
 type holding struct {
-	server Key
 	// used is when it was used last, and read whether it has been read.
 	used time.Time
 	read bool
@@ -74,13 +73,13 @@
 //
 // Not safe for concurrent use.
 type PrefixIndex struct {
-	parts map[uint64][]holding
+	parts map[uint64]map[Key]*holding
 	news  []told
 	swept time.Time
 }
 
 // NewPrefixIndex returns an index that knows nothing.
-func NewPrefixIndex() *PrefixIndex { return &PrefixIndex{parts: map[uint64][]holding{}} }
+func NewPrefixIndex() *PrefixIndex { return &PrefixIndex{parts: map[uint64]map[Key]*holding{}} }
 
 // Sent notes that a prompt with these parts was sent to a server.
 func (x *PrefixIndex) Sent(now time.Time, server Key, parts []Part) {
@@ -120,26 +119,27 @@
 // use notes a use; it reports whether others don't know of it.
 func (x *PrefixIndex) use(now time.Time, u Use) bool {
 	x.sweep(now)
-	list := x.parts[u.Part]
-	for i := range list {
-		h := &list[i]
-		if h.server != u.Server {
-			continue
-		}
-		news := now.Sub(h.used) > newsAgain || u.Read && !h.read || !h.valid(now)
-		if !h.valid(now) {
-			h.read = false
-		}
-		h.used, h.read = now, h.read || u.Read
-		return news
+	servers := x.parts[u.Part]
+	if servers == nil {
+		servers = map[Key]*holding{}
+		x.parts[u.Part] = servers
+	}
+	h := servers[u.Server]
+	if h == nil {
+		servers[u.Server] = &holding{used: now, read: u.Read}
+		return true
 	}
-	x.parts[u.Part] = append(list, holding{server: u.Server, used: now, read: u.Read})
-	return true
+	news := now.Sub(h.used) > newsAgain || u.Read && !h.read || !h.valid(now)
+	if !h.valid(now) {
+		h.read = false
+	}
+	h.used, h.read = now, h.read || u.Read
+	return news
 }
 
 // Forget drops what a server held: it is gone, or has started anew.
 func (x *PrefixIndex) Forget(server Key) {
-	x.keep(func(h *holding) bool { return h.server != server })
+	x.keep(func(held Key, _ *holding) bool { return held != server })
 }
 
 // sweep drops what isn't held any more.
@@ -148,22 +148,19 @@
 		return
 	}
 	x.swept = now
-	x.keep(func(h *holding) bool { return h.valid(now) })
+	x.keep(func(_ Key, h *holding) bool { return h.valid(now) })
 }
 
-func (x *PrefixIndex) keep(wanted func(*holding) bool) {
-	for part, list := range x.parts {
-		kept := list[:0]
-		for i := range list {
-			if wanted(&list[i]) {
-				kept = append(kept, list[i])
+func (x *PrefixIndex) keep(wanted func(Key, *holding) bool) {
+	for part, servers := range x.parts {
+		for server, h := range servers {
+			if !wanted(server, h) {
+				delete(servers, server)
 			}
 		}
-		if len(kept) == 0 {
+		if len(servers) == 0 {
 			delete(x.parts, part)
-			continue
 		}
-		x.parts[part] = kept
 	}
 }
 
@@ -174,27 +171,25 @@
 	read   int
 }
 
-// at returns what each server holds of a prompt's beginning. A part is held only
-// if all before it are; since an index knows of the deepest ones that others
-// sent only where these are news, the deepest one counts.
-func (x *PrefixIndex) at(now time.Time, parts []Part) map[Key]held {
-	if len(parts) == 0 {
-		return nil
-	}
-	all := map[Key]held{}
+// knows reports whether any server is known to hold one of the parts.
+func (x *PrefixIndex) knows(parts []Part) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool { return len(x.parts[p.ID]) > 0 })
+}
+
+// at returns what a server holds of a prompt's beginning. A part is held only if
+// all before it are; since an index knows of the deepest ones that others sent only
+// where these are news, the deepest one counts.
+func (x *PrefixIndex) at(now time.Time, server Key, parts []Part) held {
+	var at held
 	for _, p := range parts {
-		for i := range x.parts[p.ID] {
-			h := &x.parts[p.ID][i]
-			if !h.valid(now) {
-				continue
-			}
-			at := all[h.server]
-			at.tokens = max(at.tokens, p.Upto)
-			if h.read {
-				at.read = max(at.read, p.Upto)
-			}
-			all[h.server] = at
+		h := x.parts[p.ID][server]
+		if h == nil || !h.valid(now) {
+			continue
+		}
+		at.tokens = max(at.tokens, p.Upto)
+		if h.read {
+			at.read = max(at.read, p.Upto)
 		}
 	}
-	return all
+	return at
 }
