peers: what all are told is encoded once, and sums are changed in place

Cause: each datagram was encoded whole for each receiver, since the echoed stamp differs; a heard one copied a server's whole counts twice for each of its loads. At 300 gateways 2,990 datagrams a second come in. Change: the common state is encoded once and carried as it is; sums are changed in place, the new counts before the old are taken away. Figures (go test -run '^$' -bench . ./internal/gateway/peers, 40 loads, 20 uses; machine busy): taking a datagram 12.9 us and 40 allocations before, 1.7 us and none after (reading its bytes not counted); telling 299 others 3.35 ms before, 3.11 ms after: the system calls are what is left. The form of datagrams changes with it, as with the pauses before: releases of two forms count only their own sends beside each other.

--- a/internal/gateway/peers/hear.go
+++ b/internal/gateway/peers/hear.go
@@ -31,13 +31,16 @@
 }
 
 // receive waits for a datagram and reads it.
-func (m *Mesh) receive(buffer []byte) (from string, in *message, err error) {
+func (m *Mesh) receive(buffer []byte) (from string, in *received, err error) {
 	n, addr, err := m.conn.ReadFrom(buffer)
 	if err != nil {
 		return "", nil, err
 	}
-	in = &message{}
-	if err := cbor.Unmarshal(buffer[:n], in); err != nil {
+	in = &received{}
+	if err := cbor.Unmarshal(buffer[:n], &in.message); err != nil {
+		return addr.String(), nil, errors.Wrap(ErrForm, err.Error())
+	}
+	if err := cbor.Unmarshal(in.State, &in.state); err != nil {
 		return addr.String(), nil, errors.Wrap(ErrForm, err.Error())
 	}
 	if in.From == "" {
@@ -49,7 +52,7 @@
 // take takes one datagram. A proof counts from the moment at which this
 // gateway sent the stamp that comes back: however long the datagrams were on
 // their way, the other's proof was as old as it says at a later moment.
-func (m *Mesh) take(from string, in *message) {
+func (m *Mesh) take(from string, in *received) {
 	if in.From == m.Self.Name || !m.table.take(time.Now(), from, in) {
 		return
 	}
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -1,6 +1,10 @@
 package peers
 
-import "github.com/applepier/applepier/internal/gateway/backend"
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/applepier/applepier/internal/gateway/backend"
+)
 
 // message is one datagram, an array without keys, since it is sent ten times a
 // second to every other gateway. Gateways whose arrays differ don't understand
@@ -19,6 +23,13 @@
 	Stamp    uint64
 	Echo     uint64
 	EchoBoot uint64
+	// State is the encoded state, the same for all receivers.
+	State cbor.RawMessage
+}
+
+// state is what a gateway tells all others alike.
+type state struct {
+	_ struct{} `cbor:",toarray"`
 	// Version is the desired state in force at the sender, 0 for none, and
 	// ProofAge how old its proof is that there is no newer one, in
 	// milliseconds; 0 for no proof.
@@ -36,6 +47,12 @@
 	Pauses []longestPause
 }
 
+// received is a datagram with its state.
+type received struct {
+	message
+	state
+}
+
 // load is what a gateway has at one backend server.
 type load struct {
 	_ struct{} `cbor:",toarray"`
@@ -66,14 +83,13 @@
 	return l
 }
 
-// counts unpacks a load. A level that isn't known here counts as the least
-// urgent.
-func (l *load) counts() backend.Counts {
-	c := backend.Counts{Running: int(l.Running)}
+// addTo adds what a gateway has to counts, or takes it away where sign is -1. A
+// level that isn't known here counts as the least urgent.
+func (l *load) addTo(c *backend.Counts, sign int) {
+	c.Running += sign * int(l.Running)
 	for _, p := range l.Pending {
 		level := &c.Pending[min(int(p.Urgency), len(c.Pending)-1)]
-		level.Requests += int(p.Requests)
-		level.Tokens += int(p.Tokens)
+		level.Requests += sign * int(p.Requests)
+		level.Tokens += sign * int(p.Tokens)
 	}
-	return c
 }
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -36,29 +36,31 @@
 	// mu guards what follows; nothing is locked while it is held.
 	mu    sync.Mutex
 	peers map[string]*peer
-	sums  map[uint32]backend.Counts
+	sums  map[uint32]*backend.Counts
 	// lacking sums the shortages by service.
 	lacking map[uint32]policy.Shortage
 }
 
 func newTable() *table {
-	return &table{peers: map[string]*peer{}, sums: map[uint32]backend.Counts{}, lacking: map[uint32]policy.Shortage{}}
+	return &table{peers: map[string]*peer{}, sums: map[uint32]*backend.Counts{}, lacking: map[uint32]policy.Shortage{}}
 }
 
 // take takes a datagram's counts; false if it is older than what is known.
-func (t *table) take(now time.Time, addr string, m *message) bool {
+func (t *table) take(now time.Time, addr string, m *received) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(m.From)
 	if p.boot == m.Boot && m.Sequence <= p.sequence {
 		return false
 	}
+	// The new counts first: servers at which the gateway goes on having something
+	// keep their sums.
+	t.add(m.Loads, 1)
+	t.lack(m.Shortages, 1)
 	t.drop(p)
 	p.addr, p.boot, p.sequence, p.heard, p.stamp = addr, m.Boot, m.Sequence, now, m.Stamp
 	p.version = m.Version
 	p.loads, p.shortages = m.Loads, m.Shortages
-	t.add(p.loads, 1)
-	t.lack(p.shortages, 1)
 	return true
 }
 
@@ -180,7 +182,10 @@
 func (t *table) at(server uint32) backend.Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sums[server]
+	if s := t.sums[server]; s != nil {
+		return *s
+	}
+	return backend.Counts{}
 }
 
 func (t *table) shortage(service uint32) policy.Shortage {
@@ -210,12 +215,13 @@
 func (t *table) add(loads []load, sign int) {
 	for i := range loads {
 		s := t.sums[loads[i].Server]
-		counts := loads[i].counts()
-		s.Add(&counts, sign)
-		if s == (backend.Counts{}) {
-			delete(t.sums, loads[i].Server)
-		} else {
+		if s == nil {
+			s = &backend.Counts{}
 			t.sums[loads[i].Server] = s
 		}
+		loads[i].addTo(s, sign)
+		if sign < 0 && *s == (backend.Counts{}) {
+			delete(t.sums, loads[i].Server)
+		}
 	}
 }
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -16,12 +16,26 @@
 	if len(destinations) == 0 {
 		return
 	}
+	encoded, err := cbor.Marshal(m.state())
+	if err != nil {
+		m.Log.Error(logging.EventPeerUnreadable, logging.Reason(err.Error()))
+		return
+	}
 	m.sequence++
+	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Stamp: uint64(boottime.Now()), State: encoded}
+	for _, d := range destinations {
+		out.Echo, out.EchoBoot = d.echo, d.boot
+		m.send(d.addr, &out)
+	}
+}
+
+// state is what all others are told. The proof's age is of a moment before the
+// datagram's stamp.
+func (m *Mesh) state() *state {
 	proof := m.Proof()
-	now := boottime.Now()
-	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Version: proof.Version, Stamp: uint64(now)}
+	out := &state{Version: proof.Version}
 	if proof.At > 0 {
-		out.ProofAge = uint64((now - proof.At).Milliseconds() + 1)
+		out.ProofAge = uint64((boottime.Now() - proof.At).Milliseconds() + 1)
 	}
 	for _, l := range m.Loads() {
 		if l.Counts != (backend.Counts{}) {
@@ -35,10 +49,7 @@
 	}
 	news := m.News()
 	out.Uses, out.Firsts, out.Pauses = usesOf(news.Uses), firstsOf(news.Firsts), pausesOf(news.Pauses)
-	for _, d := range destinations {
-		out.Echo, out.EchoBoot = d.echo, d.boot
-		m.send(d.addr, &out)
-	}
+	return out
 }
 
 func (m *Mesh) send(addr string, out *message) {
