--- a/policy/class_key.go
+++ b/policy/class_key.go
@@ -2,9 +2,7 @@
 
 // lateCost is what a grant to a late top-tier ticket counts for beside one
 // that can still be on time: the late ones get one grant in 65 while both
-// wait. In a burst of top-tier requests at four times capacity that gives 95 on
-// time a second where one in nine gave 84, and the longest wait was the same,
-// since it is set by the end of the burst; see docs/decisions-policy.md. It is not
+// wait. How long they wait is set by the end of the burst. It is not
 // nothing, so that their line moves however long a burst lasts.
 const lateCost = 64
 
--- a/policy/come_back.go
+++ b/policy/come_back.go
@@ -3,9 +3,8 @@
 import "time"
 
 // comeBackPart is the part of the target after which a request that was
-// refused for want of room is told to come back. Measured on days of high load:
-// a fifth served best, three tenths as well, three fifths worse
-// (docs/DECISIONS.md).
+// refused for want of room is told to come back: most of it is left for the answer
+// then.
 const comeBackPart = 0.2
 
 // ComeBack is after what time a refused request with a target is to come back.
--- a/policy/need.go
+++ b/policy/need.go
@@ -6,15 +6,14 @@
 	// newElsewhere is what a part that nobody holds counts for at another server
 	// than its home, as a part of its length: senders go there mostly where
 	// the home isn't in time, since others don't hear of it for a tenth of a
-	// second and read the part at home. 1 serves less by half a hundredth, at the
-	// mean of seven days of high load, which is within what plays differ by.
+	// second and read the part at home.
 	newElsewhere = 5.0
 	// homeCount is how many servers a part belongs to, in order: what is asked for
 	// more often than one can bear is copied to the next.
 	homeCount = 3
 	// copyWeight is what a part that is fetched counts for, as a part of its
 	// length: it takes memory twice, and a link's time. A wait as long as reading
-	// it is borne first; 0.5, 1.5, 4 and 5 serve alike.
+	// it is borne first.
 	copyWeight = 1.0
 	// fetchSetup is how long it takes until a part that is fetched begins to
 	// arrive; the fastest links take 2 ms and the slowest 8.
--- a/policy/preemption.go
+++ b/policy/preemption.go
@@ -25,12 +25,8 @@
 // inside the engine, since the limit was too high. Only runs that say so are
 // cancelled, and none that the guarantee has granted.
 //
-// It pays: of 40 urgent requests a second on engines full of long ones 0.966 were on
-// time without it and 0.997 with it, for 1.5% of the slot time; and beside a
-// burst of a middle tier it lets the slots that are kept back be lent,
-// which brought 17.6 answers on time a second in place of 15.6, for 0.1% of
-// the slot time (trials in virtual time, docs/decisions-policy.md). The slot time is
-// that of reading the prompt again; the answer is resumed where it was cut.
+// It lets the slots that are kept back be lent meanwhile. Its price is the slot time
+// of reading the prompt again; the answer is resumed where it was cut.
 func (s *Scheduler) Preempt(now time.Time) (id string, ok bool) {
 	s.advance(now)
 	stuck := s.urgentRunStuck()
--- a/policy/prefix_index.go
+++ b/policy/prefix_index.go
@@ -9,8 +9,7 @@
 	// heldFor is how long a server is thought to keep a part after its last use.
 	// Servers give up what was used least recently: with memory for 285,000 to
 	// 590,000 tokens, a third of it taken by what runs, and 20,000 to 40,000 new
-	// ones a second in a burst that is after 5 to 20 seconds. Days of high load at
-	// three deployments: 5 and 10 seconds serve alike.
+	// ones a second in a burst that is after 5 to 20 seconds.
 	heldFor = 8 * time.Second
 	// begunWithin is how long a part that was sent counts as about to be there:
 	// beyond it its prompt was refused, given up on, or is stuck.
--- a/policy/promises.go
+++ b/policy/promises.go
@@ -6,19 +6,16 @@
 	// minRetryAfter is the shortest hint; HTTP states it in whole seconds.
 	minRetryAfter = time.Second
 	// maxRetryAfter bounds the hint. A minute's burst at eight times capacity
-	// takes eight minutes to serve; with a bound of two minutes only a
-	// quarter of those that it turned away succeeded on coming back.
+	// takes eight minutes to serve.
 	maxRetryAfter = 15 * time.Minute
 	// promisedPart is the part of the rate that is promised to those who were
 	// refused. The rest is for those who come for the first time meanwhile: an
 	// engine can't tell the two apart, so that what is promised in full is
-	// kept for some of both. With 1 in its place 0.53 to 0.60 of the hints of
-	// a single engine were kept, with 0.5 0.66 to 0.85
-	// (docs/decisions-policy.md).
+	// kept for some of both.
 	promisedPart = 0.5
 	// burstRest is what a hint adds when all are refused now. Who comes back
 	// while the burst goes on gets in no more often than all others, and how
-	// long it will last nobody knows. Of 0, 5 and 10 s the last kept most.
+	// long it will last nobody knows.
 	burstRest = 10 * time.Second
 )
 
