policy, gateways: what all gateways see of servers that answer nobody

Change: gateways tell each other, in the datagram, the servers of requests that got no answer, and the server of each first token. Five unanswered in a row, whoever sent them, leave a server out for a second, one more for another; any answer ends it. Answers that are failures don't count: servers that fail one request in seven would be left out by everybody. More than half of all left out are used all the same, as with ejection. The pace of a server stays apart from its pauses, with its test.

--- a/internal/gateway/peers/first.go
+++ b/internal/gateway/peers/first.go
@@ -11,6 +11,7 @@
 type first struct {
 	_            struct{} `cbor:",toarray"`
 	Service      uint32
+	Server       uint32
 	Urgency      uint8
 	Ahead        uint32
 	Milliseconds uint32
@@ -21,7 +22,7 @@
 	packed := make([]first, len(all))
 	for i, f := range all {
 		packed[i] = first{
-			Service: uint32(f.Service), Urgency: uint8(f.Urgency),
+			Service: uint32(f.Service), Server: uint32(f.Server), Urgency: uint8(f.Urgency),
 			Ahead: uint32(max(f.Ahead, 0)), Milliseconds: uint32(max(f.Took.Milliseconds(), 0)),
 		}
 	}
@@ -34,7 +35,7 @@
 	all := make([]policy.FirstToken, len(packed))
 	for i, f := range packed {
 		all[i] = policy.FirstToken{
-			Service: policy.Key(f.Service), Urgency: min(int(f.Urgency), policy.UrgencyLevels-1),
+			Service: policy.Key(f.Service), Server: policy.Key(f.Server), Urgency: min(int(f.Urgency), policy.UrgencyLevels-1),
 			Ahead: float64(f.Ahead), Took: time.Duration(f.Milliseconds) * time.Millisecond,
 		}
 	}
--- a/internal/gateway/peers/hear.go
+++ b/internal/gateway/peers/hear.go
@@ -56,8 +56,10 @@
 	if in.From == m.Self.Name || !m.table.take(time.Now(), from, in) {
 		return
 	}
-	if len(in.Uses)+len(in.Firsts)+len(in.Pauses) > 0 {
-		m.Heard(policy.News{Uses: unpackUses(in.Uses), Firsts: unpackFirsts(in.Firsts), Pauses: unpackPauses(in.Pauses)})
+	if len(in.Uses)+len(in.Firsts)+len(in.Pauses)+len(in.Unanswered) > 0 {
+		m.Heard(policy.News{
+			Uses: unpackUses(in.Uses), Firsts: unpackFirsts(in.Firsts), Pauses: unpackPauses(in.Pauses), Unanswered: in.Unanswered,
+		})
 	}
 	age := time.Duration(in.ProofAge) * time.Millisecond
 	stamp := time.Duration(in.Echo)
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/policy"
 )
 
 // message is one datagram, an array without keys, since it is sent ten times a
@@ -45,6 +46,8 @@
 	Firsts []first
 	// Pauses are of the streams that ended at the sender since its last datagram.
 	Pauses []longestPause
+	// Unanswered are the servers of requests that got no answer since then.
+	Unanswered []policy.Key
 }
 
 // received is a datagram with its state.
--- a/internal/gateway/peers/news_test.go
+++ b/internal/gateway/peers/news_test.go
@@ -11,9 +11,10 @@
 func TestNewsArePassedOn(t *testing.T) {
 	a, b, _ := meshes(t)
 	told := policy.News{
-		Uses:   []policy.Use{{Server: 0xfffffff0, Part: 1<<63 + 5, Read: true}, {Server: 2, Part: 3}},
-		Firsts: []policy.FirstToken{{Service: 9, Urgency: 4, Ahead: 12_000, Took: 250 * time.Millisecond}},
-		Pauses: []policy.Pause{{Service: 9, Server: 0xfffffff0, Urgency: 3, Longest: 118 * time.Millisecond}},
+		Uses:       []policy.Use{{Server: 0xfffffff0, Part: 1<<63 + 5, Read: true}, {Server: 2, Part: 3}},
+		Firsts:     []policy.FirstToken{{Service: 9, Server: 2, Urgency: 4, Ahead: 12_000, Took: 250 * time.Millisecond}},
+		Unanswered: []policy.Key{0xfffffff0, 0xfffffff0},
+		Pauses:     []policy.Pause{{Service: 9, Server: 0xfffffff0, Urgency: 3, Longest: 118 * time.Millisecond}},
 	}
 	a.News = func() policy.News { return told }
 	var heard []policy.News
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -49,6 +49,7 @@
 	}
 	news := m.News()
 	out.Uses, out.Firsts, out.Pauses = usesOf(news.Uses), firstsOf(news.Firsts), pausesOf(news.Pauses)
+	out.Unanswered = news.Unanswered
 	return out
 }
 
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -140,53 +140,6 @@
 	return c.sends < max(c.route.Attempts, 1) && c.router.allowRepeat(c.service)
 }
 
-// choose has the policy choose a server; nil when there is none to be used.
-func (c *call) choose() (*backend.Server, policy.Choice) {
-	servers := c.router.Registry.Servers(c.service)
-	job := policy.Job{
-		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
-		Tokens: c.ask.PromptTokens, Tried: c.tried,
-	}
-	facts := c.facts()
-	job.FetchRate = facts.FetchRate
-	c.shared = shared(c.ask.Parts, c.ask.PromptTokens)
-	job.Shared = c.shared
-	choice := c.router.pick(c.service, job, c.route.Pause, c.router.loads(servers, facts.MaxConns), len(c.tried) == 0)
-	if !choice.Found {
-		return nil, choice
-	}
-	c.server, c.expected = servers[choice.At].Info().ID, choice.Expected
-	c.fetchFrom = ""
-	if choice.Fetches {
-		c.fetchFrom = servers[choice.From].Info().Addr
-	}
-	return servers[choice.At], choice
-}
-
-// facts is what operators say of the service; of one that they don't list
-// nothing is known.
-func (c *call) facts() routes.Service {
-	if set := c.router.Holder.Current(); set != nil && set.Services[c.service] != nil {
-		return *set.Services[c.service]
-	}
-	return routes.Service{}
-}
-
-// letIn reports whether the request is let in at the chosen server. What was
-// sent before is: it has used up time and work that would be lost.
-func (c *call) letIn(choice policy.Choice) bool {
-	return choice.InTime || c.sends > 0 || c.ask.PromptTokens == 0 && choice.Room
-}
-
-// crowded refuses a request that isn't let in, and says what is lacking.
-func (c *call) crowded(choice policy.Choice) {
-	reason := ReasonCrowded
-	if choice.OnlySlots {
-		reason = ReasonNoSlot
-	}
-	c.refuse(reason, policy.ComeBack(c.route.Target))
-}
-
 // attempt sends the request to a server and passes on what comes.
 func (c *call) attempt(ctx context.Context, server *backend.Server, choice policy.Choice) verdict {
 	info := server.Info()
@@ -222,7 +175,7 @@
 		return done
 	}
 	if ctx.Err() == nil {
-		c.router.observe(server, policy.OutcomeFailed)
+		c.router.unanswered(server)
 	}
 	return unclear
 }
--- /dev/null
+++ b/internal/gateway/router/choose.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/policy"
+)
+
+// choose has the policy choose a server; nil when there is none to be used.
+func (c *call) choose() (*backend.Server, policy.Choice) {
+	return c.chooseFor(c.job(), len(c.tried) == 0)
+}
+
+// job is the request as the policy sees it.
+func (c *call) job() policy.Job {
+	c.shared = shared(c.ask.Parts, c.ask.PromptTokens)
+	return policy.Job{
+		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
+		Tokens: c.ask.PromptTokens, Shared: c.shared, FetchRate: c.facts().FetchRate, Tried: c.tried,
+	}
+}
+
+// chooseFor has the policy choose a server for a job; first says that it is the
+// request's first choice.
+func (c *call) chooseFor(job policy.Job, first bool) (*backend.Server, policy.Choice) {
+	servers := c.router.Registry.Servers(c.service)
+	choice := c.router.pick(c.service, job, c.route.Pause, c.router.loads(servers, c.facts().MaxConns), first)
+	if !choice.Found {
+		return nil, choice
+	}
+	c.server, c.expected = servers[choice.At].Info().ID, choice.Expected
+	c.fetchFrom = ""
+	if choice.Fetches {
+		c.fetchFrom = servers[choice.From].Info().Addr
+	}
+	return servers[choice.At], choice
+}
+
+// facts is what operators say of the service; of one that they don't list
+// nothing is known.
+func (c *call) facts() routes.Service {
+	if set := c.router.Holder.Current(); set != nil && set.Services[c.service] != nil {
+		return *set.Services[c.service]
+	}
+	return routes.Service{}
+}
+
+// letIn reports whether the request is let in at the chosen server. What was
+// sent before is: it has used up time and work that would be lost.
+func (c *call) letIn(choice policy.Choice) bool {
+	return choice.InTime || c.sends > 0 || c.ask.PromptTokens == 0 && choice.Room
+}
+
+// crowded refuses a request that isn't let in, and says what is lacking.
+func (c *call) crowded(choice policy.Choice) {
+	reason := ReasonCrowded
+	if choice.OnlySlots {
+		reason = ReasonNoSlot
+	}
+	c.refuse(reason, policy.ComeBack(c.route.Target))
+}
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -17,6 +17,7 @@
 
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/protocol"
+	"github.com/applepier/applepier/policy"
 )
 
 const (
@@ -35,6 +36,7 @@
 	// comes after the Registry's lock; nothing is locked while it is held.
 	mu        sync.Mutex
 	services  map[string]*service
+	silent    *policy.SilentServers
 	untold    untold
 	bounds    atomic.Pointer[Bounds]
 	held      held
@@ -44,7 +46,7 @@
 // New returns a Router. Elsewhere reports whether callers are to go to another
 // gateway: connections are closed after their answer.
 func New(c Config, bounds Bounds, elsewhere func() bool) *Router {
-	r := &Router{Config: c, services: map[string]*service{}, elsewhere: elsewhere}
+	r := &Router{Config: c, services: map[string]*service{}, silent: policy.NewSilentServers(), elsewhere: elsewhere}
 	r.SetBounds(bounds)
 	return r
 }
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -51,7 +51,9 @@
 	own := s.shortage.Counts(now)
 	lacking.Add(&own, 1)
 	for i := range loads {
-		loads[i].LatePause = s.pauses.Late(now, policy.KeyOf(loads[i].Name), job.Urgency, pause)
+		server := policy.KeyOf(loads[i].Name)
+		loads[i].LatePause = s.pauses.Late(now, server, job.Urgency, pause)
+		loads[i].Silent = r.silent.Silent(now, server)
 	}
 	job.Yield = s.yielding.Share(now, &lacking, policy.SlotsInUse(loads), job.Urgency)
 	choice := r.Chooser.Choose(now, job, loads, &s.rates[job.Urgency])
@@ -80,8 +82,9 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.service(c.service).rates[c.urgency].Observe(now, ahead, took)
-	r.untold.first(policy.FirstToken{Service: policy.KeyOf(c.service), Urgency: c.urgency, Ahead: ahead, Took: took})
+	r.untold.first(policy.FirstToken{Service: policy.KeyOf(c.service), Server: policy.KeyOf(c.server), Urgency: c.urgency, Ahead: ahead, Took: took})
 	r.Index.Read(now, policy.KeyOf(c.server), c.shared)
+	r.silent.Answered(policy.KeyOf(c.server))
 }
 
 // observePause takes the longest pause of a stream that one server made whole.
@@ -106,10 +109,14 @@
 	now := time.Now()
 	r.Index.Heard(now, news.Uses)
 	for _, f := range news.Firsts {
+		r.silent.Answered(f.Server)
 		if s := r.known(f.Service); s != nil {
 			s.rates[f.Urgency].Observe(now, f.Ahead, f.Took)
 		}
 	}
+	for _, server := range news.Unanswered {
+		r.silent.Unanswered(now, server)
+	}
 	for _, p := range news.Pauses {
 		if s := r.known(p.Service); s != nil {
 			s.pauses.Observe(now, p)
@@ -133,7 +140,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	samples := r.untold.take()
-	return policy.News{Uses: r.Index.News(time.Now()), Firsts: samples.firsts, Pauses: samples.pauses}
+	return policy.News{
+		Uses: r.Index.News(time.Now()), Firsts: samples.firsts, Pauses: samples.pauses, Unanswered: samples.unanswered,
+	}
 }
 
 // unreachable notes that a server can't be connected to: it may have crashed, and
@@ -143,6 +152,22 @@
 	defer r.mu.Unlock()
 	r.Ejector.Observe(time.Now(), server, policy.OutcomeFailed)
 	r.Index.Forget(policy.KeyOf(server))
+	r.noAnswer(server)
+}
+
+// unanswered notes that a server left a request without an answer.
+func (r *Router) unanswered(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Ejector.Observe(time.Now(), server, policy.OutcomeFailed)
+	r.noAnswer(server)
+}
+
+// noAnswer notes, here and for others, that a server didn't answer; r.mu is held.
+func (r *Router) noAnswer(server string) {
+	key := policy.KeyOf(server)
+	r.silent.Unanswered(time.Now(), key)
+	r.untold.noAnswer(key)
 }
 
 func (r *Router) observe(server string, o policy.Outcome) {
@@ -156,6 +181,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Ejector.Forget(server)
+	r.silent.Forget(policy.KeyOf(server))
 	r.Index.Forget(policy.KeyOf(server))
 	for _, s := range r.services {
 		s.pauses.Forget(policy.KeyOf(server))
--- a/internal/gateway/router/untold.go
+++ b/internal/gateway/router/untold.go
@@ -8,12 +8,13 @@
 // takes isn't kept.
 const mostUntold = 256
 
-// untold gathers the first tokens and pauses that came since others were told
-// last. A datagram that is lost loses its own, which is as if fewer had been
+// untold gathers the first tokens and pauses that came, and the requests that got no
+// answer, since others were told last. A datagram that is lost loses its own, which is as if fewer had been
 // sent.
 type untold struct {
-	firsts []policy.FirstToken
-	pauses []policy.Pause
+	firsts     []policy.FirstToken
+	pauses     []policy.Pause
+	unanswered []policy.Key
 }
 
 func (u *untold) first(one policy.FirstToken) {
@@ -28,6 +29,12 @@
 	}
 }
 
+func (u *untold) noAnswer(server policy.Key) {
+	if len(u.unanswered) < mostUntold {
+		u.unanswered = append(u.unanswered, server)
+	}
+}
+
 func (u *untold) take() untold {
 	all := *u
 	*u = untold{}
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -23,8 +23,7 @@
 	warmingTokens = 4000
 	// rereadWeight is what reading a shared part again that another server has
 	// counts for against waiting: the reading delays all that come to that
-	// server later, the wait this request alone. Measured: 2 and 4 serve less,
-	// 16 no more (docs/MEASUREMENTS.md).
+	// server later, the wait this request alone.
 	rereadWeight = 8.0
 	// drawn is how many servers a prompt that shares nothing looks at: with old
 	// news of the load two or three serve best (Mitzenmacher, How useful is old
@@ -39,9 +38,7 @@
 	againWeight = 15.0
 	// shortestWait is the part of the target that any request may wait for
 	// others, so that the longest prompts are let in where next to nothing is
-	// before them, a model's first step not counted. Measured on the grown
-	// sites: 0.04 serves the longest about as well as 0.12 and 0.3, and does
-	// without the losses that these bring to all others.
+	// before them, a model's first step not counted. More of it delays all others.
 	shortestWait = 0.04
 )
 
@@ -104,26 +101,27 @@
 	return &Chooser{random: random, ejector: ejector, index: index}
 }
 
-// Choose returns the best server at a rate of reading. Ejected ones are left out
-// unless more than ejectPanic of the servers are.
+// Choose returns the best server at a rate of reading. Ejected and silent ones are
+// left out unless more than ejectPanic of the servers are.
 func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *ReadingRate) Choice {
 	if len(servers) == 0 {
 		return Choice{}
 	}
 	usable := func(s *Server) bool { return !s.Leaving && !job.tried(s.Name) }
-	all, ejected := 0, 0
+	failing := func(s *Server) bool { return s.Silent || c.ejector.Ejected(now, s.Name) }
+	all, failed := 0, 0
 	for i := range servers {
 		if usable(&servers[i]) {
 			all++
-			if c.ejector.Ejected(now, servers[i].Name) {
-				ejected++
+			if failing(&servers[i]) {
+				failed++
 			}
 		}
 	}
-	if float64(ejected) > ejectPanic*float64(all) {
+	if float64(failed) > ejectPanic*float64(all) {
 		return c.choose(now, job, servers, rate, usable)
 	}
-	return c.choose(now, job, servers, rate, func(s *Server) bool { return usable(s) && !c.ejector.Ejected(now, s.Name) })
+	return c.choose(now, job, servers, rate, func(s *Server) bool { return usable(s) && !failing(s) })
 }
 
 func (c *Chooser) choose(now time.Time, job Job, servers []Server, rate *ReadingRate, usable func(*Server) bool) Choice {
@@ -148,9 +146,10 @@
 	}
 	c.shareSlots(job.Unseen, c.all)
 	var best Choice
-	least := 0.0
+	// What is late is worth no more than what has waited for its whole target.
+	least, late := 0.0, rate.during(job.Target)
 	for i := range c.all {
-		choice, cost := c.all[i].outcome()
+		choice, cost := c.all[i].outcome(late)
 		if !best.Found || choice.InTime && !best.InTime || choice.InTime == best.InTime && cost < least {
 			best, least = choice, cost
 		}
@@ -209,7 +208,7 @@
 	cost += s.LatePause * rate.during(job.Target)
 	// Equals are drawn from, so that senders don't all go the same way.
 	cost += c.random.Float64() * pendingTokens / 2
-	return weighed{choice: choice, cost: cost, reading: need.cost(), left: left}
+	return weighed{choice: choice, cost: cost, reading: need.cost(), left: left, latePause: s.LatePause}
 }
 
 // priceOfRereading is what a token of a shared part counts for that is read again,
--- a/policy/news.go
+++ b/policy/news.go
@@ -13,12 +13,15 @@
 	Uses   []Use
 	Firsts []FirstToken
 	Pauses []Pause
+	// Unanswered are the servers of requests that got no answer, one for each.
+	Unanswered []Key
 }
 
 // FirstToken is how long a server of a service took to a first token with so
 // many tokens to be read before it.
 type FirstToken struct {
 	Service Key
+	Server  Key
 	Urgency int
 	Ahead   float64
 	Took    time.Duration
--- /dev/null
+++ b/policy/paces_test.go
@@ -0,0 +1,31 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+func TestPacesFadeAndAreBounded(t *testing.T) {
+	var p paces
+	if got := p.of(testStart, 7); got != 1 {
+		t.Errorf("a server that isn't known takes %.2f times as long", got)
+	}
+	for i := range 40 {
+		p.observe(testStart.Add(time.Duration(i)*100*time.Millisecond), 7, 1.5)
+		p.observe(testStart.Add(time.Duration(i)*100*time.Millisecond), 8, 1000)
+	}
+	now := testStart.Add(4 * time.Second)
+	if got := p.of(now, 7); got < 1.4 || got > 1.5 {
+		t.Errorf("half as slow again: %.2f", got)
+	}
+	if got := p.of(now, 8); got > mostPace {
+		t.Errorf("a server that stood still takes %.2f times as long", got)
+	}
+	if got := p.of(now.Add(time.Minute), 7); got > 1.1 {
+		t.Errorf("a minute later %.2f", got)
+	}
+	p.forget(7)
+	if got := p.of(now, 7); got != 1 {
+		t.Errorf("once forgotten %.2f", got)
+	}
+}
--- a/policy/pauses.go
+++ b/policy/pauses.go
@@ -6,20 +6,10 @@
 )
 
 const (
-	// pauseMemory is over how long a server's pauses are averaged: a few turns of
-	// a batch, so that one that turns slow or recovers is known while it matters,
-	// and one that was avoided is tried again.
-	pauseMemory = 10 * time.Second
-	// pausePrior is how many streams the service's mean counts for against a
-	// server's own.
-	pausePrior = 2.0
 	// leastPauses is how many streams of an urgency have to be known before their
 	// pauses decide anything, and longestPauses bounds the weight of older ones.
 	leastPauses   = 16.0
 	longestPauses = 256.0
-	// mostPause bounds a sample by how many times the mean: a stream that stood
-	// still with its server tells of the fault, not of the server's pace.
-	mostPause = 4.0
 	// normalDeviation is the standard deviation by the mean one, of pauses that are
 	// distributed normally.
 	normalDeviation = 1.25
@@ -45,8 +35,8 @@
 //
 // Not safe for concurrent use.
 type Pauses struct {
-	levels  [UrgencyLevels]pauseLevel
-	servers map[Key]*pauseRatio
+	levels [UrgencyLevels]pauseLevel
+	paces  paces
 }
 
 // pauseLevel is how long the longest pauses of one urgency's streams are.
@@ -58,13 +48,6 @@
 	millis, deviation float64
 }
 
-// pauseRatio is a server's sum of pauses, as parts of what is usual in its
-// service, that fades with time.
-type pauseRatio struct {
-	sum, weight float64
-	last        time.Time
-}
-
 // Observe takes the longest pause of one stream.
 func (p *Pauses) Observe(now time.Time, one Pause) {
 	level := &p.levels[one.Urgency]
@@ -72,11 +55,11 @@
 	if level.count == 0 {
 		level.millis = millis
 	}
-	millis = min(millis, mostPause*level.millis)
+	millis = min(millis, mostPace*level.millis)
 	level.count = min(level.count+1, longestPauses)
-	if expected := level.millis * p.pace(now, one.Server); expected > 0 {
+	if expected := level.millis * p.paces.of(now, one.Server); expected > 0 {
 		level.deviation += (math.Abs(millis-expected)/expected - level.deviation) / level.count
-		p.server(one.Server).add(now, millis/level.millis)
+		p.paces.observe(now, one.Server, millis/level.millis)
 	}
 	level.millis += (millis - level.millis) / level.count
 }
@@ -88,7 +71,7 @@
 	if target == 0 || level.count < leastPauses {
 		return 0
 	}
-	expected := level.millis * p.pace(now, server)
+	expected := level.millis * p.paces.of(now, server)
 	left := inMillis(target) - expected
 	deviation := normalDeviation * level.deviation * expected
 	if deviation == 0 {
@@ -98,34 +81,4 @@
 }
 
 // Forget drops what is known of a server.
-func (p *Pauses) Forget(server Key) { delete(p.servers, server) }
-
-// pace is how many times as long a server's pauses are as those of its service.
-func (p *Pauses) pace(now time.Time, server Key) float64 {
-	r := p.servers[server]
-	if r == nil {
-		return 1
-	}
-	kept := math.Exp(-float64(now.Sub(r.last)) / float64(pauseMemory))
-	return (pausePrior + kept*r.sum) / (pausePrior + kept*r.weight)
-}
-
-func (p *Pauses) server(server Key) *pauseRatio {
-	if p.servers == nil {
-		p.servers = map[Key]*pauseRatio{}
-	}
-	r := p.servers[server]
-	if r == nil {
-		r = &pauseRatio{}
-		p.servers[server] = r
-	}
-	return r
-}
-
-func (r *pauseRatio) add(now time.Time, ratio float64) {
-	kept := 0.0
-	if !r.last.IsZero() {
-		kept = math.Exp(-float64(now.Sub(r.last)) / float64(pauseMemory))
-	}
-	r.sum, r.weight, r.last = kept*r.sum+ratio, kept*r.weight+1, now
-}
+func (p *Pauses) Forget(server Key) { p.paces.forget(server) }
--- a/policy/weighed.go
+++ b/policy/weighed.go
@@ -9,14 +9,17 @@
 	reading float64
 	// left is how many slots the request may still take there.
 	left float64
+	// latePause is the chance that its stream is late by a pause.
+	latePause float64
 }
 
-// outcome is the choice, and its cost, once it is known whether a slot is left.
-func (w *weighed) outcome() (Choice, float64) {
+// outcome is the choice, and its cost, once it is known whether a slot is left;
+// late is what a request counts for that is late, in tokens.
+func (w *weighed) outcome(late float64) (Choice, float64) {
 	choice, cost := w.choice, w.cost
 	choice.InTime = choice.Room && choice.soon
 	if choice.InTime {
-		cost += w.reading
+		cost += w.reading + late*w.latePause
 	}
 	return choice, cost
 }
