--- /dev/null
+++ b/internal/gateway/router/shared_test.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/policy"
+)
+
+// alone is a gateway that hears of no other.
+type alone struct{}
+
+func (alone) At(string) backend.Counts        { return backend.Counts{} }
+func (alone) Shortage(string) policy.Shortage { return policy.Shortage{} }
+func (alone) Gateways() int                   { return 1 }
+func (alone) Unseen() time.Duration           { return 100 * time.Millisecond }
+
+func newTestRouter() *Router {
+	ejector, index := policy.NewEjector(), policy.NewPrefixIndex()
+	return New(Config{
+		Holder: &routes.Holder{}, Others: alone{}, Gateways: func() int { return 1 }, Ejector: ejector, Index: index,
+		Chooser: policy.NewChooser(rand.New(rand.NewPCG(1, 2)), ejector, index),
+	}, Bounds{}, func() bool { return false })
+}
+
+// chosen counts where requests of a service go.
+func chosen(r *Router, pause time.Duration) map[string]int {
+	at := map[string]int{}
+	for range 60 {
+		loads := []policy.Server{{Name: "a", Slots: 8}, {Name: "b", Slots: 8}, {Name: "c", Slots: 8}}
+		job := policy.Job{Urgency: 3, Target: 250 * time.Millisecond, Tokens: 800}
+		if choice := r.pick("s", job, pause, loads, true); choice.InTime {
+			at[loads[choice.At].Name]++
+		}
+	}
+	return at
+}
+
+// What other gateways tell of a server that answers nobody keeps this one's requests
+// away, until one of them tells of an answer.
+func TestOthersTellOfSilentServers(t *testing.T) {
+	r := newTestRouter()
+	silent := policy.KeyOf("b")
+	for range 5 {
+		r.Heard(policy.News{Unanswered: []policy.Key{silent, silent}})
+	}
+	if at := chosen(r, 0); at["b"] != 0 || at["a"] == 0 || at["c"] == 0 {
+		t.Errorf("chosen %v, b answers nobody", at)
+	}
+	r.Heard(policy.News{Firsts: []policy.FirstToken{{Service: policy.KeyOf("s"), Server: silent, Urgency: 3, Ahead: 800, Took: 100 * time.Millisecond}}})
+	if at := chosen(r, 0); at["b"] == 0 {
+		t.Errorf("chosen %v, b has answered another gateway", at)
+	}
+	// What this gateway learns itself it tells others.
+	r.unanswered("c")
+	if news := r.News(); len(news.Unanswered) != 1 || news.Unanswered[0] != policy.KeyOf("c") {
+		t.Errorf("told %v of a request without an answer from c", news.Unanswered)
+	}
+	if news := r.News(); len(news.Unanswered) != 0 {
+		t.Errorf("told %v again", news.Unanswered)
+	}
+}
+
+// Streams with a target for their pauses go where these are short, by what other
+// gateways tell; a route without one goes anywhere.
+func TestOthersTellOfPauses(t *testing.T) {
+	r := newTestRouter()
+	chosen(r, 0)
+	tell := func(server string, longest time.Duration) {
+		r.Heard(policy.News{Pauses: []policy.Pause{{Service: policy.KeyOf("s"), Server: policy.KeyOf(server), Urgency: 3, Longest: longest}}})
+	}
+	for range 20 {
+		tell("a", 90*time.Millisecond)
+		tell("b", 150*time.Millisecond)
+		tell("c", 92*time.Millisecond)
+	}
+	// A prompt that shares nothing looks at three servers that are drawn, which may be
+	// one and the same.
+	if at := chosen(r, 120*time.Millisecond); 6*at["b"] > at["a"]+at["b"]+at["c"] {
+		t.Errorf("chosen %v, pauses at b are too long", at)
+	}
+	if at := chosen(r, 0); at["b"] == 0 {
+		t.Errorf("chosen %v without a target for pauses", at)
+	}
+	// A server that starts anew is as any other.
+	r.Forget("b")
+	if at := chosen(r, 120*time.Millisecond); at["b"] == 0 {
+		t.Errorf("chosen %v, b has started anew", at)
+	}
+}
