policy: what is known of servers' paces and silences is bounded

Cause: gateways tell each other of servers by hashes; one that is gone here may still be told by another, and its entry stayed for good. Change: paces that nothing was heard of for 100 s, and silences for a minute, are dropped as others are learned; the choice of a server is one function again. Tests: 10,000 servers, one a second, fail before (10,000 are known).

--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -8,23 +8,13 @@
 
 // choose has the policy choose a server; nil when there is none to be used.
 func (c *call) choose() (*backend.Server, policy.Choice) {
-	return c.chooseFor(c.job(), len(c.tried) == 0)
-}
-
-// job is the request as the policy sees it.
-func (c *call) job() policy.Job {
+	servers, facts := c.router.Registry.Servers(c.service), c.facts()
 	c.shared = shared(c.ask.Parts, c.ask.PromptTokens)
-	return policy.Job{
+	job := policy.Job{
 		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
-		Tokens: c.ask.PromptTokens, Shared: c.shared, FetchRate: c.facts().FetchRate, Tried: c.tried,
+		Tokens: c.ask.PromptTokens, Shared: c.shared, FetchRate: facts.FetchRate, Tried: c.tried,
 	}
-}
-
-// chooseFor has the policy choose a server for a job; first says that it is the
-// request's first choice.
-func (c *call) chooseFor(job policy.Job, first bool) (*backend.Server, policy.Choice) {
-	servers := c.router.Registry.Servers(c.service)
-	choice := c.router.pick(c.service, job, c.route.Pause, c.router.loads(servers, c.facts().MaxConns), first)
+	choice := c.router.pick(c.service, job, c.route.Pause, c.router.loads(servers, facts.MaxConns), len(c.tried) == 0)
 	if !choice.Found {
 		return nil, choice
 	}
--- a/policy/paces.go
+++ b/policy/paces.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -13,6 +14,8 @@
 	// pacePrior is how many samples the mean of all servers counts for against a
 	// server's own.
 	pacePrior = 2.0
+	// paceForgotten is after how long without a sample nothing is left of a pace.
+	paceForgotten = 10 * paceMemory
 	// mostPace bounds a sample: a server that stood still tells of the fault, not of
 	// its pace.
 	mostPace = 4.0
@@ -22,6 +25,7 @@
 // something, from samples that fade with time. The zero value knows of none.
 type paces struct {
 	servers map[Key]*pace
+	swept   time.Time
 }
 
 // pace is a server's sum of samples, each a part of what was expected.
@@ -35,6 +39,7 @@
 	if p.servers == nil {
 		p.servers = map[Key]*pace{}
 	}
+	p.sweep(now)
 	at := p.servers[server]
 	if at == nil {
 		at = &pace{last: now}
@@ -54,6 +59,16 @@
 	return (pacePrior + kept*at.sum) / (pacePrior + kept*at.weight)
 }
 
+// sweep drops the servers that nothing was heard of for long: others may tell of one
+// that is gone.
+func (p *paces) sweep(now time.Time) {
+	if now.Sub(p.swept) < paceForgotten {
+		return
+	}
+	p.swept = now
+	maps.DeleteFunc(p.servers, func(_ Key, at *pace) bool { return now.Sub(at.last) > paceForgotten })
+}
+
 func (p *paces) forget(server Key) { delete(p.servers, server) }
 
 // kept is what is left of older samples.
--- a/policy/paces_test.go
+++ b/policy/paces_test.go
@@ -29,3 +29,14 @@
 		t.Errorf("once forgotten %.2f", got)
 	}
 }
+
+// Others may tell of servers that are gone; what is known of them goes too.
+func TestPacesAreBounded(t *testing.T) {
+	var p paces
+	for i := range 10_000 {
+		p.observe(testStart.Add(time.Duration(i)*time.Second), Key(i), 1)
+	}
+	if most := 2 * int(paceForgotten/time.Second); len(p.servers) > most+1 {
+		t.Errorf("%d servers are known, one of each second", len(p.servers))
+	}
+}
--- a/policy/silent_servers.go
+++ b/policy/silent_servers.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// silentAfter is how many requests in a row a server leaves without an answer,
@@ -10,6 +13,9 @@
 	// silentFor is for how long it is left out then: about as long as a crashed
 	// server takes to start again, or its entry to lapse.
 	silentFor = time.Second
+	// silenceForgotten is after how long without another request a silence is
+	// forgotten, and how often such are looked for.
+	silenceForgotten = time.Minute
 )
 
 // SilentServers are the servers that answer nobody, by what all senders tell of
@@ -23,6 +29,7 @@
 // Servers that answer have no entry. Not safe for concurrent use.
 type SilentServers struct {
 	servers map[Key]*silence
+	swept   time.Time
 }
 
 // silence is of a server that left requests without an answer.
@@ -30,6 +37,8 @@
 	// inRow counts them since it answered last.
 	inRow int
 	until time.Time
+	// last is when the last of them was told.
+	last time.Time
 }
 
 // NewSilentServers returns SilentServers that know of none.
@@ -37,11 +46,13 @@
 
 // Unanswered notes a request that got no answer.
 func (s *SilentServers) Unanswered(now time.Time, server Key) {
+	s.sweep(now)
 	at := s.servers[server]
 	if at == nil {
 		at = &silence{}
 		s.servers[server] = at
 	}
+	at.last = now
 	if now.Before(at.until) {
 		// It was sent before the server was left out.
 		return
@@ -52,6 +63,15 @@
 	}
 }
 
+// sweep drops servers that nothing is sent to any more.
+func (s *SilentServers) sweep(now time.Time) {
+	if now.Sub(s.swept) < silenceForgotten {
+		return
+	}
+	s.swept = now
+	maps.DeleteFunc(s.servers, func(_ Key, at *silence) bool { return now.Sub(at.last) > silenceForgotten })
+}
+
 // Answered notes that a server has answered a request.
 func (s *SilentServers) Answered(server Key) { delete(s.servers, server) }
 
--- a/policy/silent_servers_test.go
+++ b/policy/silent_servers_test.go
@@ -52,6 +52,16 @@
 	}
 }
 
+func TestSilencesAreForgotten(t *testing.T) {
+	s := NewSilentServers()
+	for i := range 10_000 {
+		s.Unanswered(testStart.Add(time.Duration(i)*time.Second), Key(i))
+	}
+	if most := 2 * int(silenceForgotten/time.Second); len(s.servers) > most+1 {
+		t.Errorf("%d silent servers are known, one of each second", len(s.servers))
+	}
+}
+
 // Silent servers are used where most of all are: then the fault is more likely the
 // sender's, or the rest can't bear the load.
 func TestSilentServersAreChosenLast(t *testing.T) {
