--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -111,8 +111,15 @@
 	return last
 }
 
+// playSeed is that of a play that isn't repeated with others.
+const playSeed = 3
+
 func newDirectPlay(engines, senders int, admit bool) *directPlay {
-	p := &directPlay{random: rand.New(rand.NewPCG(3, 4)), admit: admit, onTime: map[string]int{}, arrived: map[string]int{}, begun: map[string]int{}, latePauses: map[string]int{}}
+	return newSeededPlay(playSeed, engines, senders, admit)
+}
+
+func newSeededPlay(seed uint64, engines, senders int, admit bool) *directPlay {
+	p := &directPlay{random: rand.New(rand.NewPCG(seed, 4)), admit: admit, onTime: map[string]int{}, arrived: map[string]int{}, begun: map[string]int{}, latePauses: map[string]int{}}
 	for range engines {
 		p.engines = append(p.engines, &directEngine{play: p})
 	}
