policy, router, follow: ordinary names

Cause: a last reading stumbled on silence, untold and whole as types. Change: Unresponsive (servers), misses, outbox and pagedRead; no behaviour changes. Tests are the same under their new names.

--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -120,8 +120,8 @@
 	hurried bool
 	// news says that the last answer held some.
 	news bool
-	// whole is what has been read of the whole table.
-	whole whole[T]
+	// reading is what has been read of the whole table.
+	reading pagedRead[T]
 }
 
 // Run follows until ctx ends.
@@ -163,12 +163,12 @@
 	}
 	moment := boottime.Now()
 	if !known {
-		if err := f.whole.read(ctx, f.Source); err != nil {
+		if err := f.reading.read(ctx, f.Source); err != nil {
 			return 0, err
 		}
-		batch := f.whole.batch
-		f.Sink.Reset(f.whole.moment, batch)
-		f.whole = whole[T]{}
+		batch := f.reading.batch
+		f.Sink.Reset(f.reading.moment, batch)
+		f.reading = pagedRead[T]{}
 		return batch.At, nil
 	}
 	wait := f.wait()
--- a/internal/gateway/follow/whole.go
+++ b/internal/gateway/follow/paged_read.go
@@ -12,28 +12,28 @@
 // what has changed since the first page can still be followed.
 const longestReading = 10 * time.Second
 
-// whole is a table that is being read page by page. A page that is refused is asked
+// pagedRead is a table that is being read page by page. A page that is refused is asked
 // for again, and not those before it: when hundreds of gateways start at once before
 // a store that answers so many calls a second, each that began anew would take the
 // calls that the others need.
-type whole[T any] struct {
+type pagedRead[T any] struct {
 	batch Batch[T]
 	// moment is when the first page was asked for.
 	moment time.Duration
 }
 
 // read reads the rest of the table; what has been read is kept for the next try.
-func (w *whole[T]) read(ctx context.Context, source Source[T]) error {
-	if now := boottime.Now(); w.moment == 0 || now-w.moment > longestReading {
-		*w = whole[T]{moment: now}
+func (r *pagedRead[T]) read(ctx context.Context, source Source[T]) error {
+	if now := boottime.Now(); r.moment == 0 || now-r.moment > longestReading {
+		*r = pagedRead[T]{moment: now}
 	}
 	for {
-		page, err := source.Read(ctx, w.batch.More)
+		page, err := source.Read(ctx, r.batch.More)
 		if err != nil {
 			return err
 		}
-		w.add(page)
-		if w.batch.More == "" {
+		r.add(page)
+		if r.batch.More == "" {
 			return nil
 		}
 	}
@@ -41,8 +41,8 @@
 
 // add takes a page. What changes between two pages is seen again by following from
 // the first page's position.
-func (w *whole[T]) add(page Batch[T]) {
-	b := &w.batch
+func (r *pagedRead[T]) add(page Batch[T]) {
+	b := &r.batch
 	b.Items = append(b.Items, page.Items...)
 	b.Unreadable = append(b.Unreadable, page.Unreadable...)
 	if b.At == 0 || page.At < b.At {
--- a/internal/gateway/follow/whole_test.go
+++ b/internal/gateway/follow/paged_read_test.go
@@ -41,21 +41,21 @@
 
 // Pages of long ago are read again: the store may have lost what changed since.
 func TestOldPagesAreReadAgain(t *testing.T) {
-	var w whole[string]
+	var r pagedRead[string]
 	src := &source{steps: []step{
 		{batch: Batch[string]{Items: []string{"a"}, At: 7, More: "/b"}},
 		{err: errors.New("refused")},
 		{batch: Batch[string]{Items: []string{"b"}, At: 9}},
 	}}
-	if err := w.read(t.Context(), src); err == nil {
+	if err := r.read(t.Context(), src); err == nil {
 		t.Fatal("read past a refusal")
 	}
-	w.moment -= 2 * longestReading
-	if err := w.read(t.Context(), src); err != nil {
+	r.moment -= 2 * longestReading
+	if err := r.read(t.Context(), src); err != nil {
 		t.Fatal(err)
 	}
-	if got, want := join(src.asked), "read read/b read"; got != want || w.batch.At != 9 {
-		t.Errorf("asked %q, want %q; at %d", got, want, w.batch.At)
+	if got, want := join(src.asked), "read read/b read"; got != want || r.batch.At != 9 {
+		t.Errorf("asked %q, want %q; at %d", got, want, r.batch.At)
 	}
 }
 
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -34,19 +34,19 @@
 	Config
 	// mu guards the policy's parts: the Chooser, the Ejector, the index and services. It
 	// comes after the Registry's lock; nothing is locked while it is held.
-	mu        sync.Mutex
-	services  map[string]*service
-	silent    *policy.SilentServers
-	untold    untold
-	bounds    atomic.Pointer[Bounds]
-	held      held
-	elsewhere func() bool
+	mu           sync.Mutex
+	services     map[string]*service
+	unresponsive *policy.Unresponsive
+	outbox       outbox
+	bounds       atomic.Pointer[Bounds]
+	held         held
+	elsewhere    func() bool
 }
 
 // New returns a Router. Elsewhere reports whether callers are to go to another
 // gateway: connections are closed after their answer.
 func New(c Config, bounds Bounds, elsewhere func() bool) *Router {
-	r := &Router{Config: c, services: map[string]*service{}, silent: policy.NewSilentServers(), elsewhere: elsewhere}
+	r := &Router{Config: c, services: map[string]*service{}, unresponsive: policy.NewUnresponsive(), elsewhere: elsewhere}
 	r.SetBounds(bounds)
 	return r
 }
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -53,7 +53,7 @@
 	for i := range loads {
 		server := policy.KeyOf(loads[i].Name)
 		loads[i].LatePause = s.pauses.Late(now, server, job.Urgency, pause)
-		loads[i].Silent = r.silent.Silent(now, server)
+		loads[i].Unresponsive = r.unresponsive.LeftOut(now, server)
 	}
 	job.Yield = s.yielding.Share(now, &lacking, policy.SlotsInUse(loads), job.Urgency)
 	choice := r.Chooser.Choose(now, job, loads, &s.rates[job.Urgency])
@@ -82,9 +82,9 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.service(c.service).rates[c.urgency].Observe(now, ahead, took)
-	r.untold.first(policy.FirstToken{Service: policy.KeyOf(c.service), Server: policy.KeyOf(c.server), Urgency: c.urgency, Ahead: ahead, Took: took})
+	r.outbox.first(policy.FirstToken{Service: policy.KeyOf(c.service), Server: policy.KeyOf(c.server), Urgency: c.urgency, Ahead: ahead, Took: took})
 	r.Index.Read(now, policy.KeyOf(c.server), c.shared)
-	r.silent.Answered(policy.KeyOf(c.server))
+	r.unresponsive.Answered(policy.KeyOf(c.server))
 }
 
 // observePause takes the longest pause of a stream that one server made whole.
@@ -98,7 +98,7 @@
 		Service: policy.KeyOf(c.service), Server: policy.KeyOf(c.server), Urgency: c.urgency, Longest: c.stream.pause,
 	}
 	r.service(c.service).pauses.Observe(time.Now(), pause)
-	r.untold.pause(pause)
+	r.outbox.pause(pause)
 }
 
 // Heard notes what another gateway tells of the parts that servers hold, and of
@@ -109,13 +109,13 @@
 	now := time.Now()
 	r.Index.Heard(now, news.Uses)
 	for _, f := range news.Firsts {
-		r.silent.Answered(f.Server)
+		r.unresponsive.Answered(f.Server)
 		if s := r.known(f.Service); s != nil {
 			s.rates[f.Urgency].Observe(now, f.Ahead, f.Took)
 		}
 	}
 	for _, server := range news.Unanswered {
-		r.silent.Unanswered(now, server)
+		r.unresponsive.Unanswered(now, server)
 	}
 	for _, p := range news.Pauses {
 		if s := r.known(p.Service); s != nil {
@@ -139,7 +139,7 @@
 func (r *Router) News() policy.News {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	samples := r.untold.take()
+	samples := r.outbox.take()
 	return policy.News{
 		Uses: r.Index.News(time.Now()), Firsts: samples.firsts, Pauses: samples.pauses, Unanswered: samples.unanswered,
 	}
@@ -166,8 +166,8 @@
 // noAnswer notes, here and for others, that a server didn't answer; r.mu is held.
 func (r *Router) noAnswer(server string) {
 	key := policy.KeyOf(server)
-	r.silent.Unanswered(time.Now(), key)
-	r.untold.noAnswer(key)
+	r.unresponsive.Unanswered(time.Now(), key)
+	r.outbox.noAnswer(key)
 }
 
 func (r *Router) observe(server string, o policy.Outcome) {
@@ -181,7 +181,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Ejector.Forget(server)
-	r.silent.Forget(policy.KeyOf(server))
+	r.unresponsive.Forget(policy.KeyOf(server))
 	r.Index.Forget(policy.KeyOf(server))
 	for _, s := range r.services {
 		s.pauses.Forget(policy.KeyOf(server))
--- a/internal/gateway/router/shared_test.go
+++ b/internal/gateway/router/shared_test.go
@@ -41,16 +41,16 @@
 
 // What other gateways tell of a server that answers nobody keeps this one's requests
 // away, until one of them tells of an answer.
-func TestOthersTellOfSilentServers(t *testing.T) {
+func TestOthersTellOfUnresponsive(t *testing.T) {
 	r := newTestRouter()
-	silent := policy.KeyOf("b")
+	unresponsive := policy.KeyOf("b")
 	for range 5 {
-		r.Heard(policy.News{Unanswered: []policy.Key{silent, silent}})
+		r.Heard(policy.News{Unanswered: []policy.Key{unresponsive, unresponsive}})
 	}
 	if at := chosen(r, 0); at["b"] != 0 || at["a"] == 0 || at["c"] == 0 {
 		t.Errorf("chosen %v, b answers nobody", at)
 	}
-	r.Heard(policy.News{Firsts: []policy.FirstToken{{Service: policy.KeyOf("s"), Server: silent, Urgency: 3, Ahead: 800, Took: 100 * time.Millisecond}}})
+	r.Heard(policy.News{Firsts: []policy.FirstToken{{Service: policy.KeyOf("s"), Server: unresponsive, Urgency: 3, Ahead: 800, Took: 100 * time.Millisecond}}})
 	if at := chosen(r, 0); at["b"] == 0 {
 		t.Errorf("chosen %v, b has answered another gateway", at)
 	}
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -101,14 +101,14 @@
 	return &Chooser{random: random, ejector: ejector, index: index}
 }
 
-// Choose returns the best server at a rate of reading. Ejected and silent ones are
+// Choose returns the best server at a rate of reading. Ejected and unresponsive ones are
 // left out unless more than ejectPanic of the servers are.
 func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *ReadingRate) Choice {
 	if len(servers) == 0 {
 		return Choice{}
 	}
 	usable := func(s *Server) bool { return !s.Leaving && !job.tried(s.Name) }
-	failing := func(s *Server) bool { return s.Silent || c.ejector.Ejected(now, s.Name) }
+	failing := func(s *Server) bool { return s.Unresponsive || c.ejector.Ejected(now, s.Name) }
 	all, failed := 0, 0
 	for i := range servers {
 		if usable(&servers[i]) {
--- a/policy/server.go
+++ b/policy/server.go
@@ -36,8 +36,8 @@
 	Leaving bool
 	// Warming servers have just started and are slow for a while.
 	Warming bool
-	// Silent servers answer nobody.
-	Silent bool
+	// Unresponsive servers answer nobody.
+	Unresponsive bool
 	// LatePause is the chance that the job's stream has a longer pause between
 	// events there than its target.
 	LatePause float64
--- a/policy/silent_servers.go
+++ b/policy/unresponsive.go
@@ -6,19 +6,19 @@
 )
 
 const (
-	// silentAfter is how many requests in a row a server leaves without an answer,
+	// unresponsiveAfter is how many requests in a row a server leaves without an answer,
 	// whoever sent them, before it is left out: more than come together where a
 	// server loses two answers in five.
-	silentAfter = 5
-	// silentFor is for how long it is left out then: about as long as a crashed
+	unresponsiveAfter = 5
+	// leftOutFor is for how long it is left out then: about as long as a crashed
 	// server takes to start again, or its entry to lapse.
-	silentFor = time.Second
-	// silenceForgotten is after how long without another request a silence is
+	leftOutFor = time.Second
+	// missesForgotten is after how long without another request misses are
 	// forgotten, and how often such are looked for.
-	silenceForgotten = time.Minute
+	missesForgotten = time.Minute
 )
 
-// SilentServers are the servers that answer nobody, by what all senders tell of
+// Unresponsive are the servers that answer nobody, by what all senders tell of
 // requests that got no answer at all and of those that did.
 //
 // It answers a crash of many servers at once. Each sender finds out by requests that
@@ -27,13 +27,13 @@
 // doesn't leave out servers that answer the others.
 //
 // Servers that answer have no entry. Not safe for concurrent use.
-type SilentServers struct {
-	servers map[Key]*silence
+type Unresponsive struct {
+	servers map[Key]*misses
 	swept   time.Time
 }
 
-// silence is of a server that left requests without an answer.
-type silence struct {
+// misses are the requests that a server left without an answer.
+type misses struct {
 	// inRow counts them since it answered last.
 	inRow int
 	until time.Time
@@ -41,15 +41,15 @@
 	last time.Time
 }
 
-// NewSilentServers returns SilentServers that know of none.
-func NewSilentServers() *SilentServers { return &SilentServers{servers: map[Key]*silence{}} }
+// NewUnresponsive returns Unresponsive that know of none.
+func NewUnresponsive() *Unresponsive { return &Unresponsive{servers: map[Key]*misses{}} }
 
 // Unanswered notes a request that got no answer.
-func (s *SilentServers) Unanswered(now time.Time, server Key) {
+func (s *Unresponsive) Unanswered(now time.Time, server Key) {
 	s.sweep(now)
 	at := s.servers[server]
 	if at == nil {
-		at = &silence{}
+		at = &misses{}
 		s.servers[server] = at
 	}
 	at.last = now
@@ -58,29 +58,29 @@
 		return
 	}
 	at.inRow++
-	if at.inRow >= silentAfter {
-		at.until = now.Add(silentFor)
+	if at.inRow >= unresponsiveAfter {
+		at.until = now.Add(leftOutFor)
 	}
 }
 
 // sweep drops servers that nothing is sent to any more.
-func (s *SilentServers) sweep(now time.Time) {
-	if now.Sub(s.swept) < silenceForgotten {
+func (s *Unresponsive) sweep(now time.Time) {
+	if now.Sub(s.swept) < missesForgotten {
 		return
 	}
 	s.swept = now
-	maps.DeleteFunc(s.servers, func(_ Key, at *silence) bool { return now.Sub(at.last) > silenceForgotten })
+	maps.DeleteFunc(s.servers, func(_ Key, at *misses) bool { return now.Sub(at.last) > missesForgotten })
 }
 
 // Answered notes that a server has answered a request.
-func (s *SilentServers) Answered(server Key) { delete(s.servers, server) }
+func (s *Unresponsive) Answered(server Key) { delete(s.servers, server) }
 
-// Silent reports whether a server is to be left out now. After that one more request
+// LeftOut reports whether a server is to be left out now. After that one more request
 // without an answer leaves it out again.
-func (s *SilentServers) Silent(now time.Time, server Key) bool {
+func (s *Unresponsive) LeftOut(now time.Time, server Key) bool {
 	at := s.servers[server]
 	return at != nil && now.Before(at.until)
 }
 
 // Forget drops what is known of a server.
-func (s *SilentServers) Forget(server Key) { delete(s.servers, server) }
+func (s *Unresponsive) Forget(server Key) { delete(s.servers, server) }
--- a/policy/silent_servers_test.go
+++ b/policy/unresponsive_test.go
@@ -6,35 +6,35 @@
 )
 
 func TestServerThatAnswersNobodyIsLeftOut(t *testing.T) {
-	s, now := NewSilentServers(), testStart
-	for i := range silentAfter {
-		if s.Silent(now, 7) {
+	s, now := NewUnresponsive(), testStart
+	for i := range unresponsiveAfter {
+		if s.LeftOut(now, 7) {
 			t.Fatalf("left out after %d requests", i)
 		}
 		s.Unanswered(now, 7)
 	}
-	if !s.Silent(now, 7) || s.Silent(now, 8) {
-		t.Error("the silent server is used, or another left out")
+	if !s.LeftOut(now, 7) || s.LeftOut(now, 8) {
+		t.Error("the unresponsive server is used, or another left out")
 	}
 	// Those that were on their way don't keep it out for longer.
-	s.Unanswered(now.Add(silentFor/2), 7)
-	now = now.Add(silentFor)
-	if s.Silent(now, 7) {
+	s.Unanswered(now.Add(leftOutFor/2), 7)
+	now = now.Add(leftOutFor)
+	if s.LeftOut(now, 7) {
 		t.Error("it isn't tried again")
 	}
 	s.Unanswered(now, 7)
-	if !s.Silent(now, 7) {
+	if !s.LeftOut(now, 7) {
 		t.Error("one more without an answer doesn't leave it out again")
 	}
 	s.Answered(7)
-	if s.Silent(now, 7) {
+	if s.LeftOut(now, 7) {
 		t.Error("it is left out though it answers")
 	}
 }
 
 // A server that loses some answers, or is cut off from one sender of many, is used.
 func TestServerThatAnswersSomeIsUsed(t *testing.T) {
-	s := NewSilentServers()
+	s := NewUnresponsive()
 	for i := range 200 {
 		now := testStart.Add(time.Duration(i) * 50 * time.Millisecond)
 		if i%3 == 0 {
@@ -42,7 +42,7 @@
 		} else {
 			s.Unanswered(now, 7)
 		}
-		if s.Silent(now, 7) {
+		if s.LeftOut(now, 7) {
 			t.Fatalf("left out after %d requests, of which a third is answered", i)
 		}
 	}
@@ -52,32 +52,32 @@
 	}
 }
 
-func TestSilencesAreForgotten(t *testing.T) {
-	s := NewSilentServers()
+func TestMissesAreForgotten(t *testing.T) {
+	s := NewUnresponsive()
 	for i := range 10_000 {
 		s.Unanswered(testStart.Add(time.Duration(i)*time.Second), Key(i))
 	}
-	if most := 2 * int(silenceForgotten/time.Second); len(s.servers) > most+1 {
-		t.Errorf("%d silent servers are known, one of each second", len(s.servers))
+	if most := 2 * int(missesForgotten/time.Second); len(s.servers) > most+1 {
+		t.Errorf("%d unresponsive servers are known, one of each second", len(s.servers))
 	}
 }
 
-// Silent servers are used where most of all are: then the fault is more likely the
+// Unresponsive servers are used where most of all are: then the fault is more likely the
 // sender's, or the rest can't bear the load.
-func TestSilentServersAreChosenLast(t *testing.T) {
+func TestUnresponsiveAreChosenLast(t *testing.T) {
 	c, servers := newTestChooser(), serversOf(4)
-	servers[1].Silent = true
+	servers[1].Unresponsive = true
 	for range 50 {
 		if at := c.Choose(testStart, summary(5), servers, nil).At; at == 1 {
-			t.Fatal("a silent server is chosen")
+			t.Fatal("an unresponsive server is chosen")
 		}
 	}
-	servers[0].Silent, servers[2].Silent = true, true
+	servers[0].Unresponsive, servers[2].Unresponsive = true, true
 	chosen := map[int]bool{}
 	for prefix := range uint64(50) {
 		chosen[c.Choose(testStart, summary(prefix+1), servers, nil).At] = true
 	}
 	if len(chosen) < 2 {
-		t.Errorf("of four servers, three of them silent, %v are chosen", chosen)
+		t.Errorf("of four servers, three of them unresponsive, %v are chosen", chosen)
 	}
 }
