--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 )
@@ -49,18 +48,6 @@
 	fetchSpeed  = 10 // times as fast as reading
 )
 
-type directEngine struct {
-	play    *directPlay
-	queue   []*directRequest
-	reading *directRequest
-	running int
-	// read is for how long prompts have been read.
-	read time.Duration
-	kept []uint64
-	// slower is how many times as long each of its steps takes; 0 for once.
-	slower float64
-}
-
 type directSender struct {
 	chooser *Chooser
 	rate    ReadingRate
@@ -253,61 +240,6 @@
 	level.Tokens -= r.reading
 }
 
-func (e *directEngine) take(r *directRequest) {
-	at := len(e.queue)
-	for at > 0 && e.queue[at-1].job.Urgency > r.job.Urgency {
-		at--
-	}
-	e.queue = append(e.queue[:at], append([]*directRequest{r}, e.queue[at:]...)...)
-	if e.running >= 48 {
-		e.play.longest = max(e.play.longest, len(e.queue))
-	}
-	e.next()
-}
-
-// next reads the next prompt of a caller that is still there.
-func (e *directEngine) next() {
-	for e.reading == nil && len(e.queue) > 0 && e.running < 48 {
-		r := e.queue[0]
-		e.queue = e.queue[1:]
-		if r.gone {
-			continue
-		}
-		e.reading = r
-		prefix := r.job.prefix()
-		tokens := r.job.Tokens - prefix.Upto
-		switch {
-		case prefix.Upto == 0 || e.keeps(prefix.ID):
-		case r.from != nil && r.from.holds(prefix.ID):
-			tokens += prefix.Upto / fetchSpeed
-		default:
-			tokens += prefix.Upto
-			e.play.readMore += prefix.Upto
-		}
-		takes := firstStep/4 + time.Duration(float64(tokens)/directRate*float64(time.Millisecond))
-		e.read += takes
-		e.play.after(takes, func() { e.first(r) })
-	}
-}
-
-// keeps reports whether a shared part is kept, and keeps it from now on.
-func (e *directEngine) keeps(part uint64) bool {
-	for i, k := range e.kept {
-		if k == part {
-			e.kept = append(append(e.kept[:i:i], e.kept[i+1:]...), part)
-			return true
-		}
-	}
-	e.kept = append(e.kept, part)
-	if len(e.kept) > directParts {
-		e.kept = e.kept[1:]
-	}
-	return false
-}
-
-// holds reports whether a shared part is kept.
-func (e *directEngine) holds(part uint64) bool { return slices.Contains(e.kept, part) }
-
 // first is a request's first token.
 func (e *directEngine) first(r *directRequest) {
 	e.reading = nil
@@ -353,18 +285,6 @@
 	}
 }
 
-// hold ends a stream after a time, and after what it was delayed by.
-func (e *directEngine) hold(d time.Duration, end func()) {
-	read := e.read
-	e.play.after(d, func() {
-		if delayed := e.read - read; e.play.readingDelays && delayed > 0 {
-			e.hold(delayed, end)
-			return
-		}
-		end()
-	})
-}
-
 func (p *directPlay) run(until time.Duration) {
 	p.after(0, p.tell)
 	for len(p.events) > 0 && p.events[0].at <= until {
