policy: servers are avoided for their pauses only where these are clearly worse

The chance of a late pause, counted like waiting for the whole target, let all senders prefer the same few servers, which filled: 150 requests put back in 16 s. Change: what counts is by how much a server's chance is higher than the mean one's, less 0.2, which is what some twenty samples leave unclear.

--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -52,7 +52,7 @@
 	lacking.Add(&own, 1)
 	for i := range loads {
 		server := policy.KeyOf(loads[i].Name)
-		loads[i].LatePause = s.pauses.Late(now, server, job.Urgency, pause)
+		loads[i].LatePause = s.pauses.Worse(now, server, job.Urgency, pause)
 		loads[i].Unresponsive = r.unresponsive.LeftOut(now, server)
 	}
 	job.Yield = s.yielding.Share(now, &lacking, policy.SlotsInUse(loads), job.Urgency)
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -202,7 +202,7 @@
 		r.job.Unseen, r.job.UnseenTokens, r.job.NewsAge = others*requests, others*tokens/2, tellDelay/2
 	}
 	for i := range servers {
-		servers[i].LatePause = s.pauses.Late(p.time(), KeyOf(servers[i].Name), r.job.Urgency, p.pauseTargets[r.class])
+		servers[i].LatePause = s.pauses.Worse(p.time(), KeyOf(servers[i].Name), r.job.Urgency, p.pauseTargets[r.class])
 	}
 	choice := s.chooser.Choose(p.time(), r.job, servers, &s.rate)
 	s.lacked.Offered(p.time(), r.job.Urgency, choice.OnlySlots)
--- a/policy/pauses.go
+++ b/policy/pauses.go
@@ -13,6 +13,9 @@
 	// normalDeviation is the standard deviation by the mean one, of pauses that are
 	// distributed normally.
 	normalDeviation = 1.25
+	// unclear is the difference between two chances that some twenty samples of each
+	// server leave unclear.
+	unclear = 0.2
 )
 
 // Pause is the longest pause between the events of one stream at a server.
@@ -64,14 +67,26 @@
 	level.millis += (millis - level.millis) / level.count
 }
 
-// Late is the chance that a stream has a longer pause than its target at a
-// server; 0 where there is no target or too little is known.
-func (p *Pauses) Late(now time.Time, server Key, urgency int, target time.Duration) float64 {
+// Worse is by how much the chance of a longer pause than the target is higher at a
+// server than at the mean one, beyond what few samples explain; 0 where there is no
+// target or too little is known.
+//
+// Where all servers are about alike none is to be preferred: all senders would prefer
+// the same few, by chance, and fill them.
+func (p *Pauses) Worse(now time.Time, server Key, urgency int, target time.Duration) float64 {
+	const meanPace = 1
+	at, mean := p.late(p.paces.of(now, server), urgency, target), p.late(meanPace, urgency, target)
+	return max(at-mean-unclear, 0)
+}
+
+// late is the chance that a stream has a longer pause than its target at a server of
+// a pace; 0 where there is no target or too little is known.
+func (p *Pauses) late(pace float64, urgency int, target time.Duration) float64 {
 	level := &p.levels[urgency]
 	if target == 0 || level.count < leastPauses {
 		return 0
 	}
-	expected := level.millis * p.paces.of(now, server)
+	expected := level.millis * pace
 	left := inMillis(target) - expected
 	deviation := normalDeviation * level.deviation * expected
 	if deviation == 0 {
--- a/policy/server.go
+++ b/policy/server.go
@@ -38,8 +38,8 @@
 	Warming bool
 	// Unresponsive servers answer nobody.
 	Unresponsive bool
-	// LatePause is the chance that the job's stream has a longer pause between
-	// events there than its target.
+	// LatePause is by how much the chance that the job's stream has a longer pause
+	// between events than its target is higher there than at the mean server.
 	LatePause float64
 }
 
--- a/policy/weighed.go
+++ b/policy/weighed.go
@@ -9,7 +9,7 @@
 	reading float64
 	// left is how many slots the request may still take there.
 	left float64
-	// latePause is the chance that its stream is late by a pause.
+	// latePause is by how much its stream is more likely late by a pause than elsewhere.
 	latePause float64
 }
 
