--- a/policy/pauses_test.go
+++ b/policy/pauses_test.go
@@ -102,12 +102,12 @@
 
 // Servers that are alike, but for chance, are no worse than each other.
 func TestServersThatAreAlikeAreNotPreferred(t *testing.T) {
-	p, now := &Pauses{}, testStart
+	p := &Pauses{}
 	random := rand.New(rand.NewPCG(1, 2))
 	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 	worse, asked := 0, 0
 	for i := range 400 {
-		now = testStart.Add(time.Duration(i) * 50 * time.Millisecond)
+		now := testStart.Add(time.Duration(i) * 50 * time.Millisecond)
 		for _, name := range names {
 			if random.IntN(8) == 0 {
 				observe(p, now, name, 3, 1, time.Duration(80+random.IntN(80))*time.Millisecond)
