follow: a read counts from the call that got its first page

A gateway that starts while the store is away, and reads the desired state five seconds later, took that for five seconds old, past the bound on revoked keys, and refused requests until the next proof. Change: while no page has been read each try starts anew. Test: fails before.

--- a/internal/gateway/follow/paged_read.go
+++ b/internal/gateway/follow/paged_read.go
@@ -17,14 +17,15 @@
 // a store that answers so many calls a second, each that began anew would take the
 // calls that the others need.
 type pagedRead[T any] struct {
+	// batch holds the pages that were read; it has no More before the first.
 	batch Batch[T]
-	// moment is when the first page was asked for.
+	// moment is when the first page was asked for, by the call that got it.
 	moment time.Duration
 }
 
 // read reads the rest of the table; what has been read is kept for the next try.
 func (r *pagedRead[T]) read(ctx context.Context, source Source[T]) error {
-	if now := boottime.Now(); r.moment == 0 || now-r.moment > longestReading {
+	if now := boottime.Now(); r.batch.More == "" || now-r.moment > longestReading {
 		*r = pagedRead[T]{moment: now}
 	}
 	for {
--- a/internal/gateway/follow/paged_read_test.go
+++ b/internal/gateway/follow/paged_read_test.go
@@ -139,3 +139,24 @@
 		wg.Wait()
 	})
 }
+
+// A first page that can't be had leaves nothing behind: what is read later is as new
+// as the call that got it.
+func TestFailedFirstPageLeavesNoMoment(t *testing.T) {
+	var r pagedRead[string]
+	src := &source{steps: []step{
+		{err: errors.New("away")},
+		{batch: Batch[string]{Items: []string{"a"}, At: 7}},
+	}}
+	if err := r.read(t.Context(), src); err == nil {
+		t.Fatal("read from a store that is away")
+	}
+	r.moment -= longestReading / 2
+	before := r.moment + longestReading/4
+	if err := r.read(t.Context(), src); err != nil {
+		t.Fatal(err)
+	}
+	if r.moment < before {
+		t.Errorf("the read counts from a call that failed, %v before", before-r.moment)
+	}
+}
