dispatch: a stream that was cut is continued once whatever the retry budget

Ruled out: a timer, a slow machine by itself.

Change: the first cut of a stream whose attempt delivered a token isn't charged; what is left of it is no more work than was let in. Further cuts, and runs that gave no token, are charged as before.

Before: TestStreamCutOnceIsContinuedWhateverTheBudget and TestFurtherCutsAreRetriedWithinTheBudget red.

--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -77,6 +77,51 @@
 	}
 }
 
+// drain spends the retry budget, as the loss of many streams at once does.
+func drain(d *Dispatcher) {
+	for d.shared.allowRetry(time.Now()) {
+	}
+}
+
+func TestStreamCutOnceIsContinuedWhateverTheBudget(t *testing.T) {
+	answer := []string{"a", "b", "c", "d"}
+	agents := &fakeAgents{agents: []*fakeAgent{newFakeAgent(t, "one", tokensFrom(answer, 2))}}
+	sink := &fakeSink{}
+	dispatcher := newTestDispatcher(agents)
+	drain(dispatcher)
+	result := dispatcher.Do(t.Context(), testRequest(true), sink)
+	if result.Outcome != Whole || sink.text != "abcd" {
+		t.Fatalf("got %+v with %q", result, sink.text)
+	}
+}
+
+// Servers that break each stream off again and again must not get their load
+// back as retries.
+func TestFurtherCutsAreRetriedWithinTheBudget(t *testing.T) {
+	answer := []string{"a", "b", "c", "d", "e"}
+	agents := &fakeAgents{agents: []*fakeAgent{newFakeAgent(t, "one", tokensFrom(answer, 1))}}
+	dispatcher := newTestDispatcher(agents)
+	drain(dispatcher)
+	result := dispatcher.Do(t.Context(), testRequest(true), &fakeSink{})
+	if result.Outcome != Failed || result.Reason != "retry_budget" {
+		t.Fatalf("got %+v", result)
+	}
+	if runs := len(agents.agents[0].taken()); runs != 2 {
+		t.Fatalf("runs: got %d, want 2", runs)
+	}
+}
+
+// A server that fails before its first token gives nothing to go on with.
+func TestRunWithoutATokenIsRetriedWithinTheBudget(t *testing.T) {
+	agents := &fakeAgents{agents: []*fakeAgent{newFakeAgent(t, "one", tokensFrom([]string{"a"}, 0))}}
+	dispatcher := newTestDispatcher(agents)
+	drain(dispatcher)
+	result := dispatcher.Do(t.Context(), testRequest(true), &fakeSink{})
+	if result.Outcome != Failed || result.Reason != "retry_budget" {
+		t.Fatalf("got %+v", result)
+	}
+}
+
 func TestRequestThatRanInPartSkipsAdmission(t *testing.T) {
 	cases := map[string]struct {
 		end  end
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -19,9 +19,13 @@
 	request    *Request
 	sink       Sink
 
-	attempt    int
-	preempted  int
-	tokens     int
+	attempt   int
+	preempted int
+	tokens    int
+	// had is how many of tokens the caller had when the last attempt began.
+	had int
+	// continued says that a stream that was cut has been continued.
+	continued  bool
 	sent       bool
 	started    bool
 	firstToken time.Duration
@@ -35,6 +39,7 @@
 		if refused != nil {
 			return j.afterRefusal(*refused)
 		}
+		j.had = j.tokens
 		end := j.run(ctx, o)
 		if result, final := j.decide(end); final {
 			return result
@@ -90,6 +95,9 @@
 	if j.attempt-j.preempted >= maxAttempts {
 		return j.afterRefusal(last), true
 	}
+	if j.continuesOnce() {
+		return Result{}, false
+	}
 	if !j.dispatcher.shared.allowRetry(time.Now()) {
 		last.Reason = "retry_budget"
 		return j.afterRefusal(last), true
@@ -97,6 +105,19 @@
 	return Result{}, false
 }
 
+// continuesOnce reports whether the request is a stream that got on before it was
+// cut, for the first time: it is continued whatever the retry budget. An
+// availability zone that is lost cuts many streams at once, and giving one up wastes
+// what its caller has, while the rest of it is no more work than was let in. Further
+// cuts count, so that servers that break off every stream don't get their load back.
+func (j *job) continuesOnce() bool {
+	if j.continued || !j.request.resumable() || j.tokens == j.had {
+		return false
+	}
+	j.continued = true
+	return true
+}
+
 func (j *job) tier() policy.Tier { return policy.Tier(j.request.Class.Tier) }
 
 func (j *job) ticket() *wire.Ticket {
