gateway: three gateways ask the store for all

Cause: each of 68 gateways followed the store's tables for itself.

Change: the three gateways that prove the desired state also ask for what changed in the list of servers. Datagrams say who asks and up to where the list is known; who lacks something has the changes, or the desired state up to 128 KB, by HTTP from one that knows, in 100 ms. Who hears of no gateway that asks, or lacks something for 0.4 s, asks for itself; who the store turns away isn't one of the three.

Tests: TestFewGatewaysAskTheStoreForAll; TestOthersAskWhenTheAskersAreLost, red with the fallback taken out; followers that rest, changes taken in order, answers overtaken.

--- /dev/null
+++ b/internal/gateway/asking.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/handover"
+	"github.com/applepier/applepier/internal/gateway/peers"
+	"github.com/applepier/applepier/internal/logging"
+)
+
+// lackingMost is for how long other gateways may know more than this one and it couldn't
+// have that from them before it asks the store: with the second after which the last
+// gateway that asked counts as gone it stays below the two seconds within which
+// leaving servers get no more work.
+const lackingMost = 400 * time.Millisecond
+
+// following is what this gateway tells of the store.
+func (g *gateway) following() peers.Following {
+	return peers.Following{Able: !g.store.Away(), Asks: g.servers.Live(), Servers: g.servers.Changed()}
+}
+
+// told reports whether a few other gateways ask the store, and tell this one. Where
+// none of them does each asks for itself.
+func (g *gateway) told() bool { return !g.proves() && g.mesh.Followed() }
+
+// serversTold reports whether the list of backend servers needn't be asked for here.
+func (g *gateway) serversTold() bool { return g.told() && !g.lacking.longer(lackingMost) }
+
+// targetsTold is the same for the desired state, as long as its proof is new enough.
+func (g *gateway) targetsTold() bool {
+	return g.told() && g.holder.Version() != 0 && !g.proofOld() && !g.newer.longer(lackingMost)
+}
+
+// learnServers has from other gateways what changes in the list of backend servers.
+func (g *gateway) learnServers(ctx context.Context) {
+	client := handover.NewClient()
+	ticker := time.NewTicker(learnEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.takeChanges(ctx, client)
+		}
+	}
+}
+
+// takeChanges asks one gateway that knows more, if there is one.
+func (g *gateway) takeChanges(ctx context.Context, client *handover.Client) {
+	at := g.servers.Position()
+	addr := g.mesh.Ahead(at)
+	if at == 0 || addr == "" {
+		g.lacking.note(false)
+		return
+	}
+	g.lacking.note(true)
+	steps, err := client.Changes(ctx, addr, at)
+	if err == nil {
+		err = g.servers.Take(boottime.Now(), steps)
+	}
+	switch {
+	case err == nil:
+		g.lacking.note(false)
+	case ctx.Err() == nil:
+		g.log.Debug(logging.EventHandoverFailed, logging.Peer(addr), logging.Reason(err.Error()))
+	}
+}
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,8 @@
 	// longestAway is for how long a follower that doesn't lead waits for the one
 	// that does: a store may answer about one table and not about another.
 	longestAway = 3 * time.Second
+	// idleEvery is how often a follower that rests looks whether others still follow.
+	idleEvery = 50 * time.Millisecond
 	// gonePause is the pause before the whole is read again, so that a store
 	// that keeps no history at all isn't read without end.
 	gonePause = 50 * time.Millisecond
@@ -113,11 +116,24 @@
 	// its success, so that an outage costs the calls of one.
 	Store *Health
 	Leads bool
-	Log   *zap.Logger
+	// Idle says that others follow the table and tell what changes, so that the
+	// store isn't asked; may be nil, for never.
+	Idle func() bool
+	Log  *zap.Logger
+
+	// mu guards at, up to where the table is known, and the order of what the Sink
+	// takes. It comes before the Sink's locks.
+	mu sync.Mutex
+	at uint64
+	// recent is what changed last, and live says that the store is asked and answers.
+	recent recent[T]
+	live   atomic.Bool
 
 	failing bool
 	// hurried says that the last call was given up.
 	hurried bool
+	// rested says that the store hasn't answered since this follower rested.
+	rested bool
 	// news says that the last answer held some.
 	news bool
 	// reading is what has been read of the whole table.
@@ -128,13 +144,15 @@
 func (f *Follower[T]) Run(ctx context.Context) {
 	backOff := backoff.NewExponentialBackOff()
 	backOff.InitialInterval, backOff.MaxInterval = firstPause, longestPause
-	var at uint64
 	known := false
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, at, known)
+		if known {
+			f.rest(ctx)
+		}
+		err := f.step(ctx, known)
 		switch {
 		case err == nil:
-			at, known = next, true
+			known = true
 			f.answered()
 			backOff.Reset()
 			continue
@@ -155,8 +173,17 @@
 	}
 }
 
+// rest waits while others follow the table.
+func (f *Follower[T]) rest(ctx context.Context) {
+	for f.Idle != nil && f.Idle() && ctx.Err() == nil {
+		f.live.Store(false)
+		f.rested = true
+		pause.For(ctx, idleEvery)
+	}
+}
+
 // step makes one call and hands on what came.
-func (f *Follower[T]) step(ctx context.Context, at uint64, known bool) (uint64, error) {
+func (f *Follower[T]) step(ctx context.Context, known bool) error {
 	if f.Arriving != nil {
 		ctx = withArrival(ctx, func() { f.Arriving.Store(true) })
 		defer f.Arriving.Store(false)
@@ -164,27 +191,30 @@
 	moment := boottime.Now()
 	if !known {
 		if err := f.reading.read(ctx, f.Source); err != nil {
-			return 0, err
+			return err
 		}
-		batch := f.reading.batch
-		f.Sink.Reset(f.reading.moment, batch)
+		f.reset(f.reading.moment, f.reading.batch)
 		f.reading = pagedRead[T]{}
-		return batch.At, nil
+		if f.Idle != nil {
+			// Others tell in that time that they follow.
+			pause.For(ctx, f.Gather)
+		}
+		return nil
 	}
 	wait := f.wait()
-	batch, err := f.next(ctx, at, wait)
+	batch, err := f.next(ctx, f.Position(), wait)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	if held := boottime.Now() - moment; batch.empty() && held >= wait {
 		moment += wait
 	}
-	f.Sink.Change(moment, batch)
+	f.change(moment, batch)
 	f.news = !batch.empty()
 	if !batch.empty() && f.Gather > 0 {
 		pause.For(ctx, f.Gather)
 	}
-	return batch.At, nil
+	return nil
 }
 
 // next waits for changes, unless it has to hurry.
@@ -217,10 +247,11 @@
 
 // wait is how long the store may hold back the next answer. The first one after a
 // failure comes at once, so that it is known when the store was back; the first
+// one after a rest, so that others know soon that this one follows; the first
 // one after news where it has to prove them.
 func (f *Follower[T]) wait() time.Duration {
 	longest := f.Wait()
-	if f.failing || f.hurried || f.news && f.Confirm != nil && f.Confirm() {
+	if f.failing || f.hurried || f.rested || f.news && f.Confirm != nil && f.Confirm() {
 		return min(longest, recheckWait)
 	}
 	// Whole milliseconds, in which stores count: one that is rounded down would
@@ -235,6 +266,8 @@
 
 func (f *Follower[T]) answered() {
 	f.Store.answers()
+	f.live.Store(true)
+	f.rested = false
 	if f.failing {
 		f.failing = false
 		f.Log.Info(logging.EventPlatformUp, zap.String("table", f.Name))
@@ -243,6 +276,7 @@
 
 func (f *Follower[T]) failed(err error) {
 	f.Store.fails()
+	f.live.Store(false)
 	f.Sink.Unavailable(err)
 	if !f.failing {
 		f.failing = true
--- a/internal/gateway/follow/health.go
+++ b/internal/gateway/follow/health.go
@@ -28,6 +28,9 @@
 	}
 }
 
+// Away reports whether the store didn't answer the last call.
+func (h *Health) Away() bool { return h != nil && h.away.Load() }
+
 // await returns when the store answers again, at a time at the latest.
 func (h *Health) await(ctx context.Context, latest time.Time) {
 	for h.away.Load() && ctx.Err() == nil && time.Now().Before(latest) {
--- /dev/null
+++ b/internal/gateway/follow/sharing.go
@@ -0,0 +1,70 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrGap: steps begin after the position that they are to follow.
+var ErrGap = errors.New("changes in between are missing")
+
+// Changed is the position after the newest change that this follower knows of, from
+// the store or from another gateway; 0 before the table has been read.
+func (f *Follower[T]) Changed() uint64 { return f.recent.changed() }
+
+// Since returns what changed after a position; false if not all of it is known.
+func (f *Follower[T]) Since(at uint64) ([]Step[T], bool) { return f.recent.since(at) }
+
+// Position is up to where the table is known; 0 before it has been read.
+func (f *Follower[T]) Position() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at
+}
+
+// Live reports whether the store is asked and answers.
+func (f *Follower[T]) Live() bool { return f.live.Load() }
+
+// Take takes what another follower of the table had from the store, as far as it is
+// news; ErrGap if it begins too late.
+func (f *Follower[T]) Take(moment time.Duration, steps []Step[T]) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range steps {
+		if s.To <= f.at {
+			continue
+		}
+		if s.From > f.at || f.at == 0 {
+			return ErrGap
+		}
+		f.Sink.Change(moment, Batch[T]{Items: s.Items, Removed: s.Removed, Unreadable: s.Unreadable, At: s.To})
+		f.at = s.To
+		f.recent.add(s)
+	}
+	return nil
+}
+
+// reset takes the whole table.
+func (f *Follower[T]) reset(moment time.Duration, all Batch[T]) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Sink.Reset(moment, all)
+	f.at = all.At
+	f.recent.reset(all.At)
+}
+
+// change takes the store's answer to a call that asked for what came after a position.
+// Others may have told of it meanwhile, and of more.
+func (f *Follower[T]) change(moment time.Duration, changes Batch[T]) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if changes.At < f.at {
+		return
+	}
+	f.Sink.Change(moment, changes)
+	if !changes.empty() {
+		f.recent.add(Step[T]{From: f.at, To: changes.At, Items: changes.Items, Removed: changes.Removed, Unreadable: changes.Unreadable})
+	}
+	f.at = changes.At
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,7 +69,13 @@
 	pool     *exchange.Pool
 	router   *router.Router
 	mesh     *peers.Mesh
-	leaving  atomic.Bool
+	// servers follows the list of backend servers, and targets the desired state.
+	servers *follow.Follower[backend.Info]
+	targets *follow.Follower[*routes.Set]
+	// lacking and newer say since when other gateways know of servers, and of a newer
+	// desired state, that this one couldn't have from them.
+	lacking, newer sinceWhen
+	leaving        atomic.Bool
 	// store is whether the platform's store answers, and arriving whether an
 	// answer of it about the desired state is on its way.
 	store    follow.Health
@@ -106,8 +112,8 @@
 		Loads: g.loads, Shortages: func() map[string]policy.Shortage { return g.router.Shortages() },
 		News: func() policy.News { return g.router.News() }, Heard: func(n policy.News) { g.router.Heard(n) },
 		Proof: func() peers.Proof { return peers.Proof{Version: g.holder.Version(), At: g.holder.ProvenAt()} },
-		Prove: func(p peers.Proof) { g.holder.Prove(p.Version, p.At) },
-		Log:   log,
+		Prove: func(p peers.Proof) { g.holder.Prove(p.Version, p.At) }, Following: g.following,
+		Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -121,6 +127,7 @@
 		Observer: ends{p.Metrics, log},
 	}, boundsOf(s), g.elsewhere)
 	g.registry.Gone = g.router.Forget
+	g.servers, g.targets = g.newServersFollower(), g.newTargetsFollower()
 	p.Metrics.ReadGateway(g.surroundings)
 	return g, nil
 }
@@ -155,18 +162,19 @@
 func (g *gateway) serve(ctx context.Context, public, admin, gateways net.Listener, reload func() (settings.Gateway, error)) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
-	wg.Go(func() { g.followDesired(work) })
-	wg.Go(func() { g.followServers(work) })
+	wg.Go(func() { g.targets.Run(work) })
+	wg.Go(func() { g.servers.Run(work) })
 	wg.Go(func() { g.mesh.Run(work) })
 	wg.Go(func() { g.followEntries(work) })
 	wg.Go(func() { g.stayListed(work) })
 	wg.Go(func() { g.learnFromPeers(work) })
+	wg.Go(func() { g.learnServers(work) })
 	wg.Go(func() { g.reloadOnSignal(work, reload) })
 
 	front := newFront(public, g.router, g.idleLimit, g.log)
 	wg.Go(func() { g.sweep(work, front) })
 	back := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	hand := &http.Server{Handler: handover.Routes(g.state), ReadTimeout: handTimeout, WriteTimeout: handTimeout + handover.Longest, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	hand := &http.Server{Handler: handover.Routes(g.state, g.servers.Since), ReadTimeout: handTimeout, WriteTimeout: handTimeout + handover.Longest, ErrorLog: zap.NewStdLog(zap.NewNop())}
 	// They return when their servers are closed.
 	wg.Go(front.Serve)
 	wg.Go(func() { _ = back.Serve(admin) })
--- a/internal/gateway/handover/client.go
+++ b/internal/gateway/handover/client.go
@@ -4,12 +4,15 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/dial"
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/stall"
 )
 
@@ -39,27 +42,52 @@
 
 // Get returns the state of the gateway at an address; ErrUnreachable or ErrForm.
 func (c *Client) Get(ctx context.Context, addr string) (State, error) {
+	var state State
+	err := c.get(ctx, addr, path, &state)
+	return state, err
+}
+
+// Targets returns the desired state of the gateway at an address, without servers, for
+// a gateway that could ask the store: ErrTooLarge where it is to do that.
+func (c *Client) Targets(ctx context.Context, addr string) (State, error) {
+	var state State
+	err := c.get(ctx, addr, targetsPath, &state)
+	return state, err
+}
+
+// Changes returns what changed in the list of backend servers after a position, by the
+// gateway at an address; ErrGap if it doesn't know all of it, ErrUnreachable or ErrForm.
+func (c *Client) Changes(ctx context.Context, addr string, after uint64) ([]follow.Step[backend.Info], error) {
+	var steps []follow.Step[backend.Info]
+	err := c.get(ctx, addr, changesPath+strconv.FormatUint(after, 10), &steps)
+	return steps, err
+}
+
+func (c *Client) get(ctx context.Context, addr, path string, out any) error {
 	ctx, guard := stall.New(ctx, timeout, Longest)
 	defer guard.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
 	if err != nil {
-		return State{}, errors.Wrap(ErrUnreachable, err.Error())
+		return errors.Wrap(ErrUnreachable, err.Error())
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return State{}, errors.Wrap(ErrUnreachable, err.Error())
+		return errors.Wrap(ErrUnreachable, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(guard.Reader(io.LimitReader(resp.Body, maxState), timeout))
 	switch {
 	case err != nil:
-		return State{}, errors.Wrap(ErrUnreachable, err.Error())
+		return errors.Wrap(ErrUnreachable, err.Error())
+	case resp.StatusCode == http.StatusGone:
+		return ErrGap
+	case resp.StatusCode == http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
 	case resp.StatusCode != http.StatusOK:
-		return State{}, errors.Wrapf(ErrUnreachable, "status %d", resp.StatusCode)
+		return errors.Wrapf(ErrUnreachable, "status %d", resp.StatusCode)
 	}
-	var state State
-	if err := cbor.Unmarshal(body, &state); err != nil {
-		return State{}, errors.Wrap(ErrForm, err.Error())
+	if err := cbor.Unmarshal(body, out); err != nil {
+		return errors.Wrap(ErrForm, err.Error())
 	}
-	return state, nil
+	return nil
 }
--- a/internal/gateway/handover/state.go
+++ b/internal/gateway/handover/state.go
@@ -1,8 +1,8 @@
-// Package handover lets gateways that can't reach the platform's store have the
-// desired state and the list of backend servers from one that knows them: one
-// that starts while the store is away, or that the store turns away while others
-// are served. Start
-// reading at Routes and Client.Get.
+// Package handover lets gateways have what is in the platform's store from one another:
+// the desired state and the list of backend servers where a gateway starts while the
+// store is away or turns it away, and what changes in the list of servers, so that a few
+// gateways ask the store for all. Start reading at Routes, Client.Get and
+// Client.Changes.
 package handover
 
 import "github.com/applepier/applepier/internal/gateway/backend"
--- a/internal/gateway/learn.go
+++ b/internal/gateway/learn.go
@@ -14,8 +14,8 @@
 const learnEvery = 100 * time.Millisecond
 
 // learnFromPeers has the desired state and the list of servers from another
-// gateway while the store doesn't tell them: a gateway that starts then serves
-// at once, and one that the store turns away learns of changes. Whether what it
+// gateway while the store doesn't tell them, or isn't asked: a gateway that starts then
+// serves at once, and one that the store turns away learns of changes. Whether what it
 // learned is still the newest is proved as ever.
 func (g *gateway) learnFromPeers(ctx context.Context) {
 	client := handover.NewClient()
@@ -31,17 +31,22 @@
 			// What is on its way from the store needn't come over the same link from
 			// another gateway too: a large state takes seconds there, in which
 			// callers' requests wait behind it.
-			lacking := version > g.holder.Version() && !g.arriving.Load() || !g.registry.Known()
+			newer := version > g.holder.Version()
+			if g.newer.note(newer); newer && g.targetsTold() {
+				g.learn(ctx, addr, client.Targets)
+				continue
+			}
+			lacking := newer && !g.arriving.Load() || !g.registry.Known()
 			if store.due(now, addr != "" && lacking) {
-				g.learn(ctx, client, addr)
+				g.learn(ctx, addr, client.Get)
 			}
 		}
 	}
 }
 
 // learn asks one gateway.
-func (g *gateway) learn(ctx context.Context, client *handover.Client, addr string) {
-	state, err := client.Get(ctx, addr)
+func (g *gateway) learn(ctx context.Context, addr string, get func(context.Context, string) (handover.State, error)) {
+	state, err := get(ctx, addr)
 	if err == nil {
 		err = g.adopt(addr, state)
 	}
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -78,10 +78,18 @@
 // lately.
 func (m *Mesh) Gateways() int { return 1 + m.table.heard(time.Now()) }
 
-// Before counts the gateways, of those that were heard of lately, that come before
-// this one in an order on which all agree that hear of each other.
+// Before counts the gateways, of those that were heard of lately and that the store
+// isn't known to turn away, that come before this one in an order on which all agree
+// that hear of each other.
 func (m *Mesh) Before() int { return m.table.before(time.Now(), m.Self.Name) }
 
+// Followed reports whether another gateway, heard of lately, asks the store for news.
+func (m *Mesh) Followed() bool { return m.table.followed(time.Now()) }
+
+// Ahead returns the address of a gateway, heard of lately, that knows of changes in the
+// list of backend servers after a position; empty for none.
+func (m *Mesh) Ahead(at uint64) string { return m.table.ahead(time.Now(), at) }
+
 // Newest returns the address of a gateway with the newest desired state of those
 // that were heard of lately, and its version; empty for none.
 func (m *Mesh) Newest() (addr string, version uint64) { return m.table.newest(time.Now()) }
--- a/internal/gateway/peers/mesh_test.go
+++ b/internal/gateway/peers/mesh_test.go
@@ -24,6 +24,7 @@
 			Shortages: func() map[string]policy.Shortage { return nil },
 			Proof:     func() Proof { return Proof{Version: 7, At: boottime.Now() - time.Second} },
 			Prove:     prove,
+			Following: func() Following { return Following{Able: true} },
 			Log:       zap.NewNop(),
 		})
 		if err != nil {
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -36,6 +36,10 @@
 	// milliseconds; 0 for no proof.
 	Version  uint64
 	ProofAge uint64
+	// Follows is whether the sender asks the store, and Servers the position after the
+	// newest change in the list of backend servers that it knows of, 0 for none.
+	Follows following
+	Servers uint64
 	// Loads is what the sender has at backend servers; others have nothing.
 	Loads []load
 	// Shortages are of the services at which the sender had requests lately.
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -57,7 +57,9 @@
 	// Proof returns this gateway's proof, and Prove takes another's.
 	Proof func() Proof
 	Prove func(Proof)
-	Log   *zap.Logger
+	// Following is what this gateway knows of the store first hand.
+	Following func() Following
+	Log       *zap.Logger
 }
 
 func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -28,6 +28,10 @@
 	shortages []shortage
 	// version is the desired state that it had in force last.
 	version uint64
+	// follows is whether it asks the store, and servers what it knows of the list of
+	// backend servers.
+	follows following
+	servers uint64
 }
 
 // table keeps the other gateways' counts and their sums. All methods may be
@@ -59,7 +63,7 @@
 	t.lack(m.Shortages, 1)
 	t.drop(p)
 	p.addr, p.boot, p.sequence, p.heard, p.stamp = addr, m.Boot, m.Sequence, now, m.Stamp
-	p.version = m.Version
+	p.version, p.follows, p.servers = m.Version, m.Follows, m.Servers
 	p.loads, p.shortages = m.Loads, m.Shortages
 	return true
 }
@@ -145,20 +149,6 @@
 	return n
 }
 
-// before counts the gateways that were heard of lately and whose names come
-// before one by their hashes.
-func (t *table) before(now time.Time, name string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for other, p := range t.peers {
-		if now.Sub(p.heard) <= silentAfter && hash(other) < hash(name) {
-			n++
-		}
-	}
-	return n
-}
-
 // newest returns the address of a gateway that was heard of lately and has the
 // newest desired state of those; which of several is left to chance.
 func (t *table) newest(now time.Time) (addr string, version uint64) {
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -33,7 +33,8 @@
 // datagram's stamp.
 func (m *Mesh) state() *state {
 	proof := m.Proof()
-	out := &state{Version: proof.Version}
+	known := m.Following()
+	out := &state{Version: proof.Version, Follows: known.packed(), Servers: known.Servers}
 	if proof.At > 0 {
 		out.ProofAge = uint64((boottime.Now() - proof.At).Milliseconds() + 1)
 	}
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -34,7 +34,8 @@
 	usual := feedSilence + provedWithin(g.router.Bounds().Proof) + othersAhead
 	if answered := boottime.Now()-proved <= usual; answered {
 		own := time.Duration(g.desired.provenAt.Load())
-		return proved-own > g.proofWait()+othersAhead || g.desired.away() > turnedAway && proved > own
+		late := proved-own > g.proofWait()+othersAhead && !g.targetsTold()
+		return late || g.desired.away() > turnedAway && proved > own
 	}
 	return !g.router.Fresh() && 2*g.mesh.Gateways() <= g.mesh.Listed()
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/applepier/applepier/internal/boottime"
@@ -45,13 +44,13 @@
 	entriesGather = 2 * time.Second
 )
 
-// followDesired follows the desired state.
-func (g *gateway) followDesired(ctx context.Context) {
-	f := follow.Follower[*routes.Set]{
+// newTargetsFollower returns the follower of the desired state.
+func (g *gateway) newTargetsFollower() *follow.Follower[*routes.Set] {
+	return &follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
-		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Store: &g.store, Leads: true, Log: g.log,
+		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Idle: g.targetsTold,
+		Store: &g.store, Leads: true, Log: g.log,
 	}
-	f.Run(ctx)
 }
 
 // proofWait is how long the store may hold back an answer about the desired
@@ -71,7 +70,8 @@
 // whoever was to do it.
 func (g *gateway) proofOld() bool {
 	bound := g.router.Bounds().Proof
-	if bound == 0 {
+	if bound == 0 || g.holder.Version() == 0 {
+		// Of no state nothing is to be proved; the first one ends the call.
 		return false
 	}
 	return boottime.Now()-g.holder.ProvenAt() > time.Duration(hurryPart*float64(bound))
@@ -86,11 +86,10 @@
 	return min(desiredWait, max(time.Duration(proofPart*float64(bound-feedSilence)), leastWait))
 }
 
-// followServers follows the list of backend servers.
-func (g *gateway) followServers(ctx context.Context) {
-	f := follow.Follower[backend.Info]{
+// newServersFollower returns the follower of the list of backend servers.
+func (g *gateway) newServersFollower() *follow.Follower[backend.Info] {
+	return &follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry, g.log},
-		Wait: follow.Always(serversWait), Gather: serversGather, Store: &g.store, Log: g.log,
+		Wait: follow.Always(serversWait), Gather: serversGather, Idle: g.serversTold, Store: &g.store, Log: g.log,
 	}
-	f.Run(ctx)
 }
--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -80,6 +80,8 @@
 	PeerListen string
 	// Listed are other gateways that are in the list, and their addresses.
 	Listed map[string]string
+	// Store is another Fleet's store, which both gateways ask then; nil for its own.
+	Store *rowstore.Store
 	// Fault is what becomes of calls to the store from the start on.
 	Fault rowstore.Fault
 	// Run runs the gateway until the context ends; nil for within this process.
@@ -95,14 +97,19 @@
 // NewFleet starts a store and a gateway and waits until it is ready.
 func NewFleet(t testing.TB, o Options) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t, Store: rowstore.New(), Stopped: make(chan struct{})}
-	if !o.Unready {
+	f := &Fleet{t: t, Store: o.Store, Stopped: make(chan struct{})}
+	if f.Store == nil {
+		f.Store = rowstore.New()
+	}
+	if !o.Unready && o.Store == nil {
 		f.Desire(1, "", "")
 	}
 	for name, addr := range o.Listed {
 		f.Store.Put("gateways", name, []byte(addr))
 	}
-	f.Store.SetFault(o.Fault)
+	if o.Store == nil {
+		f.Store.SetFault(o.Fault)
+	}
 	web := httptest.NewServer(slowLink{f.Store, o.StoreRate})
 	t.Cleanup(func() { f.Store.SetFault(rowstore.Busy); web.CloseClientConnections(); web.Close() })
 	f.Front, f.Admin = ports.For(t), ports.For(t)
--- /dev/null
+++ b/testbed/gateway/told_test.go
@@ -0,0 +1,100 @@
+package gateway_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// storeAskers is how many gateways ask the store for all.
+const storeAskers = 3
+
+// startAlike starts gateways before one store, ordered by who asks it first, and waits
+// until those that needn't ask have stopped.
+func startAlike(t *testing.T, n int) []*gateway.Fleet {
+	t.Helper()
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("gateway-%d", i)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return int(int64(uint32(xxhash.Sum64String(a))) - int64(uint32(xxhash.Sum64String(b))))
+	})
+	fleets := make([]*gateway.Fleet, n)
+	for i, name := range names {
+		o := gateway.Options{Name: name, Revoke: 5 * time.Second}
+		if i > 0 {
+			o.Store = fleets[0].Store
+		}
+		fleets[i] = gateway.NewFleet(t, o)
+	}
+	// Gateways list themselves, and hear of each other by the list within two seconds.
+	time.Sleep(4 * time.Second)
+	return fleets
+}
+
+// Each change of the list of servers costs a call of each gateway that asks: with
+// hundreds of gateways a restart of the servers would cost thousands.
+func TestFewGatewaysAskTheStoreForAll(t *testing.T) {
+	const gateways, changes = 8, 12
+	fleets := startAlike(t, gateways)
+	first := fleets[0]
+	before := first.Store.Calls()
+	var last string
+	for i := range changes {
+		last = fmt.Sprintf("i-%d", i)
+		first.Serve(last, gateway.Answer("whole"))
+		time.Sleep(400 * time.Millisecond)
+	}
+	calls := first.Store.Calls() - before
+	// The few ask again after each change; five seconds of proofs, and of the others'
+	// calls about other tables, come to less than four for each gateway.
+	if most := storeAskers*changes + 4*gateways; calls > most {
+		t.Errorf("%d calls for %d changes by %d gateways, more than %d", calls, changes, gateways, most)
+	}
+	for i, f := range fleets {
+		f.Wait(fmt.Sprintf("gateway %d uses the last server", i), func() bool {
+			id := fmt.Sprintf("last-%d", i)
+			f.Call("/safe/x", id)
+			return usedServer(first, id, last)
+		})
+	}
+}
+
+// The gateways that ask may all be lost at once, just before a server leaves.
+func TestOthersAskWhenTheAskersAreLost(t *testing.T) {
+	fleets := startAlike(t, 6)
+	first := fleets[0]
+	leaving := first.Serve("i-1", gateway.Answer("whole"))
+	first.Serve("i-2", gateway.Answer("whole"))
+	left := fleets[storeAskers:]
+	for i, f := range left {
+		f.Wait("both are used", func() bool {
+			f.Call("/safe/x", fmt.Sprintf("warm-%d", i))
+			return usedBoth(first, fmt.Sprintf("warm-%d", i))
+		})
+	}
+	for _, f := range fleets[:storeAskers] {
+		f.Stop()
+	}
+	for _, f := range fleets[:storeAskers] {
+		<-f.Stopped
+	}
+	first.List(leaving, "draining")
+	// Within two seconds a server that leaves gets no more work.
+	time.Sleep(2 * time.Second)
+	for i, f := range left {
+		id := fmt.Sprintf("after-%d", i)
+		for range 20 {
+			f.Call("/safe/x", id)
+		}
+		if usedServer(first, id, "i-1") {
+			t.Errorf("gateway %d sends to a server that leaves", i)
+		}
+	}
+}
