gateway: who hears of less than half of the gateways asks the store itself

Change: a gateway rests only while it hears of more than half of those listed.

Test: TestWhoHearsOfFewGatewaysAsksTheStore, red without (36 calls where 64 are made).

--- a/internal/gateway/asking.go
+++ b/internal/gateway/asking.go
@@ -22,8 +22,12 @@
 }
 
 // told reports whether a few other gateways ask the store, and tell this one. Where
-// none of them does each asks for itself.
-func (g *gateway) told() bool { return !g.proves() && g.mesh.Followed() }
+// none of them does each asks for itself, and so does who hears of less than half of
+// the gateways: it may be cut off, with those that it hears, from the store as well, and
+// has to know soon to send callers elsewhere.
+func (g *gateway) told() bool {
+	return !g.proves() && g.mesh.Followed() && 2*g.mesh.Gateways() > g.mesh.Listed()
+}
 
 // serversTold reports whether the list of backend servers needn't be asked for here.
 func (g *gateway) serversTold() bool { return g.told() && !g.lacking.longer(lackingMost) }
--- a/testbed/gateway/told_test.go
+++ b/testbed/gateway/told_test.go
@@ -15,8 +15,8 @@
 const storeAskers = 3
 
 // startAlike starts gateways before one store, ordered by who asks it first, and waits
-// until those that needn't ask have stopped.
-func startAlike(t *testing.T, n int) []*gateway.Fleet {
+// until those that needn't ask have stopped. So many more are listed and silent.
+func startAlike(t *testing.T, n, silent int) []*gateway.Fleet {
 	t.Helper()
 	names := make([]string, n)
 	for i := range names {
@@ -25,11 +25,17 @@
 	slices.SortFunc(names, func(a, b string) int {
 		return int(int64(uint32(xxhash.Sum64String(a))) - int64(uint32(xxhash.Sum64String(b))))
 	})
+	listed := map[string]string{}
+	for i := range silent {
+		listed[fmt.Sprintf("silent-%d", i)] = "127.0.0.1:1"
+	}
 	fleets := make([]*gateway.Fleet, n)
 	for i, name := range names {
 		o := gateway.Options{Name: name, Revoke: 5 * time.Second}
 		if i > 0 {
 			o.Store = fleets[0].Store
+		} else {
+			o.Listed = listed
 		}
 		fleets[i] = gateway.NewFleet(t, o)
 	}
@@ -42,7 +48,7 @@
 // hundreds of gateways a restart of the servers would cost thousands.
 func TestFewGatewaysAskTheStoreForAll(t *testing.T) {
 	const gateways, changes = 8, 12
-	fleets := startAlike(t, gateways)
+	fleets := startAlike(t, gateways, 0)
 	first := fleets[0]
 	before := first.Store.Calls()
 	var last string
@@ -68,7 +74,7 @@
 
 // The gateways that ask may all be lost at once, just before a server leaves.
 func TestOthersAskWhenTheAskersAreLost(t *testing.T) {
-	fleets := startAlike(t, 6)
+	fleets := startAlike(t, 6, 0)
 	first := fleets[0]
 	leaving := first.Serve("i-1", gateway.Answer("whole"))
 	first.Serve("i-2", gateway.Answer("whole"))
@@ -98,3 +104,18 @@
 		}
 	}
 }
+
+// A gateway that hears of few others may be cut off together with them, and from the
+// store as well: it finds out only by asking, and sends callers elsewhere then.
+func TestWhoHearsOfFewGatewaysAsksTheStore(t *testing.T) {
+	const gateways, changes = 8, 8
+	fleets := startAlike(t, gateways, gateways+1)
+	before := fleets[0].Store.Calls()
+	for i := range changes {
+		fleets[0].Serve(fmt.Sprintf("i-%d", i), gateway.Answer("whole"))
+		time.Sleep(400 * time.Millisecond)
+	}
+	if calls := fleets[0].Store.Calls() - before; calls < gateways*changes {
+		t.Errorf("%d calls for %d changes, by %d gateways that hear of less than half", calls, changes, gateways)
+	}
+}
