gateway: who asks the store, and how often, is told in metrics and the log

Cause: operators couldn't see which gateways ask the store for all, nor what the calls were about.

The list of gateways is asked for every half minute in place of every quarter: nothing hangs on it, since who starts is heard of.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -28,7 +28,7 @@
 func (g *gateway) followEntries(ctx context.Context) {
 	f := follow.Follower[peers.Entry]{
 		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: follow.Always(entriesWait), Gather: entriesGather,
-		Store: &g.store, Log: g.log,
+		Store: &g.store, Asked: g.platform.Metrics.StoreAsked("gateways"), Log: g.log,
 	}
 	f.Run(ctx)
 }
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -119,7 +119,9 @@
 	// Idle says that others follow the table and tell what changes, so that the
 	// store isn't asked; may be nil, for never.
 	Idle func() bool
-	Log  *zap.Logger
+	// Asked is told of each call; may be nil.
+	Asked func()
+	Log   *zap.Logger
 
 	// mu guards at, up to where the table is known, and the order of what the Sink
 	// takes. It comes before the Sink's locks.
@@ -175,11 +177,18 @@
 
 // rest waits while others follow the table.
 func (f *Follower[T]) rest(ctx context.Context) {
-	for f.Idle != nil && f.Idle() && ctx.Err() == nil {
-		f.live.Store(false)
-		f.rested = true
+	if f.Idle == nil || !f.Idle() {
+		return
+	}
+	f.live.Store(false)
+	f.rested = true
+	f.Log.Info(logging.EventStoreLeft, zap.String("table", f.Name))
+	for f.Idle() && ctx.Err() == nil {
 		pause.For(ctx, idleEvery)
 	}
+	if ctx.Err() == nil {
+		f.Log.Info(logging.EventStoreAsked, zap.String("table", f.Name))
+	}
 }
 
 // step makes one call and hands on what came.
@@ -188,6 +197,9 @@
 		ctx = withArrival(ctx, func() { f.Arriving.Store(true) })
 		defer f.Arriving.Store(false)
 	}
+	if f.Asked != nil {
+		f.Asked()
+	}
 	moment := boottime.Now()
 	if !known {
 		if err := f.reading.read(ctx, f.Source); err != nil {
--- a/internal/gateway/follow/sharing_test.go
+++ b/internal/gateway/follow/sharing_test.go
@@ -10,6 +10,9 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/applepier/applepier/internal/logging"
 )
 
 // resting starts a follower that has read its table up to 3 and rests while told.
@@ -132,3 +135,30 @@
 		t.Errorf("%d steps, known %v, changed %d", len(steps), known, r.changed())
 	}
 }
+
+func TestRestsAreToldInTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := observer.New(zap.InfoLevel)
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		var told atomic.Bool
+		told.Store(true)
+		asked := 0
+		f := &Follower[string]{
+			Name: "t", Source: &source{steps: readUpTo3()}, Sink: &sink{}, Wait: Always(time.Second),
+			Idle: told.Load, Asked: func() { asked++ }, Log: zap.New(core),
+		}
+		go f.Run(ctx)
+		time.Sleep(time.Minute)
+		told.Store(false)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		all := lines.All()
+		if len(all) != 2 || all[0].Message != logging.EventStoreLeft || all[1].Message != logging.EventStoreAsked {
+			t.Errorf("lines %v", all)
+		}
+		if asked != 2 {
+			t.Errorf("%d calls told, the read and the one after the rest were made", asked)
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,7 +144,7 @@
 func (g *gateway) surroundings() metrics.Gateway {
 	return metrics.Gateway{
 		Version: g.holder.Version(), ProofAge: boottime.Now() - g.holder.ProvenAt(),
-		Gateways: g.mesh.Gateways(), Servers: g.registry.Usable(), LinesDropped: logging.Dropped(),
+		Gateways: g.mesh.Gateways(), Asking: g.servers.Live(), Servers: g.registry.Usable(), LinesDropped: logging.Dropped(),
 	}
 }
 
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -38,7 +38,7 @@
 	serversGather = 250 * time.Millisecond
 	// entriesWait is the same for the list of gateways, on which nothing
 	// hangs: who isn't in it yet is heard of.
-	entriesWait = 15 * time.Second
+	entriesWait = 30 * time.Second
 	// entriesGather is the same for gateways: each hears of all others within
 	// two seconds of a start of all.
 	entriesGather = 2 * time.Second
@@ -49,7 +49,7 @@
 	return &follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
 		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Idle: g.targetsTold,
-		Store: &g.store, Leads: true, Log: g.log,
+		Store: &g.store, Leads: true, Asked: g.platform.Metrics.StoreAsked("targets"), Log: g.log,
 	}
 }
 
@@ -90,6 +90,7 @@
 func (g *gateway) newServersFollower() *follow.Follower[backend.Info] {
 	return &follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry, g.log},
-		Wait: follow.Always(serversWait), Gather: serversGather, Idle: g.serversTold, Store: &g.store, Log: g.log,
+		Wait: follow.Always(serversWait), Gather: serversGather, Idle: g.serversTold,
+		Store: &g.store, Asked: g.platform.Metrics.StoreAsked("backend_servers"), Log: g.log,
 	}
 }
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -27,6 +27,10 @@
 	EventPlatformDown = "platform_down"
 	// EventPlatformUp: it answers again.
 	EventPlatformUp = "platform_up"
+	// EventStoreAsked: a gateway follows a table of the store for itself.
+	EventStoreAsked = "store_asked"
+	// EventStoreLeft: it has what changes there from other gateways.
+	EventStoreLeft = "store_left"
 	// EventRowUnreadable: a row of the platform's store can't be used; what was
 	// known of it stays.
 	EventRowUnreadable = "row_unreadable"
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -24,6 +24,8 @@
 	familyControlBytes     family = "applepier_control_bytes_total"
 	familyPlatformCalls    family = "applepier_platform_calls_total"
 	familyPlatformFailures family = "applepier_platform_failures_total"
+	familyStoreAsked       family = "applepier_store_asked_total"
+	familyStoreAsking      family = "applepier_store_asking"
 	familyTargetsVersion   family = "applepier_targets_version"
 	familyProofAge         family = "applepier_targets_proof_age_milliseconds"
 	familyGateways         family = "applepier_gateways"
@@ -55,6 +57,8 @@
 	familyControlBytes:     "Bytes of messages between the system's processes.",
 	familyPlatformCalls:    "Calls to the platform's services.",
 	familyPlatformFailures: "Calls to the platform's services that failed.",
+	familyStoreAsked:       "Calls to the platform's store, by table.",
+	familyStoreAsking:      "1 while this gateway follows the list of backend servers in the store, 0 while it has changes from other gateways.",
 	familyTargetsVersion:   "Version of the targets in force in this process.",
 	familyProofAge:         "Age of the proof that the targets in force are the newest.",
 	familyGateways:         "Gateways that this one hears of, itself included.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -11,6 +11,8 @@
 	ProofAge time.Duration
 	// Gateways counts the gateways that are heard of, itself included.
 	Gateways int
+	// Asking says that it asks the store what changed in the list of backend servers.
+	Asking bool
 	// Servers counts the backend servers that may get requests.
 	Servers int
 	// LinesDropped counts the log lines that were left out.
@@ -23,11 +25,16 @@
 	gateways := gauge(m.registry, familyGateways)
 	servers := gauge(m.registry, familyServers)
 	dropped := counter(m.registry, familyLinesDropped)
+	asking := gauge(m.registry, familyStoreAsking)
 	m.OnRead(func() {
 		g := read()
 		m.TargetsVersion(g.Version)
 		age.Update(g.ProofAge.Milliseconds())
 		gateways.Update(int64(g.Gateways))
+		asking.Update(0)
+		if g.Asking {
+			asking.Update(1)
+		}
 		servers.Update(int64(g.Servers))
 		dropped.Inc(g.LinesDropped - dropped.Count())
 	})
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -47,6 +47,7 @@
 	m.Control.Received(20)
 	m.Platform.Read(nil)
 	m.Platform.Write(errors.New("down"))
+	m.StoreAsked("targets")()
 	m.TargetsVersion(12)
 	goldie.New(t).Assert(t, "text", []byte(text(t, m)))
 }
--- a/internal/metrics/platform.go
+++ b/internal/metrics/platform.go
@@ -40,6 +40,12 @@
 // Write counts a write; err is its failure, or nil.
 func (p *Platform) Write(err error) { p.write.count(err) }
 
+// StoreAsked returns what counts a call to the platform's store about a table.
+func (m *Metrics) StoreAsked(table string) (count func()) {
+	asked := counter(m.registry, familyStoreAsked, label{name: labelTable, value: table})
+	return func() { asked.Inc(1) }
+}
+
 func (c calls) count(err error) {
 	c.made.Inc(1)
 	if err != nil {
--- a/internal/metrics/series.go
+++ b/internal/metrics/series.go
@@ -13,6 +13,7 @@
 	labelTiming    = "timing"
 	labelDirection = "direction"
 	labelOperation = "operation"
+	labelTable     = "table"
 	labelQuantile  = "quantile"
 )
 
