peers: fields of datagrams have numbers, so that two releases understand each other

Change: fields of the datagram and of its state are numbered; what a release doesn't know is passed over, what isn't there is zero, and a number is never used again. The step from arrays to numbers is the last that a rollout notices. Numbers of requests that can't be ones (NaN, infinite, negative) are left out: the sums of all gateways would keep them.

--- a/check.sh
+++ b/check.sh
@@ -33,8 +33,8 @@
   )
 done
 
-# What other writers may have written: random bytes beside the kept ones. A number and
+# What other writers may have written or sent: random bytes beside the kept ones. A number and
 # not a time of them: the end of a time is told as a failure when it finds a worker busy.
-for decoder in FuzzServerEntry FuzzDesiredState; do
-  go test -run '^$' -fuzz "^$decoder\$" -fuzztime 60000x ./platform
+for decoder in platform:FuzzServerEntry platform:FuzzDesiredState internal/gateway/peers:FuzzDatagram; do
+  go test -run '^$' -fuzz "^${decoder#*:}\$" -fuzztime 60000x "./${decoder%:*}"
 done
--- a/internal/gateway/peers/bench_test.go
+++ b/internal/gateway/peers/bench_test.go
@@ -31,6 +31,7 @@
 		Shortages: func() map[string]policy.Shortage { return nil },
 		Proof:     func() Proof { return Proof{} },
 		Prove:     func(Proof) {},
+		Following: func() Following { return Following{Able: true, Asks: true, Servers: 1 << 20} },
 		Log:       zap.NewNop(),
 	})
 	if err != nil {
--- a/internal/gateway/peers/hear.go
+++ b/internal/gateway/peers/hear.go
@@ -36,17 +36,23 @@
 	if err != nil {
 		return "", nil, err
 	}
-	in = &received{}
-	if err := cbor.Unmarshal(buffer[:n], &in.message); err != nil {
-		return addr.String(), nil, errors.Wrap(ErrForm, err.Error())
+	in, err = decode(buffer[:n])
+	return addr.String(), in, err
+}
+
+// decode reads a datagram; ErrForm for one that isn't of this protocol.
+func decode(datagram []byte) (*received, error) {
+	in := &received{}
+	if err := cbor.Unmarshal(datagram, &in.message); err != nil {
+		return nil, errors.Wrap(ErrForm, err.Error())
 	}
 	if err := cbor.Unmarshal(in.State, &in.state); err != nil {
-		return addr.String(), nil, errors.Wrap(ErrForm, err.Error())
+		return nil, errors.Wrap(ErrForm, err.Error())
 	}
 	if in.From == "" {
-		return addr.String(), nil, errors.Wrap(ErrForm, "no sender")
+		return nil, errors.Wrap(ErrForm, "no sender")
 	}
-	return addr.String(), in, nil
+	return in, nil
 }
 
 // take takes one datagram. A proof counts from the moment at which this
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -7,51 +7,49 @@
 	"github.com/applepier/applepier/policy"
 )
 
-// message is one datagram, an array without keys, since it is sent ten times a
-// second to every other gateway. Gateways whose arrays differ don't understand
-// each other: while a build with another one is rolled out, each half counts its
-// own sends only.
+// message is one datagram. Its fields, and those of the state, have numbers for names:
+// gateways of two releases understand each other while one is rolled out, since a field
+// that a release doesn't know is passed over, and one that isn't there is zero. A number
+// is never used again for something else.
 type message struct {
-	_ struct{} `cbor:",toarray"`
 	// From is the sender's name, Boot its start: the counts of an earlier
 	// start are void, and Sequence orders those of one.
-	From     string
-	Boot     uint64
-	Sequence uint64
+	From     string `cbor:"1,keyasint"`
+	Boot     uint64 `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
 	// Stamp is the sender's clock; Echo is the last stamp that it had from
 	// the receiver, and EchoBoot the receiver's start then: a VM's clock
 	// begins anew when the VM does. Both are 0 when there was none.
-	Stamp    uint64
-	Echo     uint64
-	EchoBoot uint64
+	Stamp    uint64 `cbor:"4,keyasint"`
+	Echo     uint64 `cbor:"5,keyasint,omitempty"`
+	EchoBoot uint64 `cbor:"6,keyasint,omitempty"`
 	// State is the encoded state, the same for all receivers.
-	State cbor.RawMessage
+	State cbor.RawMessage `cbor:"7,keyasint"`
 }
 
 // state is what a gateway tells all others alike.
 type state struct {
-	_ struct{} `cbor:",toarray"`
 	// Version is the desired state in force at the sender, 0 for none, and
 	// ProofAge how old its proof is that there is no newer one, in
 	// milliseconds; 0 for no proof.
-	Version  uint64
-	ProofAge uint64
+	Version  uint64 `cbor:"1,keyasint,omitempty"`
+	ProofAge uint64 `cbor:"2,keyasint,omitempty"`
 	// Follows is whether the sender asks the store, and Servers the position after the
 	// newest change in the list of backend servers that it knows of, 0 for none.
-	Follows following
-	Servers uint64
+	Follows following `cbor:"3,keyasint,omitempty"`
+	Servers uint64    `cbor:"4,keyasint,omitempty"`
 	// Loads is what the sender has at backend servers; others have nothing.
-	Loads []load
+	Loads []load `cbor:"5,keyasint,omitempty"`
 	// Shortages are of the services at which the sender had requests lately.
-	Shortages []shortage
+	Shortages []shortage `cbor:"6,keyasint,omitempty"`
 	// Uses are the parts of prompts that servers were sent or have read lately.
-	Uses []use
+	Uses []use `cbor:"7,keyasint,omitempty"`
 	// Firsts are the first tokens that the sender had since its last datagram.
-	Firsts []first
+	Firsts []first `cbor:"8,keyasint,omitempty"`
 	// Pauses are of the streams that ended at the sender since its last datagram.
-	Pauses []longestPause
+	Pauses []longestPause `cbor:"9,keyasint,omitempty"`
 	// Unanswered are the servers of requests that got no answer since then.
-	Unanswered []policy.Key
+	Unanswered []policy.Key `cbor:"10,keyasint,omitempty"`
 }
 
 // received is a datagram with its state.
--- a/internal/gateway/peers/shortage.go
+++ b/internal/gateway/peers/shortage.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"math"
+
 	"github.com/applepier/applepier/policy"
 )
 
@@ -41,9 +43,16 @@
 func (s *shortage) counts() policy.Shortage {
 	var c policy.Shortage
 	for _, l := range s.Levels {
+		if !counted(l.Offered) || !counted(l.Lacked) {
+			continue
+		}
 		level := &c[min(int(l.Urgency), len(c)-1)]
 		level.Offered += float64(l.Offered)
 		level.Lacked += float64(l.Lacked)
 	}
 	return c
 }
+
+// counted reports whether a number may be one of requests: the sums of all gateways would
+// not come back from one that isn't.
+func counted(n float32) bool { return n >= 0 && n <= math.MaxInt32 }
