entry: what is refused before its body is read is answered at once

Cause: a request to a full entry, an unknown path, with a wrong key or to an unknown service was answered by net/http only after its body, for which there is no deadline there: no answer in ten seconds to a caller that sends the head and waits.

Change: these refusals go through unread.Answer, as those of the body's reading do. A path under another method has an answer of its own in the API's form (405).

TestEarlyRefusalsDoNotWaitForBodies: red in five cases of five before, green after, the sixth came with the 405. Not looked for in the administration API.

--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -16,6 +16,7 @@
 	"github.com/applepier/applepier/internal/entry/dispatch"
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/internal/timeline"
+	"github.com/applepier/applepier/internal/unread"
 )
 
 // Header names of applepier's own.
@@ -112,21 +113,34 @@
 	for _, method := range serviceMethods {
 		router.HandlerFunc(method, "/services/:name/*path", a.counted(a.service))
 	}
-	router.NotFound = http.HandlerFunc(a.noRoute)
+	router.NotFound = http.HandlerFunc(noRoute)
+	router.MethodNotAllowed = http.HandlerFunc(noMethod)
 }
 
 // serviceMethods are the methods that plain services are called with.
 var serviceMethods = []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
-func (a *API) noRoute(w http.ResponseWriter, _ *http.Request) {
-	writeError(w, problem{status: http.StatusNotFound, code: "not_found", message: "there is no such path; see docs/API.md"})
+func noRoute(w http.ResponseWriter, r *http.Request) {
+	refuseUnread(w, r, problem{status: http.StatusNotFound, code: "not_found", message: "there is no such path; see docs/API.md"})
+}
+
+// noMethod answers a path that there is under another method; the router has named those
+// that it takes.
+func noMethod(w http.ResponseWriter, r *http.Request) {
+	refuseUnread(w, r, problem{status: http.StatusMethodNotAllowed, code: "method_not_allowed", message: "the path doesn't take the method; see docs/API.md"})
+}
+
+// refuseUnread answers a request whose body hasn't been read, without waiting for it: a
+// caller that sends none would get no answer until it leaves.
+func refuseUnread(w http.ResponseWriter, r *http.Request, p problem) {
+	unread.Answer(w, r, false, func() { writeError(w, p) })
 }
 
 // counted bounds the requests that are held at once.
 func (a *API) counted(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !a.enter() {
-			a.turnAway(w, r, reasonEntryFull)
+			unread.Answer(w, r, false, func() { a.turnAway(w, r, reasonEntryFull) })
 			return
 		}
 		defer a.leave()
--- a/internal/entry/api/carry.go
+++ b/internal/entry/api/carry.go
@@ -78,7 +78,7 @@
 func (a *API) authenticate(w http.ResponseWriter, r *http.Request, set *targets.Set) (string, bool) {
 	customer, err := a.config.Auth.Caller(set, r)
 	if err != nil {
-		writeError(w, problem{status: http.StatusUnauthorized, code: "invalid_api_key", message: "send a customer's API key as a bearer token", outcome: dispatch.NotRun})
+		refuseUnread(w, r, problem{status: http.StatusUnauthorized, code: "invalid_api_key", message: "send a customer's API key as a bearer token", outcome: dispatch.NotRun})
 		return "", false
 	}
 	return customer, true
--- a/internal/entry/api/refused_test.go
+++ b/internal/entry/api/refused_test.go
@@ -11,6 +11,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/targets"
 )
 
 // answerSoon is when an answer that waits for nothing has certainly come: far
@@ -114,3 +118,62 @@
 		f.letAllGo()
 	})
 }
+
+// Whatever is refused before its body is read is answered without the body, and the
+// answer is seen by a caller that sends on.
+func TestEarlyRefusalsDoNotWaitForBodies(t *testing.T) {
+	cases := map[string]struct {
+		head   string
+		full   bool
+		status int
+	}{
+		"full":               {"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n", true, http.StatusServiceUnavailable},
+		"no such path":       {"POST /v2/chat HTTP/1.1\r\nHost: entry\r\n", false, http.StatusNotFound},
+		"no such method":     {"PUT /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n", false, http.StatusMethodNotAllowed},
+		"no key":             {"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer wrong\r\n", false, http.StatusUnauthorized},
+		"no such service":    {"POST /services/none/x HTTP/1.1\r\nHost: entry\r\n", false, http.StatusNotFound},
+		"full, by a service": {"POST /services/none/x HTTP/1.1\r\nHost: entry\r\n", true, http.StatusServiceUnavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, nil)
+			if c.status == http.StatusUnauthorized {
+				f.api.config.Auth = noCaller{}
+			}
+			if c.full {
+				f.api.inFlight = maxInFlight
+			}
+			server := httptest.NewServer(f.router)
+			t.Cleanup(server.Close)
+			const length = 100 << 10
+			for _, sent := range []int{0, length} {
+				conn, err := net.Dial("tcp", server.Listener.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { conn.Close() })
+				if err := conn.SetDeadline(time.Now().Add(answerSoon)); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", c.head, length, strings.Repeat("x", sent)); err != nil {
+					t.Fatal(err)
+				}
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Fatalf("no answer after %d bytes of the body: %v", sent, err)
+				}
+				if _, err := io.ReadAll(response.Body); err != nil || response.StatusCode != c.status {
+					t.Errorf("status %d, %v, after %d bytes of the body; want %d", response.StatusCode, err, sent, c.status)
+				}
+			}
+		})
+	}
+}
+
+// noCaller knows no customer.
+type noCaller struct{}
+
+func (noCaller) Caller(*targets.Set, *http.Request) (string, error) {
+	return "", errors.New("no customer has the key")
+}
--- a/internal/entry/api/service.go
+++ b/internal/entry/api/service.go
@@ -29,7 +29,7 @@
 	params := httprouter.ParamsFromContext(r.Context())
 	class, p := serviceClass(set, r.Header.Get(HeaderClass), params.ByName("name"))
 	if p != nil {
-		writeError(w, *p)
+		refuseUnread(w, r, *p)
 		return
 	}
 	body, ok := a.readBody(w, r, boundOf(class))
