gateway: the start of one gateway makes no other ask the store

Cause: a gateway that had read the list of servers told the position of that as news, and each other one that was behind it asked the store; each entry in the list of gateways came to all that follow it. In a test a start beside twelve gateways cost 44 calls.

Change: only the three that others rely on tell the position of what they read whole, since a change just before it may be known to nobody else; the others tell changes. The list of gateways is followed until those are listed that started with a gateway, then asked for once a minute.

Test: TestGatewayThatStartsMakesOthersAskNothing, red before (44 calls, at most 17).

--- a/internal/gateway/asking.go
+++ b/internal/gateway/asking.go
@@ -16,9 +16,20 @@
 // leaving servers get no more work.
 const lackingMost = 400 * time.Millisecond
 
-// following is what this gateway tells of the store.
+// entriesRest is for how long a gateway that was told of others does without the list of
+// gateways: one that was removed from it by mistake is listed again within that time.
+const entriesRest = time.Minute
+
+// following is what this gateway tells of the store. One that others rely on tells also
+// at which position it has read the whole list: what had changed shortly before may be
+// known to no other gateway that runs. Of the rest, each that starts would have all
+// others ask the store.
 func (g *gateway) following() peers.Following {
-	return peers.Following{Able: !g.store.Away(), Asks: g.servers.Live(), Servers: g.servers.Changed()}
+	f := peers.Following{Able: !g.store.Away(), Asks: g.servers.Live(), Servers: g.servers.Changed()}
+	if g.proves() {
+		f.Servers = g.servers.Known()
+	}
+	return f
 }
 
 // told reports whether a few other gateways ask the store, and tell this one. Where
@@ -37,6 +48,14 @@
 	return g.told() && g.holder.Version() != 0 && !g.proofOld() && !g.newer.longer(lackingMost)
 }
 
+// entriesTold reports whether the list of gateways needn't be asked for here: who started
+// together with this gateway may not have been listed when it read the list first, and
+// who is removed is told by the list alone.
+func (g *gateway) entriesTold() bool {
+	listings, age := g.mesh.Listings()
+	return g.told() && listings > 1 && age < entriesRest
+}
+
 // learnServers has from other gateways what changes in the list of backend servers.
 func (g *gateway) learnServers(ctx context.Context) {
 	client := handover.NewClient()
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -23,12 +23,12 @@
 	tidyEvery = time.Minute
 )
 
-// followEntries follows the list of gateways. Whoever starts later is heard of
-// by its datagrams as well.
+// followEntries follows the list of gateways, until those are known that started at the
+// same time. Whoever starts later has read it, and is heard of by its datagrams.
 func (g *gateway) followEntries(ctx context.Context) {
 	f := follow.Follower[peers.Entry]{
 		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: follow.Always(entriesWait), Gather: entriesGather,
-		Store: &g.store, Asked: g.platform.Metrics.StoreAsked("gateways"), Log: g.log,
+		Idle: g.entriesTold, Store: &g.store, Asked: g.platform.Metrics.StoreAsked("gateways"), Log: g.log,
 	}
 	f.Run(ctx)
 }
--- a/internal/gateway/follow/recent.go
+++ b/internal/gateway/follow/recent.go
@@ -48,11 +48,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.steps) == 0 {
-		return r.start
+		return 0
 	}
 	return r.steps[len(r.steps)-1].To
 }
 
+// known is the same, or, where nothing has changed since the whole table was read, the
+// position of that.
+func (r *recent[T]) known() uint64 {
+	if at := r.changed(); at != 0 {
+		return at
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.start
+}
+
 // since returns the steps after a position; false if they aren't all known.
 func (r *recent[T]) since(at uint64) ([]Step[T], bool) {
 	r.mu.Lock()
--- a/internal/gateway/follow/sharing.go
+++ b/internal/gateway/follow/sharing.go
@@ -10,9 +10,13 @@
 var ErrGap = errors.New("changes in between are missing")
 
 // Changed is the position after the newest change that this follower knows of, from
-// the store or from another gateway; 0 before the table has been read.
+// the store or from another gateway; 0 for none since it read the whole table.
 func (f *Follower[T]) Changed() uint64 { return f.recent.changed() }
 
+// Known is the same, or, for none, the position at which the whole table was read: what
+// had changed before that it knows, but not what it was.
+func (f *Follower[T]) Known() uint64 { return f.recent.known() }
+
 // Since returns what changed after a position; false if not all of it is known.
 func (f *Follower[T]) Since(at uint64) ([]Step[T], bool) { return f.recent.since(at) }
 
--- a/internal/gateway/follow/sharing_test.go
+++ b/internal/gateway/follow/sharing_test.go
@@ -84,6 +84,9 @@
 		var told atomic.Bool
 		told.Store(true)
 		f := resting(t, &source{steps: readUpTo3()}, out, &told)
+		if f.Changed() != 0 || f.Known() != 3 {
+			t.Errorf("changed %d, known %d after the whole table was read", f.Changed(), f.Known())
+		}
 		steps := []Step[string]{{From: 2, To: 3, Items: []string{"old"}}, {From: 3, To: 5, Items: []string{"b"}}, {From: 5, To: 9, Items: []string{"c"}}}
 		if err := f.Take(0, steps); err != nil {
 			t.Fatal(err)
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/policy"
@@ -33,6 +35,10 @@
 	table    *table
 	boot     uint64
 	sequence uint64
+	// listings counts the answers about the list of gateways, and listedAt is when the
+	// last one came, on boottime's clock.
+	listings atomic.Int64
+	listedAt atomic.Int64
 }
 
 var _ follow.Sink[Entry] = (*Mesh)(nil)
@@ -105,11 +111,19 @@
 // or not.
 func (m *Mesh) Listed() int { return 1 + m.table.listed() }
 
+// Listings counts the answers about the list that came, and tells how old the last one
+// is.
+func (m *Mesh) Listings() (count int64, age time.Duration) {
+	return m.listings.Load(), boottime.Now() - time.Duration(m.listedAt.Load())
+}
+
 // Reset implements follow.Sink.
 func (m *Mesh) Reset(moment time.Duration, all follow.Batch[Entry]) { m.Change(moment, all) }
 
 // Change implements follow.Sink.
 func (m *Mesh) Change(_ time.Duration, changes follow.Batch[Entry]) {
+	m.listings.Add(1)
+	m.listedAt.Store(int64(boottime.Now()))
 	for _, e := range changes.Items {
 		if e.Name != m.Self.Name {
 			m.table.know(e.Name, e.Addr)
--- a/testbed/gateway/told_test.go
+++ b/testbed/gateway/told_test.go
@@ -119,3 +119,23 @@
 		t.Errorf("%d calls for %d changes, by %d gateways that hear of less than half", calls, changes, gateways)
 	}
 }
+
+// Gateways that are restarted one after the other would each have all others ask the
+// store, if what they read at their start were news to these.
+func TestGatewayThatStartsMakesOthersAskNothing(t *testing.T) {
+	const gateways, own, watched = 12, 8, 2
+	fleets := startAlike(t, gateways, 0)
+	first := fleets[0]
+	// The list of servers and the store's position have moved on since the others began.
+	first.Serve("i-1", gateway.Answer("whole"))
+	time.Sleep(time.Second)
+	// It comes last by its name, so that it isn't one of those that ask.
+	first.Store.Put("other", "row", []byte("x"))
+	before := first.Store.Calls()
+	gateway.NewFleet(t, gateway.Options{Name: "late-7", Revoke: 5 * time.Second, Store: first.Store})
+	time.Sleep(watched * time.Second)
+	// Those that ask renew their proof about once a second, and hear of the new entry.
+	if calls, most := first.Store.Calls()-before, own+storeAskers*(watched+1); calls > most {
+		t.Errorf("%d calls for the start of one gateway beside %d, more than %d", calls, gateways, most)
+	}
+}
