gateway: a state that is too large is asked of the store at once

Cause: a gateway that rests asked another one four times for a desired state of over 128 KB, with a warning each, before it asked the store.

Change: the first such answer ends the rest. Names: statePath.

Tests: TestSinceWhen; the large state's and the few askers' tests of testbed/gateway.

--- a/internal/gateway/asking.go
+++ b/internal/gateway/asking.go
@@ -16,8 +16,8 @@
 // leaving servers get no more work.
 const lackingMost = 400 * time.Millisecond
 
-// entriesRest is for how long a gateway that was told of others does without the list of
-// gateways: one that was removed from it by mistake is listed again within that time.
+// entriesRest is for how long a gateway does without the list of gateways: one that was
+// removed from it by mistake is listed again within that time.
 const entriesRest = time.Minute
 
 // following is what this gateway tells of the store. One that others rely on tells also
--- a/internal/gateway/handover/client.go
+++ b/internal/gateway/handover/client.go
@@ -43,7 +43,7 @@
 // Get returns the state of the gateway at an address; ErrUnreachable or ErrForm.
 func (c *Client) Get(ctx context.Context, addr string) (State, error) {
 	var state State
-	err := c.get(ctx, addr, path, &state)
+	err := c.get(ctx, addr, statePath, &state)
 	return state, err
 }
 
--- a/internal/gateway/handover/server.go
+++ b/internal/gateway/handover/server.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// path is where a gateway hands over its state, targetsPath the desired state
+	// statePath is where a gateway hands over its state, targetsPath the desired state
 	// alone, and changesPath what changed in the list of backend servers after the
 	// position that is named.
-	path        = "/state"
+	statePath   = "/state"
 	targetsPath = "/targets"
 	changesPath = "/changes/"
 	positionArg = "position"
@@ -35,7 +35,7 @@
 // Routes hands what state and changes return to other gateways.
 func Routes(state func() State, changes Changes) http.Handler {
 	routes := httprouter.New()
-	routes.GET(path, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	routes.GET(statePath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		write(w, state())
 	})
 	routes.GET(targetsPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
--- a/internal/gateway/learn.go
+++ b/internal/gateway/learn.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/gateway/handover"
@@ -50,7 +51,11 @@
 	if err == nil {
 		err = g.adopt(addr, state)
 	}
-	if err != nil && ctx.Err() == nil {
+	switch {
+	case err == nil, ctx.Err() != nil:
+	case errors.Is(err, handover.ErrTooLarge):
+		g.newer.long()
+	default:
 		g.log.Warn(logging.EventHandoverFailed, logging.Peer(addr), logging.Reason(err.Error()))
 	}
 }
--- a/internal/gateway/since_when.go
+++ b/internal/gateway/since_when.go
@@ -22,6 +22,9 @@
 	s.at.CompareAndSwap(0, int64(boottime.Now()))
 }
 
+// long notes that it has held for longer than anybody asks for.
+func (s *sinceWhen) long() { s.at.Store(1) }
+
 // longer reports whether it has held for a time.
 func (s *sinceWhen) longer(than time.Duration) bool {
 	at := s.at.Load()
