policy: one heap for customers and deadlines

Cause: two heaps of the agents' queue were the same but for their order.

Change: orderedHeap, whose elements say which goes before. No change of behaviour; the gateways' decisions don't use it.

--- a/policy/class_queue.go
+++ b/policy/class_queue.go
@@ -20,7 +20,7 @@
 	tier *tierQueue
 	// byKey and order hold the customers that have a waiting ticket.
 	byKey map[customerKey]*customerQueue
-	order customerHeap
+	order orderedHeap[*customerQueue]
 	// virtual is the start tag of the ticket granted last.
 	virtual float64
 	// arrivals numbers the customers' arrivals.
--- a/policy/customer_queue.go
+++ b/policy/customer_queue.go
@@ -20,6 +20,16 @@
 	index int
 }
 
+// goesBefore orders a class's customers by start tag.
+func (q *customerQueue) goesBefore(other *customerQueue) bool {
+	if q.tag != other.tag {
+		return q.tag < other.tag
+	}
+	return q.arrival < other.arrival
+}
+
+func (q *customerQueue) place() *int { return &q.index }
+
 func (q *customerQueue) push(w *waiting) {
 	w.customer = q
 	w.before = q.last
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -26,7 +26,7 @@
 type Queue struct {
 	tiers     [tierCount]*tierQueue
 	byID      map[string]*waiting
-	deadlines deadlineHeap
+	deadlines orderedHeap[*waiting]
 }
 
 // NewQueue returns an empty Queue.
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -39,6 +39,11 @@
 	}
 }
 
+// goesBefore orders the tickets that may expire by when that is looked at.
+func (w *waiting) goesBefore(other *waiting) bool { return w.due.Before(other.due) }
+
+func (w *waiting) place() *int { return &w.deadlineIndex }
+
 // timed reports whether the ticket changes state by the passing of time.
 func (w *waiting) timed() bool {
 	return !w.resumed && !w.due.IsZero()
