--- a/internal/gateway/asking.go
+++ b/internal/gateway/asking.go
@@ -10,8 +10,8 @@
 	"github.com/applepier/applepier/internal/logging"
 )
 
-// lackingMost is for how long other gateways may know more than this one and it couldn't
-// have that from them before it asks the store: with the second after which the last
+// lackingMost is for how long a gateway tries to have from others what they know and it
+// doesn't, before it asks the store. Together with the second after which the last
 // gateway that asked counts as gone it stays below the two seconds within which
 // leaving servers get no more work.
 const lackingMost = 400 * time.Millisecond
@@ -20,10 +20,10 @@
 // removed from it by mistake is listed again within that time.
 const entriesRest = time.Minute
 
-// following is what this gateway tells of the store. One that others rely on tells also
-// at which position it has read the whole list: what had changed shortly before may be
-// known to no other gateway that runs. Of the rest, each that starts would have all
-// others ask the store.
+// following is what this gateway tells others of the store. One of the few that ask for
+// all tells also at which position it has read the whole list, since what had changed
+// shortly before may be known to no other gateway that runs. If every gateway did, each
+// that starts would have all others ask the store.
 func (g *gateway) following() peers.Following {
 	f := peers.Following{Able: !g.store.Away(), Asks: g.servers.Live(), Servers: g.servers.Changed()}
 	if g.proves() {
--- a/internal/gateway/since_when_test.go
+++ b/internal/gateway/condition_test.go
@@ -6,23 +6,23 @@
 	"time"
 )
 
-func TestSinceWhen(t *testing.T) {
+func TestConditionKnowsSinceWhen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var s sinceWhen
-		if s.longer(0) {
+		var c condition
+		if c.longer(0) {
 			t.Error("holds before it was noted")
 		}
-		s.long()
-		if !s.longer(lackingMost) {
+		c.long()
+		if !c.longer(lackingMost) {
 			t.Error("noted as long, and isn't")
 		}
-		s.note(true)
-		if !s.longer(lackingMost) {
+		c.note(true)
+		if !c.longer(lackingMost) {
 			t.Error("what is noted again began anew")
 		}
-		s.note(false)
-		s.note(true)
-		if s.longer(time.Minute) {
+		c.note(false)
+		c.note(true)
+		if c.longer(time.Minute) {
 			t.Error("what ended goes on")
 		}
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,7 @@
 	targets *follow.Follower[*routes.Set]
 	// lacking and newer say since when other gateways know of servers, and of a newer
 	// desired state, that this one couldn't have from them.
-	lacking, newer sinceWhen
+	lacking, newer condition
 	leaving        atomic.Bool
 	// store is whether the platform's store answers, and arriving whether an
 	// answer of it about the desired state is on its way.
