gateway: lines and a metric tell whether a server ended, and which requests are the same

Change: an attempt whose answer was broken off asks whether connections to the server are refused (up to 100 ms; a round trip where it answers; one that opens is kept for use). server_ended, fingerprint (method, host, path, customer, body) in the line of each request that wasn't served, event server_ended once a start, applepier_backend_servers_ended_total. A long answer that breaks off is a verdict of its own now, so that its server is asked about as well.

Red before: TestLinesTellWhetherAServerEnded has no such fields to read. testbed/gateway with race green (179 s), internal green.

--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -43,6 +43,8 @@
 	// replaced says that another start was met at its address. The Registry's
 	// lock guards it.
 	replaced bool
+	// ended says that nothing listens at its address any more.
+	ended atomic.Bool
 	// Load is what this process has there.
 	Load Load
 }
@@ -55,3 +57,9 @@
 	info := s.Info()
 	return exchange.Peer{Addr: info.Addr, Instance: info.ID, Born: info.Born}
 }
+
+// Ended notes that the start has ended; it reports whether that is news.
+func (s *Server) Ended() bool { return s.ended.CompareAndSwap(false, true) }
+
+// HasEnded reports whether the start is known to have ended.
+func (s *Server) HasEnded() bool { return s.ended.Load() }
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"go.uber.org/zap"
 
@@ -34,6 +35,7 @@
 		e.log.Info(eventOf(end), logging.Request(end.ID), logging.Class(end.Route), logging.Reason(string(end.Reason)),
 			zap.Int("status", end.Status), zap.String("service", end.Service), zap.String("customer", end.Customer),
 			zap.Int("urgency", end.Urgency), zap.Int("sends", end.Sends), zap.String("last_server", end.Server),
+			zap.Bool("server_ended", end.ServerEnded), zap.String("fingerprint", strconv.FormatUint(end.Fingerprint, 16)),
 			zap.Uint64("version", end.Version), zap.Duration("proof_age", end.ProofAge),
 			zap.Duration("expected", end.Expected), zap.Duration("took", end.Took),
 			zap.String("connection", string(end.Caller.Cause)), zap.Duration("rested", end.Caller.Rested), zap.Int("requests", end.Caller.Requests))
@@ -45,6 +47,12 @@
 	e.log.Info(logging.EventServerRemoved, logging.Peer(server), logging.Reason("replaced"))
 }
 
+// ServerEnded implements router.Observer.
+func (e ends) ServerEnded(server string) {
+	e.metrics.ServerEnded()
+	e.log.Warn(logging.EventServerEnded, logging.Peer(server))
+}
+
 func (e ends) count(class *metrics.Class, end router.End) {
 	switch eventOf(end) {
 	case logging.EventRequestRefused:
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -39,6 +39,7 @@
 	Length int64
 	body   io.Reader
 	ex     *exchange
+	broken bool
 }
 
 // exchange is one request and its answer on a connection.
@@ -150,10 +151,15 @@
 		return n, io.EOF
 	default:
 		a.ex.end(false)
-		return n, a.ex.explain(err)
+		err = a.ex.explain(err)
+		a.broken = errors.Is(err, ErrBroken)
+		return n, err
 	}
 }
 
+// Broken reports whether reading the body ended in ErrBroken.
+func (a *Answer) Broken() bool { return a.broken }
+
 // Abandon ends the exchange by closing its connection, which tells the backend
 // server to stop. After the whole body was read it does nothing.
 func (a *Answer) Abandon() { a.ex.end(false) }
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,6 +29,9 @@
 	// the connection counts as broken: several resends of a lost packet, which
 	// come after 0.2, 0.6 and 1.4 seconds.
 	unacknowledged = time.Second
+	// refusalTimeout is how long a server's host may take to refuse a connection:
+	// a round trip to any zone, while a caller waits for its answer.
+	refusalTimeout = 100 * time.Millisecond
 	// idlePerPeer bounds the idle connections to one backend server.
 	idlePerPeer = 32
 )
@@ -79,6 +83,19 @@
 	return newConn(opened, peer), nil
 }
 
+// Refuses reports whether a peer's host refuses connections at its address, as it does
+// when nothing listens there any more. A connection that opens is kept for use.
+func (p *Pool) Refuses(ctx context.Context, peer Peer) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	opened, err := p.dialer.DialContext(ctx, "tcp", peer.Addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.give(newConn(opened, peer))
+	return false
+}
+
 // pop takes the connection that was used last, so that those that aren't
 // needed grow old.
 func (p *Pool) pop(peer Peer) *conn {
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -76,6 +76,8 @@
 	// server does better.
 	failure *heldAnswer
 	stream  streamed
+	// serverEnded says that the server which had it last ended meanwhile.
+	serverEnded bool
 	// served says that a whole answer of a server was passed on.
 	served bool
 	first  time.Duration
@@ -95,6 +97,8 @@
 	unclear
 	// failed: the server ran the request and failed; the failure is kept.
 	failed
+	// cutOff: the caller has a part of an answer that can't be completed.
+	cutOff
 )
 
 // run sends the request until it has an answer or no other send is allowed.
@@ -112,8 +116,11 @@
 			return
 		}
 		v := c.attempt(ctx, server, choice)
-		if v == done {
+		switch v {
+		case done:
 			return
+		case cutOff:
+			c.breakOff()
 		}
 		if !c.mayGoOn(ctx, v) {
 			c.giveUp()
@@ -160,10 +167,12 @@
 	}
 	c.sends++
 	if err != nil {
+		c.serverEnded = errors.Is(err, exchange.ErrBroken) && c.hasEnded(server)
 		return c.broken(ctx, info.ID)
 	}
 	defer answer.Abandon()
 	v := c.take(ctx, answer, stay)
+	c.serverEnded = answer.Broken() && c.hasEnded(server)
 	c.router.observe(info.ID, c.outcome(ctx, v))
 	return v
 }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -59,6 +59,8 @@
 	Ended(e End)
 	// Replaced is told of each server at whose address another start was met.
 	Replaced(server string)
+	// ServerEnded is told of each server that ended while it had requests.
+	ServerEnded(server string)
 }
 
 // End is how a request ended.
@@ -69,6 +71,8 @@
 	// Customer is who asked, and Urgency how urgent that made it.
 	Customer string
 	Urgency  int
+	// Fingerprint is the same for requests that ask for the same thing.
+	Fingerprint uint64
 	// Status is what the caller was answered with; 0 when it left.
 	Status int
 	// Reason is why, in a fixed word.
@@ -77,6 +81,8 @@
 	Sends int
 	// Server is the last backend server that was chosen; empty for none.
 	Server string
+	// ServerEnded says that the server ended while it had the request.
+	ServerEnded bool
 	// Expected is when the first token was expected there when it was chosen.
 	Expected time.Duration
 	// Version is the desired state's that decided, and ProofAge how old the
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -85,6 +85,9 @@
 		First: c.first, Pause: c.stream.pause, Took: time.Since(c.arrived),
 		Caller: callers.EndOf(c.req.Context()),
 	}
+	if reason != ReasonServed {
+		end.Fingerprint, end.ServerEnded = c.fingerprint(), c.serverEnded
+	}
 	if c.route != nil {
 		end.Route, end.Target, end.PauseTarget = c.route.Name, c.route.Target, c.route.Pause
 	}
--- a/internal/gateway/router/whole.go
+++ b/internal/gateway/router/whole.go
@@ -127,7 +127,7 @@
 		_, err = io.CopyBuffer(struct{ io.Writer }{c.w}, answer, make([]byte, copyBuffer))
 	}
 	if err != nil {
-		c.breakOff()
+		return cutOff
 	}
 	c.served = true
 	c.note(held.status, ReasonServed)
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -51,6 +51,8 @@
 	EventServerChanged = "server_changed"
 	// EventServerRemoved: a backend server's entry was removed.
 	EventServerRemoved = "server_removed"
+	// EventServerEnded: a backend server ended while it had requests of this gateway.
+	EventServerEnded = "server_ended"
 	// EventCallerClosed: a gateway closed a caller's connection that rested longer
 	// than its limit.
 	EventCallerClosed = "caller_closed"
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -30,6 +30,7 @@
 	familyProofAge         family = "applepier_targets_proof_age_milliseconds"
 	familyGateways         family = "applepier_gateways"
 	familyServers          family = "applepier_backend_servers"
+	familyServersEnded     family = "applepier_backend_servers_ended_total"
 	familyLinesDropped     family = "applepier_log_lines_dropped_total"
 	familyCPU              family = "applepier_process_cpu_seconds_total"
 	familyMemory           family = "applepier_process_memory_bytes"
@@ -63,6 +64,7 @@
 	familyProofAge:         "Age of the proof that the targets in force are the newest.",
 	familyGateways:         "Gateways that this one hears of, itself included.",
 	familyServers:          "Backend servers that may get requests.",
+	familyServersEnded:     "Starts of backend servers that ended while they had requests of this gateway.",
 	familyLinesDropped:     "Log lines that were left out.",
 	familyCPU:              "CPU time of this process, user and system.",
 	familyMemory:           "Memory that this process has from the operating system.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -39,3 +39,7 @@
 		dropped.Inc(g.LinesDropped - dropped.Count())
 	})
 }
+
+// ServerEnded counts a start of a backend server that ended while it had requests of this
+// gateway.
+func (m *Metrics) ServerEnded() { counter(m.registry, familyServersEnded).Inc(1) }
