policy: a request that was answered whole lately isn't suspected

Cause: three crashes without a whole answer between them come by chance to what is asked for often, where a part of all runs breaks off. Change: whole answers of the last ten seconds are remembered, and crashes within ten seconds after one don't count, at all gateways; what turns deadly is found out after that time.

--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -48,7 +48,7 @@
 	switch {
 	case c.serverEnded:
 		c.router.crashed(c.fingerprint(), server.Info().Start())
-	case c.served && c.router.suspects():
+	case c.served:
 		c.router.answered(c.fingerprint())
 	}
 }
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -64,7 +64,8 @@
 // quarantineAfter servers have ended under it, by what all senders tell.
 //
 // Whatever else ran on a server that crashed is under suspicion as well. A whole
-// answer clears it. Of the rest as few are held back as explain all crashes: who ran
+// answer clears it, of crashes for a time to come too: what is asked for often breaks off
+// with a server now and then, and would add up. Of the rest as few are held back as explain all crashes: who ran
 // beside one that is held back isn't, but for crashes of its own.
 //
 // Not safe for concurrent use.
@@ -77,6 +78,8 @@
 	untold []Fingerprint
 	// turn holds those that are told in turn whether there is news or not.
 	turn []Fingerprint
+	// answered are the whole answers that this sender had lately.
+	answered recentAnswers
 }
 
 // NewQuarantine returns a Quarantine that suspects nothing.
@@ -89,25 +92,18 @@
 // the request is held back for it.
 func (q *Quarantine) Crashed(now time.Time, f Fingerprint, start Key) bool {
 	before := q.holding()[f]
-	s := q.suspect(now, f)
-	if !s.crashed(Crash{Start: start, At: now}) {
-		return false
+	if q.note(now, f, q.answered.last(f), Crash{Start: start, At: now}) {
+		q.tell(f, q.suspects[f])
 	}
-	q.held = nil
-	q.tell(f, s)
 	return !before && q.holding()[f]
 }
 
 // Answered notes a server's whole answer to a request.
 func (q *Quarantine) Answered(now time.Time, f Fingerprint) {
-	s := q.suspects[f]
-	if s == nil || len(s.crashes) == 0 {
-		return
+	q.answered.add(now, f)
+	if s := q.suspects[f]; s != nil && len(s.crashes) > 0 && q.note(now, f, now) {
+		q.tell(f, s)
 	}
-	s.clear(now)
-	s.seen = now
-	q.held = nil
-	q.tell(f, s)
 }
 
 // Holds reports whether a request that has come is to be held back. One that goes on
@@ -132,20 +128,30 @@
 	return Suspicion{Fingerprint: f}
 }
 
-// Heard takes what another sender tells.
+// Heard takes what another sender tells. Of what it suspects this one may know better.
 func (q *Quarantine) Heard(now time.Time, told []Suspicion) {
 	for _, t := range told {
-		s := q.suspect(now, t.Fingerprint)
-		changed := t.Cleared.After(s.cleared) && s.clear(t.Cleared)
-		for _, c := range t.Crashes {
-			changed = s.crashed(c) || changed
-		}
-		if changed {
-			q.held = nil
+		q.note(now, t.Fingerprint, t.Cleared, t.Crashes...)
+		if last := q.answered.last(t.Fingerprint); !last.IsZero() && q.note(now, t.Fingerprint, last) {
+			q.tell(t.Fingerprint, q.suspects[t.Fingerprint])
 		}
 	}
 }
 
+// note takes a whole answer, if there was one, and crashes into what is known of a request;
+// it reports whether that is news.
+func (q *Quarantine) note(now time.Time, f Fingerprint, cleared time.Time, crashes ...Crash) bool {
+	s := q.suspect(now, f)
+	news := s.clear(cleared)
+	for _, c := range crashes {
+		news = s.crashed(c) || news
+	}
+	if news {
+		q.held = nil
+	}
+	return news
+}
+
 // News are the suspicions that are to be told now: what has changed here, and in turn
 // one of those that another sender may have missed, because it has started since or
 // was cut off.
--- a/policy/suspect.go
+++ b/policy/suspect.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// clearedFor is for how long after a whole answer crashes don't count: longer than what is
+// asked for often takes to be answered again, and short enough that a request which
+// crashes the next release of a server is soon found out.
+const clearedFor = 10 * time.Second
+
 // mostCrashes bounds the crashes that are remembered of one request: more than its
 // quarantine takes, so that the few that explain most stand out.
 const mostCrashes = 8
@@ -24,7 +29,7 @@
 // crashed notes a crash; it reports whether that is news.
 func (s *suspect) crashed(c Crash) bool {
 	known := slices.ContainsFunc(s.crashes, func(other Crash) bool { return other.Start == c.Start })
-	if known || len(s.crashes) >= mostCrashes || !c.At.After(s.cleared) {
+	if known || len(s.crashes) >= mostCrashes || s.excuses(c) {
 		return false
 	}
 	s.crashes = append(s.crashes, c)
@@ -34,12 +39,20 @@
 
 // clear notes a whole answer; it reports whether crashes are forgotten for it.
 func (s *suspect) clear(at time.Time) bool {
+	if !at.After(s.cleared) {
+		return false
+	}
 	s.cleared = at
 	before := len(s.crashes)
-	s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool { return !c.At.After(at) })
+	s.crashes = slices.DeleteFunc(s.crashes, s.excuses)
 	return len(s.crashes) != before
 }
 
+// excuses reports whether a crash doesn't count, since the request was answered whole.
+func (s *suspect) excuses(c Crash) bool {
+	return !s.cleared.IsZero() && !c.At.After(s.cleared.Add(clearedFor))
+}
+
 // unexplained counts the crashes that aren't explained.
 func (s *suspect) unexplained(explained map[Key]bool) int {
 	n := 0
