gateway: the limits that backend servers name are read, and told in lines and metrics

Change: the adapter reads Server-Limit; what is no number of requests a second is passed over with a line. policy.ServerLimits knows which servers have one: an answer without a limit lifts it, unless its request was sent before the limit was named. Events server_limited and server_unlimited, metrics applepier_backend_servers_limited and applepier_limited_sends_total. Nothing is decided by it yet.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
@@ -55,6 +56,21 @@
 	e.log.Warn(logging.EventServerEnded, logging.Peer(server))
 }
 
+// ServerLimited implements router.Observer.
+func (e ends) ServerLimited(server string, limit protocol.Limit) {
+	switch {
+	case limit.Unreadable:
+		e.log.Warn(logging.EventServerLimited, logging.Peer(server), logging.Reason("unreadable"))
+	case limit.Named:
+		e.log.Info(logging.EventServerLimited, logging.Peer(server), zap.Float64("limit", limit.Rate))
+	default:
+		e.log.Info(logging.EventServerUnlimited, logging.Peer(server))
+	}
+}
+
+// SentLimited implements router.Observer.
+func (e ends) SentLimited() { e.metrics.SentLimited() }
+
 // HeldBack implements router.Observer.
 func (e ends) HeldBack(why policy.Suspicion) {
 	e.log.Warn(logging.EventRequestHeldBack, zap.Stringer("fingerprint", why.Fingerprint), zap.Int("servers_ended", len(why.Crashes)))
--- a/internal/gateway/protocol/protocol.go
+++ b/internal/gateway/protocol/protocol.go
@@ -67,10 +67,21 @@
 	// OtherServer says that another start than the one that was meant answers
 	// at the address.
 	OtherServer bool
+	// Limit is how many requests the backend server takes.
+	Limit Limit
 	// Encoded says that the body isn't the backend server's own bytes.
 	Encoded bool
 }
 
+// Limit is how many requests a backend server takes from all gateways together.
+type Limit struct {
+	// Rate is in requests a second; it means something only if Named.
+	Rate  float64
+	Named bool
+	// Unreadable says that there is one which is no such number.
+	Unreadable bool
+}
+
 // Dialect reads and writes the headers.
 type Dialect interface {
 	// Ask reads a caller's request.
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -169,13 +169,16 @@
 		return notSent
 	}
 	c.sends++
+	c.router.countLimited(server)
 	if err != nil {
 		c.serverEnded = errors.Is(err, exchange.ErrBroken) && c.hasEnded(server)
 		c.judge(server)
 		return c.broken(ctx, info.ID)
 	}
 	defer answer.Abandon()
-	v := c.take(ctx, answer, stay)
+	reply := c.router.Dialect.Reply(answer.Status, answer.Header)
+	c.learnLimit(server, stay.sent, reply)
+	v := c.take(ctx, answer, reply, stay)
 	c.serverEnded = answer.Broken() && c.hasEnded(server)
 	c.judge(server)
 	c.router.observe(info.ID, c.outcome(ctx, v))
@@ -195,8 +198,7 @@
 }
 
 // take reads an answer and passes it on if it is to be the final one.
-func (c *call) take(ctx context.Context, answer *exchange.Answer, stay *visit) verdict {
-	reply := c.router.Dialect.Reply(answer.Status, answer.Header)
+func (c *call) take(ctx context.Context, answer *exchange.Answer, reply protocol.Reply, stay *visit) verdict {
 	switch {
 	case reply.NotRun:
 		if reply.OtherServer && c.router.Registry.Replaced(c.server) {
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -61,6 +61,11 @@
 	Replaced(server string)
 	// ServerEnded is told of each server that ended while it had requests.
 	ServerEnded(server string)
+	// ServerLimited is told of each change of a server's limit that an answer told, and of
+	// each limit that can't be read.
+	ServerLimited(server string, limit protocol.Limit)
+	// SentLimited is told of each request that is sent to a server with a limit.
+	SentLimited()
 	// HeldBack is told of each request that is held back from now on, and why.
 	HeldBack(why policy.Suspicion)
 }
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -38,6 +38,7 @@
 	services     map[string]*service
 	unresponsive *policy.Unresponsive
 	quarantine   *policy.Quarantine
+	limits       *policy.ServerLimits
 	outbox       outbox
 	bounds       atomic.Pointer[Bounds]
 	held         held
@@ -49,7 +50,7 @@
 func New(c Config, bounds Bounds, elsewhere func() bool) *Router {
 	r := &Router{
 		Config: c, services: map[string]*service{}, unresponsive: policy.NewUnresponsive(), quarantine: policy.NewQuarantine(),
-		elsewhere: elsewhere,
+		limits: policy.NewServerLimits(), elsewhere: elsewhere,
 	}
 	r.SetBounds(bounds)
 	return r
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -53,6 +53,10 @@
 	EventServerRemoved = "server_removed"
 	// EventServerEnded: a backend server ended while it had requests of this gateway.
 	EventServerEnded = "server_ended"
+	// EventServerLimited: a backend server has named a limit, or another one, in an answer.
+	EventServerLimited = "server_limited"
+	// EventServerUnlimited: it names none any more.
+	EventServerUnlimited = "server_unlimited"
 	// EventRequestHeldBack: a request is refused from now on, since servers ended under it.
 	EventRequestHeldBack = "request_held_back"
 	// EventQuarantineFailed: the requests that are held back could not be read from the
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -31,6 +31,8 @@
 	familyGateways         family = "applepier_gateways"
 	familyServers          family = "applepier_backend_servers"
 	familyServersEnded     family = "applepier_backend_servers_ended_total"
+	familyServersLimited   family = "applepier_backend_servers_limited"
+	familyLimitedSends     family = "applepier_limited_sends_total"
 	familyHeldBack         family = "applepier_requests_held_back"
 	familyLinesDropped     family = "applepier_log_lines_dropped_total"
 	familyCPU              family = "applepier_process_cpu_seconds_total"
@@ -66,6 +68,8 @@
 	familyGateways:         "Gateways that this one hears of, itself included.",
 	familyServers:          "Backend servers that may get requests.",
 	familyServersEnded:     "Starts of backend servers that ended while they had requests of this gateway.",
+	familyServersLimited:   "Backend servers that have named a limit.",
+	familyLimitedSends:     "Requests sent to backend servers while they had a limit.",
 	familyHeldBack:         "Requests that are refused since backend servers ended under them, those that ask for the same thing once.",
 	familyLinesDropped:     "Log lines that were left out.",
 	familyCPU:              "CPU time of this process, user and system.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -15,6 +15,8 @@
 	Asking bool
 	// Servers counts the backend servers that may get requests.
 	Servers int
+	// Limited counts the backend servers that have named a limit.
+	Limited int
 	// HeldBack counts the requests that are refused since servers ended under them.
 	HeldBack int
 	// LinesDropped counts the log lines that were left out.
@@ -27,6 +29,7 @@
 	gateways := gauge(m.registry, familyGateways)
 	servers := gauge(m.registry, familyServers)
 	dropped := counter(m.registry, familyLinesDropped)
+	limited := gauge(m.registry, familyServersLimited)
 	heldBack := gauge(m.registry, familyHeldBack)
 	asking := gauge(m.registry, familyStoreAsking)
 	m.OnRead(func() {
@@ -39,6 +42,7 @@
 			asking.Update(1)
 		}
 		servers.Update(int64(g.Servers))
+		limited.Update(int64(g.Limited))
 		heldBack.Update(int64(g.HeldBack))
 		dropped.Inc(g.LinesDropped - dropped.Count())
 	})
@@ -47,3 +51,6 @@
 // ServerEnded counts a start of a backend server that ended while it had requests of this
 // gateway.
 func (m *Metrics) ServerEnded() { counter(m.registry, familyServersEnded).Inc(1) }
+
+// SentLimited counts a request that was sent to a backend server with a limit.
+func (m *Metrics) SentLimited() { counter(m.registry, familyLimitedSends).Inc(1) }
--- a/testbed/gateway/server.go
+++ b/testbed/gateway/server.go
@@ -22,6 +22,7 @@
 	Target string
 	Method string
 	Body   string
+	At     time.Time
 	// Left is closed when the gateway closes the connection.
 	Left <-chan struct{}
 }
@@ -205,7 +206,7 @@
 		left := make(chan struct{})
 		a := &Arrival{
 			Server: instance, ID: req.Header.Get("X-Request-Id"), Header: req.Header,
-			Target: req.RequestURI, Method: req.Method, Body: string(body), Left: left,
+			Target: req.RequestURI, Method: req.Method, Body: string(body), At: time.Now(), Left: left,
 		}
 		if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != instance {
 			script = Refuse(http.StatusMisdirectedRequest)
