--- a/testbed/gateway/crashing_test.go
+++ b/testbed/gateway/crashing_test.go
@@ -58,6 +58,7 @@
 
 // Gateways that each know of their own crashes only let the request end three servers each.
 func TestGatewaysHoldBackTogether(t *testing.T) {
+	t.Parallel()
 	fleets := startAlike(t, 3, 0)
 	m := newMortal(fleets[0], 10, gateway.Answer("whole"))
 	for i, f := range fleets {
@@ -84,6 +85,7 @@
 // What runs on the servers that a request crashes breaks off with it, each time; it was
 // no less suspect, but goes on elsewhere and is answered.
 func TestRequestsBesideADeadlyOneAreAnswered(t *testing.T) {
+	t.Parallel()
 	f := gateway.NewFleet(t, gateway.Options{})
 	m := newMortal(f, 6, gateway.Events(20, 0, 20*time.Millisecond))
 	f.Wait("it is served", func() bool { return f.Call("/resume/warm", "warm").Status == http.StatusOK })
@@ -119,6 +121,7 @@
 // A server that breaks off answers and goes on hasn't crashed: its requests came to
 // nothing and may do better next time.
 func TestBrokenAnswersOfAServerThatRunsHoldNothingBack(t *testing.T) {
+	t.Parallel()
 	f := gateway.NewFleet(t, gateway.Options{})
 	for i := range 4 {
 		f.Serve(fmt.Sprintf("i-%d", i), gateway.Drop)
@@ -131,6 +134,7 @@
 
 // All gateways lost power at once; what they knew of the request went with them.
 func TestWhatIsHeldBackOutlivesAllGateways(t *testing.T) {
+	t.Parallel()
 	before := gateway.NewFleet(t, gateway.Options{})
 	m := newMortal(before, 8, wholeOf)
 	before.Wait("it is served", func() bool { return before.Call("/unsafe/warm", "warm").Status == http.StatusOK })
