gateway: what backend servers take from all gateways together is kept to, and used

What callers saw: nothing yet; a server in need got as much as before.

Cause: the limit that a server names in its answers was read by nobody, and no gateway could have kept to it alone, since each knows its own sends only. Ruled out: repeats (none was turned away at these servers).

Change: policy.ServerLimits. Each gateway tells by datagram what it sent lately to a server with a limit, and what the server told of it last; a gateway sends as long as all of them have sent less than the limit. What others may have sent since they told is left to chance, one draw of each gateway a telling interval, by what is offered at all of them. The part of those that aren't heard of is kept for them. A level of urgency leaves of a limit what it leaves of slots. What finds no room goes to another server, else it is refused at once (server_limits) with the time at which there is room.

--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -1,11 +1,11 @@
 package backend
 
 import (
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/applepier/applepier/internal/gateway/exchange"
+	"github.com/applepier/applepier/policy"
 )
 
 // Info is what the list of backend servers says of one start of a server.
@@ -28,8 +28,11 @@
 	WarmupLeft time.Duration
 }
 
-// Start names the start, as no other is.
-func (i *Info) Start() string { return i.ID + "/" + strconv.FormatInt(i.Born, 10) }
+// Start identifies the start, also where a later one has the same id.
+func (i *Info) Start() policy.Key {
+	const spread = 0x9e3779b97f4a7c15
+	return policy.KeyOf(i.ID) ^ policy.Key(uint64(i.Born)*spread>>32)
+}
 
 // sameStart reports whether a later entry under the same id is of the same start:
 // one that begins to count anew isn't, whether it says when it began or not.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,7 @@
 	g.router = router.New(router.Config{
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
 		Others: g.mesh, Gateways: g.mesh.Listed,
-		Chooser: policy.NewChooser(random, ejector, index), Ejector: ejector, Index: index,
+		Chooser: policy.NewChooser(random, ejector, index), Random: random, Ejector: ejector, Index: index,
 		Observer: ends{p.Metrics, log, g.holdBack},
 	}, boundsOf(s), g.elsewhere)
 	g.registry.Gone = g.router.Forget
--- a/internal/gateway/peers/hear.go
+++ b/internal/gateway/peers/hear.go
@@ -63,10 +63,10 @@
 	if in.From == m.Self.Name || !m.table.take(now, from, in) {
 		return
 	}
-	if len(in.Uses)+len(in.Firsts)+len(in.Pauses)+len(in.Unanswered)+len(in.Suspicions) > 0 {
+	if len(in.Uses)+len(in.Firsts)+len(in.Pauses)+len(in.Unanswered)+len(in.Suspicions)+len(in.Limits) > 0 {
 		m.Heard(policy.News{
 			Uses: unpackUses(in.Uses), Firsts: unpackFirsts(in.Firsts), Pauses: unpackPauses(in.Pauses), Unanswered: in.Unanswered,
-			Suspicions: unpackSuspicions(now, in.Suspicions),
+			Suspicions: unpackSuspicions(now, in.Suspicions), Limits: unpackLimits(now, in.Limits),
 		})
 	}
 	age := time.Duration(in.ProofAge) * time.Millisecond
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -80,6 +80,10 @@
 // Shortage returns what all other gateways are short of at a service's servers.
 func (m *Mesh) Shortage(service string) policy.Shortage { return m.table.shortage(hash(service)) }
 
+// LimitedSends returns how many requests all other gateways have sent lately to a backend
+// server's start that has named a limit.
+func (m *Mesh) LimitedSends(start policy.Key) float64 { return m.table.limitedSends(uint32(start)) }
+
 // Gateways counts the gateways, this one included: those that were heard of
 // lately.
 func (m *Mesh) Gateways() int { return 1 + m.table.heard(time.Now()) }
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -52,6 +52,8 @@
 	Unanswered []policy.Key `cbor:"10,keyasint,omitempty"`
 	// Suspicions are of requests under which servers ended.
 	Suspicions []suspicion `cbor:"11,keyasint,omitempty"`
+	// Limits are those that servers have named, with what the sender sent there.
+	Limits []limit `cbor:"12,keyasint,omitempty"`
 }
 
 // received is a datagram with its state.
--- a/internal/gateway/peers/news_test.go
+++ b/internal/gateway/peers/news_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -66,3 +67,41 @@
 	near(heard[0].Crashes[1].At, told[0].Crashes[1].At)
 	near(heard[1].Cleared, told[1].Cleared)
 }
+
+// What gateways sent to a server with a limit counts until they fall silent; a limit that
+// is no number is passed over.
+func TestLimitsArePassedOn(t *testing.T) {
+	a, b, _ := meshes(t)
+	now := time.Now()
+	a.News = func() policy.News {
+		return policy.News{Limits: []policy.ServerLimit{
+			{Server: 0xfffffff0, Evidence: policy.Evidence{Rate: 1.8, At: now.Add(-time.Minute)}, Sent: 2.5},
+			{Server: 2, Evidence: policy.Evidence{Lifted: true, At: now}},
+			{Server: 3, Evidence: policy.Evidence{Rate: math.NaN(), At: now}, Sent: math.NaN()},
+			{Server: 4, Sent: 1},
+		}}
+	}
+	var heard []policy.ServerLimit
+	b.Heard = func(n policy.News) { heard = append(heard, n.Limits...) }
+	pass(t, a, b)
+	if len(heard) != 2 || heard[0].Rate != 1.8 || heard[0].Lifted || !heard[1].Lifted {
+		t.Fatalf("heard %+v", heard)
+	}
+	if age := now.Sub(heard[0].At); age < 59*time.Second || age > 61*time.Second {
+		t.Errorf("named %v ago, a minute was told", age)
+	}
+	if got := b.LimitedSends(0xfffffff0); got != 2.5 {
+		t.Errorf("%v sent by the other", got)
+	}
+	if b.LimitedSends(3) != 0 || b.LimitedSends(4) != 1 {
+		t.Errorf("%v and %v sent by the other", b.LimitedSends(3), b.LimitedSends(4))
+	}
+	pass(t, a, b)
+	if got := b.LimitedSends(0xfffffff0); got != 2.5 {
+		t.Errorf("%v sent by the other, told twice", got)
+	}
+	b.table.expire(time.Now().Add(2 * silentAfter))
+	if got := b.LimitedSends(0xfffffff0); got != 0 {
+		t.Errorf("%v sent by a gateway that fell silent", got)
+	}
+}
--- a/internal/gateway/peers/releases_test.go
+++ b/internal/gateway/peers/releases_test.go
@@ -80,7 +80,7 @@
 
 // FuzzDatagram: whatever comes is refused or taken, and what is told on stays in bounds.
 func FuzzDatagram(f *testing.F) {
-	state := cbor.RawMessage(encode(f, map[int]any{1: 7, 5: []load{{Server: 1, Running: 2, Pending: []pending{{Urgency: 9, Requests: 1, Tokens: 5}}}}, 6: []shortage{{Service: 1, Levels: []lack{{Urgency: 200, Offered: 1}}}}, 8: []first{{Urgency: 77}}, 9: []longestPause{{Urgency: 77}}, 11: []suspicion{{Fingerprint: 7, Cleared: 1, Crashes: []crash{{Start: 3, Age: 1 << 31}}}}}))
+	state := cbor.RawMessage(encode(f, map[int]any{1: 7, 5: []load{{Server: 1, Running: 2, Pending: []pending{{Urgency: 9, Requests: 1, Tokens: 5}}}}, 6: []shortage{{Service: 1, Levels: []lack{{Urgency: 200, Offered: 1}}}}, 8: []first{{Urgency: 77}}, 9: []longestPause{{Urgency: 77}}, 11: []suspicion{{Fingerprint: 7, Cleared: 1, Crashes: []crash{{Start: 3, Age: 1 << 31}}}}, 12: []limit{{Server: 1, Rate: 2, Age: 3, Sent: 4}}}))
 	f.Add(encode(f, map[int]any{1: "edge-1", 2: 1, 3: 1, 4: 1, 7: state}))
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, datagram []byte) {
@@ -93,6 +93,7 @@
 		}
 		unpackUses(in.Uses)
 		unpackSuspicions(time.Now(), in.Suspicions)
+		unpackLimits(time.Now(), in.Limits)
 		for _, p := range unpackPauses(in.Pauses) {
 			checkUrgency(t, p.Urgency)
 		}
--- a/internal/gateway/peers/suspicion.go
+++ b/internal/gateway/peers/suspicion.go
@@ -56,8 +56,8 @@
 	return all
 }
 
-// ageOf is at least a millisecond, and rounded down beyond that: the datagram's way makes
-// it older.
+// ageOf is in milliseconds, one at least. For who hears of it the datagram's way isn't
+// part of it.
 func ageOf(now, at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 1)) }
 
 func before(now time.Time, age uint32) time.Time {
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -26,6 +26,8 @@
 	loads []load
 	// shortages are what it was short of when it told last.
 	shortages []shortage
+	// limits hold what it sent to servers that have named one.
+	limits []limit
 	// version is the desired state that it had in force last.
 	version uint64
 	// follows is whether it asks the store, and servers what it knows of the list of
@@ -43,10 +45,12 @@
 	sums  map[uint32]*backend.Counts
 	// lacking sums the shortages by service.
 	lacking map[uint32]policy.Shortage
+	// limited sums what was sent to servers that have named a limit.
+	limited map[uint32]float64
 }
 
 func newTable() *table {
-	return &table{peers: map[string]*peer{}, sums: map[uint32]*backend.Counts{}, lacking: map[uint32]policy.Shortage{}}
+	return &table{peers: map[string]*peer{}, sums: map[uint32]*backend.Counts{}, lacking: map[uint32]policy.Shortage{}, limited: map[uint32]float64{}}
 }
 
 // take takes a datagram's counts; false if it is older than what is known.
@@ -61,10 +65,11 @@
 	// keep their sums.
 	t.add(m.Loads, 1)
 	t.lack(m.Shortages, 1)
+	t.limit(m.Limits, 1)
 	t.drop(p)
 	p.addr, p.boot, p.sequence, p.heard, p.stamp = addr, m.Boot, m.Sequence, now, m.Stamp
 	p.version, p.follows, p.servers = m.Version, m.Follows, m.Servers
-	p.loads, p.shortages = m.Loads, m.Shortages
+	p.loads, p.shortages, p.limits = m.Loads, m.Shortages, m.Limits
 	return true
 }
 
@@ -178,6 +183,12 @@
 	return backend.Counts{}
 }
 
+func (t *table) limitedSends(start uint32) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limited[start]
+}
+
 func (t *table) shortage(service uint32) policy.Shortage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -188,7 +199,23 @@
 func (t *table) drop(p *peer) {
 	t.add(p.loads, -1)
 	t.lack(p.shortages, -1)
-	p.loads, p.shortages = nil, nil
+	t.limit(p.limits, -1)
+	p.loads, p.shortages, p.limits = nil, nil, nil
+}
+
+// limit adds or takes away what was sent to servers with a limit; t.mu is held.
+func (t *table) limit(limits []limit, sign float64) {
+	const none = 1e-3
+	for _, l := range limits {
+		if !counted(l.Sent) {
+			continue
+		}
+		if sum := t.limited[l.Server] + sign*float64(l.Sent); sum > none {
+			t.limited[l.Server] = sum
+		} else {
+			delete(t.limited, l.Server)
+		}
+	}
 }
 
 // lack adds or takes away shortages; t.mu is held.
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -51,7 +51,8 @@
 	}
 	news := m.News()
 	out.Uses, out.Firsts, out.Pauses = usesOf(news.Uses), firstsOf(news.Firsts), pausesOf(news.Pauses)
-	out.Unanswered, out.Suspicions = news.Unanswered, suspicionsOf(time.Now(), news.Suspicions)
+	now := time.Now()
+	out.Unanswered, out.Suspicions, out.Limits = news.Unanswered, suspicionsOf(now, news.Suspicions), limitsOf(now, news.Limits)
 	return out
 }
 
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -110,7 +110,11 @@
 	c.router.countRequest(c.service)
 	for !c.heldBack() {
 		server, choice := c.choose()
-		if server == nil {
+		switch {
+		case server == nil && choice.Limited && c.sends == 0:
+			c.beyondLimits(choice)
+			return
+		case server == nil:
 			c.giveUp()
 			return
 		}
@@ -169,7 +173,6 @@
 		return notSent
 	}
 	c.sends++
-	c.router.countLimited(server)
 	if err != nil {
 		c.serverEnded = errors.Is(err, exchange.ErrBroken) && c.hasEnded(server)
 		c.judge(server)
--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -49,3 +49,8 @@
 	}
 	c.refuse(reason, policy.ComeBack(c.route.Target))
 }
+
+// beyondLimits refuses a request for which no server's limit has room left.
+func (c *call) beyondLimits(choice policy.Choice) {
+	c.refuse(ReasonLimits, max(policy.ComeBack(c.route.Target), choice.FreeIn))
+}
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/applepier/applepier/internal/callers"
@@ -34,9 +35,11 @@
 	Pool     *exchange.Pool
 	// Others tells what other gateways have at a server.
 	Others Others
-	// Gateways counts the gateways that share the retry budget.
+	// Gateways counts the gateways that share the retry budget and servers' limits.
 	Gateways func() int
 	Chooser  *policy.Chooser
+	// Random is the Chooser's.
+	Random   *rand.Rand
 	Ejector  *policy.Ejector
 	Index    *policy.PrefixIndex
 	Observer Observer
@@ -47,6 +50,9 @@
 	At(server string) backend.Counts
 	// Shortage is what they were short of lately at a service's servers.
 	Shortage(service string) policy.Shortage
+	// LimitedSends is how many requests they sent lately to a server's start that has
+	// named a limit, as policy.ServerLimits counts them.
+	LimitedSends(start policy.Key) float64
 	// Gateways counts those that are heard of, this one included, and Unseen is
 	// for how long what they send may go unseen here.
 	Gateways() int
@@ -141,5 +147,6 @@
 	ReasonStreamBroken   Reason = "stream_broken"
 	ReasonCrowded        Reason = "no_room_in_time"
 	ReasonNoSlot         Reason = "no_slot_free"
+	ReasonLimits         Reason = "server_limits"
 	ReasonHeldBack       Reason = "crashes_servers"
 )
--- a/internal/gateway/router/limits.go
+++ b/internal/gateway/router/limits.go
@@ -22,19 +22,30 @@
 func (r *Router) setLimit(server *backend.Server, sent time.Time, limit protocol.Limit) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := policy.KeyOf(server.Info().Start())
 	if limit.Named {
-		return r.limits.Named(time.Now(), key, limit.Rate)
+		return r.limits.Named(time.Now(), server.Info().Start(), limit.Rate)
 	}
-	return r.limits.Unnamed(sent, key)
+	return r.limits.Unnamed(sent, server.Info().Start())
 }
 
-// countLimited counts a request that is sent to a server with a limit.
-func (r *Router) countLimited(server *backend.Server) {
-	r.mu.Lock()
-	_, limited := r.limits.Limit(policy.KeyOf(server.Info().Start()))
-	r.mu.Unlock()
-	if limited {
+// allowances says what each server's limit still allows this gateway; r.mu is held.
+func (r *Router) allowances(now time.Time, loads []policy.Server) {
+	if r.limits.Empty() {
+		return
+	}
+	listed := max(r.Gateways(), r.Others.Gateways())
+	heard := float64(r.Others.Gateways()) / float64(listed)
+	for i := range loads {
+		s := &loads[i]
+		s.Allowance, s.Limited = r.limits.Allowance(now, s.Start, r.Others.LimitedSends(s.Start), heard)
+	}
+}
+
+// countLimited counts a request that is about to be sent to a server; r.mu is held. It is
+// counted with the choice, so that no other request takes the same place.
+func (r *Router) countLimited(now time.Time, server *policy.Server) {
+	if server.Limited {
+		r.limits.Sent(now, server.Start)
 		r.Observer.SentLimited()
 	}
 }
--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -86,16 +86,16 @@
 	r.quarantine.Answered(time.Now(), f)
 }
 
-func (r *Router) crashed(f policy.Fingerprint, start string) {
+func (r *Router) crashed(f policy.Fingerprint, start policy.Key) {
 	if held, why := r.noteCrash(f, start); held {
 		r.Observer.HeldBack(why)
 	}
 }
 
 // noteCrash reports whether a request is held back from now on, and why.
-func (r *Router) noteCrash(f policy.Fingerprint, start string) (bool, policy.Suspicion) {
+func (r *Router) noteCrash(f policy.Fingerprint, start policy.Key) (bool, policy.Suspicion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	held := r.quarantine.Crashed(time.Now(), f, policy.KeyOf(start))
+	held := r.quarantine.Crashed(time.Now(), f, start)
 	return held, r.quarantine.Suspicion(f)
 }
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -17,7 +17,7 @@
 		own := s.Load.Counts(now)
 		counts.Add(&own, 1)
 		loads[i] = policy.Server{
-			Name: info.ID, Zone: info.Zone, Slots: info.Slots, Conns: conns,
+			Name: info.ID, Start: info.Start(), Zone: info.Zone, Slots: info.Slots, Conns: conns,
 			Leaving: info.Leaving, Warming: info.WarmupLeft > 0,
 			Running: counts.Running, Pending: counts.Pending,
 		}
@@ -48,17 +48,23 @@
 	requests, tokens := s.sends.Within(now, r.Others.Unseen(), job.Urgency)
 	// News is half as old as it can be at the mean.
 	job.Unseen, job.UnseenTokens, job.NewsAge = others*requests, others*tokens/2, r.Others.Unseen()/2
+	job.UnseenOffers, job.OtherSenders = lacking.Within(r.Others.Unseen()), others
 	own := s.shortage.Counts(now)
 	lacking.Add(&own, 1)
+	r.allowances(now, loads)
 	for i := range loads {
 		server := policy.KeyOf(loads[i].Name)
 		loads[i].LatePause = s.pauses.Worse(now, server, job.Urgency, pause)
 		loads[i].Unresponsive = r.unresponsive.LeftOut(now, server)
 	}
 	job.Yield = s.yielding.Share(now, &lacking, policy.SlotsInUse(loads), job.Urgency)
+	r.limits.Draw(now, r.Random, &job, loads)
 	choice := r.Chooser.Choose(now, job, loads, &s.rates[job.Urgency])
 	if first {
-		s.shortage.Offered(now, job.Urgency, choice.OnlySlots)
+		s.shortage.Offered(now, job.Urgency, choice.OnlySlots || choice.Limited)
+	}
+	if choice.Found && (choice.InTime || !first || job.Tokens == 0 && choice.Room) {
+		r.countLimited(now, &loads[choice.At])
 	}
 	return choice
 }
@@ -109,6 +115,7 @@
 	now := time.Now()
 	r.Index.Heard(now, news.Uses)
 	r.quarantine.Heard(now, news.Suspicions)
+	r.limits.Heard(news.Limits)
 	for _, f := range news.Firsts {
 		r.unresponsive.Answered(f.Server)
 		if s := r.known(f.Service); s != nil {
@@ -143,7 +150,7 @@
 	samples, now := r.outbox.take(), time.Now()
 	return policy.News{
 		Uses: r.Index.News(now), Firsts: samples.firsts, Pauses: samples.pauses, Unanswered: samples.unanswered,
-		Suspicions: r.quarantine.News(now),
+		Suspicions: r.quarantine.News(now), Limits: r.limits.News(now),
 	}
 }
 
--- a/internal/gateway/router/shared_test.go
+++ b/internal/gateway/router/shared_test.go
@@ -15,6 +15,7 @@
 
 func (alone) At(string) backend.Counts        { return backend.Counts{} }
 func (alone) Shortage(string) policy.Shortage { return policy.Shortage{} }
+func (alone) LimitedSends(policy.Key) float64 { return 0 }
 func (alone) Gateways() int                   { return 1 }
 func (alone) Unseen() time.Duration           { return 100 * time.Millisecond }
 
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -63,6 +63,10 @@
 	// InTime says that the first token is likely within the target, and that
 	// the server has a slot.
 	InTime bool
+	// Limited says that there is no server but such whose limits leave nothing, and FreeIn
+	// after what time the first one may.
+	Limited bool
+	FreeIn  time.Duration
 	// OnlySlots says that no server is in time, though some would be if it had
 	// a slot.
 	OnlySlots bool
@@ -118,10 +122,15 @@
 			}
 		}
 	}
-	if float64(failed) > ejectPanic*float64(all) {
-		return c.choose(now, job, servers, rate, usable)
+	candidate := usable
+	if float64(failed) <= ejectPanic*float64(all) {
+		candidate = func(s *Server) bool { return usable(s) && !failing(s) }
 	}
-	return c.choose(now, job, servers, rate, func(s *Server) bool { return usable(s) && !failing(s) })
+	choice := c.choose(now, job, servers, rate, func(s *Server) bool { return candidate(s) && !s.Beyond })
+	if !choice.Found {
+		choice.FreeIn, choice.Limited = soonestFree(servers, candidate)
+	}
+	return choice
 }
 
 func (c *Chooser) choose(now time.Time, job Job, servers []Server, rate *ReadingRate, usable func(*Server) bool) Choice {
--- a/policy/news.go
+++ b/policy/news.go
@@ -16,6 +16,7 @@
 	// Unanswered are the servers of requests that got no answer, one for each.
 	Unanswered []Key
 	Suspicions []Suspicion
+	Limits     []ServerLimit
 }
 
 // FirstToken is how long a server of a service took to a first token with so
--- a/policy/server.go
+++ b/policy/server.go
@@ -20,9 +20,11 @@
 // counts are of all senders as far as this one knows: its own are exact, those
 // of others a moment old.
 type Server struct {
-	// Name identifies the server's start; Zone is its availability zone.
-	Name string
-	Zone string
+	// Name identifies the server, and Start one start of it; Zone is its availability
+	// zone.
+	Name  string
+	Start Key
+	Zone  string
 	// Slots is how many requests it runs at once; 0 when that isn't known.
 	Slots int
 	// Conns is how many connections it accepts from all senders; 0 when that
@@ -38,6 +40,11 @@
 	Warming bool
 	// Unresponsive servers answer nobody.
 	Unresponsive bool
+	// Limited servers have named a limit, of which Allowance is what is left; a request
+	// that is Beyond it isn't sent.
+	Limited   bool
+	Allowance Allowance
+	Beyond    bool
 	// LatePause is by how much the chance that the job's stream has a longer pause
 	// between events than its target is higher there than at the mean server.
 	LatePause float64
@@ -53,16 +60,22 @@
 }
 
 // SlotsInUse is the part of all servers' slots that is in use; 0 where they have
-// none that are known.
+// none that are known. Slots that a server's limit leaves unused count as in use.
 func SlotsInUse(servers []Server) float64 {
-	used, slots := 0, 0
+	used, slots := 0.0, 0
 	for i := range servers {
-		if servers[i].Slots > 0 {
-			used += servers[i].inFlight()
-			slots += servers[i].Slots
+		s := &servers[i]
+		if s.Slots == 0 {
+			continue
+		}
+		slots += s.Slots
+		busy := float64(s.inFlight())
+		if s.Limited {
+			busy = max(busy, float64(s.Slots)*(1-max(s.Allowance.Left, 0)/s.Allowance.Size))
 		}
+		used += busy
 	}
-	return float64(used) / float64(max(slots, 1))
+	return used / float64(max(slots, 1))
 }
 
 // ahead is what is read at the server before a new request of an urgency, in
@@ -101,6 +114,10 @@
 	// and were sent within the mean age of news, NewsAge.
 	UnseenTokens float64
 	NewsAge      time.Duration
+	// UnseenOffers is how many requests others are expected to have had for the service,
+	// sent or not, since they told last, and OtherSenders how many of them there are.
+	UnseenOffers float64
+	OtherSenders float64
 	// Yield is the part of each server's slots that is left to what is more
 	// urgent, beside what always is.
 	Yield float64
--- a/policy/server_limits.go
+++ b/policy/server_limits.go
@@ -5,12 +5,23 @@
 	"time"
 )
 
-// limitKept is for how long a limit is believed that no answer has named again: a server
-// that nobody asks can't lift it.
-const limitKept = 10 * time.Minute
+const (
+	// limitKept is for how long a limit is believed that no answer has named again: a
+	// server that nobody asks can't lift it.
+	limitKept = 10 * time.Minute
+	// liftToldFor is for how long others are told that a limit was lifted.
+	liftToldFor = 5 * time.Second
+)
 
 // ServerLimits are the limits that servers have named: how many requests a second they
-// take from all senders together.
+// take from all senders together. Servers are told apart by their starts.
+//
+// It answers a server in need, which takes part of what it usually does for as long as it
+// says so. Each sender alone knows its own sends only: dozens of them would send dozens of
+// times the limit, and an equal part of it for each would starve those that have most of
+// the load. So each tells what it sent lately, and sends as long as all have sent less
+// than the limit. What others may have sent since they told is left to chance, see
+// Chooser. Those that aren't heard of may send their equal part, which is kept for them.
 //
 // A server names its limit in its answers, and lifts it by an answer without one. An
 // answer to a request that was sent before the limit was named says nothing of it: it may
@@ -22,16 +33,6 @@
 	swept   time.Time
 }
 
-// serverLimit is what is known of one server's limit.
-type serverLimit struct {
-	// rate is in requests a second; lifted says that there is none any more.
-	rate   float64
-	lifted bool
-	// at is when it was last named, or, for one that was lifted, when the request was
-	// sent whose answer lifted it.
-	at time.Time
-}
-
 // NewServerLimits returns ServerLimits that know of none.
 func NewServerLimits() *ServerLimits { return &ServerLimits{servers: map[Key]*serverLimit{}} }
 
@@ -39,13 +40,10 @@
 // another one than before.
 func (l *ServerLimits) Named(now time.Time, server Key, rate float64) bool {
 	l.sweep(now)
-	s := l.servers[server]
-	if s == nil {
-		s = &serverLimit{lifted: true}
-		l.servers[server] = s
-	}
-	changed := s.lifted || s.rate != rate
-	s.rate, s.lifted, s.at = rate, false, now
+	s := l.server(server)
+	changed := s.Lifted || s.Rate != rate
+	s.own = Evidence{Rate: rate, At: now}
+	s.Evidence = s.own
 	return changed
 }
 
@@ -53,36 +51,90 @@
 // a moment; it reports whether that lifts one.
 func (l *ServerLimits) Unnamed(sent time.Time, server Key) bool {
 	s := l.servers[server]
-	if s == nil || s.lifted || !sent.After(s.at) {
+	if s == nil || s.Lifted || !sent.After(s.At) {
 		return false
 	}
-	s.lifted, s.at = true, sent
+	s.own = Evidence{Lifted: true, At: sent}
+	s.Evidence = s.own
+	s.sent = 0
 	return true
 }
 
-// Limit is a server's limit in requests a second; false if it has none.
-func (l *ServerLimits) Limit(server Key) (float64, bool) {
-	if s := l.servers[server]; s != nil && !s.lifted {
-		return s.rate, true
+// Sent counts a request that is sent to a server.
+func (l *ServerLimits) Sent(now time.Time, server Key) {
+	if s := l.servers[server]; s != nil && !s.Lifted {
+		s.fade(now)
+		s.sent++
+	}
+}
+
+// Heard takes what another sender tells: the latest evidence counts.
+func (l *ServerLimits) Heard(told []ServerLimit) {
+	for _, t := range told {
+		if t.At.IsZero() {
+			continue
+		}
+		if s := l.server(t.Server); t.At.After(s.At) {
+			s.Evidence = t.Evidence
+		}
+	}
+}
+
+// News is what others are to be told now.
+func (l *ServerLimits) News(now time.Time) []ServerLimit {
+	l.sweep(now)
+	var news []ServerLimit
+	for key, s := range l.servers {
+		if s.Lifted && now.Sub(s.At) > liftToldFor || s.own.At.IsZero() && s.sent == 0 {
+			continue
+		}
+		s.fade(now)
+		news = append(news, ServerLimit{Server: key, Evidence: s.own, Sent: s.sent})
 	}
-	return 0, false
+	return news
 }
 
+// Allowance is what a server's limit leaves, where others have sent so many requests
+// lately; false if it has none. Heard is the part of all senders that is heard of, this
+// one included.
+func (l *ServerLimits) Allowance(now time.Time, server Key, others, heard float64) (Allowance, bool) {
+	s := l.servers[server]
+	if s == nil || s.Lifted {
+		return Allowance{}, false
+	}
+	s.fade(now)
+	s.heard = heard
+	return s.allowance(others), true
+}
+
+// Empty reports whether no server has a limit, or had one lately.
+func (l *ServerLimits) Empty() bool { return len(l.servers) == 0 }
+
 // Limited counts the servers that have a limit.
 func (l *ServerLimits) Limited() int {
 	n := 0
 	for _, s := range l.servers {
-		if !s.lifted {
+		if !s.Lifted {
 			n++
 		}
 	}
 	return n
 }
 
+// server returns what is known of a server, from now on at least.
+func (l *ServerLimits) server(key Key) *serverLimit {
+	s := l.servers[key]
+	if s == nil {
+		s = &serverLimit{Evidence: Evidence{Lifted: true}, heard: 1}
+		l.servers[key] = s
+	}
+	return s
+}
+
 func (l *ServerLimits) sweep(now time.Time) {
 	if now.Sub(l.swept) < time.Minute {
 		return
 	}
 	l.swept = now
-	maps.DeleteFunc(l.servers, func(_ Key, s *serverLimit) bool { return now.Sub(s.at) > limitKept })
+	maps.DeleteFunc(l.servers, func(_ Key, s *serverLimit) bool { return now.Sub(s.At) > limitKept })
 }
--- a/policy/shortage.go
+++ b/policy/shortage.go
@@ -25,6 +25,15 @@
 	}
 }
 
+// Within is how many requests of all urgencies are to be expected within a time.
+func (s *Shortage) Within(d time.Duration) float64 {
+	offered := 0.0
+	for _, level := range s {
+		offered += level.Offered
+	}
+	return offered * float64(d) / float64(shortageMemory)
+}
+
 // ShortageCount counts one sender's Shortage by exponential decay. Not safe for
 // concurrent use.
 type ShortageCount struct {
--- a/policy/suspect.go
+++ b/policy/suspect.go
@@ -10,6 +10,10 @@
 // crashes the next release of a server is soon found out.
 const clearedFor = 10 * time.Second
 
+// clearedAgain is by how much later a whole answer has to be than the one that is known:
+// what passes through several senders seems younger each time.
+const clearedAgain = time.Second
+
 // mostCrashes bounds the crashes that are remembered of one request: more than its
 // quarantine takes, so that the few that explain most stand out.
 const mostCrashes = 8
@@ -39,7 +43,7 @@
 
 // clear notes a whole answer; it reports whether crashes are forgotten for it.
 func (s *suspect) clear(at time.Time) bool {
-	if !at.After(s.cleared) {
+	if at.Sub(s.cleared) < clearedAgain {
 		return false
 	}
 	s.cleared = at
