--- a/policy/limited.go
+++ b/policy/limited.go
@@ -15,6 +15,9 @@
 //
 // What is less urgent leaves of each limit the part that it leaves of servers' slots.
 func (l *ServerLimits) Draw(now time.Time, random *rand.Rand, job *Job, servers []Server) {
+	if l.Empty() {
+		return
+	}
 	roomy := 0
 	for i := range servers {
 		if servers[i].leaves(job) > 0 {
