policy: a request that stays away is forgotten by all senders

Cause, found in reading: what others told counted as seen just now, so that senders that told each other of a request in turn kept it in each other's memory for good, and held it back. TestRequestThatStaysAwayIsForgottenByAll, red before (held back by 6 senders after an hour): when a request came last is told, and later times count from a minute on.

--- a/internal/gateway/peers/news_test.go
+++ b/internal/gateway/peers/news_test.go
@@ -47,7 +47,7 @@
 	a, b, _ := meshes(t)
 	now := time.Now()
 	told := []policy.Suspicion{
-		{Fingerprint: 1<<63 + 5, Crashes: []policy.Crash{{Start: 0xfffffff0, At: now.Add(-time.Hour)}, {Start: 3, At: now}}},
+		{Fingerprint: 1<<63 + 5, Seen: now.Add(-2 * time.Minute), Crashes: []policy.Crash{{Start: 0xfffffff0, At: now.Add(-time.Hour)}, {Start: 3, At: now}}},
 		{Fingerprint: 7, Cleared: now.Add(-time.Minute)},
 	}
 	a.News = func() policy.News { return policy.News{Suspicions: told} }
@@ -66,6 +66,7 @@
 	near(heard[0].Crashes[0].At, told[0].Crashes[0].At)
 	near(heard[0].Crashes[1].At, told[0].Crashes[1].At)
 	near(heard[1].Cleared, told[1].Cleared)
+	near(heard[0].Seen, told[0].Seen)
 }
 
 // What gateways sent to a server with a limit counts until they fall silent; a limit that
--- a/internal/gateway/peers/size_test.go
+++ b/internal/gateway/peers/size_test.go
@@ -14,7 +14,7 @@
 	suspicions := func(n int) []policy.Suspicion {
 		all := make([]policy.Suspicion, n)
 		for i := range all {
-			all[i] = policy.Suspicion{Fingerprint: 1<<63 + policy.Fingerprint(i), Crashes: []policy.Crash{{Start: 1 << 31, At: now.Add(-time.Hour)}, {Start: 1 << 30, At: now}, {Start: 3 << 30, At: now}}}
+			all[i] = policy.Suspicion{Fingerprint: 1<<63 + policy.Fingerprint(i), Seen: now.Add(-time.Hour), Crashes: []policy.Crash{{Start: 1 << 31, At: now.Add(-time.Hour)}, {Start: 1 << 30, At: now}, {Start: 3 << 30, At: now}}}
 		}
 		return all
 	}
--- a/internal/gateway/peers/suspicion.go
+++ b/internal/gateway/peers/suspicion.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"math"
 	"time"
 
 	"github.com/applepier/applepier/policy"
@@ -13,6 +14,8 @@
 	Fingerprint uint64
 	// Cleared is the age of the last whole answer; 0 for none.
 	Cleared uint32
+	// Seen is the age of the last time that it came.
+	Seen    uint32
 	Crashes []crash
 }
 
@@ -27,7 +30,7 @@
 func suspicionsOf(now time.Time, all []policy.Suspicion) []suspicion {
 	packed := make([]suspicion, len(all))
 	for i, s := range all {
-		packed[i].Fingerprint = uint64(s.Fingerprint)
+		packed[i].Fingerprint, packed[i].Seen = uint64(s.Fingerprint), ageOf(now, s.Seen)
 		if !s.Cleared.IsZero() {
 			packed[i].Cleared = ageOf(now, s.Cleared)
 		}
@@ -45,7 +48,7 @@
 	}
 	all := make([]policy.Suspicion, len(packed))
 	for i, s := range packed {
-		all[i].Fingerprint = policy.Fingerprint(s.Fingerprint)
+		all[i].Fingerprint, all[i].Seen = policy.Fingerprint(s.Fingerprint), before(now, s.Seen)
 		if s.Cleared > 0 {
 			all[i].Cleared = before(now, s.Cleared)
 		}
@@ -58,7 +61,9 @@
 
 // ageOf is in milliseconds, one at least. For who hears of it the datagram's way isn't
 // part of it.
-func ageOf(now, at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 1)) }
+func ageOf(now, at time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 1), math.MaxUint32))
+}
 
 func before(now time.Time, age uint32) time.Time {
 	return now.Add(-time.Duration(age) * time.Millisecond)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -51,6 +51,7 @@
 	var known []policy.Suspicion
 	for _, s := range all {
 		if now.Sub(s.LastCrash()) <= storedFor {
+			s.Seen = now
 			known = append(known, s)
 			continue
 		}
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -106,7 +106,8 @@
 }
 
 // Choose returns the best server at a rate of reading. Ejected and unresponsive ones are
-// left out unless more than ejectPanic of the servers are.
+// left out unless more than ejectPanic of the servers are, and those at whose limit the
+// request is beyond are in any case.
 func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *ReadingRate) Choice {
 	if len(servers) == 0 {
 		return Choice{}
--- a/policy/limited.go
+++ b/policy/limit_draw.go
@@ -9,9 +9,9 @@
 //
 // What others may have sent to a server since they told is left to chance: of as many
 // senders as are expected to have a request for it meanwhile, as many are let through as
-// the limit takes in that time, and as many more as it leaves. Each that saw room would send otherwise, and
-// dozens do whenever there is room for one. Who loses waits until it has heard of the
-// others, so that a burst brings one draw of each sender.
+// the limit takes in that time, and as many more as it leaves. Each that saw room would
+// send otherwise, and dozens do whenever there is room for one. Who loses waits until it
+// has heard of the others, so that a burst brings one draw of each sender.
 //
 // What is less urgent leaves of each limit the part that it leaves of servers' slots.
 func (l *ServerLimits) Draw(now time.Time, random *rand.Rand, job *Job, servers []Server) {
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -11,8 +11,11 @@
 	// quarantineAfter is how many starts of servers end under a request before it is
 	// held back.
 	quarantineAfter = 3
-	// suspectKept is for how long a suspect is remembered after it was last seen.
+	// suspectKept is for how long a suspect is remembered after it came last.
 	suspectKept = time.Hour
+	// seenAgain is by how much later it has to have come at another sender than is known:
+	// what passes through several senders seems younger each time.
+	seenAgain = time.Minute
 	// mostSuspects bounds the suspects; the one that was seen least recently goes first.
 	mostSuspects = 4096
 	// suspicionTellings is how many times a change is told, so that lost datagrams are
@@ -42,7 +45,9 @@
 	Fingerprint Fingerprint
 	// Cleared is when a server last gave a whole answer to it; zero for never.
 	Cleared time.Time
-	// Crashes are those since.
+	// Seen is when the request came last.
+	Seen time.Time
+	// Crashes are those since it was cleared.
 	Crashes []Crash
 }
 
@@ -64,9 +69,10 @@
 // quarantineAfter servers have ended under it, by what all senders tell.
 //
 // Whatever else ran on a server that crashed is under suspicion as well. A whole
-// answer clears it, of crashes for a time to come too: what is asked for often breaks off
-// with a server now and then, and would add up. Of the rest as few are held back as explain all crashes: who ran
-// beside one that is held back isn't, but for crashes of its own.
+// answer clears it, of crashes for a time to come too: what is asked for often breaks
+// off with a server now and then, and would add up. Of the rest as few are held back as
+// explain all crashes: who ran beside one that is held back isn't, but for crashes of
+// its own.
 //
 // Not safe for concurrent use.
 type Quarantine struct {
@@ -92,16 +98,17 @@
 // the request is held back for it.
 func (q *Quarantine) Crashed(now time.Time, f Fingerprint, start Key) bool {
 	before := q.holding()[f]
-	if q.note(now, f, q.answered.last(f), Crash{Start: start, At: now}) {
+	if q.note(f, q.answered.last(f), Crash{Start: start, At: now}) {
 		q.tell(f, q.suspects[f])
 	}
+	q.suspects[f].seen = now
 	return !before && q.holding()[f]
 }
 
 // Answered notes a server's whole answer to a request.
 func (q *Quarantine) Answered(now time.Time, f Fingerprint) {
 	q.answered.add(now, f)
-	if s := q.suspects[f]; s != nil && len(s.crashes) > 0 && q.note(now, f, now) {
+	if s := q.suspects[f]; s != nil && len(s.crashes) > 0 && q.note(f, now) {
 		q.tell(f, s)
 	}
 }
@@ -131,17 +138,24 @@
 // Heard takes what another sender tells. Of what it suspects this one may know better.
 func (q *Quarantine) Heard(now time.Time, told []Suspicion) {
 	for _, t := range told {
-		q.note(now, t.Fingerprint, t.Cleared, t.Crashes...)
-		if last := q.answered.last(t.Fingerprint); !last.IsZero() && q.note(now, t.Fingerprint, last) {
-			q.tell(t.Fingerprint, q.suspects[t.Fingerprint])
+		if now.Sub(t.Seen) > suspectKept {
+			continue
+		}
+		q.note(t.Fingerprint, t.Cleared, t.Crashes...)
+		s := q.suspects[t.Fingerprint]
+		if t.Seen.Sub(s.seen) > seenAgain {
+			s.seen = t.Seen
+		}
+		if last := q.answered.last(t.Fingerprint); !last.IsZero() && q.note(t.Fingerprint, last) {
+			q.tell(t.Fingerprint, s)
 		}
 	}
 }
 
 // note takes a whole answer, if there was one, and crashes into what is known of a request;
 // it reports whether that is news.
-func (q *Quarantine) note(now time.Time, f Fingerprint, cleared time.Time, crashes ...Crash) bool {
-	s := q.suspect(now, f)
+func (q *Quarantine) note(f Fingerprint, cleared time.Time, crashes ...Crash) bool {
+	s := q.suspect(f)
 	news := s.clear(cleared)
 	for _, c := range crashes {
 		news = s.crashed(c) || news
@@ -200,14 +214,14 @@
 
 // tell has a suspect told to other senders.
 func (q *Quarantine) tell(f Fingerprint, s *suspect) {
-	if s.tellings == 0 {
+	if s.tellings <= 0 {
 		q.untold = append(q.untold, f)
 	}
 	s.tellings = suspicionTellings
 }
 
 // suspect returns what is known of a request, from now on at least.
-func (q *Quarantine) suspect(now time.Time, f Fingerprint) *suspect {
+func (q *Quarantine) suspect(f Fingerprint) *suspect {
 	s := q.suspects[f]
 	if s == nil {
 		if len(q.suspects) >= mostSuspects {
@@ -216,7 +230,6 @@
 		s = &suspect{}
 		q.suspects[f] = s
 	}
-	s.seen = now
 	return s
 }
 
@@ -232,7 +245,7 @@
 	q.held = nil
 }
 
-// sweep forgets suspects that weren't seen for long.
+// sweep forgets suspects that have stayed away for long.
 func (q *Quarantine) sweep(now time.Time) {
 	if now.Sub(q.swept) < time.Minute {
 		return
--- a/policy/quarantine_test.go
+++ b/policy/quarantine_test.go
@@ -41,7 +41,7 @@
 	later := testStart.Add(2*time.Second + clearedFor)
 	q.Crashed(later, 7, KeyOf("c"))
 	// News of an earlier crash comes late.
-	q.Heard(later, []Suspicion{{Fingerprint: 7, Crashes: []Crash{{KeyOf("d"), testStart}, {KeyOf("e"), testStart}}}})
+	q.Heard(later, []Suspicion{{Fingerprint: 7, Seen: later, Crashes: []Crash{{KeyOf("d"), testStart}, {KeyOf("e"), testStart}}}})
 	if q.Holds(testStart, 7) {
 		t.Error("a request is held back that was answered whole")
 	}
@@ -292,3 +292,44 @@
 		t.Error("not held back after three crashes since")
 	}
 }
+
+// Senders that tell each other of a request in turn kept it in each other's memory after it
+// had stayed away for long.
+func TestRequestThatStaysAwayIsForgottenByAll(t *testing.T) {
+	p := newCrashPlay(6, 5)
+	for range 30 {
+		p.step(0, 1)
+	}
+	held := func() int {
+		n := 0
+		for _, s := range p.senders {
+			n += s.Held()
+		}
+		return n
+	}
+	if held() != len(p.senders) {
+		t.Fatalf("held back by %d senders of %d", held(), len(p.senders))
+	}
+	// It comes again at one sender: all of them go on.
+	p.now = p.now.Add(suspectKept / 2)
+	p.senders[0].Holds(p.now, culprit)
+	for range 20 {
+		p.tell(0.3)
+		p.now = p.now.Add(tellInterval)
+	}
+	p.now = p.now.Add(suspectKept * 3 / 4)
+	for range 20 {
+		p.tell(0.3)
+		p.now = p.now.Add(tellInterval)
+	}
+	if held() != len(p.senders) {
+		t.Errorf("held back by %d senders of %d, though it came three quarters of an hour ago", held(), len(p.senders))
+	}
+	for range 60 {
+		p.now = p.now.Add(time.Minute)
+		p.tell(0.3)
+	}
+	if held() != 0 {
+		t.Errorf("held back by %d senders after it has stayed away", held())
+	}
+}
--- a/policy/server_limits.go
+++ b/policy/server_limits.go
@@ -20,8 +20,8 @@
 // says so. Each sender alone knows its own sends only: dozens of them would send dozens of
 // times the limit, and an equal part of it for each would starve those that have most of
 // the load. So each tells what it sent lately, and sends as long as all have sent less
-// than the limit. What others may have sent since they told is left to chance, see
-// Chooser. Those that aren't heard of may send their equal part, which is kept for them.
+// than the limit. What others may have sent since they told is left to chance, see Draw.
+// Those that aren't heard of may send their equal part, which is kept for them.
 //
 // A server names its limit in its answers, and lifts it by an answer without one. An
 // answer to a request that was sent before the limit was named says nothing of it: it may
--- a/policy/suspect.go
+++ b/policy/suspect.go
@@ -22,7 +22,7 @@
 type suspect struct {
 	cleared time.Time
 	crashes []Crash
-	// seen is when it came last, or was told of.
+	// seen is when it came last, at any sender.
 	seen time.Time
 	// tellings is how many times it is still to be told.
 	tellings int
@@ -78,5 +78,5 @@
 
 // suspicion is what others are told.
 func (s *suspect) suspicion(f Fingerprint) Suspicion {
-	return Suspicion{Fingerprint: f, Cleared: s.cleared, Crashes: slices.Clone(s.crashes)}
+	return Suspicion{Fingerprint: f, Cleared: s.cleared, Seen: s.seen, Crashes: slices.Clone(s.crashes)}
 }
