--- a/testbed/gateway/state_test.go
+++ b/testbed/gateway/state_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -161,3 +162,30 @@
 	late.Desire(3, "", "")
 	late.Wait("it serves by the store", func() bool { return late.Ready() && late.Call("/safe/x", "e").Status != 503 })
 }
+
+// A store that comes back from an older copy gives its versions out again. Who asks from
+// a position that the new history has reached meanwhile hears of nothing that came
+// before it: a server that started, a key that was taken away.
+func TestNothingIsMissedAfterTheStoreReturnsFromAnOlderCopy(t *testing.T) {
+	t.Parallel()
+	f := gateway.NewFleet(t, gateway.Options{Revoke: 5 * time.Second})
+	f.Serve("i-1", gateway.Answer("whole"))
+	older := f.Store.Copy()
+	for i := range 4 {
+		f.Store.Put("other", fmt.Sprintf("row-%d", i), nil)
+	}
+	f.Serve("i-2", gateway.Answer("whole"))
+	f.Wait("both are used", func() bool { f.Call("/safe/x", "warm"); return usedBoth(f, "warm") })
+	// It is away for a moment, and what was lost is written again beside what is new.
+	f.Store.SetFault(rowstore.Busy)
+	f.Store.Return(older)
+	f.Serve("i-3", gateway.Answer("whole"))
+	for i := range 6 {
+		f.Store.Put("other", fmt.Sprintf("row-%d", i), nil)
+	}
+	f.Store.SetFault(rowstore.Well)
+	f.Wait("a server is used that started meanwhile", func() bool {
+		f.Call("/safe/x", "after")
+		return usedServer(f, "after", "i-3")
+	})
+}
--- a/testbed/rowstore/calls.go
+++ b/testbed/rowstore/calls.go
@@ -89,7 +89,7 @@
 func (s *Store) news(table string, after uint64) (out answer, changed <-chan struct{}, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.since {
+	if after < s.since || after > s.version {
 		return out, nil, true
 	}
 	out.Version = s.version
--- a/testbed/rowstore/store.go
+++ b/testbed/rowstore/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -55,6 +56,8 @@
 	since uint64
 	fault Fault
 	calls int
+	// era counts the returns from older copies.
+	era int
 }
 
 // New returns a Store without rows.
@@ -180,8 +183,9 @@
 func (s *Store) admit(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
 	s.calls++
-	fault := s.fault
+	fault, era := s.fault, s.era
 	s.mu.Unlock()
+	w.Header().Set(eraHeader, strconv.Itoa(era))
 	switch fault {
 	case Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
