router: sends to servers with a limit are counted without a lock below the router's

Router.mu says that nothing is locked while it is held; the count of such sends went through the metrics' registry under it. An atomic counter that is read with the metrics.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -68,9 +68,6 @@
 	}
 }
 
-// SentLimited implements router.Observer.
-func (e ends) SentLimited() { e.metrics.SentLimited() }
-
 // HeldBack implements router.Observer.
 func (e ends) HeldBack(why policy.Suspicion) {
 	e.log.Warn(logging.EventRequestHeldBack, zap.Stringer("fingerprint", why.Fingerprint), zap.Int("servers_ended", len(why.Crashes)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 	return metrics.Gateway{
 		Version: g.holder.Version(), ProofAge: boottime.Now() - g.holder.ProvenAt(),
 		Gateways: g.mesh.Gateways(), Asking: g.servers.Live(), Servers: g.registry.Usable(), HeldBack: g.router.HeldBack(),
-		Limited: g.router.Limited(), LinesDropped: logging.Dropped(),
+		Limited: g.router.Limited(), LimitedSends: g.router.LimitedSends(), LinesDropped: logging.Dropped(),
 	}
 }
 
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -70,8 +70,6 @@
 	// ServerLimited is told of each change of a server's limit that an answer told, and of
 	// each limit that can't be read.
 	ServerLimited(server string, limit protocol.Limit)
-	// SentLimited is told of each request that is sent to a server with a limit.
-	SentLimited()
 	// HeldBack is told of each request that is held back from now on, and why.
 	HeldBack(why policy.Suspicion)
 }
--- a/internal/gateway/router/limits.go
+++ b/internal/gateway/router/limits.go
@@ -46,10 +46,13 @@
 func (r *Router) countLimited(now time.Time, server *policy.Server) {
 	if server.Limited {
 		r.limits.Sent(now, server.Start)
-		r.Observer.SentLimited()
+		r.limitedSends.Add(1)
 	}
 }
 
+// LimitedSends counts the requests that were sent to servers while they had a limit.
+func (r *Router) LimitedSends() int64 { return r.limitedSends.Load() }
+
 // Limited counts the servers that have named a limit.
 func (r *Router) Limited() int {
 	r.mu.Lock()
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -40,6 +40,7 @@
 	quarantine   *policy.Quarantine
 	limits       *policy.ServerLimits
 	outbox       outbox
+	limitedSends atomic.Int64
 	bounds       atomic.Pointer[Bounds]
 	held         held
 	elsewhere    func() bool
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -15,8 +15,10 @@
 	Asking bool
 	// Servers counts the backend servers that may get requests.
 	Servers int
-	// Limited counts the backend servers that have named a limit.
-	Limited int
+	// Limited counts the backend servers that have named a limit, and LimitedSends the
+	// requests that were sent to servers while they had one.
+	Limited      int
+	LimitedSends int64
 	// HeldBack counts the requests that are refused since servers ended under them.
 	HeldBack int
 	// LinesDropped counts the log lines that were left out.
@@ -30,6 +32,7 @@
 	servers := gauge(m.registry, familyServers)
 	dropped := counter(m.registry, familyLinesDropped)
 	limited := gauge(m.registry, familyServersLimited)
+	limitedSends := counter(m.registry, familyLimitedSends)
 	heldBack := gauge(m.registry, familyHeldBack)
 	asking := gauge(m.registry, familyStoreAsking)
 	m.OnRead(func() {
@@ -43,6 +46,7 @@
 		}
 		servers.Update(int64(g.Servers))
 		limited.Update(int64(g.Limited))
+		limitedSends.Inc(g.LimitedSends - limitedSends.Count())
 		heldBack.Update(int64(g.HeldBack))
 		dropped.Inc(g.LinesDropped - dropped.Count())
 	})
@@ -51,6 +55,3 @@
 // ServerEnded counts a start of a backend server that ended while it had requests of this
 // gateway.
 func (m *Metrics) ServerEnded() { counter(m.registry, familyServersEnded).Inc(1) }
-
-// SentLimited counts a request that was sent to a backend server with a limit.
-func (m *Metrics) SentLimited() { counter(m.registry, familyLimitedSends).Inc(1) }
--- a/testbed/gateway/limited_test.go
+++ b/testbed/gateway/limited_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -184,6 +186,9 @@
 		t.Errorf("lines %v, want one that names the limit", named)
 	}
 	f.Wait("what is beyond the limit is refused", func() bool { return f.Call("/safe/x", "beyond").Status == http.StatusServiceUnavailable })
+	if text := metricsOf(t, f); !strings.Contains(text, "applepier_backend_servers_limited 1\n") || strings.Contains(text, "applepier_limited_sends_total 0\n") {
+		t.Error("the metrics don't tell of the limit, or of what was sent")
+	}
 	server.Do(gateway.Answer("whole"))
 	f.Wait("the limit is lifted", func() bool {
 		return lines.FilterMessage("server_unlimited").Len() > 0 || f.Call("/safe/x", "lifts").Status == 0
@@ -194,3 +199,18 @@
 		}
 	}
 }
+
+// metricsOf is what a gateway's metrics say.
+func metricsOf(t *testing.T, f *gateway.Fleet) string {
+	t.Helper()
+	resp, err := http.Get("http://" + f.Admin + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
