gateway: who starts has what is held back from other gateways, and asks the store only where none knows it

Cause: the read of the quarantine that each start made. The bound stays. Gateways tell whether they know what is held back, and tell that in turn; who starts listens for two seconds where one does, and reads the store else, after a pause that is drawn.

--- a/internal/gateway/asking.go
+++ b/internal/gateway/asking.go
@@ -25,7 +25,9 @@
 // shortly before may be known to no other gateway that runs. If every gateway did, each
 // that starts would have all others ask the store.
 func (g *gateway) following() peers.Following {
-	f := peers.Following{Able: !g.store.Away(), Asks: g.servers.Live(), Servers: g.servers.Changed()}
+	f := peers.Following{
+		Able: !g.store.Away(), Asks: g.servers.Live(), Servers: g.servers.Changed(), Quarantine: g.quarantined.Load(),
+	}
 	if g.proves() {
 		f.Servers = g.servers.Known()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,8 +76,10 @@
 	// desired state, that this one couldn't have from them.
 	lacking, newer condition
 	leaving        atomic.Bool
-	// heldBack are requests that are to be stored as held back.
-	heldBack chan policy.Suspicion
+	// heldBack are requests that are to be stored as held back, and quarantined says that
+	// those are known that were when this gateway started.
+	heldBack    chan policy.Suspicion
+	quarantined atomic.Bool
 	// store is whether the platform's store answers, and arriving whether an
 	// answer of it about the desired state is on its way.
 	store    follow.Health
--- a/internal/gateway/peers/following.go
+++ b/internal/gateway/peers/following.go
@@ -23,6 +23,9 @@
 	// Servers is the position after the newest change in the list of backend servers
 	// that is known, from whomever; 0 for none.
 	Servers uint64
+	// Quarantine says that the requests that are held back are known, from the store or from
+	// gateways that know them.
+	Quarantine bool
 }
 
 func (f Following) packed() following {
@@ -62,6 +65,19 @@
 	return false
 }
 
+// quarantined reports whether a gateway that was heard of lately knows which requests are
+// held back.
+func (t *table) quarantined(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if now.Sub(p.heard) <= silentAfter && p.quarantine {
+			return true
+		}
+	}
+	return false
+}
+
 // ahead returns the address of a gateway that was heard of lately and knows of changes
 // in the list of backend servers after a position; empty for none, one of several by
 // chance.
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -34,6 +34,8 @@
 	// backend servers.
 	follows following
 	servers uint64
+	// quarantine says that it knows which requests are held back.
+	quarantine bool
 }
 
 // table keeps the other gateways' counts and their sums. All methods may be
@@ -68,7 +70,7 @@
 	t.limit(m.Limits, 1)
 	t.drop(p)
 	p.addr, p.boot, p.sequence, p.heard, p.stamp = addr, m.Boot, m.Sequence, now, m.Stamp
-	p.version, p.follows, p.servers = m.Version, m.Follows, m.Servers
+	p.version, p.follows, p.servers, p.quarantine = m.Version, m.Follows, m.Servers, m.Quarantine
 	p.loads, p.shortages, p.limits = m.Loads, m.Shortages, m.Limits
 	return true
 }
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -35,7 +35,7 @@
 func (m *Mesh) state() *state {
 	proof := m.Proof()
 	known := m.Following()
-	out := &state{Version: proof.Version, Follows: known.packed(), Servers: known.Servers}
+	out := &state{Version: proof.Version, Follows: known.packed(), Servers: known.Servers, Quarantine: known.Quarantine}
 	if proof.At > 0 {
 		out.ProofAge = uint64((boottime.Now() - proof.At).Milliseconds() + 1)
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/policy"
 )
 
@@ -14,6 +16,13 @@
 	// storedFor is for how long a request that was held back is held back by gateways
 	// that start.
 	storedFor = 24 * time.Hour
+	// othersFirst is how long a gateway that starts waits at least for others to tell that
+	// they know what is held back, before it asks the store; up to as much more is drawn, so
+	// that of those that start together a few ask.
+	othersFirst = 300 * time.Millisecond
+	// toldInTurn is for how long it listens to them: dozens of requests are told in that
+	// time.
+	toldInTurn = 2 * time.Second
 	// mostUnstored bounds the requests that wait for the store; all gateways know them
 	// anyway as long as one of these runs.
 	mostUnstored = 64
@@ -29,7 +38,7 @@
 // keepQuarantine takes what was held back before this gateway started, and stores what it
 // holds back from then on.
 func (g *gateway) keepQuarantine(ctx context.Context) {
-	g.untilDone(ctx, logging.EventQuarantineFailed, g.readQuarantine)
+	g.learnQuarantine(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -42,6 +51,20 @@
 	}
 }
 
+// learnQuarantine has what is held back from other gateways, or, where none knows it, from
+// the store.
+func (g *gateway) learnQuarantine(ctx context.Context) {
+	pause.For(ctx, othersFirst+rand.N(othersFirst))
+	for listened := time.Duration(0); listened < toldInTurn; listened += learnEvery {
+		if !g.mesh.Quarantined() {
+			g.untilDone(ctx, logging.EventQuarantineFailed, g.readQuarantine)
+			break
+		}
+		pause.For(ctx, learnEvery)
+	}
+	g.quarantined.Store(true)
+}
+
 func (g *gateway) readQuarantine(ctx context.Context) error {
 	all, err := g.platform.Quarantine.Read(ctx)
 	if err != nil {
