--- a/testbed/gateway/crashing_test.go
+++ b/testbed/gateway/crashing_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// Gateways that each know of their own crashes only let the request end three servers each.
+// Gateways that know only of their own crashes let the request end three servers each.
 func TestGatewaysHoldBackTogether(t *testing.T) {
 	t.Parallel()
 	fleets := startAlike(t, 3, 0)
@@ -82,8 +82,8 @@
 	}
 }
 
-// What runs on the servers that a request crashes breaks off with it, each time; it was
-// no less suspect, but goes on elsewhere and is answered.
+// What ran beside a request that crashes servers broke off with it each time. It must not
+// be held back with it.
 func TestRequestsBesideADeadlyOneAreAnswered(t *testing.T) {
 	t.Parallel()
 	f := gateway.NewFleet(t, gateway.Options{})
