--- a/testbed/gateway/limited_test.go
+++ b/testbed/gateway/limited_test.go
@@ -38,11 +38,11 @@
 }
 
 // press has callers ask each gateway so many times a second until ctx ends; it returns the
-// answers by status.
-func press(ctx context.Context, fleets []*gateway.Fleet, each int) map[int]int {
+// answers by status and, of refusals, reason.
+func press(ctx context.Context, fleets []*gateway.Fleet, each int) map[string]int {
 	var mu sync.Mutex
 	var callers sync.WaitGroup
-	answers := map[int]int{}
+	answers := map[string]int{}
 	for _, f := range fleets {
 		callers.Go(func() {
 			ticker := time.NewTicker(time.Second / time.Duration(each))
@@ -53,7 +53,7 @@
 					got := f.Call("/safe/x", "pressing")
 					mu.Lock()
 					defer mu.Unlock()
-					answers[got.Status]++
+					answers[fmt.Sprint(got.Status, " ", strings.TrimSpace(got.Body))]++
 				})
 			}
 		})
@@ -82,11 +82,18 @@
 	return most
 }
 
+// awaitServers waits until each gateway serves, so that it has heard of the servers.
+func awaitServers(fleets []*gateway.Fleet) {
+	for _, f := range fleets {
+		f.Wait("it is served", func() bool { return f.Call("/safe/x", "warm").Status == http.StatusOK })
+	}
+}
+
 // settled is half a second from now: by then all gateways have passed on an answer that
 // names the limit, or have heard of it.
 func settled() time.Time { return time.Now().Add(500 * time.Millisecond) }
 
-func pressFor(t *testing.T, d time.Duration, fleets []*gateway.Fleet, each int) map[int]int {
+func pressFor(t *testing.T, d time.Duration, fleets []*gateway.Fleet, each int) map[string]int {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
@@ -110,10 +117,11 @@
 	fleets[0].Serve("i-1", limitedAnswer(limit))
 	fleets[0].Serve("i-2", gateway.Answer("whole"))
 	fleets[0].Wait("both are used", func() bool { fleets[0].Call("/safe/x", "warm"); return usedBoth(fleets[0], "warm") })
+	awaitServers(fleets)
 	after := settled()
 	answers := pressFor(t, 6*time.Second, fleets, each)
 	expectWithin(t, fleets[0], "i-1", after, limit)
-	if len(answers) != 1 || answers[http.StatusOK] == 0 {
+	if len(answers) != 1 || answers["200 whole"] == 0 {
 		t.Errorf("answers by status %v, though a server without a limit is there", answers)
 	}
 }
@@ -124,7 +132,7 @@
 	const limit = 6.0
 	fleets := startAlike(t, 2, 0)
 	fleets[0].Serve("i-1", limitedAnswer(limit))
-	fleets[0].Wait("it is used", func() bool { return fleets[0].Call("/safe/x", "warm").Status == http.StatusOK })
+	awaitServers(fleets)
 	after := settled()
 	answers := pressFor(t, 6*time.Second, fleets, 20)
 	expectWithin(t, fleets[0], "i-1", after, limit)
@@ -132,7 +140,7 @@
 	if least := 0.9 * limit * limitWindow.Seconds(); float64(got) < least {
 		t.Errorf("%d requests within %v, the limit is not used", got, limitWindow)
 	}
-	if answers[http.StatusServiceUnavailable] == 0 || len(answers) != 2 {
+	if answers["200 whole"] == 0 || answers["503 server_limits"] == 0 || len(answers) != 2 {
 		t.Errorf("answers by status %v, want what is beyond the limit refused as not run", answers)
 	}
 	if refused := fleets[0].Call("/safe/x", "refused"); refused.Status != http.StatusOK && refused.Header.Get("Retry-After") == "" {
@@ -146,7 +154,7 @@
 	const limit, listed = 6.0, 6
 	fleets := startAlike(t, 1, listed-1)
 	fleets[0].Serve("i-1", limitedAnswer(limit))
-	fleets[0].Wait("it is used", func() bool { return fleets[0].Call("/safe/x", "warm").Status == http.StatusOK })
+	awaitServers(fleets)
 	after := settled()
 	pressFor(t, 5*time.Second, fleets, 20)
 	expectWithin(t, fleets[0], "i-1", after, limit/listed)
@@ -161,7 +169,7 @@
 	const limit = 2.0
 	fleets := startAlike(t, 3, 0)
 	fleets[0].Serve("i-1", limitedAnswer(limit))
-	fleets[0].Wait("it is used", func() bool { return fleets[0].Call("/safe/x", "warm").Status == http.StatusOK })
+	awaitServers(fleets)
 	after := settled()
 	ctx, cancel := context.WithCancel(t.Context())
 	var pressing sync.WaitGroup
