follow: positions of the store are of an era; a return from an older copy is read by few

Cause: the store's versions were compared as bare numbers.

The list of servers takes no entry older than one that was read until the servers have written again (two seconds), and brings back none that is gone. An older desired state proves nothing. After a loss of the history the gateways that ask the store read the table, and the others go on from what these tell.

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -34,11 +34,15 @@
 	// again after that.
 	away bool
 	back time.Time
+	// settled is until when the list may be an older copy's, after a return of the store.
+	settled time.Time
+	// past holds the last entries of servers that are gone.
+	past past
 }
 
 // NewRegistry returns a Registry that knows no server.
 func NewRegistry() *Registry {
-	r := &Registry{servers: map[string]*Server{}, lapsed: map[string]time.Time{}}
+	r := &Registry{servers: map[string]*Server{}, lapsed: map[string]time.Time{}, past: past{}}
 	r.publish()
 	return r
 }
@@ -87,7 +91,7 @@
 	r.dropAll(unreadable)
 	for _, info := range all {
 		listed[info.ID] = true
-		r.put(info)
+		r.putListed(now, info)
 	}
 	for id := range r.servers {
 		if !listed[id] {
@@ -122,7 +126,7 @@
 	r.answered(now)
 	r.dropAll(unreadable)
 	for _, info := range changed {
-		r.put(info)
+		r.putListed(now, info)
 	}
 	for _, id := range removed {
 		r.remove(now, id)
@@ -140,6 +144,16 @@
 	r.away = true
 }
 
+// Returned notes that the list's store came back from an older copy: until servers have
+// written their entries again, an entry older than one that was read is no news, and one
+// that lacks has not lapsed.
+func (r *Registry) Returned(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.back = now
+	r.settled = now.Add(lapseGrace)
+}
+
 // Replaced notes that another start answers at a server's address: the server is
 // gone for good, whatever the list says of it for some time to come. It reports
 // whether that is news.
@@ -186,6 +200,16 @@
 	}
 }
 
+// putListed takes an entry of the store's list; r.mu is held.
+func (r *Registry) putListed(now time.Time, info Info) {
+	if now.Before(r.settled) {
+		if s := r.servers[info.ID]; s != nil && info.olderThan(s.Info()) || r.past.has(&info) {
+			return
+		}
+	}
+	r.put(info)
+}
+
 // put takes an entry; r.mu is held. A server that has started again under its id
 // holds and knows nothing of before: what was counted and learned goes.
 func (r *Registry) put(info Info) {
@@ -235,6 +259,9 @@
 // drop forgets a server; r.mu is held.
 func (r *Registry) drop(id string) {
 	delete(r.lapsed, id)
+	if s := r.servers[id]; s != nil {
+		r.past.add(time.Now(), s.Info())
+	}
 	delete(r.servers, id)
 	if r.Gone != nil {
 		r.Gone(id)
--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -43,6 +43,14 @@
 	return later.Sequence >= i.Sequence && i.Addr == later.Addr
 }
 
+// olderThan reports whether an entry was written before another one under the same id.
+func (i *Info) olderThan(other *Info) bool {
+	if i.Born != other.Born {
+		return i.Born < other.Born
+	}
+	return i.Sequence < other.Sequence
+}
+
 // Server is one start of a backend server and what this process has there. Info is
 // replaced as the list changes; the counts last as long as the start is listed.
 type Server struct {
--- a/internal/gateway/desired.go
+++ b/internal/gateway/desired.go
@@ -35,12 +35,16 @@
 	// unreadable says that the newest state can't be read, so that nothing
 	// proves the one in force to be the newest.
 	unreadable atomic.Bool
+	// behind says that the store holds an older state than this process has seen, as
+	// after its return from an older copy: it proves nothing then.
+	behind atomic.Bool
 }
 
 var _ follow.Sink[*routes.Set] = (*desired)(nil)
 
 // Reset implements follow.Sink.
 func (d *desired) Reset(moment time.Duration, all follow.Batch[*routes.Set]) {
+	d.behind.Store(d.holder.Version() != 0)
 	d.take(moment, all)
 }
 
@@ -75,11 +79,12 @@
 			continue
 		}
 		d.unreadable.Store(false)
+		d.behind.Store(s.Version < d.holder.Version())
 		if d.holder.Offer(s, moment) {
 			d.log.Info(logging.EventTargetsAdopted, zap.Uint64("version", s.Version), zap.Int("routes", s.Routes()), zap.Duration("idle_limit", s.Limits.IdleTime))
 		}
 	}
-	if !d.unreadable.Load() {
+	if !d.unreadable.Load() && !d.behind.Load() {
 		// One goroutine writes it.
 		d.provenAt.Store(max(d.provenAt.Load(), int64(moment)))
 		d.holder.Prove(d.holder.Version(), moment)
--- a/internal/gateway/desired_test.go
+++ b/internal/gateway/desired_test.go
@@ -26,3 +26,24 @@
 		t.Errorf("proved at %v, want %v", got, read+feedSilence)
 	}
 }
+
+// After its return from an older copy the store holds an older state than was
+// acknowledged: that doesn't replace the newer one, and proves nothing.
+func TestOlderStateProvesNothing(t *testing.T) {
+	set := func(version uint64) follow.Batch[*routes.Set] {
+		return follow.Batch[*routes.Set]{Items: []*routes.Set{routes.NewSet(version, routes.Limits{}, nil, nil, nil)}}
+	}
+	for name, older := range map[string]follow.Batch[*routes.Set]{"an older one": set(4), "none": {}} {
+		d := &desired{holder: &routes.Holder{}, registry: backend.NewRegistry(), log: zap.NewNop()}
+		d.Reset(10*time.Second, set(5))
+		d.Reset(20*time.Second, older)
+		d.Change(30*time.Second, follow.Batch[*routes.Set]{})
+		if d.holder.Version() != 5 || d.holder.ProvenAt() != 10*time.Second || d.provenAt.Load() != int64(10*time.Second) {
+			t.Errorf("%s: version %d, proved at %v", name, d.holder.Version(), d.holder.ProvenAt())
+		}
+		d.Change(40*time.Second, set(5))
+		if want := 40*time.Second - feedSilence; d.holder.ProvenAt() != want {
+			t.Errorf("%s: proved at %v after the operators wrote it again, want %v", name, d.holder.ProvenAt(), want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/follow/era_test.go
@@ -0,0 +1,98 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+)
+
+func TestLaterErasComeAfterAllVersionsOfEarlierOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		version := rapid.Uint64Range(0, 1<<versionBits-1)
+		era := rapid.Uint64Range(0, 1<<16-1)
+		p, q := At(era.Draw(t, "era"), version.Draw(t, "version")), At(era.Draw(t, "other"), version.Draw(t, "otherVersion"))
+		if p.Era() < q.Era() && p >= q || p.Era() == q.Era() && (p.Version() < q.Version()) != (p < q) {
+			t.Errorf("%d of era %d and %d of era %d are compared as %v and %v", p.Version(), p.Era(), q.Version(), q.Era(), p, q)
+		}
+		if read, err := ParsePosition(p.String()); err != nil || read != p {
+			t.Errorf("%v is read as %v, %v", p, read, err)
+		}
+	})
+}
+
+// Pages that were read before the store came back from an older copy are of another
+// history than those after.
+func TestPagesOfTwoErasAreNotOneTable(t *testing.T) {
+	src := &source{steps: []step{
+		{batch: Batch[string]{Items: []string{"a"}, At: At(0, 9), More: "b"}},
+		{batch: Batch[string]{Items: []string{"b"}, At: At(1, 4)}},
+		{batch: Batch[string]{Items: []string{"c"}, At: At(1, 4)}},
+	}}
+	var r pagedRead[string]
+	if err := r.read(t.Context(), src); err == nil {
+		t.Error("pages of two eras were taken")
+	}
+	if err := r.read(t.Context(), src); err != nil || !slices.Equal(r.batch.Items, []string{"c"}) {
+		t.Errorf("%v, %v after a new start", r.batch.Items, err)
+	}
+}
+
+// Of many followers of a store that came back one reads the table, and the others have it
+// from that one, and what changed since.
+func TestOneReadsForAllAfterAReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asks := &source{steps: []step{
+			{batch: Batch[string]{Items: []string{"a"}, At: At(0, 9)}},
+			{takes: time.Second, err: ErrHistoryGone},
+			{batch: Batch[string]{Items: []string{"b"}, At: At(1, 4)}},
+			{takes: time.Second, batch: Batch[string]{Items: []string{"c"}, At: At(1, 5)}},
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		first := Follower[string]{Name: "t", Source: asks, Sink: &sink{}, Wait: Always(time.Second), Log: zap.NewNop()}
+		out := &sink{}
+		second := Follower[string]{Name: "t", Sink: out, Log: zap.NewNop()}
+		second.reset(0, Batch[string]{Items: []string{"a"}, At: At(0, 8)})
+		first.Run(ctx)
+		if first.Changed() != At(1, 5) || second.Position() >= first.Changed() {
+			t.Fatalf("changed at %v, the other is at %v", first.Changed(), second.Position())
+		}
+		steps, known := first.Since(second.Position())
+		if err := second.Take(0, steps); err != nil || !known {
+			t.Fatalf("known %v, %v", known, err)
+		}
+		if got := fmt.Sprint(out.news); got != "[all a all b c]" || second.Position() != At(1, 5) {
+			t.Errorf("news %v, position %v", got, second.Position())
+		}
+		// A third one has it from the second.
+		if steps, known = second.Since(At(0, 2)); !known || len(steps) != 2 {
+			t.Errorf("%v, known %v for a third one", steps, known)
+		}
+		if _, known = second.Since(0); known {
+			t.Error("who knows nothing yet has it from the store")
+		}
+	})
+}
+
+// An answer that was on its way while the store returned is of another history.
+func TestStepsOfAnotherEraAreNoNews(t *testing.T) {
+	out := &sink{}
+	f := Follower[string]{Name: "t", Sink: out, Log: zap.NewNop()}
+	f.reset(0, Batch[string]{At: At(2, 5)})
+	f.change(0, Batch[string]{Items: []string{"old"}, At: At(1, 9)})
+	if err := f.Take(0, []Step[string]{{From: At(1, 3), To: At(1, 9), Items: []string{"old"}}}); err != nil {
+		t.Error(err)
+	}
+	if err := f.Take(0, []Step[string]{{From: At(1, 3), To: At(3, 1), Items: []string{"new"}}}); err == nil {
+		t.Error("steps over a return were taken")
+	}
+	if len(out.news) != 1 {
+		t.Errorf("news %v", out.news)
+	}
+}
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -47,6 +47,11 @@
 	// gonePause is the pause before the whole is read again, so that a store
 	// that keeps no history at all isn't read without end.
 	gonePause = 50 * time.Millisecond
+	// othersTold is how long gateways take to tell each other that the store answers them,
+	// by which they know who reads first.
+	othersTold = 150 * time.Millisecond
+	// othersRead is for how long a follower leaves it to others to read the whole again.
+	othersRead = 500 * time.Millisecond
 )
 
 // Batch is the answer to a read: all that there is, or the changes.
@@ -57,7 +62,7 @@
 	// was known of them is the sink's to say.
 	Unreadable []string
 	// At is the position to go on from.
-	At uint64
+	At Position
 	// More is where the next page of a whole table begins; empty after the last.
 	More string
 }
@@ -73,7 +78,7 @@
 	Read(ctx context.Context, from string) (Batch[T], error)
 	// Next waits for changes after a position, up to wait; the batch may be
 	// empty. ErrHistoryGone asks for a Read.
-	Next(ctx context.Context, after uint64, wait time.Duration) (Batch[T], error)
+	Next(ctx context.Context, after Position, wait time.Duration) (Batch[T], error)
 }
 
 // Sink takes what a Follower learns. The moment is one, on the clock of
@@ -119,6 +124,9 @@
 	// Idle says that others follow the table and tell what changes, so that the
 	// store isn't asked; may be nil, for never.
 	Idle func() bool
+	// Others says that others are to follow the table: after a loss of the history they
+	// read it first. May be nil, for never.
+	Others func() bool
 	// Asked is told of each call; may be nil.
 	Asked func()
 	Log   *zap.Logger
@@ -126,7 +134,7 @@
 	// mu guards at, up to where the table is known, and the order of what the Sink
 	// takes. It comes before the Sink's locks.
 	mu sync.Mutex
-	at uint64
+	at Position
 	// recent is what changed last, and live says that the store is asked and answers.
 	recent recent[T]
 	live   atomic.Bool
@@ -136,6 +144,10 @@
 	hurried bool
 	// rested says that the store hasn't answered since this follower rested.
 	rested bool
+	// gone says that the store didn't have the history since goneAt. What others tell may
+	// lead on from there without a read of the whole.
+	gone   bool
+	goneAt Position
 	// news says that the last answer held some.
 	news bool
 	// reading is what has been read of the whole table.
@@ -151,7 +163,7 @@
 		if known {
 			f.rest(ctx)
 		}
-		err := f.step(ctx, known)
+		err := f.step(ctx, known && !(f.gone && f.Position() == f.goneAt))
 		switch {
 		case err == nil:
 			known = true
@@ -159,8 +171,10 @@
 			backOff.Reset()
 			continue
 		case errors.Is(err, ErrHistoryGone):
-			known = false
+			f.Store.answers()
+			f.gone, f.goneAt = true, f.Position()
 			pause.For(ctx, gonePause)
+			f.awaitOthers(ctx)
 			continue
 		case errors.Is(err, errHurried):
 			continue
@@ -191,6 +205,19 @@
 	}
 }
 
+// awaitOthers gives others the time to read the whole table and to tell of it.
+func (f *Follower[T]) awaitOthers(ctx context.Context) {
+	if f.Others != nil {
+		pause.For(ctx, othersTold)
+	}
+	for end := time.Now().Add(othersRead); f.Idle != nil && f.Others != nil && time.Now().Before(end) && ctx.Err() == nil; {
+		if !f.Others() || f.Idle() {
+			return
+		}
+		pause.For(ctx, idleEvery)
+	}
+}
+
 // step makes one call and hands on what came.
 func (f *Follower[T]) step(ctx context.Context, known bool) error {
 	if f.Arriving != nil {
@@ -207,6 +234,7 @@
 		}
 		f.reset(f.reading.moment, f.reading.batch)
 		f.reading = pagedRead[T]{}
+		f.gone = false
 		if f.Idle != nil {
 			// Others tell in that time that they follow.
 			pause.For(ctx, f.Gather)
@@ -230,7 +258,7 @@
 }
 
 // next waits for changes, unless it has to hurry.
-func (f *Follower[T]) next(ctx context.Context, at uint64, wait time.Duration) (Batch[T], error) {
+func (f *Follower[T]) next(ctx context.Context, at Position, wait time.Duration) (Batch[T], error) {
 	f.hurried = false
 	if f.Hurry == nil {
 		return f.Source.Next(ctx, at, wait)
--- a/internal/gateway/follow/follower_test.go
+++ b/internal/gateway/follow/follower_test.go
@@ -40,7 +40,7 @@
 	return s.play(ctx, "read"+from)
 }
 
-func (s *source) Next(ctx context.Context, after uint64, _ time.Duration) (Batch[string], error) {
+func (s *source) Next(ctx context.Context, after Position, _ time.Duration) (Batch[string], error) {
 	return s.play(ctx, "next after "+string(rune('0'+after)))
 }
 
@@ -148,7 +148,7 @@
 
 func (h *holding) Read(context.Context, string) (Batch[string], error) { return Batch[string]{}, nil }
 
-func (h *holding) Next(_ context.Context, _ uint64, wait time.Duration) (Batch[string], error) {
+func (h *holding) Next(_ context.Context, _ Position, wait time.Duration) (Batch[string], error) {
 	h.waits = append(h.waits, wait)
 	if len(h.waits) == 1 {
 		return Batch[string]{}, errors.New("down")
@@ -184,10 +184,10 @@
 
 func (c *changing) Read(context.Context, string) (Batch[string], error) { return Batch[string]{}, nil }
 
-func (c *changing) Next(ctx context.Context, after uint64, wait time.Duration) (Batch[string], error) {
+func (c *changing) Next(ctx context.Context, after Position, wait time.Duration) (Batch[string], error) {
 	c.calls++
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if now := min(uint64(time.Since(c.began)/c.every), 100); now > after {
+		if now := min(Position(time.Since(c.began)/c.every), 100); now > after {
 			return Batch[string]{Items: make([]string, now-after), At: now}, nil
 		}
 		if ctx.Err() != nil {
@@ -238,7 +238,7 @@
 	return Batch[string]{At: 1}, nil
 }
 
-func (p *patient) Next(ctx context.Context, _ uint64, wait time.Duration) (Batch[string], error) {
+func (p *patient) Next(ctx context.Context, _ Position, wait time.Duration) (Batch[string], error) {
 	p.waits = append(p.waits, wait)
 	began := time.Now()
 	select {
@@ -295,7 +295,7 @@
 	return Batch[string]{At: 1}, nil
 }
 
-func (o *outage) Next(ctx context.Context, _ uint64, _ time.Duration) (Batch[string], error) {
+func (o *outage) Next(ctx context.Context, _ Position, _ time.Duration) (Batch[string], error) {
 	<-ctx.Done()
 	return Batch[string]{}, ctx.Err()
 }
--- a/internal/gateway/follow/paged_read.go
+++ b/internal/gateway/follow/paged_read.go
@@ -33,6 +33,11 @@
 		if err != nil {
 			return err
 		}
+		if r.batch.More != "" && page.At.Era() != r.batch.At.Era() {
+			// The pages before are of a history that is gone.
+			*r = pagedRead[T]{}
+			return ErrHistoryGone
+		}
 		r.add(page)
 		if r.batch.More == "" {
 			return nil
--- a/internal/gateway/follow/paged_read_test.go
+++ b/internal/gateway/follow/paged_read_test.go
@@ -98,7 +98,7 @@
 	return batch, nil
 }
 
-func (s *limitedStore) Next(ctx context.Context, after uint64, wait time.Duration) (Batch[string], error) {
+func (s *limitedStore) Next(ctx context.Context, after Position, wait time.Duration) (Batch[string], error) {
 	time.Sleep(wait)
 	return Batch[string]{At: after}, ctx.Err()
 }
--- a/internal/gateway/follow/sharing_test.go
+++ b/internal/gateway/follow/sharing_test.go
@@ -127,8 +127,8 @@
 
 func TestRecentIsBounded(t *testing.T) {
 	var r recent[string]
-	r.reset(1)
-	for at := uint64(1); at < 2*recentSteps; at++ {
+	r.reset(1, nil)
+	for at := Position(1); at < 2*recentSteps; at++ {
 		r.add(Step[string]{From: at, To: at + 1})
 	}
 	if _, known := r.since(recentSteps - 1); known || len(r.steps) > recentSteps {
--- a/internal/gateway/handover/client.go
+++ b/internal/gateway/handover/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -57,9 +56,9 @@
 
 // Changes returns what changed in the list of backend servers after a position, by the
 // gateway at an address; ErrGap if it doesn't know all of it, ErrUnreachable or ErrForm.
-func (c *Client) Changes(ctx context.Context, addr string, after uint64) ([]follow.Step[backend.Info], error) {
+func (c *Client) Changes(ctx context.Context, addr string, after follow.Position) ([]follow.Step[backend.Info], error) {
 	var steps []follow.Step[backend.Info]
-	err := c.get(ctx, addr, changesPath+strconv.FormatUint(after, 10), &steps)
+	err := c.get(ctx, addr, changesPath+after.String(), &steps)
 	return steps, err
 }
 
--- a/internal/gateway/handover/handover_test.go
+++ b/internal/gateway/handover/handover_test.go
@@ -53,7 +53,7 @@
 
 func TestChangesAreHandedOver(t *testing.T) {
 	want := []follow.Step[backend.Info]{{From: 3, To: 7, Items: []backend.Info{{ID: "i-1", Addr: "127.0.0.1:1"}}, Removed: []string{"i-2"}, Unreadable: []string{"i-3"}}}
-	web := httptest.NewServer(Routes(nil, func(after uint64) ([]follow.Step[backend.Info], bool) { return want, after >= 3 }))
+	web := httptest.NewServer(Routes(nil, func(after follow.Position) ([]follow.Step[backend.Info], bool) { return want, after >= 3 }))
 	defer web.Close()
 	addr := strings.TrimPrefix(web.URL, "http://")
 	got, err := NewClient().Changes(t.Context(), addr, 3)
--- a/internal/gateway/handover/server.go
+++ b/internal/gateway/handover/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/julienschmidt/httprouter"
@@ -27,7 +26,7 @@
 
 // Changes is what changed in the list of backend servers after a position; false if
 // not all of it is known.
-type Changes func(after uint64) ([]follow.Step[backend.Info], bool)
+type Changes func(after follow.Position) ([]follow.Step[backend.Info], bool)
 
 // contentType is CBOR's (RFC 8949).
 const contentType = "application/cbor"
@@ -47,7 +46,7 @@
 		write(w, State{Version: all.Version, Document: all.Document})
 	})
 	routes.GET(changesPath+":"+positionArg, func(w http.ResponseWriter, _ *http.Request, args httprouter.Params) {
-		after, err := strconv.ParseUint(args.ByName(positionArg), 10, 64)
+		after, err := follow.ParsePosition(args.ByName(positionArg))
 		if err != nil {
 			http.Error(w, "position: "+err.Error(), http.StatusBadRequest)
 			return
--- a/internal/gateway/peers/following.go
+++ b/internal/gateway/peers/following.go
@@ -1,6 +1,10 @@
 package peers
 
-import "time"
+import (
+	"time"
+
+	"github.com/applepier/applepier/internal/gateway/follow"
+)
 
 // following is whether a gateway asks the platform's store for news.
 type following uint8
@@ -22,7 +26,7 @@
 	Asks bool
 	// Servers is the position after the newest change in the list of backend servers
 	// that is known, from whomever; 0 for none.
-	Servers uint64
+	Servers follow.Position
 	// Quarantine says that the requests that are held back are known, from the store or from
 	// gateways that know them.
 	Quarantine bool
@@ -81,7 +85,7 @@
 // ahead returns the address of a gateway that was heard of lately and knows of changes
 // in the list of backend servers after a position; empty for none, one of several by
 // chance.
-func (t *table) ahead(now time.Time, at uint64) string {
+func (t *table) ahead(now time.Time, at follow.Position) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.peers {
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -102,7 +103,7 @@
 
 // Ahead returns the address of a gateway, heard of lately, that knows of changes in the
 // list of backend servers after a position; empty for none.
-func (m *Mesh) Ahead(at uint64) string { return m.table.ahead(time.Now(), at) }
+func (m *Mesh) Ahead(at follow.Position) string { return m.table.ahead(time.Now(), at) }
 
 // Newest returns the address of a gateway with the newest desired state of those
 // that were heard of lately, and its version; empty for none.
@@ -125,8 +126,13 @@
 	return m.listings.Load(), boottime.Now() - time.Duration(m.listedAt.Load())
 }
 
-// Reset implements follow.Sink.
-func (m *Mesh) Reset(moment time.Duration, all follow.Batch[Entry]) { m.Change(moment, all) }
+// Reset implements follow.Sink. A list without this gateway may be an older copy's.
+func (m *Mesh) Reset(moment time.Duration, all follow.Batch[Entry]) {
+	m.Change(moment, all)
+	if !slices.ContainsFunc(all.Items, func(e Entry) bool { return e.Name == m.Self.Name }) {
+		m.unlisted()
+	}
+}
 
 // Change implements follow.Sink.
 func (m *Mesh) Change(_ time.Duration, changes follow.Batch[Entry]) {
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/policy"
 )
 
@@ -36,8 +37,8 @@
 	ProofAge uint64 `cbor:"2,keyasint,omitempty"`
 	// Follows is whether the sender asks the store, and Servers the position after the
 	// newest change in the list of backend servers that it knows of, 0 for none.
-	Follows following `cbor:"3,keyasint,omitempty"`
-	Servers uint64    `cbor:"4,keyasint,omitempty"`
+	Follows following       `cbor:"3,keyasint,omitempty"`
+	Servers follow.Position `cbor:"4,keyasint,omitempty"`
 	// Loads is what the sender has at backend servers; others have nothing.
 	Loads []load `cbor:"5,keyasint,omitempty"`
 	// Shortages are of the services at which the sender had requests lately.
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/policy"
 )
 
@@ -33,7 +34,7 @@
 	// follows is whether it asks the store, and servers what it knows of the list of
 	// backend servers.
 	follows following
-	servers uint64
+	servers follow.Position
 	// quarantine says that it knows which requests are held back.
 	quarantine bool
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,18 +15,24 @@
 type servers struct {
 	registry *backend.Registry
 	log      *zap.Logger
+	// era is the list's, once it has been read.
+	era atomic.Uint64
 }
 
-var _ follow.Sink[backend.Info] = servers{}
+var _ follow.Sink[backend.Info] = (*servers)(nil)
 
 // Reset implements follow.Sink.
-func (s servers) Reset(_ time.Duration, all follow.Batch[backend.Info]) {
+func (s *servers) Reset(_ time.Duration, all follow.Batch[backend.Info]) {
+	if era := all.At.Era(); era > s.era.Load() {
+		s.era.Store(era)
+		s.registry.Returned(time.Now())
+	}
 	s.registry.Reset(time.Now(), all.Items, all.Unreadable)
 	s.log.Info(logging.EventServersListed, zap.Int("servers", len(all.Items)), zap.Int("usable", s.registry.Usable()))
 }
 
 // Change implements follow.Sink.
-func (s servers) Change(_ time.Duration, changes follow.Batch[backend.Info]) {
+func (s *servers) Change(_ time.Duration, changes follow.Batch[backend.Info]) {
 	s.registry.Change(time.Now(), changes.Items, changes.Removed, changes.Unreadable)
 	for _, info := range changes.Items {
 		s.log.Info(logging.EventServerChanged, logging.Peer(info.ID), zap.String("service", info.Service), zap.Bool("leaving", info.Leaving), zap.Int("usable", s.registry.Usable()))
@@ -36,4 +43,4 @@
 }
 
 // Unavailable implements follow.Sink.
-func (s servers) Unavailable(error) { s.registry.Unavailable() }
+func (s *servers) Unavailable(error) { s.registry.Unavailable() }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -48,7 +48,7 @@
 func (g *gateway) newTargetsFollower() *follow.Follower[*routes.Set] {
 	return &follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
-		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Idle: g.targetsTold,
+		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Idle: g.targetsTold, Others: g.leavesToOthers,
 		Store: &g.store, Leads: true, Asked: g.platform.Metrics.StoreAsked("targets"), Log: g.log,
 	}
 }
@@ -66,6 +66,9 @@
 // after news.
 func (g *gateway) proves() bool { return g.mesh.Before() < provers }
 
+// leavesToOthers reports whether other gateways are to ask first.
+func (g *gateway) leavesToOthers() bool { return !g.proves() }
+
 // proofOld reports whether the proof of the desired state has to be renewed here,
 // whoever was to do it.
 func (g *gateway) proofOld() bool {
@@ -89,8 +92,8 @@
 // newServersFollower returns the follower of the list of backend servers.
 func (g *gateway) newServersFollower() *follow.Follower[backend.Info] {
 	return &follow.Follower[backend.Info]{
-		Name: "backend servers", Source: g.platform.Servers, Sink: servers{g.registry, g.log},
-		Wait: follow.Always(serversWait), Gather: serversGather, Idle: g.serversTold,
+		Name: "backend servers", Source: g.platform.Servers, Sink: &servers{registry: g.registry, log: g.log},
+		Wait: follow.Always(serversWait), Gather: serversGather, Idle: g.serversTold, Others: g.leavesToOthers,
 		Store: &g.store, Asked: g.platform.Metrics.StoreAsked("backend_servers"), Log: g.log,
 	}
 }
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -29,6 +29,9 @@
 	EventPlatformUp = "platform_up"
 	// EventStoreAsked: a gateway follows a table of the store for itself.
 	EventStoreAsked = "store_asked"
+	// EventStoreReturned: the platform's store came back from an older copy; the table was
+	// read anew.
+	EventStoreReturned = "store_returned"
 	// EventStoreLeft: it has what changes there from other gateways.
 	EventStoreLeft = "store_left"
 	// EventRowUnreadable: a row of the platform's store can't be used; what was
--- a/testbed/rowstore/calls.go
+++ b/testbed/rowstore/calls.go
@@ -36,6 +36,7 @@
 		limit = pageRows
 	}
 	s.mu.Lock()
+	s.reads[q.Get("table")]++
 	out := answer{Version: s.version}
 	for _, row := range s.table(q.Get("table")) {
 		if row.Part == q.Get("part") && row.Key >= q.Get("from") && (q.Get("to") == "" || row.Key < q.Get("to")) {
--- a/testbed/rowstore/store.go
+++ b/testbed/rowstore/store.go
@@ -56,13 +56,15 @@
 	since uint64
 	fault Fault
 	calls int
+	// reads counts the reads of whole tables, by name.
+	reads map[string]int
 	// era counts the returns from older copies.
 	era int
 }
 
 // New returns a Store without rows.
 func New() *Store {
-	return &Store{rows: map[string]*Row{}, changed: make(chan struct{})}
+	return &Store{rows: map[string]*Row{}, changed: make(chan struct{}), reads: map[string]int{}}
 }
 
 // Put writes a row and returns its version.
@@ -106,6 +108,13 @@
 	return s.calls
 }
 
+// Reads counts the reads of a whole table so far, each page as one.
+func (s *Store) Reads(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[table]
+}
+
 // Keys returns the keys of a table in order.
 func (s *Store) Keys(table string) []string {
 	s.mu.Lock()
