gateway: usage is reported once a window, by one gateway at a time

Change: internal/gateway/usage counts requests by customer with their first token, tells the holder and two successors by the datagrams that exist, cumulatively, and reports under a lease. A report is in the store, in one transaction under the lease, before it is first sent. internal/lease has timings of its own now, a row for each era of the store and generations of era and count; the gateways use it through an adapter.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -7,6 +7,7 @@
 
 	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/internal/gateway/router"
+	"github.com/applepier/applepier/internal/gateway/usage"
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/policy"
@@ -18,6 +19,15 @@
 	log     *zap.Logger
 	// holdBack has a request stored that is held back from now on.
 	holdBack func(policy.Suspicion)
+	// usage counts requests by customer; nil where no usage is reported.
+	usage *usage.Counter
+}
+
+// Began implements router.Observer.
+func (e ends) Began(customer string) {
+	if e.usage != nil && customer != "" {
+		e.usage.Began(customer)
+	}
 }
 
 // Ended implements router.Observer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/internal/gateway/usage"
 	"github.com/applepier/applepier/internal/listen"
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
@@ -68,7 +69,9 @@
 	registry *backend.Registry
 	pool     *exchange.Pool
 	router   *router.Router
-	mesh     *peers.Mesh
+	// usage is nil where none is reported.
+	usage *usage.Reporter
+	mesh  *peers.Mesh
 	// servers follows the list of backend servers, and targets the desired state.
 	servers *follow.Follower[backend.Info]
 	targets *follow.Follower[*routes.Set]
@@ -118,18 +121,19 @@
 		News: func() policy.News { return g.router.News() }, Heard: func(n policy.News) { g.router.Heard(n) },
 		Proof: func() peers.Proof { return peers.Proof{Version: g.holder.Version(), At: g.holder.ProvenAt()} },
 		Prove: func(p peers.Proof) { g.holder.Prove(p.Version, p.At) }, Following: g.following,
-		Log: log,
+		Usage: g.usageTold(), Log: log,
 	})
 	if err != nil {
 		return nil, err
 	}
+	counter := g.newUsage()
 	ejector, index := policy.NewEjector(), policy.NewPrefixIndex()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.router = router.New(router.Config{
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
 		Others: g.mesh, Gateways: g.mesh.Listed,
 		Chooser: policy.NewChooser(random, ejector, index), Random: random, Ejector: ejector, Index: index,
-		Observer: ends{p.Metrics, log, g.holdBack},
+		Observer: ends{p.Metrics, log, g.holdBack, counter},
 	}, boundsOf(s), g.elsewhere)
 	g.registry.Gone = g.router.Forget
 	g.servers, g.targets = g.newServersFollower(), g.newTargetsFollower()
@@ -147,10 +151,14 @@
 
 // surroundings is what the metrics tell of them.
 func (g *gateway) surroundings() metrics.Gateway {
+	var generation uint64
+	if g.usage != nil {
+		generation = g.usage.Generation()
+	}
 	return metrics.Gateway{
 		Version: g.holder.Version(), ProofAge: boottime.Now() - g.holder.ProvenAt(),
 		Gateways: g.mesh.Gateways(), Asking: g.servers.Live(), Servers: g.registry.Usable(), HeldBack: g.router.HeldBack(),
-		Limited: g.router.Limited(), LimitedSends: g.router.LimitedSends(), LinesDropped: logging.Dropped(),
+		Limited: g.router.Limited(), LimitedSends: g.router.LimitedSends(), UsageGeneration: generation, LinesDropped: logging.Dropped(),
 	}
 }
 
@@ -174,6 +182,7 @@
 	wg.Go(func() { g.followEntries(work) })
 	wg.Go(func() { g.stayListed(work) })
 	wg.Go(func() { g.keepQuarantine(work) })
+	wg.Go(func() { g.reportUsage(ctx) })
 	wg.Go(func() { g.learnFromPeers(work) })
 	wg.Go(func() { g.learnServers(work) })
 	wg.Go(func() { g.reloadOnSignal(work, reload) })
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -109,6 +109,9 @@
 // that were heard of lately, and its version; empty for none.
 func (m *Mesh) Newest() (addr string, version uint64) { return m.table.newest(time.Now()) }
 
+// Start identifies this gateway's start.
+func (m *Mesh) Start() uint64 { return m.boot }
+
 // Addr is the address at which this gateway listens for datagrams.
 func (m *Mesh) Addr() string { return m.conn.LocalAddr().String() }
 
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -59,7 +59,9 @@
 	Prove func(Proof)
 	// Following is what this gateway knows of the store first hand.
 	Following func() Following
-	Log       *zap.Logger
+	// Usage is this gateway's part in the report of usage; nil where none is made.
+	Usage *Usage
+	Log   *zap.Logger
 }
 
 func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -37,6 +37,7 @@
 	servers follow.Position
 	// quarantine says that it knows which requests are held back.
 	quarantine bool
+	usage      usagePeer
 }
 
 // table keeps the other gateways' counts and their sums. All methods may be
@@ -50,6 +51,8 @@
 	lacking map[uint32]policy.Shortage
 	// limited sums what was sent to servers that have named a limit.
 	limited map[uint32]float64
+	// frozen is the last window whose report any gateway has told to be fixed.
+	frozen uint64
 }
 
 func newTable() *table {
@@ -70,6 +73,9 @@
 	t.lack(m.Shortages, 1)
 	t.limit(m.Limits, 1)
 	t.drop(p)
+	if p.boot != m.Boot {
+		p.usage.acknowledged = 0
+	}
 	p.addr, p.boot, p.sequence, p.heard, p.stamp = addr, m.Boot, m.Sequence, now, m.Stamp
 	p.version, p.follows, p.servers, p.quarantine = m.Version, m.Follows, m.Servers, m.Quarantine
 	p.loads, p.shortages, p.limits = m.Loads, m.Shortages, m.Limits
@@ -129,18 +135,24 @@
 
 // destination is where a datagram goes, and which stamp it echoes.
 type destination struct {
+	name string
 	addr string
 	echo uint64
 	boot uint64
+	// needsUsage says that it is to be told of usage, and acknowledged how much of that
+	// it has.
+	needsUsage   bool
+	acknowledged uint64
 }
 
-func (t *table) destinations() []destination {
+func (t *table) destinations(now time.Time) []destination {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := make([]destination, 0, len(t.peers))
-	for _, p := range t.peers {
-		all = append(all, destination{addr: p.addr, echo: p.stamp, boot: p.boot})
+	for name, p := range t.peers {
+		all = append(all, destination{name: name, addr: p.addr, echo: p.stamp, boot: p.boot, acknowledged: p.usage.acknowledged})
 	}
+	t.markUsage(now, all)
 	return all
 }
 
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -13,7 +13,7 @@
 
 // tell sends a datagram to each other gateway.
 func (m *Mesh) tell() {
-	destinations := m.table.destinations()
+	destinations := m.table.destinations(time.Now())
 	if len(destinations) == 0 {
 		return
 	}
@@ -24,8 +24,9 @@
 	}
 	m.sequence++
 	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Stamp: uint64(boottime.Now()), State: encoded}
-	for _, d := range destinations {
-		out.Echo, out.EchoBoot = d.echo, d.boot
+	for i := range destinations {
+		d := &destinations[i]
+		out.Echo, out.EchoBoot, out.Usage = d.echo, d.boot, m.usageFor(d)
 		m.send(d.addr, &out)
 	}
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -8,7 +8,9 @@
 	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/internal/gateway/routes"
+	"github.com/applepier/applepier/internal/gateway/usage"
 	"github.com/applepier/applepier/internal/metrics"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Platform is what a gateway needs of the platform that it runs on.
@@ -26,6 +28,10 @@
 	Register   func(ctx context.Context, self peers.Entry) error
 	Unregister func(ctx context.Context, name string) error
 	Quarantine Quarantine
+	// Duties is the table of what is done by one gateway at a time, and Usage takes
+	// reports of usage; nil where none are to be made.
+	Duties storage.Table
+	Usage  usage.Platform
 	// Dialect is the HTTP that callers and backend servers speak.
 	Dialect protocol.Dialect
 	// Metrics counts, also the calls to the platform.
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -61,6 +61,9 @@
 
 // Observer counts requests.
 type Observer interface {
+	// Began is told of each request that a backend server has begun to answer, with the
+	// customer; empty for none.
+	Began(customer string)
 	// Ended is told of the end of each request.
 	Ended(e End)
 	// Replaced is told of each server at whose address another start was met.
--- a/internal/gateway/router/visit.go
+++ b/internal/gateway/router/visit.go
@@ -19,6 +19,7 @@
 // begun notes that the answer has begun.
 func (v *visit) begun() {
 	if v.Begun() {
+		v.call.router.Observer.Began(v.call.customer)
 		v.call.router.observeFirst(v.call, v.ahead, time.Since(v.sent))
 	}
 }
--- /dev/null
+++ b/internal/gateway/usage.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/applepier/applepier/internal/gateway/peers"
+	"github.com/applepier/applepier/internal/gateway/usage"
+)
+
+// usageTold is this gateway's part in the report of usage as others are told it; nil where
+// none is made.
+func (g *gateway) usageTold() *peers.Usage {
+	if !g.settings.Usage.Reported() {
+		return nil
+	}
+	return &peers.Usage{
+		Status:   func() (bool, uint64) { return g.usage.Status() },
+		Update:   func(acknowledged uint64) usage.Update { return g.usage.Counter.Update(acknowledged) },
+		Take:     func(now time.Time, from usage.Source, u usage.Update) { g.usage.Gathered.Take(now, from, u) },
+		Sequence: func(from usage.Source) uint64 { return g.usage.Gathered.Sequence(from) },
+	}
+}
+
+// newUsage makes the Reporter, and returns its Counter; nil where nothing is reported.
+func (g *gateway) newUsage() *usage.Counter {
+	s := g.settings.Usage
+	if !s.Reported() {
+		return nil
+	}
+	g.usage = usage.NewReporter(usage.Config{
+		Name: g.settings.Process, Start: g.mesh.Start(),
+		Windows: usage.Windows{Length: s.Window}, Delay: s.Delay, LeaseTime: s.Lease,
+		Table: g.platform.Duties, Platform: g.platform.Usage, Now: g.mesh.Time, Others: g.mesh,
+		Able: func() bool { return !g.store.Away() && !g.leaving.Load() }, Observer: g.platform.Metrics.Usage(), Log: g.log,
+	})
+	return g.usage.Counter
+}
+
+// reportUsage takes part in the report of usage until ctx ends.
+func (g *gateway) reportUsage(ctx context.Context) {
+	if g.usage != nil {
+		g.usage.Run(ctx)
+	}
+}
--- /dev/null
+++ b/internal/gateway/usage/checkpoint.go
@@ -0,0 +1,103 @@
+package usage
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/storage"
+)
+
+const (
+	// ledgerKey is the row of the Ledger, and countsPrefix begins the rows of what was
+	// gathered and isn't reported yet.
+	ledgerKey    = "usage/ledger"
+	countsPrefix = "usage/counts/"
+	// mostRowBytes bounds a row of counts; the store takes 64 KB.
+	mostRowBytes = 48 << 10
+)
+
+// ErrCorrupt: a stored row doesn't hold what this version of the program writes.
+var ErrCorrupt = errors.New("stored usage can't be decoded")
+
+// saved is what one start of a gateway has told, as it is stored.
+type saved struct {
+	_      struct{} `cbor:",toarray"`
+	From   Source
+	Counts []Count
+}
+
+// checkpoint encodes what was gathered of the windows after one, in as many rows as it
+// takes.
+func (g *Gathered) checkpoint(after uint64) ([][]byte, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var rows [][]byte
+	var row []saved
+	size := 0
+	for from, t := range g.sources {
+		s := saved{From: from}
+		for key, n := range t.counts {
+			if key.window > after {
+				s.Counts = append(s.Counts, Count{Window: key.window, Customer: key.customer, Requests: n})
+			}
+		}
+		if len(s.Counts) == 0 {
+			continue
+		}
+		encoded, err := cbor.Marshal(s)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode counts")
+		}
+		if size += len(encoded); size > mostRowBytes && len(row) > 0 {
+			if rows, err = appendRow(rows, row); err != nil {
+				return nil, err
+			}
+			row, size = nil, len(encoded)
+		}
+		row = append(row, s)
+	}
+	return appendRow(rows, row)
+}
+
+func appendRow(rows [][]byte, row []saved) ([][]byte, error) {
+	encoded, err := cbor.Marshal(row)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode counts")
+	}
+	return append(rows, encoded), nil
+}
+
+// restore takes rows of a checkpoint. Gateways that aren't heard of are not waited for.
+func (g *Gathered) restore(rows []storage.Row) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range rows {
+		if len(r.Value) == 0 {
+			continue
+		}
+		var all []saved
+		if err := cbor.Unmarshal(r.Value, &all); err != nil {
+			return errors.Wrap(ErrCorrupt, err.Error())
+		}
+		for _, s := range all {
+			g.source(s.From).take(s.Counts)
+		}
+	}
+	return nil
+}
+
+// countWrites are the writes of a checkpoint's rows; those of an earlier one that isn't
+// needed any more are emptied.
+func countWrites(rows [][]byte, before int) []storage.Write {
+	var writes []storage.Write
+	for i := range max(len(rows), before) {
+		w := storage.Write{Key: fmt.Sprintf("%s%d", countsPrefix, i), Expect: storage.AnyVersion}
+		if i < len(rows) {
+			w.Value = rows[i]
+		}
+		writes = append(writes, w)
+	}
+	return writes
+}
--- /dev/null
+++ b/internal/gateway/usage/config.go
@@ -0,0 +1,76 @@
+package usage
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/lease"
+	"github.com/applepier/applepier/internal/storage"
+)
+
+const (
+	// renewPart, campaignPart, marginPart and restTimes are of how long the lease holds: a
+	// holder has two more tries after a renewal that failed.
+	renewPart    = 3
+	campaignPart = 4
+	marginPart   = 5
+	// heldPart is the part of LeaseTime for which a write of the lease holds: a successor
+	// waits for its end, and two changes of holder take longer than LeaseTime.
+	heldPart = 0.7
+	// restTimes is for how many LeaseTimes a holder that was deposed leaves the duty to
+	// others, so that holders never act in the order A, B, A within one.
+	restTimes = 1.5
+)
+
+// Config is what a Reporter needs.
+type Config struct {
+	// Name is the VM's, Start the process's.
+	Name  string
+	Start uint64
+	// Windows are those that are reported, within Delay after their end.
+	Windows Windows
+	Delay   time.Duration
+	// LeaseTime is within what time two holders may not act by turns.
+	LeaseTime time.Duration
+	Table     storage.Table
+	Platform  Platform
+	// Now is true time.
+	Now func() time.Time
+	// Others is what other gateways tell.
+	Others Others
+	// Able says whether this gateway may take the duty: the store answers it, and it
+	// isn't leaving.
+	Able func() bool
+	// Observer counts what becomes of reports.
+	Observer Observer
+	Log      *zap.Logger
+}
+
+// Others is what a Reporter knows from other gateways.
+type Others interface {
+	// Reporting says whether one that was heard of lately holds the duty.
+	Reporting() bool
+	// Frozen is the last window whose report any of them has told to be fixed.
+	Frozen() uint64
+	// Before counts those that come before this one as candidates for the duty.
+	Before() int
+}
+
+// Observer is told what becomes of reports.
+type Observer interface {
+	// Reported is told of each report that the platform took, with how long after its
+	// window's end.
+	Reported(after time.Duration, late bool)
+	// Refused is told of each report that was not taken.
+	Refused(err error)
+}
+
+// timing is the lease's.
+func (c *Config) timing() lease.Timing {
+	held := time.Duration(heldPart * float64(c.LeaseTime))
+	return lease.Timing{
+		Duration: held, Margin: held / marginPart, Renew: held / renewPart, Campaign: held / campaignPart,
+		Rest: time.Duration(restTimes * float64(c.LeaseTime)),
+	}
+}
--- /dev/null
+++ b/internal/gateway/usage/reporter.go
@@ -0,0 +1,193 @@
+package usage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/lease"
+	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/storage"
+)
+
+const (
+	// leaseName is the lease under which reports are made.
+	leaseName = "usage"
+	// lookEvery is how often a holder looks what is due.
+	lookEvery = 50 * time.Millisecond
+	// settle is how long after a window's end its counts are complete at the soonest.
+	settle = 300 * time.Millisecond
+	// waitPart is the part of the delay for which gateways are waited for that have told
+	// nothing since the window's end: most that are frozen wake within it, and the rest is
+	// for a change of holder.
+	waitPart = 0.4
+	// candidates is how many gateways campaign for the lease at a time.
+	candidates = 2
+	// mostOwn bounds the reports that a process remembers to have fixed.
+	mostOwn = 2 * mostPending
+)
+
+// Reporter is a gateway's part in the duty. All methods may be called concurrently.
+//
+// Lock order: mu before those of Counter and Gathered.
+type Reporter struct {
+	Config
+	Counter  *Counter
+	Gathered *Gathered
+	started  time.Time
+	lease    *lease.Lease
+
+	// mu guards what follows; nothing else is locked while it is held.
+	mu sync.Mutex
+	// holds says that this gateway holds the duty, by ledger.
+	holds  bool
+	ledger Ledger
+	// own are the last reports that this process has fixed, and frozen the last window
+	// that any holder is known to have fixed.
+	own    []Report
+	frozen uint64
+	// rows is how many rows the last checkpoint took.
+	rows int
+}
+
+// NewReporter returns a Reporter; Run starts it.
+func NewReporter(c Config) *Reporter {
+	r := &Reporter{Config: c, Counter: NewCounter(c.Windows, c.Now), Gathered: NewGathered(), started: time.Now()}
+	r.lease = lease.NewTimed(c.Table, leaseName, c.Name, c.timing())
+	return r
+}
+
+// Run campaigns for the duty and does it while this gateway holds it, until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	keeper := lease.NewKeeper(r.lease, r.Log)
+	keeper.Standby, keeper.With = r.standby, r.checkpoint
+	keeper.Run(ctx, r.act)
+}
+
+// standby reports whether this gateway is to campaign: nobody is heard of that holds the
+// duty, and it is one of the first that could. A process that has just started may be a
+// holder's machine that acted under its earlier start.
+func (r *Reporter) standby() bool {
+	return r.Able() && time.Since(r.started) > time.Duration(restTimes*float64(r.LeaseTime)) &&
+		!r.Others.Reporting() && r.Others.Before() < candidates
+}
+
+// Status is what others are told: whether this gateway holds the duty, and the last window
+// whose report is known to be fixed.
+func (r *Reporter) Status() (holds bool, frozen uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holds, max(r.frozen, r.ledger.Frozen)
+}
+
+// Generation is that of the duty while this gateway holds it; 0 otherwise.
+func (r *Reporter) Generation() uint64 {
+	if holds, _ := r.Status(); !holds {
+		return 0
+	}
+	return r.lease.Fence()
+}
+
+// act does the duty while the lease is held.
+func (r *Reporter) act(ctx context.Context, held *lease.Lease) error {
+	if err := r.recover(ctx); err != nil {
+		return err
+	}
+	defer r.leave()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var freezing conc.WaitGroup
+	var frozen error
+	freezing.Go(func() {
+		defer cancel()
+		frozen = r.freezeDue(ctx, held)
+	})
+	err := r.sendDue(ctx, held)
+	cancel()
+	freezing.Wait()
+	return errors.Join(err, frozen)
+}
+
+// recover reads what the holder before has left.
+func (r *Reporter) recover(ctx context.Context) error {
+	stored, found, err := r.readLedger(ctx)
+	if err != nil {
+		return err
+	}
+	counts, err := r.Table.List(ctx, countsPrefix)
+	if err != nil {
+		return err
+	}
+	if err := r.Gathered.restore(counts); err != nil {
+		r.Log.Error(logging.EventUsageUnreadable, zap.Error(err))
+	}
+	returned := false
+	if t, ok := r.Table.(storage.Eras); ok {
+		returned = t.Era() > 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since := r.Windows.Number(r.Now().Add(-time.Since(r.started)))
+	r.ledger = Recover(stored, found, Memory{Told: max(r.frozen, r.Others.Frozen()), Own: r.own, Started: since, Returned: returned})
+	r.holds = true
+	r.rows = len(counts)
+	r.Log.Info(logging.EventUsageHeld, zap.Uint64("generation", r.lease.Fence()),
+		zap.Uint64("stored", stored.Frozen), zap.Uint64("frozen", r.ledger.Frozen), zap.Int("pending", len(r.ledger.Pending)))
+	return nil
+}
+
+// readLedger reads the stored Ledger; false where there is none.
+func (r *Reporter) readLedger(ctx context.Context) (Ledger, bool, error) {
+	row, err := r.Table.Get(ctx, ledgerKey)
+	switch {
+	case errors.Is(err, storage.ErrNotFound):
+		return Ledger{}, false, nil
+	case err != nil:
+		return Ledger{}, false, err
+	}
+	var l Ledger
+	if err := cbor.Unmarshal(row.Value, &l); err != nil {
+		return Ledger{}, false, errors.Wrap(ErrCorrupt, err.Error())
+	}
+	return l, true, nil
+}
+
+// leave notes that the duty isn't held any more.
+func (r *Reporter) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holds = false
+	r.frozen = max(r.frozen, r.ledger.Frozen)
+	r.Log.Info(logging.EventUsageLeft, zap.Uint64("frozen", r.frozen), zap.Int("pending", len(r.ledger.Pending)))
+}
+
+// takeOwn gathers this gateway's own counts.
+func (r *Reporter) takeOwn() {
+	from := Source{Gateway: r.Name, Start: r.Start}
+	r.Gathered.Take(time.Now(), from, r.Counter.Update(r.Gathered.Sequence(from)))
+}
+
+// checkpoint are the writes by which the next holder has what was gathered.
+func (r *Reporter) checkpoint() []storage.Write {
+	r.mu.Lock()
+	holds, frozen, before := r.holds, r.ledger.Frozen, r.rows
+	r.mu.Unlock()
+	if !holds {
+		return nil
+	}
+	r.takeOwn()
+	rows, err := r.Gathered.checkpoint(frozen)
+	if err != nil {
+		r.Log.Error(logging.EventUsageUnreadable, zap.Error(err))
+		return nil
+	}
+	r.mu.Lock()
+	r.rows = len(rows)
+	r.mu.Unlock()
+	return countWrites(rows, before)
+}
--- /dev/null
+++ b/internal/gateway/usage/send.go
@@ -0,0 +1,89 @@
+package usage
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/lease"
+	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
+)
+
+const (
+	// toldFirst is how long after it was fixed a report is sent at the soonest: other
+	// gateways know by then that it is, should the store lose it.
+	toldFirst = 150 * time.Millisecond
+	// againFirst and againLongest bound the pause before a report is sent again.
+	againFirst   = 200 * time.Millisecond
+	againLongest = 2 * time.Second
+)
+
+// sending is a report that the platform isn't known to have.
+type sending struct {
+	next time.Time
+	back *backoff.ExponentialBackOff
+}
+
+// sendDue sends reports that are fixed until the lease is lost. One that gets no answer
+// doesn't hold up the others.
+func (r *Reporter) sendDue(ctx context.Context, held *lease.Lease) error {
+	waiting := map[uint64]*sending{}
+	for ctx.Err() == nil {
+		report, ok := r.nextToSend(time.Now(), waiting)
+		if !ok {
+			pause.For(ctx, lookEvery)
+			continue
+		}
+		if err := held.Check(); err != nil {
+			return err
+		}
+		err := r.Platform.Report(ctx, Holder{Name: r.Name, Generation: held.Fence()}, report)
+		switch {
+		case err == nil:
+			delete(waiting, report.Window)
+			r.accepted(report)
+		case errors.Is(err, ErrDeposed):
+			held.Deposed()
+			r.Observer.Refused(err)
+			return err
+		case ctx.Err() == nil:
+			r.Observer.Refused(err)
+			r.Log.Warn(logging.EventUsageFailed, zap.Uint64("window", report.Window), zap.Error(err))
+			waiting[report.Window].next = time.Now().Add(waiting[report.Window].back.NextBackOff())
+		}
+	}
+	return nil
+}
+
+// nextToSend is the oldest report whose time has come.
+func (r *Reporter) nextToSend(now time.Time, waiting map[uint64]*sending) (Report, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, report := range r.ledger.Pending {
+		s := waiting[report.Window]
+		if s == nil {
+			s = &sending{next: now.Add(toldFirst), back: backoff.NewExponentialBackOff()}
+			s.back.InitialInterval, s.back.MaxInterval = againFirst, againLongest
+			waiting[report.Window] = s
+		}
+		if !now.Before(s.next) {
+			return report, true
+		}
+	}
+	return Report{}, false
+}
+
+// accepted notes that the platform has a report.
+func (r *Reporter) accepted(report Report) {
+	after := r.Now().Sub(r.Windows.End(report.Window))
+	r.mu.Lock()
+	r.ledger = r.ledger.Accept(report.Window)
+	r.mu.Unlock()
+	r.Observer.Reported(after, after > r.Delay)
+	r.Log.Info(logging.EventUsageReported, zap.Uint64("window", report.Window), zap.Int64("requests", report.total()),
+		zap.Int("customers", len(report.Counts)), zap.Uint64("generation", r.lease.Fence()), zap.Duration("after", after))
+}
--- a/internal/lease/held.go
+++ b/internal/lease/held.go
@@ -19,7 +19,7 @@
 	if l.fence == 0 {
 		return 0
 	}
-	return max(0, Duration-Margin-elapsed(l.since))
+	return max(0, l.timing.Duration-l.timing.Margin-elapsed(l.since))
 }
 
 // Fence is the fencing number of the lease last held; zero when it was lost or
@@ -35,6 +35,8 @@
 	defer l.mu.Unlock()
 	l.fence = fence
 	l.since = since
+	l.held = true
+	l.deposedAt = time.Time{}
 }
 
 func (l *Lease) drop() {
@@ -47,16 +49,42 @@
 // that this process wrote itself may be taken at once, with a new number: its
 // owner knows that it stopped.
 func (l *Lease) wait(now stored) time.Duration {
-	if now.version == 0 || now.record.Released || now.record.Holder == l.holder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.version != 0 && now.record.Holder != l.holder && l.held && l.deposedAt.IsZero() {
+		l.deposedAt = time.Now()
+	}
+	return max(l.rest(), l.unchanged(now))
+}
+
+// rest is for how long a holder that was deposed still leaves the lease to others; l.mu is
+// held.
+func (l *Lease) rest() time.Duration {
+	if l.deposedAt.IsZero() {
 		return 0
 	}
+	return max(0, l.timing.Rest-time.Since(l.deposedAt))
+}
+
+// Deposed notes that a higher fencing number than this process's was met: the lease is
+// lost, and left to others for a time.
+func (l *Lease) Deposed() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.fence = 0
+	l.deposedAt = time.Now()
+}
+
+// unchanged is how long the row must still stay unchanged; l.mu is held.
+func (l *Lease) unchanged(now stored) time.Duration {
+	if now.version == 0 || now.record.Released || now.record.Holder == l.holder {
+		return 0
+	}
 	if l.seen != now.record.Write {
 		l.seen = now.record.Write
 		l.seenAt = time.Now()
 	}
-	return max(0, Duration+challengeMargin-time.Since(l.seenAt))
+	return max(0, l.timing.Duration+l.timing.challengeMargin()-time.Since(l.seenAt))
 }
 
 // elapsed is the time since t by the clock that has advanced more.
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -5,11 +5,13 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/pause"
+	"github.com/applepier/applepier/internal/storage"
 )
 
 // Timing of a Keeper.
@@ -32,6 +34,10 @@
 type Keeper struct {
 	lease *Lease
 	log   *zap.Logger
+	// Standby says whether to campaign at all; nil for always.
+	Standby func() bool
+	// With returns writes that each renewal carries; nil for none.
+	With func() []storage.Write
 }
 
 // NewKeeper returns a Keeper; Run starts it. A nil log logs nothing.
@@ -46,13 +52,22 @@
 // this process. When act returns, the lease is given up and Run campaigns on.
 func (k *Keeper) Run(ctx context.Context, act Act) {
 	for ctx.Err() == nil {
-		if k.lease.Acquire(ctx) == nil {
+		if (k.Standby == nil || k.Standby()) && k.acquire(ctx) {
 			k.hold(ctx, act)
 		}
-		pause.For(ctx, campaignInterval/2+rand.N(campaignInterval))
+		pause.For(ctx, k.lease.timing.Campaign/2+rand.N(k.lease.timing.Campaign))
 	}
 }
 
+func (k *Keeper) acquire(ctx context.Context) bool {
+	err := k.lease.Acquire(ctx)
+	var held *HeldError
+	if err != nil && !errors.As(err, &held) && ctx.Err() == nil {
+		k.log.Debug(logging.EventLeaseRenewFailed, zap.Error(err))
+	}
+	return err == nil
+}
+
 // hold acts under the lease and returns once act has.
 func (k *Keeper) hold(ctx context.Context, act Act) {
 	k.log.Info(logging.EventLeaseAcquired, zap.Uint64("fence", k.lease.Fence()))
@@ -77,10 +92,14 @@
 // renew renews until ctx ends or the lease is lost.
 func (k *Keeper) renew(ctx context.Context, lapse *time.Timer) {
 	for {
-		if !pause.For(ctx, RenewInterval) {
+		if !pause.For(ctx, k.lease.timing.Renew) {
 			return
 		}
-		if err := k.lease.Renew(ctx); err != nil {
+		var with []storage.Write
+		if k.With != nil {
+			with = k.With()
+		}
+		if err := k.lease.Commit(ctx, with); err != nil {
 			k.log.Warn(logging.EventLeaseRenewFailed, zap.Error(err))
 		}
 		if k.lease.Check() != nil {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -42,8 +42,6 @@
 	Margin = 3 * time.Second
 	// RenewInterval leaves a holder two more tries after one that failed.
 	RenewInterval = 4 * time.Second
-	// challengeMargin is a tenth of Duration, for clocks of different rate.
-	challengeMargin = Duration / 10
 )
 
 // Lease is one process's part in a lease. It is safe for concurrent use.
@@ -53,6 +51,7 @@
 	table  storage.Table
 	row    string
 	holder string
+	timing Timing
 
 	// writing is held through each write of the row, so that this process
 	// never competes with itself.
@@ -66,13 +65,22 @@
 	// seen is the latest write of another holder, first read at seenAt.
 	seen   string
 	seenAt time.Time
+	// held says that this process has held the lease, and deposedAt when another holder
+	// was met after that; zero for not since.
+	held      bool
+	deposedAt time.Time
 }
 
 // New returns a process's part in the named lease, which is not held yet. The
 // holder names the process for operators; each Lease is a holder of its own,
 // also under the same name.
 func New(table storage.Table, name, holder string) *Lease {
-	return &Lease{table: table, row: rowKey(name), holder: holder + "/" + uuid.NewString()}
+	return NewTimed(table, name, holder, usual())
+}
+
+// NewTimed is New for a lease with a timing of its own.
+func NewTimed(table storage.Table, name, holder string, timing Timing) *Lease {
+	return &Lease{table: table, row: rowKey(name), holder: holder + "/" + uuid.NewString(), timing: timing}
 }
 
 // Acquire tries once to get the lease. Errors: HeldError, ErrUnavailable,
@@ -88,8 +96,14 @@
 	if wait := l.wait(now); wait > 0 {
 		return &HeldError{Holder: now.record.Holder, Wait: wait}
 	}
-	next := record{Write: uuid.NewString(), Holder: l.holder, Fence: now.record.Fence + 1}
-	if err := l.write(ctx, now, next, nil); err != nil {
+	next := record{Write: uuid.NewString(), Holder: l.holder, Fence: max(now.record.Fence, now.era<<eraBits) + 1}
+	var earlier []storage.Write
+	if now.version == 0 {
+		if earlier, err = l.closeEarlier(now.era); err != nil {
+			return err
+		}
+	}
+	if err := l.write(ctx, now, next, earlier); err != nil {
 		return err
 	}
 	l.hold(next.Fence, sent)
@@ -171,13 +185,13 @@
 
 // write replaces the row as read by next, together with the other writes.
 func (l *Lease) write(ctx context.Context, now stored, next record, others []storage.Write) error {
-	write, err := next.write(l.row, now.version)
+	write, err := next.write(l.rowIn(now.era), now.version)
 	if err != nil {
 		return err
 	}
 	writes := append([]storage.Write{write}, others...)
 	err = confirm.Commit(ctx, l.table, writes, func(ctx context.Context) (confirm.Verdict, error) {
-		return verdict(ctx, l.table, l.row, now.version, next.Write)
+		return verdict(ctx, l.table, l.row, now, next.Write)
 	})
 	switch {
 	case err == nil:
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -28,6 +28,8 @@
 type stored struct {
 	record  record
 	version uint64
+	// era is of the history in which it was read.
+	era uint64
 }
 
 // CurrentFence reads the newest fencing number of the named lease; zero when
@@ -39,10 +41,12 @@
 
 func rowKey(name string) string { return rowPrefix + name }
 
+// read reads the lease's row of the newest era.
 func read(ctx context.Context, table storage.Table, row string) (stored, error) {
-	r, err := table.Get(ctx, row)
+	era := eraOf(table)
+	r, err := table.Get(ctx, eraKey(row, era))
 	if errors.Is(err, storage.ErrNotFound) {
-		return stored{}, nil
+		return stored{era: era}, nil
 	}
 	if err != nil {
 		return stored{}, errors.Join(ErrUnavailable, err)
@@ -51,7 +55,7 @@
 	if err := json.Unmarshal(r.Value, &rec); err != nil {
 		return stored{}, errors.Join(ErrCorrupt, err)
 	}
-	return stored{record: rec, version: r.Version}, nil
+	return stored{record: rec, version: r.Version, era: era}, nil
 }
 
 func (r record) write(row string, expect uint64) (storage.Write, error) {
@@ -63,14 +67,17 @@
 }
 
 // verdict finds out whether a write of the row took effect.
-func verdict(ctx context.Context, table storage.Table, row string, expected uint64, write string) (confirm.Verdict, error) {
+func verdict(ctx context.Context, table storage.Table, row string, expected stored, write string) (confirm.Verdict, error) {
 	now, err := read(ctx, table, row)
 	switch {
 	case err != nil:
 		return 0, err
+	case now.era != expected.era:
+		// Whatever was written is of a history that is gone.
+		return confirm.Overtaken, nil
 	case now.record.Write == write:
 		return confirm.Written, nil
-	case now.version != expected:
+	case now.version != expected.version:
 		return confirm.Overtaken, nil
 	}
 	return confirm.Pending, nil
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -29,6 +29,16 @@
 	EventPlatformUp = "platform_up"
 	// EventStoreAsked: a gateway follows a table of the store for itself.
 	EventStoreAsked = "store_asked"
+	// EventUsageHeld: this gateway reports usage from now on; EventUsageLeft: no longer.
+	EventUsageHeld = "usage_duty_acquired"
+	EventUsageLeft = "usage_duty_left"
+	// EventUsageFrozen: a window's report is fixed; EventUsageReported: the platform took it.
+	EventUsageFrozen   = "usage_report_fixed"
+	EventUsageReported = "usage_reported"
+	// EventUsageFailed: a report couldn't be stored or sent, and is tried again.
+	EventUsageFailed = "usage_report_failed"
+	// EventUsageUnreadable: stored counts can't be read or written.
+	EventUsageUnreadable = "usage_counts_unreadable"
 	// EventStoreReturned: the platform's store came back from an older copy; the table was
 	// read anew.
 	EventStoreReturned = "store_returned"
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -34,6 +34,11 @@
 	familyServersLimited   family = "applepier_backend_servers_limited"
 	familyLimitedSends     family = "applepier_limited_sends_total"
 	familyHeldBack         family = "applepier_requests_held_back"
+	familyUsageGeneration  family = "applepier_usage_generation"
+	familyUsageReported    family = "applepier_usage_reports_total"
+	familyUsageLate        family = "applepier_usage_reports_late_total"
+	familyUsageRefused     family = "applepier_usage_reports_failed_total"
+	familyUsageAfter       family = "applepier_usage_report_after_milliseconds"
 	familyLinesDropped     family = "applepier_log_lines_dropped_total"
 	familyCPU              family = "applepier_process_cpu_seconds_total"
 	familyMemory           family = "applepier_process_memory_bytes"
@@ -71,6 +76,11 @@
 	familyServersLimited:   "Backend servers that have named a limit.",
 	familyLimitedSends:     "Requests sent to backend servers while they had a limit.",
 	familyHeldBack:         "Requests that are refused since backend servers ended under them, those that ask for the same thing once.",
+	familyUsageGeneration:  "Generation under which this gateway reports usage; 0 while another one does.",
+	familyUsageReported:    "Reports of usage that the platform took from this gateway.",
+	familyUsageLate:        "Reports of usage that it took later than they were due.",
+	familyUsageRefused:     "Reports of usage that got another answer, or none.",
+	familyUsageAfter:       "Time from a window's end until its report was taken, of the last report.",
 	familyLinesDropped:     "Log lines that were left out.",
 	familyCPU:              "CPU time of this process, user and system.",
 	familyMemory:           "Memory that this process has from the operating system.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -21,6 +21,8 @@
 	LimitedSends int64
 	// HeldBack counts the requests that are refused since servers ended under them.
 	HeldBack int
+	// UsageGeneration is that under which it reports usage; 0 while it doesn't.
+	UsageGeneration uint64
 	// LinesDropped counts the log lines that were left out.
 	LinesDropped int64
 }
@@ -35,6 +37,7 @@
 	limitedSends := counter(m.registry, familyLimitedSends)
 	heldBack := gauge(m.registry, familyHeldBack)
 	asking := gauge(m.registry, familyStoreAsking)
+	generation := gauge(m.registry, familyUsageGeneration)
 	m.OnRead(func() {
 		g := read()
 		m.TargetsVersion(g.Version)
@@ -48,6 +51,7 @@
 		limited.Update(int64(g.Limited))
 		limitedSends.Inc(g.LimitedSends - limitedSends.Count())
 		heldBack.Update(int64(g.HeldBack))
+		generation.Update(int64(g.UsageGeneration))
 		dropped.Inc(g.LinesDropped - dropped.Count())
 	})
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-playground/validator/v10"
@@ -16,6 +17,7 @@
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(keyOf)
 	v.RegisterStructValidation(checkSecret, Secret{})
+	v.RegisterStructValidation(checkUsage, Usage{})
 	return v
 }
 
@@ -26,6 +28,19 @@
 	}
 }
 
+// checkUsage asks for all times where usage is reported.
+func checkUsage(level validator.StructLevel) {
+	usage := level.Current().Interface().(Usage)
+	if !usage.Reported() {
+		return
+	}
+	for name, time := range map[string]time.Duration{"window": usage.Window, "delay": usage.Delay, "lease": usage.Lease} {
+		if time <= 0 {
+			level.ReportError(time, name, name, "gt", "0")
+		}
+	}
+}
+
 // check adds the problems of the values of target, a pointer to a struct.
 // Fields that already have a problem of type aren't reported twice.
 func (f *filler) check(target any) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Gateway holds the settings of an entry VM's process that sends straight to
 // the backend servers.
@@ -29,10 +33,36 @@
 	Retry Retry `yaml:"retry"`
 	// Grace is how long a process that is told to stop may still take.
 	Grace time.Duration `yaml:"grace" validate:"gt=0"`
+	// Usage says what is reported of customers' requests.
+	Usage Usage `yaml:"usage"`
 	// Log says how much is logged.
 	Log Log `yaml:"log"`
 }
 
+// DutyUsage is the duty to report usage, as the platform names it.
+const DutyUsage = "metering"
+
+// Usage says how the requests of each customer are reported to the platform, by one
+// process at a time.
+type Usage struct {
+	// Addr is the host:port that takes reports; empty for none.
+	Addr string `yaml:"addr" validate:"omitempty,hostname_port"`
+	// Duties names what the platform asks of the fleet, joined by commas; usage is reported
+	// where DutyUsage is among it.
+	Duties string `yaml:"duties"`
+	// Window is the length of the spans of time that are reported, Delay within what time
+	// after its end each is due, and Lease within what time two processes may not report
+	// by turns.
+	Window time.Duration `yaml:"window" validate:"gte=0"`
+	Delay  time.Duration `yaml:"delay" validate:"gte=0"`
+	Lease  time.Duration `yaml:"lease" validate:"gte=0"`
+}
+
+// Reported reports whether usage is to be reported.
+func (u Usage) Reported() bool {
+	return u.Addr != "" && slices.Contains(strings.Split(u.Duties, ","), DutyUsage)
+}
+
 // Revoke says how soon a key that is taken away must stop working.
 type Revoke struct {
 	// Strict refuses requests with a key where it isn't certain.
--- a/internal/storage/platform.go
+++ b/internal/storage/platform.go
@@ -58,6 +58,14 @@
 	Commit(ctx context.Context, writes []Write) error
 }
 
+// Eras is implemented by a Table whose service may come back from an older copy: what was
+// written since is gone, and versions are given out again.
+type Eras interface {
+	// Era counts the returns that are known of. A Get whose answer is of another era than
+	// that of before the call is ErrUnavailable, and such a Commit ErrOutcomeUnknown.
+	Era() uint64
+}
+
 // Objects is the object store.
 type Objects interface {
 	// PutObject stores a value; ErrUnavailable or ErrOutcomeUnknown.
