--- a/internal/gateway/usage/checkpoint.go
+++ b/internal/gateway/usage/checkpoint.go
@@ -13,6 +13,9 @@
 	// ledgerKey is the row of the Ledger, and countsPrefix begins the rows of what was
 	// gathered and isn't reported yet.
 	ledgerKey    = "usage/ledger"
+	// acceptedKey is the row of the windows whose reports the platform is known to have. It
+	// is apart from the ledger, which must never be written over by an older one.
+	acceptedKey  = "usage/accepted"
 	countsPrefix = "usage/counts/"
 	// mostRowBytes bounds a row of counts; the store takes 64 KB.
 	mostRowBytes = 48 << 10
@@ -88,6 +91,24 @@
 	return nil
 }
 
+// acceptedWrite is the write of the accepted windows.
+func acceptedWrite(windows []uint64) (storage.Write, error) {
+	value, err := cbor.Marshal(windows)
+	if err != nil {
+		return storage.Write{}, errors.Wrap(err, "encode accepted windows")
+	}
+	return storage.Write{Key: acceptedKey, Value: value, Expect: storage.AnyVersion}, nil
+}
+
+// readAccepted reads them. Reports of which it isn't known are sent once more.
+func readAccepted(row storage.Row) ([]uint64, error) {
+	var windows []uint64
+	if err := cbor.Unmarshal(row.Value, &windows); err != nil {
+		return nil, errors.Wrap(ErrCorrupt, err.Error())
+	}
+	return windows, nil
+}
+
 // countWrites are the writes of a checkpoint's rows; those of an earlier one that isn't
 // needed any more are emptied.
 func countWrites(rows [][]byte, before int) []storage.Write {
--- a/internal/gateway/usage/freeze.go
+++ b/internal/gateway/usage/freeze.go
@@ -38,20 +38,26 @@
 	if !due {
 		return 0, false
 	}
-	end := r.Windows.End(window)
 	r.takeOwn()
-	if now.Sub(end) < time.Duration(waitPart*float64(r.Delay)) && len(r.Gathered.Missing(end)) > 0 {
+	end := r.Windows.End(window)
+	if now.Sub(end) < time.Duration(waitPart*float64(r.Delay)) && len(r.missing(window)) > 0 {
 		return 0, false
 	}
 	return window, true
 }
 
+// missing names the gateways that haven't told all of a window's counts.
+func (r *Reporter) missing(window uint64) []string {
+	end := r.Windows.End(window)
+	return r.Gathered.Missing(end.Add(-r.Windows.Length), end)
+}
+
 // freeze fixes a window's report: it is in the store before it is sent, in one transaction
 // under the lease. What was tried once is tried again unchanged, since a write without an
 // answer may still be carried out.
 func (r *Reporter) freeze(ctx context.Context, held *lease.Lease, window uint64) error {
 	end := r.Windows.End(window)
-	missing := r.Gathered.Missing(end)
+	missing := r.missing(window)
 	report := Report{Window: window, Counts: r.Gathered.Sum(window)}
 	for ctx.Err() == nil {
 		r.mu.Lock()
--- a/internal/gateway/usage/gathered.go
+++ b/internal/gateway/usage/gathered.go
@@ -86,13 +86,15 @@
 	return sum
 }
 
-// Missing names the gateways whose counts aren't complete up to a moment.
-func (g *Gathered) Missing(upto time.Time) []string {
+// Missing names the gateways whose counts aren't complete up to a moment. One that has told
+// nothing since another moment, from which on they are asked for, has none.
+func (g *Gathered) Missing(from, upto time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var names []string
 	for name, start := range g.latest {
-		if g.sources[Source{Gateway: name, Start: start}].upto < upto.UnixMilli() {
+		told := g.sources[Source{Gateway: name, Start: start}].upto
+		if told >= from.UnixMilli() && told < upto.UnixMilli() {
 			names = append(names, name)
 		}
 	}
--- a/internal/gateway/usage/reporter.go
+++ b/internal/gateway/usage/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,8 @@
 	// that any holder is known to have fixed.
 	own    []Report
 	frozen uint64
+	// taken are the last windows whose reports the platform took from this process.
+	taken []uint64
 	// rows is how many rows the last checkpoint took.
 	rows int
 }
@@ -123,6 +126,10 @@
 	if err != nil {
 		return err
 	}
+	accepted, err := r.readAccepted(ctx)
+	if err != nil {
+		return err
+	}
 	if err := r.Gathered.restore(counts); err != nil {
 		r.Log.Error(logging.EventUsageUnreadable, zap.Error(err))
 	}
@@ -134,6 +141,10 @@
 	defer r.mu.Unlock()
 	since := r.Windows.Number(r.Now().Add(-time.Since(r.started)))
 	r.ledger = Recover(stored, found, Memory{Told: max(r.frozen, r.Others.Frozen()), Own: r.own, Started: since, Returned: returned})
+	for _, window := range accepted {
+		r.ledger = r.ledger.Accept(window)
+	}
+	r.taken = accepted
 	r.holds = true
 	r.rows = len(counts)
 	r.Log.Info(logging.EventUsageHeld, zap.Uint64("generation", r.lease.Fence()),
@@ -157,6 +168,18 @@
 	return l, true, nil
 }
 
+// readAccepted reads which reports the platform is known to have.
+func (r *Reporter) readAccepted(ctx context.Context) ([]uint64, error) {
+	row, err := r.Table.Get(ctx, acceptedKey)
+	switch {
+	case errors.Is(err, storage.ErrNotFound):
+		return nil, nil
+	case err != nil:
+		return nil, err
+	}
+	return readAccepted(row)
+}
+
 // leave notes that the duty isn't held any more.
 func (r *Reporter) leave() {
 	r.mu.Lock()
@@ -175,7 +198,7 @@
 // checkpoint are the writes by which the next holder has what was gathered.
 func (r *Reporter) checkpoint() []storage.Write {
 	r.mu.Lock()
-	holds, frozen, before := r.holds, r.ledger.Frozen, r.rows
+	holds, frozen, before, taken := r.holds, r.ledger.Frozen, r.rows, slices.Clone(r.taken)
 	r.mu.Unlock()
 	if !holds {
 		return nil
@@ -189,5 +212,10 @@
 	r.mu.Lock()
 	r.rows = len(rows)
 	r.mu.Unlock()
-	return countWrites(rows, before)
+	accepted, err := acceptedWrite(taken)
+	if err != nil {
+		r.Log.Error(logging.EventUsageUnreadable, zap.Error(err))
+		return nil
+	}
+	return append(countWrites(rows, before), accepted)
 }
--- a/internal/gateway/usage/send.go
+++ b/internal/gateway/usage/send.go
@@ -82,6 +82,8 @@
 	after := r.Now().Sub(r.Windows.End(report.Window))
 	r.mu.Lock()
 	r.ledger = r.ledger.Accept(report.Window)
+	r.taken = append(r.taken, report.Window)
+	r.taken = r.taken[max(0, len(r.taken)-mostPending):]
 	r.mu.Unlock()
 	r.Observer.Reported(after, after > r.Delay)
 	r.Log.Info(logging.EventUsageReported, zap.Uint64("window", report.Window), zap.Int64("requests", report.total()),
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -53,9 +53,9 @@
 	holder string
 	timing Timing
 
-	// writing is held through each write of the row, so that this process
+	// writing holds a token through each write of the row, so that this process
 	// never competes with itself.
-	writing sync.Mutex
+	writing chan struct{}
 
 	mu sync.Mutex
 	// fence is the number of the lease held, zero when none is.
@@ -80,14 +80,16 @@
 
 // NewTimed is New for a lease with a timing of its own.
 func NewTimed(table storage.Table, name, holder string, timing Timing) *Lease {
-	return &Lease{table: table, row: rowKey(name), holder: holder + "/" + uuid.NewString(), timing: timing}
+	return &Lease{table: table, row: rowKey(name), holder: holder + "/" + uuid.NewString(), timing: timing, writing: make(chan struct{}, 1)}
 }
 
 // Acquire tries once to get the lease. Errors: HeldError, ErrUnavailable,
 // ErrLost when another challenger was faster.
 func (l *Lease) Acquire(ctx context.Context) error {
-	l.writing.Lock()
-	defer l.writing.Unlock()
+	if err := l.beginWrite(ctx); err != nil {
+		return err
+	}
+	defer l.endWrite()
 	sent := time.Now()
 	now, err := read(ctx, l.table, l.row)
 	if err != nil {
@@ -122,8 +124,10 @@
 // at another version; ErrUnavailable, after which the lease still holds until
 // its end, and the writes may have taken effect.
 func (l *Lease) Commit(ctx context.Context, writes []storage.Write) error {
-	l.writing.Lock()
-	defer l.writing.Unlock()
+	if err := l.beginWrite(ctx); err != nil {
+		return err
+	}
+	defer l.endWrite()
 	if err := l.Check(); err != nil {
 		return err
 	}
@@ -148,8 +152,10 @@
 // Release gives the lease up, so that a challenger needn't wait. The caller
 // must have stopped acting.
 func (l *Lease) Release(ctx context.Context) error {
-	l.writing.Lock()
-	defer l.writing.Unlock()
+	if err := l.beginWrite(ctx); err != nil {
+		return err
+	}
+	defer l.endWrite()
 	fence := l.Fence()
 	l.drop()
 	if fence == 0 {
@@ -166,6 +172,19 @@
 	return l.write(ctx, now, next, nil)
 }
 
+// beginWrite waits until no other write of this process is under way; ErrUnavailable if
+// ctx ends first.
+func (l *Lease) beginWrite(ctx context.Context) error {
+	select {
+	case l.writing <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Join(ErrUnavailable, ctx.Err())
+	}
+}
+
+func (l *Lease) endWrite() { <-l.writing }
+
 // refine finds out whether a conflict was about the lease or about the other
 // rows of a transaction.
 func (l *Lease) refine(ctx context.Context, fence uint64, err error) error {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,9 +34,9 @@
 	if !usage.Reported() {
 		return
 	}
-	for name, time := range map[string]time.Duration{"window": usage.Window, "delay": usage.Delay, "lease": usage.Lease} {
-		if time <= 0 {
-			level.ReportError(time, name, name, "gt", "0")
+	for name, length := range map[string]time.Duration{"window": usage.Window, "delay": usage.Delay, "lease": usage.Lease} {
+		if length == 0 {
+			level.ReportError(length, name, name, "gt", "0")
 		}
 	}
 }
--- a/internal/storage/storagetest/table.go
+++ b/internal/storage/storagetest/table.go
@@ -22,6 +22,7 @@
 	before  func(writes []storage.Write)
 	reads   int
 	commits int
+	era     uint64
 }
 
 var _ storage.Table = (*Table)(nil)
