--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -51,8 +51,6 @@
 	lacking map[uint32]policy.Shortage
 	// limited sums what was sent to servers that have named a limit.
 	limited map[uint32]float64
-	// frozen is the last window whose report any gateway has told to be fixed.
-	frozen uint64
 }
 
 func newTable() *table {
--- a/internal/gateway/peers/usage.go
+++ b/internal/gateway/peers/usage.go
@@ -20,9 +20,8 @@
 
 // Usage is this gateway's part in the report of usage.
 type Usage struct {
-	// Status says whether it reports, and which window's report is the last that is known
-	// to be fixed.
-	Status func() (holds bool, frozen uint64)
+	// Holds says whether it is the one that reports.
+	Holds func() bool
 	// Update returns what has changed after what a receiver has acknowledged.
 	Update func(acknowledged uint64) usage.Update
 	// Take takes what another gateway tells, and Sequence is how much of it was taken, to
@@ -37,7 +36,6 @@
 	// TimeOfDay is the sender's, in Unix milliseconds.
 	TimeOfDay int64
 	Holds     bool
-	Frozen    uint64
 	// Acknowledged is how much the sender has of what the receiver told.
 	Acknowledged uint64
 	// Update is nil for a receiver that needs none.
@@ -47,7 +45,6 @@
 // usagePeer is what is known of another gateway's part in the report.
 type usagePeer struct {
 	holds        bool
-	frozen       uint64
 	acknowledged uint64
 	// ahead is its time of day less this VM's boot time, in milliseconds; known says that
 	// it has told.
@@ -71,8 +68,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(from)
-	p.usage = usagePeer{holds: told.Holds, frozen: max(p.usage.frozen, told.Frozen), acknowledged: told.Acknowledged, ahead: ahead, known: true}
-	t.frozen = max(t.frozen, told.Frozen)
+	p.usage = usagePeer{holds: told.Holds, acknowledged: told.Acknowledged, ahead: ahead, known: true}
 }
 
 // usageFor is what a receiver is told; nil where no usage is reported.
@@ -80,9 +76,8 @@
 	if m.Usage == nil {
 		return nil
 	}
-	holds, frozen := m.Usage.Status()
 	told := &usageTold{
-		TimeOfDay: time.Now().UnixMilli(), Holds: holds, Frozen: frozen,
+		TimeOfDay: time.Now().UnixMilli(), Holds: m.Usage.Holds(),
 		Acknowledged: m.Usage.Sequence(usage.Source{Gateway: d.name, Start: d.boot}),
 	}
 	if d.needsUsage && m.sequence%usageEvery == 0 {
@@ -125,13 +120,6 @@
 	return false
 }
 
-// Frozen is the last window whose report any gateway has told to be fixed.
-func (m *Mesh) Frozen() uint64 {
-	m.table.mu.Lock()
-	defer m.table.mu.Unlock()
-	return m.table.frozen
-}
-
 // Time is true time as far as it can be known: the median of the gateways' times of day,
 // which neither a VM whose clock was set nor a third of them moves.
 func (m *Mesh) Time() time.Time {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -15,7 +15,7 @@
 		return nil
 	}
 	return &peers.Usage{
-		Status:   func() (bool, uint64) { return g.usage.Status() },
+		Holds:    func() bool { return g.usage.Holds() },
 		Update:   func(acknowledged uint64) usage.Update { return g.usage.Counter.Update(acknowledged) },
 		Take:     func(now time.Time, from usage.Source, u usage.Update) { g.usage.Gathered.Take(now, from, u) },
 		Sequence: func(from usage.Source) uint64 { return g.usage.Gathered.Sequence(from) },
--- a/internal/gateway/usage/checkpoint.go
+++ b/internal/gateway/usage/checkpoint.go
@@ -12,7 +12,7 @@
 const (
 	// ledgerKey is the row of the Ledger, and countsPrefix begins the rows of what was
 	// gathered and isn't reported yet.
-	ledgerKey    = "usage/ledger"
+	ledgerKey = "usage/ledger"
 	// acceptedKey is the row of the windows whose reports the platform is known to have. It
 	// is apart from the ledger, which must never be written over by an older one.
 	acceptedKey  = "usage/accepted"
--- a/internal/gateway/usage/config.go
+++ b/internal/gateway/usage/config.go
@@ -51,8 +51,6 @@
 type Others interface {
 	// Reporting says whether one that was heard of lately holds the duty.
 	Reporting() bool
-	// Frozen is the last window whose report any of them has told to be fixed.
-	Frozen() uint64
 	// Before counts those that come before this one as candidates for the duty.
 	Before() int
 }
--- a/internal/gateway/usage/ledger.go
+++ b/internal/gateway/usage/ledger.go
@@ -9,6 +9,8 @@
 // what may be reported; they return a changed copy.
 type Ledger struct {
 	_ struct{} `cbor:",toarray"`
+	// Era is of the store's history in which it was written.
+	Era uint64
 	// Frozen is the last window whose report is fixed. All before it are fixed as well, or
 	// left out for good.
 	Frozen uint64
@@ -23,43 +25,46 @@
 // Freeze fixes a report. Of more than can be kept the oldest are given up.
 func (l Ledger) Freeze(r Report) Ledger {
 	pending := append(slices.Clone(l.Pending), r)
-	return Ledger{Frozen: max(l.Frozen, r.Window), Pending: pending[max(0, len(pending)-mostPending):]}
+	return Ledger{Era: l.Era, Frozen: max(l.Frozen, r.Window), Pending: pending[max(0, len(pending)-mostPending):]}
 }
 
 // Accept notes that the platform has a window's report.
 func (l Ledger) Accept(window uint64) Ledger {
 	pending := slices.DeleteFunc(slices.Clone(l.Pending), func(r Report) bool { return r.Window == window })
-	return Ledger{Frozen: l.Frozen, Pending: pending}
+	return Ledger{Era: l.Era, Frozen: l.Frozen, Pending: pending}
 }
 
-// Memory is what a process knows of reports beside what is stored.
+// Memory is what a process knows beside what is stored.
 type Memory struct {
-	// Told is the last window that was fixed, as far as any gateway has told.
-	Told uint64
+	// Era is of the store's history now.
+	Era uint64
 	// Own are the last reports that this process has fixed itself.
 	Own []Report
-	// Started is the window in which the process started.
-	Started uint64
-	// Returned says that the store has come back from an older copy at some time.
-	Returned bool
+	// Started is the window in which the process started, and Over the last one that is
+	// over.
+	Started, Over uint64
 }
 
-// Recover is the Ledger that a new holder goes on from. What is stored may be older than
-// what was sent, after a return of the store from an older copy: a window that may have
-// been reported isn't counted again. Its report is sent as it was where this process has
-// it, and left out otherwise.
+// Recover is the Ledger that a new holder goes on from. After a return of the store from
+// an older copy, what is stored may lack reports that were sent, or hold one that was
+// written late by a holder of before: windows that are over are not counted again then.
+// Their reports are sent as they were where this process fixed them, and left out
+// otherwise.
 func Recover(stored Ledger, found bool, m Memory) Ledger {
-	l := Ledger{Frozen: stored.Frozen, Pending: slices.Clone(stored.Pending)}
-	last := m.Told
+	l := Ledger{Era: m.Era, Frozen: stored.Frozen}
+	if m.Era == stored.Era {
+		l.Pending = slices.Clone(stored.Pending)
+	}
 	for _, r := range m.Own {
-		last = max(last, r.Window)
 		if r.Window > stored.Frozen {
-			l.Pending = append(l.Pending, r)
+			l = l.Freeze(r)
 		}
 	}
-	l.Frozen = max(l.Frozen, last)
-	if !found || m.Returned && last == 0 {
-		// Nobody knows what was sent before this process started.
+	switch {
+	case m.Era > stored.Era:
+		l.Frozen = max(l.Frozen, m.Over)
+	case !found:
+		// The first holder of all begins with the window of its start.
 		l.Frozen = max(l.Frozen, m.Started-min(m.Started, 1))
 	}
 	return l
--- a/internal/gateway/usage/reporter.go
+++ b/internal/gateway/usage/reporter.go
@@ -48,10 +48,8 @@
 	// holds says that this gateway holds the duty, by ledger.
 	holds  bool
 	ledger Ledger
-	// own are the last reports that this process has fixed, and frozen the last window
-	// that any holder is known to have fixed.
-	own    []Report
-	frozen uint64
+	// own are the last reports that this process has fixed.
+	own []Report
 	// taken are the last windows whose reports the platform took from this process.
 	taken []uint64
 	// rows is how many rows the last checkpoint took.
@@ -80,17 +78,16 @@
 		!r.Others.Reporting() && r.Others.Before() < candidates
 }
 
-// Status is what others are told: whether this gateway holds the duty, and the last window
-// whose report is known to be fixed.
-func (r *Reporter) Status() (holds bool, frozen uint64) {
+// Holds reports whether this gateway holds the duty, as others are told.
+func (r *Reporter) Holds() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.holds, max(r.frozen, r.ledger.Frozen)
+	return r.holds
 }
 
 // Generation is that of the duty while this gateway holds it; 0 otherwise.
 func (r *Reporter) Generation() uint64 {
-	if holds, _ := r.Status(); !holds {
+	if !r.Holds() {
 		return 0
 	}
 	return r.lease.Fence()
@@ -133,14 +130,16 @@
 	if err := r.Gathered.restore(counts); err != nil {
 		r.Log.Error(logging.EventUsageUnreadable, zap.Error(err))
 	}
-	returned := false
+	var era uint64
 	if t, ok := r.Table.(storage.Eras); ok {
-		returned = t.Era() > 0
+		era = t.Era()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	since := r.Windows.Number(r.Now().Add(-time.Since(r.started)))
-	r.ledger = Recover(stored, found, Memory{Told: max(r.frozen, r.Others.Frozen()), Own: r.own, Started: since, Returned: returned})
+	now := r.Now()
+	r.ledger = Recover(stored, found, Memory{
+		Era: era, Own: r.own, Started: r.Windows.Number(now.Add(-time.Since(r.started))), Over: r.Windows.Number(now) - 1,
+	})
 	for _, window := range accepted {
 		r.ledger = r.ledger.Accept(window)
 	}
@@ -185,8 +184,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.holds = false
-	r.frozen = max(r.frozen, r.ledger.Frozen)
-	r.Log.Info(logging.EventUsageLeft, zap.Uint64("frozen", r.frozen), zap.Int("pending", len(r.ledger.Pending)))
+	r.Log.Info(logging.EventUsageLeft, zap.Uint64("frozen", r.ledger.Frozen), zap.Int("pending", len(r.ledger.Pending)))
 }
 
 // takeOwn gathers this gateway's own counts.
--- a/internal/gateway/usage/send.go
+++ b/internal/gateway/usage/send.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// toldFirst is how long after it was fixed a report is sent at the soonest: other
-	// gateways know by then that it is, should the store lose it.
-	toldFirst = 150 * time.Millisecond
 	// againFirst and againLongest bound the pause before a report is sent again.
 	againFirst   = 200 * time.Millisecond
 	againLongest = 2 * time.Second
@@ -66,7 +63,7 @@
 	for _, report := range r.ledger.Pending {
 		s := waiting[report.Window]
 		if s == nil {
-			s = &sending{next: now.Add(toldFirst), back: backoff.NewExponentialBackOff()}
+			s = &sending{next: now, back: backoff.NewExponentialBackOff()}
 			s.back.InitialInterval, s.back.MaxInterval = againFirst, againLongest
 			waiting[report.Window] = s
 		}
--- a/internal/lease/era.go
+++ b/internal/lease/era.go
@@ -14,6 +14,9 @@
 // a transaction that was sent in one of them may be carried out late.
 const oldRows = 3
 
+// NextFence is the fencing number after another one that is given out in an era.
+func NextFence(fence, era uint64) uint64 { return max(fence, era<<eraBits) + 1 }
+
 // eraOf is the newest era of the table service's history that is known.
 func eraOf(table storage.Table) uint64 {
 	if t, ok := table.(storage.Eras); ok {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -98,7 +98,7 @@
 	if wait := l.wait(now); wait > 0 {
 		return &HeldError{Holder: now.record.Holder, Wait: wait}
 	}
-	next := record{Write: uuid.NewString(), Holder: l.holder, Fence: max(now.record.Fence, now.era<<eraBits) + 1}
+	next := record{Write: uuid.NewString(), Holder: l.holder, Fence: NextFence(now.record.Fence, now.era)}
 	var earlier []storage.Write
 	if now.version == 0 {
 		if earlier, err = l.closeEarlier(now.era); err != nil {
