--- a/testbed/dutymodel/platform.go
+++ b/testbed/dutymodel/platform.go
@@ -26,10 +26,12 @@
 	}
 	e.add(answered, "gateway %d reports window %d under %d", c.by, c.window+1, c.fence)
 
+	if e.bounds.Answered {
+		return
+	}
 	lost := to
 	lost.take(c)
 	e.add(lost, "gateway %d reports window %d under %d, the answer is lost", c.by, c.window+1, c.fence)
-
 	for i := range s.calls {
 		if s.calls[i] == c {
 			break
--- a/testbed/dutymodel/steps.go
+++ b/testbed/dutymodel/steps.go
@@ -19,6 +19,9 @@
 	// Kills and Writes bound how often a gateway is killed and the store written.
 	Kills  uint8
 	Writes uint16
+	// Copied has the store keep its copy before the first step, Answered has each answer
+	// come that isn't late: both reach further.
+	Copied, Answered bool
 	// States ends the exploration; 0 for no bound.
 	States int
 }
--- a/testbed/dutymodel/writes.go
+++ b/testbed/dutymodel/writes.go
@@ -20,10 +20,12 @@
 	}
 	e.add(answered, "gateway %d %s", t.by, what)
 
-	lost := *s
-	e.carryOut(&lost, t)
-	lost.gateways[t.by].open = t
-	e.add(lost, "gateway %d %s, the answer is lost", t.by, what)
+	if !e.bounds.Answered {
+		lost := *s
+		e.carryOut(&lost, t)
+		lost.gateways[t.by].open = t
+		e.add(lost, "gateway %d %s, the answer is lost", t.by, what)
+	}
 
 	for i := range s.late {
 		if s.late[i].write == 0 {
