--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -90,6 +90,8 @@
 	// StoreRate is how fast the store's answers come, in bytes a second; 0 for no
 	// bound.
 	StoreRate int
+	// Usage says what is reported of customers' requests.
+	Usage settings.Usage
 	// Unready starts the gateway with a store that knows nothing.
 	Unready bool
 }
@@ -122,6 +124,7 @@
 	f.settings = settings.Gateway{
 		Process: o.Name, Zone: "z", Listen: f.Front, AdminListen: f.Admin, ReadyPath: "/ready",
 		PeerListen: o.PeerListen, Store: strings.TrimPrefix(web.URL, "http://"), Grace: max(o.Grace, shortGrace), MemoryMB: o.MemoryMB,
+		Usage:  o.Usage,
 		Revoke: settings.Revoke{Strict: o.Revoke > 0, Within: o.Revoke},
 		Retry:  settings.Retry{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 	}
