--- a/testbed/cloud/cloud.go
+++ b/testbed/cloud/cloud.go
@@ -112,6 +112,11 @@
 	return append([]string(nil), c.broken...)
 }
 
+// ServeHTTP implements http.Handler for machines that bear their own names.
+func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.Machine(r.Header.Get("X-Owner")).ServeHTTP(w, r)
+}
+
 // Machine is the platform as one machine reaches it.
 func (c *Cloud) Machine(name string) http.Handler {
 	routes := http.NewServeMux()
--- a/testbed/cmd/soak/command.go
+++ b/testbed/cmd/soak/command.go
@@ -43,9 +43,9 @@
 			},
 			{
 				Name: "store", Usage: "be the store's stand-in", Hidden: true,
-				Flags: []cli.Flag{text("listen"), text("control")},
+				Flags: []cli.Flag{text("listen"), text("duties"), text("control")},
 				Action: func(ctx context.Context, cmd *cli.Command) error {
-					return soak.ServeStore(ctx, cmd.String("listen"), cmd.String("control"))
+					return soak.ServeStore(ctx, cmd.String("listen"), cmd.String("duties"), cmd.String("control"))
 				},
 			},
 		},
--- a/testbed/rowstore/copy_test.go
+++ b/testbed/rowstore/copy_test.go
@@ -39,6 +39,10 @@
 	if status, _ := feedStatus(s, lost); status != http.StatusOK {
 		t.Errorf("status %d for a version that was given out again", status)
 	}
+	s.WriteAgain("t")
+	if keys := s.Keys("t"); len(keys) != 4 {
+		t.Errorf("rows %v once those that were lost are written again", keys)
+	}
 	s.SetFault(Busy)
 	if status, era := feedStatus(s, 0); status != http.StatusServiceUnavailable || era != "1" {
 		t.Errorf("status %d, era %q while the store is busy", status, era)
--- a/testbed/rowstore/store.go
+++ b/testbed/rowstore/store.go
@@ -58,6 +58,10 @@
 	calls int
 	// reads counts the reads of whole tables, by name.
 	reads map[string]int
+	// lost holds the rows that the last return took away, and lostAt the version to which
+	// the store returned.
+	lost   []Row
+	lostAt uint64
 	// era counts the returns from older copies.
 	era int
 }
--- a/testbed/soak/check.go
+++ b/testbed/soak/check.go
@@ -27,6 +27,7 @@
 	checkState   = "state goes back"
 	checkBounded = "bounded"
 	checkServed  = "served again"
+	checkDuties  = "one at a time"
 )
 
 // index is a history with what the checks look up.
@@ -62,6 +63,9 @@
 			report(checkServed, "%s at %s after %s", p.Kind, p.Gateway, p.After)
 		}
 	}
+	for _, broken := range h.Duties.Broken {
+		report(checkDuties, "%s", broken)
+	}
 	return all
 }
 
--- a/testbed/soak/gatewayprocess.go
+++ b/testbed/soak/gatewayprocess.go
@@ -22,6 +22,10 @@
 	// key must stop working: what operators set.
 	grace        = 8 * time.Second
 	revokeWithin = 5 * time.Second
+	// usageWindow, usageDelay and usageLease are of the report of usage.
+	usageWindow = time.Second
+	usageDelay  = 4 * time.Second
+	usageLease  = time.Second
 	// memoryMB is a small entry VM's.
 	memoryMB = 184
 )
@@ -31,6 +35,7 @@
 	*fleet.Process
 	name, file         string
 	admin, peers       string
+	duties             string
 	front, store       *proxy
 	retryExtra, within int
 	// life is held by whoever stops or starts the process; before mu.
@@ -43,7 +48,7 @@
 
 // newGateway gives a gateway its paths and settings; line is what the VM takes
 // in, in bits a second.
-func newGateway(programs *fleet.Programs, dir, program, name, store string, line float64) (*gatewayProcess, error) {
+func newGateway(programs *fleet.Programs, dir, program, name string, platform *storeProcess, line float64) (*gatewayProcess, error) {
 	var addrs [3]string
 	for i := range addrs {
 		addr, err := ports.Free()
@@ -54,14 +59,14 @@
 	}
 	g := &gatewayProcess{
 		name: name, file: filepath.Join(dir, name+".yaml"), listen: addrs[0], admin: addrs[1], peers: addrs[2],
-		retryExtra: 50, within: int(revokeWithin / time.Second),
+		duties: platform.duties, retryExtra: 50, within: int(revokeWithin / time.Second),
 	}
 	in := &link{bits: line}
 	var err error
 	if g.front, err = newProxy(g.listen, [directions]*link{up: in}); err != nil {
 		return nil, err
 	}
-	if g.store, err = newProxy(store, [directions]*link{down: in}); err != nil {
+	if g.store, err = newProxy(platform.listen, [directions]*link{down: in}); err != nil {
 		return nil, err
 	}
 	// A small VM has one core.
@@ -80,8 +85,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	text := fmt.Sprintf("process: %s\nzone: z\nlisten: %s\nadmin_listen: %s\nready_path: /ready\npeer_listen: %s\nstore: %s\nmemory_mb: %d\n"+
-		"revoke:\n  strict: true\n  within: %ds\nretry:\n  ratio: 0.2\n  extra: %d\n  window: 10s\ngrace: %s\nlog:\n  level: debug\n",
-		g.name, g.listen, g.admin, g.peers, g.store.addr(), memoryMB, g.within, g.retryExtra, grace)
+		"revoke:\n  strict: true\n  within: %ds\nretry:\n  ratio: 0.2\n  extra: %d\n  window: 10s\ngrace: %s\n"+
+		"usage:\n  addr: %s\n  duties: metering\n  window: %s\n  delay: %s\n  lease: %s\nlog:\n  level: debug\n",
+		g.name, g.listen, g.admin, g.peers, g.store.addr(), memoryMB, g.within, g.retryExtra, grace, g.duties, usageWindow, usageDelay, usageLease)
 	if err := os.WriteFile(g.file+".new", []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "settings")
 	}
--- a/testbed/soak/history.go
+++ b/testbed/soak/history.go
@@ -18,6 +18,14 @@
 	// Probes tells when each gateway served again after the last fault.
 	Probes []Probe
 	Bounds Bounds
+	Duties Duties
+}
+
+// Duties is what the platform says of the calls that one gateway at a time makes: how many
+// windows were reported, and what should not have happened.
+type Duties struct {
+	Reports int
+	Broken  []string
 }
 
 // Bounds are what is promised: by the settings of the gateways, the operators'
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -24,6 +24,8 @@
 	kindSlow     = "store slow"
 	kindForget   = "store forgets"
 	kindStoreCut = "store cut"
+	kindReturn   = "store returns"
+	kindDuties   = "duties fault"
 	kindScript   = "server script"
 	kindCrash    = "server crash"
 	kindServer   = "server freeze"
@@ -55,6 +57,8 @@
 	pathSeries    = series{[]string{kindDelay}, 500 * time.Millisecond, 3 * time.Second, 2500 * time.Millisecond}
 	stateSeries   = series{[]string{kindRoutes, kindRoutes, kindIdle, kindIdle, kindKeys}, 800 * time.Millisecond, 3 * time.Second, 0}
 	storeSeries   = series{[]string{kindBad, kindBad, kindSlow, kindForget, kindStoreCut}, 2 * time.Second, 6 * time.Second, 2500 * time.Millisecond}
+	returnSeries  = series{[]string{kindReturn}, 5 * time.Second, 12 * time.Second, 3 * time.Second}
+	dutiesSeries  = series{[]string{kindDuties}, 2 * time.Second, 6 * time.Second, 3 * time.Second}
 	scriptSeries  = series{[]string{kindScript}, time.Second, 5 * time.Second, 2 * time.Second}
 	serverSeries  = series{[]string{kindCrash, kindServer, kindWay}, time.Second, 6 * time.Second, 2 * time.Second}
 )
@@ -90,6 +94,8 @@
 	}
 	play(stateSeries, 0)
 	play(storeSeries, 0)
+	play(returnSeries, 0)
+	play(dutiesSeries, 0)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/testbed/soak/rig.go
+++ b/testbed/soak/rig.go
@@ -74,7 +74,7 @@
 	}
 	random := rand.New(rand.NewPCG(c.Seed, 0))
 	for n := range c.Gateways {
-		g, err := newGateway(r.programs, dir, c.Gateway, fmt.Sprintf("gateway-%d", n), r.store.listen, lines[random.IntN(len(lines))])
+		g, err := newGateway(r.programs, dir, c.Gateway, fmt.Sprintf("gateway-%d", n), r.store, lines[random.IntN(len(lines))])
 		if err != nil {
 			return r, err
 		}
@@ -102,7 +102,7 @@
 		ports.Release(s.listen, s.control)
 	}
 	_ = r.store.Kill()
-	ports.Release(r.store.listen, r.store.control)
+	ports.Release(r.store.listen, r.store.duties, r.store.control)
 	r.programs.Close()
 }
 
@@ -193,5 +193,10 @@
 		}
 		r.history.Arrivals = append(r.history.Arrivals, arrivals...)
 	}
-	return r.history, nil
+	// The platform judges what has come to it until now.
+	limit, cancel := context.WithTimeout(context.Background(), startWithin)
+	defer cancel()
+	var err error
+	r.history.Duties, err = r.store.judged(limit)
+	return r.history, err
 }
--- a/testbed/soak/standin.go
+++ b/testbed/soak/standin.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/applepier/applepier/testbed/cloud"
 	"github.com/applepier/applepier/testbed/gateway"
 	"github.com/applepier/applepier/testbed/rowstore"
 )
@@ -25,6 +26,12 @@
 	pathRemove = "/remove"
 	pathFault  = "/fault"
 	pathForget = "/forget"
+	pathCopy   = "/copy"
+	pathReturn = "/return"
+	pathAgain  = "/again"
+	pathCloud  = "/cloud"
+	pathLand   = "/land"
+	pathBroken = "/broken"
 )
 
 // instanceMark is between a server's name and the number of its start.
@@ -61,10 +68,11 @@
 	return serve(ctx, control, orders)
 }
 
-// ServeStore is the process of the platform's store: it serves gateways at
-// listen and is told rows and faults at control.
-func ServeStore(ctx context.Context, listen, control string) error {
+// ServeStore is the process of the platform: it serves its store at listen, takes its
+// duties' calls at duties, and is told rows and faults at control.
+func ServeStore(ctx context.Context, listen, duties, control string) error {
 	store := rowstore.New()
+	platform := cloud.New(usageLease)
 	orders := http.NewServeMux()
 	orders.HandleFunc(pathPut, func(_ http.ResponseWriter, r *http.Request) {
 		// A document that broke off on loopback is seen by its reader.
@@ -83,7 +91,25 @@
 		store.SetFault(rowstore.Fault(fault))
 	})
 	orders.HandleFunc(pathForget, func(http.ResponseWriter, *http.Request) { store.Forget() })
-	failed := make(chan error, 2)
+	older := store.Copy()
+	orders.HandleFunc(pathCopy, func(http.ResponseWriter, *http.Request) { older = store.Copy() })
+	orders.HandleFunc(pathReturn, func(http.ResponseWriter, *http.Request) { store.Return(older) })
+	orders.HandleFunc(pathAgain, func(http.ResponseWriter, *http.Request) { store.WriteAgain("op", "servers") })
+	orders.HandleFunc(pathCloud, func(w http.ResponseWriter, r *http.Request) {
+		fault, err := strconv.Atoi(r.FormValue("fault"))
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		platform.SetFault(cloud.Fault(fault))
+	})
+	orders.HandleFunc(pathLand, func(http.ResponseWriter, *http.Request) { platform.Land() })
+	orders.HandleFunc(pathBroken, func(w http.ResponseWriter, _ *http.Request) {
+		// A reader that leaves asks again.
+		_ = json.NewEncoder(w).Encode(Duties{Reports: len(platform.Reports()), Broken: platform.Broken()})
+	})
+	failed := make(chan error, 3)
+	go func() { failed <- serve(ctx, duties, platform) }()
 	go func() { failed <- serve(ctx, listen, store) }()
 	go func() { failed <- serve(ctx, control, orders) }()
 	return <-failed
--- a/testbed/soak/storeprocess.go
+++ b/testbed/soak/storeprocess.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 
 	"github.com/go-faster/errors"
 
+	"github.com/applepier/applepier/testbed/cloud"
 	"github.com/applepier/applepier/testbed/fleet"
 	"github.com/applepier/applepier/testbed/ports"
 	"github.com/applepier/applepier/testbed/rowstore"
@@ -17,18 +19,18 @@
 // storeProcess is the platform's store.
 type storeProcess struct {
 	*fleet.Process
-	listen, control string
+	listen, duties, control string
 }
 
 func newStore(programs *fleet.Programs, program string) (*storeProcess, error) {
 	s := &storeProcess{}
-	for _, addr := range []*string{&s.listen, &s.control} {
+	for _, addr := range []*string{&s.listen, &s.duties, &s.control} {
 		var err error
 		if *addr, err = ports.Free(); err != nil {
 			return nil, err
 		}
 	}
-	s.Process = programs.New("store", func() string { return s.control }, program, "store", "--listen", s.listen, "--control", s.control)
+	s.Process = programs.New("store", func() string { return s.control }, program, "store", "--listen", s.listen, "--duties", s.duties, "--control", s.control)
 	return s, nil
 }
 
@@ -56,6 +58,27 @@
 	return err
 }
 
+// order has the store or the platform do something that needs no more words.
+func (s *storeProcess) order(ctx context.Context, path string) error {
+	_, err := do(ctx, http.MethodPost, "http://"+s.control+path, nil)
+	return err
+}
+
+// dutiesFault sets what becomes of the duties' calls.
+func (s *storeProcess) dutiesFault(ctx context.Context, f cloud.Fault) error {
+	return s.order(ctx, fmt.Sprintf("%s?fault=%d", pathCloud, f))
+}
+
+// judged is what the platform says of the duties' calls.
+func (s *storeProcess) judged(ctx context.Context) (Duties, error) {
+	var d Duties
+	text, err := do(ctx, http.MethodGet, "http://"+s.control+pathBroken, nil)
+	if err != nil {
+		return d, err
+	}
+	return d, json.Unmarshal([]byte(text), &d)
+}
+
 // do makes a call on a connection of its own, so that none rests at a process
 // that is killed, and returns the answer's body.
 func do(ctx context.Context, method, url string, body []byte) (string, error) {
--- a/testbed/soak/trouble.go
+++ b/testbed/soak/trouble.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/testbed/cloud"
 	"github.com/applepier/applepier/testbed/rowstore"
 )
 
@@ -15,14 +18,20 @@
 	storeDelay = 1500 * time.Millisecond
 	// downMost is how long a process that was killed stays down.
 	downMost = 1500 * time.Millisecond
+	// oldestCopy is how old a copy is from which the store comes back, returnAway for how
+	// long it is away then, and writtenAgain when what was lost is written again.
+	oldestCopy   = 3 * time.Second
+	returnAway   = 200 * time.Millisecond
+	writtenAgain = 500 * time.Millisecond
 	// routesMore come at once, at most routesMost are there.
 	routesMore = 1500
 	routesMost = 6000
 )
 
 var (
-	idles       = []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second}
-	storeFaults = []rowstore.Fault{rowstore.Busy, rowstore.Throttled, rowstore.Silent, rowstore.Reset, rowstore.Mute}
+	idles        = []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second}
+	dutiesFaults = []cloud.Fault{cloud.Busy, cloud.Silent, cloud.Lost, cloud.Late}
+	storeFaults  = []rowstore.Fault{rowstore.Busy, rowstore.Throttled, rowstore.Silent, rowstore.Reset, rowstore.Mute}
 )
 
 // trouble plays the steps and returns when each has been lifted.
@@ -185,10 +194,38 @@
 	return server.begin(ctx)
 }
 
+// storeReturns has the store come back from a copy of some time ago, after a moment away;
+// operators and servers write again soon after.
+func (r *rig) storeReturns(ctx context.Context, s Step) error {
+	if err := r.store.order(ctx, pathCopy); err != nil {
+		return err
+	}
+	sleep(ctx, min(s.For, oldestCopy))
+	ctx = context.WithoutCancel(ctx)
+	if err := errors.Join(r.store.fault(ctx, rowstore.Busy), r.store.order(ctx, pathReturn)); err != nil {
+		return err
+	}
+	sleep(ctx, returnAway)
+	if err := r.store.fault(ctx, rowstore.Well); err != nil {
+		return err
+	}
+	sleep(ctx, writtenAgain)
+	return r.store.order(ctx, pathAgain)
+}
+
 func (r *rig) playStore(ctx context.Context, s Step) error {
 	switch s.Kind {
 	case kindForget:
 		return r.store.forget(ctx)
+	case kindReturn:
+		return r.storeReturns(ctx, s)
+	case kindDuties:
+		if err := r.store.dutiesFault(ctx, dutiesFaults[s.How%len(dutiesFaults)]); err != nil {
+			return err
+		}
+		sleep(ctx, s.For)
+		ctx = context.WithoutCancel(ctx)
+		return errors.Join(r.store.dutiesFault(ctx, cloud.Well), r.store.order(ctx, pathLand))
 	case kindBad:
 		if err := r.store.fault(ctx, storeFaults[s.How%len(storeFaults)]); err != nil {
 			return err
