--- a/internal/gateway/usage/send.go
+++ b/internal/gateway/usage/send.go
@@ -47,6 +47,10 @@
 			held.Deposed()
 			r.Observer.Refused(err)
 			return err
+		case errors.Is(err, ErrBusy):
+			// It counts the calls of all duties together.
+			r.Observer.Refused(err)
+			pause.For(ctx, againFirst)
 		case ctx.Err() == nil:
 			r.Observer.Refused(err)
 			r.Log.Warn(logging.EventUsageFailed, zap.Uint64("window", report.Window), zap.Error(err))
