--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -36,13 +36,13 @@
 	back time.Time
 	// settled is until when the list may be an older copy's, after a return of the store.
 	settled time.Time
-	// past holds the last entries of servers that are gone.
-	past past
+	// tombstones hold the last entries of servers that are gone.
+	tombstones tombstones
 }
 
 // NewRegistry returns a Registry that knows no server.
 func NewRegistry() *Registry {
-	r := &Registry{servers: map[string]*Server{}, lapsed: map[string]time.Time{}, past: past{}}
+	r := &Registry{servers: map[string]*Server{}, lapsed: map[string]time.Time{}, tombstones: tombstones{}}
 	r.publish()
 	return r
 }
@@ -144,10 +144,10 @@
 	r.away = true
 }
 
-// Returned notes that the list's store came back from an older copy: until servers have
+// Restored notes that the list's store was restored from an older copy: until servers have
 // written their entries again, an entry older than one that was read is no news, and one
 // that lacks has not lapsed.
-func (r *Registry) Returned(now time.Time) {
+func (r *Registry) Restored(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.back = now
@@ -203,7 +203,7 @@
 // putListed takes an entry of the store's list; r.mu is held.
 func (r *Registry) putListed(now time.Time, info Info) {
 	if now.Before(r.settled) {
-		if s := r.servers[info.ID]; s != nil && info.olderThan(s.Info()) || r.past.has(&info) {
+		if s := r.servers[info.ID]; s != nil && info.olderThan(s.Info()) || r.tombstones.has(&info) {
 			return
 		}
 	}
@@ -260,7 +260,7 @@
 func (r *Registry) drop(id string) {
 	delete(r.lapsed, id)
 	if s := r.servers[id]; s != nil {
-		r.past.add(time.Now(), s.Info())
+		r.tombstones.add(time.Now(), s.Info())
 	}
 	delete(r.servers, id)
 	if r.Gone != nil {
--- a/internal/gateway/backend/returned_test.go
+++ b/internal/gateway/backend/restored_test.go
@@ -20,7 +20,7 @@
 	r.Change(start.Add(10*time.Second), nil, []string{"gone"}, nil)
 
 	back := start.Add(11 * time.Second)
-	r.Returned(back)
+	r.Restored(back)
 	r.Reset(back, []Info{entry("drains", 3, false), entry("gone", 4, false)}, nil)
 	expect(t, r, "drains new")
 	if !r.Server("drains").Info().Leaving {
@@ -37,7 +37,7 @@
 func TestServerThatDoesNotWriteAgainIsGone(t *testing.T) {
 	r := NewRegistry()
 	r.Reset(start, []Info{entry("a", 1, false), entry("b", 1, false)}, nil)
-	r.Returned(start.Add(time.Minute))
+	r.Restored(start.Add(time.Minute))
 	r.Reset(start.Add(time.Minute), []Info{entry("a", 1, false)}, nil)
 	expect(t, r, "a b")
 	r.Sweep(start.Add(time.Minute + lapseGrace))
@@ -50,7 +50,7 @@
 	first := entry("a", 7, false)
 	first.Born = 1000
 	r.Reset(start, []Info{first}, nil)
-	r.Returned(start)
+	r.Restored(start)
 	later := entry("a", 1, false)
 	later.Born = 2000
 	r.Change(start, []Info{later}, nil, nil)
@@ -60,17 +60,17 @@
 }
 
 // What is kept of servers that are gone is bounded in number and time.
-func TestPastEntriesAreBounded(t *testing.T) {
-	p := past{}
-	for i := range int64(2 * mostPast) {
+func TestTombstonesAreBounded(t *testing.T) {
+	p := tombstones{}
+	for i := range int64(2 * maxTombstones) {
 		e := entry(time.Duration(i).String(), 1, false)
 		p.add(start, &e)
 	}
-	if len(p) != mostPast {
+	if len(p) != maxTombstones {
 		t.Errorf("%d entries are kept", len(p))
 	}
 	e := entry("late", 1, false)
-	p.add(start.Add(2*pastFor), &e)
+	p.add(start.Add(2*tombstoneLife), &e)
 	if len(p) != 1 || !p.has(&e) {
 		t.Errorf("%d entries are kept after their time", len(p))
 	}
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -47,11 +47,11 @@
 	// gonePause is the pause before the whole is read again, so that a store
 	// that keeps no history at all isn't read without end.
 	gonePause = 50 * time.Millisecond
-	// othersTold is how long gateways take to tell each other that the store answers them,
-	// by which they know who reads first.
-	othersTold = 150 * time.Millisecond
-	// othersRead is for how long a follower leaves it to others to read the whole again.
-	othersRead = 500 * time.Millisecond
+	// gossipDelay is how long gateways take to exchange that the store answers them, by which
+	// they know who reads first.
+	gossipDelay = 150 * time.Millisecond
+	// deferRead is for how long a follower defers reading the whole again to others.
+	deferRead = 500 * time.Millisecond
 )
 
 // Batch is the answer to a read: all that there is, or the changes.
@@ -124,9 +124,9 @@
 	// Idle says that others follow the table and tell what changes, so that the
 	// store isn't asked; may be nil, for never.
 	Idle func() bool
-	// Others says that others are to follow the table: after a loss of the history they
-	// read it first. May be nil, for never.
-	Others func() bool
+	// Defers says that other followers poll the table: after a loss of the history they read
+	// it first. May be nil, for never.
+	Defers func() bool
 	// Asked is told of each call; may be nil.
 	Asked func()
 	Log   *zap.Logger
@@ -174,7 +174,7 @@
 			f.Store.answers()
 			f.gone, f.goneAt = true, f.Position()
 			pause.For(ctx, gonePause)
-			f.awaitOthers(ctx)
+			f.deferToOthers(ctx)
 			continue
 		case errors.Is(err, errHurried):
 			continue
@@ -205,13 +205,13 @@
 	}
 }
 
-// awaitOthers gives others the time to read the whole table and to tell of it.
-func (f *Follower[T]) awaitOthers(ctx context.Context) {
-	if f.Others != nil {
-		pause.For(ctx, othersTold)
+// deferToOthers gives others the time to read the whole table and to share it.
+func (f *Follower[T]) deferToOthers(ctx context.Context) {
+	if f.Defers != nil {
+		pause.For(ctx, gossipDelay)
 	}
-	for end := time.Now().Add(othersRead); f.Idle != nil && f.Others != nil && time.Now().Before(end) && ctx.Err() == nil; {
-		if !f.Others() || f.Idle() {
+	for end := time.Now().Add(deferRead); f.Idle != nil && f.Defers != nil && time.Now().Before(end) && ctx.Err() == nil; {
+		if !f.Defers() || f.Idle() {
 			return
 		}
 		pause.For(ctx, idleEvery)
--- a/internal/gateway/follow/sharing.go
+++ b/internal/gateway/follow/sharing.go
@@ -68,7 +68,7 @@
 func (f *Follower[T]) restart(moment time.Duration, all Batch[T]) {
 	var whole *Step[T]
 	if f.at != 0 && all.At.Era() > f.at.Era() {
-		f.Log.Warn(logging.EventStoreReturned, zap.String("table", f.Name),
+		f.Log.Warn(logging.EventStoreRestored, zap.String("table", f.Name),
 			zap.Uint64("era_before", f.at.Era()), zap.Uint64("era", all.At.Era()),
 			zap.Uint64("version_before", f.at.Version()), zap.Uint64("version", all.At.Version()), zap.Int("rows", len(all.Items)))
 		whole = &Step[T]{To: all.At, Items: all.Items, Unreadable: all.Unreadable, Whole: true}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,7 @@
 		News: func() policy.News { return g.router.News() }, Heard: func(n policy.News) { g.router.Heard(n) },
 		Proof: func() peers.Proof { return peers.Proof{Version: g.holder.Version(), At: g.holder.ProvenAt()} },
 		Prove: func(p peers.Proof) { g.holder.Prove(p.Version, p.At) }, Following: g.following,
-		Usage: g.usageTold(), Log: log,
+		Usage: g.usageExchange(), Log: log,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/gateway/peers/hear.go
+++ b/internal/gateway/peers/hear.go
@@ -63,7 +63,7 @@
 	if in.From == m.Self.Name || !m.table.take(now, from, in) {
 		return
 	}
-	m.takeUsage(now, in)
+	m.receiveUsage(now, in)
 	if len(in.Uses)+len(in.Firsts)+len(in.Pauses)+len(in.Unanswered)+len(in.Suspicions)+len(in.Limits) > 0 {
 		m.Heard(policy.News{
 			Uses: unpackUses(in.Uses), Firsts: unpackFirsts(in.Firsts), Pauses: unpackPauses(in.Pauses), Unanswered: in.Unanswered,
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -26,8 +26,8 @@
 	EchoBoot uint64 `cbor:"6,keyasint,omitempty"`
 	// State is the encoded state, the same for all receivers.
 	State cbor.RawMessage `cbor:"7,keyasint"`
-	// Usage is what the receiver is told of usage, where it is reported.
-	Usage *usageTold `cbor:"8,keyasint,omitempty"`
+	// Usage is the receiver's part on usage, where it is reported.
+	Usage *usageMessage `cbor:"8,keyasint,omitempty"`
 }
 
 // state is what a gateway tells all others alike.
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -137,10 +137,10 @@
 	addr string
 	echo uint64
 	boot uint64
-	// needsUsage says that it is to be told of usage, and acknowledged how much of that
-	// it has.
-	needsUsage   bool
-	acknowledged uint64
+	// receivesUsage says that it is sent usage updates, and acknowledged the last change that
+	// it has merged.
+	receivesUsage bool
+	acknowledged  uint64
 }
 
 func (t *table) destinations(now time.Time) []destination {
@@ -150,7 +150,7 @@
 	for name, p := range t.peers {
 		all = append(all, destination{name: name, addr: p.addr, echo: p.stamp, boot: p.boot, acknowledged: p.usage.acknowledged})
 	}
-	t.markUsage(now, all)
+	t.selectUsageReceivers(now, all)
 	return all
 }
 
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -26,7 +26,7 @@
 	out := message{From: m.Self.Name, Boot: m.boot, Sequence: m.sequence, Stamp: uint64(boottime.Now()), State: encoded}
 	for i := range destinations {
 		d := &destinations[i]
-		out.Echo, out.EchoBoot, out.Usage = d.echo, d.boot, m.usageFor(d)
+		out.Echo, out.EchoBoot, out.Usage = d.echo, d.boot, m.usageMessageFor(d)
 		m.send(d.addr, &out)
 	}
 }
--- a/internal/gateway/peers/usage.go
+++ b/internal/gateway/peers/usage.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// usageEvery is every which datagram tells of usage: what a gateway that is killed
-	// hasn't told is lost.
-	usageEvery = 2
-	// usageSuccessors is how many gateways are told of usage beside the one that reports
-	// it: the next one to report it is among them.
+	// usageInterval is every which datagram carries usage: what a killed gateway hasn't sent
+	// is lost.
+	usageInterval = 2
+	// usageSuccessors is how many gateways receive usage beside the one that reports it: the
+	// next one to report it is among them.
 	usageSuccessors = 2
 )
 
@@ -24,19 +24,19 @@
 	Holds func() bool
 	// Update returns what has changed after what a receiver has acknowledged.
 	Update func(acknowledged uint64) usage.Update
-	// Take takes what another gateway tells, and Sequence is how much of it was taken, to
-	// be acknowledged.
-	Take     func(now time.Time, from usage.Source, u usage.Update)
+	// Merge merges another gateway's update, and Sequence is the last change that was merged,
+	// to be acknowledged.
+	Merge    func(now time.Time, from usage.Source, u usage.Update)
 	Sequence func(from usage.Source) uint64
 }
 
-// usageTold is what a datagram says of usage to one receiver.
-type usageTold struct {
+// usageMessage is a datagram's part on usage, for one receiver.
+type usageMessage struct {
 	_ struct{} `cbor:",toarray"`
-	// TimeOfDay is the sender's, in Unix milliseconds.
-	TimeOfDay int64
+	// WallClock is the sender's, in Unix milliseconds.
+	WallClock int64
 	Holds     bool
-	// Acknowledged is how much the sender has of what the receiver told.
+	// Acknowledged is the receiver's last change that the sender has merged.
 	Acknowledged uint64
 	// Update is nil for a receiver that needs none.
 	Update *usage.Update
@@ -46,68 +46,68 @@
 type usagePeer struct {
 	holds        bool
 	acknowledged uint64
-	// ahead is its time of day less this VM's boot time, in milliseconds; known says that
-	// it has told.
-	ahead int64
-	known bool
+	// clockOffset is its time of day less this VM's boot time, in milliseconds; known says
+	// that there is one.
+	clockOffset int64
+	known       bool
 }
 
-// takeUsage takes what a datagram says of usage.
-func (m *Mesh) takeUsage(now time.Time, in *received) {
+// receiveUsage takes a datagram's part on usage.
+func (m *Mesh) receiveUsage(now time.Time, in *received) {
 	if m.Usage == nil || in.Usage == nil {
 		return
 	}
-	told := in.Usage
-	m.table.takeUsage(in.From, told, told.TimeOfDay-boottime.Now().Milliseconds())
-	if told.Update != nil {
-		m.Usage.Take(now, usage.Source{Gateway: in.From, Start: in.Boot}, *told.Update)
+	msg := in.Usage
+	m.table.receiveUsage(in.From, msg, msg.WallClock-boottime.Now().Milliseconds())
+	if msg.Update != nil {
+		m.Usage.Merge(now, usage.Source{Gateway: in.From, Start: in.Boot}, *msg.Update)
 	}
 }
 
-func (t *table) takeUsage(from string, told *usageTold, ahead int64) {
+func (t *table) receiveUsage(from string, msg *usageMessage, clockOffset int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(from)
-	p.usage = usagePeer{holds: told.Holds, acknowledged: told.Acknowledged, ahead: ahead, known: true}
+	p.usage = usagePeer{holds: msg.Holds, acknowledged: msg.Acknowledged, clockOffset: clockOffset, known: true}
 }
 
-// usageFor is what a receiver is told; nil where no usage is reported.
-func (m *Mesh) usageFor(d *destination) *usageTold {
+// usageMessageFor is a receiver's part; nil where no usage is reported.
+func (m *Mesh) usageMessageFor(d *destination) *usageMessage {
 	if m.Usage == nil {
 		return nil
 	}
-	told := &usageTold{
-		TimeOfDay: time.Now().UnixMilli(), Holds: m.Usage.Holds(),
+	msg := &usageMessage{
+		WallClock: time.Now().UnixMilli(), Holds: m.Usage.Holds(),
 		Acknowledged: m.Usage.Sequence(usage.Source{Gateway: d.name, Start: d.boot}),
 	}
-	if d.needsUsage && m.sequence%usageEvery == 0 {
+	if d.receivesUsage && m.sequence%usageInterval == 0 {
 		u := m.Usage.Update(d.acknowledged)
-		told.Update = &u
+		msg.Update = &u
 	}
-	return told
+	return msg
 }
 
-// markUsage marks who needs to be told of usage: the gateways that report it, and their
+// selectUsageReceivers marks who receives usage: the gateways that report it, and their
 // successors.
-func (t *table) markUsage(now time.Time, all []destination) {
+func (t *table) selectUsageReceivers(now time.Time, all []destination) {
 	var next []*destination
 	for i := range all {
 		p := t.peers[all[i].name]
 		switch {
 		case now.Sub(p.heard) > silentAfter:
 		case p.usage.holds:
-			all[i].needsUsage = true
+			all[i].receivesUsage = true
 		case p.follows != turnedAway:
 			next = append(next, &all[i])
 		}
 	}
 	slices.SortFunc(next, func(a, b *destination) int { return cmp.Compare(hash(a.name), hash(b.name)) })
 	for _, d := range next[:min(len(next), usageSuccessors)] {
-		d.needsUsage = true
+		d.receivesUsage = true
 	}
 }
 
-// Reporting reports whether another gateway, heard of lately, reports usage.
+// Reporting reports whether a live peer reports usage.
 func (m *Mesh) Reporting() bool {
 	now := time.Now()
 	m.table.mu.Lock()
@@ -124,20 +124,20 @@
 // which neither a VM whose clock was set nor a third of them moves.
 func (m *Mesh) Time() time.Time {
 	now, boot := time.Now(), boottime.Now().Milliseconds()
-	all := append(m.table.timesOfDay(now), now.UnixMilli()-boot)
+	all := append(m.table.clockOffsets(now), now.UnixMilli()-boot)
 	slices.Sort(all)
 	return time.UnixMilli(boot + all[len(all)/2])
 }
 
-// timesOfDay are the differences between the times of day of the gateways that were heard of
-// lately and this VM's boot time, in milliseconds.
-func (t *table) timesOfDay(now time.Time) []int64 {
+// clockOffsets are the differences between the live peers' times of day and this VM's boot
+// time, in milliseconds.
+func (t *table) clockOffsets(now time.Time) []int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := make([]int64, 0, len(t.peers)+1)
 	for _, p := range t.peers {
 		if now.Sub(p.heard) <= silentAfter && p.usage.known {
-			all = append(all, p.usage.ahead)
+			all = append(all, p.usage.clockOffset)
 		}
 	}
 	return all
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -25,7 +25,7 @@
 func (s *servers) Reset(_ time.Duration, all follow.Batch[backend.Info]) {
 	if era := all.At.Era(); era > s.era.Load() {
 		s.era.Store(era)
-		s.registry.Returned(time.Now())
+		s.registry.Restored(time.Now())
 	}
 	s.registry.Reset(time.Now(), all.Items, all.Unreadable)
 	s.log.Info(logging.EventServersListed, zap.Int("servers", len(all.Items)), zap.Int("usable", s.registry.Usable()))
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -48,7 +48,7 @@
 func (g *gateway) newTargetsFollower() *follow.Follower[*routes.Set] {
 	return &follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
-		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Idle: g.targetsTold, Others: g.leavesToOthers,
+		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Idle: g.targetsTold, Defers: g.defersToPollers,
 		Store: &g.store, Leads: true, Asked: g.platform.Metrics.StoreAsked("targets"), Log: g.log,
 	}
 }
@@ -66,8 +66,8 @@
 // after news.
 func (g *gateway) proves() bool { return g.mesh.Before() < provers }
 
-// leavesToOthers reports whether other gateways are to ask first.
-func (g *gateway) leavesToOthers() bool { return !g.proves() }
+// defersToPollers reports whether other gateways poll the store for all.
+func (g *gateway) defersToPollers() bool { return !g.proves() }
 
 // proofOld reports whether the proof of the desired state has to be renewed here,
 // whoever was to do it.
@@ -93,7 +93,7 @@
 func (g *gateway) newServersFollower() *follow.Follower[backend.Info] {
 	return &follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: &servers{registry: g.registry, log: g.log},
-		Wait: follow.Always(serversWait), Gather: serversGather, Idle: g.serversTold, Others: g.leavesToOthers,
+		Wait: follow.Always(serversWait), Gather: serversGather, Idle: g.serversTold, Defers: g.defersToPollers,
 		Store: &g.store, Asked: g.platform.Metrics.StoreAsked("backend_servers"), Log: g.log,
 	}
 }
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -8,17 +8,17 @@
 	"github.com/applepier/applepier/internal/gateway/usage"
 )
 
-// usageTold is this gateway's part in the report of usage as others are told it; nil where
-// none is made.
-func (g *gateway) usageTold() *peers.Usage {
+// usageExchange is how this gateway exchanges usage with its peers; nil where none is
+// reported.
+func (g *gateway) usageExchange() *peers.Usage {
 	if !g.settings.Usage.Reported() {
 		return nil
 	}
 	return &peers.Usage{
 		Holds:    func() bool { return g.usage.Holds() },
 		Update:   func(acknowledged uint64) usage.Update { return g.usage.Counter.Update(acknowledged) },
-		Take:     func(now time.Time, from usage.Source, u usage.Update) { g.usage.Gathered.Take(now, from, u) },
-		Sequence: func(from usage.Source) uint64 { return g.usage.Gathered.Sequence(from) },
+		Merge:    func(now time.Time, from usage.Source, u usage.Update) { g.usage.Aggregate.Merge(now, from, u) },
+		Sequence: func(from usage.Source) uint64 { return g.usage.Aggregate.Sequence(from) },
 	}
 }
 
--- a/internal/gateway/usage/checkpoint.go
+++ b/internal/gateway/usage/checkpoint.go
@@ -17,30 +17,29 @@
 	// is apart from the ledger, which must never be written over by an older one.
 	acceptedKey  = "usage/accepted"
 	countsPrefix = "usage/counts/"
-	// mostRowBytes bounds a row of counts; the store takes 64 KB.
-	mostRowBytes = 48 << 10
+	// maxRowBytes bounds a row of counts; the store takes 64 KB.
+	maxRowBytes = 48 << 10
 )
 
 // ErrCorrupt: a stored row doesn't hold what this version of the program writes.
 var ErrCorrupt = errors.New("stored usage can't be decoded")
 
-// saved is what one start of a gateway has told, as it is stored.
-type saved struct {
+// storedCounts are the counts of one start of a gateway.
+type storedCounts struct {
 	_      struct{} `cbor:",toarray"`
 	From   Source
 	Counts []Count
 }
 
-// checkpoint encodes what was gathered of the windows after one, in as many rows as it
-// takes.
-func (g *Gathered) checkpoint(after uint64) ([][]byte, error) {
+// checkpoint encodes the counts of the windows after one, split into rows.
+func (g *Aggregate) checkpoint(after uint64) ([][]byte, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var rows [][]byte
-	var row []saved
+	var row []storedCounts
 	size := 0
 	for from, t := range g.sources {
-		s := saved{From: from}
+		s := storedCounts{From: from}
 		for key, n := range t.counts {
 			if key.window > after {
 				s.Counts = append(s.Counts, Count{Window: key.window, Customer: key.customer, Requests: n})
@@ -53,7 +52,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "encode counts")
 		}
-		if size += len(encoded); size > mostRowBytes && len(row) > 0 {
+		if size += len(encoded); size > maxRowBytes && len(row) > 0 {
 			if rows, err = appendRow(rows, row); err != nil {
 				return nil, err
 			}
@@ -64,7 +63,7 @@
 	return appendRow(rows, row)
 }
 
-func appendRow(rows [][]byte, row []saved) ([][]byte, error) {
+func appendRow(rows [][]byte, row []storedCounts) ([][]byte, error) {
 	encoded, err := cbor.Marshal(row)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode counts")
@@ -72,20 +71,21 @@
 	return append(rows, encoded), nil
 }
 
-// restore takes rows of a checkpoint. Gateways that aren't heard of are not waited for.
-func (g *Gathered) restore(rows []storage.Row) error {
+// restore merges the rows of a checkpoint. Their sources are not waited for until they send
+// updates.
+func (g *Aggregate) restore(rows []storage.Row) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range rows {
 		if len(r.Value) == 0 {
 			continue
 		}
-		var all []saved
+		var all []storedCounts
 		if err := cbor.Unmarshal(r.Value, &all); err != nil {
 			return errors.Wrap(ErrCorrupt, err.Error())
 		}
 		for _, s := range all {
-			g.source(s.From).take(s.Counts)
+			g.source(s.From).merge(s.Counts)
 		}
 	}
 	return nil
--- a/internal/gateway/usage/config.go
+++ b/internal/gateway/usage/config.go
@@ -10,17 +10,17 @@
 )
 
 const (
-	// renewPart, campaignPart, marginPart and restTimes are of how long the lease holds: a
+	// renewFraction, campaignFraction, marginFraction and backoffFactor are of how long the lease holds: a
 	// holder has two more tries after a renewal that failed.
-	renewPart    = 3
-	campaignPart = 4
-	marginPart   = 5
-	// heldPart is the part of LeaseTime for which a write of the lease holds: a successor
+	renewFraction    = 3
+	campaignFraction = 4
+	marginFraction   = 5
+	// durationFraction is the part of LeaseTime for which a write of the lease holds: a successor
 	// waits for its end, and two changes of holder take longer than LeaseTime.
-	heldPart = 0.7
-	// restTimes is for how many LeaseTimes a holder that was deposed leaves the duty to
+	durationFraction = 0.7
+	// backoffFactor is for how many LeaseTimes a holder that was deposed leaves the duty to
 	// others, so that holders never act in the order A, B, A within one.
-	restTimes = 1.5
+	backoffFactor = 1.5
 )
 
 // Config is what a Reporter needs.
@@ -37,7 +37,7 @@
 	Platform  Platform
 	// Now is true time.
 	Now func() time.Time
-	// Others is what other gateways tell.
+	// Others is what its peers have sent.
 	Others Others
 	// Able says whether this gateway may take the duty: the store answers it, and it
 	// isn't leaving.
@@ -47,28 +47,27 @@
 	Log      *zap.Logger
 }
 
-// Others is what a Reporter knows from other gateways.
+// Others is what a Reporter knows of its peers.
 type Others interface {
-	// Reporting says whether one that was heard of lately holds the duty.
+	// Reporting says whether a live peer holds the duty.
 	Reporting() bool
 	// Before counts those that come before this one as candidates for the duty.
 	Before() int
 }
 
-// Observer is told what becomes of reports.
+// Observer counts what becomes of reports.
 type Observer interface {
-	// Reported is told of each report that the platform took, with how long after its
-	// window's end.
+	// Reported counts a report that the platform accepted, some time after its window's end.
 	Reported(after time.Duration, late bool)
-	// Refused is told of each report that was not taken.
+	// Refused counts a report that was not accepted.
 	Refused(err error)
 }
 
 // timing is the lease's.
 func (c *Config) timing() lease.Timing {
-	held := time.Duration(heldPart * float64(c.LeaseTime))
+	held := time.Duration(durationFraction * float64(c.LeaseTime))
 	return lease.Timing{
-		Duration: held, Margin: held / marginPart, Renew: held / renewPart, Campaign: held / campaignPart,
-		Rest: time.Duration(restTimes * float64(c.LeaseTime)),
+		Duration: held, Margin: held / marginFraction, Renew: held / renewFraction, Campaign: held / campaignFraction,
+		Rest: time.Duration(backoffFactor * float64(c.LeaseTime)),
 	}
 }
--- a/internal/gateway/usage/counter.go
+++ b/internal/gateway/usage/counter.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// mostCounts bounds the counts of an update, which is part of a datagram.
-	mostCounts = 400
-	// mostWindows bounds the windows for which counts are kept: those of a minute or more
+	// maxCounts bounds the counts of an update, which is part of a datagram.
+	maxCounts = 400
+	// maxWindows bounds the windows for which counts are kept: those of a minute or more
 	// in which nobody could report.
-	mostWindows = 24
+	maxWindows = 24
 )
 
 // Counter counts the requests of this gateway. All methods may be called concurrently.
@@ -62,7 +62,7 @@
 // expire drops windows that are too old to be reported; c.mu is held.
 func (c *Counter) expire(newest uint64) {
 	for key := range c.counts {
-		if key.window+mostWindows < newest {
+		if key.window+maxWindows < newest {
 			delete(c.counts, key)
 		}
 	}
@@ -85,9 +85,9 @@
 	}
 	slices.SortFunc(changed, func(a, b change) int { return cmp.Compare(a.sequence, b.sequence) })
 	u := Update{Sequence: c.sequence, Upto: upto}
-	if len(changed) > mostCounts {
-		changed = changed[:mostCounts]
-		u.Sequence, u.Upto = changed[mostCounts-1].sequence, 0
+	if len(changed) > maxCounts {
+		changed = changed[:maxCounts]
+		u.Sequence, u.Upto = changed[maxCounts-1].sequence, 0
 	}
 	for _, ch := range changed {
 		u.Counts = append(u.Counts, ch.Count)
--- a/internal/gateway/usage/counter_test.go
+++ b/internal/gateway/usage/counter_test.go
@@ -30,7 +30,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := noon
 		c := NewCounter(fiveSeconds, func() time.Time { return now })
-		g := NewGathered()
+		g := NewAggregate()
 		from := Source{Gateway: "a", Start: 1}
 		want := map[countKey]int64{}
 		var sent []Update
@@ -46,13 +46,13 @@
 				sent = append(sent, c.Update(g.Sequence(from)))
 			case 4:
 				if len(sent) > 0 {
-					g.Take(now, from, sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")])
+					g.Merge(now, from, sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")])
 				}
 			}
 		}
-		g.Take(now, from, c.Update(g.Sequence(from)))
+		g.Merge(now, from, c.Update(g.Sequence(from)))
 		newest := fiveSeconds.Number(now)
-		maps.DeleteFunc(want, func(k countKey, _ int64) bool { return k.window+mostWindows < newest })
+		maps.DeleteFunc(want, func(k countKey, _ int64) bool { return k.window+maxWindows < newest })
 		for key, n := range want {
 			if got := g.Sum(key.window)[key.customer]; got != n {
 				t.Fatalf("%d of %v, counted %d", got, key, n)
@@ -67,13 +67,13 @@
 // An update of which only a part fits says so, and the next ones tell the rest.
 func TestLargeUpdatesComeInParts(t *testing.T) {
 	c := NewCounter(fiveSeconds, func() time.Time { return noon })
-	for i := range 2*mostCounts + 7 {
+	for i := range 2*maxCounts + 7 {
 		c.Began(fmt.Sprint("customer-", i))
 	}
-	g, from := NewGathered(), Source{Gateway: "a", Start: 1}
+	g, from := NewAggregate(), Source{Gateway: "a", Start: 1}
 	for parts := 1; ; parts++ {
 		u := c.Update(g.Sequence(from))
-		g.Take(noon, from, u)
+		g.Merge(noon, from, u)
 		if u.Upto != 0 {
 			if parts != 3 {
 				t.Errorf("%d parts", parts)
@@ -84,18 +84,18 @@
 			t.Error("complete after a part")
 		}
 	}
-	if got := len(g.Sum(fiveSeconds.Number(noon))); got != 2*mostCounts+7 {
+	if got := len(g.Sum(fiveSeconds.Number(noon))); got != 2*maxCounts+7 {
 		t.Errorf("%d customers", got)
 	}
 }
 
-// What an earlier start of a gateway has told counts beside what the later one tells, and
+// Counts of an earlier start of a gateway are added to those of the later one, and
 // only the later one is waited for.
 func TestLaterStartIsWaitedFor(t *testing.T) {
-	g := NewGathered()
+	g := NewAggregate()
 	counts := []Count{{Window: 7, Customer: "a", Requests: 3}}
-	g.Take(noon, Source{Gateway: "x", Start: 1}, Update{Sequence: 3, Upto: 100, Counts: counts})
-	g.Take(noon, Source{Gateway: "x", Start: 2}, Update{Sequence: 3, Upto: 900, Counts: counts})
+	g.Merge(noon, Source{Gateway: "x", Start: 1}, Update{Sequence: 3, Upto: 100, Counts: counts})
+	g.Merge(noon, Source{Gateway: "x", Start: 2}, Update{Sequence: 3, Upto: 900, Counts: counts})
 	if got := g.Sum(7)["a"]; got != 6 {
 		t.Errorf("%d requests", got)
 	}
@@ -103,36 +103,36 @@
 		t.Errorf("%v are waited for", missing)
 	}
 	if missing := g.Missing(time.UnixMilli(600), time.UnixMilli(1000)); len(missing) != 1 {
-		t.Errorf("%v are waited for, one has told of a part", missing)
+		t.Errorf("%v are waited for, one has sent a part", missing)
 	}
-	// One that has told nothing of the whole window is gone, or had nothing.
+	// One whose last update is before the window is gone, or had nothing.
 	if missing := g.Missing(time.UnixMilli(1000), time.UnixMilli(1500)); len(missing) != 0 {
 		t.Errorf("%v are waited for", missing)
 	}
-	g.Forget(noon.Add(2*forgetSource), 7)
+	g.Expire(noon.Add(2*forgetSource), 7)
 	if len(g.sources)+len(g.latest) != 0 {
-		t.Error("sources are kept that told nothing for a minute")
+		t.Error("sources are kept without an update for a minute")
 	}
 }
 
 // A checkpoint holds all that isn't reported, in rows that the store takes.
 func TestCheckpointsAreWhole(t *testing.T) {
 	const gateways, customers = 68, 400
-	g := NewGathered()
+	g := NewAggregate()
 	for i := range gateways {
 		var counts []Count
 		for c := range customers {
 			counts = append(counts, Count{Window: 5, Customer: fmt.Sprintf("customer-%03d", c), Requests: 1})
 		}
-		g.Take(noon, Source{Gateway: fmt.Sprint("gateway-", i), Start: uint64(i) << 50}, Update{Counts: counts})
+		g.Merge(noon, Source{Gateway: fmt.Sprint("gateway-", i), Start: uint64(i) << 50}, Update{Counts: counts})
 	}
 	rows, err := g.checkpoint(4)
 	if err != nil {
 		t.Fatal(err)
 	}
-	restored := NewGathered()
+	restored := NewAggregate()
 	for _, w := range countWrites(rows, 0) {
-		if len(w.Value) > mostRowBytes*4/3 {
+		if len(w.Value) > maxRowBytes*4/3 {
 			t.Errorf("row of %d bytes", len(w.Value))
 		}
 		if err := restored.restore(rowsOf(w.Value)); err != nil {
--- a/internal/gateway/usage/freeze.go
+++ b/internal/gateway/usage/finalize.go
@@ -14,15 +14,16 @@
 	"github.com/applepier/applepier/internal/storage"
 )
 
-// freezeDue fixes the reports of windows as they are complete, until the lease is lost.
-func (r *Reporter) freezeDue(ctx context.Context, held *lease.Lease) error {
+// finalizeDue finalizes the reports of windows as they are complete, until the lease is
+// lost.
+func (r *Reporter) finalizeDue(ctx context.Context, held *lease.Lease) error {
 	for ctx.Err() == nil {
 		window, due := r.due()
 		if !due {
-			pause.For(ctx, lookEvery)
+			pause.For(ctx, pollInterval)
 			continue
 		}
-		if err := r.freeze(ctx, held, window); err != nil {
+		if err := r.finalize(ctx, held, window); err != nil {
 			return err
 		}
 	}
@@ -38,30 +39,30 @@
 	if !due {
 		return 0, false
 	}
-	r.takeOwn()
+	r.mergeOwn()
 	end := r.Windows.End(window)
-	if now.Sub(end) < time.Duration(waitPart*float64(r.Delay)) && len(r.missing(window)) > 0 {
+	if now.Sub(end) < time.Duration(waitFraction*float64(r.Delay)) && len(r.missing(window)) > 0 {
 		return 0, false
 	}
 	return window, true
 }
 
-// missing names the gateways that haven't told all of a window's counts.
+// missing names the gateways whose counts of a window aren't complete.
 func (r *Reporter) missing(window uint64) []string {
 	end := r.Windows.End(window)
-	return r.Gathered.Missing(end.Add(-r.Windows.Length), end)
+	return r.Aggregate.Missing(end.Add(-r.Windows.Length), end)
 }
 
-// freeze fixes a window's report: it is in the store before it is sent, in one transaction
+// finalize stores a window's report: it is in the store before it is sent, in one transaction
 // under the lease. What was tried once is tried again unchanged, since a write without an
 // answer may still be carried out.
-func (r *Reporter) freeze(ctx context.Context, held *lease.Lease, window uint64) error {
+func (r *Reporter) finalize(ctx context.Context, held *lease.Lease, window uint64) error {
 	end := r.Windows.End(window)
 	missing := r.missing(window)
-	report := Report{Window: window, Counts: r.Gathered.Sum(window)}
+	report := Report{Window: window, Counts: r.Aggregate.Sum(window)}
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		next := r.ledger.Freeze(report)
+		next := r.ledger.Finalize(report)
 		r.mu.Unlock()
 		value, err := cbor.Marshal(next)
 		if err != nil {
@@ -70,27 +71,27 @@
 		err = held.Commit(ctx, []storage.Write{{Key: ledgerKey, Value: value, Expect: storage.AnyVersion}})
 		switch {
 		case err == nil:
-			r.frozenAs(report)
-			r.Log.Info(logging.EventUsageFrozen, zap.Uint64("window", window), zap.Int64("requests", report.total()),
+			r.finalized(report)
+			r.Log.Info(logging.EventUsageFinalized, zap.Uint64("window", window), zap.Int64("requests", report.total()),
 				zap.Int("customers", len(report.Counts)), zap.Duration("after", r.Now().Sub(end)), zap.Strings("missing", missing))
 			return nil
 		case errors.Is(err, lease.ErrLost):
 			return err
 		}
 		r.Log.Warn(logging.EventUsageFailed, zap.Uint64("window", window), zap.Error(err))
-		pause.For(ctx, lookEvery)
+		pause.For(ctx, pollInterval)
 	}
 	return ctx.Err()
 }
 
-// frozenAs notes that a report is fixed.
-func (r *Reporter) frozenAs(report Report) {
+// finalized notes that a report is stored.
+func (r *Reporter) finalized(report Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ledger = r.ledger.Freeze(report)
+	r.ledger = r.ledger.Finalize(report)
 	r.own = append(r.own, report)
-	r.own = r.own[max(0, len(r.own)-mostOwn):]
-	r.Gathered.Forget(time.Now(), r.ledger.Frozen)
+	r.own = r.own[max(0, len(r.own)-maxOwn):]
+	r.Aggregate.Expire(time.Now(), r.ledger.Finalized)
 }
 
 // total adds up the requests of all customers.
--- a/internal/gateway/usage/ledger.go
+++ b/internal/gateway/usage/ledger.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// mostPending bounds the reports that wait for the platform: those of a minute.
-const mostPending = 12
+// maxPending bounds the reports that wait for the platform: those of a minute.
+const maxPending = 12
 
 // Ledger is what has been reported, as it is stored under the lease. Its methods decide
 // what may be reported; they return a changed copy.
@@ -11,34 +11,33 @@
 	_ struct{} `cbor:",toarray"`
 	// Era is of the store's history in which it was written.
 	Era uint64
-	// Frozen is the last window whose report is fixed. All before it are fixed as well, or
+	// Finalized is the last window with a final report. All before it have one too, or are
 	// left out for good.
-	Frozen uint64
-	// Pending are the reports that are fixed and that the platform isn't known to have,
-	// the oldest first.
+	Finalized uint64
+	// Pending are the final reports that the platform isn't known to have, oldest first.
 	Pending []Report
 }
 
-// Next is the window whose report is to be fixed next; false if it isn't over.
-func (l Ledger) Next(over uint64) (uint64, bool) { return l.Frozen + 1, l.Frozen < over }
+// Next is the next window to finalize; false if it isn't over.
+func (l Ledger) Next(over uint64) (uint64, bool) { return l.Finalized + 1, l.Finalized < over }
 
-// Freeze fixes a report. Of more than can be kept the oldest are given up.
-func (l Ledger) Freeze(r Report) Ledger {
+// Finalize adds a final report. Of more than can be kept the oldest are given up.
+func (l Ledger) Finalize(r Report) Ledger {
 	pending := append(slices.Clone(l.Pending), r)
-	return Ledger{Era: l.Era, Frozen: max(l.Frozen, r.Window), Pending: pending[max(0, len(pending)-mostPending):]}
+	return Ledger{Era: l.Era, Finalized: max(l.Finalized, r.Window), Pending: pending[max(0, len(pending)-maxPending):]}
 }
 
 // Accept notes that the platform has a window's report.
 func (l Ledger) Accept(window uint64) Ledger {
 	pending := slices.DeleteFunc(slices.Clone(l.Pending), func(r Report) bool { return r.Window == window })
-	return Ledger{Era: l.Era, Frozen: l.Frozen, Pending: pending}
+	return Ledger{Era: l.Era, Finalized: l.Finalized, Pending: pending}
 }
 
 // Memory is what a process knows beside what is stored.
 type Memory struct {
 	// Era is of the store's history now.
 	Era uint64
-	// Own are the last reports that this process has fixed itself.
+	// Own are the last reports that this process finalized.
 	Own []Report
 	// Started is the window in which the process started, and Over the last one that is
 	// over.
@@ -48,24 +47,24 @@
 // Recover is the Ledger that a new holder goes on from. After a return of the store from
 // an older copy, what is stored may lack reports that were sent, or hold one that was
 // written late by a holder of before: windows that are over are not counted again then.
-// Their reports are sent as they were where this process fixed them, and left out
+// Their reports are sent as they were where this process finalized them, and left out
 // otherwise.
 func Recover(stored Ledger, found bool, m Memory) Ledger {
-	l := Ledger{Era: m.Era, Frozen: stored.Frozen}
+	l := Ledger{Era: m.Era, Finalized: stored.Finalized}
 	if m.Era == stored.Era {
 		l.Pending = slices.Clone(stored.Pending)
 	}
 	for _, r := range m.Own {
-		if r.Window > stored.Frozen {
-			l = l.Freeze(r)
+		if r.Window > stored.Finalized {
+			l = l.Finalize(r)
 		}
 	}
 	switch {
 	case m.Era > stored.Era:
-		l.Frozen = max(l.Frozen, m.Over)
+		l.Finalized = max(l.Finalized, m.Over)
 	case !found:
 		// The first holder of all begins with the window of its start.
-		l.Frozen = max(l.Frozen, m.Started-min(m.Started, 1))
+		l.Finalized = max(l.Finalized, m.Started-min(m.Started, 1))
 	}
 	return l
 }
--- a/internal/gateway/usage/reporter.go
+++ b/internal/gateway/usage/reporter.go
@@ -19,46 +19,46 @@
 const (
 	// leaseName is the lease under which reports are made.
 	leaseName = "usage"
-	// lookEvery is how often a holder looks what is due.
-	lookEvery = 50 * time.Millisecond
+	// pollInterval is how often a holder looks what is due.
+	pollInterval = 50 * time.Millisecond
 	// settle is how long after a window's end its counts are complete at the soonest.
 	settle = 300 * time.Millisecond
-	// waitPart is the part of the delay for which gateways are waited for that have told
-	// nothing since the window's end: most that are frozen wake within it, and the rest is
+	// waitFraction is the part of the delay for which gateways are waited for whose counts
+	// aren't complete: most that are frozen wake within it, and the rest is
 	// for a change of holder.
-	waitPart = 0.4
+	waitFraction = 0.4
 	// candidates is how many gateways campaign for the lease at a time.
 	candidates = 2
-	// mostOwn bounds the reports that a process remembers to have fixed.
-	mostOwn = 2 * mostPending
+	// maxOwn bounds the finalized reports that a process remembers.
+	maxOwn = 2 * maxPending
 )
 
 // Reporter is a gateway's part in the duty. All methods may be called concurrently.
 //
-// Lock order: mu before those of Counter and Gathered.
+// Lock order: mu before those of Counter and Aggregate.
 type Reporter struct {
 	Config
-	Counter  *Counter
-	Gathered *Gathered
-	started  time.Time
-	lease    *lease.Lease
+	Counter   *Counter
+	Aggregate *Aggregate
+	started   time.Time
+	lease     *lease.Lease
 
 	// mu guards what follows; nothing else is locked while it is held.
 	mu sync.Mutex
 	// holds says that this gateway holds the duty, by ledger.
 	holds  bool
 	ledger Ledger
-	// own are the last reports that this process has fixed.
+	// own are the last reports that this process finalized.
 	own []Report
-	// taken are the last windows whose reports the platform took from this process.
-	taken []uint64
+	// accepted are the last windows whose reports the platform accepted.
+	accepted []uint64
 	// rows is how many rows the last checkpoint took.
 	rows int
 }
 
 // NewReporter returns a Reporter; Run starts it.
 func NewReporter(c Config) *Reporter {
-	r := &Reporter{Config: c, Counter: NewCounter(c.Windows, c.Now), Gathered: NewGathered(), started: time.Now()}
+	r := &Reporter{Config: c, Counter: NewCounter(c.Windows, c.Now), Aggregate: NewAggregate(), started: time.Now()}
 	r.lease = lease.NewTimed(c.Table, leaseName, c.Name, c.timing())
 	return r
 }
@@ -70,15 +70,14 @@
 	keeper.Run(ctx, r.act)
 }
 
-// standby reports whether this gateway is to campaign: nobody is heard of that holds the
-// duty, and it is one of the first that could. A process that has just started may be a
+// standby reports whether this gateway is to campaign: no live peer holds the duty, and it is one of the first that could. A process that has just started may be a
 // holder's machine that acted under its earlier start.
 func (r *Reporter) standby() bool {
-	return r.Able() && time.Since(r.started) > time.Duration(restTimes*float64(r.LeaseTime)) &&
+	return r.Able() && time.Since(r.started) > time.Duration(backoffFactor*float64(r.LeaseTime)) &&
 		!r.Others.Reporting() && r.Others.Before() < candidates
 }
 
-// Holds reports whether this gateway holds the duty, as others are told.
+// Holds reports whether this gateway holds the duty.
 func (r *Reporter) Holds() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -101,16 +100,16 @@
 	defer r.leave()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var freezing conc.WaitGroup
-	var frozen error
-	freezing.Go(func() {
+	var background conc.WaitGroup
+	var finalizing error
+	background.Go(func() {
 		defer cancel()
-		frozen = r.freezeDue(ctx, held)
+		finalizing = r.finalizeDue(ctx, held)
 	})
 	err := r.sendDue(ctx, held)
 	cancel()
-	freezing.Wait()
-	return errors.Join(err, frozen)
+	background.Wait()
+	return errors.Join(err, finalizing)
 }
 
 // recover reads what the holder before has left.
@@ -127,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.Gathered.restore(counts); err != nil {
+	if err := r.Aggregate.restore(counts); err != nil {
 		r.Log.Error(logging.EventUsageUnreadable, zap.Error(err))
 	}
 	var era uint64
@@ -143,11 +142,11 @@
 	for _, window := range accepted {
 		r.ledger = r.ledger.Accept(window)
 	}
-	r.taken = accepted
+	r.accepted = accepted
 	r.holds = true
 	r.rows = len(counts)
 	r.Log.Info(logging.EventUsageHeld, zap.Uint64("generation", r.lease.Fence()),
-		zap.Uint64("stored", stored.Frozen), zap.Uint64("frozen", r.ledger.Frozen), zap.Int("pending", len(r.ledger.Pending)))
+		zap.Uint64("stored", stored.Finalized), zap.Uint64("finalized", r.ledger.Finalized), zap.Int("pending", len(r.ledger.Pending)))
 	return nil
 }
 
@@ -184,25 +183,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.holds = false
-	r.Log.Info(logging.EventUsageLeft, zap.Uint64("frozen", r.ledger.Frozen), zap.Int("pending", len(r.ledger.Pending)))
+	r.Log.Info(logging.EventUsageLeft, zap.Uint64("finalized", r.ledger.Finalized), zap.Int("pending", len(r.ledger.Pending)))
 }
 
-// takeOwn gathers this gateway's own counts.
-func (r *Reporter) takeOwn() {
+// mergeOwn merges this gateway's own counts.
+func (r *Reporter) mergeOwn() {
 	from := Source{Gateway: r.Name, Start: r.Start}
-	r.Gathered.Take(time.Now(), from, r.Counter.Update(r.Gathered.Sequence(from)))
+	r.Aggregate.Merge(time.Now(), from, r.Counter.Update(r.Aggregate.Sequence(from)))
 }
 
-// checkpoint are the writes by which the next holder has what was gathered.
+// checkpoint are the writes from which the next holder restores the counts.
 func (r *Reporter) checkpoint() []storage.Write {
 	r.mu.Lock()
-	holds, frozen, before, taken := r.holds, r.ledger.Frozen, r.rows, slices.Clone(r.taken)
+	holds, finalized, before, acceptedWindows := r.holds, r.ledger.Finalized, r.rows, slices.Clone(r.accepted)
 	r.mu.Unlock()
 	if !holds {
 		return nil
 	}
-	r.takeOwn()
-	rows, err := r.Gathered.checkpoint(frozen)
+	r.mergeOwn()
+	rows, err := r.Aggregate.checkpoint(finalized)
 	if err != nil {
 		r.Log.Error(logging.EventUsageUnreadable, zap.Error(err))
 		return nil
@@ -210,7 +209,7 @@
 	r.mu.Lock()
 	r.rows = len(rows)
 	r.mu.Unlock()
-	accepted, err := acceptedWrite(taken)
+	accepted, err := acceptedWrite(acceptedWindows)
 	if err != nil {
 		r.Log.Error(logging.EventUsageUnreadable, zap.Error(err))
 		return nil
--- a/internal/gateway/usage/reporter_test.go
+++ b/internal/gateway/usage/reporter_test.go
@@ -69,7 +69,7 @@
 	return nil
 }
 
-// fleet is a few gateways that hear of each other at once.
+// fleet is a few gateways that exchange updates at once.
 type fleet struct {
 	mu      sync.Mutex
 	members []*member
@@ -85,7 +85,7 @@
 	*Reporter
 	stop context.CancelFunc
 	wg   sync.WaitGroup
-	// cut says that it and the others don't hear of each other, alone that it has no way
+	// cut says that it and the others are partitioned from each other, alone that it has no way
 	// to the store.
 	cut, alone bool
 }
@@ -144,7 +144,7 @@
 	return *flag
 }
 
-// gossip has all members tell the others ten times a second.
+// gossip sends each member's updates to the others ten times a second.
 func (f *fleet) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
@@ -154,7 +154,7 @@
 			for _, from := range all {
 				if to != from && !to.is(&to.cut) && !from.is(&from.cut) {
 					s := Source{Gateway: from.Name, Start: from.Start}
-					to.Gathered.Take(time.Now(), s, from.Counter.Update(to.Gathered.Sequence(s)))
+					to.Aggregate.Merge(time.Now(), s, from.Counter.Update(to.Aggregate.Sequence(s)))
 				}
 			}
 		}
@@ -162,7 +162,7 @@
 	}
 }
 
-func (m *member) heard() []*member {
+func (m *member) livePeers() []*member {
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 	var all []*member
@@ -175,7 +175,7 @@
 }
 
 func (m *member) Reporting() bool {
-	for _, o := range m.heard() {
+	for _, o := range m.livePeers() {
 		if o.Holds() {
 			return true
 		}
@@ -185,7 +185,7 @@
 
 func (m *member) Before() int {
 	n := 0
-	for _, o := range m.heard() {
+	for _, o := range m.livePeers() {
 		if o.Name < m.Name && !o.is(&o.alone) {
 			n++
 		}
@@ -306,7 +306,7 @@
 	})
 }
 
-// A successor has the counts of a holder that is killed, and those of its own that it told.
+// A successor has the counts of a holder that is killed, and those of its own that it sent.
 func TestSuccessorReportsInTime(t *testing.T) {
 	for _, after := range []time.Duration{100 * time.Millisecond, 1300 * time.Millisecond, 4900 * time.Millisecond, 5200 * time.Millisecond} {
 		play(t, func(t *testing.T, f *fleet, holder *member) {
@@ -327,7 +327,7 @@
 	}
 }
 
-// All that was told survives the loss of all gateways.
+// All that was sent survives the loss of all gateways.
 func TestCountsOutliveAllGateways(t *testing.T) {
 	play(t, func(t *testing.T, f *fleet, holder *member) {
 		for time.Until(fiveSeconds.End(thisWindow())) > time.Second {
@@ -344,7 +344,7 @@
 		f.start(t, "a", 11)
 		f.start(t, "b", 12)
 		time.Sleep(12 * time.Second)
-		// Four seconds were told, less the last renewal of the lease.
+		// Four seconds were sent, less the last renewal of the lease.
 		f.expectReported(t, window, window, perWindow*3/5+perWindow/10, 0.25)
 	})
 }
@@ -364,7 +364,7 @@
 	})
 }
 
-// Two halves that don't hear of each other have one holder, which the store decides.
+// Two partitioned halves have one holder, which the store decides.
 func TestHalvesHaveOneHolder(t *testing.T) {
 	play(t, func(t *testing.T, f *fleet, holder *member) {
 		f.set(&holder.cut, true)
--- a/internal/gateway/usage/send.go
+++ b/internal/gateway/usage/send.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// againFirst and againLongest bound the pause before a report is sent again.
-	againFirst   = 200 * time.Millisecond
-	againLongest = 2 * time.Second
+	// minRetryPause and maxRetryPause bound the pause before a report is sent again.
+	minRetryPause = 200 * time.Millisecond
+	maxRetryPause = 2 * time.Second
 )
 
 // sending is a report that the platform isn't known to have.
@@ -25,14 +25,14 @@
 	back *backoff.ExponentialBackOff
 }
 
-// sendDue sends reports that are fixed until the lease is lost. One that gets no answer
+// sendDue sends finalized reports until the lease is lost. One that gets no answer
 // doesn't hold up the others.
 func (r *Reporter) sendDue(ctx context.Context, held *lease.Lease) error {
 	waiting := map[uint64]*sending{}
 	for ctx.Err() == nil {
 		report, ok := r.nextToSend(time.Now(), waiting)
 		if !ok {
-			pause.For(ctx, lookEvery)
+			pause.For(ctx, pollInterval)
 			continue
 		}
 		if err := held.Check(); err != nil {
@@ -42,7 +42,7 @@
 		switch {
 		case err == nil:
 			delete(waiting, report.Window)
-			r.accepted(report)
+			r.accept(report)
 		case errors.Is(err, ErrDeposed):
 			held.Deposed()
 			r.Observer.Refused(err)
@@ -50,7 +50,7 @@
 		case errors.Is(err, ErrBusy):
 			// It counts the calls of all duties together.
 			r.Observer.Refused(err)
-			pause.For(ctx, againFirst)
+			pause.For(ctx, minRetryPause)
 		case ctx.Err() == nil:
 			r.Observer.Refused(err)
 			r.Log.Warn(logging.EventUsageFailed, zap.Uint64("window", report.Window), zap.Error(err))
@@ -68,7 +68,7 @@
 		s := waiting[report.Window]
 		if s == nil {
 			s = &sending{next: now, back: backoff.NewExponentialBackOff()}
-			s.back.InitialInterval, s.back.MaxInterval = againFirst, againLongest
+			s.back.InitialInterval, s.back.MaxInterval = minRetryPause, maxRetryPause
 			waiting[report.Window] = s
 		}
 		if !now.Before(s.next) {
@@ -78,13 +78,13 @@
 	return Report{}, false
 }
 
-// accepted notes that the platform has a report.
-func (r *Reporter) accepted(report Report) {
+// accept notes that the platform has a report.
+func (r *Reporter) accept(report Report) {
 	after := r.Now().Sub(r.Windows.End(report.Window))
 	r.mu.Lock()
 	r.ledger = r.ledger.Accept(report.Window)
-	r.taken = append(r.taken, report.Window)
-	r.taken = r.taken[max(0, len(r.taken)-mostPending):]
+	r.accepted = append(r.accepted, report.Window)
+	r.accepted = r.accepted[max(0, len(r.accepted)-maxPending):]
 	r.mu.Unlock()
 	r.Observer.Reported(after, after > r.Delay)
 	r.Log.Info(logging.EventUsageReported, zap.Uint64("window", report.Window), zap.Int64("requests", report.total()),
--- a/internal/gateway/usage/update.go
+++ b/internal/gateway/usage/update.go
@@ -15,14 +15,14 @@
 	Requests int64
 }
 
-// Update is what a gateway tells of its counts: those that have changed since the receiver
-// acknowledged the last ones.
+// Update is a delta of a gateway's counts: those that changed since the last change that
+// the receiver acknowledged.
 type Update struct {
 	_ struct{} `cbor:",toarray"`
-	// Sequence numbers the last change that is told, or was told before.
+	// Sequence is that of the last change in this update or before it.
 	Sequence uint64
 	// Upto is the Unix millisecond, in true time, up to which the counts are complete once
-	// the update is taken; 0 where it tells only a part.
+	// the update is merged; 0 if the update was truncated.
 	Upto   int64
 	Counts []Count
 }
--- a/internal/gateway/usage/usage.go
+++ b/internal/gateway/usage/usage.go
@@ -1,10 +1,10 @@
 // Package usage counts the requests that backend servers began to run for each customer,
-// gathers the counts of all gateways and reports them to the platform: once for each
+// aggregates the counts of all gateways and reports them to the platform: once for each
 // window of time, by one gateway at a time. Start reading at Reporter; what may be sent
 // when is decided by Ledger.
 //
 // Counts are cumulative by gateway, start of its process, window and customer, so that
-// one that is told twice, late or out of order does no harm. A report is stored under the
+// updates may be lost, repeated or reordered. A report is stored under the
 // reporter's lease before it is sent for the first time, and sent as it is stored from
 // then on, by whoever holds the lease: the platform never gets two that differ.
 package usage
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -32,16 +32,16 @@
 	// EventUsageHeld: this gateway reports usage from now on; EventUsageLeft: no longer.
 	EventUsageHeld = "usage_duty_acquired"
 	EventUsageLeft = "usage_duty_left"
-	// EventUsageFrozen: a window's report is fixed; EventUsageReported: the platform took it.
-	EventUsageFrozen   = "usage_report_fixed"
-	EventUsageReported = "usage_reported"
+	// EventUsageFinalized: a window's report is stored; EventUsageReported: the platform took it.
+	EventUsageFinalized = "usage_report_finalized"
+	EventUsageReported  = "usage_reported"
 	// EventUsageFailed: a report couldn't be stored or sent, and is tried again.
 	EventUsageFailed = "usage_report_failed"
 	// EventUsageUnreadable: stored counts can't be read or written.
 	EventUsageUnreadable = "usage_counts_unreadable"
-	// EventStoreReturned: the platform's store came back from an older copy; the table was
+	// EventStoreRestored: the platform's store came back from an older copy; the table was
 	// read anew.
-	EventStoreReturned = "store_returned"
+	EventStoreRestored = "store_restored"
 	// EventStoreLeft: it has what changes there from other gateways.
 	EventStoreLeft = "store_left"
 	// EventRowUnreadable: a row of the platform's store can't be used; what was
--- a/testbed/dutymodel/product.go
+++ b/testbed/dutymodel/product.go
@@ -14,7 +14,7 @@
 
 // product is the product's ledger.
 func (l ledger) product() usage.Ledger {
-	p := usage.Ledger{Era: l.era, Frozen: l.frozen}
+	p := usage.Ledger{Era: l.era, Finalized: l.finalized}
 	for i, content := range l.pending {
 		if content != 0 {
 			p.Pending = append(p.Pending, report(uint64(i+1), content))
@@ -24,7 +24,7 @@
 }
 
 func fromProduct(p usage.Ledger) ledger {
-	l := ledger{found: true, era: p.Era, frozen: p.Frozen}
+	l := ledger{found: true, era: p.Era, finalized: p.Finalized}
 	for _, r := range p.Pending {
 		l.pending[r.Window-1] = uint8(r.Counts[customer])
 	}
--- a/testbed/dutymodel/state.go
+++ b/testbed/dutymodel/state.go
@@ -18,10 +18,10 @@
 
 // ledger is a usage.Ledger whose reports are told apart by a number; 0 is none.
 type ledger struct {
-	found   bool
-	era     uint64
-	frozen  uint64
-	pending [windows]uint8
+	found     bool
+	era       uint64
+	finalized uint64
+	pending   [windows]uint8
 }
 
 // leaseRow is the lease's row; version 0 says that there is none.
--- a/testbed/dutymodel/steps.go
+++ b/testbed/dutymodel/steps.go
@@ -114,12 +114,12 @@
 	if window, due := g.ledger.product().Next(uint64(s.over)); due && window <= windows {
 		to := *s
 		to.contents++
-		next := fromProduct(g.ledger.product().Freeze(report(window, to.contents)))
+		next := fromProduct(g.ledger.product().Finalize(report(window, to.contents)))
 		t := transaction{by: by, row: e.row(g.era), expect: g.version, era: g.era, fence: g.fence, window: window, content: to.contents, ledger: next}
 		if e.guards.WriteAhead {
 			e.write(&to, t, fmt.Sprintf("fixes window %d", window))
 		} else {
-			to.gateways[by].frozen(t)
+			to.gateways[by].finalize(t)
 			e.add(to, "gateway %d counts window %d", by, window)
 		}
 	}
@@ -130,8 +130,8 @@
 	}
 }
 
-// frozen notes that a report is fixed.
-func (g *gateway) frozen(t transaction) {
+// finalize notes that a report is stored.
+func (g *gateway) finalize(t transaction) {
 	g.ledger = t.ledger
 	g.own[t.window-1] = t.content
 }
--- a/testbed/dutymodel/writes.go
+++ b/testbed/dutymodel/writes.go
@@ -64,7 +64,7 @@
 	g.open = transaction{}
 	g.version = s.store.leases[t.row].version
 	if t.window != 0 {
-		g.frozen(t)
+		g.finalize(t)
 		return
 	}
 	g.holds, g.fence, g.era = true, t.fence, t.era
