--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -49,7 +49,13 @@
 
 // register tries until it is done or ctx ends.
 func (g *gateway) register(ctx context.Context) {
-	g.untilDone(ctx, logging.EventRegisterFailed, func(ctx context.Context) error { return g.platform.Register(ctx, g.mesh.Self) })
+	g.untilDone(ctx, logging.EventRegisterFailed, func(ctx context.Context) error {
+		err := g.platform.Register(ctx, g.mesh.Self)
+		if err == nil {
+			g.mesh.Registered()
+		}
+		return err
+	})
 }
 
 // tidy removes the entries of gateways that are gone.
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -40,6 +40,9 @@
 	// last one came, on boottime's clock.
 	listings atomic.Int64
 	listedAt atomic.Int64
+	// registeredAt is when this gateway's entry was written last, on the same clock; 0 for
+	// never.
+	registeredAt atomic.Int64
 }
 
 var _ follow.Sink[Entry] = (*Mesh)(nil)
@@ -129,9 +132,17 @@
 	return m.listings.Load(), boottime.Now() - time.Duration(m.listedAt.Load())
 }
 
-// Reset implements follow.Sink. A list without this gateway may be an older copy's.
+// Registered notes that this gateway's entry has been written.
+func (m *Mesh) Registered() { m.registeredAt.Store(int64(boottime.Now())) }
+
+// Reset implements follow.Sink. A list that was read after this gateway's entry was written
+// and lacks it is an older copy's.
 func (m *Mesh) Reset(moment time.Duration, all follow.Batch[Entry]) {
 	m.Change(moment, all)
+	registered := time.Duration(m.registeredAt.Load())
+	if registered == 0 || moment < registered {
+		return
+	}
 	if !slices.ContainsFunc(all.Items, func(e Entry) bool { return e.Name == m.Self.Name }) {
 		m.unlisted()
 	}
--- a/internal/gateway/peers/mesh_test.go
+++ b/internal/gateway/peers/mesh_test.go
@@ -112,3 +112,35 @@
 		t.Errorf("%d silent gateways come before others", got)
 	}
 }
+
+// A list that lacks this gateway's entry, though it was read after the entry was written, is
+// an older copy's; one that was read before is as it should be.
+func TestOlderListHasTheGatewayRegisterAgain(t *testing.T) {
+	m, _, _ := meshes(t)
+	unlisted := func() bool {
+		select {
+		case <-m.Unlisted:
+			return true
+		default:
+			return false
+		}
+	}
+	m.Reset(boottime.Now(), follow.Batch[Entry]{})
+	if unlisted() {
+		t.Error("the first list lacks who hasn't registered yet")
+	}
+	before := boottime.Now()
+	m.Registered()
+	m.Reset(before, follow.Batch[Entry]{})
+	if unlisted() {
+		t.Error("a list from before the registration")
+	}
+	m.Reset(boottime.Now(), follow.Batch[Entry]{Items: []Entry{m.Self}})
+	if unlisted() {
+		t.Error("it is listed")
+	}
+	m.Reset(boottime.Now(), follow.Batch[Entry]{Items: []Entry{{Name: "other"}}})
+	if !unlisted() {
+		t.Error("an older copy's list isn't noticed")
+	}
+}
