peers: usage takes the same part of the datagrams at every size

Cause: each datagram carried the time of day and who reports to each gateway: 4.8 KB a second at 410 gateways, against 3 for all control. Change: gateways that get no usage have these each second, at large sizes less often; an acknowledgement is sent when there is something new. Stored and sent messages have numbers for fields, so that two releases read each other's.

--- a/internal/gateway/peers/usage.go
+++ b/internal/gateway/peers/usage.go
@@ -10,9 +10,14 @@
 )
 
 const (
-	// usageInterval is every which datagram carries usage: what a killed gateway hasn't sent
-	// is lost.
+	// usageInterval is every which datagram carries usage to a receiver: what a killed gateway
+	// hasn't sent is lost.
 	usageInterval = 2
+	// clockInterval is every which datagram carries the time of day, and who reports, to
+	// gateways that get no usage; where there are more than clockPeers for each of these it is
+	// longer, so that what a gateway sends doesn't grow with their number.
+	clockInterval = 10
+	clockPeers    = 8
 	// usageSuccessors is how many gateways receive usage beside the one that reports it: the
 	// next one to report it is among them.
 	usageSuccessors = 2
@@ -32,14 +37,13 @@
 
 // usageMessage is a datagram's part on usage, for one receiver.
 type usageMessage struct {
-	_ struct{} `cbor:",toarray"`
 	// WallClock is the sender's, in Unix milliseconds.
-	WallClock int64
-	Holds     bool
+	WallClock int64 `cbor:"1,keyasint"`
+	Holds     bool  `cbor:"2,keyasint,omitempty"`
 	// Acknowledged is the receiver's last change that the sender has merged.
-	Acknowledged uint64
+	Acknowledged uint64 `cbor:"3,keyasint,omitempty"`
 	// Update is nil for a receiver that needs none.
-	Update *usage.Update
+	Update *usage.Update `cbor:"4,keyasint,omitempty"`
 }
 
 // usagePeer is what is known of another gateway's part in the report.
@@ -50,6 +54,8 @@
 	// that there is one.
 	clockOffset int64
 	known       bool
+	// ackSent is what was last acknowledged to it.
+	ackSent uint64
 }
 
 // receiveUsage takes a datagram's part on usage.
@@ -68,25 +74,39 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(from)
-	p.usage = usagePeer{holds: msg.Holds, acknowledged: msg.Acknowledged, clockOffset: clockOffset, known: true}
+	p.usage = usagePeer{holds: msg.Holds, acknowledged: msg.Acknowledged, clockOffset: clockOffset, known: true, ackSent: p.usage.ackSent}
 }
 
-// usageMessageFor is a receiver's part; nil where no usage is reported.
+// usageMessageFor is a receiver's part of the next datagram; nil where no usage is reported,
+// or there is nothing to send to it this time.
 func (m *Mesh) usageMessageFor(d *destination) *usageMessage {
 	if m.Usage == nil {
 		return nil
 	}
-	msg := &usageMessage{
-		WallClock: time.Now().UnixMilli(), Holds: m.Usage.Holds(),
-		Acknowledged: m.Usage.Sequence(usage.Source{Gateway: d.name, Start: d.boot}),
+	merged := m.Usage.Sequence(usage.Source{Gateway: d.name, Start: d.boot})
+	update := d.receivesUsage && m.sequence%usageInterval == 0
+	if !update && merged == d.ackSent && m.sequence%uint64(max(clockInterval, m.Listed()/clockPeers)) != 0 {
+		return nil
 	}
-	if d.receivesUsage && m.sequence%usageInterval == 0 {
+	msg := &usageMessage{WallClock: time.Now().UnixMilli(), Holds: m.Usage.Holds(), Acknowledged: merged}
+	m.table.acknowledged(d.name, merged)
+	if update {
 		u := m.Usage.Update(d.acknowledged)
 		msg.Update = &u
 	}
 	return msg
 }
 
+// acknowledged notes what has been acknowledged to a gateway. Should that datagram be lost,
+// the next one that carries the time of day acknowledges it again.
+func (t *table) acknowledged(name string, sequence uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[name]; p != nil {
+		p.usage.ackSent = sequence
+	}
+}
+
 // selectUsageReceivers marks who receives usage: the gateways that report it, and their
 // successors.
 func (t *table) selectUsageReceivers(now time.Time, all []destination) {
--- a/internal/gateway/peers/usage_test.go
+++ b/internal/gateway/peers/usage_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/gateway/usage"
 )
@@ -39,7 +41,8 @@
 		m := usageMesh(t, peers, "gateway-0")
 		receivers, holder := 0, false
 		for _, d := range m.table.destinations(time.Now()) {
-			if m.sequence = usageInterval; m.usageMessageFor(&d).Update != nil {
+			m.sequence = usageInterval
+			if msg := m.usageMessageFor(&d); msg != nil && msg.Update != nil {
 				receivers++
 				holder = holder || d.name == "gateway-0"
 			}
@@ -112,3 +115,65 @@
 		t.Error("usage is sent or received where none is reported")
 	}
 }
+
+// A field that a release doesn't know is passed over.
+func TestLaterReleasesUsageIsRead(t *testing.T) {
+	later := map[int]any{1: 1000, 2: true, 3: 7, 4: map[int]any{1: 9, 2: 900, 9: "later"}, 9: []int{1}}
+	encoded, err := cbor.Marshal(later)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var msg usageMessage
+	if err := cbor.Unmarshal(encoded, &msg); err != nil || !msg.Holds || msg.Acknowledged != 7 || msg.Update.Sequence != 9 {
+		t.Errorf("%+v, %v", msg, err)
+	}
+}
+
+// Usage has its part of the three kilobytes of control traffic that a gateway may send in a
+// second, whatever the number of gateways and customers. (Who reports acknowledges to all.)
+func TestSizesOfUsage(t *testing.T) {
+	const seconds, most = 10, 3000
+	for _, c := range []struct{ gateways, customers, perSecond int }{{31, 24, 18}, {68, 40, 12}, {410, 400, 9}} {
+		m := usageMesh(t, c.gateways-1, "gateway-0")
+		now := time.Unix(1_700_000_000, 0)
+		counter := usage.NewCounter(usage.Windows{Length: 5 * time.Second}, func() time.Time { return now })
+		m.Usage.Update = counter.Update
+		bytes, toAll := 0, 0
+		for tick := range 10 * seconds {
+			m.sequence = uint64(tick)
+			for i := range c.perSecond / 10 * 10 {
+				if i%10 == tick%10 {
+					counter.Began(fmt.Sprintf("customer%d", (tick*7+i*13)%c.customers))
+				}
+			}
+			if tick%usageInterval == 0 {
+				encoded, err := cbor.Marshal(counter.Update(0))
+				if err != nil {
+					t.Fatal(err)
+				}
+				toAll += len(encoded) * (c.gateways - 1)
+			}
+			for _, d := range m.table.destinations(time.Now()) {
+				// What was sent two datagrams ago is acknowledged by now.
+				m.receiveUsageFrom(d.name, uint64(tick)+2, usageMessage{Holds: d.name == "gateway-0", Acknowledged: d.acknowledged})
+				msg := m.usageMessageFor(&d)
+				if msg == nil {
+					continue
+				}
+				encoded, err := cbor.Marshal(msg)
+				if err != nil {
+					t.Fatal(err)
+				}
+				bytes += len(encoded)
+				if msg.Update != nil {
+					m.receiveUsageFrom(d.name, uint64(tick)+3, usageMessage{Holds: d.name == "gateway-0", Acknowledged: msg.Update.Sequence})
+				}
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		if bytes/seconds > most {
+			t.Errorf("%d bytes a second of usage at %d gateways", bytes/seconds, c.gateways)
+		}
+		t.Logf("%d gateways, %d customers: %d bytes a second; all counts to all gateways: %d", c.gateways, c.customers, bytes/seconds, toAll/seconds)
+	}
+}
--- a/internal/gateway/usage/ledger.go
+++ b/internal/gateway/usage/ledger.go
@@ -6,16 +6,16 @@
 const maxPending = 12
 
 // Ledger is what has been reported, as it is stored under the lease. Its methods decide
-// what may be reported; they return a changed copy.
+// what may be reported; they return a changed copy. Its fields have numbers for names, so
+// that two releases read each other's.
 type Ledger struct {
-	_ struct{} `cbor:",toarray"`
 	// Era is of the store's history in which it was written.
-	Era uint64
+	Era uint64 `cbor:"1,keyasint,omitempty"`
 	// Finalized is the last window with a final report. All before it have one too, or are
 	// left out for good.
-	Finalized uint64
+	Finalized uint64 `cbor:"2,keyasint,omitempty"`
 	// Pending are the final reports that the platform isn't known to have, oldest first.
-	Pending []Report
+	Pending []Report `cbor:"3,keyasint,omitempty"`
 }
 
 // Next is the next window to finalize; false if it isn't over.
--- a/internal/gateway/usage/reporter.go
+++ b/internal/gateway/usage/reporter.go
@@ -24,8 +24,8 @@
 	// settle is how long after a window's end its counts are complete at the soonest.
 	settle = 300 * time.Millisecond
 	// waitFraction is the part of the delay for which gateways are waited for whose counts
-	// aren't complete: most that are frozen wake within it, and the rest is
-	// for a change of holder.
+	// aren't complete: most that are suspended wake within it, and the rest is for a change
+	// of holder.
 	waitFraction = 0.4
 	// candidates is how many gateways campaign for the lease at a time.
 	candidates = 2
@@ -70,8 +70,9 @@
 	keeper.Run(ctx, r.act)
 }
 
-// standby reports whether this gateway is to campaign: no live peer holds the duty, and it is one of the first that could. A process that has just started may be a
-// holder's machine that acted under its earlier start.
+// standby reports whether this gateway is to campaign: no live peer holds the duty, and it
+// is one of the first that could. A process that has just started may be on a machine that
+// held the duty under its earlier start.
 func (r *Reporter) standby() bool {
 	return r.Able() && time.Since(r.started) > time.Duration(backoffFactor*float64(r.LeaseTime)) &&
 		!r.Others.Reporting() && r.Others.Before() < candidates
--- a/internal/gateway/usage/update.go
+++ b/internal/gateway/usage/update.go
@@ -18,11 +18,10 @@
 // Update is a delta of a gateway's counts: those that changed since the last change that
 // the receiver acknowledged.
 type Update struct {
-	_ struct{} `cbor:",toarray"`
 	// Sequence is that of the last change in this update or before it.
-	Sequence uint64
+	Sequence uint64 `cbor:"1,keyasint,omitempty"`
 	// Upto is the Unix millisecond, in true time, up to which the counts are complete once
 	// the update is merged; 0 if the update was truncated.
-	Upto   int64
-	Counts []Count
+	Upto   int64   `cbor:"2,keyasint,omitempty"`
+	Counts []Count `cbor:"3,keyasint,omitempty"`
 }
