--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -42,16 +42,9 @@
 	// longestAway is for how long a follower that doesn't lead waits for the one
 	// that does: a store may answer about one table and not about another.
 	longestAway = 3 * time.Second
-	// idleEvery is how often a follower that rests looks whether others still follow.
-	idleEvery = 50 * time.Millisecond
 	// gonePause is the pause before the whole is read again, so that a store
 	// that keeps no history at all isn't read without end.
 	gonePause = 50 * time.Millisecond
-	// gossipDelay is how long gateways take to exchange that the store answers them, by which
-	// they know who reads first.
-	gossipDelay = 150 * time.Millisecond
-	// deferRead is for how long a follower defers reading the whole again to others.
-	deferRead = 500 * time.Millisecond
 )
 
 // Batch is the answer to a read: all that there is, or the changes.
@@ -189,35 +182,6 @@
 	}
 }
 
-// rest waits while others follow the table.
-func (f *Follower[T]) rest(ctx context.Context) {
-	if f.Idle == nil || !f.Idle() {
-		return
-	}
-	f.live.Store(false)
-	f.rested = true
-	f.Log.Info(logging.EventStoreLeft, zap.String("table", f.Name))
-	for f.Idle() && ctx.Err() == nil {
-		pause.For(ctx, idleEvery)
-	}
-	if ctx.Err() == nil {
-		f.Log.Info(logging.EventStoreAsked, zap.String("table", f.Name))
-	}
-}
-
-// deferToOthers gives others the time to read the whole table and to share it.
-func (f *Follower[T]) deferToOthers(ctx context.Context) {
-	if f.Defers != nil {
-		pause.For(ctx, gossipDelay)
-	}
-	for end := time.Now().Add(deferRead); f.Idle != nil && f.Defers != nil && time.Now().Before(end) && ctx.Err() == nil; {
-		if !f.Defers() || f.Idle() {
-			return
-		}
-		pause.For(ctx, idleEvery)
-	}
-}
-
 // step makes one call and hands on what came.
 func (f *Follower[T]) step(ctx context.Context, known bool) error {
 	if f.Arriving != nil {
