--- a/internal/gateway/usage/reporter_test.go
+++ b/internal/gateway/usage/reporter_test.go
@@ -1,7 +1,9 @@
 package usage
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/applepier/applepier/internal/storage/storagetest"
@@ -196,3 +198,35 @@
 		})
 	}
 }
+
+// At the size of the largest deployment of today one of all reports, and a herd that is
+// killed takes at most what it hasn't sent.
+func TestManyGatewaysHaveOneReporter(t *testing.T) {
+	const gateways = 68
+	synctest.Test(t, func(t *testing.T) {
+		var names []string
+		for i := range gateways {
+			names = append(names, fmt.Sprintf("gateway-%02d", i))
+		}
+		f := newFleet(t, names...)
+		f.load(15 * time.Second)
+		first := thisWindow()
+		for _, m := range append([]*member(nil), f.members[:gateways/2]...) {
+			f.kill(m)
+		}
+		f.load(20 * time.Second)
+		f.expectReported(t, first+1, thisWindow()-2, gateways/2*perWindow/3, 0.02)
+		holders := 0
+		for _, m := range append([]*member(nil), f.members...) {
+			if m.Holds() {
+				holders++
+			}
+			f.kill(m)
+		}
+		if holders != 1 {
+			t.Errorf("%d hold the duty", holders)
+		}
+		f.stop()
+		f.gossiping.Wait()
+	})
+}
