usage: what is kept of other gateways' counts is bounded in time

Cause, found by reading: only the gateway that reports dropped windows; its successors kept all counts they were ever sent. And a gateway whose clock is wrong could have named a window that ends all others. Change: counts older than two minutes, or of windows that have not begun, are dropped by the receiver's own true time.

--- a/internal/gateway/usage/aggregate.go
+++ b/internal/gateway/usage/aggregate.go
@@ -12,11 +12,16 @@
 
 // Aggregate merges the counts of all gateways. All methods may be called concurrently.
 type Aggregate struct {
+	windows Windows
+	clock   func() time.Time
+
 	// mu guards what follows; nothing is locked while it is held.
 	mu      sync.Mutex
 	sources map[Source]*sourceCounts
 	// latest is the start of each gateway that sent the last update.
 	latest map[string]uint64
+	// current is the window of the last update.
+	current uint64
 }
 
 // sourceCounts are the counts of one start of a gateway.
@@ -27,15 +32,23 @@
 	counts   map[countKey]int64
 }
 
-// NewAggregate returns an empty Aggregate.
-func NewAggregate() *Aggregate {
-	return &Aggregate{sources: map[Source]*sourceCounts{}, latest: map[string]uint64{}}
+// NewAggregate returns an empty Aggregate by a clock of true time.
+func NewAggregate(w Windows, clock func() time.Time) *Aggregate {
+	return &Aggregate{windows: w, clock: clock, sources: map[Source]*sourceCounts{}, latest: map[string]uint64{}}
 }
 
-// Merge merges an update.
+// Merge merges an update. Counts of windows that are too old to be reported, or that have
+// not begun, are of a gateway whose clock is wrong.
 func (g *Aggregate) Merge(now time.Time, from Source, u Update) {
+	current := g.windows.Number(g.clock())
+	oldest := current - min(current, maxWindows+1)
+	u.Counts = slices.DeleteFunc(slices.Clone(u.Counts), func(c Count) bool { return c.Window <= oldest || c.Window > current+1 })
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if current != g.current {
+		g.current = current
+		g.expire(now, oldest)
+	}
 	t := g.source(from)
 	t.merge(u.Counts)
 	t.sequence, t.upto, t.received = max(t.sequence, u.Sequence), max(t.upto, u.Upto), now
@@ -105,6 +118,11 @@
 func (g *Aggregate) Expire(now time.Time, upto uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.expire(now, upto)
+}
+
+// expire is Expire; g.mu is held.
+func (g *Aggregate) expire(now time.Time, upto uint64) {
 	for from, t := range g.sources {
 		maps.DeleteFunc(t.counts, func(key countKey, _ int64) bool { return key.window <= upto })
 		if len(t.counts) > 0 || now.Sub(t.received) <= forgetSource {
--- a/internal/gateway/usage/counter_test.go
+++ b/internal/gateway/usage/counter_test.go
@@ -14,6 +14,11 @@
 	noon        = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 )
 
+// inWindow is a clock that stands in a window.
+func inWindow(number uint64) func() time.Time {
+	return func() time.Time { return fiveSeconds.End(number).Add(-time.Second) }
+}
+
 func TestWindowsAreNumberedFrom1970(t *testing.T) {
 	at := time.Unix(353445120*5, 0)
 	if got := fiveSeconds.Number(at.Add(time.Second)); got != 353445120 {
@@ -30,7 +35,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := noon
 		c := NewCounter(fiveSeconds, func() time.Time { return now })
-		g := NewAggregate()
+		g := NewAggregate(fiveSeconds, func() time.Time { return now })
 		from := Source{Gateway: "a", Start: 1}
 		want := map[countKey]int64{}
 		var sent []Update
@@ -70,7 +75,7 @@
 	for i := range 2*maxCounts + 7 {
 		c.Began(fmt.Sprint("customer-", i))
 	}
-	g, from := NewAggregate(), Source{Gateway: "a", Start: 1}
+	g, from := NewAggregate(fiveSeconds, func() time.Time { return noon }), Source{Gateway: "a", Start: 1}
 	for parts := 1; ; parts++ {
 		u := c.Update(g.Sequence(from))
 		g.Merge(noon, from, u)
@@ -92,7 +97,7 @@
 // Counts of an earlier start of a gateway are added to those of the later one, and
 // only the later one is waited for.
 func TestLaterStartIsWaitedFor(t *testing.T) {
-	g := NewAggregate()
+	g := NewAggregate(fiveSeconds, inWindow(7))
 	counts := []Count{{Window: 7, Customer: "a", Requests: 3}}
 	g.Merge(noon, Source{Gateway: "x", Start: 1}, Update{Sequence: 3, Upto: 100, Counts: counts})
 	g.Merge(noon, Source{Gateway: "x", Start: 2}, Update{Sequence: 3, Upto: 900, Counts: counts})
@@ -118,7 +123,7 @@
 // A checkpoint holds all that isn't reported, in rows that the store takes.
 func TestCheckpointsAreWhole(t *testing.T) {
 	const gateways, customers = 68, 400
-	g := NewAggregate()
+	g := NewAggregate(fiveSeconds, inWindow(5))
 	for i := range gateways {
 		var counts []Count
 		for c := range customers {
@@ -130,7 +135,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	restored := NewAggregate()
+	restored := NewAggregate(fiveSeconds, inWindow(5))
 	for _, w := range countWrites(rows, 0) {
 		if len(w.Value) > maxRowBytes*4/3 {
 			t.Errorf("row of %d bytes", len(w.Value))
@@ -149,3 +154,34 @@
 		t.Errorf("%d rows of what is reported, %v", len(rows), err)
 	}
 }
+
+// A gateway that only receives updates, and never reports, keeps a bounded part of them.
+func TestAggregateIsBounded(t *testing.T) {
+	now := noon
+	g := NewAggregate(fiveSeconds, func() time.Time { return now })
+	first := fiveSeconds.Number(noon)
+	for i := range uint64(500) {
+		now = now.Add(5 * time.Second)
+		from := Source{Gateway: fmt.Sprint("gateway-", i%3), Start: i / 50}
+		g.Merge(now, from, Update{Sequence: i, Upto: now.UnixMilli(), Counts: []Count{{Window: first + i, Customer: "a", Requests: 1}}})
+	}
+	counts := 0
+	for _, s := range g.sources {
+		counts += len(s.counts)
+	}
+	if counts == 0 || counts > maxWindows+1 || len(g.sources) > 6 || len(g.latest) != 3 {
+		t.Errorf("%d counts of %d sources, %d gateways", counts, len(g.sources), len(g.latest))
+	}
+}
+
+// A gateway whose clock is hours off, until it hears of the others, takes no counts of theirs
+// away.
+func TestWrongClockLosesNoCounts(t *testing.T) {
+	g := NewAggregate(fiveSeconds, inWindow(5000))
+	g.Merge(noon, Source{Gateway: "right", Start: 1}, Update{Counts: []Count{{Window: 5000, Customer: "a", Requests: 3}}})
+	g.Merge(noon, Source{Gateway: "wrong", Start: 1}, Update{Counts: []Count{{Window: 9000, Customer: "a", Requests: 1}, {Window: 100, Customer: "a", Requests: 1}}})
+	g.Merge(noon, Source{Gateway: "right", Start: 1}, Update{Counts: []Count{{Window: 5001, Customer: "a", Requests: 1}}})
+	if g.Sum(5000)["a"] != 3 || g.Sum(5001)["a"] != 1 || len(g.Sum(9000))+len(g.Sum(100)) != 0 {
+		t.Errorf("%v, %v, %v, %v", g.Sum(5000), g.Sum(5001), g.Sum(9000), g.Sum(100))
+	}
+}
--- a/internal/gateway/usage/reporter.go
+++ b/internal/gateway/usage/reporter.go
@@ -58,7 +58,7 @@
 
 // NewReporter returns a Reporter; Run starts it.
 func NewReporter(c Config) *Reporter {
-	r := &Reporter{Config: c, Counter: NewCounter(c.Windows, c.Now), Aggregate: NewAggregate(), started: time.Now()}
+	r := &Reporter{Config: c, Counter: NewCounter(c.Windows, c.Now), Aggregate: NewAggregate(c.Windows, c.Now), started: time.Now()}
 	r.lease = lease.NewTimed(c.Table, leaseName, c.Name, c.timing())
 	return r
 }
