--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -19,7 +19,7 @@
 func (g *gateway) followEntries(ctx context.Context) {
 	f := follow.Follower[peers.Entry]{
 		Name: "gateways", Source: g.platform.Entries, Sink: g.mesh, Wait: follow.Always(entriesWait), Gather: entriesGather,
-		Idle: g.entriesTold, Defers: g.defersToPollers, Store: &g.store, Asked: g.platform.Metrics.StoreAsked("gateways"), Log: g.log,
+		Idle: g.entriesTold, Defers: g.defersToPollers, Store: &g.store, Asked: g.platform.Metrics.StoreAsked("gateways"), Restored: g.platform.Metrics.StoreRestored("gateways"), Log: g.log,
 	}
 	f.Run(ctx)
 }
--- a/internal/gateway/follow/era_test.go
+++ b/internal/gateway/follow/era_test.go
@@ -57,7 +57,8 @@
 		defer cancel()
 		first := Follower[string]{Name: "t", Source: asks, Sink: &sink{}, Wait: Always(time.Second), Log: zap.NewNop()}
 		out := &sink{}
-		second := Follower[string]{Name: "t", Sink: out, Log: zap.NewNop()}
+		restored := 0
+		second := Follower[string]{Name: "t", Sink: out, Restored: func() { restored++ }, Log: zap.NewNop()}
 		second.reset(0, Batch[string]{Items: []string{"a"}, At: At(0, 8)})
 		first.Run(ctx)
 		if first.Changed() != At(1, 5) || second.Position() >= first.Changed() {
@@ -70,6 +71,9 @@
 		if got := fmt.Sprint(out.news); got != "[all a all b c]" || second.Position() != At(1, 5) {
 			t.Errorf("news %v, position %v", got, second.Position())
 		}
+		if restored != 1 {
+			t.Errorf("%d returns counted", restored)
+		}
 		// A third one has it from the second.
 		if steps, known = second.Since(At(0, 2)); !known || len(steps) != 2 {
 			t.Errorf("%v, known %v for a third one", steps, known)
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -122,7 +122,9 @@
 	Defers func() bool
 	// Asked is told of each call; may be nil.
 	Asked func()
-	Log   *zap.Logger
+	// Restored counts the returns of the store from an older copy; may be nil.
+	Restored func()
+	Log      *zap.Logger
 
 	// mu guards at, up to where the table is known, and the order of what the Sink
 	// takes. It comes before the Sink's locks.
--- a/internal/gateway/follow/sharing.go
+++ b/internal/gateway/follow/sharing.go
@@ -71,6 +71,9 @@
 		f.Log.Warn(logging.EventStoreRestored, zap.String("table", f.Name),
 			zap.Uint64("era_before", f.at.Era()), zap.Uint64("era", all.At.Era()),
 			zap.Uint64("version_before", f.at.Version()), zap.Uint64("version", all.At.Version()), zap.Int("rows", len(all.Items)))
+		if f.Restored != nil {
+			f.Restored()
+		}
 		whole = &Step[T]{To: all.At, Items: all.Items, Unreadable: all.Unreadable, Whole: true}
 	}
 	f.Sink.Reset(moment, all)
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -49,7 +49,7 @@
 	return &follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
 		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Idle: g.targetsTold, Defers: g.defersToPollers,
-		Store: &g.store, Leads: true, Asked: g.platform.Metrics.StoreAsked("targets"), Log: g.log,
+		Store: &g.store, Leads: true, Asked: g.platform.Metrics.StoreAsked("targets"), Restored: g.platform.Metrics.StoreRestored("targets"), Log: g.log,
 	}
 }
 
@@ -94,6 +94,6 @@
 	return &follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: &servers{registry: g.registry, log: g.log},
 		Wait: follow.Always(serversWait), Gather: serversGather, Idle: g.serversTold, Defers: g.defersToPollers,
-		Store: &g.store, Asked: g.platform.Metrics.StoreAsked("backend_servers"), Log: g.log,
+		Store: &g.store, Asked: g.platform.Metrics.StoreAsked("backend_servers"), Restored: g.platform.Metrics.StoreRestored("backend_servers"), Log: g.log,
 	}
 }
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -25,6 +25,7 @@
 	familyPlatformCalls    family = "applepier_platform_calls_total"
 	familyPlatformFailures family = "applepier_platform_failures_total"
 	familyStoreAsked       family = "applepier_store_asked_total"
+	familyStoreRestored    family = "applepier_store_restored_total"
 	familyStoreAsking      family = "applepier_store_asking"
 	familyTargetsVersion   family = "applepier_targets_version"
 	familyProofAge         family = "applepier_targets_proof_age_milliseconds"
@@ -67,6 +68,7 @@
 	familyPlatformCalls:    "Calls to the platform's services.",
 	familyPlatformFailures: "Calls to the platform's services that failed.",
 	familyStoreAsked:       "Calls to the platform's store, by table.",
+	familyStoreRestored:    "Returns of the platform's store from an older copy, by table that was read anew.",
 	familyStoreAsking:      "1 while this gateway follows the list of backend servers in the store, 0 while it has changes from other gateways.",
 	familyTargetsVersion:   "Version of the targets in force in this process.",
 	familyProofAge:         "Age of the proof that the targets in force are the newest.",
--- a/internal/metrics/platform.go
+++ b/internal/metrics/platform.go
@@ -46,6 +46,13 @@
 	return func() { asked.Inc(1) }
 }
 
+// StoreRestored returns what counts a return of the platform's store from an older copy, as
+// seen by the follower of a table.
+func (m *Metrics) StoreRestored(table string) (count func()) {
+	restored := counter(m.registry, familyStoreRestored, label{name: labelTable, value: table})
+	return func() { restored.Inc(1) }
+}
+
 func (c calls) count(err error) {
 	c.made.Inc(1)
 	if err != nil {
