follow: a store that has no history any more isn't away

Change: sinks are told of an answer without rows. TestStoreThatHasNoHistoryIsNotAway fails without it.

--- a/internal/gateway/desired.go
+++ b/internal/gateway/desired.go
@@ -59,6 +59,12 @@
 	d.awaySince.CompareAndSwap(0, int64(boottime.Now()))
 }
 
+// Available implements follow.Sink.
+func (d *desired) Available() {
+	d.registry.Available(time.Now())
+	d.awaySince.Store(0)
+}
+
 // away is for how long the store hasn't answered; 0 while it does.
 func (d *desired) away() time.Duration {
 	since := time.Duration(d.awaySince.Load())
@@ -69,8 +75,7 @@
 }
 
 func (d *desired) take(moment time.Duration, batch follow.Batch[*routes.Set]) {
-	d.registry.Available(time.Now())
-	d.awaySince.Store(0)
+	d.Available()
 	if len(batch.Unreadable) > 0 {
 		d.unreadable.Store(true)
 	}
--- a/internal/gateway/desired_test.go
+++ b/internal/gateway/desired_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -47,3 +48,35 @@
 		}
 	}
 }
+
+// A store that answers that it doesn't have the history any more isn't away, also where other
+// gateways read the state then: a gateway that took it for away sent its callers elsewhere.
+func TestStoreThatHasNoHistoryIsNotAway(t *testing.T) {
+	d := &desired{holder: &routes.Holder{}, registry: backend.NewRegistry(), log: zap.NewNop()}
+	d.Unavailable(nil)
+	time.Sleep(time.Millisecond)
+	if d.away() == 0 {
+		t.Fatal("the store isn't away after a failed call")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	f := follow.Follower[*routes.Set]{
+		Name: "t", Source: noHistory{}, Sink: d, Wait: follow.Always(time.Second), Idle: func() bool { return true },
+		Defers: func() bool { return true }, Log: zap.NewNop(),
+	}
+	f.Run(ctx)
+	if d.away() != 0 {
+		t.Error("the store is away though it answers")
+	}
+}
+
+// noHistory is a store whose history is gone.
+type noHistory struct{}
+
+func (noHistory) Read(context.Context, string) (follow.Batch[*routes.Set], error) {
+	return follow.Batch[*routes.Set]{}, follow.ErrHistoryGone
+}
+
+func (noHistory) Next(context.Context, follow.Position, time.Duration) (follow.Batch[*routes.Set], error) {
+	return follow.Batch[*routes.Set]{}, follow.ErrHistoryGone
+}
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -81,8 +81,10 @@
 type Sink[T any] interface {
 	Reset(moment time.Duration, all Batch[T])
 	Change(moment time.Duration, changes Batch[T])
-	// Unavailable is told of each failed call.
+	// Unavailable is told of each failed call, and Available of an answer that holds no
+	// rows: the store answers, though it doesn't have the history that was asked for.
 	Unavailable(err error)
+	Available()
 }
 
 // Follower follows one table.
@@ -167,6 +169,7 @@
 			continue
 		case errors.Is(err, ErrHistoryGone):
 			f.Store.answers()
+			f.Sink.Available()
 			f.gone, f.goneAt = true, f.Position()
 			pause.For(ctx, gonePause)
 			f.deferToOthers(ctx)
--- a/internal/gateway/follow/follower_test.go
+++ b/internal/gateway/follow/follower_test.go
@@ -57,6 +57,8 @@
 
 func (s *sink) Unavailable(error) { s.failed++ }
 
+func (*sink) Available() {}
+
 func TestFollowerReadsThenFollows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		src := &source{steps: []step{
@@ -143,6 +145,8 @@
 
 func (p *proving) Unavailable(error) {}
 
+func (*proving) Available() {}
+
 // holding has no news; its first call that waits fails.
 type holding struct{ waits []time.Duration }
 
--- a/internal/gateway/follow/moment_test.go
+++ b/internal/gateway/follow/moment_test.go
@@ -19,6 +19,8 @@
 
 func (m *moments) Unavailable(error) {}
 
+func (*moments) Available() {}
+
 func (m *moments) take(moment time.Duration) { m.ages = append(m.ages, boottime.Now()-moment) }
 
 // An answer without news that the store held back for the whole wait tells of
--- a/internal/gateway/follow/paged_read_test.go
+++ b/internal/gateway/follow/paged_read_test.go
@@ -112,6 +112,8 @@
 func (l listener) Change(time.Duration, Batch[string]) {}
 func (l listener) Unavailable(error)                   {}
 
+func (listener) Available() {}
+
 // Hundreds of gateways that start in one moment, after all were killed, have the
 // list of thousands of servers within two seconds from a store that answers no more
 // calls than they need in one.
--- a/internal/gateway/follow/return_property_test.go
+++ b/internal/gateway/follow/return_property_test.go
@@ -130,6 +130,8 @@
 
 func (m mirror) Unavailable(error) {}
 
+func (mirror) Available() {}
+
 // member is a follower that polls when it is told to.
 type member struct {
 	Follower[string]
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -180,5 +180,8 @@
 // for good and count in the shared budgets.
 func (m *Mesh) Gone() []string { return m.table.silent(time.Now(), goneAfter) }
 
+// Available implements follow.Sink.
+func (m *Mesh) Available() {}
+
 // Unavailable implements follow.Sink.
 func (m *Mesh) Unavailable(error) {}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -42,5 +42,8 @@
 	}
 }
 
+// Available implements follow.Sink.
+func (s *servers) Available() { s.registry.Available(time.Now()) }
+
 // Unavailable implements follow.Sink.
 func (s *servers) Unavailable(error) { s.registry.Unavailable() }
