peers: usage is sent to successors while the store is away for all

Cause: receivers were those alone that the store answers. Change: those first that it answers, then the others.

--- a/internal/gateway/peers/usage.go
+++ b/internal/gateway/peers/usage.go
@@ -108,7 +108,8 @@
 }
 
 // selectUsageReceivers marks who receives usage: the gateways that report it, and their
-// successors.
+// successors, those first that the store answers. While it is away for all the successors
+// keep the counts of gateways that end meanwhile.
 func (t *table) selectUsageReceivers(now time.Time, all []destination) {
 	var next []*destination
 	for i := range all {
@@ -117,11 +118,19 @@
 		case now.Sub(p.heard) > silentAfter:
 		case p.usage.holds:
 			all[i].receivesUsage = true
-		case p.follows != turnedAway:
+		default:
 			next = append(next, &all[i])
 		}
 	}
-	slices.SortFunc(next, func(a, b *destination) int { return cmp.Compare(hash(a.name), hash(b.name)) })
+	away := func(d *destination) int {
+		if t.peers[d.name].follows == turnedAway {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(next, func(a, b *destination) int {
+		return cmp.Or(cmp.Compare(away(a), away(b)), cmp.Compare(hash(a.name), hash(b.name)))
+	})
 	for _, d := range next[:min(len(next), usageSuccessors)] {
 		d.receivesUsage = true
 	}
--- a/internal/gateway/peers/usage_test.go
+++ b/internal/gateway/peers/usage_test.go
@@ -177,3 +177,22 @@
 		t.Logf("%d gateways, %d customers: %d bytes a second; all counts to all gateways: %d", c.gateways, c.customers, bytes/seconds, toAll/seconds)
 	}
 }
+
+// While the store answers nobody the counts of gateways that end are kept all the same.
+func TestUsageIsSentWhileTheStoreIsAway(t *testing.T) {
+	m := usageMesh(t, 5, "")
+	for i := range 5 {
+		m.take("127.0.0.1:9", &received{
+			message: message{From: fmt.Sprintf("gateway-%d", i), Boot: 7, Sequence: 2, Usage: &usageMessage{}}, state: state{Follows: turnedAway},
+		})
+	}
+	receivers := 0
+	for _, d := range m.table.destinations(time.Now()) {
+		if d.receivesUsage {
+			receivers++
+		}
+	}
+	if receivers != usageSuccessors {
+		t.Errorf("%d gateways receive updates, want %d", receivers, usageSuccessors)
+	}
+}
