--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -81,8 +81,10 @@
 type Sink[T any] interface {
 	Reset(moment time.Duration, all Batch[T])
 	Change(moment time.Duration, changes Batch[T])
-	// Unavailable is told of each failed call.
+	// Unavailable is told of each failed call, and Available of an answer that holds no
+	// rows: the store answers, though it doesn't have the history that was asked for.
 	Unavailable(err error)
+	Available()
 }
 
 // Follower follows one table.
@@ -122,7 +124,9 @@
 	Defers func() bool
 	// Asked is told of each call; may be nil.
 	Asked func()
-	Log   *zap.Logger
+	// Restored counts the returns of the store from an older copy; may be nil.
+	Restored func()
+	Log      *zap.Logger
 
 	// mu guards at, up to where the table is known, and the order of what the Sink
 	// takes. It comes before the Sink's locks.
@@ -165,6 +169,7 @@
 			continue
 		case errors.Is(err, ErrHistoryGone):
 			f.Store.answers()
+			f.Sink.Available()
 			f.gone, f.goneAt = true, f.Position()
 			pause.For(ctx, gonePause)
 			f.deferToOthers(ctx)
