peers, backend, usage: what a second reading found

Cause and change: a gateway that started again counted as the holder that it was until it sent its time of day (five seconds at 410 gateways); its part is forgotten with its start. Receivers of usage were sorted for each datagram also where none is reported; now only where it is. A tombstone counted as long as there was room; now for its minute. Two tests couldn't fail for what they name: that a refused holder calls no more was asked of all calls, and what a loss of all may cost had a bound from elsewhere. Now one refused call is allowed, and the last second's counts (90 to 120 of 150 began before the loss).

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -88,7 +88,7 @@
 	defer r.mu.Unlock()
 	r.answered(now)
 	listed := make(map[string]bool, len(all))
-	r.dropAll(unreadable)
+	r.dropAll(now, unreadable)
 	for _, info := range all {
 		listed[info.ID] = true
 		r.putListed(now, info)
@@ -111,7 +111,7 @@
 		return false
 	}
 	for _, info := range all {
-		r.put(info)
+		r.put(time.Now(), info)
 	}
 	r.publish()
 	r.known.Store(true)
@@ -124,7 +124,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answered(now)
-	r.dropAll(unreadable)
+	r.dropAll(now, unreadable)
 	for _, info := range changed {
 		r.putListed(now, info)
 	}
@@ -177,7 +177,7 @@
 	removed := false
 	for id, gone := range r.lapsed {
 		if !now.Before(gone) && !r.away {
-			r.drop(id)
+			r.drop(now, id)
 			removed = true
 		}
 	}
@@ -203,23 +203,23 @@
 // putListed takes an entry of the store's list; r.mu is held.
 func (r *Registry) putListed(now time.Time, info Info) {
 	if now.Before(r.settled) {
-		if s := r.servers[info.ID]; s != nil && info.olderThan(s.Info()) || r.tombstones.has(&info) {
+		if s := r.servers[info.ID]; s != nil && info.olderThan(s.Info()) || r.tombstones.has(now, &info) {
 			return
 		}
 	}
-	r.put(info)
+	r.put(now, info)
 }
 
 // put takes an entry; r.mu is held. A server that has started again under its id
 // holds and knows nothing of before: what was counted and learned goes.
-func (r *Registry) put(info Info) {
+func (r *Registry) put(now time.Time, info Info) {
 	s := r.servers[info.ID]
 	if s != nil && info.Born != 0 && info.Born < s.Info().Born {
 		// Old news of the start before.
 		return
 	}
 	if s != nil && !s.Info().sameStart(&info) {
-		r.drop(info.ID)
+		r.drop(now, info.ID)
 		s = nil
 	}
 	delete(r.lapsed, info.ID)
@@ -244,23 +244,23 @@
 		}
 		return
 	}
-	r.drop(id)
+	r.drop(now, id)
 }
 
 // dropAll forgets servers; r.mu is held.
-func (r *Registry) dropAll(ids []string) {
+func (r *Registry) dropAll(now time.Time, ids []string) {
 	for _, id := range ids {
 		if r.servers[id] != nil {
-			r.drop(id)
+			r.drop(now, id)
 		}
 	}
 }
 
 // drop forgets a server; r.mu is held.
-func (r *Registry) drop(id string) {
+func (r *Registry) drop(now time.Time, id string) {
 	delete(r.lapsed, id)
 	if s := r.servers[id]; s != nil {
-		r.tombstones.add(time.Now(), s.Info())
+		r.tombstones.add(now, s.Info())
 	}
 	delete(r.servers, id)
 	if r.Gone != nil {
--- a/internal/gateway/backend/restored_test.go
+++ b/internal/gateway/backend/restored_test.go
@@ -71,7 +71,10 @@
 	}
 	e := entry("late", 1, false)
 	p.add(start.Add(2*tombstoneLife), &e)
-	if len(p) != 1 || !p.has(&e) {
+	if len(p) != 1 || !p.has(start.Add(2*tombstoneLife), &e) {
 		t.Errorf("%d entries are kept after their time", len(p))
 	}
+	if p.has(start.Add(4*tombstoneLife), &e) {
+		t.Error("an entry counts long after its time")
+	}
 }
--- a/internal/gateway/backend/tombstones.go
+++ b/internal/gateway/backend/tombstones.go
@@ -39,7 +39,7 @@
 }
 
 // has reports whether a server was gone after it wrote an entry.
-func (p tombstones) has(info *Info) bool {
+func (p tombstones) has(now time.Time, info *Info) bool {
 	e, ok := p[info.ID]
-	return ok && !e.info.olderThan(info)
+	return ok && now.Sub(e.at) <= tombstoneLife && !e.info.olderThan(info)
 }
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -72,7 +72,7 @@
 	t.limit(m.Limits, 1)
 	t.drop(p)
 	if p.boot != m.Boot {
-		p.usage.acknowledged, p.usage.ackSent = 0, 0
+		p.usage = usagePeer{}
 	}
 	p.addr, p.boot, p.sequence, p.heard, p.stamp = addr, m.Boot, m.Sequence, now, m.Stamp
 	p.version, p.follows, p.servers, p.quarantine = m.Version, m.Follows, m.Servers, m.Quarantine
@@ -145,14 +145,13 @@
 	ackSent uint64
 }
 
-func (t *table) destinations(now time.Time) []destination {
+func (t *table) destinations() []destination {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := make([]destination, 0, len(t.peers))
 	for name, p := range t.peers {
 		all = append(all, destination{name: name, addr: p.addr, echo: p.stamp, boot: p.boot, acknowledged: p.usage.acknowledged, ackSent: p.usage.ackSent})
 	}
-	t.selectUsageReceivers(now, all)
 	return all
 }
 
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/tell.go
@@ -13,10 +13,13 @@
 
 // tell sends a datagram to each other gateway.
 func (m *Mesh) tell() {
-	destinations := m.table.destinations(time.Now())
+	destinations := m.table.destinations()
 	if len(destinations) == 0 {
 		return
 	}
+	if m.Usage != nil {
+		m.table.selectUsageReceivers(time.Now(), destinations)
+	}
 	encoded, err := cbor.Marshal(m.state())
 	if err != nil {
 		m.Log.Error(logging.EventPeerUnreadable, logging.Reason(err.Error()))
--- a/internal/gateway/peers/usage.go
+++ b/internal/gateway/peers/usage.go
@@ -111,9 +111,11 @@
 // successors, those first that the store answers. While it is away for all the successors
 // keep the counts of gateways that end meanwhile.
 func (t *table) selectUsageReceivers(now time.Time, all []destination) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var next []*destination
 	for i := range all {
-		p := t.peers[all[i].name]
+		p := t.peer(all[i].name)
 		switch {
 		case now.Sub(p.heard) > silentAfter:
 		case p.usage.holds:
@@ -123,7 +125,7 @@
 		}
 	}
 	away := func(d *destination) int {
-		if t.peers[d.name].follows == turnedAway {
+		if t.peer(d.name).follows == turnedAway {
 			return 1
 		}
 		return 0
--- a/internal/gateway/peers/usage_test.go
+++ b/internal/gateway/peers/usage_test.go
@@ -35,12 +35,19 @@
 	})
 }
 
+// receivers are the destinations of the next datagrams.
+func (m *Mesh) receivers() []destination {
+	all := m.table.destinations()
+	m.table.selectUsageReceivers(time.Now(), all)
+	return all
+}
+
 // Counts go to the gateway that reports and to two successors, not to all.
 func TestUsageIsSentToFew(t *testing.T) {
 	for _, peers := range []int{1, 2, 30, 409} {
 		m := usageMesh(t, peers, "gateway-0")
 		receivers, holder := 0, false
-		for _, d := range m.table.destinations(time.Now()) {
+		for _, d := range m.receivers() {
 			m.sequence = usageInterval
 			if msg := m.usageMessageFor(&d); msg != nil && msg.Update != nil {
 				receivers++
@@ -58,7 +65,7 @@
 	m := usageMesh(t, 1, "gateway-0")
 	next := func() uint64 {
 		m.sequence = usageInterval
-		return m.usageMessageFor(&m.table.destinations(time.Now())[0]).Update.Sequence
+		return m.usageMessageFor(&m.receivers()[0]).Update.Sequence
 	}
 	m.receiveUsageFrom("gateway-0", 2, usageMessage{Holds: true, Acknowledged: 41})
 	if got := next(); got != 42 {
@@ -68,6 +75,9 @@
 	if got := next(); got != 1 {
 		t.Errorf("sent from %d on after a start of the receiver", got)
 	}
+	if m.Reporting() {
+		t.Error("a gateway that has started again is taken for the holder that it was")
+	}
 }
 
 // A third of the VMs may have the wrong time of day, this one among them.
@@ -111,7 +121,7 @@
 func TestNothingIsSentWhereNothingIsReported(t *testing.T) {
 	m, _, _ := meshes(t)
 	m.take("127.0.0.1:9", &received{message: message{From: "x", Boot: 1, Sequence: 1, Usage: &usageMessage{Holds: true}}})
-	if d := m.table.destinations(time.Now()); m.usageMessageFor(&d[0]) != nil || m.Reporting() {
+	if d := m.receivers(); m.usageMessageFor(&d[0]) != nil || m.Reporting() {
 		t.Error("usage is sent or received where none is reported")
 	}
 }
@@ -153,7 +163,7 @@
 				}
 				toAll += len(encoded) * (c.gateways - 1)
 			}
-			for _, d := range m.table.destinations(time.Now()) {
+			for _, d := range m.receivers() {
 				// What was sent two datagrams ago is acknowledged by now.
 				m.receiveUsageFrom(d.name, uint64(tick)+2, usageMessage{Holds: d.name == "gateway-0", Acknowledged: d.acknowledged})
 				msg := m.usageMessageFor(&d)
@@ -187,7 +197,7 @@
 		})
 	}
 	receivers := 0
-	for _, d := range m.table.destinations(time.Now()) {
+	for _, d := range m.receivers() {
 		if d.receivesUsage {
 			receivers++
 		}
--- a/internal/gateway/usage/judge_test.go
+++ b/internal/gateway/usage/judge_test.go
@@ -19,12 +19,14 @@
 	at      map[uint64]time.Duration
 	holders map[uint64]string
 	newest  uint64
+	// refused counts the calls that were refused, by generation.
+	refused map[uint64]int
 	calls   int
 	turns   []string
 }
 
 func newJudge(t *testing.T) *judge {
-	return &judge{t: t, taken: map[uint64]map[string]int64{}, at: map[uint64]time.Duration{}, holders: map[uint64]string{}}
+	return &judge{t: t, taken: map[uint64]map[string]int64{}, at: map[uint64]time.Duration{}, holders: map[uint64]string{}, refused: map[uint64]int{}}
 }
 
 func (j *judge) Report(_ context.Context, h Holder, r Report) error {
@@ -46,6 +48,7 @@
 	}
 	j.holders[h.Generation] = h.Name
 	if h.Generation < j.newest {
+		j.refused[h.Generation]++
 		return ErrDeposed
 	}
 	j.newest = h.Generation
--- a/internal/gateway/usage/reporter_test.go
+++ b/internal/gateway/usage/reporter_test.go
@@ -58,8 +58,10 @@
 		f.start(t, "a", 11)
 		f.start(t, "b", 12)
 		time.Sleep(12 * time.Second)
-		// Four seconds were sent, less the last renewal of the lease.
-		f.expectReported(t, window, window, perWindow*3/5+perWindow/10, 0.25)
+		// Four seconds began, and what the last of them had may be lost.
+		began := int64(perWindow) * 4 / 5
+		lost := int64(perWindow) / 5
+		f.expectReported(t, window, window, began-lost/2, float64(lost/2)/float64(began-lost/2))
 	})
 }
 
@@ -157,16 +159,14 @@
 		f.judge.mu.Lock()
 		f.judge.newest = generation + 1
 		f.judge.mu.Unlock()
-		f.load(7 * time.Second)
-		f.judge.mu.Lock()
-		refused := f.judge.calls
-		f.judge.mu.Unlock()
-		f.load(20 * time.Second)
+		f.load(27 * time.Second)
 		if now := f.holder(t); now.Name == holder.Name || now.Generation() <= generation {
 			t.Errorf("%s holds generation %d after %s was refused with %d", now.Name, now.Generation(), holder.Name, generation)
 		}
-		if refused == 0 {
-			t.Error("nothing was refused")
+		f.judge.mu.Lock()
+		defer f.judge.mu.Unlock()
+		if got := f.judge.refused[generation]; got != 1 {
+			t.Errorf("%d calls were refused under generation %d, want the one that told of it", got, generation)
 		}
 	})
 }
--- a/policy/copy_share.go
+++ b/policy/copy_share.go
@@ -1,6 +1,6 @@
 package policy
 
-// copyMemory is the weight of the newest ticket in the measured share.
+// copyMemory is the weight of the newest ticket in the share.
 const copyMemory = 1.0 / 32
 
 // copyShare measures how many of the tickets that wait at several engines run
