quarantine: named as the field does

Cause: what is refused since servers end under it was held back, held, holding, untold by turns, beside a type Quarantine. Measured: tests of policy, internal, platform, and of quarantines in testbed/gateway pass.

--- a/internal/gateway/asking.go
+++ b/internal/gateway/asking.go
@@ -26,7 +26,7 @@
 // that starts would have all others ask the store.
 func (g *gateway) following() peers.Following {
 	f := peers.Following{
-		Able: !g.store.Away(), Asks: g.servers.Live(), Servers: g.servers.Changed(), Quarantine: g.quarantined.Load(),
+		Able: !g.store.Away(), Asks: g.servers.Live(), Servers: g.servers.Changed(), Quarantine: g.quarantineKnown.Load(),
 	}
 	if g.proves() {
 		f.Servers = g.servers.Known()
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -17,8 +17,8 @@
 type ends struct {
 	metrics *metrics.Metrics
 	log     *zap.Logger
-	// holdBack has a request stored that is held back from now on.
-	holdBack func(policy.Suspicion)
+	// quarantine stores a request that is quarantined from now on.
+	quarantine func(policy.Suspicion)
 	// usage counts requests by customer; nil where no usage is reported.
 	usage *usage.Counter
 }
@@ -78,10 +78,10 @@
 	}
 }
 
-// HeldBack implements router.Observer.
-func (e ends) HeldBack(why policy.Suspicion) {
-	e.log.Warn(logging.EventRequestHeldBack, zap.Stringer("fingerprint", why.Fingerprint), zap.Int("servers_ended", len(why.Crashes)))
-	e.holdBack(why)
+// Quarantined implements router.Observer.
+func (e ends) Quarantined(why policy.Suspicion) {
+	e.log.Warn(logging.EventRequestQuarantined, zap.Stringer("fingerprint", why.Fingerprint), zap.Int("servers_ended", len(why.Crashes)))
+	e.quarantine(why)
 }
 
 func (e ends) count(class *metrics.Class, end router.End) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,10 +79,10 @@
 	// desired state, that this one couldn't have from them.
 	lacking, newer condition
 	leaving        atomic.Bool
-	// heldBack are requests that are to be stored as held back, and quarantined says that
-	// those are known that were when this gateway started.
-	heldBack    chan policy.Suspicion
-	quarantined atomic.Bool
+	// toQuarantine are requests that are to be stored as quarantined, and quarantineKnown says
+	// that those are known that were when this gateway started.
+	toQuarantine    chan policy.Suspicion
+	quarantineKnown atomic.Bool
 	// store is whether the platform's store answers, and arriving whether an
 	// answer of it about the desired state is on its way.
 	store    follow.Health
@@ -111,7 +111,7 @@
 	g := &gateway{
 		settings: s, platform: p, log: log,
 		holder: &routes.Holder{}, registry: backend.NewRegistry(), pool: exchange.NewPool(),
-		heldBack: make(chan policy.Suspicion, mostUnstored),
+		toQuarantine: make(chan policy.Suspicion, mostUnstored),
 	}
 	g.desired = &desired{holder: g.holder, registry: g.registry, log: log}
 	var err error
@@ -133,7 +133,7 @@
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
 		Others: g.mesh, Gateways: g.mesh.Listed,
 		Chooser: policy.NewChooser(random, ejector, index), Random: random, Ejector: ejector, Index: index,
-		Observer: ends{p.Metrics, log, g.holdBack, counter},
+		Observer: ends{p.Metrics, log, g.storeQuarantined, counter},
 	}, boundsOf(s), g.elsewhere)
 	g.registry.Gone = g.router.Forget
 	g.servers, g.targets = g.newServersFollower(), g.newTargetsFollower()
@@ -157,7 +157,7 @@
 	}
 	return metrics.Gateway{
 		Version: g.holder.Version(), ProofAge: boottime.Now() - g.holder.ProvenAt(),
-		Gateways: g.mesh.Gateways(), Asking: g.servers.Live(), Servers: g.registry.Usable(), HeldBack: g.router.HeldBack(),
+		Gateways: g.mesh.Gateways(), Asking: g.servers.Live(), Servers: g.registry.Usable(), Quarantined: g.router.Quarantined(),
 		Limited: g.router.Limited(), LimitedSends: g.router.LimitedSends(), UsageGeneration: generation, LinesDropped: logging.Dropped(),
 	}
 }
--- a/internal/gateway/peers/following.go
+++ b/internal/gateway/peers/following.go
@@ -27,7 +27,7 @@
 	// Servers is the position after the newest change in the list of backend servers
 	// that is known, from whomever; 0 for none.
 	Servers follow.Position
-	// Quarantine says that the requests that are held back are known, from the store or from
+	// Quarantine says that the requests that are quarantined are known, from the store or from
 	// gateways that know them.
 	Quarantine bool
 }
@@ -70,7 +70,7 @@
 }
 
 // quarantined reports whether a gateway that was heard of lately knows which requests are
-// held back.
+// quarantined.
 func (t *table) quarantined(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/peers/following_test.go
+++ b/internal/gateway/peers/following_test.go
@@ -28,12 +28,12 @@
 		t.Errorf("followed %v, ahead of 7 %q, of 8 %q", b.Followed(), b.Ahead(7), b.Ahead(8))
 	}
 	if b.Quarantined() {
-		t.Error("a doesn't know which requests are held back")
+		t.Error("a doesn't know which requests are quarantined")
 	}
 	a.Config.Following = func() Following { return Following{Able: true, Asks: true, Servers: 8, Quarantine: true} }
 	pass(t, a, b)
 	if !b.Quarantined() {
-		t.Error("a knows which requests are held back")
+		t.Error("a knows which requests are quarantined")
 	}
 	later := time.Now().Add(2 * silentAfter)
 	if b.table.followed(later) || b.table.quarantined(later) || b.table.ahead(later, 7) != "" {
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -101,7 +101,7 @@
 func (m *Mesh) Followed() bool { return m.table.followed(time.Now()) }
 
 // Quarantined reports whether another gateway, heard of lately, knows which requests are
-// held back. It tells them in turn.
+// quarantined. It tells them in turn.
 func (m *Mesh) Quarantined() bool { return m.table.quarantined(time.Now()) }
 
 // Ahead returns the address of a gateway, heard of lately, that knows of changes in the
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -57,7 +57,7 @@
 	Suspicions []suspicion `cbor:"11,keyasint,omitempty"`
 	// Limits are those that servers have named, with what the sender sent there.
 	Limits []limit `cbor:"12,keyasint,omitempty"`
-	// Quarantine says that the sender knows which requests are held back.
+	// Quarantine says that the sender knows which requests are quarantined.
 	Quarantine bool `cbor:"13,keyasint,omitempty"`
 }
 
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -35,7 +35,7 @@
 	// backend servers.
 	follows following
 	servers follow.Position
-	// quarantine says that it knows which requests are held back.
+	// quarantine says that it knows which requests are quarantined.
 	quarantine bool
 	usage      usagePeer
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// storedFor is for how long a request that was held back is held back by gateways
+	// storedFor is for how long a request that was quarantined is quarantined by gateways
 	// that start.
 	storedFor = 24 * time.Hour
 	// othersFirst is how long a gateway that starts waits at least for others to tell that
-	// they know what is held back, before it asks the store; up to as much more is drawn, so
+	// they know what is quarantined, before it asks the store; up to as much more is drawn, so
 	// that of those that start together a few ask.
 	othersFirst = 300 * time.Millisecond
 	// toldInTurn is for how long it listens to them: dozens of requests are told in that
@@ -28,22 +28,22 @@
 	mostUnstored = 64
 )
 
-// Quarantine keeps requests that are held back beyond the life of all gateways.
+// Quarantine keeps requests that are quarantined beyond the life of all gateways.
 type Quarantine interface {
 	Read(ctx context.Context) ([]policy.Suspicion, error)
 	Write(ctx context.Context, s policy.Suspicion) error
 	Drop(ctx context.Context, f policy.Fingerprint) error
 }
 
-// keepQuarantine takes what was held back before this gateway started, and stores what it
-// holds back from then on.
+// keepQuarantine takes what was quarantined before this gateway started, and stores what it
+// quarantines from then on.
 func (g *gateway) keepQuarantine(ctx context.Context) {
 	g.learnQuarantine(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-g.heldBack:
+		case s := <-g.toQuarantine:
 			g.untilDone(ctx, logging.EventQuarantineFailed, func(ctx context.Context) error {
 				return g.platform.Quarantine.Write(ctx, s)
 			})
@@ -51,7 +51,7 @@
 	}
 }
 
-// learnQuarantine has what is held back from other gateways, or, where none knows it, from
+// learnQuarantine has what is quarantined from other gateways, or, where none knows it, from
 // the store.
 func (g *gateway) learnQuarantine(ctx context.Context) {
 	pause.For(ctx, othersFirst+rand.N(othersFirst))
@@ -62,7 +62,7 @@
 		}
 		pause.For(ctx, learnEvery)
 	}
-	g.quarantined.Store(true)
+	g.quarantineKnown.Store(true)
 }
 
 func (g *gateway) readQuarantine(ctx context.Context) error {
@@ -87,10 +87,10 @@
 	return nil
 }
 
-// holdBack has a request stored that is held back from now on.
-func (g *gateway) holdBack(s policy.Suspicion) {
+// storeQuarantined stores a request that is quarantined from now on.
+func (g *gateway) storeQuarantined(s policy.Suspicion) {
 	select {
-	case g.heldBack <- s:
+	case g.toQuarantine <- s:
 	default:
 		g.log.Warn(logging.EventQuarantineFailed, zap.Stringer("fingerprint", s.Fingerprint), logging.Reason("too many wait for the store"))
 	}
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -85,7 +85,7 @@
 func (c *call) run(ctx context.Context) {
 	c.service = c.route.Service(hashID(c.ask.ID))
 	c.router.countRequest(c.service)
-	for !c.heldBack() {
+	for !c.quarantined() {
 		server, choice := c.choose()
 		switch {
 		case server == nil && choice.Limited && c.sends == 0:
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -73,8 +73,8 @@
 	// ServerLimited is told of each change of a server's limit that an answer told, and of
 	// each limit that can't be read.
 	ServerLimited(server string, limit protocol.Limit)
-	// HeldBack is told of each request that is held back from now on, and why.
-	HeldBack(why policy.Suspicion)
+	// Quarantined is told of each request that is quarantined from now on, and why.
+	Quarantined(why policy.Suspicion)
 }
 
 // End is how a request ended.
@@ -149,5 +149,5 @@
 	ReasonCrowded        Reason = "no_room_in_time"
 	ReasonNoSlot         Reason = "no_slot_free"
 	ReasonLimits         Reason = "server_limits"
-	ReasonHeldBack       Reason = "crashes_servers"
+	ReasonQuarantined    Reason = "crashes_servers"
 )
--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -10,9 +10,9 @@
 	"github.com/applepier/applepier/policy"
 )
 
-// heldBackHint is when to come back with a request that crashes servers: it isn't let in
+// quarantineRetryAfter is when to come back with a request that crashes servers: it isn't let in
 // before it has stayed away for long.
-const heldBackHint = time.Minute
+const quarantineRetryAfter = time.Minute
 
 // fingerprint is the same for requests that ask for the same thing: one that comes again
 // has another id and as much time as its caller then gives it. The hash is one for which
@@ -30,15 +30,15 @@
 	return c.print
 }
 
-// heldBack answers a request that is held back; false if it isn't.
-func (c *call) heldBack() bool {
+// quarantined answers a request that is quarantined; false if it isn't.
+func (c *call) quarantined() bool {
 	if !c.router.suspects() || !c.router.holds(c.fingerprint()) {
 		return false
 	}
 	if c.sends > 0 {
 		c.giveUp()
 	} else {
-		c.refuse(ReasonHeldBack, heldBackHint)
+		c.refuse(ReasonQuarantined, quarantineRetryAfter)
 	}
 	return true
 }
@@ -63,14 +63,14 @@
 func (r *Router) holds(f policy.Fingerprint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.quarantine.Holds(time.Now(), f)
+	return r.quarantine.Quarantined(time.Now(), f)
 }
 
-// HeldBack counts the requests that are held back.
-func (r *Router) HeldBack() int {
+// Quarantined counts the requests that are quarantined.
+func (r *Router) Quarantined() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.quarantine.Held()
+	return r.quarantine.Len()
 }
 
 // Suspect takes what is known of requests from elsewhere.
@@ -88,11 +88,11 @@
 
 func (r *Router) crashed(f policy.Fingerprint, start policy.Key) {
 	if held, why := r.noteCrash(f, start); held {
-		r.Observer.HeldBack(why)
+		r.Observer.Quarantined(why)
 	}
 }
 
-// noteCrash reports whether a request is held back from now on, and why.
+// noteCrash reports whether a request is quarantined from now on, and why.
 func (r *Router) noteCrash(f policy.Fingerprint, start policy.Key) (bool, policy.Suspicion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/logging/docs_test.go
+++ b/internal/logging/docs_test.go
@@ -22,6 +22,7 @@
 	if !found {
 		t.Fatal("the page has no table of log events")
 	}
+	table, renamed, _ := strings.Cut(table, "\n## Renamed\n")
 	inCode := map[string]bool{}
 	for _, match := range regexp.MustCompile(`Event\w+ += "(\w+)"`).FindAllStringSubmatch(string(source), -1) {
 		inCode[match[1]] = true
@@ -34,4 +35,13 @@
 			t.Errorf("the page lists %s, which isn't logged", match[1])
 		}
 	}
+	// Of each renamed event the name of before isn't logged, and the later one is.
+	for _, names := range regexp.MustCompile("`([a-z]+_[a-z_]+)` \\| `([a-z]+_[a-z_]+)`").FindAllStringSubmatch(renamed, -1) {
+		if strings.HasPrefix(names[1], "applepier_") {
+			continue
+		}
+		if inCode[names[1]] || !inCode[names[2]] {
+			t.Errorf("%s is said to be %s now: logged %v and %v", names[1], names[2], inCode[names[1]], inCode[names[2]])
+		}
+	}
 }
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -70,9 +70,9 @@
 	EventServerLimited = "server_limited"
 	// EventServerUnlimited: it names none any more.
 	EventServerUnlimited = "server_unlimited"
-	// EventRequestHeldBack: a request is refused from now on, since servers ended under it.
-	EventRequestHeldBack = "request_held_back"
-	// EventQuarantineFailed: the requests that are held back could not be read from the
+	// EventRequestQuarantined: a request is refused from now on, since servers ended under it.
+	EventRequestQuarantined = "request_quarantined"
+	// EventQuarantineFailed: the requests that are quarantined could not be read from the
 	// store, or one of them not be written.
 	EventQuarantineFailed = "quarantine_failed"
 	// EventCallerClosed: a gateway closed a caller's connection that rested longer
--- a/internal/metrics/docs_test.go
+++ b/internal/metrics/docs_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 )
 
@@ -12,8 +13,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	served, renamed, _ := strings.Cut(string(page), "\n## Renamed\n")
+	// Of each renamed family the name of before isn't served, and the later one is.
+	for _, names := range regexp.MustCompile("`(applepier_[a-z_]+)` \\| `(applepier_[a-z_]+)`").FindAllStringSubmatch(renamed, -1) {
+		if _, ok := help[family(names[1])]; ok {
+			t.Errorf("%s is said to be renamed, and is served", names[1])
+		}
+		if _, ok := help[family(names[2])]; !ok {
+			t.Errorf("%s is said to be %s, which isn't served", names[1], names[2])
+		}
+	}
 	listed := map[family]bool{}
-	for _, name := range regexp.MustCompile("applepier_[a-z_]+").FindAllString(string(page), -1) {
+	for _, name := range regexp.MustCompile("applepier_[a-z_]+").FindAllString(served, -1) {
 		listed[family(name)] = true
 		if _, ok := help[family(name)]; !ok {
 			t.Errorf("the page lists %s, which isn't served", name)
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -34,7 +34,7 @@
 	familyServersEnded     family = "applepier_backend_servers_ended_total"
 	familyServersLimited   family = "applepier_backend_servers_limited"
 	familyLimitedSends     family = "applepier_limited_sends_total"
-	familyHeldBack         family = "applepier_requests_held_back"
+	familyQuarantined      family = "applepier_requests_quarantined"
 	familyUsageGeneration  family = "applepier_usage_generation"
 	familyUsageReported    family = "applepier_usage_reports_total"
 	familyUsageLate        family = "applepier_usage_reports_late_total"
@@ -77,7 +77,7 @@
 	familyServersEnded:     "Starts of backend servers that ended while they had requests of this gateway.",
 	familyServersLimited:   "Backend servers that have named a limit.",
 	familyLimitedSends:     "Requests sent to backend servers while they had a limit.",
-	familyHeldBack:         "Requests that are refused since backend servers ended under them, those that ask for the same thing once.",
+	familyQuarantined:      "Requests that are refused since backend servers ended under them, those that ask for the same thing once.",
 	familyUsageGeneration:  "Generation under which this gateway reports usage; 0 while another one does.",
 	familyUsageReported:    "Reports of usage that the platform took from this gateway.",
 	familyUsageLate:        "Reports of usage that it took later than they were due.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -19,8 +19,8 @@
 	// requests that were sent to servers while they had one.
 	Limited      int
 	LimitedSends int64
-	// HeldBack counts the requests that are refused since servers ended under them.
-	HeldBack int
+	// Quarantined counts the requests that are refused since servers ended under them.
+	Quarantined int
 	// UsageGeneration is that under which it reports usage; 0 while it doesn't.
 	UsageGeneration uint64
 	// LinesDropped counts the log lines that were left out.
@@ -35,7 +35,7 @@
 	dropped := counter(m.registry, familyLinesDropped)
 	limited := gauge(m.registry, familyServersLimited)
 	limitedSends := counter(m.registry, familyLimitedSends)
-	heldBack := gauge(m.registry, familyHeldBack)
+	quarantined := gauge(m.registry, familyQuarantined)
 	asking := gauge(m.registry, familyStoreAsking)
 	generation := gauge(m.registry, familyUsageGeneration)
 	m.OnRead(func() {
@@ -50,7 +50,7 @@
 		servers.Update(int64(g.Servers))
 		limited.Update(int64(g.Limited))
 		limitedSends.Inc(g.LimitedSends - limitedSends.Count())
-		heldBack.Update(int64(g.HeldBack))
+		quarantined.Update(int64(g.Quarantined))
 		generation.Update(int64(g.UsageGeneration))
 		dropped.Inc(g.LinesDropped - dropped.Count())
 	})
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -9,7 +9,7 @@
 
 const (
 	// quarantineAfter is how many starts of servers end under a request before it is
-	// held back.
+	// quarantined.
 	quarantineAfter = 3
 	// suspectKept is for how long a suspect is remembered after it came last.
 	suspectKept = time.Hour
@@ -62,26 +62,26 @@
 	return last
 }
 
-// Quarantine holds back requests that crash the servers that run them.
+// Quarantine quarantines requests that crash the servers that run them.
 //
 // It answers a request that comes again after each crash, through any sender: each
-// of its runs takes a server away from all other requests. It is held back once
+// of its runs takes a server away from all other requests. It is quarantined once
 // quarantineAfter servers have ended under it, by what all senders tell.
 //
 // Whatever else ran on a server that crashed is under suspicion as well. A whole
 // answer clears it, of crashes for a time to come too: what is asked for often breaks
-// off with a server now and then, and would add up. Of the rest as few are held back as
-// explain all crashes: who ran beside one that is held back isn't, but for crashes of
+// off with a server now and then, and would add up. Of the rest as few are quarantined as
+// explain all crashes: who ran beside one that is quarantined isn't, but for crashes of
 // its own.
 //
 // Not safe for concurrent use.
 type Quarantine struct {
 	suspects map[Fingerprint]*suspect
-	// held are those that are held back; nil when they have to be found anew.
-	held  map[Fingerprint]bool
-	swept time.Time
-	// untold are the suspects of whom there is news, oldest first.
-	untold []Fingerprint
+	// quarantined are those that are quarantined; nil when they have to be found anew.
+	quarantined map[Fingerprint]bool
+	swept       time.Time
+	// pending are the suspects of whom there is news, oldest first.
+	pending []Fingerprint
 	// turn holds those that are told in turn whether there is news or not.
 	turn []Fingerprint
 	// answered are the whole answers that this sender had lately.
@@ -95,14 +95,14 @@
 func (q *Quarantine) Empty() bool { return len(q.suspects) == 0 }
 
 // Crashed notes that a start of a server ended while it had a request; it reports whether
-// the request is held back for it.
+// the request is quarantined for it.
 func (q *Quarantine) Crashed(now time.Time, f Fingerprint, start Key) bool {
-	before := q.holding()[f]
+	before := q.find()[f]
 	if q.note(f, q.answered.last(f), Crash{Start: start, At: now}) {
 		q.tell(f, q.suspects[f])
 	}
 	q.suspects[f].seen = now
-	return !before && q.holding()[f]
+	return !before && q.find()[f]
 }
 
 // Answered notes a server's whole answer to a request.
@@ -113,19 +113,19 @@
 	}
 }
 
-// Holds reports whether a request that has come is to be held back. One that goes on
-// coming isn't forgotten.
-func (q *Quarantine) Holds(now time.Time, f Fingerprint) bool {
+// Quarantined reports whether a request that arrives is quarantined. One that goes on
+// arriving isn't forgotten.
+func (q *Quarantine) Quarantined(now time.Time, f Fingerprint) bool {
 	s := q.suspects[f]
 	if s == nil {
 		return false
 	}
 	s.seen = now
-	return q.holding()[f]
+	return q.find()[f]
 }
 
-// Held counts the fingerprints that are held back.
-func (q *Quarantine) Held() int { return len(q.holding()) }
+// Len counts the fingerprints that are quarantined.
+func (q *Quarantine) Len() int { return len(q.find()) }
 
 // Suspicion is what is known of a request; no crashes if nothing is.
 func (q *Quarantine) Suspicion(f Fingerprint) Suspicion {
@@ -161,7 +161,7 @@
 		news = s.crashed(c) || news
 	}
 	if news {
-		q.held = nil
+		q.quarantined = nil
 	}
 	return news
 }
@@ -172,8 +172,8 @@
 func (q *Quarantine) News(now time.Time) []Suspicion {
 	q.sweep(now)
 	var news []Suspicion
-	left := q.untold[:0]
-	for i, f := range q.untold {
+	left := q.pending[:0]
+	for i, f := range q.pending {
 		s := q.suspects[f]
 		switch {
 		case s == nil:
@@ -186,8 +186,8 @@
 			}
 		}
 	}
-	q.untold = left
-	if f, ok := q.next(); ok && !slices.Contains(q.untold, f) {
+	q.pending = left
+	if f, ok := q.next(); ok && !slices.Contains(q.pending, f) {
 		news = append(news, q.suspects[f].suspicion(f))
 	}
 	return news
@@ -215,7 +215,7 @@
 // tell has a suspect told to other senders.
 func (q *Quarantine) tell(f Fingerprint, s *suspect) {
 	if s.tellings <= 0 {
-		q.untold = append(q.untold, f)
+		q.pending = append(q.pending, f)
 	}
 	s.tellings = suspicionTellings
 }
@@ -242,7 +242,7 @@
 		}
 	}
 	delete(q.suspects, oldest)
-	q.held = nil
+	q.quarantined = nil
 }
 
 // sweep forgets suspects that have stayed away for long.
@@ -254,19 +254,19 @@
 	before := len(q.suspects)
 	maps.DeleteFunc(q.suspects, func(_ Fingerprint, s *suspect) bool { return now.Sub(s.seen) > suspectKept })
 	if len(q.suspects) != before {
-		q.held = nil
+		q.quarantined = nil
 	}
 }
 
-// holding are the fewest suspects that explain the crashes: in each round the one with
+// find are the fewest suspects that explain the crashes: in each round the one with
 // the most crashes that no other explains yet. All senders with the same news find
 // the same ones. One that is taken for another's crashes goes free with the next that
 // it has no part in.
-func (q *Quarantine) holding() map[Fingerprint]bool {
-	if q.held != nil {
-		return q.held
+func (q *Quarantine) find() map[Fingerprint]bool {
+	if q.quarantined != nil {
+		return q.quarantined
 	}
-	q.held = map[Fingerprint]bool{}
+	q.quarantined = map[Fingerprint]bool{}
 	explained := map[Key]bool{}
 	for {
 		var found Fingerprint
@@ -277,9 +277,9 @@
 			}
 		}
 		if most < quarantineAfter {
-			return q.held
+			return q.quarantined
 		}
-		q.held[found] = true
+		q.quarantined[found] = true
 		for _, c := range q.suspects[found].crashes {
 			explained[c.Start] = true
 		}
--- a/policy/quarantine_test.go
+++ b/policy/quarantine_test.go
@@ -17,16 +17,16 @@
 }
 
 // A request that comes again after each crash took one server after the other away.
-func TestRequestIsHeldBackAfterThreeCrashes(t *testing.T) {
+func TestRequestIsQuarantinedAfterThreeCrashes(t *testing.T) {
 	q := NewQuarantine()
 	for i, start := range starts("a", "b", "c") {
-		if q.Holds(testStart, 7) {
-			t.Fatalf("held back after %d crashes", i)
+		if q.Quarantined(testStart, 7) {
+			t.Fatalf("quarantined after %d crashes", i)
 		}
 		q.Crashed(testStart, 7, start)
 		q.Crashed(testStart, 7, start)
 	}
-	if !q.Holds(testStart, 7) || q.Holds(testStart, 8) || q.Held() != 1 {
+	if !q.Quarantined(testStart, 7) || q.Quarantined(testStart, 8) || q.Len() != 1 {
 		t.Error("want the one under which three servers ended, and no other")
 	}
 }
@@ -42,8 +42,8 @@
 	q.Crashed(later, 7, KeyOf("c"))
 	// News of an earlier crash comes late.
 	q.Heard(later, []Suspicion{{Fingerprint: 7, Seen: later, Crashes: []Crash{{KeyOf("d"), testStart}, {KeyOf("e"), testStart}}}})
-	if q.Holds(testStart, 7) {
-		t.Error("a request is held back that was answered whole")
+	if q.Quarantined(testStart, 7) {
+		t.Error("a request is quarantined that was answered whole")
 	}
 }
 
@@ -58,24 +58,24 @@
 		}
 		q.Crashed(testStart, innocent, KeyOf(fmt.Sprint(culprit, 3)))
 	}
-	if q.Holds(testStart, innocent) || q.Held() != 3 {
-		t.Errorf("%d held back, the innocent one %v", q.Held(), q.Holds(testStart, innocent))
+	if q.Quarantined(testStart, innocent) || q.Len() != 3 {
+		t.Errorf("%d quarantined, the innocent one %v", q.Len(), q.Quarantined(testStart, innocent))
 	}
 }
 
 // A request that shared all crashes of a culprit can't be told from it. Where the wrong
-// one is held back, the culprit's next crash sets it free.
+// one is quarantined, the culprit's next crash sets it free.
 func TestWronglyHeldRequestGoesFreeWithTheNextCrash(t *testing.T) {
 	q := NewQuarantine()
 	for _, start := range starts("a", "b", "c") {
 		q.Crashed(testStart, 1, start)
 		q.Crashed(testStart, 2, start)
 	}
-	if q.Held() != 1 || !q.Holds(testStart, 1) {
-		t.Fatalf("%d held back, want one of the two", q.Held())
+	if q.Len() != 1 || !q.Quarantined(testStart, 1) {
+		t.Fatalf("%d quarantined, want one of the two", q.Len())
 	}
 	q.Crashed(testStart, 2, KeyOf("d"))
-	if q.Holds(testStart, 1) || !q.Holds(testStart, 2) {
+	if q.Quarantined(testStart, 1) || !q.Quarantined(testStart, 2) {
 		t.Error("want the one without which the last crash isn't explained")
 	}
 }
@@ -88,17 +88,17 @@
 	for f := range Fingerprint(2 * mostSuspects) {
 		q.Crashed(testStart.Add(time.Second), 100+f, KeyOf("d"))
 	}
-	if len(q.suspects) > mostSuspects || !q.Holds(testStart.Add(time.Second), 1) {
-		t.Errorf("%d suspects, the culprit held back: %v", len(q.suspects), q.Holds(testStart, 1))
+	if len(q.suspects) > mostSuspects || !q.Quarantined(testStart.Add(time.Second), 1) {
+		t.Errorf("%d suspects, the culprit quarantined: %v", len(q.suspects), q.Quarantined(testStart, 1))
 	}
 	// It comes again now and then.
 	now := testStart
 	for range 4 {
 		now = now.Add(suspectKept / 2)
-		q.Holds(now, 1)
+		q.Quarantined(now, 1)
 		q.News(now)
 	}
-	if len(q.suspects) != 1 || !q.Holds(now, 1) {
+	if len(q.suspects) != 1 || !q.Quarantined(now, 1) {
 		t.Errorf("%d suspects after two hours, want the one that goes on coming", len(q.suspects))
 	}
 	q.News(now.Add(2 * suspectKept))
@@ -117,7 +117,7 @@
 	cut map[int]bool
 	now time.Time
 	// sent counts the culprit's runs, each of which ends a server, and refused the
-	// innocent requests that were held back.
+	// innocent requests that were quarantined.
 	sent, refused int
 }
 
@@ -151,7 +151,7 @@
 func (p *crashPlay) step(lost float64, times int) {
 	for range times {
 		at := p.random.IntN(len(p.senders))
-		if p.senders[at].Holds(p.now, culprit) {
+		if p.senders[at].Quarantined(p.now, culprit) {
 			continue
 		}
 		p.sent++
@@ -160,7 +160,7 @@
 		for range 5 {
 			beside := p.senders[p.random.IntN(len(p.senders))]
 			innocent := Fingerprint(100 + p.random.IntN(40))
-			if beside.Holds(p.now, innocent) {
+			if beside.Quarantined(p.now, innocent) {
 				p.refused++
 			} else {
 				beside.Crashed(p.now, innocent, start)
@@ -175,7 +175,7 @@
 }
 
 // Repeats piled up at all senders: each knew of its own crashes only.
-func TestSendersHoldBackTogether(t *testing.T) {
+func TestSendersQuarantineTogether(t *testing.T) {
 	for _, senders := range []int{2, 6, 68} {
 		for _, lost := range []float64{0, 0.3} {
 			t.Run(fmt.Sprintf("senders=%d lost=%v", senders, lost), func(t *testing.T) {
@@ -188,7 +188,7 @@
 					t.Errorf("sent %d times in ten seconds", p.sent)
 				}
 				if p.refused > 0 {
-					t.Errorf("%d innocent requests were held back", p.refused)
+					t.Errorf("%d innocent requests were quarantined", p.refused)
 				}
 			})
 		}
@@ -197,7 +197,7 @@
 
 // A sender that starts, or comes back, knows of none of the crashes; its own three
 // would be three servers more for each start.
-func TestSenderThatStartsLearnsWhatIsHeldBack(t *testing.T) {
+func TestSenderThatStartsLearnsWhatIsQuarantined(t *testing.T) {
 	p := newCrashPlay(6, 2)
 	for range 30 {
 		p.step(0, 1)
@@ -216,7 +216,7 @@
 	}
 }
 
-func TestSenderThatWasCutOffLearnsWhatIsHeldBack(t *testing.T) {
+func TestSenderThatWasCutOffLearnsWhatIsQuarantined(t *testing.T) {
 	p := newCrashPlay(6, 3)
 	p.cut[0] = true
 	for range 50 {
@@ -227,14 +227,14 @@
 		p.tell(0.3)
 		p.now = p.now.Add(tellInterval)
 	}
-	if !p.senders[0].Holds(p.now, culprit) {
+	if !p.senders[0].Quarantined(p.now, culprit) {
 		t.Error("a sender that was cut off lets it pass a second after it is back")
 	}
 }
 
 // Servers that crash of themselves take whatever they run with them. Requests that come
 // often are there each time, and would be refused for it.
-func TestCrashesWithoutACulpritHoldNothingBack(t *testing.T) {
+func TestCrashesWithoutACulpritQuarantineNothing(t *testing.T) {
 	random := rand.New(rand.NewPCG(4, 1))
 	q, now := NewQuarantine(), testStart
 	const popular, crashes, beside = 60, 300, 20
@@ -258,8 +258,8 @@
 		for range 20 {
 			q.Answered(now.Add(50*time.Millisecond), Fingerprint(random.IntN(popular)))
 		}
-		if held := q.Held(); held > 0 {
-			t.Fatalf("%d requests held back after %d crashes", held, n+1)
+		if held := q.Len(); held > 0 {
+			t.Fatalf("%d requests quarantined after %d crashes", held, n+1)
 		}
 	}
 }
@@ -273,23 +273,23 @@
 	}
 	now := testStart.Add(2 * time.Second)
 	a.Heard(now, b.News(now))
-	if a.Holds(now, 7) {
-		t.Error("held back by who answered it")
+	if a.Quarantined(now, 7) {
+		t.Error("quarantined by who answered it")
 	}
-	if b.Heard(now, a.News(now)); b.Holds(now, 7) {
-		t.Error("held back by who has heard that it was answered")
+	if b.Heard(now, a.News(now)); b.Quarantined(now, 7) {
+		t.Error("quarantined by who has heard that it was answered")
 	}
 }
 
 // A request that was harmless crashes servers of the next release.
-func TestRequestThatWasAnsweredLongAgoIsHeldBack(t *testing.T) {
+func TestRequestThatWasAnsweredLongAgoIsQuarantined(t *testing.T) {
 	q := NewQuarantine()
 	q.Answered(testStart, 7)
 	for i, start := range starts("a", "b", "c", "d") {
 		q.Crashed(testStart.Add(clearedFor/2+time.Duration(i)*clearedFor), 7, start)
 	}
-	if !q.Holds(testStart, 7) {
-		t.Error("not held back after three crashes since")
+	if !q.Quarantined(testStart, 7) {
+		t.Error("not quarantined after three crashes since")
 	}
 }
 
@@ -303,16 +303,16 @@
 	held := func() int {
 		n := 0
 		for _, s := range p.senders {
-			n += s.Held()
+			n += s.Len()
 		}
 		return n
 	}
 	if held() != len(p.senders) {
-		t.Fatalf("held back by %d senders of %d", held(), len(p.senders))
+		t.Fatalf("quarantined by %d senders of %d", held(), len(p.senders))
 	}
 	// It comes again at one sender: all of them go on.
 	p.now = p.now.Add(suspectKept / 2)
-	p.senders[0].Holds(p.now, culprit)
+	p.senders[0].Quarantined(p.now, culprit)
 	for range 20 {
 		p.tell(0.3)
 		p.now = p.now.Add(tellInterval)
@@ -323,13 +323,13 @@
 		p.now = p.now.Add(tellInterval)
 	}
 	if held() != len(p.senders) {
-		t.Errorf("held back by %d senders of %d, though it came three quarters of an hour ago", held(), len(p.senders))
+		t.Errorf("quarantined by %d senders of %d, though it came three quarters of an hour ago", held(), len(p.senders))
 	}
 	for range 60 {
 		p.now = p.now.Add(time.Minute)
 		p.tell(0.3)
 	}
 	if held() != 0 {
-		t.Errorf("held back by %d senders after it has stayed away", held())
+		t.Errorf("quarantined by %d senders after it has stayed away", held())
 	}
 }
--- a/testbed/gateway/crashing_test.go
+++ b/testbed/gateway/crashing_test.go
@@ -25,7 +25,7 @@
 
 // A request that crashes the servers that run it came again after each crash, and took
 // one server after the other away from all other callers.
-func TestRequestThatCrashesServersIsHeldBack(t *testing.T) {
+func TestRequestThatCrashesServersIsQuarantined(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/resume/x"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
@@ -57,7 +57,7 @@
 }
 
 // Gateways that know only of their own crashes let the request end three servers each.
-func TestGatewaysHoldBackTogether(t *testing.T) {
+func TestGatewaysQuarantineTogether(t *testing.T) {
 	t.Parallel()
 	fleets := startAlike(t, 3, 0)
 	m := newMortal(fleets[0], 10, gateway.Answer("whole"))
@@ -83,7 +83,7 @@
 }
 
 // What ran beside a request that crashes servers broke off with it each time. It must not
-// be held back with it.
+// be quarantined with it.
 func TestRequestsBesideADeadlyOneAreAnswered(t *testing.T) {
 	t.Parallel()
 	f := gateway.NewFleet(t, gateway.Options{})
@@ -120,7 +120,7 @@
 
 // A server that breaks off answers and goes on hasn't crashed: its requests came to
 // nothing and may do better next time.
-func TestBrokenAnswersOfAServerThatRunsHoldNothingBack(t *testing.T) {
+func TestBrokenAnswersOfAServerThatRunsQuarantineNothing(t *testing.T) {
 	t.Parallel()
 	f := gateway.NewFleet(t, gateway.Options{})
 	for i := range 4 {
@@ -133,7 +133,7 @@
 }
 
 // All gateways lost power at once; what they knew of the request went with them.
-func TestWhatIsHeldBackOutlivesAllGateways(t *testing.T) {
+func TestWhatIsQuarantinedOutlivesAllGateways(t *testing.T) {
 	t.Parallel()
 	before := gateway.NewFleet(t, gateway.Options{})
 	m := newMortal(before, 8, wholeOf)
