gateway: who rests asks the store when proofs are overdue

Ruled out: a store that had lost its history, a handover that failed (no line of either). Change: a gateway that rests asks for itself once the proof is older than it gets while pollers have answers (a second, their wait, and four datagrams). Readiness goes by what it went by.

--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -26,6 +26,9 @@
 	provers        = 3
 	provedByOthers = 15 * time.Second
 	hurryPart      = 0.7
+	// proofSlack is by how much a proof may come later than pollers have one at the longest,
+	// for a few datagrams that are lost.
+	proofSlack = 400 * time.Millisecond
 	// leastWait bounds the calls where the bound leaves hardly any time.
 	leastWait = 200 * time.Millisecond
 	// serversWait is the same for the list of backend servers, which proves
@@ -48,7 +51,7 @@
 func (g *gateway) newTargetsFollower() *follow.Follower[*routes.Set] {
 	return &follow.Follower[*routes.Set]{
 		Name: "desired state", Source: g.platform.Desired, Sink: g.desired,
-		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Idle: g.targetsTold, Defers: g.defersToPollers,
+		Wait: g.proofWait, Confirm: g.proves, Hurry: g.proofOld, Arriving: &g.arriving, Idle: func() bool { return g.targetsTold() && !g.proofOverdue() }, Defers: g.defersToPollers,
 		Store: &g.store, Leads: true, Asked: g.platform.Metrics.StoreAsked("targets"), Restored: g.platform.Metrics.StoreRestored("targets"), Log: g.log,
 	}
 }
@@ -66,6 +69,14 @@
 // after news.
 func (g *gateway) proves() bool { return g.mesh.Before() < provers }
 
+// proofOverdue reports whether the proof is older than it gets while pollers have answers
+// from the store. A poller to which the store falls silent notices that by its timeout, which
+// is too late for what the others have to know within two seconds.
+func (g *gateway) proofOverdue() bool {
+	proved := g.holder.ProvenAt()
+	return proved != 0 && boottime.Now()-proved > feedSilence+provedWithin(g.router.Bounds().Proof)+proofSlack
+}
+
 // defersToPollers reports whether other gateways poll the store for all.
 func (g *gateway) defersToPollers() bool { return !g.proves() }
 
@@ -93,7 +104,7 @@
 func (g *gateway) newServersFollower() *follow.Follower[backend.Info] {
 	return &follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: &servers{registry: g.registry, log: g.log},
-		Wait: follow.Always(serversWait), Gather: serversGather, Idle: g.serversTold, Defers: g.defersToPollers,
+		Wait: follow.Always(serversWait), Gather: serversGather, Idle: func() bool { return g.serversTold() && !g.proofOverdue() }, Defers: g.defersToPollers,
 		Store: &g.store, Asked: g.platform.Metrics.StoreAsked("backend_servers"), Restored: g.platform.Metrics.StoreRestored("backend_servers"), Log: g.log,
 	}
 }
--- a/testbed/gateway/fleet.go
+++ b/testbed/gateway/fleet.go
@@ -56,6 +56,8 @@
 	mu       sync.Mutex
 	arrivals []*Arrival
 	settings settings.Gateway
+	// way is the gateway's to the store.
+	way *silenced
 	// read is closed once the gateway has read the settings again.
 	read chan struct{}
 }
@@ -112,7 +114,8 @@
 	if o.Store == nil {
 		f.Store.SetFault(o.Fault)
 	}
-	web := httptest.NewServer(slowLink{f.Store, o.StoreRate})
+	f.way = &silenced{Handler: slowLink{f.Store, o.StoreRate}}
+	web := httptest.NewServer(f.way)
 	t.Cleanup(func() { f.Store.SetFault(rowstore.Busy); web.CloseClientConnections(); web.Close() })
 	f.Front, f.Admin = ports.For(t), ports.For(t)
 	if o.Name == "" {
@@ -153,6 +156,9 @@
 	return f
 }
 
+// Silence has nothing come back from the store to this gateway, or ends that.
+func (f *Fleet) Silence(silent bool) { f.way.silent.Store(silent) }
+
 // Change changes the gateway's settings and waits until they are in force.
 func (f *Fleet) Change(change func(*settings.Gateway)) {
 	f.mu.Lock()
--- a/testbed/gateway/told_test.go
+++ b/testbed/gateway/told_test.go
@@ -148,3 +148,26 @@
 		}
 	}
 }
+
+// The store falls silent for all gateways that ask it for the others, which it goes on to
+// answer: one of these has a new desired state in force as soon as its operators ask for, two
+// seconds after it was acknowledged.
+func TestOthersAskWhenTheStoreFallsSilentForTheAskers(t *testing.T) {
+	t.Parallel()
+	const within = 2 * time.Second
+	fleets := startAlike(t, storeAskers+1, 0)
+	last := fleets[storeAskers]
+	last.Serve("i-1", gateway.Answer("whole"))
+	last.Wait("the last gateway serves", func() bool { return last.Call("/safe/x", "warm").Status == 200 })
+	// It rests once it has had the list from others.
+	time.Sleep(time.Second)
+	for _, f := range fleets[:storeAskers] {
+		f.Silence(true)
+	}
+	last.Desire(2, `,{"name":"new","host":"h.example","prefix":"/new/","type":"safe","timeout-ms":2000,"service":"plain","attempts":1}`, "")
+	acknowledged := time.Now()
+	last.Wait("the new route is in force", func() bool { return last.Call("/new/x", "new").Status == 200 })
+	if took := time.Since(acknowledged); took > within {
+		t.Errorf("in force after %v", took)
+	}
+}
