peers, policy: names of the exchange between gateways in the field's terms

Change: names, comments and one method peer.live (broadcast, receive, Merge, gossipInterval, maxPerDatagram, live peers).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,7 @@
 	g.mesh, err = peers.Listen(peers.Config{
 		Self:  peers.Entry{Name: s.Process, Addr: s.PeerListen},
 		Loads: g.loads, Shortages: func() map[string]policy.Shortage { return g.router.Shortages() },
-		News: func() policy.News { return g.router.News() }, Heard: func(n policy.News) { g.router.Heard(n) },
+		News: func() policy.News { return g.router.News() }, Merge: func(n policy.News) { g.router.Merge(n) },
 		Proof: func() peers.Proof { return peers.Proof{Version: g.holder.Version(), At: g.holder.ProvenAt()} },
 		Prove: func(p peers.Proof) { g.holder.Prove(p.Version, p.At) }, Following: g.following,
 		Usage: g.usageExchange(), Log: log,
--- a/internal/gateway/peers/bench_test.go
+++ b/internal/gateway/peers/bench_test.go
@@ -27,7 +27,7 @@
 		Self:      Entry{Name: "a", Addr: "127.0.0.1:0"},
 		Loads:     func() []Load { return loads },
 		News:      func() policy.News { return news },
-		Heard:     func(policy.News) {},
+		Merge:     func(policy.News) {},
 		Shortages: func() map[string]policy.Shortage { return nil },
 		Proof:     func() Proof { return Proof{} },
 		Prove:     func(Proof) {},
@@ -45,20 +45,20 @@
 	return m
 }
 
-func BenchmarkTell(b *testing.B) {
+func BenchmarkBroadcast(b *testing.B) {
 	for _, peers := range []int{68, 299} {
 		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
 			m := busyMesh(b, peers)
 			for b.Loop() {
-				m.tell()
+				m.broadcast()
 			}
 		})
 	}
 }
 
-func BenchmarkHear(b *testing.B) {
+func BenchmarkReceive(b *testing.B) {
 	m := busyMesh(b, 1)
-	m.tell()
+	m.broadcast()
 	from, in, err := m.receive(make([]byte, maxDatagram))
 	if err != nil {
 		b.Fatal(err)
--- a/internal/gateway/peers/tell.go
+++ b/internal/gateway/peers/broadcast.go
@@ -11,8 +11,8 @@
 	"github.com/applepier/applepier/internal/logging"
 )
 
-// tell sends a datagram to each other gateway.
-func (m *Mesh) tell() {
+// broadcast sends a datagram to each other gateway.
+func (m *Mesh) broadcast() {
 	destinations := m.table.destinations()
 	if len(destinations) == 0 {
 		return
--- a/internal/gateway/peers/following.go
+++ b/internal/gateway/peers/following.go
@@ -43,53 +43,51 @@
 	}
 }
 
-// before counts the gateways that were heard of lately, that the store isn't known to
-// turn away, and whose names come before one by their hashes.
+// before counts the live peers that the store isn't known to turn away, and whose names come
+// before one by their hashes.
 func (t *table) before(now time.Time, name string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for other, p := range t.peers {
-		if now.Sub(p.heard) <= silentAfter && p.follows != turnedAway && hash(other) < hash(name) {
+		if p.live(now) && p.follows != turnedAway && hash(other) < hash(name) {
 			n++
 		}
 	}
 	return n
 }
 
-// followed reports whether a gateway that was heard of lately asks the store.
+// followed reports whether a live peer asks the store.
 func (t *table) followed(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.peers {
-		if now.Sub(p.heard) <= silentAfter && p.follows == asking {
+		if p.live(now) && p.follows == asking {
 			return true
 		}
 	}
 	return false
 }
 
-// quarantined reports whether a gateway that was heard of lately knows which requests are
-// quarantined.
+// quarantined reports whether a live peer knows which requests are quarantined.
 func (t *table) quarantined(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.peers {
-		if now.Sub(p.heard) <= silentAfter && p.quarantine {
+		if p.live(now) && p.quarantine {
 			return true
 		}
 	}
 	return false
 }
 
-// ahead returns the address of a gateway that was heard of lately and knows of changes
-// in the list of backend servers after a position; empty for none, one of several by
-// chance.
+// ahead returns the address of a live peer that knows of changes in the list of backend
+// servers after a position; empty for none, one of several by chance.
 func (t *table) ahead(now time.Time, at follow.Position) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.peers {
-		if now.Sub(p.heard) <= silentAfter && p.servers > at {
+		if p.live(now) && p.servers > at {
 			return p.addr
 		}
 	}
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	// tellEvery is how often a gateway tells the others what it has: a request
+	// gossipInterval is how often a gateway tells the others what it has: a request
 	// takes 20 to 2,000 ms, and a datagram a fraction of a millisecond.
-	tellEvery = 100 * time.Millisecond
-	// goneAfter is how long a gateway that was listed or heard of is waited for:
+	gossipInterval = 100 * time.Millisecond
+	// goneAfter is how long a gateway that was listed or received from is waited for:
 	// a VM that restarts, or a network that is mended, takes less.
 	goneAfter = 10 * time.Minute
 )
@@ -62,14 +62,14 @@
 	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { m.listen(ctx) })
-	ticker := time.NewTicker(tellEvery)
+	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case now := <-ticker.C:
 			m.table.expire(now)
-			m.tell()
+			m.broadcast()
 		}
 	}
 	wg.Wait()
@@ -88,28 +88,26 @@
 // server's start that has named a limit.
 func (m *Mesh) LimitedSends(start policy.Key) float64 { return m.table.limitedSends(uint32(start)) }
 
-// Gateways counts the gateways, this one included: those that were heard of
-// lately.
-func (m *Mesh) Gateways() int { return 1 + m.table.heard(time.Now()) }
+// Gateways counts the live gateways, this one included.
+func (m *Mesh) Gateways() int { return 1 + m.table.livePeers(time.Now()) }
 
-// Before counts the gateways, of those that were heard of lately and that the store
-// isn't known to turn away, that come before this one in an order on which all agree
-// that hear of each other.
+// Before counts the live peers that the store isn't known to turn away and that come before
+// this gateway, in an order on which all agree that are live to each other.
 func (m *Mesh) Before() int { return m.table.before(time.Now(), m.Self.Name) }
 
-// Followed reports whether another gateway, heard of lately, asks the store for news.
+// Followed reports whether a live peer asks the store for news.
 func (m *Mesh) Followed() bool { return m.table.followed(time.Now()) }
 
-// Quarantined reports whether another gateway, heard of lately, knows which requests are
-// quarantined. It tells them in turn.
+// Quarantined reports whether a live peer knows which requests are quarantined. It sends
+// them in turn.
 func (m *Mesh) Quarantined() bool { return m.table.quarantined(time.Now()) }
 
-// Ahead returns the address of a gateway, heard of lately, that knows of changes in the
-// list of backend servers after a position; empty for none.
+// Ahead returns the address of a live peer that knows of changes in the list of backend
+// servers after a position; empty for none.
 func (m *Mesh) Ahead(at follow.Position) string { return m.table.ahead(time.Now(), at) }
 
-// Newest returns the address of a gateway with the newest desired state of those
-// that were heard of lately, and its version; empty for none.
+// Newest returns the address of the live peer with the newest desired state, and its
+// version; empty for none.
 func (m *Mesh) Newest() (addr string, version uint64) { return m.table.newest(time.Now()) }
 
 // Start identifies this gateway's start.
@@ -120,7 +118,7 @@
 
 // Unseen is for how long what another gateway sends may go unseen here: up to
 // the time between two datagrams.
-func (m *Mesh) Unseen() time.Duration { return tellEvery }
+func (m *Mesh) Unseen() time.Duration { return gossipInterval }
 
 // Listed counts the gateways in the list, this one included, whether they run
 // or not.
--- a/internal/gateway/peers/mesh_test.go
+++ b/internal/gateway/peers/mesh_test.go
@@ -42,7 +42,7 @@
 func pass(t *testing.T, from, to *Mesh) {
 	t.Helper()
 	from.table.know(to.Self.Name, to.conn.LocalAddr().String())
-	from.tell()
+	from.broadcast()
 	addr, in, err := to.receive(make([]byte, maxDatagram))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/peers/news_test.go
+++ b/internal/gateway/peers/news_test.go
@@ -11,33 +11,33 @@
 
 func TestNewsArePassedOn(t *testing.T) {
 	a, b, _ := meshes(t)
-	told := policy.News{
+	sent := policy.News{
 		Uses:       []policy.Use{{Server: 0xfffffff0, Part: 1<<63 + 5, Read: true}, {Server: 2, Part: 3}},
 		Firsts:     []policy.FirstToken{{Service: 9, Server: 2, Urgency: 4, Ahead: 12_000, Took: 250 * time.Millisecond}},
 		Unanswered: []policy.Key{0xfffffff0, 0xfffffff0},
 		Pauses:     []policy.Pause{{Service: 9, Server: 0xfffffff0, Urgency: 3, Longest: 118 * time.Millisecond}},
 	}
-	a.News = func() policy.News { return told }
-	var heard []policy.News
-	b.Heard = func(n policy.News) { heard = append(heard, n) }
+	a.News = func() policy.News { return sent }
+	var merged []policy.News
+	b.Merge = func(n policy.News) { merged = append(merged, n) }
 	pass(t, a, b)
-	if len(heard) != 1 || !reflect.DeepEqual(heard[0], told) {
-		t.Fatalf("heard %+v, told %+v", heard, told)
+	if len(merged) != 1 || !reflect.DeepEqual(merged[0], sent) {
+		t.Fatalf("merged %+v, sent %+v", merged, sent)
 	}
 	// Levels of urgency that aren't known here count as the least urgent.
-	told.Firsts[0].Urgency, told.Pauses[0].Urgency = 200, 201
+	sent.Firsts[0].Urgency, sent.Pauses[0].Urgency = 200, 201
 	pass(t, a, b)
-	if got := heard[1].Firsts[0].Urgency; got != policy.UrgencyLevels-1 {
+	if got := merged[1].Firsts[0].Urgency; got != policy.UrgencyLevels-1 {
 		t.Errorf("level 200 came as %d", got)
 	}
-	if got := heard[1].Pauses[0].Urgency; got != policy.UrgencyLevels-1 {
+	if got := merged[1].Pauses[0].Urgency; got != policy.UrgencyLevels-1 {
 		t.Errorf("level 201 came as %d", got)
 	}
 	// Without news nobody is called.
-	told = policy.News{}
+	sent = policy.News{}
 	pass(t, a, b)
-	if len(heard) != 2 {
-		t.Errorf("%d times news, want 2", len(heard))
+	if len(merged) != 2 {
+		t.Errorf("%d times news, want 2", len(merged))
 	}
 }
 
@@ -46,27 +46,27 @@
 func TestSuspicionsArePassedOn(t *testing.T) {
 	a, b, _ := meshes(t)
 	now := time.Now()
-	told := []policy.Suspicion{
+	sent := []policy.Suspicion{
 		{Fingerprint: 1<<63 + 5, Seen: now.Add(-2 * time.Minute), Crashes: []policy.Crash{{Start: 0xfffffff0, At: now.Add(-time.Hour)}, {Start: 3, At: now}}},
 		{Fingerprint: 7, Cleared: now.Add(-time.Minute)},
 	}
-	a.News = func() policy.News { return policy.News{Suspicions: told} }
-	var heard []policy.Suspicion
-	b.Heard = func(n policy.News) { heard = append(heard, n.Suspicions...) }
+	a.News = func() policy.News { return policy.News{Suspicions: sent} }
+	var merged []policy.Suspicion
+	b.Merge = func(n policy.News) { merged = append(merged, n.Suspicions...) }
 	pass(t, a, b)
-	if len(heard) != 2 || heard[0].Fingerprint != told[0].Fingerprint || len(heard[0].Crashes) != 2 || !heard[0].Cleared.IsZero() || heard[1].Crashes != nil {
-		t.Fatalf("heard %+v, told %+v", heard, told)
+	if len(merged) != 2 || merged[0].Fingerprint != sent[0].Fingerprint || len(merged[0].Crashes) != 2 || !merged[0].Cleared.IsZero() || merged[1].Crashes != nil {
+		t.Fatalf("merged %+v, sent %+v", merged, sent)
 	}
 	near := func(got, want time.Time) {
 		t.Helper()
 		if d := got.Sub(want); d < -time.Second || d > time.Second {
-			t.Errorf("%v, %v away from what was told", got, d)
+			t.Errorf("%v, %v away from what was sent", got, d)
 		}
 	}
-	near(heard[0].Crashes[0].At, told[0].Crashes[0].At)
-	near(heard[0].Crashes[1].At, told[0].Crashes[1].At)
-	near(heard[1].Cleared, told[1].Cleared)
-	near(heard[0].Seen, told[0].Seen)
+	near(merged[0].Crashes[0].At, sent[0].Crashes[0].At)
+	near(merged[0].Crashes[1].At, sent[0].Crashes[1].At)
+	near(merged[1].Cleared, sent[1].Cleared)
+	near(merged[0].Seen, sent[0].Seen)
 }
 
 // What gateways sent to a server with a limit counts until they fall silent; a limit that
@@ -82,14 +82,14 @@
 			{Server: 4, Sent: 1},
 		}}
 	}
-	var heard []policy.ServerLimit
-	b.Heard = func(n policy.News) { heard = append(heard, n.Limits...) }
+	var merged []policy.ServerLimit
+	b.Merge = func(n policy.News) { merged = append(merged, n.Limits...) }
 	pass(t, a, b)
-	if len(heard) != 2 || heard[0].Rate != 1.8 || heard[0].Lifted || !heard[1].Lifted {
-		t.Fatalf("heard %+v", heard)
+	if len(merged) != 2 || merged[0].Rate != 1.8 || merged[0].Lifted || !merged[1].Lifted {
+		t.Fatalf("merged %+v", merged)
 	}
-	if age := now.Sub(heard[0].At); age < 59*time.Second || age > 61*time.Second {
-		t.Errorf("named %v ago, a minute was told", age)
+	if age := now.Sub(merged[0].At); age < 59*time.Second || age > 61*time.Second {
+		t.Errorf("named %v ago, a minute was sent", age)
 	}
 	if got := b.LimitedSends(0xfffffff0); got != 2.5 {
 		t.Errorf("%v sent by the other", got)
@@ -99,7 +99,7 @@
 	}
 	pass(t, a, b)
 	if got := b.LimitedSends(0xfffffff0); got != 2.5 {
-		t.Errorf("%v sent by the other, told twice", got)
+		t.Errorf("%v sent by the other, sent twice", got)
 	}
 	b.table.expire(time.Now().Add(2 * silentAfter))
 	if got := b.LimitedSends(0xfffffff0); got != 0 {
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -50,10 +50,9 @@
 	Loads func() []Load
 	// Shortages returns what this gateway is short of, by service.
 	Shortages func() map[string]policy.Shortage
-	// News returns what other gateways are to be told this time, and Heard takes
-	// what one of them tells.
+	// News returns the updates for other gateways, and Merge merges one of theirs.
 	News  func() policy.News
-	Heard func(policy.News)
+	Merge func(policy.News)
 	// Proof returns this gateway's proof, and Prove takes another's.
 	Proof func() Proof
 	Prove func(Proof)
--- a/internal/gateway/peers/hear.go
+++ b/internal/gateway/peers/receive.go
@@ -65,7 +65,7 @@
 	}
 	m.receiveUsage(now, in)
 	if len(in.Uses)+len(in.Firsts)+len(in.Pauses)+len(in.Unanswered)+len(in.Suspicions)+len(in.Limits) > 0 {
-		m.Heard(policy.News{
+		m.Merge(policy.News{
 			Uses: unpackUses(in.Uses), Firsts: unpackFirsts(in.Firsts), Pauses: unpackPauses(in.Pauses), Unanswered: in.Unanswered,
 			Suspicions: unpackSuspicions(now, in.Suspicions), Limits: unpackLimits(now, in.Limits),
 		})
--- a/internal/gateway/peers/shortage_test.go
+++ b/internal/gateway/peers/shortage_test.go
@@ -17,7 +17,7 @@
 	pass(t, a, b)
 	got := b.Shortage("chat")
 	if got[3].Offered != 40 || got[3].Lacked != 10 {
-		t.Errorf("heard %+v, told %+v", got[3], short[3])
+		t.Errorf("merged %+v, sent %+v", got[3], short[3])
 	}
 	if got[4].Offered != 0 {
 		t.Errorf("what had faded away was told: %+v", got[4])
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -19,8 +19,8 @@
 	addr     string
 	boot     uint64
 	sequence uint64
-	heard    time.Time
-	// known is when it was first heard of, from the list or itself.
+	received time.Time
+	// known is when it was first known, from the list or itself.
 	known time.Time
 	// stamp is the last stamp that came, to be echoed.
 	stamp uint64
@@ -40,6 +40,9 @@
 	usage      usagePeer
 }
 
+// live reports whether a datagram of it was received lately.
+func (p *peer) live(now time.Time) bool { return now.Sub(p.received) <= silentAfter }
+
 // table keeps the other gateways' counts and their sums. All methods may be
 // called concurrently.
 type table struct {
@@ -74,7 +77,7 @@
 	if p.boot != m.Boot {
 		p.usage = usagePeer{}
 	}
-	p.addr, p.boot, p.sequence, p.heard, p.stamp = addr, m.Boot, m.Sequence, now, m.Stamp
+	p.addr, p.boot, p.sequence, p.received, p.stamp = addr, m.Boot, m.Sequence, now, m.Stamp
 	p.version, p.follows, p.servers, p.quarantine = m.Version, m.Follows, m.Servers, m.Quarantine
 	p.loads, p.shortages, p.limits = m.Loads, m.Shortages, m.Limits
 	return true
@@ -97,13 +100,13 @@
 	return p
 }
 
-// silent names the gateways that nothing was heard of for a time.
+// silent names the gateways from which nothing was received for a time.
 func (t *table) silent(now time.Time, than time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var names []string
 	for name, p := range t.peers {
-		if now.Sub(p.heard) > than && now.Sub(p.known) > than {
+		if now.Sub(p.received) > than && now.Sub(p.known) > than {
 			names = append(names, name)
 		}
 	}
@@ -125,7 +128,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.peers {
-		if now.Sub(p.heard) > silentAfter {
+		if !p.live(now) {
 			t.drop(p)
 		}
 	}
@@ -155,33 +158,33 @@
 	return all
 }
 
-// heard counts the gateways that were heard of lately.
-func (t *table) heard(now time.Time) int {
+// livePeers counts the live peers.
+func (t *table) livePeers(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for _, p := range t.peers {
-		if now.Sub(p.heard) <= silentAfter {
+		if p.live(now) {
 			n++
 		}
 	}
 	return n
 }
 
-// newest returns the address of a gateway that was heard of lately and has the
-// newest desired state of those; which of several is left to chance.
+// newest returns the address of the live peer with the newest desired state; which of
+// several is left to chance.
 func (t *table) newest(now time.Time) (addr string, version uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.peers {
-		if now.Sub(p.heard) <= silentAfter && p.version > version {
+		if p.live(now) && p.version > version {
 			addr, version = p.addr, p.version
 		}
 	}
 	return addr, version
 }
 
-// listed counts the gateways that are known, heard of or not.
+// listed counts the gateways that are known, live or not.
 func (t *table) listed() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/peers/usage.go
+++ b/internal/gateway/peers/usage.go
@@ -117,7 +117,7 @@
 	for i := range all {
 		p := t.peer(all[i].name)
 		switch {
-		case now.Sub(p.heard) > silentAfter:
+		case !p.live(now):
 		case p.usage.holds:
 			all[i].receivesUsage = true
 		default:
@@ -144,7 +144,7 @@
 	m.table.mu.Lock()
 	defer m.table.mu.Unlock()
 	for _, p := range m.table.peers {
-		if now.Sub(p.heard) <= silentAfter && p.usage.holds {
+		if p.live(now) && p.usage.holds {
 			return true
 		}
 	}
@@ -167,7 +167,7 @@
 	defer t.mu.Unlock()
 	all := make([]int64, 0, len(t.peers)+1)
 	for _, p := range t.peers {
-		if now.Sub(p.heard) <= silentAfter && p.usage.known {
+		if p.live(now) && p.usage.known {
 			all = append(all, p.usage.clockOffset)
 		}
 	}
--- a/internal/gateway/peers/usage_test.go
+++ b/internal/gateway/peers/usage_test.go
@@ -97,7 +97,7 @@
 	// A peer that fell silent doesn't count.
 	m.table.mu.Lock()
 	for _, p := range m.table.peers {
-		p.heard = time.Now().Add(-2 * silentAfter)
+		p.received = time.Now().Add(-2 * silentAfter)
 		p.usage.clockOffset = boottime.Now().Milliseconds()
 	}
 	m.table.mu.Unlock()
--- a/internal/gateway/router/limits.go
+++ b/internal/gateway/router/limits.go
@@ -34,10 +34,10 @@
 		return
 	}
 	listed := max(r.Gateways(), r.Others.Gateways())
-	heard := float64(r.Others.Gateways()) / float64(listed)
+	liveShare := float64(r.Others.Gateways()) / float64(listed)
 	for i := range loads {
 		s := &loads[i]
-		s.Allowance, s.Limited = r.limits.Allowance(now, s.Start, r.Others.LimitedSends(s.Start), heard)
+		s.Allowance, s.Limited = r.limits.Allowance(now, s.Start, r.Others.LimitedSends(s.Start), liveShare)
 	}
 }
 
--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -77,7 +77,7 @@
 func (r *Router) Suspect(known []policy.Suspicion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.quarantine.Heard(time.Now(), known)
+	r.quarantine.Merge(time.Now(), known)
 }
 
 func (r *Router) answered(f policy.Fingerprint) {
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -107,15 +107,14 @@
 	r.outbox.pause(pause)
 }
 
-// Heard notes what another gateway tells of the parts that servers hold, and of
-// first tokens that it had.
-func (r *Router) Heard(news policy.News) {
+// Merge merges another gateway's updates.
+func (r *Router) Merge(news policy.News) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.Index.Heard(now, news.Uses)
-	r.quarantine.Heard(now, news.Suspicions)
-	r.limits.Heard(news.Limits)
+	r.Index.Merge(now, news.Uses)
+	r.quarantine.Merge(now, news.Suspicions)
+	r.limits.Merge(news.Limits)
 	for _, f := range news.Firsts {
 		r.unresponsive.Answered(f.Server)
 		if s := r.known(f.Service); s != nil {
--- a/internal/gateway/router/shared_test.go
+++ b/internal/gateway/router/shared_test.go
@@ -46,12 +46,12 @@
 	r := newTestRouter()
 	unresponsive := policy.KeyOf("b")
 	for range 5 {
-		r.Heard(policy.News{Unanswered: []policy.Key{unresponsive, unresponsive}})
+		r.Merge(policy.News{Unanswered: []policy.Key{unresponsive, unresponsive}})
 	}
 	if at := chosen(r, 0); at["b"] != 0 || at["a"] == 0 || at["c"] == 0 {
 		t.Errorf("chosen %v, b answers nobody", at)
 	}
-	r.Heard(policy.News{Firsts: []policy.FirstToken{{Service: policy.KeyOf("s"), Server: unresponsive, Urgency: 3, Ahead: 800, Took: 100 * time.Millisecond}}})
+	r.Merge(policy.News{Firsts: []policy.FirstToken{{Service: policy.KeyOf("s"), Server: unresponsive, Urgency: 3, Ahead: 800, Took: 100 * time.Millisecond}}})
 	if at := chosen(r, 0); at["b"] == 0 {
 		t.Errorf("chosen %v, b has answered another gateway", at)
 	}
@@ -71,7 +71,7 @@
 	r := newTestRouter()
 	chosen(r, 0)
 	tell := func(server string, longest time.Duration) {
-		r.Heard(policy.News{Pauses: []policy.Pause{{Service: policy.KeyOf("s"), Server: policy.KeyOf(server), Urgency: 3, Longest: longest}}})
+		r.Merge(policy.News{Pauses: []policy.Pause{{Service: policy.KeyOf("s"), Server: policy.KeyOf(server), Urgency: 3, Longest: longest}}})
 	}
 	for range 20 {
 		tell("a", 90*time.Millisecond)
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -126,7 +126,7 @@
 	heap.Push(&p.events, playEvent{p.now + d, do})
 }
 
-// tell shares the senders' views.
+// announce shares the senders' views.
 func (p *directPlay) tell() {
 	for i := range p.engines {
 		var sum Server
@@ -147,7 +147,7 @@
 	for _, s := range p.senders {
 		for _, other := range p.senders {
 			if other != s {
-				s.index.Heard(p.time(), other.index.News(p.time()))
+				s.index.Merge(p.time(), other.index.News(p.time()))
 			}
 		}
 		own := s.lacked.Counts(p.time())
--- a/policy/index_bench_test.go
+++ b/policy/index_bench_test.go
@@ -31,7 +31,7 @@
 				uses[i] = Use{Server: KeyOf(servers[random.IntN(n)].Name), Part: 1 + random.Uint64N(hotParts), Read: true}
 			}
 			for b.Loop() {
-				index.Heard(testStart.Add(time.Millisecond), uses)
+				index.Merge(testStart.Add(time.Millisecond), uses)
 			}
 		})
 	}
--- a/policy/prefix_index.go
+++ b/policy/prefix_index.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// Heard notes what another sender tells.
-func (x *PrefixIndex) Heard(now time.Time, uses []Use) {
+// Merge merges another sender's uses.
+func (x *PrefixIndex) Merge(now time.Time, uses []Use) {
 	for _, u := range uses {
 		x.use(now, u)
 	}
--- a/policy/prefix_index_test.go
+++ b/policy/prefix_index_test.go
@@ -56,12 +56,12 @@
 func TestNewsReachOthersOnce(t *testing.T) {
 	a, b, now := NewPrefixIndex(), NewPrefixIndex(), testStart
 	a.Sent(now, 7, essayParts)
-	b.Heard(now, a.News(now))
+	b.Merge(now, a.News(now))
 	if got := b.at(now, 7, essayParts); got != (held{tokens: 6000}) {
 		t.Errorf("heard of: %+v", got)
 	}
 	a.Read(now, 7, essayParts)
-	b.Heard(now, a.News(now))
+	b.Merge(now, a.News(now))
 	if got := b.at(now, 7, essayParts); got.read != 6000 {
 		t.Errorf("heard of after it was read: %+v", got)
 	}
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -18,11 +18,11 @@
 	seenAgain = time.Minute
 	// mostSuspects bounds the suspects; the one that was seen least recently goes first.
 	mostSuspects = 4096
-	// suspicionTellings is how many times a change is told, so that lost datagrams are
+	// suspicionRepeats is how many times a change is told, so that lost datagrams are
 	// made good.
-	suspicionTellings = 3
-	// mostTold bounds the suspicions that are told at once.
-	mostTold = 32
+	suspicionRepeats = 3
+	// maxPerDatagram bounds the suspicions that are told at once.
+	maxPerDatagram = 32
 )
 
 // Fingerprint identifies what is asked for: a request that comes again has the
@@ -99,7 +99,7 @@
 func (q *Quarantine) Crashed(now time.Time, f Fingerprint, start Key) bool {
 	before := q.find()[f]
 	if q.note(f, q.answered.last(f), Crash{Start: start, At: now}) {
-		q.tell(f, q.suspects[f])
+		q.announce(f, q.suspects[f])
 	}
 	q.suspects[f].seen = now
 	return !before && q.find()[f]
@@ -109,7 +109,7 @@
 func (q *Quarantine) Answered(now time.Time, f Fingerprint) {
 	q.answered.add(now, f)
 	if s := q.suspects[f]; s != nil && len(s.crashes) > 0 && q.note(f, now) {
-		q.tell(f, s)
+		q.announce(f, s)
 	}
 }
 
@@ -135,9 +135,9 @@
 	return Suspicion{Fingerprint: f}
 }
 
-// Heard takes what another sender tells. Of what it suspects this one may know better.
-func (q *Quarantine) Heard(now time.Time, told []Suspicion) {
-	for _, t := range told {
+// Merge merges another sender's suspicions, of which this one may know better.
+func (q *Quarantine) Merge(now time.Time, updates []Suspicion) {
+	for _, t := range updates {
 		if now.Sub(t.Seen) > suspectKept {
 			continue
 		}
@@ -147,7 +147,7 @@
 			s.seen = t.Seen
 		}
 		if last := q.answered.last(t.Fingerprint); !last.IsZero() && q.note(t.Fingerprint, last) {
-			q.tell(t.Fingerprint, s)
+			q.announce(t.Fingerprint, s)
 		}
 	}
 }
@@ -177,7 +177,7 @@
 		s := q.suspects[f]
 		switch {
 		case s == nil:
-		case i >= mostTold:
+		case i >= maxPerDatagram:
 			left = append(left, f)
 		default:
 			news = append(news, s.suspicion(f))
@@ -212,12 +212,12 @@
 	return 0, false
 }
 
-// tell has a suspect told to other senders.
-func (q *Quarantine) tell(f Fingerprint, s *suspect) {
+// announce has a suspect told to other senders.
+func (q *Quarantine) announce(f Fingerprint, s *suspect) {
 	if s.tellings <= 0 {
 		q.pending = append(q.pending, f)
 	}
-	s.tellings = suspicionTellings
+	s.tellings = suspicionRepeats
 }
 
 // suspect returns what is known of a request, from now on at least.
--- a/policy/quarantine_test.go
+++ b/policy/quarantine_test.go
@@ -41,7 +41,7 @@
 	later := testStart.Add(2*time.Second + clearedFor)
 	q.Crashed(later, 7, KeyOf("c"))
 	// News of an earlier crash comes late.
-	q.Heard(later, []Suspicion{{Fingerprint: 7, Seen: later, Crashes: []Crash{{KeyOf("d"), testStart}, {KeyOf("e"), testStart}}}})
+	q.Merge(later, []Suspicion{{Fingerprint: 7, Seen: later, Crashes: []Crash{{KeyOf("d"), testStart}, {KeyOf("e"), testStart}}}})
 	if q.Quarantined(testStart, 7) {
 		t.Error("a request is quarantined that was answered whole")
 	}
@@ -122,8 +122,8 @@
 }
 
 const (
-	culprit      = Fingerprint(1)
-	tellInterval = 100 * time.Millisecond
+	culprit        = Fingerprint(1)
+	gossipInterval = 100 * time.Millisecond
 )
 
 func newCrashPlay(senders int, seed uint64) *crashPlay {
@@ -134,13 +134,13 @@
 	return p
 }
 
-// tell has each sender tell the others; a part of the datagrams is lost.
+// announce has each sender tell the others; a part of the datagrams is lost.
 func (p *crashPlay) tell(lost float64) {
 	for i, from := range p.senders {
 		news := from.News(p.now)
 		for j, to := range p.senders {
 			if i != j && !p.cut[i] && !p.cut[j] && p.random.Float64() >= lost {
-				to.Heard(p.now, news)
+				to.Merge(p.now, news)
 			}
 		}
 	}
@@ -171,7 +171,7 @@
 		p.senders[p.random.IntN(len(p.senders))].Answered(p.now, Fingerprint(100+p.random.IntN(40)))
 	}
 	p.tell(lost)
-	p.now = p.now.Add(tellInterval)
+	p.now = p.now.Add(gossipInterval)
 }
 
 // Repeats piled up at all senders: each knew of its own crashes only.
@@ -206,9 +206,9 @@
 	for at := range 20 {
 		p.senders[at%6] = NewQuarantine()
 		p.tell(0.3)
-		p.now = p.now.Add(tellInterval)
+		p.now = p.now.Add(gossipInterval)
 		p.tell(0.3)
-		p.now = p.now.Add(tellInterval)
+		p.now = p.now.Add(gossipInterval)
 		p.step(0.3, 1)
 	}
 	if p.sent != sent {
@@ -225,7 +225,7 @@
 	p.cut[0] = false
 	for range 10 {
 		p.tell(0.3)
-		p.now = p.now.Add(tellInterval)
+		p.now = p.now.Add(gossipInterval)
 	}
 	if !p.senders[0].Quarantined(p.now, culprit) {
 		t.Error("a sender that was cut off lets it pass a second after it is back")
@@ -272,11 +272,11 @@
 		b.Crashed(testStart.Add(time.Second), 7, start)
 	}
 	now := testStart.Add(2 * time.Second)
-	a.Heard(now, b.News(now))
+	a.Merge(now, b.News(now))
 	if a.Quarantined(now, 7) {
 		t.Error("quarantined by who answered it")
 	}
-	if b.Heard(now, a.News(now)); b.Quarantined(now, 7) {
+	if b.Merge(now, a.News(now)); b.Quarantined(now, 7) {
 		t.Error("quarantined by who has heard that it was answered")
 	}
 }
@@ -315,12 +315,12 @@
 	p.senders[0].Quarantined(p.now, culprit)
 	for range 20 {
 		p.tell(0.3)
-		p.now = p.now.Add(tellInterval)
+		p.now = p.now.Add(gossipInterval)
 	}
 	p.now = p.now.Add(suspectKept * 3 / 4)
 	for range 20 {
 		p.tell(0.3)
-		p.now = p.now.Add(tellInterval)
+		p.now = p.now.Add(gossipInterval)
 	}
 	if held() != len(p.senders) {
 		t.Errorf("quarantined by %d senders of %d, though it came three quarters of an hour ago", held(), len(p.senders))
--- a/policy/server_limit.go
+++ b/policy/server_limit.go
@@ -14,7 +14,7 @@
 	// sendSpread is by how much less than that may have been sent when one more is: each
 	// send raises the sum by one, which is to be right at the mean.
 	sendSpread = 0.3
-	// drawAgain is when a sender that drew and lost draws again: by then it has heard
+	// drawAgain is when a sender that drew and lost draws again: by then it has received
 	// what others have sent.
 	drawAgain = 100 * time.Millisecond
 	// leastLimit is the least that a server is sent, in requests a second: without any
@@ -60,8 +60,8 @@
 	// sent is how many requests this sender has sent lately, as of counted.
 	sent    float64
 	counted time.Time
-	// heard is the part of all senders that was heard of last.
-	heard float64
+	// liveShare is the part of all senders that were live last.
+	liveShare float64
 	// lost is when this sender last drew for the server and lost.
 	lost time.Time
 }
@@ -69,7 +69,7 @@
 // allowance is what is left where others have sent so many requests lately.
 func (s *serverLimit) allowance(others float64) Allowance {
 	memory := s.memory()
-	size := s.allowed() * memory.Seconds() * s.heard
+	size := s.allowed() * memory.Seconds() * s.liveShare
 	// What others told is half a telling interval old at the mean.
 	sent := s.sent + others*math.Exp(-float64(drawAgain/2)/float64(memory))
 	full := size - sendSpread
@@ -90,7 +90,7 @@
 // memory is over how long what was sent is averaged. All senders that hear of each other
 // have about the same.
 func (s *serverLimit) memory() time.Duration {
-	return max(limitMemory, time.Duration(limitBurst/(s.allowed()*s.heard)*float64(time.Second)))
+	return max(limitMemory, time.Duration(limitBurst/(s.allowed()*s.liveShare)*float64(time.Second)))
 }
 
 func (s *serverLimit) fade(now time.Time) {
--- a/policy/server_limits.go
+++ b/policy/server_limits.go
@@ -21,7 +21,7 @@
 // times the limit, and an equal part of it for each would starve those that have most of
 // the load. So each tells what it sent lately, and sends as long as all have sent less
 // than the limit. What others may have sent since they told is left to chance, see Draw.
-// Those that aren't heard of may send their equal part, which is kept for them.
+// Those that aren't live may send their equal part, which is kept for them.
 //
 // A server names its limit in its answers, and lifts it by an answer without one. An
 // answer to a request that was sent before the limit was named says nothing of it: it may
@@ -68,9 +68,9 @@
 	}
 }
 
-// Heard takes what another sender tells: the latest evidence counts.
-func (l *ServerLimits) Heard(told []ServerLimit) {
-	for _, t := range told {
+// Merge merges another sender's updates: the latest evidence counts.
+func (l *ServerLimits) Merge(updates []ServerLimit) {
+	for _, t := range updates {
 		if t.At.IsZero() {
 			continue
 		}
@@ -95,15 +95,15 @@
 }
 
 // Allowance is what a server's limit leaves, where others have sent so many requests
-// lately; false if it has none. Heard is the part of all senders that is heard of, this
+// lately; false if it has none. LiveShare is the part of all senders that is live, this
 // one included.
-func (l *ServerLimits) Allowance(now time.Time, server Key, others, heard float64) (Allowance, bool) {
+func (l *ServerLimits) Allowance(now time.Time, server Key, others, liveShare float64) (Allowance, bool) {
 	s := l.servers[server]
 	if s == nil || s.Lifted {
 		return Allowance{}, false
 	}
 	s.fade(now)
-	s.heard = heard
+	s.liveShare = liveShare
 	return s.allowance(others), true
 }
 
@@ -125,7 +125,7 @@
 func (l *ServerLimits) server(key Key) *serverLimit {
 	s := l.servers[key]
 	if s == nil {
-		s = &serverLimit{Evidence: Evidence{Lifted: true}, heard: 1}
+		s = &serverLimit{Evidence: Evidence{Lifted: true}, liveShare: 1}
 		l.servers[key] = s
 	}
 	return s
--- a/policy/server_limits_test.go
+++ b/policy/server_limits_test.go
@@ -76,7 +76,7 @@
 	s := &limitSender{
 		limits: NewServerLimits(), told: map[int]toldLimits{},
 		chooser: NewChooser(rand.New(rand.NewPCG(p.random.Uint64(), 1)), NewEjector(), NewPrefixIndex()),
-		tellAt:  p.now.Add(time.Duration(p.random.Int64N(int64(tellInterval)))),
+		tellAt:  p.now.Add(time.Duration(p.random.Int64N(int64(gossipInterval)))),
 	}
 	return s
 }
@@ -88,7 +88,7 @@
 		p.deliver()
 		for i, s := range p.senders {
 			if !p.now.Before(s.tellAt) {
-				s.tellAt = s.tellAt.Add(tellInterval)
+				s.tellAt = s.tellAt.Add(gossipInterval)
 				p.tell(i)
 			}
 		}
@@ -119,7 +119,7 @@
 		d.told.at = p.now
 		to := p.senders[d.to]
 		to.told[d.from] = d.told
-		to.limits.Heard(d.told.limits)
+		to.limits.Merge(d.told.limits)
 	}
 }
 
@@ -138,7 +138,7 @@
 			sent[l.Server] += l.Sent
 		}
 	}
-	job := Job{Zone: "z", UnseenOffers: offers.Within(tellInterval), OtherSenders: float64(heard - 1)}
+	job := Job{Zone: "z", UnseenOffers: offers.Within(gossipInterval), OtherSenders: float64(heard - 1)}
 	servers := append([]Server(nil), p.servers...)
 	for i := range servers {
 		servers[i].Allowance, servers[i].Limited = s.limits.Allowance(p.now, servers[i].Start, sent[servers[i].Start], float64(heard)/float64(len(p.senders)))
@@ -355,15 +355,15 @@
 		t.Error("lifted by an answer that may have been made before")
 	}
 	others := NewServerLimits()
-	others.Heard(l.News(testStart))
+	others.Merge(l.News(testStart))
 	if !l.Unnamed(testStart.Add(time.Millisecond), 1) || l.Limited() != 0 {
 		t.Error("not lifted by an answer that names none")
 	}
-	if others.Heard(l.News(testStart)); others.Limited() != 0 {
+	if others.Merge(l.News(testStart)); others.Limited() != 0 {
 		t.Error("another sender hasn't heard that it was lifted")
 	}
 	// Older news comes late.
-	others.Heard([]ServerLimit{{Server: 1, Evidence: Evidence{Rate: 2, At: testStart}}})
+	others.Merge([]ServerLimit{{Server: 1, Evidence: Evidence{Rate: 2, At: testStart}}})
 	if others.Limited() != 0 {
 		t.Error("older news names a limit that was lifted")
 	}
