--- a/policy/index_bench_test.go
+++ b/policy/index_bench_test.go
@@ -21,7 +21,7 @@
 	return servers, index
 }
 
-func BenchmarkHeard(b *testing.B) {
+func BenchmarkMerge(b *testing.B) {
 	for _, n := range []int{117, 999, 2997} {
 		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
 			servers, index := fleetOf(n)
