gateway: sizes in the line and the metrics of a refusal

The line of a request that wasn't served has prompt_tokens, prefill_tokens and tokens_ahead; applepier_received_prompt_tokens_total and applepier_refused_prompt_tokens_total give the mean prompt of both by class and reason.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -34,6 +34,7 @@
 func (e ends) Ended(end router.End) {
 	class := e.metrics.Request(end.Route)
 	class.Received()
+	class.ReceivedPrompt(end.PromptTokens)
 	for range end.Sends - 1 {
 		class.Retried()
 	}
@@ -51,6 +52,7 @@
 			zap.Bool("server_ended", end.ServerEnded), zap.Stringer("fingerprint", end.Fingerprint),
 			zap.Uint64("version", end.Version), zap.Duration("proof_age", end.ProofAge),
 			zap.Duration("expected", end.Expected), zap.Duration("took", end.Took),
+			zap.Int("prompt_tokens", end.PromptTokens), zap.Int("prefill_tokens", end.Prefill), zap.Int("tokens_ahead", end.Ahead),
 			zap.String("connection", string(end.Caller.Cause)), zap.Duration("rested", end.Caller.Rested), zap.Int("requests", end.Caller.Requests))
 	}
 }
@@ -88,6 +90,7 @@
 	switch eventOf(end) {
 	case logging.EventRequestRefused:
 		class.Refused(metrics.Reason(end.Reason))
+		class.RefusedPrompt(metrics.Reason(end.Reason), end.PromptTokens)
 	case logging.EventRequestUnknown:
 		class.Unknown()
 	case logging.EventRequestCancelled:
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -46,7 +46,10 @@
 	// token was expected there.
 	server   string
 	expected time.Duration
-	body     []byte
+	// prefill is how many tokens of the prompt that server was expected to compute, and
+	// ahead how many of other requests before it.
+	prefill, ahead int
+	body           []byte
 	// bodyRead says that the body has been read, as far as it is to be.
 	bodyRead bool
 	// bodyLate says that the body didn't come whole in time.
--- a/internal/metrics/class.go
+++ b/internal/metrics/class.go
@@ -27,6 +27,7 @@
 	label   label
 
 	received  gometrics.Counter
+	prompts   gometrics.Counter
 	onTime    gometrics.Counter
 	late      gometrics.Counter
 	unknown   gometrics.Counter
@@ -51,6 +52,7 @@
 		metrics:   m,
 		label:     class,
 		received:  counter(m.registry, familyReceived, class),
+		prompts:   counter(m.registry, familyReceivedTokens, class),
 		onTime:    counter(m.registry, familyFinished, class, timing(OnTime)),
 		late:      counter(m.registry, familyFinished, class, timing(Late)),
 		unknown:   counter(m.registry, familyUnknown, class),
@@ -66,6 +68,9 @@
 // Received counts a request as it comes in; it is the base of attainment.
 func (c *Class) Received() { c.received.Inc(1) }
 
+// ReceivedPrompt counts the tokens of a received request's prompt.
+func (c *Class) ReceivedPrompt(tokens int) { c.prompts.Inc(int64(tokens)) }
+
 // Finished counts a request whose whole answer was given, and its tokens.
 func (c *Class) Finished(timing Timing, tokens int) {
 	if timing != OnTime {
@@ -83,6 +88,16 @@
 	counter(c.metrics.registry, familyRefused, c.label, why).Inc(1)
 }
 
+// RefusedPrompt counts the tokens of a refused request's prompt. The mean prompt of the
+// refused beside that of the received tells whether admission treats sizes alike.
+func (c *Class) RefusedPrompt(reason Reason, tokens int) {
+	if tokens == 0 {
+		return
+	}
+	why := label{name: labelReason, value: string(c.metrics.bounded(reason))}
+	counter(c.metrics.registry, familyRefusedTokens, c.label, why).Inc(int64(tokens))
+}
+
 // Unknown counts a request whose caller was told that it may have run.
 func (c *Class) Unknown() { c.unknown.Inc(1) }
 
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -8,6 +8,8 @@
 	familyReceived         family = "applepier_requests_received_total"
 	familyFinished         family = "applepier_requests_finished_total"
 	familyRefused          family = "applepier_requests_refused_total"
+	familyReceivedTokens   family = "applepier_received_prompt_tokens_total"
+	familyRefusedTokens    family = "applepier_refused_prompt_tokens_total"
 	familyUnknown          family = "applepier_requests_unknown_total"
 	familyFailed           family = "applepier_requests_failed_total"
 	familyCancelled        family = "applepier_requests_cancelled_total"
@@ -51,6 +53,8 @@
 	familyReceived:         "Requests taken from callers.",
 	familyFinished:         "Requests answered whole, on time or late.",
 	familyRefused:          "Requests turned away and certainly not run.",
+	familyReceivedTokens:   "Tokens in the prompts of requests taken from callers.",
+	familyRefusedTokens:    "Tokens in the prompts of requests turned away and certainly not run.",
 	familyUnknown:          "Requests whose caller was told that they may have run.",
 	familyFailed:           "Requests that ended with another error.",
 	familyCancelled:        "Requests whose caller went away.",
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -35,6 +35,8 @@
 	flag.Finished(OnTime, 40)
 	flag.Finished(Late, 50)
 	flag.Refused("overload")
+	flag.ReceivedPrompt(900)
+	flag.RefusedPrompt("overload", 700)
 	flag.Wasted(7)
 	summary := m.Request("summary \"long\"\n")
 	summary.Received()
