--- a/policy/direct_engine_test.go
+++ b/policy/direct_engine_test.go
@@ -39,22 +39,59 @@
 			continue
 		}
 		e.reading = r
-		prefix := r.job.prefix()
-		tokens := r.job.Tokens - prefix.Upto
-		switch {
-		case prefix.Upto == 0 || e.keeps(prefix.ID):
-		case r.from != nil && r.from.holds(prefix.ID):
-			tokens += prefix.Upto / fetchSpeed
-		default:
-			tokens += prefix.Upto
-			e.play.readMore += prefix.Upto
+		if r.left == 0 {
+			r.left = e.lacks(r)
 		}
-		takes := firstStep/4 + time.Duration(float64(tokens)/directRate*float64(time.Millisecond))
-		e.read += takes
-		e.play.after(takes, func() { e.first(r) })
+		e.prefill(r)
 	}
 }
 
+// lacks is how many tokens of a prompt have to be read; its shared part is kept from now on.
+func (e *directEngine) lacks(r *directRequest) int {
+	prefix := r.job.prefix()
+	tokens := r.job.Tokens - prefix.Upto
+	switch {
+	case prefix.Upto == 0 || e.keeps(prefix.ID):
+	case r.from != nil && r.from.holds(prefix.ID):
+		tokens += prefix.Upto / fetchSpeed
+	default:
+		tokens += prefix.Upto
+		e.play.readMore += prefix.Upto
+	}
+	return tokens
+}
+
+// prefill reads a prompt, or its next chunk where engines read in chunks: between two of them
+// the more urgent go first.
+func (e *directEngine) prefill(r *directRequest) {
+	tokens := r.left
+	if e.play.chunk > 0 {
+		tokens = min(tokens, e.play.chunk)
+	}
+	r.left -= tokens
+	takes := time.Duration(float64(tokens) / directRate * float64(time.Millisecond))
+	if r.left == 0 {
+		takes += firstStep / 4
+	}
+	if e.slower > 0 {
+		takes = time.Duration(e.slower * float64(takes))
+	}
+	e.read += takes
+	e.play.after(takes, func() {
+		if r.left == 0 {
+			e.first(r)
+			return
+		}
+		at := slices.IndexFunc(e.queue, func(other *directRequest) bool { return other.job.Urgency >= r.job.Urgency })
+		if at < 0 {
+			at = len(e.queue)
+		}
+		e.queue = slices.Insert(e.queue, at, r)
+		e.reading = nil
+		e.next()
+	})
+}
+
 // keeps reports whether a shared part is kept, and keeps it from now on.
 func (e *directEngine) keeps(part uint64) bool {
 	for i, k := range e.kept {
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -15,10 +15,12 @@
 // later. Callers leave after two seconds without a first token and come back
 // once after a refusal.
 type directPlay struct {
-	random   *rand.Rand
-	now      time.Duration
-	events   playEvents
-	engines  []*directEngine
+	random  *rand.Rand
+	now     time.Duration
+	events  playEvents
+	engines []*directEngine
+	// requests are all that are counted.
+	requests []*directRequest
 	senders  []*directSender
 	admit    bool
 	onTime   map[string]int
@@ -34,6 +36,10 @@
 	readingDelays bool
 	begun         map[string]int
 	longest       int
+	// sharedFirsts says that senders learn of each other's first tokens.
+	sharedFirsts bool
+	// chunk is how many tokens engines read at a time; 0 for whole prompts.
+	chunk int
 	// pauseTargets are the longest pauses that streams of a class may have;
 	// latePauses counts those that had longer ones.
 	pauseTargets map[string]time.Duration
@@ -72,12 +78,14 @@
 	again   bool
 	ahead   float64
 	reading int
-	from    *directEngine
-	gone    bool
-	begun   bool
-	sender  int
-	engine  int
-	holds   time.Duration
+	// left is how many tokens of it the engine still has to read.
+	left   int
+	from   *directEngine
+	gone   bool
+	begun  bool
+	sender int
+	engine int
+	holds  time.Duration
 }
 
 type playEvent struct {
@@ -181,6 +189,7 @@
 		heap.Push(&p.events, playEvent{at, func() {
 			if r.arrived >= p.countFrom {
 				p.arrived[class]++
+				p.requests = append(p.requests, r)
 			}
 			p.offer(r)
 		}})
@@ -252,6 +261,11 @@
 	p.settle(r)
 	s := p.senders[r.sender]
 	s.rate.Observe(p.time(), r.ahead, p.now-r.sent)
+	for _, other := range p.senders {
+		if p.sharedFirsts && other != s {
+			other.rate.Observe(p.time(), r.ahead, p.now-r.sent)
+		}
+	}
 	s.index.Read(p.time(), KeyOf(s.own[r.engine].Name), r.job.Shared)
 	s.own[r.engine].Running++
 	e.running++
--- a/policy/play_engine_test.go
+++ b/policy/play_engine_test.go
@@ -87,7 +87,7 @@
 			return false
 		}
 		r.inLine = false
-		e.play.clock.after(e.engine.prefill(r.w.prompt), func() { e.token(r, run) })
+		e.play.clock.after(e.engine.prefill(r.prompt), func() { e.token(r, run) })
 		return true
 	})
 }
@@ -126,7 +126,7 @@
 	delete(e.running, id)
 	tally := e.play.tally(r.w.class)
 	tally.preempted++
-	tally.wasted += e.engine.prefill(r.w.prompt)
+	tally.wasted += e.engine.prefill(r.prompt)
 	r.run++
 	if !r.inLine {
 		e.engine.leave()
--- a/policy/play_test.go
+++ b/policy/play_test.go
@@ -17,7 +17,9 @@
 	engines []*playEngine
 	tallies map[string]*tally
 	serial  int
-	copies  func(Tier) int
+	// requests are all that were offered.
+	requests []*request
+	copies   func(Tier) int
 	// burstEnd parts those that come back into the burst from the others.
 	burstEnd time.Duration
 }
@@ -116,6 +118,11 @@
 		answer:   1 + int(float64(w.answer)*(0.25+1.5*p.random.Float64())),
 		arrived:  p.clock.now,
 	}
+	r.prompt = w.prompt
+	if w.spread > 0 {
+		r.prompt = logNormal(p.random, float64(w.prompt), w.spread)
+	}
+	p.requests = append(p.requests, r)
 	p.of(r, func(t *tally) { t.offered++ })
 	return r
 }
@@ -199,6 +206,7 @@
 	now := p.clock.now
 	onTime := !r.late(now)
 	since := now.Sub(p.start)
+	r.served = true
 	p.of(r, func(t *tally) {
 		t.ran += now.Sub(r.began)
 		if onTime && since >= measureFrom && since < measureTo {
--- a/policy/request_test.go
+++ b/policy/request_test.go
@@ -7,6 +7,8 @@
 	w        workload
 	id       string
 	customer string
+	// prompt is its length.
+	prompt int
 	// answer is the length, given how much of it came.
 	answer int
 	given  int
@@ -24,6 +26,8 @@
 	// soon says that the caller came back while the burst went on.
 	soon    bool
 	granted bool
+	// served says that the answer was whole, late or not.
+	served bool
 	// again says that the caller came back after a refusal.
 	again bool
 	// run counts runs, so that events of a cancelled one are dropped.
@@ -37,7 +41,7 @@
 	return Ticket{
 		ID: r.id, Class: r.w.class, Customer: r.customer, Tier: r.w.tier,
 		Deadline: r.arrived.Add(target), Due: due,
-		Size: r.w.prompt + r.w.answer, Copies: copies, Asks: asks, Preemptible: true,
+		Size: r.prompt + r.w.answer, Copies: copies, Asks: asks, Preemptible: true,
 		FirstToken: r.w.firstToken, BetweenTokens: r.w.betweenTokens,
 	}
 }
--- a/policy/workload_test.go
+++ b/policy/workload_test.go
@@ -7,6 +7,9 @@
 	class  string
 	tier   Tier
 	prompt int
+	// spread is the standard deviation of the logarithm of prompts' lengths; 0 where all are
+	// of the same length.
+	spread float64
 	// answer is the mean length; real lengths are spread around it.
 	answer        int
 	firstToken    time.Duration
