policy: gateways admit by the mean prompt length of the class

Callers saw: under load long prompts are refused several times as often as short ones.

Cause: a request was admitted where its own prompt and what waits fit in the target together (Job.inTime), and again where its own prompt left time for what others may have sent (sharesTime). Servers under load are filled up to the target by whatever still fits, so the time that is left never suffices for a long prompt: backfilling without a reservation.

Change: admission scales what a request has to have read to its class's mean prompt length, with the same part of it cached. ClassSizes learns the mean at each gateway, over all that is offered. Which server is chosen still goes by the request's own length, and so does what is expected there.

Why it works: all lengths of a class are admitted at the same length of queue, so none of them keeps it at a length at which the others are refused.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -52,7 +52,7 @@
 			zap.Bool("server_ended", end.ServerEnded), zap.Stringer("fingerprint", end.Fingerprint),
 			zap.Uint64("version", end.Version), zap.Duration("proof_age", end.ProofAge),
 			zap.Duration("expected", end.Expected), zap.Duration("took", end.Took),
-			zap.Int("prompt_tokens", end.PromptTokens), zap.Int("prefill_tokens", end.Prefill), zap.Int("tokens_ahead", end.Ahead),
+			zap.Int("prompt_tokens", end.PromptTokens), zap.Int("mean_tokens", end.MeanTokens), zap.Int("prefill_tokens", end.Prefill), zap.Int("tokens_ahead", end.Ahead),
 			zap.String("connection", string(end.Caller.Cause)), zap.Duration("rested", end.Caller.Rested), zap.Int("requests", end.Caller.Requests))
 	}
 }
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -49,7 +49,9 @@
 	// prefill is how many tokens of the prompt that server was expected to compute, and
 	// ahead how many of other requests before it.
 	prefill, ahead int
-	body           []byte
+	// meanTokens is the prompt length by which the request is admitted.
+	meanTokens float64
+	body       []byte
 	// bodyRead says that the body has been read, as far as it is to be.
 	bodyRead bool
 	// bodyLate says that the body didn't come whole in time.
--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -10,11 +10,15 @@
 func (c *call) choose() (*backend.Server, policy.Choice) {
 	servers, facts := c.router.Registry.Servers(c.service), c.facts()
 	c.shared = shared(c.ask.Parts, c.ask.PromptTokens)
+	first := len(c.tried) == 0
+	if first {
+		c.meanTokens = c.router.meanTokens(c.service, c.route.Name, c.ask.PromptTokens)
+	}
 	job := policy.Job{
 		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
-		Tokens: c.ask.PromptTokens, Shared: c.shared, FetchRate: facts.FetchRate, Tried: c.tried,
+		Tokens: c.ask.PromptTokens, MeanTokens: c.meanTokens, Shared: c.shared, FetchRate: facts.FetchRate, Tried: c.tried,
 	}
-	choice := c.router.pick(c.service, job, c.route.Pause, c.router.loads(servers, facts.MaxConns), len(c.tried) == 0)
+	choice := c.router.pick(c.service, job, c.route.Pause, c.router.loads(servers, facts.MaxConns), first)
 	if !choice.Found {
 		return nil, choice
 	}
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -99,9 +99,11 @@
 	ServerEnded bool
 	// Expected is when the first token was expected there when it was chosen.
 	Expected time.Duration
-	// PromptTokens is the length of the prompt; 0 for a plain service. Of it Prefill was
-	// expected to be computed at that server, behind Ahead tokens of other requests.
+	// PromptTokens is the length of the prompt; 0 for a plain service. It was admitted as one
+	// of MeanTokens. Of it Prefill was expected to be computed at that server, behind Ahead
+	// tokens of other requests.
 	PromptTokens int
+	MeanTokens   int
 	Prefill      int
 	Ahead        int
 	// Version is the desired state's that decided, and ProofAge how old the
--- a/internal/gateway/router/service.go
+++ b/internal/gateway/router/service.go
@@ -16,6 +16,8 @@
 	pauses   policy.Pauses
 	shortage policy.ShortageCount
 	yielding policy.Yielding
+	// sizes are of prompts, by route.
+	sizes policy.ClassSizes
 }
 
 // service returns what is known of a service; r.mu is held.
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -25,6 +25,20 @@
 	return loads
 }
 
+// meanTokens is the prompt length by which a request is admitted that has just come: about the
+// mean of its route's. The request counts for those that come after it.
+func (r *Router) meanTokens(service, route string, tokens int) float64 {
+	if tokens == 0 {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sizes := &r.service(service).sizes
+	mean := sizes.Mean(route, tokens)
+	sizes.Observe(route, tokens)
+	return mean
+}
+
 // plan is when a server of a service is expected to read a prompt that goes
 // there now.
 func (r *Router) plan(c *call, choice policy.Choice) policy.ReadingPlan {
--- a/internal/gateway/router/shared_test.go
+++ b/internal/gateway/router/shared_test.go
@@ -92,3 +92,27 @@
 		t.Errorf("chosen %v, b has started anew", at)
 	}
 }
+
+// Guards against long prompts being starved under load: where a prompt of the class's mean
+// length would be in time, a long one is admitted too.
+func TestLongPromptsAreAdmittedLikeOthersOfTheirRoute(t *testing.T) {
+	r := newTestRouter()
+	for range 100 {
+		r.meanTokens("s", "summary", 4000)
+	}
+	admitted := func(tokens int, mean float64) bool {
+		loads := []policy.Server{{Name: "a", Slots: 8}, {Name: "b", Slots: 8}}
+		for i := range loads {
+			loads[i].Pending[3].Requests, loads[i].Pending[3].Tokens = 2, 6000
+		}
+		job := policy.Job{Urgency: 3, Target: 500 * time.Millisecond, Tokens: tokens, MeanTokens: mean}
+		return r.pick("s", job, 0, loads, true).InTime
+	}
+	const long = 20_000
+	if !admitted(4000, 0) || admitted(long, 0) {
+		t.Fatal("judged by their own length the short prompt is to be admitted and the long one isn't")
+	}
+	if !admitted(long, r.meanTokens("s", "summary", long)) {
+		t.Error("a long prompt is refused where one of the mean length is admitted")
+	}
+}
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -37,7 +37,7 @@
 	// elsewhere in turn.
 	againWeight = 15.0
 	// shortestWait is the part of the target that any request may wait for
-	// others, so that the longest prompts are let in where next to nothing is
+	// others, so that classes of very long prompts are let in where next to nothing is
 	// before them, a model's first step not counted. More of it delays all others.
 	shortestWait = 0.04
 )
@@ -244,8 +244,10 @@
 }
 
 // inTime reports whether a request is let in where others' prompts wait before
-// it and a shared part has to be read again. It may be sent anyway where next
-// to nothing does, so that prompts of every length are served.
+// it and a shared part has to be read again. It is judged as a prompt of its class's
+// mean length of which the same part is cached, so that prompts of every length find
+// a server equally often; see ClassSizes. It may be sent anyway where next to
+// nothing waits, so that a class is served whose prompts take the whole target.
 func (j *Job) inTime(rate *ReadingRate, others float64, need need, rereadPrice float64) bool {
 	if j.Target == 0 {
 		return true
@@ -259,6 +261,7 @@
 		// Others may read it at one of its homes meanwhile.
 		again += need.first
 	}
+	own, again = j.atMeanLength(own), j.atMeanLength(again)
 	return rate.likely(others+rereadPrice*again, own) <= j.Target ||
 		rate.reads(others+again) <= part(shortestWait, j.Target)
 }
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -68,6 +68,7 @@
 	sends    SendRate
 	index    *PrefixIndex
 	pauses   Pauses
+	sizes    ClassSizes
 }
 
 type directRequest struct {
@@ -213,6 +214,8 @@
 	for i := range servers {
 		servers[i].LatePause = s.pauses.Worse(p.time(), KeyOf(servers[i].Name), r.job.Urgency, p.pauseTargets[r.class])
 	}
+	r.job.MeanTokens = s.sizes.Mean(r.class, r.job.Tokens)
+	s.sizes.Observe(r.class, r.job.Tokens)
 	choice := s.chooser.Choose(p.time(), r.job, servers, &s.rate)
 	s.lacked.Offered(p.time(), r.job.Urgency, choice.OnlySlots)
 	if p.admit && !choice.InTime {
--- a/policy/room.go
+++ b/policy/room.go
@@ -89,6 +89,6 @@
 	}
 	unseen := job.UnseenTokens/float64(soon) - rate.during(job.NewsAge)
 	own := float64(best.Reading)
-	spare := rate.within(job.Target, own) - (best.Ahead - own)
+	spare := rate.within(job.Target, job.atMeanLength(own)) - (best.Ahead - own)
 	return spare >= unseen || c.random.Float64() < spare/unseen
 }
--- a/policy/server.go
+++ b/policy/server.go
@@ -101,6 +101,9 @@
 	Target time.Duration
 	// Tokens is the length of the prompt; 0 for a plain service.
 	Tokens int
+	// MeanTokens is the mean length of its class's prompts, by which it is admitted; 0 where
+	// that isn't known.
+	MeanTokens float64
 	// Shared are the parts that the prompt begins with and others share, in
 	// order; its own rest isn't among them.
 	Shared []Part
@@ -134,6 +137,15 @@
 	return j.Shared[len(j.Shared)-1]
 }
 
+// atMeanLength is what a number of the prompt's tokens comes to in a prompt of its class's mean
+// length.
+func (j *Job) atMeanLength(tokens float64) float64 {
+	if j.MeanTokens == 0 || j.Tokens == 0 {
+		return tokens
+	}
+	return tokens * j.MeanTokens / float64(j.Tokens)
+}
+
 func (j *Job) tried(name string) bool {
 	return slices.Contains(j.Tried, name)
 }
