policy: an agent's queue admits by the mean size of the class

Cause: a ticket had to start by its deadline less the time that a run of its own size takes, up to a quarter of the time left, and its wait was estimated from its own size. The queue is kept as long as the short ones allow.

Change: the time to start by and the estimate go by the mean size of the class. Tickets are ordered and charged by their own size as before, and a request that is resumed is judged by its own.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -12,24 +12,28 @@
 // It answers demand beyond capacity: without it the queue grows until every
 // ticket waits past its target and all of the engine's work is late. A ticket
 // is let in when the work before it, at the engine's true rate, leaves it in
-// time. The top tier is let in whatever the estimate. So is one ticket of a
-// class that has nothing waiting and got nothing for starvedAfter, since each
-// class is to be served eventually; it may be late.
+// time. It is judged by the mean size of its class; see ClassSizes. The top
+// tier is let in whatever the estimate. So is one ticket of a class that has
+// nothing waiting and got nothing for starvedAfter, since each class is to be
+// served eventually; it may be late.
 func (s *Scheduler) offer(now time.Time, t Ticket) Decision {
+	size := ticketSize(t)
+	mean := s.sizes.Mean(t.Class, size)
+	s.sizes.Observe(t.Class, size)
+	startBy := s.startBy(now, t, int(mean))
+	wait := s.estimate(now, t, mean/float64(size))
 	owed := s.owed(now, t)
 	if t.Tier != TopTier && !owed {
-		wait := s.estimate(now, t)
-		late := s.lateness(now, t, wait)
+		late := lateness(now, startBy, wait)
 		if late > 0 {
 			return s.refuse(t, late)
 		}
 	}
-	return s.enqueue(now, t, owed)
+	return s.enqueue(now, newWaiting(t, s.copies.work(t), startBy, false), wait, owed)
 }
 
-// lateness is by how much t would start too late after a wait.
-func (s *Scheduler) lateness(now time.Time, t Ticket, wait time.Duration) time.Duration {
-	startBy := s.startBy(now, t)
+// lateness is by how much a ticket would start too late after a wait.
+func lateness(now, startBy time.Time, wait time.Duration) time.Duration {
 	if startBy.IsZero() {
 		return 0
 	}
@@ -51,18 +55,18 @@
 )
 
 // startBy is when t must start here: its deadline, less the time that this
-// engine takes from the start to what the deadline is for.
-func (s *Scheduler) startBy(now time.Time, t Ticket) time.Time {
+// engine takes for a run of a size from the start to what the deadline is for.
+func (s *Scheduler) startBy(now time.Time, t Ticket, size int) time.Time {
 	if t.Deadline.IsZero() {
 		return time.Time{}
 	}
 	left := float64(t.Deadline.Sub(now))
 	switch t.Due {
 	case MilestoneFirstToken:
-		needed := float64(s.first.of(ticketSize(t)))
+		needed := float64(s.first.of(size))
 		return t.Deadline.Add(-time.Duration(min(needed, firstTokenPart*left)))
 	case MilestoneCompletion:
-		needed := float64(s.rate.runTime(ticketSize(t)))
+		needed := float64(s.rate.runTime(size))
 		return t.Deadline.Add(-time.Duration(min(needed, completionPart*left)))
 	default:
 		return t.Deadline
@@ -72,23 +76,23 @@
 // enqueue takes t in if the bounded queue has room or something gives way.
 // What is owed goes past the bound if need be: that is one ticket of each
 // class at most. So does the top tier while the queue is not full of its own.
-func (s *Scheduler) enqueue(now time.Time, t Ticket, owed bool) Decision {
-	decision := Decision{Admitted: true}
+func (s *Scheduler) enqueue(now time.Time, w *waiting, wait time.Duration, owed bool) Decision {
+	decision, t := Decision{Admitted: true}, w.ticket
 	if s.queue.Len() >= maxWaiting {
-		id, ok := s.queue.displace(t, s.copies.work(t))
+		id, ok := s.queue.displace(t, w.work)
 		switch {
 		case ok:
 			decision.Displaced = []string{id}
 		case owed:
 		case t.Tier == TopTier && s.queue.tiers[TopTier].count < maxWaiting:
 		default:
-			decision = s.refuse(t, s.estimate(now, t))
+			decision = s.refuse(t, wait)
 			decision.Full = true
 			return decision
 		}
 	}
 	s.promises.refused[t.Tier].observe(now, false)
-	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(now, t), false))
+	s.queue.push(now, w)
 	return decision
 }
 
@@ -100,9 +104,9 @@
 	return Decision{RetryAfter: hint}
 }
 
-// estimate is how long t would wait.
-func (s *Scheduler) estimate(now time.Time, t Ticket) time.Duration {
-	work := s.copies.work(t)
+// estimate is how long t would wait if its size were scaled.
+func (s *Scheduler) estimate(now time.Time, t Ticket, scale float64) time.Duration {
+	work := scale * s.copies.work(t)
 	ahead := s.workAbove(t.Tier) + s.queue.tiers[t.Tier].workAhead(t, work)
 	return s.waitFor(now, t.Tier, ahead)
 }
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -17,6 +17,7 @@
 	urgent    urgentUse
 	first     firstTokenTime
 	copies    copyShare
+	sizes     ClassSizes
 	// now is the time of the last call.
 	now time.Time
 }
@@ -65,7 +66,7 @@
 func (s *Scheduler) Resume(now time.Time, t Ticket) {
 	s.advance(now)
 	t.Arrived = now
-	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(now, t), true))
+	s.queue.push(now, newWaiting(t, s.copies.work(t), s.startBy(now, t, ticketSize(t)), true))
 }
 
 // Withdraw removes a waiting ticket and reports whether there was one.
