policy: what was learned in a burst doesn't outlast it

Callers saw: after a burst summaries are refused for seconds by servers that are idle, long ones most.

Cause: the time to a first token is learned as a line over what is to be read, from the requests that were admitted. After a burst only short prompts are admitted, and come soon; beside the long and slow ones from the burst they make the line steeper, so that long ones stay refused and nothing corrects it. Class: an estimate that decides which samples it gets.

Change: ReadingRate also learns, over half a second, the ratio of the newest times to those by the line, and where it is below 1 scales the line by it, for prompts of all lengths. Upwards the line is left alone: what is slow is seen at every length that is admitted.

Why it works: short prompts tell of the speed of servers as well as long ones do, and what they tell is applied to all lengths at once; long ones are admitted then, and correct the line themselves.

--- a/policy/reading_rate.go
+++ b/policy/reading_rate.go
@@ -21,6 +21,12 @@
 	// tell slope and fixed time apart.
 	readingMemory = 3 * time.Second
 	mostWeight    = 1.0 / 100
+	// ratioMemory and mostRatioWeight are the same for the ratio of the newest times to
+	// those by the line: servers are faster again at once when a burst ends.
+	ratioMemory     = 500 * time.Millisecond
+	mostRatioWeight = 1.0 / 20
+	// leastRatio bounds it.
+	leastRatio = 0.1
 	// priorSamples is how many samples the line to start from counts for.
 	priorSamples = 30
 	// longReading is where the second of the two points lies, in tokens, that
@@ -41,10 +47,17 @@
 // take a model whose first step is slow for one that reads slowly, and refuse
 // what servers that are half idle could answer in time.
 //
+// The line alone can't follow servers that become faster. Long prompts that took long
+// made it steep; by it long ones are refused, and the short ones that are admitted and
+// come soon make it steeper. So where the newest first tokens, of any length, come
+// sooner than it says, all are expected as much sooner.
+//
 // Not safe for concurrent use.
 type ReadingRate struct {
 	// Weighted means of the tokens, the milliseconds, and their products.
 	tokens, millis, square, product float64
+	// ratio is the mean ratio of the newest times to those by the line.
+	ratio float64
 	// doubt is the mean deviation from what was expected, as a part of it.
 	doubt float64
 	// samples counts them; last is when the newest came.
@@ -60,23 +73,31 @@
 	}
 	expected := inMillis(r.firstToken(tokens))
 	millis := min(inMillis(took), mostLate*expected)
-	weight := r.weight(now)
+	since := r.since(now)
+	weight := max(newest(since, readingMemory, mostWeight), 1/(priorSamples+r.samples))
 	if expected > 0 {
 		r.doubt += weight * (math.Abs(millis-expected)/expected - r.doubt)
 	}
+	if line := r.lineFixed() + tokens/r.lineRate(); line > 0 {
+		r.ratio += newest(since, ratioMemory, mostRatioWeight) * (millis/line - r.ratio)
+	}
 	r.take(weight, tokens, millis)
 }
 
-// weight is that of the newest sample.
-func (r *ReadingRate) weight(now time.Time) float64 {
+// since counts a sample and is the time since the one before.
+func (r *ReadingRate) since(now time.Time) time.Duration {
 	since := now.Sub(r.last)
 	if r.last.IsZero() {
 		since = 0
 	}
 	r.last = now
 	r.samples++
-	byTime := min(1-math.Exp(-float64(since)/float64(readingMemory)), mostWeight)
-	return max(byTime, 1/(priorSamples+r.samples))
+	return since
+}
+
+// newest is the weight of a sample that comes so long after the one before.
+func newest(since, memory time.Duration, most float64) float64 {
+	return min(1-math.Exp(-float64(since)/float64(memory)), most)
 }
 
 // start takes the line to start from as samples, as if it had been seen often.
@@ -84,7 +105,7 @@
 	near, far := inMillis(firstStep), inMillis(firstStep)+longReading/firstRate
 	r.tokens, r.millis = longReading/2, (near+far)/2
 	r.square, r.product = longReading*longReading/2, longReading*far/2
-	r.doubt = firstDoubt
+	r.doubt, r.ratio = firstDoubt, 1
 }
 
 func (r *ReadingRate) take(weight, tokens, millis float64) {
@@ -99,6 +120,14 @@
 	if r == nil || r.square == 0 {
 		return firstRate
 	}
+	return min(r.lineRate()/r.sooner(), mostRate)
+}
+
+// sooner is by how much sooner than by the line first tokens come now: 1 or less.
+func (r *ReadingRate) sooner() float64 { return min(max(r.ratio, leastRatio), 1) }
+
+// lineRate is the line's, in tokens a millisecond.
+func (r *ReadingRate) lineRate() float64 {
 	spread, together := r.square-r.tokens*r.tokens, r.product-r.tokens*r.millis
 	if together*mostRate <= spread {
 		return mostRate
@@ -111,10 +140,12 @@
 	if r == nil || r.square == 0 {
 		return firstStep
 	}
-	millis := max(r.millis-r.tokens/r.rate(), 0)
-	return time.Duration(millis * float64(time.Millisecond))
+	return time.Duration(r.sooner() * r.lineFixed() * float64(time.Millisecond))
 }
 
+// lineFixed is the line's time to a first token with nothing to be read, in milliseconds.
+func (r *ReadingRate) lineFixed() float64 { return max(r.millis-r.tokens/r.lineRate(), 0) }
+
 // firstToken is when a first token is expected with so many tokens to be read
 // before it.
 func (r *ReadingRate) firstToken(tokens float64) time.Duration {
