--- a/internal/gateway/backend/load.go
+++ b/internal/gateway/backend/load.go
@@ -50,7 +50,7 @@
 
 // Enter counts a request that was sent, with when the server is expected to
 // read its prompt.
-func (l *Load) Enter(urgency int, plan policy.ReadingPlan) *Stay {
+func (l *Load) Enter(urgency int, plan policy.PrefillPlan) *Stay {
 	s := &Stay{load: l, urgency: urgency, plan: plan}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -65,7 +65,7 @@
 type Stay struct {
 	load    *Load
 	urgency int
-	plan    policy.ReadingPlan
+	plan    policy.PrefillPlan
 	begun   bool
 }
 
--- a/internal/gateway/backend/registry_test.go
+++ b/internal/gateway/backend/registry_test.go
@@ -55,7 +55,7 @@
 func TestCountsOutliveChanges(t *testing.T) {
 	r := NewRegistry()
 	r.Reset(start, infos("a"), nil)
-	stay := r.Server("a").Load.Enter(3, (&policy.ReadingRate{}).Plan(start, 100, 100))
+	stay := r.Server("a").Load.Enter(3, (&policy.PrefillRate{}).Plan(start, 100, 100))
 	leaving := infos("a")
 	leaving[0].Leaving = true
 	r.Change(start, leaving, nil, nil)
@@ -140,7 +140,7 @@
 		r.Gone = func(id string) { gone += id }
 		r.Reset(start, []Info{c.was}, nil)
 		before := r.Server("a")
-		stay := before.Load.Enter(3, policy.ReadingPlan{})
+		stay := before.Load.Enter(3, policy.PrefillPlan{})
 		r.Change(start.Add(time.Second), []Info{c.is}, nil, nil)
 		after := r.Server("a")
 		if anew := after != before; anew != c.anew || anew != (gone == "a") {
--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -23,7 +23,7 @@
 		return nil, choice
 	}
 	c.server, c.expected = servers[choice.At].Info().ID, choice.Expected
-	c.prefill, c.ahead = choice.Reading, int(choice.Ahead)-choice.Reading
+	c.prefill, c.ahead = choice.Prefill, int(choice.Ahead)-choice.Prefill
 	c.fetchFrom = ""
 	if choice.Fetches {
 		c.fetchFrom = servers[choice.From].Info().Addr
--- a/internal/gateway/router/service.go
+++ b/internal/gateway/router/service.go
@@ -11,7 +11,7 @@
 	budget policy.WindowBudget
 	// rates are by urgency: what is less urgent waits for all that comes after it
 	// and is more so, which its rate includes.
-	rates    [policy.UrgencyLevels]policy.ReadingRate
+	rates    [policy.UrgencyLevels]policy.PrefillRate
 	sends    policy.SendRate
 	pauses   policy.Pauses
 	shortage policy.ShortageCount
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -41,13 +41,13 @@
 
 // plan is when a server of a service is expected to read a prompt that goes
 // there now.
-func (r *Router) plan(c *call, choice policy.Choice) policy.ReadingPlan {
+func (r *Router) plan(c *call, choice policy.Choice) policy.PrefillPlan {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, now := r.service(c.service), time.Now()
-	s.sends.Sent(now, c.urgency, choice.Reading)
+	s.sends.Sent(now, c.urgency, choice.Prefill)
 	r.Index.Sent(now, policy.KeyOf(c.server), c.shared)
-	return s.rates[c.urgency].Plan(now, choice.Reading, choice.Ahead)
+	return s.rates[c.urgency].Plan(now, choice.Prefill, choice.Ahead)
 }
 
 // pick has the policy choose a server. First says that it is the request's first
--- a/policy/choice.go
+++ b/policy/choice.go
@@ -7,10 +7,10 @@
 	// At is the server's place; it means something only if Found.
 	At    int
 	Found bool
-	// Reading is how many tokens the server is expected to read, and Ahead what
-	// it reads before the first token, this request's included. What it fetches
-	// counts for what it could read meanwhile.
-	Reading int
+	// Prefill is how many tokens of the prompt the server is expected to compute, and
+	// Ahead what it computes before the first token, this request's included. What it
+	// fetches counts for what it could compute meanwhile.
+	Prefill int
 	Ahead   float64
 	// From is the place of the server from which it is to fetch what that has
 	// read of the shared parts; it means something only if Fetches.
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -66,7 +66,7 @@
 // Choose returns the best server at a rate of reading. Ejected and unresponsive ones are
 // left out unless more than ejectPanic of the servers are, and those at whose limit the
 // request is beyond are in any case.
-func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *ReadingRate) Choice {
+func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *PrefillRate) Choice {
 	if len(servers) == 0 {
 		return Choice{}
 	}
@@ -92,7 +92,7 @@
 	return choice
 }
 
-func (c *Chooser) choose(now time.Time, job Job, servers []Server, rate *ReadingRate, usable func(*Server) bool) Choice {
+func (c *Chooser) choose(now time.Time, job Job, servers []Server, rate *PrefillRate, usable func(*Server) bool) Choice {
 	shared := c.lookUp(now, &job, servers, usable)
 	rereadPrice := job.priceOfRereading(servers, usable, rate)
 	known := c.known(servers, usable, &shared)
@@ -158,11 +158,11 @@
 
 // weigh says what sending to a server would come to. Where the first token would
 // be late anyway only the time counts.
-func (c *Chooser) weigh(job Job, s *Server, need need, rereadPrice float64, rate *ReadingRate) weighed {
+func (c *Chooser) weigh(job Job, s *Server, need need, rereadPrice float64, rate *PrefillRate) weighed {
 	own := job.Tokens - job.prefix().Upto
-	choice := Choice{Found: true, Reading: own + need.reading(), From: need.from, Fetches: need.fetched > 0}
+	choice := Choice{Found: true, Prefill: own + need.reading(), From: need.from, Fetches: need.fetched > 0}
 	others := s.ahead(job.Urgency)
-	choice.Ahead = others + float64(choice.Reading)
+	choice.Ahead = others + float64(choice.Prefill)
 	left := s.slotsLeft(job)
 	choice.Room = left > 0 && !s.outOfConns()
 	choice.soon = job.inTime(rate, others, need, rereadPrice)
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -56,7 +56,7 @@
 
 type directSender struct {
 	chooser *Chooser
-	rate    ReadingRate
+	rate    PrefillRate
 	// own is what it has at each engine, and all what all senders had there, it
 	// left out, when they told last.
 	own, all []Server
@@ -225,7 +225,7 @@
 		}
 		return
 	}
-	r.engine, r.sent, r.ahead, r.reading = choice.At, p.now, choice.Ahead, choice.Reading
+	r.engine, r.sent, r.ahead, r.reading = choice.At, p.now, choice.Ahead, choice.Prefill
 	s.sends.Sent(p.time(), r.job.Urgency, r.reading)
 	s.index.Sent(p.time(), KeyOf(servers[choice.At].Name), r.job.Shared)
 	if choice.Fetches {
--- a/policy/job.go
+++ b/policy/job.go
@@ -80,7 +80,7 @@
 // from one, while most servers have time to spare, upwards with the share of
 // the target that what waits takes at the server in the middle: one hot home
 // among idle servers makes none dear.
-func (j *Job) priceOfRereading(servers []Server, usable func(*Server) bool, rate *ReadingRate) float64 {
+func (j *Job) priceOfRereading(servers []Server, usable func(*Server) bool, rate *PrefillRate) float64 {
 	if j.Target == 0 || len(j.Shared) == 0 {
 		return 1
 	}
@@ -103,7 +103,7 @@
 // mean length of which the same part is cached, so that prompts of every length find
 // a server equally often; see ClassSizes. It may be sent anyway where next to
 // nothing waits, so that a class is served whose prompts take the whole target.
-func (j *Job) inTime(rate *ReadingRate, others float64, need need, rereadPrice float64) bool {
+func (j *Job) inTime(rate *PrefillRate, others float64, need need, rereadPrice float64) bool {
 	if j.Target == 0 {
 		return true
 	}
@@ -118,7 +118,7 @@
 	}
 	own, again = j.atMeanLength(own), j.atMeanLength(again)
 	return rate.likely(others+rereadPrice*again, own) <= j.Target ||
-		rate.reads(others+again) <= part(shortestWait, j.Target)
+		rate.takes(others+again) <= part(shortestWait, j.Target)
 }
 
 // part is a share of a time.
--- a/policy/need.go
+++ b/policy/need.go
@@ -89,7 +89,7 @@
 }
 
 // at is what the server at a place lacks.
-func (p *sharedParts) at(i int, job *Job, rate *ReadingRate) need {
+func (p *sharedParts) at(i int, job *Job, rate *PrefillRate) need {
 	if p.held == nil {
 		return need{}
 	}
--- a/policy/need_test.go
+++ b/policy/need_test.go
@@ -20,8 +20,8 @@
 		if !choice.InTime || choice.At == holder || choice.Fetches != (fetchRate > 0) {
 			t.Fatalf("at a fetch rate of %v: %+v, holder %d", fetchRate, choice, holder)
 		}
-		if fetchRate > 0 && (choice.From != holder || choice.Reading > 5000) {
-			t.Errorf("fetches from %d and reads %d, the holder is %d", choice.From, choice.Reading, holder)
+		if fetchRate > 0 && (choice.From != holder || choice.Prefill > 5000) {
+			t.Errorf("fetches from %d and reads %d, the holder is %d", choice.From, choice.Prefill, holder)
 		}
 	}
 }
--- a/policy/reading_plan_test.go
+++ b/policy/prefill_plan_test.go
@@ -7,8 +7,8 @@
 
 // At 40 tokens a millisecond, behind 4,000 tokens, 2,000 are read from 120 to
 // 170 ms after they were sent.
-func TestReadingPlanCountsWhatIsLeft(t *testing.T) {
-	var r *ReadingRate
+func TestPrefillPlanCountsWhatIsLeft(t *testing.T) {
+	var r *PrefillRate
 	plan := r.Plan(testStart, 2000, 6000)
 	for _, c := range []struct {
 		after time.Duration
@@ -31,7 +31,7 @@
 func TestWhatHasBeenReadMakesRoom(t *testing.T) {
 	c, servers := newTestChooser(), serversOf(1)
 	job := Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 4000}
-	var r *ReadingRate
+	var r *PrefillRate
 	pending := func(now time.Time) int {
 		return r.Plan(testStart, 5000, 5000).Left(now) + r.Plan(testStart, 6000, 11_000).Left(now)
 	}
--- a/policy/reading_rate.go
+++ b/policy/prefill_rate.go
@@ -8,7 +8,7 @@
 const (
 	// firstRate is the rate, in tokens a millisecond, and firstStep the fixed
 	// time, from which a sender starts: what a server with some streams in its
-	// batch reads, and the way there and back with a step of the batch.
+	// batch prefills, and the way there and back with a step of the batch.
 	firstRate = 40.0
 	firstStep = 20 * time.Millisecond
 	// firstDoubt is the mean deviation to start from.
@@ -16,10 +16,10 @@
 	// leastRate and mostRate bound what is learned.
 	leastRate = 8.0
 	mostRate  = 400.0
-	// readingMemory is over how long samples are averaged: a change is learned
+	// prefillMemory is over how long samples are averaged: a change is learned
 	// in a few seconds. A sample weighs mostWeight at the most, since a hundred
 	// tell slope and fixed time apart.
-	readingMemory = 3 * time.Second
+	prefillMemory = 3 * time.Second
 	mostWeight    = 1.0 / 100
 	// ratioMemory and mostRatioWeight are the same for the ratio of the newest times to
 	// those by the line: servers are faster again at once when a burst ends.
@@ -29,31 +29,31 @@
 	leastRatio = 0.1
 	// priorSamples is how many samples the line to start from counts for.
 	priorSamples = 30
-	// longReading is where the second of the two points lies, in tokens, that
+	// longPrefill is where the second of the two points lies, in tokens, that
 	// the line to start from goes through.
-	longReading = 8000.0
+	longPrefill = 8000.0
 	// mostLate bounds a sample by how many times what was expected: a server
-	// that crashed or froze tells nothing of reading.
+	// that crashed or froze tells nothing of prefill.
 	mostLate = 4
 )
 
-// ReadingRate learns when servers of one service send the first token: after a
-// fixed time (the way, the first step) and the time for reading what is before
-// it, at so many tokens a millisecond. It goes by the times that callers get,
-// so that caches that weren't as warm as thought are included.
+// PrefillRate estimates the time to the first token at the servers of one service: a
+// fixed time (the way, the first step) and the prefill of what is before it, at so
+// many tokens a millisecond. It is learned from what callers see, so that prefixes
+// that weren't cached after all are included.
 //
-// Fixed time and slope are told apart by the line through the samples that
-// leaves the least squares, the newest counting most. One rate for both would
-// take a model whose first step is slow for one that reads slowly, and refuse
-// what servers that are half idle could answer in time.
+// Fixed time and rate are told apart by linear regression over the samples, the
+// newest weighing most. One rate for both would take a model whose first step is slow
+// for one whose prefill is slow, and reject what servers that are half idle could
+// answer in time.
 //
-// The line alone can't follow servers that become faster. Long prompts that took long
-// made it steep; by it long ones are refused, and the short ones that are admitted and
-// come soon make it steeper. So where the newest first tokens, of any length, come
-// sooner than it says, all are expected as much sooner.
+// The regression alone can't follow servers that become faster. Long prompts that took
+// long made it steep; by it long ones are rejected, and the short ones that are
+// admitted and come soon make it steeper. So where the newest first tokens, of any
+// length, come sooner than it says, all are expected as much sooner.
 //
 // Not safe for concurrent use.
-type ReadingRate struct {
+type PrefillRate struct {
 	// Weighted means of the tokens, the milliseconds, and their products.
 	tokens, millis, square, product float64
 	// ratio is the mean ratio of the newest times to those by the line.
@@ -66,15 +66,15 @@
 }
 
 // Observe takes that a first token came after a time, with so many tokens to
-// be read before it.
-func (r *ReadingRate) Observe(now time.Time, tokens float64, took time.Duration) {
+// be prefilled before it.
+func (r *PrefillRate) Observe(now time.Time, tokens float64, took time.Duration) {
 	if r.square == 0 {
 		r.start()
 	}
 	expected := inMillis(r.firstToken(tokens))
 	millis := min(inMillis(took), mostLate*expected)
 	since := r.since(now)
-	weight := max(newest(since, readingMemory, mostWeight), 1/(priorSamples+r.samples))
+	weight := max(newest(since, prefillMemory, mostWeight), 1/(priorSamples+r.samples))
 	if expected > 0 {
 		r.doubt += weight * (math.Abs(millis-expected)/expected - r.doubt)
 	}
@@ -85,7 +85,7 @@
 }
 
 // since counts a sample and is the time since the one before.
-func (r *ReadingRate) since(now time.Time) time.Duration {
+func (r *PrefillRate) since(now time.Time) time.Duration {
 	since := now.Sub(r.last)
 	if r.last.IsZero() {
 		since = 0
@@ -101,14 +101,14 @@
 }
 
 // start takes the line to start from as samples, as if it had been seen often.
-func (r *ReadingRate) start() {
-	near, far := inMillis(firstStep), inMillis(firstStep)+longReading/firstRate
-	r.tokens, r.millis = longReading/2, (near+far)/2
-	r.square, r.product = longReading*longReading/2, longReading*far/2
+func (r *PrefillRate) start() {
+	near, far := inMillis(firstStep), inMillis(firstStep)+longPrefill/firstRate
+	r.tokens, r.millis = longPrefill/2, (near+far)/2
+	r.square, r.product = longPrefill*longPrefill/2, longPrefill*far/2
 	r.doubt, r.ratio = firstDoubt, 1
 }
 
-func (r *ReadingRate) take(weight, tokens, millis float64) {
+func (r *PrefillRate) take(weight, tokens, millis float64) {
 	r.tokens += weight * (tokens - r.tokens)
 	r.millis += weight * (millis - r.millis)
 	r.square += weight * (tokens*tokens - r.square)
@@ -116,7 +116,7 @@
 }
 
 // rate is in tokens a millisecond.
-func (r *ReadingRate) rate() float64 {
+func (r *PrefillRate) rate() float64 {
 	if r == nil || r.square == 0 {
 		return firstRate
 	}
@@ -124,10 +124,10 @@
 }
 
 // sooner is by how much sooner than by the line first tokens come now: 1 or less.
-func (r *ReadingRate) sooner() float64 { return min(max(r.ratio, leastRatio), 1) }
+func (r *PrefillRate) sooner() float64 { return min(max(r.ratio, leastRatio), 1) }
 
 // lineRate is the line's, in tokens a millisecond.
-func (r *ReadingRate) lineRate() float64 {
+func (r *PrefillRate) lineRate() float64 {
 	spread, together := r.square-r.tokens*r.tokens, r.product-r.tokens*r.millis
 	if together*mostRate <= spread {
 		return mostRate
@@ -135,53 +135,53 @@
 	return max(spread/together, leastRate)
 }
 
-// fixed is the time to a first token with nothing to be read before it.
-func (r *ReadingRate) fixed() time.Duration {
+// fixed is the time to a first token with nothing to be prefilled before it.
+func (r *PrefillRate) fixed() time.Duration {
 	if r == nil || r.square == 0 {
 		return firstStep
 	}
 	return time.Duration(r.sooner() * r.lineFixed() * float64(time.Millisecond))
 }
 
-// lineFixed is the line's time to a first token with nothing to be read, in milliseconds.
-func (r *ReadingRate) lineFixed() float64 { return max(r.millis-r.tokens/r.lineRate(), 0) }
+// lineFixed is the line's time to a first token with nothing to be prefilled, in milliseconds.
+func (r *PrefillRate) lineFixed() float64 { return max(r.millis-r.tokens/r.lineRate(), 0) }
 
-// firstToken is when a first token is expected with so many tokens to be read
+// firstToken is when a first token is expected with so many tokens to be prefilled
 // before it.
-func (r *ReadingRate) firstToken(tokens float64) time.Duration {
-	return r.fixed() + r.reads(tokens)
+func (r *PrefillRate) firstToken(tokens float64) time.Duration {
+	return r.fixed() + r.takes(tokens)
 }
 
 // likely is by when a first token has come in most cases, with so many tokens of
-// others and of its own to be read before it: the expected time and the mean
+// others and of its own to be prefilled before it: the expected time and the mean
 // deviation, as a part of the wait for others. The model's first step and the own
 // prompt take their time at an idle server too: a deviation on these would refuse
 // all of a class with a tight target, and nothing would be learned any more.
-func (r *ReadingRate) likely(others, own float64) time.Duration {
-	return r.firstToken(own) + time.Duration(float64(r.reads(others))*(1+r.deviation()))
+func (r *PrefillRate) likely(others, own float64) time.Duration {
+	return r.firstToken(own) + time.Duration(float64(r.takes(others))*(1+r.deviation()))
 }
 
 // within is how many tokens of others may be before a first token that is likely
 // to come within a time, with so many of its own.
-func (r *ReadingRate) within(d time.Duration, own float64) float64 {
+func (r *PrefillRate) within(d time.Duration, own float64) float64 {
 	left := d - r.firstToken(own)
 	return max(r.during(left)/(1+r.deviation()), 0)
 }
 
 // deviation is the mean one from what was expected, as a part of it.
-func (r *ReadingRate) deviation() float64 {
+func (r *PrefillRate) deviation() float64 {
 	if r == nil || r.square == 0 {
 		return firstDoubt
 	}
 	return r.doubt
 }
 
-// reads is how long reading so many tokens takes.
-func (r *ReadingRate) reads(tokens float64) time.Duration {
+// takes is how long the prefill of so many tokens takes.
+func (r *PrefillRate) takes(tokens float64) time.Duration {
 	return time.Duration(tokens / r.rate() * float64(time.Millisecond))
 }
 
-// during is how many tokens are read in a time.
-func (r *ReadingRate) during(d time.Duration) float64 { return r.rate() * inMillis(d) }
+// during is how many tokens are prefilled in a time.
+func (r *PrefillRate) during(d time.Duration) float64 { return r.rate() * inMillis(d) }
 
 func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/policy/reading_rate_test.go
+++ b/policy/prefill_rate_test.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// readingSamples has a ReadingRate see prompts of many lengths at servers with
+// prefillSamples has a PrefillRate see prompts of many lengths at servers with
 // a fixed time and a rate, in tokens a millisecond; one in twenty takes a
 // second whatever its length.
-func readingSamples(r *ReadingRate, n int, fixed time.Duration, rate float64) {
+func prefillSamples(r *PrefillRate, n int, fixed time.Duration, rate float64) {
 	random, now := rand.New(rand.NewPCG(5, 6)), r.last
 	if now.IsZero() {
 		now = testStart
@@ -28,8 +28,8 @@
 
 // A model whose first step is slow reads as fast as any: one rate for both
 // would be a sixth of the true one here.
-func TestReadingRateTellsFixedTimeFromReading(t *testing.T) {
-	var r ReadingRate
+func TestPrefillRateTellsFixedTimeFromReading(t *testing.T) {
+	var r PrefillRate
 	if got := r.rate(); got != firstRate {
 		t.Fatalf("starts from %v", got)
 	}
@@ -37,7 +37,7 @@
 		fixed time.Duration
 		rate  float64
 	}{{100 * time.Millisecond, 70}, {15 * time.Millisecond, 20}, {40 * time.Millisecond, 150}} {
-		readingSamples(&r, 1000, c.fixed, c.rate)
+		prefillSamples(&r, 1000, c.fixed, c.rate)
 		for _, tokens := range []float64{500, 3000, 12_000} {
 			want := c.fixed + time.Duration(tokens/c.rate*float64(time.Millisecond))
 			if got := r.firstToken(tokens); float64(got) < 0.75*float64(want) || float64(got) > 1.4*float64(want)+10e6 {
@@ -49,8 +49,8 @@
 
 // Samples that all come from one length, or that contradict each other, leave
 // an estimate within the bounds.
-func TestReadingRateStaysWithinBounds(t *testing.T) {
-	var r ReadingRate
+func TestPrefillRateStaysWithinBounds(t *testing.T) {
+	var r PrefillRate
 	now := testStart
 	for range 500 {
 		now = now.Add(10 * time.Millisecond)
@@ -75,8 +75,8 @@
 // Where times scatter, less is let in: half of what is expected just within the
 // target would come late.
 func TestScatteredTimesLeaveMoreRoom(t *testing.T) {
-	learned := func(scatter float64) *ReadingRate {
-		r, random := &ReadingRate{}, rand.New(rand.NewPCG(7, 8))
+	learned := func(scatter float64) *PrefillRate {
+		r, random := &PrefillRate{}, rand.New(rand.NewPCG(7, 8))
 		for i := range 2000 {
 			tokens := random.ExpFloat64() * 5000
 			millis := (30 + tokens/50) * (1 - scatter + 2*scatter*random.Float64())
@@ -101,8 +101,8 @@
 // idle servers also where the model's first step alone takes a fifth of the
 // target.
 func TestLongestPromptIsLetInWhereTheFirstStepIsSlow(t *testing.T) {
-	r := &ReadingRate{}
-	readingSamples(r, 1000, 120*time.Millisecond, 60)
+	r := &PrefillRate{}
+	prefillSamples(r, 1000, 120*time.Millisecond, 60)
 	c, servers := newTestChooser(), serversOf(3)
 	long := summary(5)
 	long.Tokens = 46_000
--- a/policy/room.go
+++ b/policy/room.go
@@ -83,12 +83,12 @@
 //
 // Soon counts the servers that are in time, whether they have a slot or not: what
 // lacks where slots do isn't time.
-func (c *Chooser) sharesTime(job *Job, best *Choice, rate *ReadingRate, soon int) bool {
+func (c *Chooser) sharesTime(job *Job, best *Choice, rate *PrefillRate, soon int) bool {
 	if job.Target == 0 || job.UnseenTokens == 0 {
 		return true
 	}
 	unseen := job.UnseenTokens/float64(soon) - rate.during(job.NewsAge)
-	own := float64(best.Reading)
+	own := float64(best.Prefill)
 	spare := rate.within(job.Target, job.atMeanLength(own)) - (best.Ahead - own)
 	return spare >= unseen || c.random.Float64() < spare/unseen
 }
