--- a/policy/job.go
+++ b/policy/job.go
@@ -12,7 +12,7 @@
 	// elsewhere in turn.
 	againWeight = 15.0
 	// shortestWait is the part of the target that any request may wait for
-	// others, so that classes of very long prompts are let in where next to nothing is
+	// others, so that classes of very long prompts are admitted where next to nothing is
 	// before them, a model's first step not counted. More of it delays all others.
 	shortestWait = 0.04
 )
@@ -98,7 +98,7 @@
 	return 1 + againWeight*min(middle/float64(j.Target), 1)
 }
 
-// inTime reports whether a request is let in where others' prompts wait before
+// inTime reports whether a request is admitted where others' prompts wait before
 // it and a shared part has to be read again. It is judged as a prompt of its class's
 // mean length of which the same part is cached, so that prompts of every length find
 // a server equally often; see ClassSizes. It may be sent anyway where next to
