matrix: a burst keeps to its schedule

Cause: the sender, and the proxies between entries and agents, run in the test's process. When that doesn't run for a while, the pauses between calls grow and the burst sends less than the engines bear, so that nothing waits; and the entries hear nothing from agents and close their connections.

Ruled out before: load by busy loops, one entry stopped.

Change: calls are sent when they are due; those that are late follow at once. The rate stays the one that the cell states, the condition and its limit are as they were.

--- a/testbed/matrix/burst.go
+++ b/testbed/matrix/burst.go
@@ -108,14 +108,25 @@
 		span = longBurst
 	}
 	gap := burstTokens * tokenInterval / (engineCount * engineCapacity * burstFactor)
-	for n := range int(span / gap) {
+	onSchedule(ctx, int(span/gap), gap, func(n int) {
 		customer := customerLarge
 		if n%2 == 0 {
 			customer = customerSmall
 		}
 		a := ask{class: classBurst, marker: r.mark(classBurst), tokens: burstTokens, customer: customer, within: bound}
 		r.calls.Go(func() { r.callPatiently(ctx, a, n) })
-		pause.For(ctx, gap)
+	})
+}
+
+// onSchedule calls do for 0 to count-1, a gap apart. Where one is late, those that are due by
+// then follow at once: on a busy machine pauses take longer, and fixed ones would lower the rate.
+func onSchedule(ctx context.Context, count int, gap time.Duration, do func(n int)) {
+	begin := time.Now()
+	for n := range count {
+		if !pause.For(ctx, time.Until(begin.Add(time.Duration(n)*gap))) {
+			return
+		}
+		do(n)
 	}
 }
 
