exchange: one connection that opens doesn't prove that a server goes on

Cause, first of two: after a broken answer Pool.Refuses opened one connection to learn whether the server had ended. Hosts open it for a process that is about to end, and reset it, or reset it while it opens, or lose the opening packet; each of these counted as a server that goes on, so that its crash wasn't counted.

Evidence: a peer that closes its listener before, while or up to 3 ms after it accepts the connection: taken for one that goes on in all eight ways. TestPeerThatEndsDuringTheDialRefuses fails so on the code before.

Change: a peer goes on that opens another connection 20 ms after one opened; a reset or a packet that is lost is followed by another try, within the same 100 ms as before.

A server that goes on costs a caller whose answer it broke off 20 ms and one more connection, which is kept for use.

--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/dial"
+	"github.com/applepier/applepier/internal/pause"
 )
 
 const (
@@ -32,6 +33,15 @@
 	// refusalTimeout is how long a server's host may take to refuse a connection:
 	// a round trip to any zone, while a caller waits for its answer.
 	refusalTimeout = 100 * time.Millisecond
+	// endingTime is how much later another connection is opened: a process that ends has
+	// closed all its sockets by then.
+	endingTime = 20 * time.Millisecond
+	// shortDial bounds one of the connections: some round trips between zones. The opening
+	// packet that crosses the end of its listener is lost.
+	shortDial = 30 * time.Millisecond
+	// redialPause is the pause before another connection is opened to a peer that reset
+	// one.
+	redialPause = 5 * time.Millisecond
 	// idlePerPeer bounds the idle connections to one backend server.
 	idlePerPeer = 32
 )
@@ -84,16 +94,48 @@
 }
 
 // Refuses reports whether a peer's host refuses connections at its address, as it does
-// when nothing listens there any more. A connection that opens is kept for use.
+// when nothing listens there any more. One connection that opens proves nothing: hosts open
+// it for a process that is about to end as well. So a peer goes on that opens another one a
+// while later; both are kept for use. False where that can't be told within refusalTimeout.
 func (p *Pool) Refuses(ctx context.Context, peer Peer) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
+	var first *conn
+	for {
+		opened, err := p.dialShortly(ctx, peer)
+		wait := redialPause
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			if first != nil {
+				first.close()
+			}
+			return true
+		case err != nil:
+		case first != nil:
+			p.give(first)
+			p.give(opened)
+			return false
+		default:
+			first, wait = opened, endingTime
+		}
+		if !pause.For(ctx, wait) {
+			if first != nil {
+				p.give(first)
+			}
+			return false
+		}
+	}
+}
+
+// dialShortly opens a connection, or gives up before a lost packet would be sent again.
+func (p *Pool) dialShortly(ctx context.Context, peer Peer) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, shortDial)
+	defer cancel()
 	opened, err := p.dialer.DialContext(ctx, "tcp", peer.Addr)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return nil, err
 	}
-	p.give(newConn(opened, peer))
-	return false
+	return newConn(opened, peer), nil
 }
 
 // pop takes the connection that was used last, so that those that aren't
