router: a server that isn't reached once is tried again where no other has room

Cause: a connection that wasn't opened in time took its server out of the request's choice; the other server's limit was used up, so that the request was refused for that limit.

Change: where no server is left to choose, those that couldn't be reached may be chosen again, once each; a request makes four dials at the most, as before. Refusals' lines name how many connections weren't opened (unreached): before, a refusal for a limit after a lost packet read like any other.

Not changed: a server that failed three times in a row, dials included, is left out for seconds while others are there, also if these have limits. A server that fails what it runs must not get requests that may run once.

--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -48,7 +48,7 @@
 	if end.Reason != router.ReasonServed {
 		e.log.Info(eventOf(end), logging.Request(end.ID), logging.Class(end.Route), logging.Reason(string(end.Reason)),
 			zap.Int("status", end.Status), zap.String("service", end.Service), zap.String("customer", end.Customer),
-			zap.Int("urgency", end.Urgency), zap.Int("sends", end.Sends), zap.String("last_server", end.Server),
+			zap.Int("urgency", end.Urgency), zap.Int("sends", end.Sends), zap.Int("unreached", end.Unreached), zap.String("last_server", end.Server),
 			zap.Bool("server_ended", end.ServerEnded), zap.Stringer("fingerprint", end.Fingerprint),
 			zap.Uint64("version", end.Version), zap.Duration("proof_age", end.ProofAge),
 			zap.Duration("expected", end.Expected), zap.Duration("took", end.Took),
--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -46,7 +46,7 @@
 	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, left))
 	if errors.Is(err, exchange.ErrNotSent) {
 		if ctx.Err() == nil {
-			c.dials++
+			c.noteUnreached(info.ID)
 			c.router.unreachable(info.ID)
 		}
 		return notSent
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/applepier/applepier/internal/gateway/protocol"
@@ -70,6 +71,10 @@
 	tried []string
 	sends int
 	dials int
+	// unreached names those of tried that couldn't be reached, once.
+	unreached []string
+	// redialed says that these were tried again.
+	redialed bool
 	// mayHaveRun says that some backend server may have run it.
 	mayHaveRun bool
 	// failure is a backend server's own failure, to be passed on if no other
@@ -92,6 +97,9 @@
 	c.router.countRequest(c.service)
 	for !c.quarantined() {
 		server, choice := c.choose()
+		if server == nil && c.forgiveUnreached() {
+			server, choice = c.choose()
+		}
 		switch {
 		case server == nil && choice.Limited && c.sends == 0:
 			c.beyondLimits(choice)
@@ -118,6 +126,26 @@
 	}
 }
 
+// forgiveUnreached reports whether servers that couldn't be reached may be tried again, once
+// each. A connection that isn't opened in time says little of a server: a host that is
+// busy for a moment loses the opening packet. It is for requests that no other server can take.
+func (c *call) forgiveUnreached() bool {
+	if len(c.unreached) == 0 {
+		return false
+	}
+	c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return slices.Contains(c.unreached, id) })
+	c.unreached, c.redialed = nil, true
+	return true
+}
+
+// noteUnreached notes that a server couldn't be reached; the second time is final.
+func (c *call) noteUnreached(server string) {
+	c.dials++
+	if !c.redialed {
+		c.unreached = append(c.unreached, server)
+	}
+}
+
 // mayGoOn reports whether the request may be sent to another server after an
 // attempt that came to v, and takes that from the retry budget.
 func (c *call) mayGoOn(ctx context.Context, v verdict) bool {
--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -10,7 +10,7 @@
 func (c *call) choose() (*backend.Server, policy.Choice) {
 	servers, facts := c.router.Registry.Servers(c.service), c.facts()
 	c.shared = shared(c.ask.Parts, c.ask.PromptTokens)
-	first := len(c.tried) == 0
+	first := len(c.tried) == 0 && !c.redialed
 	if first {
 		c.meanTokens = c.router.meanTokens(c.service, c.route.Name, c.ask.PromptTokens)
 	}
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -91,8 +91,10 @@
 	Status int
 	// Reason is why, in a fixed word.
 	Reason Reason
-	// Sends counts the backend servers that it was sent to.
-	Sends int
+	// Sends counts the backend servers that it was sent to, and Unreached the connections
+	// to servers that weren't opened.
+	Sends     int
+	Unreached int
 	// Server is the last backend server that was chosen; empty for none.
 	Server string
 	// ServerEnded says that the server ended while it had the request.
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -80,7 +80,7 @@
 func (c *call) note(status int, reason Reason) {
 	end := End{
 		ID: c.ask.ID, Service: c.service, Customer: c.customer, Urgency: c.urgency,
-		Status: status, Reason: reason, Sends: c.sends, Server: c.server, Expected: c.expected,
+		Status: status, Reason: reason, Sends: c.sends, Unreached: c.dials, Server: c.server, Expected: c.expected,
 		PromptTokens: c.ask.PromptTokens, MeanTokens: int(c.meanTokens), Prefill: c.prefill, Ahead: c.ahead,
 		Version: c.version, ProofAge: boottime.Now() - c.router.Holder.ProvenAt(),
 		First: c.first, Pause: c.stream.pause, Took: time.Since(c.arrived),
--- /dev/null
+++ b/testbed/gateway/unreached_test.go
@@ -0,0 +1,132 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/applepier/applepier/testbed/gateway"
+)
+
+// busyListener is a server that answers each request on a connection of its own, and at times
+// takes none: its host drops the packets that would open more connections.
+type busyListener struct {
+	net.Listener
+	busy atomic.Bool
+}
+
+// listenBusily listens with the shortest queue of connections that wait to be accepted.
+func listenBusily(t *testing.T) *busyListener {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	defer func() { _ = file.Close() }()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return &busyListener{Listener: l}
+}
+
+// Accept implements net.Listener.
+func (b *busyListener) Accept() (net.Conn, error) {
+	for b.busy.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	c, err := b.Listener.Accept()
+	for b.busy.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	return c, err
+}
+
+// busyFor has no connection be opened for a time.
+func (b *busyListener) busyFor(t *testing.T, d time.Duration) {
+	t.Helper()
+	b.busy.Store(true)
+	var waiting []net.Conn
+	for {
+		c, err := net.DialTimeout("tcp", b.Addr().String(), 20*time.Millisecond)
+		if err != nil {
+			break
+		}
+		waiting = append(waiting, c)
+	}
+	time.AfterFunc(d, func() {
+		for _, c := range waiting {
+			_ = c.Close()
+		}
+		b.busy.Store(false)
+	})
+}
+
+// serveOn answers all requests at a listener and lists it as a server.
+func serveOn(t *testing.T, f *gateway.Fleet, instance string, l net.Listener) {
+	t.Helper()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Signature", "by-"+instance)
+		_, _ = fmt.Fprint(w, "whole")
+	})}
+	server.SetKeepAlivesEnabled(false)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	f.List(&gateway.Server{Instance: instance, Addr: l.Addr().String()}, "ready")
+}
+
+// Guards against a request being refused for a server's limit where another server is there to
+// which just one connection wasn't opened in time.
+func TestServerThatIsNotReachedOnceIsTriedAgain(t *testing.T) {
+	for _, busy := range []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 220 * time.Millisecond} {
+		t.Run(busy.String(), func(t *testing.T) {
+			t.Parallel()
+			f := gateway.NewFleet(t, gateway.Options{})
+			f.Serve("limited", limitedAnswer(0.1))
+			l := listenBusily(t)
+			serveOn(t, f, "free", l)
+			f.Wait("the limit is known", func() bool { f.Call("/safe/x", "warm"); return usedServer(f, "warm", "limited") })
+			for i := range 6 {
+				// Whoever fails often is left out for a while.
+				for range 20 {
+					if got := f.Call("/safe/x", "between"); got.Status != http.StatusOK {
+						t.Fatalf("got %+v while a server without a limit is there", got)
+					}
+				}
+				l.busyFor(t, busy)
+				path := []string{"/safe/x", "/unsafe/x"}[i%2]
+				if got := f.Call(path, fmt.Sprintf("busy-%d", i)); got.Status != http.StatusOK {
+					t.Errorf("%s: got %+v, a server without a limit is there", path, got)
+				}
+			}
+		})
+	}
+}
+
+// A request for which no server could be reached names how often that was tried.
+func TestLinesTellOfServersThatWereNotReached(t *testing.T) {
+	core, lines := observer.New(zap.DebugLevel)
+	f := gateway.NewFleet(t, gateway.Options{Log: zap.New(core)})
+	server := f.Serve("i-1", gateway.Answer("whole"))
+	f.Wait("it is served", func() bool { return f.Call("/unsafe/x", "warm").Status == http.StatusOK })
+	server.Stop()
+	f.Call("/unsafe/x", "gone")
+	expectLine(t, lines, "gone", "request_refused", map[string]any{"reason": "servers_unreachable", "sends": int64(0), "unreached": int64(2)})
+}
