quarantine: suspects that share their crashes don't run at the same server

Cause, second of two: a harmless request that ran beside the deadly one at each of its three crashes is as much under suspicion; Quarantine.find takes the smaller fingerprint, that is, one of the two by chance. Where that is the harmless one, the deadly one runs once more, and the harmless one is refused until then.

Change: from the second crash on, a suspect avoids servers at which another one runs that shares all its crashes (known here), and, for those that run through other senders, servers that are the others' by a hash that all senders agree on. So the third crash tells them apart. Where that leaves no server that admits the request, it goes anywhere. Weighed: breaking the tie by how long each had run when the server ended. It is right for a request that kills at once and wrong for one that kills late; and keeping apart from the first crash on, which would bind all requests of each server that crashes of itself.

--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -43,6 +43,7 @@
 	}
 	stay := &visit{Stay: server.Load.Enter(c.urgency, c.router.plan(c, choice)), call: c, ahead: choice.Ahead, sent: time.Now()}
 	defer stay.Leave()
+	defer c.watchRun(info.ID)()
 	answer, err := c.router.Pool.Do(ctx, server.Peer(), c.request(info, left))
 	if errors.Is(err, exchange.ErrNotSent) {
 		if ctx.Err() == nil {
--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -18,7 +18,16 @@
 		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
 		Tokens: c.ask.PromptTokens, MeanTokens: c.meanTokens, Shared: c.shared, FetchRate: facts.FetchRate, Tried: c.tried,
 	}
-	choice := c.router.pick(c.service, job, c.route.Pause, c.router.loads(servers, facts.MaxConns), first)
+	loads := c.router.loads(servers, facts.MaxConns)
+	var choice policy.Choice
+	if avoided := c.avoided(loads); len(avoided) > 0 {
+		job.Tried = append(avoided, c.tried...)
+		choice = c.router.pick(c.service, job, c.route.Pause, loads, first)
+		job.Tried, first = c.tried, false
+	}
+	if !choice.Found || !c.letIn(choice) {
+		choice = c.router.pick(c.service, job, c.route.Pause, loads, first)
+	}
 	if !choice.Found {
 		return nil, choice
 	}
--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -60,6 +60,35 @@
 	return !r.quarantine.Empty()
 }
 
+// avoided names the servers that the request stays away from, to be told from others under
+// which servers ended.
+func (c *call) avoided(servers []policy.Server) []string {
+	if !c.router.suspects() {
+		return nil
+	}
+	print := c.fingerprint()
+	c.router.mu.Lock()
+	defer c.router.mu.Unlock()
+	return c.router.quarantine.Avoided(print, servers)
+}
+
+// watchRun notes that the request runs at a server until the function that is returned is called,
+// while there are suspects.
+func (c *call) watchRun(server string) (ended func()) {
+	if !c.router.suspects() {
+		return func() {}
+	}
+	r, print := c.router, c.fingerprint()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quarantine.Began(print, server)
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.quarantine.Ended(print, server)
+	}
+}
+
 func (r *Router) holds(f policy.Fingerprint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -86,10 +86,13 @@
 	turn []Fingerprint
 	// answered are the whole answers that this sender had lately.
 	answered recentAnswers
+	runs     suspectRuns
 }
 
 // NewQuarantine returns a Quarantine that suspects nothing.
-func NewQuarantine() *Quarantine { return &Quarantine{suspects: map[Fingerprint]*suspect{}} }
+func NewQuarantine() *Quarantine {
+	return &Quarantine{suspects: map[Fingerprint]*suspect{}, runs: suspectRuns{}}
+}
 
 // Empty reports whether nothing is suspected, so that fingerprints needn't be taken.
 func (q *Quarantine) Empty() bool { return len(q.suspects) == 0 }
--- a/testbed/gateway/crashing_test.go
+++ b/testbed/gateway/crashing_test.go
@@ -118,6 +118,48 @@
 	}
 }
 
+// Guards against a fourth server ending where a harmless request ran beside the deadly one at
+// each crash: after the second the two don't run at the same server any more, though the other
+// one is farther away.
+func TestSuspectsThatShareTheirCrashesAreKeptApart(t *testing.T) {
+	t.Parallel()
+	f := gateway.NewFleet(t, gateway.Options{})
+	m := newMortal(f, 1, func(c net.Conn, a *gateway.Arrival) bool {
+		if strings.HasPrefix(a.Target, "/stream/") {
+			return gateway.Events(80, 0, 25*time.Millisecond)(c, a)
+		}
+		return gateway.Answer("whole")(c, a)
+	})
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	// beside has the harmless request run, and returns the server that has it.
+	beside := func(id string) string {
+		callers.Go(func() { ask(f, "/stream/x", id, "harmless") })
+		f.Wait("it runs", func() bool { return len(f.Arrivals(id)) > 0 })
+		return f.Arrivals(id)[0].Server
+	}
+	f.Wait("it is served", func() bool { return f.Call("/unsafe/x", "warm").Status == http.StatusOK })
+	for i := range mostCrashes - 1 {
+		beside(fmt.Sprintf("beside-%d", i))
+		ask(f, "/unsafe/x", fmt.Sprintf("deadly-%d", i), deadly)
+		callers.Wait()
+		f.Wait("a server is back", func() bool { return f.Call("/unsafe/x", fmt.Sprintf("back-%d", i)).Status == http.StatusOK })
+	}
+	near := beside("beside-last")
+	far := f.Serve("far", gateway.Answer("whole"))
+	f.Store.PutJSON("servers", far.Instance, map[string]any{
+		"service": "plain", "addr": far.Addr, "zone": "y", "version": "v1", "slots": 8, "state": "ready", "seq": 2, "warmup-left-ms": 0,
+	})
+	f.Wait("it is known", func() bool { return strings.Contains(metricsOf(t, f), "applepier_backend_servers 2\n") })
+	ask(f, "/unsafe/x", "deadly-last", deadly)
+	if sent := f.Arrivals("deadly-last"); len(sent) != 1 || sent[0].Server == near {
+		t.Errorf("sent to %v, beside the other suspect at %s", sent, near)
+	}
+	if m.crashes() != mostCrashes-1 {
+		t.Errorf("%d servers crashed", m.crashes())
+	}
+}
+
 // A server that breaks off answers and goes on hasn't crashed: its requests came to
 // nothing and may do better next time.
 func TestBrokenAnswersOfAServerThatRunsQuarantineNothing(t *testing.T) {
