fleet: logs tell which process has ended, and how

What disturbs it: the stand-in was ended from outside between the look that found it ready and the next call. Ports are not it: a test process owns a block below the range of outgoing connections, and Free listens at a port before it gives it out.

What ended it isn't shown.

Change: the logs of a start or a cell that fails name each process that has ended, and how. TestStartTellsWhichProcessEnded fails without it.

--- a/testbed/fleet/fleet_test.go
+++ b/testbed/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -134,3 +135,31 @@
 		t.Fatalf("no log in %v", err)
 	}
 }
+
+// Guards against a start that fails without a trace, where a process was ended from outside: its
+// callers see connections that are reset or refused, and its log is empty.
+func TestStartTellsWhichProcessEnded(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	binaries, err := Build(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer binaries.Remove()
+	mortal := *binaries
+	mortal.StandIn = filepath.Join(t.TempDir(), "standin")
+	script := "#!/bin/sh\n\"" + binaries.StandIn + "\" \"$@\" &\nsleep 0.01\nkill -KILL $! $$\n"
+	if err := os.WriteFile(mortal.StandIn, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	options := testOptions()
+	options.Binaries = &mortal
+	f, err := Start(ctx, options)
+	if err == nil {
+		f.Close()
+		t.Fatal("a fleet has started whose platform is gone")
+	}
+	if want := "platform (ended: signal: killed)"; !strings.Contains(err.Error(), want) {
+		t.Errorf("%v, want %q in it", err, want)
+	}
+}
--- a/testbed/fleet/logs.go
+++ b/testbed/fleet/logs.go
@@ -15,10 +15,16 @@
 	io.WriteString(w, f.tails(lines))
 }
 
+// tails are the last lines of each process's log, and how those ended that don't run: one that
+// was ended from outside writes nothing, and whoever calls it sees connections that are reset.
 func (f *Fleet) tails(lines int) string {
 	var text strings.Builder
 	for _, p := range f.Processes() {
-		fmt.Fprintf(&text, "\n--- log of %s\n%s", p.Name, p.logTail(lines))
+		ended := ""
+		if how := p.Ended(); how != "" {
+			ended = " (ended: " + how + ")"
+		}
+		fmt.Fprintf(&text, "\n--- log of %s%s\n%s", p.Name, ended, p.logTail(lines))
 	}
 	return text.String()
 }
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -134,6 +134,19 @@
 	return err == nil
 }
 
+// Ended says how the process's last start ended; empty while it runs, and where it never did.
+func (p *Process) Ended() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.running == nil || !p.running.ended():
+		return ""
+	case p.running.err != nil:
+		return p.running.err.Error()
+	}
+	return "exit status 0"
+}
+
 // Kill sends SIGKILL and waits for the end.
 func (p *Process) Kill() error {
 	i, err := p.current()
