--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -18,16 +18,7 @@
 		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.Target,
 		Tokens: c.ask.PromptTokens, MeanTokens: c.meanTokens, Shared: c.shared, FetchRate: facts.FetchRate, Tried: c.tried,
 	}
-	loads := c.router.loads(servers, facts.MaxConns)
-	var choice policy.Choice
-	if avoided := c.avoided(loads); len(avoided) > 0 {
-		job.Tried = append(avoided, c.tried...)
-		choice = c.router.pick(c.service, job, c.route.Pause, loads, first)
-		job.Tried, first = c.tried, false
-	}
-	if !choice.Found || !c.letIn(choice) {
-		choice = c.router.pick(c.service, job, c.route.Pause, loads, first)
-	}
+	choice := c.pick(job, c.router.loads(servers, facts.MaxConns), first)
 	if !choice.Found {
 		return nil, choice
 	}
@@ -40,6 +31,21 @@
 	return servers[choice.At], choice
 }
 
+// pick has the policy choose among the servers that the request doesn't avoid, and where none
+// of these admits it, among all.
+func (c *call) pick(job policy.Job, loads []policy.Server, first bool) policy.Choice {
+	if avoided := c.avoided(loads); len(avoided) > 0 {
+		apart := job
+		apart.Tried = append(avoided, job.Tried...)
+		if choice := c.router.pick(c.service, apart, c.route.Pause, loads, first); choice.Found && c.letIn(choice) {
+			return choice
+		}
+		// It has been counted as offered.
+		first = false
+	}
+	return c.router.pick(c.service, job, c.route.Pause, loads, first)
+}
+
 // facts is what operators say of the service; of one that they don't list
 // nothing is known.
 func (c *call) facts() routes.Service {
--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -66,10 +66,10 @@
 	if !c.router.suspects() {
 		return nil
 	}
-	print := c.fingerprint()
+	fingerprint := c.fingerprint()
 	c.router.mu.Lock()
 	defer c.router.mu.Unlock()
-	return c.router.quarantine.Avoided(print, servers)
+	return c.router.quarantine.Avoided(fingerprint, servers)
 }
 
 // watchRun notes that the request runs at a server until the function that is returned is called,
@@ -78,14 +78,14 @@
 	if !c.router.suspects() {
 		return func() {}
 	}
-	r, print := c.router, c.fingerprint()
+	r, fingerprint := c.router, c.fingerprint()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.quarantine.Began(print, server)
+	r.quarantine.Began(fingerprint, server)
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.quarantine.Ended(print, server)
+		r.quarantine.Ended(fingerprint, server)
 	}
 }
 
