policy, gateway: reserved headroom, distinguished suspects and rejected requests in the field's words

Cause: new lines since still said what is told, left, turned away or let in, and a field of Job was called Yield.

Change: Job.Yield is Job.Headroom; forgiveUnreached, squeeze and tell (of a play) are retryUnreached, levelOf and broadcast; the comments beside them and two help texts of metrics say rejected, admitted, distinguished.

--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -96,7 +96,7 @@
 // Refuses reports whether a peer's host refuses connections at its address, as it does
 // when nothing listens there any more. One connection that opens proves nothing: hosts open
 // it for a process that is about to end as well. So a peer goes on that opens another one a
-// while later; both are kept for use. False where that can't be told within refusalTimeout.
+// while later; both are kept for use. False where that isn't known within refusalTimeout.
 func (p *Pool) Refuses(ctx context.Context, peer Peer) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -97,7 +97,7 @@
 	c.router.countRequest(c.service)
 	for !c.quarantined() {
 		server, choice := c.choose()
-		if server == nil && c.forgiveUnreached() {
+		if server == nil && c.retryUnreached() {
 			server, choice = c.choose()
 		}
 		switch {
@@ -126,10 +126,10 @@
 	}
 }
 
-// forgiveUnreached reports whether servers that couldn't be reached may be tried again, once
+// retryUnreached reports whether servers that couldn't be reached may be tried again, once
 // each. A connection that isn't opened in time says little of a server: a host that is
 // busy for a moment loses the opening packet. It is for requests that no other server can take.
-func (c *call) forgiveUnreached() bool {
+func (c *call) retryUnreached() bool {
 	if len(c.unreached) == 0 {
 		return false
 	}
--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -60,8 +60,8 @@
 	return !r.quarantine.Empty()
 }
 
-// avoided names the servers that the request stays away from, to be told from others under
-// which servers ended.
+// avoided names the servers that the request stays away from, so that its next crash
+// distinguishes it from other suspects.
 func (c *call) avoided(servers []policy.Server) []string {
 	if !c.router.suspects() {
 		return nil
--- a/internal/gateway/router/shared.go
+++ b/internal/gateway/router/shared.go
@@ -71,7 +71,7 @@
 		loads[i].LatePause = s.pauses.Worse(now, server, job.Urgency, pause)
 		loads[i].Unresponsive = r.unresponsive.LeftOut(now, server)
 	}
-	job.Yield = s.yielding.Share(now, &lacking, policy.SlotsInUse(loads), job.Urgency)
+	job.Headroom = s.yielding.Share(now, &lacking, policy.SlotsInUse(loads), job.Urgency)
 	r.limits.Draw(now, r.Random, &job, loads)
 	choice := r.Chooser.Choose(now, job, loads, &s.rates[job.Urgency])
 	if first {
--- a/internal/gateway/routes/urgency.go
+++ b/internal/gateway/routes/urgency.go
@@ -42,14 +42,14 @@
 	}
 	at, _ := slices.BinarySearchFunc(s.ranks, wanted, compareRanks)
 	if len(s.ranks) > levels {
-		at = squeeze(s.ranks, at, levels)
+		at = levelOf(s.ranks, at, levels)
 	}
 	return min(at, levels-1)
 }
 
-// squeeze is the level of the rank at a place where there are more ranks than levels. Each
+// levelOf is the level of the rank at a place where there are more ranks than levels. Each
 // route's tier has one level, and of the rest as many as it has ranks, in proportion.
-func squeeze(ranks []rank, at, levels int) int {
+func levelOf(ranks []rank, at, levels int) int {
 	at = min(at, len(ranks)-1)
 	tiers, before := 1, 0
 	for i := 1; i < len(ranks); i++ {
--- a/internal/metrics/class.go
+++ b/internal/metrics/class.go
@@ -82,7 +82,7 @@
 	c.metrics.goodput.tokens.Inc(int64(tokens))
 }
 
-// Refused counts a request that was turned away and certainly not run.
+// Refused counts a request that was rejected and certainly not run.
 func (c *Class) Refused(reason Reason) {
 	why := label{name: labelReason, value: string(c.metrics.bounded(reason))}
 	counter(c.metrics.registry, familyRefused, c.label, why).Inc(1)
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -52,9 +52,9 @@
 var help = map[family]string{
 	familyReceived:         "Requests taken from callers.",
 	familyFinished:         "Requests answered whole, on time or late.",
-	familyRefused:          "Requests turned away and certainly not run.",
+	familyRefused:          "Requests rejected and certainly not run.",
 	familyReceivedTokens:   "Tokens in the prompts of requests taken from callers.",
-	familyRefusedTokens:    "Tokens in the prompts of requests turned away and certainly not run.",
+	familyRefusedTokens:    "Tokens in the prompts of requests rejected and certainly not run.",
 	familyUnknown:          "Requests whose caller was told that they may have run.",
 	familyFailed:           "Requests that ended with another error.",
 	familyCancelled:        "Requests whose caller went away.",
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -7,13 +7,13 @@
 // one round is seen at its end.
 const coldWaiting = 2
 
-// offer decides whether a ticket is let in.
+// offer decides whether a ticket is admitted.
 //
 // It answers demand beyond capacity: without it the queue grows until every
 // ticket waits past its target and all of the engine's work is late. A ticket
-// is let in when the work before it, at the engine's true rate, leaves it in
+// is admitted when the work before it, at the engine's true rate, leaves it in
 // time. It is judged by the mean size of its class; see ClassSizes. The top
-// tier is let in whatever the estimate. So is one ticket of a class that has
+// tier is admitted whatever the estimate. So is one ticket of a class that has
 // nothing waiting and got nothing for starvedAfter, since each class is to be
 // served eventually; it may be late.
 func (s *Scheduler) offer(now time.Time, t Ticket) Decision {
--- a/policy/direct_play_test.go
+++ b/policy/direct_play_test.go
@@ -205,7 +205,7 @@
 		servers[i] = s.all[i]
 		servers[i].add(&s.own[i], 1)
 	}
-	r.job.Yield = s.yielding.Share(p.time(), s.shortage(p.time()), SlotsInUse(servers), r.job.Urgency)
+	r.job.Headroom = s.yielding.Share(p.time(), s.shortage(p.time()), SlotsInUse(servers), r.job.Urgency)
 	if p.expectUnseen {
 		others := float64(len(p.senders) - 1)
 		requests, tokens := s.sends.Within(p.time(), tellDelay, r.job.Urgency)
--- a/policy/job.go
+++ b/policy/job.go
@@ -37,19 +37,19 @@
 	// another one has read; 0 where it can't.
 	FetchRate float64
 	// Unseen is how many requests other senders are expected to have sent to the
-	// servers since they told last.
+	// servers since their last update.
 	Unseen float64
 	// UnseenTokens is what is read for those of them that are at least as urgent
 	// and were sent within the mean age of news, NewsAge.
 	UnseenTokens float64
 	NewsAge      time.Duration
 	// UnseenOffers is how many requests others are expected to have had for the service,
-	// sent or not, since they told last, and OtherSenders how many of them there are.
+	// sent or not, since their last update, and OtherSenders how many of them there are.
 	UnseenOffers float64
 	OtherSenders float64
-	// Yield is the part of each server's slots that is left to what is more
+	// Headroom is the part of each server's slots that is reserved for what is more
 	// urgent, beside what always is.
-	Yield float64
+	Headroom float64
 	// Tried names the servers that aren't to be used again.
 	Tried []string
 }
--- a/policy/limit_draw.go
+++ b/policy/limit_draw.go
@@ -51,7 +51,7 @@
 	if !s.Limited {
 		return 1
 	}
-	return s.Allowance.Left - job.Yield*s.Allowance.Size
+	return s.Allowance.Left - job.Headroom*s.Allowance.Size
 }
 
 // soonestFree is after what time the first of the servers has room that are beyond their
--- a/policy/prefill_rate.go
+++ b/policy/prefill_rate.go
@@ -18,7 +18,7 @@
 	mostRate  = 400.0
 	// prefillMemory is over how long samples are averaged: a change is learned
 	// in a few seconds. A sample weighs mostWeight at the most, since a hundred
-	// tell slope and fixed time apart.
+	// are enough to separate slope and fixed time.
 	prefillMemory = 3 * time.Second
 	mostWeight    = 1.0 / 100
 	// ratioMemory and mostRatioWeight are the same for the ratio of the newest times to
@@ -42,7 +42,7 @@
 // many tokens a millisecond. It is learned from what callers see, so that prefixes
 // that weren't cached after all are included.
 //
-// Fixed time and rate are told apart by linear regression over the samples, the
+// Fixed time and rate are estimated by linear regression over the samples, the
 // newest weighing most. One rate for both would take a model whose first step is slow
 // for one whose prefill is slow, and reject what servers that are half idle could
 // answer in time.
--- a/policy/room.go
+++ b/policy/room.go
@@ -70,7 +70,7 @@
 	if job.Tokens == 0 || s.Slots == 0 {
 		return math.Inf(1)
 	}
-	share := fullSlots - slotsPerLevel*float64(job.Urgency) - job.Yield
+	share := fullSlots - slotsPerLevel*float64(job.Urgency) - job.Headroom
 	return share*float64(s.Slots) - float64(s.inFlight())
 }
 
--- a/policy/server_limits_test.go
+++ b/policy/server_limits_test.go
@@ -320,8 +320,8 @@
 		l.Sent(testStart, 1)
 		servers := []Server{{Name: "a", Start: 1}}
 		servers[0].Allowance, servers[0].Limited = l.Allowance(testStart, 1, 0, 1)
-		l.Draw(testStart, random, &Job{Yield: yield}, servers)
-		choice := NewChooser(random, NewEjector(), NewPrefixIndex()).Choose(testStart, Job{Yield: yield}, servers, nil)
+		l.Draw(testStart, random, &Job{Headroom: yield}, servers)
+		choice := NewChooser(random, NewEjector(), NewPrefixIndex()).Choose(testStart, Job{Headroom: yield}, servers, nil)
 		return !choice.Found && choice.Limited
 	}
 	if beyond(0) || !beyond(0.4) {
--- a/policy/suspect_runs.go
+++ b/policy/suspect_runs.go
@@ -33,7 +33,7 @@
 func (q *Quarantine) Ended(f Fingerprint, server string) { q.runs.remove(server, f) }
 
 // Avoided are those of the servers at which a request isn't to run, so that the next crash
-// tells it from other suspects.
+// distinguishes it from other suspects.
 //
 // It answers an innocent request that ran beside the culprit at each crash so far: at the
 // third, one of the two is quarantined by chance, and if that is the wrong one, a fourth server
--- a/policy/suspect_runs_test.go
+++ b/policy/suspect_runs_test.go
@@ -39,7 +39,7 @@
 	p.servers = append(p.servers, fmt.Sprint("server", p.started))
 }
 
-// innocent is the fingerprint of an innocent request; smaller than the culprit's for half of
+// innocentAt is the fingerprint of an innocent request; smaller than the culprit's for half of
 // them, and the smaller one of two is quarantined.
 func innocentAt(i int) Fingerprint { return Fingerprint(2*culpritApart*(i%2) + i + 1) }
 
@@ -87,7 +87,7 @@
 			p.at[i] = ""
 		}
 	}
-	p.tell()
+	p.broadcast()
 	for i, at := range p.at {
 		if at == "" {
 			p.run(i)
@@ -97,7 +97,7 @@
 	return false
 }
 
-func (p *apartPlay) tell() {
+func (p *apartPlay) broadcast() {
 	for _, from := range p.senders {
 		news := from.News(testStart)
 		for _, to := range p.senders {
@@ -137,7 +137,7 @@
 	}
 }
 
-// A request that hasn't run beside a server's end, or is told from the others, goes anywhere.
+// A request that hasn't run beside a server's end, or is distinguished from the others, goes anywhere.
 func TestOnlySuspectsThatCannotBeToldApartAvoidServers(t *testing.T) {
 	q := NewQuarantine()
 	servers := named("a", "b", "c", "d")
--- a/testbed/fleet/logs.go
+++ b/testbed/fleet/logs.go
@@ -16,7 +16,7 @@
 }
 
 // tails are the last lines of each process's log, and how those ended that don't run: one that
-// was ended from outside writes nothing, and whoever calls it sees connections that are reset.
+// was ended from outside writes nothing, and its callers see connections that are reset.
 func (f *Fleet) tails(lines int) string {
 	var text strings.Builder
 	for _, p := range f.Processes() {
--- a/testbed/gateway/unreached_test.go
+++ b/testbed/gateway/unreached_test.go
@@ -111,7 +111,7 @@
 			serveOn(t, f, "free", l)
 			f.Wait("the limit is known", func() bool { f.Call("/safe/x", "warm"); return usedServer(f, "warm", "limited") })
 			for i := range 6 {
-				// Whoever fails often is left out for a while.
+				// A server that fails often is ejected for a while.
 				for range 20 {
 					if got := f.Call("/safe/x", "between"); got.Status != http.StatusOK {
 						t.Fatalf("got %+v while a server without a limit is there", got)
