gateway: log and count resumed streams with their servers' software versions

A served request leaves no line, and no line, metric or type names a server's software version: the adapter required it and dropped it.

Change: backend.Info keeps the software version, protocol.RequestInfo the id of the request that a caller resumes. A line stream_resumed and the counter applepier_streams_resumed_total for each stream that was resumed, in one response or by its caller, with the version of each server that sent events; server_changed names the version. No decision reads any of it.

--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -22,6 +22,10 @@
 	Addr    string
 	Service string
 	Zone    string
+	// SoftwareVersion is the version of the server's software, which stays the same for an
+	// instance. Events of streams from servers of two versions don't fit together. It is empty if
+	// unknown, as in entries from gateways that don't pass it on.
+	SoftwareVersion string
 	// Slots is how many requests the server runs concurrently.
 	Slots int
 	// Draining servers take no new requests.
--- a/internal/gateway/protocol/protocol.go
+++ b/internal/gateway/protocol/protocol.go
@@ -32,6 +32,9 @@
 	// LastEventID is the ID of the last event that the caller has received; empty if it asks for
 	// the complete stream.
 	LastEventID string
+	// ResumesID is the ID of the caller's earlier request that brought the first event of the
+	// stream of which LastEventID is a part; empty if the caller doesn't name it.
+	ResumesID string
 	// PromptTokens is the length of the prompt in tokens; 0 if unspecified.
 	PromptTokens int
 	// PromptSegments are the segments of the prompt in order. The last one belongs to the request
--- a/internal/gateway/request_observer.go
+++ b/internal/gateway/request_observer.go
@@ -47,6 +47,9 @@
 		class.ObserveLongestPause(result.LongestPause)
 	}
 	o.count(class, result)
+	if result.Resumed() {
+		o.logResumed(result)
+	}
 	if result.Reason != router.ReasonServed {
 		o.log.Info(eventName(result), logging.Request(result.ID), logging.Class(result.Route), logging.Reason(string(result.Reason)),
 			zap.Int("status", result.Status), zap.String("service", result.Service), zap.String("customer", result.Customer),
@@ -59,6 +62,14 @@
 	}
 }
 
+// logResumed logs and counts a stream that was resumed, in one response or by its caller.
+func (o requestObserver) logResumed(result router.RequestResult) {
+	o.metrics.StreamResumed()
+	o.log.Info(logging.EventStreamResumed, logging.Request(result.ID), logging.Class(result.Route), logging.Reason(string(result.Reason)),
+		zap.Int("status", result.Status), zap.String("service", result.Service), zap.String("resumes", result.ResumesID), zap.String("after", result.LastEventID),
+		zap.Strings("versions", result.Versions), zap.Int("sends", result.Sends), zap.String("last_server", result.Server))
+}
+
 // ServerReplaced implements router.Observer.
 func (o requestObserver) ServerReplaced(server string) {
 	o.log.Info(logging.EventServerRemoved, logging.Peer(server), logging.Reason("replaced"))
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -47,6 +47,8 @@
 	// that was expected then.
 	serverID     string
 	expectedTTFT time.Duration
+	// serverVersion is that server's software version when it was chosen.
+	serverVersion string
 	// prefillTokens is how many tokens of the prompt that server was expected to prefill, and
 	// otherTokensAhead how many tokens of other requests it was expected to prefill first.
 	prefillTokens, otherTokensAhead int
--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -23,6 +23,7 @@
 		return nil, choice
 	}
 	c.serverID, c.expectedTTFT = servers[choice.Index].Info().ID, choice.ExpectedTTFT
+	c.serverVersion = servers[choice.Index].Info().SoftwareVersion
 	c.prefillTokens, c.otherTokensAhead = choice.PrefillTokens, int(choice.TokensAhead)-choice.PrefillTokens
 	c.fetchFrom = ""
 	if choice.Fetches {
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -132,8 +132,18 @@
 	LongestPause time.Duration
 	// Connection is the state of the caller's connection.
 	Connection callers.ConnStatus
+	// LastEventID is the ID of the last event that the caller had when it sent the request, and
+	// ResumesID the request that brought the first one; both are empty for a new stream.
+	LastEventID string
+	ResumesID   string
+	// Versions lists the software version of each server whose events were forwarded, in order.
+	Versions []string
 }
 
+// Resumed reports whether the request asked for the rest of a stream, or its response came from
+// several servers.
+func (r *RequestResult) Resumed() bool { return r.LastEventID != "" || len(r.Versions) > 1 }
+
 // Late reports whether the request missed one of its route's targets.
 func (r *RequestResult) Late() bool {
 	return r.LatencyTarget > 0 && r.FirstByteLatency > r.LatencyTarget || r.PauseTarget > 0 && r.LongestPause > r.PauseTarget
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -86,7 +86,8 @@
 		PromptTokens: c.params.PromptTokens, MeanTokens: int(c.meanTokens), PrefillTokens: c.prefillTokens, TokensAhead: c.otherTokensAhead,
 		StateVersion: c.stateVersion, StateAge: boottime.Now() - c.router.Holder.ConfirmedAt(),
 		FirstByteLatency: c.firstByteLatency, LongestPause: c.stream.longestPause, Duration: time.Since(c.arrivedAt),
-		Connection: callers.ConnStatusOf(c.req.Context()),
+		Connection:  callers.ConnStatusOf(c.req.Context()),
+		LastEventID: c.params.LastEventID, ResumesID: c.params.ResumesID, Versions: c.stream.versions,
 	}
 	if reason != ReasonServed {
 		result.Fingerprint, result.ServerEnded = c.fingerprint(), c.serverEnded
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -58,6 +58,7 @@
 		return ok
 	}
 	c.writeStreamHeader(response)
+	c.stream.recordServer(c.sends, c.serverVersion)
 	c.stream.recordSend(time.Now())
 	if _, err := c.w.Write(out); err != nil {
 		return false
--- a/internal/gateway/router/stream_state.go
+++ b/internal/gateway/router/stream_state.go
@@ -20,6 +20,11 @@
 	longestPause time.Duration
 	// pauseCount is the number of pauses measured.
 	pauseCount int
+	// versions lists the software version of each server whose events were forwarded, in the order
+	// of their events.
+	versions []string
+	// lastAttempt is the number of the attempt that brought the last of them.
+	lastAttempt int
 }
 
 // setResumePoint records that the caller already has the events up to the given ID. It ignores an
@@ -57,6 +62,15 @@
 // without an ID: it is unknown which of them the caller has, and none may be sent twice.
 func (s *streamState) resumable() bool { return !s.sentWithoutID }
 
+// recordServer records the software version of the server whose events are forwarded in the attempt
+// with the given number.
+func (s *streamState) recordServer(attempt int, version string) {
+	if s.lastAttempt != attempt {
+		s.lastAttempt = attempt
+		s.versions = append(s.versions, version)
+	}
+}
+
 // recordSend records that events were forwarded at the given time.
 func (s *streamState) recordSend(now time.Time) {
 	if !s.lastSentAt.IsZero() {
--- a/internal/gateway/server_list_sink.go
+++ b/internal/gateway/server_list_sink.go
@@ -36,7 +36,7 @@
 func (s *serverListSink) Change(_ time.Duration, changes follow.Batch[backend.Info]) {
 	s.registry.ApplyChanges(time.Now(), changes.Items, changes.Removed, changes.Unreadable)
 	for _, info := range changes.Items {
-		s.log.Info(logging.EventServerChanged, logging.Peer(info.ID), zap.String("service", info.Service), zap.Bool("leaving", info.Draining), zap.Int("usable", s.registry.CountUsable()))
+		s.log.Info(logging.EventServerChanged, logging.Peer(info.ID), zap.String("service", info.Service), zap.String("software", info.SoftwareVersion), zap.Bool("leaving", info.Draining), zap.Int("usable", s.registry.CountUsable()))
 	}
 	for _, id := range changes.Removed {
 		s.log.Info(logging.EventServerRemoved, logging.Peer(id), zap.Int("usable", s.registry.CountUsable()))
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -77,6 +77,9 @@
 	EventServerLimited = "server_limited"
 	// EventServerUnlimited: a backend server no longer states a limit.
 	EventServerUnlimited = "server_unlimited"
+	// EventStreamResumed: a stream was resumed: its caller asked for the rest of it, or
+	// its response came from several backend servers.
+	EventStreamResumed = "stream_resumed"
 	// EventRequestQuarantined: a request will be refused because backend servers
 	// terminated while processing it.
 	EventRequestQuarantined = "request_quarantined"
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -34,6 +34,7 @@
 	familyLiveGateways         family = "applepier_gateways"
 	familyUsableServers        family = "applepier_backend_servers"
 	familyServersEnded         family = "applepier_backend_servers_ended_total"
+	familyStreamsResumed       family = "applepier_streams_resumed_total"
 	familyLimitedServers       family = "applepier_backend_servers_limited"
 	familyLimitedSends         family = "applepier_limited_sends_total"
 	familyQuarantinedRequests  family = "applepier_requests_quarantined"
@@ -79,6 +80,7 @@
 	familyLiveGateways:         "Gateways that this one hears of, itself included.",
 	familyUsableServers:        "Backend servers that may get requests.",
 	familyServersEnded:         "Starts of backend servers that ended while they had requests of this gateway.",
+	familyStreamsResumed:       "Streams that were resumed, in one response or by their callers.",
 	familyLimitedServers:       "Backend servers that have named a limit.",
 	familyLimitedSends:         "Requests sent to backend servers while they had a limit.",
 	familyQuarantinedRequests:  "Requests that are refused since backend servers ended under them, those that ask for the same thing once.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -59,6 +59,9 @@
 	})
 }
 
+// StreamResumed counts a stream that was resumed, in one response or by its caller.
+func (m *Metrics) StreamResumed() { counter(m.registry, familyStreamsResumed).Inc(1) }
+
 // ServerEnded counts a backend server instance that terminated while it had requests of
 // this gateway.
 func (m *Metrics) ServerEnded() { counter(m.registry, familyServersEnded).Inc(1) }
