--- a/testbed/gateway/fixture.go
+++ b/testbed/gateway/fixture.go
@@ -214,20 +214,29 @@
 
 // StartServer starts a scripted backend server and lists it as ready.
 func (f *Fixture) StartServer(instance string, script Script) *Server {
+	f.t.Helper()
+	return f.StartVersionServer(instance, "v1", script)
+}
+
+// StartVersionServer is StartServer for a server with a software version.
+func (f *Fixture) StartVersionServer(instance, version string, script Script) *Server {
 	f.t.Helper()
 	s, err := Listen("127.0.0.1:0", instance, script, f.recordRequest)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(s.Stop)
-	f.ListServer(s, "ready")
+	f.ListServerVersion(s, "ready", version)
 	return s
 }
 
 // ListServer writes a server's row to the store, with a state such as ready or draining.
-func (f *Fixture) ListServer(s *Server, state string) {
+func (f *Fixture) ListServer(s *Server, state string) { f.ListServerVersion(s, state, "v1") }
+
+// ListServerVersion is ListServer for a server with a software version.
+func (f *Fixture) ListServerVersion(s *Server, state, version string) {
 	f.Store.PutJSON("servers", s.Instance, map[string]any{
-		"service": "plain", "addr": s.Addr, "zone": "z", "version": "v1", "slots": 8, "state": state, "seq": 1, "warmup-left-ms": 0,
+		"service": "plain", "addr": s.Addr, "zone": "z", "version": version, "slots": 8, "state": state, "seq": 1, "warmup-left-ms": 0,
 	})
 }
 
@@ -310,3 +319,17 @@
 func (f *Fixture) Post(path, id string) Response {
 	return f.Do(f.Request(context.Background(), http.MethodPost, path, id, nil))
 }
+
+// Metrics returns the gateway's metrics; empty if it doesn't respond.
+func (f *Fixture) Metrics() string {
+	resp, err := http.Get("http://" + f.AdminAddr + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
--- a/testbed/gateway/server.go
+++ b/testbed/gateway/server.go
@@ -99,6 +99,11 @@
 // Last-Event-Id, with a pause before each. It closes the connection in the middle of event
 // cutAt; 0 means never.
 func Events(last, cutAt int, pause time.Duration) Script {
+	return events(last, cutAt, pause, Event)
+}
+
+// events is Events with the text of each event.
+func events(last, cutAt int, pause time.Duration, text func(id int) string) Script {
 	return func(c net.Conn, r *ReceivedRequest) bool {
 		var lastID int
 		// A missing or invalid header means a start from the first event.
@@ -108,7 +113,7 @@
 		}
 		for id := lastID + 1; id <= last; id++ {
 			time.Sleep(pause)
-			event := Event(id)
+			event := text(id)
 			if id == cutAt {
 				event = event[:len(event)/2]
 			}
@@ -121,6 +126,16 @@
 	}
 }
 
+// VersionEvents is Events with the software version of the server in each event.
+func VersionEvents(version string, last, cutAt int, pause time.Duration) Script {
+	return events(last, cutAt, pause, func(id int) string { return VersionEvent(version, id) })
+}
+
+// VersionEvent returns the event with an ID of a server with a software version.
+func VersionEvent(version string, id int) string {
+	return fmt.Sprintf("id: %d\ndata: %s token %d\n\n", id, version, id)
+}
+
 // EventsWithoutIDs returns a script that streams events without IDs. It closes the connection
 // after cutAfter events; 0 means never.
 func EventsWithoutIDs(last, cutAfter int) Script {
