gateway: a stream goes on only at the software version that began it

Callers got streams that held events of servers of two software versions, in one response (a server broke the stream off) and over their requests (resumed at another gateway).

Cause: nothing in the gateway knew of versions. The adapter dropped them, a stream that broke off went on at whatever server the policy chose, and a resumption was sent to any server; only the gateway that had forwarded the first event could have known better, and it may be gone.

Change: package origin. A gateway sends the record of a stream (hash of customer and request id, service, version) to three other gateways, chosen by rendezvous hashing in different availability zones, before it forwards the first event, and doesn't wait. A gateway that is asked for the rest of a stream looks it up in its own records, asks the holders and the next in line for at most 250 ms, and otherwise goes on only if the service has had one version alone for longer than a stream lasts, by its own list or by that of a gateway that responds; no gateway may know of others. What is unknown is refused as not run. Job.Bound and Job.Version restrict the policy's choice; a resumption is admitted where there is a slot, since its first token is with the caller already. Server lists from gateways of earlier releases, which lack versions, aren't used for changes: these come at another path.

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/applepier/applepier/policy"
 )
 
 // expiryGrace is how long servers whose entries expired during a store outage stay in use after the
@@ -42,12 +44,13 @@
 	restoreGraceEnd time.Time
 	// tombstones holds the last entries of removed servers.
 	tombstones tombstones
+	versions   *versionHistory
 }
 
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry {
-	r := &Registry{servers: map[string]*Server{}, expiring: map[string]time.Time{}, tombstones: tombstones{}}
-	r.publishSnapshot()
+	r := &Registry{servers: map[string]*Server{}, expiring: map[string]time.Time{}, tombstones: tombstones{}, versions: newVersionHistory()}
+	r.byService.Store(&map[string][]*Server{})
 	return r
 }
 
@@ -105,7 +108,7 @@
 		}
 	}
 	r.publishSnapshot()
-	r.loaded.Store(true)
+	r.markLoaded(now)
 }
 
 // SeedFromPeer sets the list as received from another gateway, unless a list has already been
@@ -116,14 +119,22 @@
 	if r.loaded.Load() {
 		return false
 	}
+	now := time.Now()
 	for _, info := range entries {
-		r.apply(time.Now(), info)
+		r.apply(now, info)
 	}
 	r.publishSnapshot()
-	r.loaded.Store(true)
+	r.markLoaded(now)
 	return true
 }
 
+// markLoaded records that the list is known. r.mu must be held.
+func (r *Registry) markLoaded(now time.Time) {
+	if !r.loaded.Swap(true) {
+		r.versions.since = now
+	}
+}
+
 // ApplyChanges applies a change of the list. unreadable holds the IDs of entries that can no longer be
 // decoded; their servers are removed.
 func (r *Registry) ApplyChanges(now time.Time, changed []Info, removed, unreadable []string) {
@@ -142,6 +153,15 @@
 	}
 }
 
+// VersionsWithin returns the software versions that a service, given by its key, has had within a
+// window before now. Servers that were replaced or are draining count, since their streams may still
+// be resumed. The window is at most an hour.
+func (r *Registry) VersionsWithin(now time.Time, service policy.Key, window time.Duration) Versions {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.versions.within(now, service, min(window, versionRetention))
+}
+
 // MarkStoreUnavailable records that the store did not respond to a request, which need not have
 // been for this list.
 func (r *Registry) MarkStoreUnavailable() {
@@ -280,7 +300,8 @@
 	}
 }
 
-// publishSnapshot rebuilds the snapshot that Servers and All read. r.mu must be held.
+// publishSnapshot rebuilds the snapshot that Servers and All read, and records the software versions
+// that are listed. r.mu must be held.
 func (r *Registry) publishSnapshot() {
 	snapshot := map[string][]*Server{}
 	newest := r.newestStartByAddr()
@@ -295,6 +316,7 @@
 		slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.Info().ID, b.Info().ID) })
 	}
 	r.byService.Store(&snapshot)
+	r.versions.update(time.Now(), r.servers)
 }
 
 // newestStartByAddr returns the latest start time at each address, in Unix milliseconds, over the
--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -42,10 +42,21 @@
 	return policy.KeyOf(i.ID) ^ policy.Key(uint64(i.StartUnixMilli)*mixer>>32)
 }
 
+// VersionKey returns the key of the software version; 0 if unknown.
+func (i *Info) VersionKey() policy.Key {
+	if i.SoftwareVersion == "" {
+		return 0
+	}
+	return policy.KeyOf(i.SoftwareVersion)
+}
+
 // sameInstance reports whether a later entry under the same ID belongs to the same instance. An
-// entry with another start time does not; where start times are missing, neither does one with a
+// entry with another start time or software version does not; where start times are missing, neither does one with a
 // lower sequence number or another address.
 func (i *Info) sameInstance(later *Info) bool {
+	if i.SoftwareVersion != "" && later.SoftwareVersion != "" && i.SoftwareVersion != later.SoftwareVersion {
+		return false
+	}
 	if i.StartUnixMilli != 0 && later.StartUnixMilli != 0 {
 		return i.StartUnixMilli == later.StartUnixMilli
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/applepier/applepier/internal/gateway/exchange"
 	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/handover"
+	"github.com/applepier/applepier/internal/gateway/origin"
 	"github.com/applepier/applepier/internal/gateway/peers"
 	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/internal/gateway/routes"
@@ -73,6 +74,8 @@
 	// usage is nil if usage reporting is disabled.
 	usage *usage.Reporter
 	mesh  *peers.Mesh
+	// origins knows at which software version streams began.
+	origins *origin.Directory
 	// servers follows the list of backend servers, desiredState the desired state.
 	servers      *follow.Follower[backend.Info]
 	desiredState *follow.Follower[*routes.Snapshot]
@@ -121,8 +124,9 @@
 	g.desiredStateSink = &desiredStateSink{holder: g.holder, registry: g.registry, log: log}
 	var err error
 	g.mesh, err = peers.Listen(peers.Config{
-		Self:  peers.Entry{Name: s.Process, Addr: s.PeerListen},
-		Loads: g.loads, OwnOfferCounts: func() map[string]policy.OfferCounts { return g.router.OfferCounts() },
+		Self: peers.Entry{Name: s.Process, Addr: s.PeerListen}, Zone: s.Zone,
+		HandleOrigin: func(addr string, datagram []byte) error { return g.origins.Handle(addr, datagram) },
+		Loads:        g.loads, OwnOfferCounts: func() map[string]policy.OfferCounts { return g.router.OfferCounts() },
 		TakeUpdates: func() policy.PeerUpdate { return g.router.TakeUpdates() }, MergeUpdates: func(u policy.PeerUpdate) { g.router.MergeUpdates(u) },
 		Confirmation: func() peers.Confirmation {
 			return peers.Confirmation{Version: g.holder.Version(), At: g.holder.ConfirmedAt()}
@@ -133,13 +137,14 @@
 	if err != nil {
 		return nil, err
 	}
+	g.origins = origin.New(origin.Config{Peers: g.mesh, Versions: g.versionsOf, Lifetime: g.streamLifetime})
 	counter := g.initUsage()
 	ejector, index := policy.NewEjector(), policy.NewPrefixIndex()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.router = router.New(router.Config{
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
 		Peers: g.mesh, ListedGateways: g.mesh.ListedGateways,
-		Chooser: policy.NewChooser(random, ejector, index), Random: random, Ejector: ejector, PrefixIndex: index,
+		Chooser: policy.NewChooser(random, ejector, index), Random: random, Ejector: ejector, PrefixIndex: index, Origins: g.origins,
 		Observer: requestObserver{p.Metrics, log, g.enqueueQuarantined, counter},
 	}, routerBounds(s), g.sheddingCallers)
 	g.registry.OnRemove = g.router.ForgetServer
--- a/internal/gateway/handover/handler.go
+++ b/internal/gateway/handover/handler.go
@@ -16,7 +16,10 @@
 	// path.
 	statePath         = "/state"
 	desiredStatePath  = "/targets"
-	serverChangesPath = "/changes/"
+	serverChangesPath = "/server-changes/"
+	// legacyChangesPath serves the same to gateways of earlier releases. Their own responses at this
+	// path lack the servers' software versions, so it isn't requested any more.
+	legacyChangesPath = "/changes/"
 	positionParam     = "position"
 	// maxDesiredStateBytes bounds the document served at desiredStatePath, in bytes. Dozens of
 	// gateways request a new version from the few that received it first, over links shared
@@ -47,7 +50,7 @@
 		}
 		writeCBOR(w, State{Version: current.Version, Document: current.Document})
 	})
-	router.GET(serverChangesPath+":"+positionParam, func(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+	serveChanges := func(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
 		after, err := follow.ParsePosition(params.ByName(positionParam))
 		if err != nil {
 			http.Error(w, "position: "+err.Error(), http.StatusBadRequest)
@@ -59,7 +62,9 @@
 			return
 		}
 		writeCBOR(w, deltas)
-	})
+	}
+	router.GET(serverChangesPath+":"+positionParam, serveChanges)
+	router.GET(legacyChangesPath+":"+positionParam, serveChanges)
 	return router
 }
 
--- /dev/null
+++ b/internal/gateway/origin/directory.go
@@ -0,0 +1,232 @@
+package origin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/policy"
+)
+
+const (
+	// lookupTimeout bounds the wait for the responses to a query. A small VM that has used up its
+	// share of the processor responds up to a tenth of a second late.
+	lookupTimeout = 250 * time.Millisecond
+	// queryInterval is the time after which a query without a response is sent again.
+	queryInterval = 50 * time.Millisecond
+	// maxTTL bounds for how long another gateway can make this one keep a record.
+	maxTTL = time.Hour
+)
+
+// Peers sends datagrams to the other gateways that keep origins.
+type Peers interface {
+	// Holders returns the addresses of the gateways to which the record of a stream is sent.
+	Holders(stream uint64) []string
+	// Candidates returns the addresses of those that may hold it if the set of gateways has changed
+	// since, in addition to Holders.
+	Candidates(stream uint64) []string
+	// Send sends a datagram. It may get lost.
+	Send(addr string, datagram []byte)
+}
+
+// Config holds the dependencies of a Directory.
+type Config struct {
+	Peers Peers
+	// Versions returns the versions that a service has had for as long as a stream lasts, as far as
+	// this gateway knows.
+	Versions func(service policy.Key) backend.Versions
+	// Lifetime returns how long a stream lasts at most, with all resumptions.
+	Lifetime func() time.Duration
+}
+
+// Directory knows the origins of the streams that began at this gateway, and of those whose records it
+// holds for others. Its methods are safe for concurrent use.
+type Directory struct {
+	Config
+	// mu guards the fields below. No other lock is acquired while it is held.
+	mu      sync.Mutex
+	records *records
+	// lookups holds the lookups in progress by stream.
+	lookups map[Stream][]*lookup
+}
+
+// New returns an empty Directory.
+func New(c Config) *Directory {
+	return &Directory{Config: c, records: newRecords(), lookups: map[Stream][]*lookup{}}
+}
+
+// Begin records the origin of a stream whose first events this gateway is about to forward, and sends
+// it to the holders. It doesn't wait for them: a lost record only keeps the stream from being resumed
+// at another gateway.
+func (d *Directory) Begin(stream Stream, origin Origin) {
+	lifetime := d.Lifetime()
+	d.mu.Lock()
+	d.records.put(time.Now(), stream, origin, true, lifetime)
+	d.mu.Unlock()
+	record := message{Kind: kindRecord, Stream: uint64(stream), Service: uint32(origin.Service), Version: uint32(origin.Version), Seconds: uint32((lifetime + time.Second - 1) / time.Second)}
+	datagram := record.encode()
+	for _, addr := range d.Peers.Holders(uint64(stream)) {
+		d.Peers.Send(addr, datagram)
+	}
+}
+
+// Find returns the origin of a stream that its caller resumes, and how it is known. service is the one
+// that would continue a stream of unknown origin. With SourceUnknown the stream must not be continued,
+// since its version can't be known. Find asks other gateways if needed, for lookupTimeout or until ctx
+// ends.
+func (d *Directory) Find(ctx context.Context, stream Stream, service policy.Key) (Origin, Source) {
+	if origin, source, ok := d.known(stream); ok {
+		return origin, source
+	}
+	versions := d.Versions(service)
+	if l := d.startLookup(stream, versions); l != nil {
+		defer d.endLookup(stream, l)
+		d.ask(ctx, stream, service, l)
+		var found *Origin
+		if found, versions = l.result(); found != nil {
+			return *found, SourceRecord
+		}
+	}
+	if versions.Only != 0 && !versions.Several {
+		return Origin{Service: service, Version: versions.Only}, SourceOnlyVersion
+	}
+	return Origin{}, SourceUnknown
+}
+
+// known returns the origin of a stream if it is recorded here.
+func (d *Directory) known(stream Stream) (Origin, Source, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.records.get(time.Now(), stream)
+	switch {
+	case r == nil:
+		return Origin{}, SourceUnknown, false
+	case r.own:
+		return r.Origin, SourceOwn, true
+	default:
+		return r.Origin, SourceRecord, true
+	}
+}
+
+// startLookup registers a lookup, given the versions that this gateway knows. It returns nil if there
+// is no gateway to ask.
+func (d *Directory) startLookup(stream Stream, versions backend.Versions) *lookup {
+	addrs := append(d.Peers.Holders(uint64(stream)), d.Peers.Candidates(uint64(stream))...)
+	if len(addrs) == 0 {
+		return nil
+	}
+	l := newLookup(addrs, versions)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lookups[stream] = append(d.lookups[stream], l)
+	return l
+}
+
+// endLookup removes a lookup.
+func (d *Directory) endLookup(stream Stream, l *lookup) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	remaining := d.lookups[stream][:0]
+	for _, other := range d.lookups[stream] {
+		if other != l {
+			remaining = append(remaining, other)
+		}
+	}
+	if len(remaining) == 0 {
+		delete(d.lookups, stream)
+		return
+	}
+	d.lookups[stream] = remaining
+}
+
+// ask sends the query until a gateway has the record, all have responded, or the time is over.
+func (d *Directory) ask(ctx context.Context, stream Stream, service policy.Key, l *lookup) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	query := message{Kind: kindQuery, Stream: uint64(stream), Service: uint32(service)}
+	datagram := query.encode()
+	ticker := time.NewTicker(queryInterval)
+	defer ticker.Stop()
+	for {
+		for _, addr := range l.unanswered() {
+			d.Peers.Send(addr, datagram)
+		}
+		select {
+		case <-l.done:
+			return
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Handle processes a datagram from the gateway at addr. It returns ErrMalformed if the datagram can't
+// be decoded.
+func (d *Directory) Handle(addr string, datagram []byte) error {
+	m, err := decodeMessage(datagram)
+	if err != nil {
+		return err
+	}
+	switch m.Kind {
+	case kindRecord:
+		d.hold(&m)
+	case kindQuery:
+		d.Peers.Send(addr, d.respond(&m))
+	case kindFound:
+		d.hold(&m)
+		d.recordResponse(addr, &m)
+	case kindNotFound, kindSeveralVersions:
+		d.recordResponse(addr, &m)
+	}
+	return nil
+}
+
+// hold keeps the record that another gateway sent.
+func (d *Directory) hold(m *message) {
+	if m.Version == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.records.put(time.Now(), Stream(m.Stream), m.origin(), false, min(m.ttl(), maxTTL))
+}
+
+// respond returns the response to a query.
+func (d *Directory) respond(query *message) []byte {
+	d.mu.Lock()
+	now := time.Now()
+	r := d.records.get(now, Stream(query.Stream))
+	response := message{Kind: kindNotFound, Stream: query.Stream, Service: query.Service}
+	if r != nil {
+		response.Kind, response.Service, response.Version = kindFound, uint32(r.Service), uint32(r.Version)
+		response.Seconds = uint32(r.expiresAt.Sub(now)/time.Second) + 1
+	}
+	d.mu.Unlock()
+	if r == nil {
+		versions := d.Versions(policy.Key(query.Service))
+		response.Version = uint32(versions.Only)
+		if versions.Several {
+			response.Kind = kindSeveralVersions
+		}
+	}
+	return response.encode()
+}
+
+// recordResponse passes a response on to the lookups of its stream.
+func (d *Directory) recordResponse(addr string, m *message) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.lookups[Stream(m.Stream)] {
+		l.recordResponse(addr, m)
+	}
+}
+
+// Len returns the number of records.
+func (d *Directory) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.records.expire(time.Now())
+	return len(d.records.byStream)
+}
--- /dev/null
+++ b/internal/gateway/origin/lookup.go
@@ -0,0 +1,71 @@
+package origin
+
+import (
+	"sync"
+
+	"github.com/applepier/applepier/internal/gateway/backend"
+)
+
+// lookup collects the responses to the query for one stream.
+type lookup struct {
+	// done is closed when the record was found or all gateways have responded.
+	done chan struct{}
+	// mu guards the fields below. It comes after the Directory's lock in the lock order.
+	mu sync.Mutex
+	// waiting holds the addresses of the gateways that have not responded.
+	waiting map[string]bool
+	// found is the record; nil if no gateway has sent it. versions is what this gateway and those that
+	// responded know of the service's versions.
+	found    *Origin
+	versions backend.Versions
+	finished bool
+}
+
+func newLookup(addrs []string, versions backend.Versions) *lookup {
+	l := &lookup{done: make(chan struct{}), waiting: map[string]bool{}, versions: versions}
+	for _, addr := range addrs {
+		l.waiting[addr] = true
+	}
+	return l
+}
+
+// unanswered returns the addresses of the gateways that have not responded.
+func (l *lookup) unanswered() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	addrs := make([]string, 0, len(l.waiting))
+	for addr := range l.waiting {
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
+
+// recordResponse records the response of the gateway at addr. It ignores gateways that weren't asked.
+func (l *lookup) recordResponse(addr string, m *message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.waiting[addr] || l.finished {
+		return
+	}
+	delete(l.waiting, addr)
+	switch {
+	case m.Kind == kindFound:
+		origin := m.origin()
+		l.found = &origin
+	case m.Kind == kindSeveralVersions, m.Version != 0 && l.versions.Only != 0 && l.versions.Only != m.origin().Version:
+		l.versions.Several = true
+	case m.Version != 0:
+		l.versions.Only = m.origin().Version
+	}
+	if l.found != nil || len(l.waiting) == 0 {
+		l.finished = true
+		close(l.done)
+	}
+}
+
+// result returns the record, nil if it wasn't found, and what is known of the service's versions.
+func (l *lookup) result() (*Origin, backend.Versions) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.found, l.versions
+}
--- a/internal/gateway/peers/broadcast.go
+++ b/internal/gateway/peers/broadcast.go
@@ -22,12 +22,12 @@
 	if m.Usage != nil {
 		m.table.selectUsageReceivers(time.Now(), destinations)
 	}
+	m.sequence++
 	encoded, err := cbor.Marshal(m.buildSharedState())
 	if err != nil {
 		m.Log.Error(logging.EventPeerUnreadable, logging.Reason("encode state: "+err.Error()))
 		return
 	}
-	m.sequence++
 	msg := message{From: m.Self.Name, BootID: m.bootID, Sequence: m.sequence, Stamp: uint64(boottime.Now()), State: encoded}
 	for i := range destinations {
 		dst := &destinations[i]
@@ -42,6 +42,9 @@
 	confirmation := m.Confirmation()
 	store := m.StoreStatus()
 	shared := &sharedState{StateVersion: confirmation.Version, StoreMode: store.mode(), ServersPosition: store.ServersPosition, QuarantineKnown: store.QuarantineKnown}
+	if m.sequence%zoneAnnouncementInterval == 1 {
+		shared.Zone = zoneKey(m.Zone)
+	}
 	if confirmation.At > 0 {
 		shared.ConfirmationAge = uint64((boottime.Now() - confirmation.At).Milliseconds() + 1)
 	}
--- a/internal/gateway/peers/config.go
+++ b/internal/gateway/peers/config.go
@@ -1,7 +1,7 @@
-// Package peers exchanges datagrams between gateways. They hold the sender's load at the backend
+// Package peers exchanges datagrams between gateways. Most are gossip: they hold the sender's load at the backend
 // servers, when it last confirmed its desired state, and what it has observed of servers, requests
 // and the store. A lost datagram isn't retransmitted: the next one holds the sender's state again, and
-// a few lost observations don't matter. Start reading at Mesh.
+// a few lost observations don't matter. The others are those of package origin. Start reading at Mesh.
 package peers
 
 import (
@@ -48,6 +48,8 @@
 // Config holds a Mesh's dependencies.
 type Config struct {
 	Self Entry
+	// Zone is this gateway's availability zone.
+	Zone string
 	// Loads returns this gateway's load by backend server; servers without load may be omitted.
 	Loads func() []Load
 	// OwnOfferCounts returns this gateway's counts of offers, by service.
@@ -60,6 +62,9 @@
 	// derived from another gateway's datagram.
 	Confirmation func() Confirmation
 	Confirm      func(Confirmation)
+	// HandleOrigin processes a datagram about the origin of a stream (see package origin) from the
+	// gateway at addr. The datagram is valid until it returns.
+	HandleOrigin func(addr string, datagram []byte) error
 	// StoreStatus returns what this gateway has observed of the store.
 	StoreStatus func() StoreStatus
 	// Usage connects the Mesh to usage reporting; nil if usage reporting is disabled.
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -65,6 +65,9 @@
 	Limits []serverLimit `cbor:"12,keyasint,omitempty"`
 	// QuarantineKnown is whether the sender knows the quarantined requests.
 	QuarantineKnown bool `cbor:"13,keyasint,omitempty"`
+	// Zone announces, in some datagrams, that the sender holds records for others, and the zoneKey of
+	// its zone; 0 in the other datagrams.
+	Zone uint16 `cbor:"14,keyasint,omitempty"`
 }
 
 // decodedMessage is a datagram with its decoded sharedState.
--- a/internal/gateway/peers/receive.go
+++ b/internal/gateway/peers/receive.go
@@ -23,8 +23,9 @@
 	for ctx.Err() == nil {
 		addr, in, err := m.receive(buffer)
 		switch {
-		case err == nil:
+		case err == nil && in != nil:
 			m.handle(addr, in)
+		case err == nil:
 		case !errors.Is(err, net.ErrClosed):
 			m.Log.Warn(logging.EventPeerUnreadable, logging.Peer(addr), logging.Reason(err.Error()))
 		}
@@ -32,16 +33,27 @@
 }
 
 // receive waits for a datagram and decodes it. It returns the sender's address, and the error of the
-// socket or ErrMalformed.
+// socket or ErrMalformed. Datagrams of package origin are passed to HandleOrigin, and the message is nil
+// for them.
 func (m *Mesh) receive(buffer []byte) (addr string, in *decodedMessage, err error) {
 	n, source, err := m.conn.ReadFrom(buffer)
 	if err != nil {
 		return "", nil, err
 	}
+	if isArray(buffer[:n]) && m.HandleOrigin != nil {
+		return source.String(), nil, m.HandleOrigin(source.String(), buffer[:n])
+	}
 	in, err = decode(buffer[:n])
 	return source.String(), in, err
 }
 
+// isArray reports whether a datagram is a CBOR array, as those of package origin are. Gossip is a map.
+func isArray(datagram []byte) bool {
+	// The high three bits of the first byte are the major type (RFC 8949, 3.1).
+	const arrayType = 4
+	return len(datagram) > 0 && datagram[0]>>5 == arrayType
+}
+
 // decode decodes a datagram; it returns ErrMalformed if that fails.
 func decode(datagram []byte) (*decodedMessage, error) {
 	in := &decodedMessage{}
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -40,7 +40,9 @@
 	serversPosition follow.Position
 	// quarantineKnown is whether the peer knows the quarantined requests.
 	quarantineKnown bool
-	usage           peerUsage
+	// zone is the zoneKey that the peer last announced; 0 if it doesn't hold records.
+	zone  uint16
+	usage peerUsage
 }
 
 // isLive reports whether a datagram of the peer was received within peerTimeout.
@@ -81,7 +83,10 @@
 	t.addLimitedSends(in.Limits, 1)
 	t.subtract(p)
 	if p.bootID != in.BootID {
-		p.usage = peerUsage{}
+		p.usage, p.zone = peerUsage{}, 0
+	}
+	if in.Zone != 0 {
+		p.zone = in.Zone
 	}
 	p.addr, p.bootID, p.sequence, p.lastReceived, p.lastStamp = addr, in.BootID, in.Sequence, now, in.Stamp
 	p.stateVersion, p.storeMode, p.serversPosition, p.quarantineKnown = in.StateVersion, in.StoreMode, in.ServersPosition, in.QuarantineKnown
--- a/internal/gateway/request_observer.go
+++ b/internal/gateway/request_observer.go
@@ -64,10 +64,10 @@
 
 // logResumed logs and counts a stream that was resumed, in one response or by its caller.
 func (o requestObserver) logResumed(result router.RequestResult) {
-	o.metrics.StreamResumed()
+	o.metrics.StreamResumed(string(result.OriginSource), metrics.Reason(result.Reason))
 	o.log.Info(logging.EventStreamResumed, logging.Request(result.ID), logging.Class(result.Route), logging.Reason(string(result.Reason)),
 		zap.Int("status", result.Status), zap.String("service", result.Service), zap.String("resumes", result.ResumesID), zap.String("after", result.LastEventID),
-		zap.Strings("versions", result.Versions), zap.Int("sends", result.Sends), zap.String("last_server", result.Server))
+		zap.String("origin", string(result.OriginSource)), zap.String("origin_version", result.OriginVersion), zap.Strings("versions", result.Versions), zap.Int("sends", result.Sends), zap.String("last_server", result.Server))
 }
 
 // ServerReplaced implements router.Observer.
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -47,8 +47,10 @@
 	// that was expected then.
 	serverID     string
 	expectedTTFT time.Duration
-	// serverVersion is that server's software version when it was chosen.
-	serverVersion string
+	// serverVersion is that server's software version when it was chosen, and serverVersionKey its
+	// key; empty and 0 if unknown.
+	serverVersion    string
+	serverVersionKey policy.Key
 	// prefillTokens is how many tokens of the prompt that server was expected to prefill, and
 	// otherTokensAhead how many tokens of other requests it was expected to prefill first.
 	prefillTokens, otherTokensAhead int
@@ -65,6 +67,8 @@
 	callerDisconnected bool
 	// service is the service that was picked from the route's shares.
 	service string
+	// binding restricts a stream of which the caller has events to servers of one software version.
+	binding streamBinding
 
 	// sharedSegments are the segments of the prompt that other requests share. fetchFrom is the
 	// address of the server from which the chosen one should fetch those that it has not cached;
@@ -100,7 +104,9 @@
 
 // run sends the request to servers until it has a final response or must not be sent again.
 func (c *call) run(ctx context.Context) {
-	c.service = c.route.PickService(serviceHash(c.params.ID))
+	if !c.pickService(ctx) {
+		return
+	}
 	c.router.countRequest(c.service)
 	for !c.refuseIfQuarantined() {
 		server, choice := c.chooseServer()
--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -17,13 +17,15 @@
 	job := policy.Job{
 		Zone: c.router.Zone, Urgency: c.urgency, Target: c.route.LatencyTarget,
 		Tokens: c.params.PromptTokens, MeanTokens: c.meanTokens, SharedSegments: c.sharedSegments, FetchRate: service.FetchRate, Tried: c.triedServers,
+		Bound: c.binding.bound, Version: c.binding.origin.Version,
 	}
 	choice := c.chooseWithAvoidance(job, c.router.serverLoads(servers, service.MaxConns), firstChoice)
 	if !choice.Found {
 		return nil, choice
 	}
 	c.serverID, c.expectedTTFT = servers[choice.Index].Info().ID, choice.ExpectedTTFT
-	c.serverVersion = servers[choice.Index].Info().SoftwareVersion
+	info := servers[choice.Index].Info()
+	c.serverVersion, c.serverVersionKey = info.SoftwareVersion, info.VersionKey()
 	c.prefillTokens, c.otherTokensAhead = choice.PrefillTokens, int(choice.TokensAhead)-choice.PrefillTokens
 	c.fetchFrom = ""
 	if choice.Fetches {
@@ -56,11 +58,11 @@
 	return routes.Service{}
 }
 
-// admitted reports whether the request is admitted at the chosen server. Without a prompt, it needs
-// only capacity there. A request that was sent before is always admitted: rejecting it would waste
+// admitted reports whether the request is admitted at the chosen server. Without a prompt, or if it
+// resumes a stream whose first token the caller already has, it needs only capacity there. A request that was sent before is always admitted: rejecting it would waste
 // the time and work already spent.
 func (c *call) admitted(choice policy.Choice) bool {
-	return choice.InTime || c.sends > 0 || c.params.PromptTokens == 0 && choice.HasCapacity
+	return choice.InTime || c.sends > 0 || (c.params.PromptTokens == 0 || c.binding.bound) && choice.HasCapacity
 }
 
 // refuseNoCapacity refuses a request that is not admitted. The reason says whether slots or time
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -1,12 +1,14 @@
 package router
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
 	"github.com/applepier/applepier/internal/callers"
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/internal/gateway/exchange"
+	"github.com/applepier/applepier/internal/gateway/origin"
 	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/internal/gateway/routes"
 	"github.com/applepier/applepier/policy"
@@ -43,9 +45,19 @@
 	Random      *rand.Rand
 	Ejector     *policy.Ejector
 	PrefixIndex *policy.PrefixIndex
+	Origins     Origins
 	Observer    Observer
 }
 
+// Origins knows at which software version streams began; see package origin.
+type Origins interface {
+	// Begin records the origin of a stream before its first events are forwarded.
+	Begin(stream origin.Stream, from origin.Origin)
+	// Find returns the origin of a stream that its caller resumes, and how it is known. service is the
+	// one that would continue a stream of unknown origin.
+	Find(ctx context.Context, stream origin.Stream, service policy.Key) (origin.Origin, origin.Source)
+}
+
 // Peers provides what the other gateways have reported to this one.
 type Peers interface {
 	// LoadAt returns the requests that the other gateways have in flight at a backend server.
@@ -138,6 +150,10 @@
 	ResumesID   string
 	// Versions lists the software version of each server whose events were forwarded, in order.
 	Versions []string
+	// OriginVersion is the software version that began the stream; empty if it is unknown or the
+	// stream wasn't resumed. OriginSource tells how it is known.
+	OriginVersion string
+	OriginSource  origin.Source
 }
 
 // Resumed reports whether the request asked for the rest of a stream, or its response came from
@@ -179,4 +195,8 @@
 	ReasonNoFreeSlot         Reason = "no_slot_free"
 	ReasonServerLimits       Reason = "server_limits"
 	ReasonQuarantined        Reason = "crashes_servers"
+	// ReasonOriginUnknown: it is unknown which software version began the stream that the caller
+	// resumes. ReasonOriginUnavailable: no server of that version can continue it.
+	ReasonOriginUnknown     Reason = "stream_origin_unknown"
+	ReasonOriginUnavailable Reason = "stream_version_unavailable"
 )
--- a/internal/gateway/router/policy_state.go
+++ b/internal/gateway/router/policy_state.go
@@ -19,13 +19,22 @@
 		counts.Add(&ownCounts, 1)
 		loads[i] = policy.Server{
 			Name: info.ID, Instance: info.InstanceKey(), Zone: info.Zone, Slots: info.Slots, MaxConns: maxConns,
-			Draining: info.Draining, Warming: info.WarmupLeft > 0,
+			Version: versionKey(s), Draining: info.Draining, Warming: info.WarmupLeft > 0,
 			Running: counts.Running, Pending: counts.Pending,
 		}
 	}
 	return loads
 }
 
+// versionKey returns the key of a server's software version. It is 0, like that of an unknown version,
+// for an instance that has ended: another one may have started at its address that isn't listed yet.
+func versionKey(s *backend.Server) policy.Key {
+	if s.HasEnded() {
+		return 0
+	}
+	return s.Info().VersionKey()
+}
+
 // observePromptSize returns the prompt length, in tokens, that admission uses for a new request:
 // about the mean of its route, or 0 without a prompt. It then adds the request's own length to that
 // mean.
@@ -80,7 +89,8 @@
 	r.limits.MarkOverLimit(now, r.Random, &job, loads)
 	choice := r.Chooser.Choose(now, job, loads, &s.prefillRates[job.Urgency])
 	if firstChoice {
-		s.offerCounter.Observe(now, job.Urgency, choice.SlotLimited || choice.RateLimited)
+		// A bound job without a slot says little about the service: its version may have few servers.
+		s.offerCounter.Observe(now, job.Urgency, !job.Bound && (choice.SlotLimited || choice.RateLimited))
 	}
 	if choice.Found && (choice.InTime || !firstChoice || job.Tokens == 0 && choice.HasCapacity) {
 		r.countLimitedSend(now, &loads[choice.Index])
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -31,6 +31,8 @@
 		c.refuse(ReasonTimeoutNotSent, refusedRetryAfter)
 	case c.failedDials > 0:
 		c.refuse(ReasonServersUnreachable, refusedRetryAfter)
+	case c.binding.bound:
+		c.refuse(ReasonOriginUnavailable, refusedRetryAfter)
 	default:
 		c.refuse(ReasonNoServer, refusedRetryAfter)
 	}
@@ -88,6 +90,10 @@
 		FirstByteLatency: c.firstByteLatency, LongestPause: c.stream.longestPause, Duration: time.Since(c.arrivedAt),
 		Connection:  callers.ConnStatusOf(c.req.Context()),
 		LastEventID: c.params.LastEventID, ResumesID: c.params.ResumesID, Versions: c.stream.versions,
+		OriginSource: c.binding.source,
+	}
+	if result.Resumed() {
+		result.OriginVersion = c.originVersion()
 	}
 	if reason != ReasonServed {
 		result.Fingerprint, result.ServerEnded = c.fingerprint(), c.serverEnded
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -57,6 +57,7 @@
 	if len(out) == 0 {
 		return ok
 	}
+	c.recordOrigin()
 	c.writeStreamHeader(response)
 	c.stream.recordServer(c.sends, c.serverVersion)
 	c.stream.recordSend(time.Now())
--- a/internal/gateway/routes/snapshot.go
+++ b/internal/gateway/routes/snapshot.go
@@ -48,7 +48,8 @@
 	routesByHost   map[string]map[string]*Route
 	customersByKey map[string]*Customer
 	// keysRequired is set if requests of routes that are not public require an API key.
-	keysRequired bool
+	keysRequired  bool
+	longestStream time.Duration
 	// ranks lists the ranks that requests can have, the most urgent first.
 	ranks []rank
 }
@@ -74,6 +75,9 @@
 			s.routesByHost[host] = map[string]*Route{}
 		}
 		s.routesByHost[host][r.Prefix] = r
+		if r.Resumable {
+			s.longestStream = max(s.longestStream, r.Timeout)
+		}
 	}
 	for _, c := range customers {
 		for _, key := range c.Keys {
@@ -98,6 +102,10 @@
 	return nil
 }
 
+// LongestStream returns the longest timeout of the routes whose streams can be resumed; 0 if none of
+// them sets one.
+func (s *Snapshot) LongestStream() time.Duration { return s.longestStream }
+
 // RequiresKey reports whether requests of a route require an API key.
 func (s *Snapshot) RequiresKey(r *Route) bool { return s.keysRequired && !r.Public }
 
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -59,8 +59,11 @@
 	})
 }
 
-// StreamResumed counts a stream that was resumed, in one response or by its caller.
-func (m *Metrics) StreamResumed() { counter(m.registry, familyStreamsResumed).Inc(1) }
+// StreamResumed counts a stream that was resumed, in one response or by its caller. origin tells how
+// the software version that began it is known, reason how the request ended.
+func (m *Metrics) StreamResumed(origin string, reason Reason) {
+	counter(m.registry, familyStreamsResumed, label{name: labelOrigin, value: origin}, label{name: labelReason, value: string(reason)}).Inc(1)
+}
 
 // ServerEnded counts a backend server instance that terminated while it had requests of
 // this gateway.
--- a/internal/metrics/series.go
+++ b/internal/metrics/series.go
@@ -11,6 +11,7 @@
 	labelClass     = "class"
 	labelReason    = "reason"
 	labelTiming    = "timing"
+	labelOrigin    = "origin"
 	labelDirection = "direction"
 	labelOperation = "operation"
 	labelTable     = "table"
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -67,12 +67,13 @@
 
 // Choose returns the best server for a job, given the service's prefill rate. Ejected
 // and unresponsive servers are excluded unless they are more than panicThreshold of the
-// usable servers. Servers over their rate limit are always excluded.
+// usable servers. Servers over their rate limit and those of a version that doesn't fit a
+// bound job are always excluded.
 func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *PrefillRate) Choice {
 	if len(servers) == 0 {
 		return Choice{}
 	}
-	usable := func(s *Server) bool { return !s.Draining && !job.tried(s.Name) }
+	usable := func(s *Server) bool { return !s.Draining && job.fits(s) && !job.tried(s.Name) }
 	failing := func(s *Server) bool { return s.Unresponsive || c.ejector.Ejected(now, s.Name) }
 	usableCount, failingCount := 0, 0
 	for i := range servers {
--- a/policy/job.go
+++ b/policy/job.go
@@ -57,6 +57,10 @@
 	Headroom float64
 	// Tried lists the servers that must not be used again.
 	Tried []string
+	// Bound is set if the job continues a stream. Only servers of the software version
+	// Version can: events of two versions don't fit together.
+	Bound   bool
+	Version Key
 }
 
 // sharedPrefix returns the last shared segment, which identifies the complete shared
@@ -82,6 +86,12 @@
 	return slices.Contains(j.Tried, name)
 }
 
+// fits reports whether the server's software version allows it to run the job. A server of
+// unknown version fits only jobs that aren't bound.
+func (j *Job) fits(s *Server) bool {
+	return !j.Bound || s.Version != 0 && s.Version == j.Version
+}
+
 // recomputeFactor returns how many waiting tokens a token of a shared segment that is
 // prefilled again counts as in meetsTarget. It is 1 while most servers are idle and
 // grows with the fraction of the target that the queue of the median server takes.
--- a/policy/server.go
+++ b/policy/server.go
@@ -21,6 +21,8 @@
 	Name     string
 	Instance Key
 	Zone     string
+	// Version is the key of the software version that the server runs; 0 if unknown.
+	Version Key
 	// Slots is the number of requests that run concurrently; 0 if unknown.
 	Slots int
 	// MaxConns is the number of connections that the server accepts from all gateways
