--- a/internal/gateway/origin/directory.go
+++ b/internal/gateway/origin/directory.go
@@ -36,8 +36,8 @@
 	// Versions returns the versions that a service has had for as long as a stream lasts, as far as
 	// this gateway knows.
 	Versions func(service policy.Key) backend.Versions
-	// Lifetime returns how long a stream lasts at most, with all resumptions.
-	Lifetime func() time.Duration
+	// TTL returns for how long the origin of a stream is recorded.
+	TTL func() time.Duration
 }
 
 // Directory knows the origins of the streams that began at this gateway, and of those whose records it
@@ -60,11 +60,11 @@
 // it to the holders. It doesn't wait for them: a lost record only keeps the stream from being resumed
 // at another gateway.
 func (d *Directory) Begin(stream Stream, origin Origin) {
-	lifetime := d.Lifetime()
+	ttl := d.TTL()
 	d.mu.Lock()
-	d.records.put(time.Now(), stream, origin, true, lifetime)
+	d.records.put(time.Now(), stream, origin, true, ttl)
 	d.mu.Unlock()
-	record := message{Kind: kindRecord, Stream: uint64(stream), Service: uint32(origin.Service), Version: uint32(origin.Version), Seconds: uint32((lifetime + time.Second - 1) / time.Second)}
+	record := message{Kind: kindRecord, Stream: uint64(stream), Service: uint32(origin.Service), Version: uint32(origin.Version), Seconds: uint32((ttl + time.Second - 1) / time.Second)}
 	datagram := record.encode()
 	for _, addr := range d.Peers.Holders(uint64(stream)) {
 		d.Peers.Send(addr, datagram)
--- a/internal/gateway/peers/holders.go
+++ b/internal/gateway/peers/holders.go
@@ -16,6 +16,10 @@
 	// availability zones where there are so many, most records outlast the crash of half of the
 	// gateways at once.
 	holderCount = 3
+	// spareRanks is the number of ranks in each zone beyond the holders' that are Candidates. One is
+	// for the gateway that sent the record, which isn't its own holder, and one for a gateway that has
+	// started since.
+	spareRanks = 2
 	// zoneAnnouncementInterval is the number of datagrams of which one announces the sender's zone.
 	zoneAnnouncementInterval = 8
 )
@@ -41,9 +45,7 @@
 	ranked := rankHolders(key, m.table.holdersByZone(time.Now()))
 	ranks := (holderCount + len(ranked) - 1) / max(len(ranked), 1)
 	var result [2][]string
-	// One rank more than is needed, because the gateway that sent the record, or one that has
-	// stopped since, may have had a place among them.
-	for rank := range ranks + 1 {
+	for rank := range ranks + spareRanks {
 		for _, zone := range ranked {
 			switch {
 			case rank >= len(zone):
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// defaultTimeout applies to requests whose route sets no timeout. A caller can shorten either.
-	defaultTimeout = 60 * time.Second
+	// DefaultTimeout applies to requests whose route sets no timeout. A caller can shorten either.
+	DefaultTimeout = 60 * time.Second
 	// writeGrace is how long after its deadline a response may still be written: a few times the
 	// delay caused by a lost packet. Without it, a caller that stops reading could hold its share
 	// of the memory, and delay a graceful shutdown, for as long as it likes.
@@ -143,7 +143,7 @@
 
 // setDeadline sets when the response must be complete.
 func (c *call) setDeadline() {
-	timeout := defaultTimeout
+	timeout := DefaultTimeout
 	if c.route.Timeout > 0 {
 		timeout = c.route.Timeout
 	}
--- a/internal/gateway/routes/snapshot.go
+++ b/internal/gateway/routes/snapshot.go
@@ -48,7 +48,8 @@
 	routesByHost   map[string]map[string]*Route
 	customersByKey map[string]*Customer
 	// keysRequired is set if requests of routes that are not public require an API key.
-	keysRequired  bool
+	keysRequired bool
+	// longestStream is the result of LongestStream.
 	longestStream time.Duration
 	// ranks lists the ranks that requests can have, the most urgent first.
 	ranks []rank
@@ -75,10 +76,8 @@
 			s.routesByHost[host] = map[string]*Route{}
 		}
 		s.routesByHost[host][r.Prefix] = r
-		if r.Resumable {
-			s.longestStream = max(s.longestStream, r.Timeout)
-		}
 	}
+	s.longestStream = longestStream(allRoutes)
 	for _, c := range customers {
 		for _, key := range c.Keys {
 			s.customersByKey[key] = c
@@ -102,8 +101,23 @@
 	return nil
 }
 
-// LongestStream returns the longest timeout of the routes whose streams can be resumed; 0 if none of
-// them sets one.
+// longestStream returns the result of LongestStream.
+func longestStream(allRoutes []*Route) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range allRoutes {
+		switch {
+		case !r.Resumable:
+		case r.Timeout == 0:
+			return 0
+		default:
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
+// LongestStream returns the longest timeout of the routes whose streams can be resumed; 0 if there is
+// none, or one of them sets no timeout.
 func (s *Snapshot) LongestStream() time.Duration { return s.longestStream }
 
 // RequiresKey reports whether requests of a route require an API key.
--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -4,22 +4,26 @@
 	"time"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/policy"
 )
 
-// minStreamLifetime is the least time for which a stream's origin is kept. A caller may resume a stream
-// after a request that took the whole of its route's timeout, and wait before that.
-const minStreamLifetime = time.Minute
+// minRecordTTL is the least time for which the origin of a stream is recorded.
+const minRecordTTL = time.Minute
 
-// streamLifetime returns how long a stream lasts at most, with all resumptions.
+// streamLifetime returns how long a stream lasts at most, with all resumptions. A caller's first
+// request takes up to its route's timeout, and so does the one with which the caller resumes it.
 func (g *gateway) streamLifetime() time.Duration {
-	lifetime := minStreamLifetime
-	if snapshot := g.holder.Current(); snapshot != nil {
-		lifetime = max(lifetime, 2*snapshot.LongestStream())
+	timeout := router.DefaultTimeout
+	if snapshot := g.holder.Current(); snapshot != nil && snapshot.LongestStream() > 0 {
+		timeout = snapshot.LongestStream()
 	}
-	return lifetime
+	return 2 * timeout
 }
 
+// recordTTL returns for how long the origin of a stream is recorded.
+func (g *gateway) recordTTL() time.Duration { return max(g.streamLifetime(), minRecordTTL) }
+
 // versionsOf returns the software versions that a service has had for as long as a stream lasts. The
 // only one isn't known to a gateway that is cut off from the store, since others may have been listed
 // meanwhile.
