policy: KV cache is fetched only from a server of the same software version

Change: one source for each version among the usable servers; servers of unknown version share among themselves, as before.

--- a/policy/cache_miss.go
+++ b/policy/cache_miss.go
@@ -65,14 +65,50 @@
 	// cached holds what each server has cached, by the server's index; nil if the prompt has
 	// no shared prefix.
 	cached []cachedPrefix
-	// source is the index of the server that has prefilled most of the prefix; -1 for none.
-	source int
+	// sources are the servers that have prefilled most of the prefix, one of each software version:
+	// a server can't be relied on to use what another version has cached.
+	sources []prefixSource
+}
+
+// prefixSource is the server of a software version that has prefilled most of a prefix.
+type prefixSource struct {
+	version Key
+	// index is the server's index.
+	index int
+}
+
+// sourceFor returns the index of the server from which one of the given version can fetch the prefix;
+// -1 for none.
+func (l *prefixLookup) sourceFor(version Key) int {
+	for _, source := range l.sources {
+		if source.version == version {
+			return source.index
+		}
+	}
+	return -1
+}
+
+// offerSource makes the server at index i the source of its version if it has prefilled more of the
+// prefix than the current one, or as much with fewer requests in flight.
+func (l *prefixLookup) offerSource(servers []Server, i int) {
+	for s := range l.sources {
+		source := &l.sources[s]
+		if source.version != servers[i].Version {
+			continue
+		}
+		current, offered := l.cached[source.index].prefilled, l.cached[i].prefilled
+		if offered > current || offered == current && servers[i].inFlight() < servers[source.index].inFlight() {
+			source.index = i
+		}
+		return
+	}
+	l.sources = append(l.sources, prefixSource{servers[i].Version, i})
 }
 
 // lookUpPrefix looks up which of the usable servers have the job's shared prefix cached.
 func (c *Chooser) lookUpPrefix(now time.Time, job *Job, servers []Server, usable func(*Server) bool) prefixLookup {
 	prefix := job.sharedPrefix()
-	lookup := prefixLookup{length: prefix.End, homes: homeServers(prefix.ID, servers, usable), source: -1}
+	lookup := prefixLookup{length: prefix.End, homes: homeServers(prefix.ID, servers, usable)}
 	if prefix.ID == 0 {
 		return lookup
 	}
@@ -87,27 +123,28 @@
 		cached := c.index.cachedAt(now, KeyOf(servers[i].Name), job.SharedSegments)
 		lookup.cached[i] = cached
 		lookup.longestCached = max(lookup.longestCached, cached.expected)
-		if cached.prefilled > 0 && (lookup.source < 0 || cached.prefilled > lookup.cached[lookup.source].prefilled || cached.prefilled == lookup.cached[lookup.source].prefilled && servers[i].inFlight() < servers[lookup.source].inFlight()) {
-			lookup.source = i
+		if cached.prefilled > 0 {
+			lookup.offerSource(servers, i)
 		}
 	}
 	return lookup
 }
 
-// missAt returns the part of the shared prefix that the server at index i doesn't have
-// cached.
-func (l *prefixLookup) missAt(i int, job *Job, rate *PrefillRate) cacheMiss {
+// missAt returns the part of the shared prefix that the server at index i, of the given software
+// version, doesn't have cached.
+func (l *prefixLookup) missAt(i int, version Key, job *Job, rate *PrefillRate) cacheMiss {
 	if l.cached == nil {
 		return cacheMiss{}
 	}
 	miss := cacheMiss{home: i == l.homes[0], secondHome: i == l.homes[1], uncached: float64(l.length - l.longestCached), recomputed: float64(l.longestCached - l.cached[i].expected)}
-	if l.source < 0 || l.source == i || job.FetchRate == 0 {
+	source := l.sourceFor(version)
+	if source < 0 || source == i || job.FetchRate == 0 {
 		return miss
 	}
-	fetched := float64(l.cached[l.source].prefilled - l.cached[i].expected)
+	fetched := float64(l.cached[source].prefilled - l.cached[i].expected)
 	transfer := rate.tokensIn(fetchSetup) + fetched*rate.rate()/job.FetchRate
 	if fetched >= minFetchTokens && transfer < fetched {
-		miss.fetched, miss.transferTokens, miss.source = fetched, transfer, l.source
+		miss.fetched, miss.transferTokens, miss.source = fetched, transfer, source
 		miss.recomputed -= fetched
 	}
 	return miss
--- a/policy/cache_miss_test.go
+++ b/policy/cache_miss_test.go
@@ -51,6 +51,35 @@
 	}
 }
 
+// Guards against fetching KV cache from a server of another software version, where one of the same
+// version may have less of the prefix, or nothing.
+func TestSegmentsAreFetchedWithinOneVersion(t *testing.T) {
+	c, servers := newTestChooser(), idleServers(8)
+	for i := range servers {
+		servers[i].Version = KeyOf("v1")
+	}
+	job := summaryJob(77)
+	job.FetchRate = 600
+	holder := c.Choose(testStart, job, servers, nil).Index
+	c.index.RecordPrefilled(testStart, KeyOf(servers[holder].Name), job.SharedSegments)
+	servers[holder].Pending[4].Requests, servers[holder].Pending[4].Tokens = 8, 40_000
+	if choice := c.Choose(testStart, job, servers, nil); !choice.Fetches || choice.FetchFrom != holder {
+		t.Fatalf("one version: got %+v", choice)
+	}
+	servers[holder].Version = KeyOf("v2")
+	for range 50 {
+		if choice := c.Choose(testStart, job, servers, nil); choice.Fetches && servers[choice.FetchFrom].Version != servers[choice.Index].Version {
+			t.Fatalf("server %d fetches from %d of another version", choice.Index, choice.FetchFrom)
+		}
+	}
+	other := (holder + 1) % len(servers)
+	c.index.RecordPrefilled(testStart, KeyOf(servers[other].Name), job.SharedSegments)
+	servers[other].Pending[4].Requests, servers[other].Pending[4].Tokens = 8, 40_000
+	if choice := c.Choose(testStart, job, servers, nil); !choice.Fetches || choice.FetchFrom != other {
+		t.Errorf("a source of each version: got %+v, want a fetch from %d", choice, other)
+	}
+}
+
 // Short segments are prefilled faster than they are fetched.
 func TestShortSegmentsArePrefilled(t *testing.T) {
 	c, servers := newTestChooser(), idleServers(8)
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -106,7 +106,7 @@
 		if !usable(&servers[i]) {
 			continue
 		}
-		scored := c.scoreServer(job, &servers[i], lookup.missAt(i, &job, rate), recomputeFactor, rate)
+		scored := c.scoreServer(job, &servers[i], lookup.missAt(i, servers[i].Version, &job, rate), recomputeFactor, rate)
 		scored.choice.Index = i
 		if scored.choice.meetsTarget {
 			meetingTarget++
