soak: servers of three software versions, and callers that resume streams

Cause: the soak had one version and callers that never asked for the rest of a stream, so neither half of the incident could show in it.

Change: each server's events carry its software version, two of the five servers are drained and replaced by another version every few seconds; a caller whose resumable stream breaks off, and one in three that leaves it early, resumes it at another gateway, up to three times.

Each new check is broken once in check_test.go.

--- a/internal/gateway/peers/holders_test.go
+++ b/internal/gateway/peers/holders_test.go
@@ -3,13 +3,15 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/applepier/applepier/internal/logging"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/applepier/applepier/internal/logging"
 )
 
 // simulatedMesh is the list of gateways as gateways in several zones know it.
@@ -167,18 +169,30 @@
 	return m
 }
 
-// BenchmarkHolders measures the choice of the holders of one stream.
-func BenchmarkHolders(b *testing.B) {
+// BenchmarkRecord measures what the first event of a stream waits for: the choice of the holders, and
+// sending them the record.
+func BenchmarkRecord(b *testing.B) {
 	for _, c := range []struct{ gateways, zones int }{{6, 3}, {68, 6}, {410, 12}} {
 		b.Run(fmt.Sprint(c.gateways), func(b *testing.B) {
+			sink, err := net.ListenPacket("udp4", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer sink.Close()
 			view := newSimulatedMesh(c.gateways, c.zones).knownTo("edge-0")
 			for _, p := range view.table.peers {
-				p.lastReceived = time.Now().Add(time.Hour)
+				p.lastReceived, p.addr = time.Now().Add(time.Hour), sink.LocalAddr().String()
+			}
+			if view.conn, err = net.ListenPacket("udp4", "127.0.0.1:0"); err != nil {
+				b.Fatal(err)
 			}
-			key := uint64(0)
+			defer view.conn.Close()
+			key, record := uint64(0), make([]byte, 23)
 			for b.Loop() {
 				key++
-				view.Holders(key)
+				for _, addr := range view.Holders(key) {
+					view.Send(addr, record)
+				}
 			}
 		})
 	}
--- a/testbed/cmd/soak/command.go
+++ b/testbed/cmd/soak/command.go
@@ -28,6 +28,8 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "duration of the faults of each seed"},
 			&cli.IntFlag{Name: "gateways", Value: 3, Usage: "number of gateways"},
+			&cli.StringFlag{Name: "gateway", Usage: "path of the gateway program; built from the workspace if empty"},
+			&cli.StringFlag{Name: "earlier", Usage: "path of the gateway program of an earlier release, which every other gateway runs"},
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "number of seeds to run concurrently"},
 			&cli.StringFlag{Name: "evidence", Usage: "folder for the evidence of failed seeds; the system's temporary folder if empty"},
 			&cli.BoolFlag{Name: "keep", Usage: "keep the evidence of passing seeds as well"},
@@ -36,9 +38,9 @@
 		Commands: []*cli.Command{
 			{
 				Name: "server", Usage: "run a simulated backend server", Hidden: true,
-				Flags: []cli.Flag{required("listen"), required("control"), required("instance"), required("record")},
+				Flags: []cli.Flag{required("listen"), required("control"), required("instance"), required("software"), required("record")},
 				Action: func(ctx context.Context, cmd *cli.Command) error {
-					return soak.ServeServer(ctx, cmd.String("listen"), cmd.String("control"), cmd.String("instance"), cmd.String("record"))
+					return soak.ServeServer(ctx, cmd.String("listen"), cmd.String("control"), cmd.String("instance"), cmd.String("software"), cmd.String("record"))
 				},
 			},
 			{
@@ -57,11 +59,15 @@
 	if err != nil {
 		return err
 	}
-	binaries, err := fleet.Build(ctx)
-	if err != nil {
-		return err
+	gateway := cmd.String("gateway")
+	if gateway == "" {
+		binaries, err := fleet.Build(ctx)
+		if err != nil {
+			return err
+		}
+		defer binaries.Remove()
+		gateway = binaries.Entry
 	}
-	defer binaries.Remove()
 	var mu sync.Mutex
 	failed := 0
 	workers := pool.New().WithMaxGoroutines(max(1, cmd.Int("parallel")))
@@ -69,7 +75,7 @@
 		workers.Go(func() {
 			result, err := soak.Run(ctx, soak.Config{
 				Seed: cmd.Uint64("seed") + uint64(n), For: cmd.Duration("for"), Gateways: cmd.Int("gateways"),
-				Gateway: binaries.Entry, Soak: self, Evidence: cmd.String("evidence"), Keep: cmd.Bool("keep"),
+				Gateway: gateway, Earlier: cmd.String("earlier"), Soak: self, Evidence: cmd.String("evidence"), Keep: cmd.Bool("keep"),
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/testbed/soak/caller.go
+++ b/testbed/soak/caller.go
@@ -18,6 +18,8 @@
 	// callerTimeout is how long a caller waits for a response: more than the
 	// longest path delay in each direction plus twice the longest route timeout.
 	callerTimeout = 10 * time.Second
+	// maxResumptions is how often a caller resumes one stream.
+	maxResumptions = 3
 	// reconnectDelay is the delay before a caller connects again.
 	reconnectDelay = 50 * time.Millisecond
 	// host is the host of all routes.
@@ -32,6 +34,8 @@
 	state               *stateGenerator
 	// record is called with each finished call.
 	record func(Call)
+	// others are the gateways at which the caller resumes streams.
+	others []*gatewayProcess
 
 	conn         net.Conn
 	reader       *bufio.Reader
@@ -54,8 +58,9 @@
 		if kind != kindOpen {
 			key = c.state.drawKey(c.random)
 		}
-		call := c.send(fmt.Sprintf("%s-%d", c.name, n), kind, key)
+		call := c.send(Call{ID: fmt.Sprintf("%s-%d", c.name, n), Kind: kind, Key: key})
 		c.record(call)
+		c.resume(ctx, call)
 		if call.Err != "" {
 			sleep(ctx, reconnectDelay)
 		}
@@ -95,15 +100,40 @@
 	}
 }
 
-// send sends one request and reads its response. It closes the connection if
-// either fails.
-func (c *caller) send(id, kind, key string) (call Call) {
-	call = Call{ID: id, Gateway: c.gateway, Kind: kind, Key: key, Before: c.requestCount, Timeout: routeTimeout(kind), Stray: c.reader.Buffered() > 0}
+// resume resumes a stream that broke off, or that the caller left, at other gateways
+// until it is complete.
+func (c *caller) resume(ctx context.Context, broken Call) {
+	received := broken.Body
+	for n := 1; n <= maxResumptions && broken.canResume() && ctx.Err() == nil && len(c.others) > 0; n++ {
+		other := c.others[int(hashID(broken.ID)%uint64(len(c.others)))]
+		again := &caller{gateway: other.name, addr: other.frontProxy.addr(), random: c.random, state: c.state}
+		if !again.connect(ctx) {
+			continue
+		}
+		call := again.send(Call{
+			ID: fmt.Sprintf("%s-again-%d", broken.stream(), n), Kind: broken.Kind, Key: broken.Key,
+			Resumes: broken.stream(), After: eventCount(received),
+		})
+		again.closeConn()
+		c.record(call)
+		received += call.Body
+		broken = call
+		sleep(ctx, reconnectDelay)
+	}
+}
+
+// send sends one request, given its ID, kind, key and the stream that it resumes, and
+// reads its response. It closes the connection if either fails.
+func (c *caller) send(call Call) Call {
+	call.Gateway, call.Before, call.Timeout, call.Stray = c.gateway, c.requestCount, routeTimeout(call.Kind), c.reader.Buffered() > 0
 	if c.requestCount > 0 {
 		call.Rested = time.Since(c.lastResponse)
 	}
-	body := "body of " + id
-	request := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n", kind, host, id, len(body))
+	body := "body of " + call.ID
+	request := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n", call.Kind, host, call.ID, len(body))
+	if call.Resumes != "" {
+		request += fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", call.Resumes, call.After)
+	}
 	if call.Key != "" {
 		request += "Authorization: Bearer " + call.Key + "\r\n"
 	}
@@ -133,6 +163,11 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	call.Status, call.Echoed, call.Signed = resp.StatusCode, resp.Header.Get("X-Request-Id"), resp.Header.Get("X-Signature") != ""
+	if call.leavesEarly() && isSuccess(call.Status) {
+		call.Body, call.Left = readEvents(resp.Body, int(hashID(call.ID)%(streamEventCount-1))+1), true
+		c.closeConn()
+		return nil
+	}
 	body, err := io.ReadAll(resp.Body)
 	call.Body, call.Whole = string(body), err == nil
 	if err == nil && resp.Close {
@@ -141,6 +176,19 @@
 	return err
 }
 
+// readEvents reads at least the given number of events, or up to the end or an error.
+func readEvents(body io.Reader, count int) string {
+	received, buffer := "", make([]byte, 4096)
+	for eventCount(received) < count {
+		n, err := body.Read(buffer)
+		received += string(buffer[:n])
+		if err != nil {
+			break
+		}
+	}
+	return received
+}
+
 // sleep waits for a duration or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/testbed/soak/check.go
+++ b/testbed/soak/check.go
@@ -28,6 +28,8 @@
 	checkResourceUse     = "bounded"
 	checkRecovery        = "served again"
 	checkSingleHolder    = "one at a time"
+	checkVersions        = "one version"
+	checkResumptions     = "resumed"
 )
 
 // indexedHistory is a History with its arrivals indexed by request ID.
@@ -55,6 +57,8 @@
 		}
 		indexed.verifyStreamOrder(c, report)
 	}
+	indexed.verifyVersions(report)
+	indexed.verifyResumptions(report)
 	indexed.verifyRevokedKeys(report)
 	indexed.verifyStops(report)
 	indexed.verifyReadings(report)
@@ -77,6 +81,12 @@
 // response to this request, and that a partial one contains no foreign bytes.
 func (h indexedHistory) verifyIntegrity(c Call, report reportFunc) {
 	expected := expectedBody(c.Kind, c.ID, 0)
+	isOwn := func(whole bool) bool {
+		if isStream(c.Kind) {
+			return isStreamBody(c.Body, c.stream(), c.After, whole)
+		}
+		return c.Body == expected || !whole && strings.HasPrefix(expected, c.Body)
+	}
 	switch {
 	case c.Stray:
 		report(checkIntegrity, "%s: unsolicited bytes before the request", c)
@@ -85,9 +95,9 @@
 	case !isSuccess(c.Status):
 	case c.Whole && !c.Signed:
 		report(checkIntegrity, "%s: successful response without a server's signature", c)
-	case c.Whole && c.Body != expected:
+	case c.Whole && !isOwn(true):
 		report(checkIntegrity, "%s: the response appears complete but has a wrong body: %q", c, c.Body)
-	case !strings.HasPrefix(expected, c.Body):
+	case !isOwn(false):
 		report(checkIntegrity, "%s: the partial body has foreign bytes: %q", c, c.Body)
 	}
 }
@@ -124,7 +134,7 @@
 // a planned stop, new settings and new desired states are no excuse.
 func (h indexedHistory) responseOwed(c Call) bool {
 	arrivals := h.arrivals[c.ID]
-	if c.Before == 0 || !c.Written || len(arrivals) == 0 || h.affectedByFault(c.Gateway, c) {
+	if c.Before == 0 || c.Left || !c.Written || len(arrivals) == 0 || h.affectedByFault(c.Gateway, c) {
 		return false
 	}
 	for _, a := range arrivals {
@@ -169,7 +179,7 @@
 	if !isStream(c.Kind) || !isSuccess(c.Status) {
 		return
 	}
-	last := 0
+	last := c.After
 	for _, event := range strings.Split(c.Body, "\n\n") {
 		var n int
 		if _, err := fmt.Sscanf(event, "id: %d\n", &n); err != nil {
--- a/testbed/soak/check_test.go
+++ b/testbed/soak/check_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -41,6 +43,7 @@
 	safeCall = iota
 	unsafeCall
 	streamCall
+	resumeCall
 )
 
 // closeConn changes a call so that its connection closed before any response.
@@ -52,6 +55,49 @@
 
 func (h *History) duplicateArrival(call int) { h.Arrivals = append(h.Arrivals, h.Arrivals[call]) }
 
+// splitStream changes the call for a stream that can be resumed so that its events from
+// the fourth on come from a server of another version: in the same response, or in that
+// of a call that resumes the stream. It returns the call with the later events.
+func (h *History) splitStream(t *testing.T, first, second string, resumed bool) *Call {
+	t.Helper()
+	const cut = 3
+	c := &h.Calls[resumeCall]
+	var begin string
+	for n := 1; n <= cut; n++ {
+		begin += versionEvent(kindResume, n, first)
+	}
+	rest := expectedVersionBody(kindResume, kindResume, cut, second)
+	if !resumed {
+		c.Body = begin + rest
+		return c
+	}
+	c.Body, c.Whole, c.Left = begin, false, true
+	h.Calls = append(h.Calls, Call{
+		ID: "again", Resumes: kindResume, After: cut, Gateway: "gateway-0", Kind: kindResume, Sent: at(14.6), Done: at(14.9),
+		Status: 200, Echoed: "again", Signed: true, Whole: true, Body: rest, Timeout: c.Timeout,
+	})
+	return &h.Calls[len(h.Calls)-1]
+}
+
+// addResumptions adds calls that resume streams of a version, of which some go on, while
+// two servers of the first version serve and one of the second.
+func (h *History) addResumptions(count, wentOn int, version string) {
+	for i, v := range []string{"v1", "v1", "v2"} {
+		h.Servers = append(h.Servers, ServerSpan{Server: fmt.Sprint("server-", i+1), Version: v, From: at(0)})
+	}
+	for n := range count {
+		id := fmt.Sprint("left-", n)
+		h.Calls = append(h.Calls,
+			Call{ID: id, Gateway: "gateway-1", Kind: kindResume, Sent: at(14), Done: at(14.2), Status: 200, Echoed: id, Signed: true, Left: true, Body: versionEvent(id, 1, version), Timeout: streamTimeout},
+			Call{ID: id + "-again", Resumes: id, After: 1, Gateway: "gateway-0", Kind: kindResume, Sent: at(14.5), Done: at(14.9), Status: 503, Timeout: streamTimeout})
+		if n < wentOn {
+			again := &h.Calls[len(h.Calls)-1]
+			again.Status, again.Echoed, again.Signed, again.Whole = 200, again.ID, true, true
+			again.Body = expectedVersionBody(kindResume, id, 1, version)
+		}
+	}
+}
+
 // TestCheckReportsEachViolation guards against a check that misses a violation or
 // reports permitted behavior. Each case changes a valid history in one way.
 func TestCheckReportsEachViolation(t *testing.T) {
@@ -121,6 +167,34 @@
 		{"too many descriptors", func(h *History) { h.Readings[0].Descriptors = 4101 }, checkResourceUse},
 		{"never served again", func(h *History) { h.Probes[0].After = -1 }, checkRecovery},
 		{"served again too late", func(h *History) { h.Probes[0].After = 16 * time.Second }, checkRecovery},
+		{"response of two versions", func(h *History) { h.splitStream(t, "v1", "v2", false) }, checkVersions},
+		{"stream resumed at another version", func(h *History) { h.splitStream(t, "v2", "v1", true) }, checkVersions},
+		{"stream resumed at its version", func(h *History) { h.splitStream(t, "v2", "v2", true) }, ""},
+		{"stream resumed at its version, with an event twice", func(h *History) {
+			c := h.splitStream(t, "v2", "v2", true)
+			c.Body = versionEvent(kindResume, 3, "v2") + c.Body
+		}, checkStreamOrder},
+		{"stream resumed with another stream's events", func(h *History) {
+			c := h.splitStream(t, "v2", "v2", true)
+			c.Body = strings.ReplaceAll(c.Body, "for "+kindResume, "for another")
+		}, checkIntegrity},
+		{"response of two versions from an earlier release", func(h *History) {
+			h.splitStream(t, "v1", "v2", false)
+			h.Earlier = []string{"gateway-0"}
+		}, ""},
+		{"stream of an earlier release resumed at another version", func(h *History) {
+			h.splitStream(t, "v1", "v2", true)
+			h.Earlier, h.Calls[resumeCall].Gateway = []string{"gateway-1"}, "gateway-1"
+		}, checkVersions},
+		{"resumed streams refused", func(h *History) { h.addResumptions(12, 5, "v1") }, checkResumptions},
+		{"half of the resumed streams go on", func(h *History) { h.addResumptions(12, 6, "v1") }, ""},
+		{"few resumed streams refused", func(h *History) { h.addResumptions(11, 0, "v1") }, ""},
+		{"resumed streams of a version with one server refused", func(h *History) { h.addResumptions(12, 0, "v2") }, ""},
+		{"resumed streams refused after a fault of their gateway", func(h *History) {
+			h.addResumptions(12, 0, "v1")
+			h.Faults[0].To = at(12)
+			h.Calls[streamCall].Whole = true
+		}, ""},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/testbed/soak/harness.go
+++ b/testbed/soak/harness.go
@@ -67,18 +67,24 @@
 		return h, err
 	}
 	for n := range serverCount {
-		s, err := newServer(h.programs, dir, c.Soak, fmt.Sprintf("server-%d", n), h.store)
+		s, err := newServer(h.programs, dir, c.Soak, fmt.Sprintf("server-%d", n), softwareVersions[n%2], h.store)
 		if err != nil {
 			return h, err
 		}
 		h.servers = append(h.servers, s)
+		h.beginServerSpan(s)
 		if err := s.startInstance(ctx); err != nil {
 			return h, err
 		}
 	}
 	random := rand.New(rand.NewPCG(c.Seed, 0))
 	for n := range c.Gateways {
-		g, err := newGateway(h.programs, dir, c.Gateway, fmt.Sprintf("gateway-%d", n), h.store, bandwidths[random.IntN(len(bandwidths))])
+		name, program := fmt.Sprintf("gateway-%d", n), c.Gateway
+		if c.Earlier != "" && n%2 == 1 {
+			program = c.Earlier
+			h.history.Earlier = append(h.history.Earlier, name)
+		}
+		g, err := newGateway(h.programs, dir, program, name, h.store, bandwidths[random.IntN(len(bandwidths))])
 		if err != nil {
 			return h, err
 		}
@@ -142,6 +148,35 @@
 	}
 }
 
+// beginServerSpan records that a server's instance serves from now on.
+func (h *harness) beginServerSpan(s *serverProcess) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.history.Servers = append(h.history.Servers, ServerSpan{Server: s.name, Version: s.version, From: time.Now()})
+}
+
+// endServerSpan records that a server's instance no longer serves new requests.
+func (h *harness) endServerSpan(s *serverProcess) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.history.Servers {
+		if span := &h.history.Servers[i]; span.Server == s.name && span.To.IsZero() {
+			span.To = time.Now()
+		}
+	}
+}
+
+// otherGateways returns all gateways but one.
+func (h *harness) otherGateways(index int) []*gatewayProcess {
+	others := make([]*gatewayProcess, 0, len(h.gateways)-1)
+	for n, g := range h.gateways {
+		if n != index {
+			others = append(others, g)
+		}
+	}
+	return others
+}
+
 // fail records an error of the soak itself; only the first is kept.
 func (h *harness) fail(err error) {
 	h.mu.Lock()
@@ -174,7 +209,7 @@
 			if kind == kindOpen {
 				key = ""
 			}
-			call := c.send(fmt.Sprintf("probe-%s-%s-%d", g.name, kind, n), kind, key)
+			call := c.send(Call{ID: fmt.Sprintf("probe-%s-%s-%d", g.name, kind, n), Kind: kind, Key: key})
 			c.closeConn()
 			h.recordCall(call)
 			if call.Status == 200 && call.Whole {
--- a/testbed/soak/history.go
+++ b/testbed/soak/history.go
@@ -19,6 +19,17 @@
 	Probes []Probe
 	Bounds Bounds
 	Duties Duties
+	// Servers are the times in which each instance of a backend server served.
+	Servers []ServerSpan
+	// Earlier names the gateways that run an earlier release.
+	Earlier []string
+}
+
+// ServerSpan is the time from the start of a backend server's instance until it began
+// to drain or ended. To is zero for one that served at the end.
+type ServerSpan struct {
+	Server, Version string
+	From, To        time.Time
 }
 
 // Duties is the platform's record of the usage reporting calls, which only one gateway
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -31,6 +31,9 @@
 	kindServerCrash   = "server crash"
 	kindServerPause   = "server freeze"
 	kindServerReset   = "server reset"
+	// kindServerRelease drains a server and replaces it by an instance of another
+	// software version.
+	kindServerRelease = "server release"
 )
 
 // Step is one fault or planned change. At is its offset from the start, Who the
@@ -62,6 +65,7 @@
 	restoreSeries = stepSeries{[]string{kindStoreRestore}, 5 * time.Second, 12 * time.Second, 3 * time.Second}
 	dutiesSeries  = stepSeries{[]string{kindDutiesFault}, 2 * time.Second, 6 * time.Second, 3 * time.Second}
 	scriptSeries  = stepSeries{[]string{kindServerScript}, time.Second, 5 * time.Second, 2 * time.Second}
+	releaseSeries = stepSeries{[]string{kindServerRelease}, 2 * time.Second, 6 * time.Second, 0}
 	serverSeries  = stepSeries{[]string{kindServerCrash, kindServerPause, kindServerReset}, time.Second, 6 * time.Second, 2 * time.Second}
 )
 
@@ -99,6 +103,10 @@
 	addSeries(storeSeries, 0)
 	addSeries(restoreSeries, 0)
 	addSeries(dutiesSeries, 0)
+	// Drawn last, so that the other steps of a seed stay the same.
+	for target := range servers / 2 {
+		addSeries(releaseSeries, target)
+	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -34,6 +34,9 @@
 	// Gateway and Soak are the paths of the gateway program and of the program
 	// whose commands "server" and "store" run the stand-in server and store.
 	Gateway, Soak string
+	// Earlier is the path of the gateway program of an earlier release, which every
+	// other gateway runs; empty if all run the same.
+	Earlier string
 	// Evidence is the folder under which a failed seed's logs, settings, steps
 	// and history are kept; the system's temporary folder if empty.
 	Evidence string
@@ -48,9 +51,12 @@
 	Served int
 	// Owed is the number of calls that had to have a complete response; see
 	// CountOwed.
-	Owed       int
-	Steps      int
-	Violations []Violation
+	Owed int
+	// Resumed is the number of streams that callers resumed, and WentOn the number of
+	// those that went on.
+	Resumed, WentOn int
+	Steps           int
+	Violations      []Violation
 	// Evidence is the folder that was kept; empty if it was removed.
 	Evidence string
 }
@@ -60,7 +66,7 @@
 	if len(r.Violations) > 0 {
 		verdict = fmt.Sprintf("FAILED, %d violations, evidence in %s", len(r.Violations), r.Evidence)
 	}
-	return fmt.Sprintf("seed %d: %d steps, %d calls, %d served, %d owed a response: %s", r.Seed, r.Steps, r.Calls, r.Served, r.Owed, verdict)
+	return fmt.Sprintf("seed %d: %d steps, %d calls, %d served, %d owed a response, %d of %d resumed streams went on: %s", r.Seed, r.Steps, r.Calls, r.Served, r.Owed, r.WentOn, r.Resumed, verdict)
 }
 
 // Run runs a seed and checks its history. An error means that the soak itself
@@ -77,6 +83,12 @@
 		if isSuccess(call.Status) && call.Whole {
 			result.Served++
 		}
+		if call.Resumes != "" {
+			result.Resumed++
+			if call.wentOn() {
+				result.WentOn++
+			}
+		}
 	}
 	if err != nil || len(result.Violations) > 0 || c.Keep {
 		result.Evidence = dir
@@ -114,6 +126,7 @@
 			loadCaller := &caller{
 				name: fmt.Sprintf("c%d-%d", n, i), gateway: g.name, addr: g.frontProxy.addr(),
 				random: rand.New(rand.NewPCG(c.Seed, uint64(n*callersPerGateway+i)+1<<32)), state: h.states, record: h.recordCall,
+				others: h.otherGateways(n),
 			}
 			workers.Go(func() { loadCaller.run(work) })
 		}
--- a/testbed/soak/script.go
+++ b/testbed/soak/script.go
@@ -23,8 +23,10 @@
 	eventInterval = 15 * time.Millisecond
 )
 
-// scriptByName returns the behavior of a name; normal responses for an unknown one.
-func scriptByName(name string) gateway.Script {
+// scriptByName returns the behavior of a name for a server of a software version;
+// normal responses for an unknown one.
+func scriptByName(name, version string) gateway.Script {
+	respond, respondHalf, respondTwice := respondAt(version), respondHalfAt(version), respondTwiceAt(version)
 	switch name {
 	case "refuse":
 		return gateway.Reject(503)
@@ -63,46 +65,61 @@
 	}
 }
 
-// parseRequest returns the kind of a request and the number of the last event that
-// its caller has received; 0 for none.
-func parseRequest(a *gateway.ReceivedRequest) (kind string, lastEvent int) {
+// parseRequest returns the kind of a request, the ID of the request that began its
+// stream, and the number of the last event that its caller has received; 0 for none.
+func parseRequest(a *gateway.ReceivedRequest) (kind, stream string, lastEvent int) {
 	// Without a valid number the stream starts at its first event.
 	_, _ = fmt.Sscan(a.Header.Get("Last-Event-Id"), &lastEvent)
 	kind, _, _ = strings.Cut(strings.TrimPrefix(a.Target, "/"), "/")
-	return kind, lastEvent
+	if stream = a.Header.Get("Resumes"); stream == "" {
+		stream = a.ID
+	}
+	return kind, stream, lastEvent
 }
 
-// respond sends a complete response; a stream event by event.
-func respond(c net.Conn, a *gateway.ReceivedRequest) bool {
-	kind, from := parseRequest(a)
-	if !isStream(kind) {
-		return gateway.Respond(expectedBody(kind, a.ID, 0))(c, a)
-	}
-	if _, err := io.WriteString(c, gateway.ResponseHead(a, 200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream")); err != nil {
-		return false
-	}
-	for n := from + 1; n <= streamEventCount; n++ {
-		time.Sleep(eventInterval)
-		event := streamEvent(a.ID, n)
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+// respondAt returns a script that sends a complete response; a stream event by event.
+func respondAt(version string) gateway.Script {
+	return func(c net.Conn, a *gateway.ReceivedRequest) bool {
+		kind, stream, from := parseRequest(a)
+		if !isStream(kind) {
+			return gateway.Respond(expectedBody(kind, a.ID, 0))(c, a)
+		}
+		if _, err := io.WriteString(c, gateway.ResponseHead(a, 200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream")); err != nil {
 			return false
 		}
+		for n := from + 1; n <= streamEventCount; n++ {
+			time.Sleep(eventInterval)
+			event := versionEvent(stream, n, version)
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return false
+			}
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
 	}
-	_, err := io.WriteString(c, "0\r\n\r\n")
-	return err == nil
 }
 
-// respondHalf sends half of a response and closes the connection.
-func respondHalf(c net.Conn, a *gateway.ReceivedRequest) bool {
-	kind, from := parseRequest(a)
-	complete := expectedBody(kind, a.ID, from)
-	_, _ = io.WriteString(c, gateway.ResponseHead(a, 200, fmt.Sprintf("Content-Length: %d", len(complete)))+complete[:len(complete)/2])
-	return false
+// respondHalfAt returns a script that sends half of a response and closes the
+// connection.
+func respondHalfAt(version string) gateway.Script {
+	return func(c net.Conn, a *gateway.ReceivedRequest) bool {
+		kind, stream, from := parseRequest(a)
+		if !isStream(kind) {
+			stream = a.ID
+		}
+		complete := expectedVersionBody(kind, stream, from, version)
+		_, _ = io.WriteString(c, gateway.ResponseHead(a, 200, fmt.Sprintf("Content-Length: %d", len(complete)))+complete[:len(complete)/2])
+		return false
+	}
 }
 
-// respondTwice sends a complete response, then an unsolicited one.
-func respondTwice(c net.Conn, a *gateway.ReceivedRequest) bool {
-	stale := *a
-	stale.ID = "nobody"
-	return respond(c, a) && gateway.Respond("for nobody")(c, &stale)
+// respondTwiceAt returns a script that sends a complete response, then an unsolicited
+// one.
+func respondTwiceAt(version string) gateway.Script {
+	respond := respondAt(version)
+	return func(c net.Conn, a *gateway.ReceivedRequest) bool {
+		stale := *a
+		stale.ID = "nobody"
+		return respond(c, a) && gateway.Respond("for nobody")(c, &stale)
+	}
 }
--- a/testbed/soak/serverprocess.go
+++ b/testbed/soak/serverprocess.go
@@ -27,14 +27,19 @@
 	programs                *fleet.ProcessGroup
 	store                   *storeProcess
 	startCount              int
+	// version is the software version of the current instance.
+	version string
+	// startedAt is when it was started, and entryCount how many entries were written.
+	startedAt  time.Time
+	entryCount int
 	// lifecycle is held while the process is stopped or started, or its script
 	// is changed.
 	lifecycle sync.Mutex
 }
 
 // newServer creates a server's proxy without starting the process.
-func newServer(programs *fleet.ProcessGroup, dir, program, name string, store *storeProcess) (*serverProcess, error) {
-	s := &serverProcess{name: name, dir: dir, program: program, programs: programs, store: store, arrivalsFile: filepath.Join(dir, name+".arrivals")}
+func newServer(programs *fleet.ProcessGroup, dir, program, name, version string, store *storeProcess) (*serverProcess, error) {
+	s := &serverProcess{name: name, version: version, dir: dir, program: program, programs: programs, store: store, arrivalsFile: filepath.Join(dir, name+".arrivals")}
 	for _, addr := range []*string{&s.listenAddr, &s.controlAddr} {
 		var err error
 		if *addr, err = ports.Reserve(); err != nil {
@@ -56,13 +61,21 @@
 func (s *serverProcess) startInstance(ctx context.Context) error {
 	s.startCount++
 	s.Process = s.programs.NewProcess(s.instance(), func() string { return s.listenAddr }, s.program,
-		"server", "--listen", s.listenAddr, "--control", s.controlAddr, "--instance", s.instance(), "--record", s.arrivalsFile)
+		"server", "--listen", s.listenAddr, "--control", s.controlAddr, "--instance", s.instance(), "--software", s.version, "--record", s.arrivalsFile)
 	if err := s.Restart(ctx); err != nil {
 		return err
 	}
+	s.startedAt = time.Now()
+	return s.list(ctx, "ready")
+}
+
+// list writes the entry of the current instance to the store, with a state such as
+// ready or draining.
+func (s *serverProcess) list(ctx context.Context, state string) error {
+	s.entryCount++
 	entry, err := json.Marshal(map[string]any{
-		"service": "plain", "addr": s.proxy.addr(), "zone": "z", "version": "v1", "slots": serverSlots,
-		"state": "ready", "seq": 1, "warmup-left-ms": 0, "born": time.Now().UnixMilli(),
+		"service": "plain", "addr": s.proxy.addr(), "zone": "z", "version": s.version, "slots": serverSlots,
+		"state": state, "seq": s.entryCount, "warmup-left-ms": 0, "born": s.startedAt.UnixMilli(),
 	})
 	if err != nil {
 		return err
--- a/testbed/soak/standins.go
+++ b/testbed/soak/standins.go
@@ -37,10 +37,10 @@
 // instanceSeparator separates a server's name from the number of its instance.
 const instanceSeparator = "."
 
-// ServeServer runs a stand-in backend server until ctx is done. It serves requests
+// ServeServer runs a stand-in backend server of a software version until ctx is done. It serves requests
 // at listen, accepts script changes at control and appends each arrival as a line of
 // JSON to the file record.
-func ServeServer(ctx context.Context, listen, control, instance, record string) error {
+func ServeServer(ctx context.Context, listen, control, instance, version, record string) error {
 	file, err := os.OpenFile(record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open arrivals file")
@@ -48,7 +48,7 @@
 	name, _, _ := strings.Cut(instance, instanceSeparator)
 	var writing sync.Mutex
 	recordArrival := func(scriptName string) gateway.Script {
-		respondWith := scriptByName(scriptName)
+		respondWith := scriptByName(scriptName, version)
 		return func(c net.Conn, a *gateway.ReceivedRequest) bool {
 			arrival := Arrival{ID: a.ID, Server: name, At: time.Now(), Script: scriptName, Ran: scriptName != "refuse", Cut: scriptName == "half"}
 			writing.Lock()
--- a/testbed/soak/steps.go
+++ b/testbed/soak/steps.go
@@ -19,6 +19,8 @@
 	storeDelay   = 1500 * time.Millisecond
 	// maxDowntime bounds how long a stopped process stays down.
 	maxDowntime = 1500 * time.Millisecond
+	// drainTime is how long a server serves after it has announced that it drains.
+	drainTime = 2500 * time.Millisecond
 	// maxSnapshotAge bounds the age of the snapshot from which the store is restored,
 	// restoreOutage is how long it is unavailable then, and rewriteDelay is the
 	// delay until the lost rows are written again.
@@ -59,7 +61,7 @@
 	switch s.Kind {
 	case kindPause, kindKill, kindCut, kindReset, kindDelay, kindStop, kindHangup, kindSettings:
 		return h.runGatewayStep(ctx, s, h.gateways[s.Who])
-	case kindServerScript, kindServerCrash, kindServerPause, kindServerReset:
+	case kindServerScript, kindServerCrash, kindServerPause, kindServerReset, kindServerRelease:
 		return h.runServerStep(ctx, s, h.servers[s.Who])
 	case kindRoutes:
 		routeDelta := routesPerStep
@@ -183,19 +185,48 @@
 		defer endFault()
 		server.proxy.reset()
 		return nil
+	case kindServerRelease:
+		return h.release(ctx, s, server)
 	}
 	endFault := h.recordFault(server.name, s.Kind)
 	defer endFault()
+	h.endServerSpan(server)
 	if err := server.Kill(); err != nil {
 		return err
 	}
 	sleep(ctx, time.Duration(s.How)*time.Millisecond%maxDowntime)
 	if s.How%2 == 0 {
+		h.beginServerSpan(server)
 		return server.Restart(ctx)
 	}
+	return h.replace(ctx, server)
+}
+
+// release drains a server and replaces it by an instance of another software version.
+// The server's end excuses a lost request, because gateways that can't read the store
+// don't know that it drains.
+func (h *harness) release(ctx context.Context, s Step, server *serverProcess) error {
+	h.endServerSpan(server)
+	if err := server.list(ctx, "draining"); err != nil {
+		return err
+	}
+	sleep(ctx, drainTime)
+	endFault := h.recordFault(server.name, s.Kind)
+	defer endFault()
+	if err := server.Kill(); err != nil {
+		return err
+	}
+	server.version = softwareVersions[s.How%len(softwareVersions)]
+	return h.replace(context.WithoutCancel(ctx), server)
+}
+
+// replace removes the entry of a server's instance, which has ended, and starts another
+// instance.
+func (h *harness) replace(ctx context.Context, server *serverProcess) error {
 	if err := h.store.remove(ctx, "servers", server.instance()); err != nil {
 		return err
 	}
+	h.beginServerSpan(server)
 	return server.startInstance(ctx)
 }
 
