agents: a stream resumes only at an engine of the software version that began it

Change: engines report their software version in the load report and in a header of each response (X-Software-Version); agents pass it on in their status and in the first frame of a run. An entry places the rest of a stream at agents of that version only, and the run request names it, so that an agent whose report is old refuses what its engine would join (other_version, the entry goes on elsewhere). Engines that report none count as one version among themselves. Agents are updated before entries: an entry of an earlier release names no version, and new agents don't resume its streams at engines that report one.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -171,9 +171,11 @@
 		}
 		*cancelled = true
 	}
-	if _, err := a.engine.Load(ctx); err != nil {
+	load, err := a.engine.Load(ctx)
+	if err != nil {
 		return errors.Wrap(err, "probe engine")
 	}
+	a.dispatcher.setSoftwareVersion(load.SoftwareVersion)
 	return nil
 }
 
--- a/internal/agent/dispatcher.go
+++ b/internal/agent/dispatcher.go
@@ -42,6 +42,8 @@
 	grantSeq   uint64
 	draining   bool
 	backendUp  bool
+	// softwareVersion is the version that the engine last reported.
+	softwareVersion string
 	// served is the model or service that is served now; switching is set
 	// while the engine loads another model.
 	served    string
--- a/internal/agent/dispatcher_state.go
+++ b/internal/agent/dispatcher_state.go
@@ -55,6 +55,16 @@
 	d.broadcastLocked(wire.Message{Status: d.statusLocked(0)})
 }
 
+// setSoftwareVersion records the version of the engine's software.
+func (d *dispatcher) setSoftwareVersion(version string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if version != d.softwareVersion {
+		d.softwareVersion = version
+		d.broadcastLocked(wire.Message{Status: d.statusLocked(0)})
+	}
+}
+
 // signalIfDrained closes drained when the agent is draining and no grant is
 // issued or running. Called with mu held.
 func (d *dispatcher) signalIfDrained() {
@@ -89,5 +99,6 @@
 		Limit:             load.Limit,
 		Draining:          d.draining,
 		BackendServerDown: !d.backendUp || d.switching,
+		SoftwareVersion:   d.softwareVersion,
 	}
 }
--- a/internal/agent/frame_source.go
+++ b/internal/agent/frame_source.go
@@ -46,14 +46,22 @@
 }
 
 // engineSource is the frameSource of an engine's stream.
-type engineSource struct{ stream engine.Stream }
+type engineSource struct {
+	stream engine.Stream
+	// begun is set once a frame has been returned.
+	begun bool
+}
 
 func (s *engineSource) Next() (wire.Frame, error) {
 	c, err := s.stream.Next()
 	if err != nil {
 		return wire.Frame{}, err
 	}
-	return wire.Frame{Kind: wire.FrameData, Data: c.Data, Tokens: c.Tokens}, nil
+	f := wire.Frame{Kind: wire.FrameData, Data: c.Data, Tokens: c.Tokens}
+	if !s.begun {
+		s.begun, f.SoftwareVersion = true, c.SoftwareVersion
+	}
+	return f, nil
 }
 
 func (s *engineSource) Close() error {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -89,6 +89,8 @@
 		Priority:   r.grant.tier,
 		Body:       r.req.Body,
 		ResumeFrom: r.req.ResumeFrom,
+
+		SoftwareVersion: r.req.SoftwareVersion,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "start run")
@@ -193,6 +195,8 @@
 		return wire.FailRejected
 	case errors.Is(err, engine.ErrUnreachable):
 		return wire.FailNotRun
+	case errors.Is(err, engine.ErrOtherVersion):
+		return wire.FailOtherVersion
 	default:
 		return wire.FailUnknown
 	}
@@ -200,7 +204,7 @@
 
 // fail writes a FrameFail of the given kind, unless ctx has ended because the
 // entry disconnected, and returns the outcome of the run. A run that the engine
-// rejected counts as cancelled, not as failed.
+// rejected, or whose stream began at another version, counts as cancelled, not as failed.
 func (r *run) fail(ctx context.Context, kind wire.FailKind, err error) policy.Outcome {
 	if ctx.Err() != nil {
 		return policy.OutcomeCancelled
@@ -212,7 +216,7 @@
 		f.Data = rejected.Body
 	}
 	_ = r.out.Write(f)
-	if kind == wire.FailRejected {
+	if kind == wire.FailRejected || kind == wire.FailOtherVersion {
 		return policy.OutcomeCancelled
 	}
 	return policy.OutcomeFailed
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -41,12 +41,7 @@
 // and a grant that the agent has issued.
 func newTestAgent(t testing.TB, e engine.Engine) (*httptest.Server, *wire.Grant) {
 	t.Helper()
-	a := New(settings.Agent{
-		Process:  "agent",
-		Platform: settings.Platform{URL: "http://127.0.0.1:1"},
-		Backend:  settings.Backend{Kind: settings.BackendEngine, ServedName: "model", URL: "http://127.0.0.1:1"},
-	}, "key", zap.NewNop())
-	a.engine = e
+	a := testAgentWith(t, e)
 	a.dispatcher.setBackendUp(true)
 	sender := &recordingSender{}
 	s := &session{agent: a, conn: sender}
@@ -57,6 +52,18 @@
 	return server, sender.grants()[0]
 }
 
+// testAgentWith returns an agent with the engine e.
+func testAgentWith(t testing.TB, e engine.Engine) *Agent {
+	t.Helper()
+	a := New(settings.Agent{
+		Process:  "agent",
+		Platform: settings.Platform{URL: "http://127.0.0.1:1"},
+		Backend:  settings.Backend{Kind: settings.BackendEngine, ServedName: "model", URL: "http://127.0.0.1:1"},
+	}, "key", zap.NewNop())
+	a.engine = e
+	return a
+}
+
 // An engine that sends nothing while it prefills a long prompt must not stop
 // the agent's heartbeats; the entry once treated such an agent as unresponsive.
 func TestHeartbeatsDuringSlowEngineStart(t *testing.T) {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -20,6 +20,8 @@
 	HeaderPriority = "X-Priority"
 	// HeaderResumeFrom carries the number of tokens to skip in the response.
 	HeaderResumeFrom = "X-Resume-From"
+	// HeaderSoftwareVersion is a response header with the engine's software version.
+	HeaderSoftwareVersion = "X-Software-Version"
 )
 
 // Paths of an engine's API.
@@ -70,7 +72,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, statusError(resp)
 	}
-	return newSSEStream(resp.Body), nil
+	version := resp.Header.Get(HeaderSoftwareVersion)
+	if run.ResumeFrom > 0 && version != run.SoftwareVersion {
+		// Closing the connection cancels the run.
+		_ = resp.Body.Close()
+		return nil, errors.Wrapf(ErrOtherVersion, "%q, the stream began at %q", version, run.SoftwareVersion)
+	}
+	return newSSEStream(resp.Body, version), nil
 }
 
 // Cancel implements Engine.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -19,6 +19,9 @@
 	ErrUnreachable = errors.New("backend server is unreachable")
 	// ErrTruncated means that the stream ended without the engine's done marker.
 	ErrTruncated = errors.New("engine stream ended without its done marker")
+	// ErrOtherVersion means that the engine's software has another version than
+	// the one that began the stream. The run was cancelled.
+	ErrOtherVersion = errors.New("engine has another software version than the one that began the stream")
 	// ErrStaleFencingToken means that the engine refused an order because it
 	// has seen a higher fencing token.
 	ErrStaleFencingToken = errors.New("stale fencing token")
@@ -48,6 +51,9 @@
 	// ResumeFrom is the number of tokens that the caller already has. The
 	// engine continues after them; zero starts at the beginning.
 	ResumeFrom int
+	// SoftwareVersion is the software version of the engine that began the
+	// stream; empty for one that reports none. It applies if ResumeFrom isn't 0.
+	SoftwareVersion string
 }
 
 // Chunk is one event of a run's response stream.
@@ -56,6 +62,8 @@
 	Data []byte
 	// Tokens is the number of tokens in the chunk.
 	Tokens int
+	// SoftwareVersion is the engine's software version; empty if it reports none.
+	SoftwareVersion string
 }
 
 // Stream is the streamed response of a run.
@@ -75,6 +83,8 @@
 	Waiting int `json:"waiting"`
 	// ReportedAt is the time of the report.
 	ReportedAt time.Time `json:"at"`
+	// SoftwareVersion is the engine's software version; empty if it reports none.
+	SoftwareVersion string `json:"version,omitempty"`
 }
 
 // Order is an instruction to an engine from the holder of a lease.
@@ -88,7 +98,9 @@
 // Engine is the interface of an inference engine.
 type Engine interface {
 	// Start starts a run. It returns ErrUnreachable or a RejectedError when the
-	// run has certainly not started, and another error when that is unknown.
+	// run has certainly not started, ErrOtherVersion when it would have continued
+	// a stream of another software version, and another error when it is unknown
+	// whether it started.
 	Start(ctx context.Context, run Run) (Stream, error)
 	// Cancel cancels a run. It returns nil when no such run exists.
 	Cancel(ctx context.Context, id string) error
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -24,12 +24,14 @@
 	body    io.ReadCloser
 	scanner *bufio.Scanner
 	done    bool
+	// version is the engine's software version.
+	version string
 }
 
-func newSSEStream(body io.ReadCloser) *sseStream {
+func newSSEStream(body io.ReadCloser, version string) *sseStream {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxLineBytes)
-	return &sseStream{body: body, scanner: scanner}
+	return &sseStream{body: body, scanner: scanner, version: version}
 }
 
 // Next implements Stream.
@@ -47,7 +49,9 @@
 			s.done = true
 			return Chunk{}, io.EOF
 		}
-		return decodeChunk(data)
+		chunk, err := decodeChunk(data)
+		chunk.SoftwareVersion = s.version
+		return chunk, err
 	}
 	if err := s.scanner.Err(); err != nil {
 		return Chunk{}, errors.Wrap(ErrTruncated, err.Error())
--- a/internal/entry/dispatch/fake_test.go
+++ b/internal/entry/dispatch/fake_test.go
@@ -26,6 +26,8 @@
 	server *httptest.Server
 	// refusalReason is the reason for refusing all tickets; empty grants them.
 	refusalReason wire.Reason
+	// version is the engine's software version that the agent reports.
+	version string
 	// voidResult is the reply to Void; with none, Void fails.
 	voidResult wire.VoidResult
 	// script writes the response frames.
@@ -66,11 +68,14 @@
 type fakeAgents struct {
 	agents []*fakeAgent
 
+	// mu guards agents where a test changes them, and withdrawn.
 	mu        sync.Mutex
 	withdrawn []string
 }
 
 func (f *fakeAgents) find(name string) *fakeAgent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, a := range f.agents {
 		if a.name == name {
 			return a
@@ -80,15 +85,20 @@
 }
 
 func (f *fakeAgents) Candidates(string) []policy.Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var all []policy.Candidate
 	for _, a := range f.agents {
-		all = append(all, policy.Candidate{Name: a.name, Limit: 8, ReportedAt: time.Now()})
+		all = append(all, policy.Candidate{Name: a.name, Limit: 8, ReportedAt: time.Now(), Version: a.version})
 	}
 	return all
 }
 
 func (f *fakeAgents) Place(agent string, t *wire.Ticket, handler TicketHandler) bool {
 	a := f.find(agent)
+	if a == nil {
+		return false
+	}
 	if a.refusalReason != "" {
 		go handler.Refused(agent, a.refusalReason, 3*time.Second)
 		return true
@@ -108,14 +118,18 @@
 }
 
 func (f *fakeAgents) Void(_ context.Context, agent, _ string) (wire.VoidResult, error) {
-	if result := f.find(agent).voidResult; result != "" {
-		return result, nil
+	if a := f.find(agent); a != nil && a.voidResult != "" {
+		return a.voidResult, nil
 	}
 	return "", fleet.ErrNoResponse
 }
 
 func (f *fakeAgents) Addr(agent string) (string, bool) {
-	return strings.TrimPrefix(f.find(agent).server.URL, "http://"), true
+	a := f.find(agent)
+	if a == nil {
+		return "", false
+	}
+	return strings.TrimPrefix(a.server.URL, "http://"), true
 }
 
 // fakeSink collects the data that the caller received.
--- a/internal/entry/dispatch/grant_search.go
+++ b/internal/entry/dispatch/grant_search.go
@@ -127,7 +127,7 @@
 func (s *grantSearch) placeTickets(n int) {
 	j := s.job
 	candidates := j.dispatcher.config.Agents.Candidates(j.request.Serves)
-	placement := policy.PlacementRequest{Tier: j.tier(), Zone: j.dispatcher.config.Zone, Prefix: j.request.PrefixHash, Exclude: s.tried}
+	placement := policy.PlacementRequest{Tier: j.tier(), Zone: j.dispatcher.config.Zone, Prefix: j.request.PrefixHash, Exclude: s.tried, Bound: j.tokensDelivered > 0, Version: j.version}
 	agents := j.dispatcher.policies.pickAgents(time.Now(), placement, candidates, n)
 	agentsAsked := maxAgentsAsked(j.tier(), len(candidates))
 	for _, agent := range agents {
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -27,6 +27,10 @@
 	// tokensBeforeAttempt is the value of tokensDelivered when the last attempt
 	// began.
 	tokensBeforeAttempt int
+	// attemptVersion is the software version of the current attempt's engine, and
+	// version that of the engines whose tokens were delivered; empty if they report
+	// none. Only engines of that version may continue the stream.
+	attemptVersion, version string
 	// resumedOutsideBudget is set once an interrupted stream was resumed
 	// without using the retry budget.
 	resumedOutsideBudget bool
@@ -43,7 +47,7 @@
 		if refused != nil {
 			return j.refusalResult(*refused)
 		}
-		j.tokensBeforeAttempt = j.tokensDelivered
+		j.tokensBeforeAttempt, j.attemptVersion = j.tokensDelivered, ""
 		attempted := j.runAttempt(ctx, grant)
 		if result, final := j.evaluate(attempted); final {
 			return result
--- a/internal/entry/dispatch/run.go
+++ b/internal/entry/dispatch/run.go
@@ -82,6 +82,8 @@
 		Attempt:    j.attempt,
 		ResumeFrom: j.tokensDelivered,
 		Body:       j.request.Body,
+
+		SoftwareVersion: j.version,
 	}
 	if call := j.request.ServiceCall; call != nil {
 		r.Method = call.Method
@@ -195,9 +197,15 @@
 		j.timeToFirstToken = time.Since(j.request.Arrived)
 		j.dispatcher.config.Timeline.Record(timeline.KindFirstToken, j.request.ID, j.request.Class.Name, "")
 	}
+	if f.SoftwareVersion != "" {
+		j.attemptVersion = f.SoftwareVersion
+	}
 	if err := j.sink.WriteFrame(f); err != nil {
 		return errors.Wrap(errCallerDisconnected, err.Error())
 	}
+	if f.Tokens > 0 {
+		j.version = j.attemptVersion
+	}
 	j.tokensDelivered += f.Tokens
 	return nil
 }
@@ -207,6 +215,8 @@
 	switch f.Fail {
 	case wire.FailNotRun:
 		return attemptResult{outcome: attemptNotRun, reason: "not_started"}
+	case wire.FailOtherVersion:
+		return attemptResult{outcome: attemptNotRun, reason: "other_version"}
 	case wire.FailRejected:
 		return attemptResult{outcome: attemptRejected, httpStatus: f.Status, body: f.Data}
 	case wire.FailPreempted:
--- a/internal/entry/fleet/agent_info.go
+++ b/internal/entry/fleet/agent_info.go
@@ -29,6 +29,9 @@
 	// CanLoadModels is set if the backend server accepts orders to load a
 	// model.
 	CanLoadModels bool
+	// SoftwareVersion is the version of its engine as of the last Status; empty if
+	// the engine reports none.
+	SoftwareVersion string
 }
 
 // Agents returns the last known state of each agent that this entry connects to.
@@ -55,6 +58,7 @@
 		TargetsVersion:    l.targetsVersion,
 		Serves:            l.hello.Serves,
 		CanLoadModels:     l.hello.LoadsModels,
+		SoftwareVersion:   l.status.SoftwareVersion,
 	}
 }
 
@@ -72,6 +76,7 @@
 		Running:    info.Running,
 		Limit:      info.Limit,
 		ReportedAt: info.LastMessageAt,
+		Version:    info.SoftwareVersion,
 	}, true
 }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -31,6 +31,9 @@
 	// FailPreempted: the run started and was stopped in favor of urgent work.
 	// It doesn't indicate a fault of the backend server.
 	FailPreempted FailKind = "preempted"
+	// FailOtherVersion: the engine's software version isn't the one that began the
+	// stream; nothing of the run was delivered.
+	FailOtherVersion FailKind = "other_version"
 	// FailUnknown: the run may have been executed.
 	FailUnknown FailKind = "unknown"
 )
@@ -49,6 +52,9 @@
 	// or FrameFail.
 	Status int      `cbor:"5,keyasint,omitempty"`
 	Header []Header `cbor:"6,keyasint,omitempty"`
+	// SoftwareVersion is the engine's software version, in the first FrameData of a run;
+	// empty if the engine reports none.
+	SoftwareVersion string `cbor:"7,keyasint,omitempty"`
 }
 
 // Header is one HTTP header field of a plain service's request or response.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -169,6 +169,8 @@
 	Draining bool `cbor:"5,keyasint,omitempty"`
 	// BackendServerDown is set when the backend server can't be reached or is loading a model.
 	BackendServerDown bool `cbor:"6,keyasint,omitempty"`
+	// SoftwareVersion is the version of the agent's engine; empty if it reports none.
+	SoftwareVersion string `cbor:"7,keyasint,omitempty"`
 }
 
 // GetTargets requests the peer's target set.
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -20,4 +20,7 @@
 	Method string   `cbor:"6,keyasint,omitempty"`
 	Path   string   `cbor:"7,keyasint,omitempty"`
 	Header []Header `cbor:"8,keyasint,omitempty"`
+	// SoftwareVersion is the version of the engine that began the stream, with
+	// ResumeFrom; empty for an engine that reports none.
+	SoftwareVersion string `cbor:"9,keyasint,omitempty"`
 }
--- a/policy/candidate.go
+++ b/policy/candidate.go
@@ -23,6 +23,8 @@
 	// Draining engines accept no new work; Down engines can't be reached.
 	Draining bool
 	Down     bool
+	// Version is the engine's software version; empty if it reports none.
+	Version string
 }
 
 // load returns the number of waiting and running requests per slot.
--- a/testbed/engine/completion.go
+++ b/testbed/engine/completion.go
@@ -43,6 +43,9 @@
 		return
 	}
 
+	if version := s.config.SoftwareVersion; version != "" {
+		w.Header().Set(engine.HeaderSoftwareVersion, version)
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	record := s.runs.accept(RunRecord{
--- a/testbed/engine/config.go
+++ b/testbed/engine/config.go
@@ -23,6 +23,8 @@
 	CacheBlocks int
 	// LoadReportInterval is the time between updates of the load report.
 	LoadReportInterval time.Duration
+	// SoftwareVersion is the version that the engine reports; empty reports none.
+	SoftwareVersion string
 	// IgnoreFencingTokens makes the engine execute orders with a stale
 	// fencing token.
 	IgnoreFencingTokens bool
--- a/testbed/engine/server.go
+++ b/testbed/engine/server.go
@@ -183,5 +183,5 @@
 // measureLoad returns the current load, including the external streams.
 func (s *Server) measureLoad() engine.Load {
 	running, waiting := s.slots.counts()
-	return engine.Load{Running: running + s.knobs.Get().ExternalStreams, Waiting: waiting, ReportedAt: time.Now()}
+	return engine.Load{Running: running + s.knobs.Get().ExternalStreams, Waiting: waiting, ReportedAt: time.Now(), SoftwareVersion: s.config.SoftwareVersion}
 }
