soak: streams that began at an earlier release aren't counted as resumable

Traced: of 564 resumptions at new gateways of streams that began at old ones, all that reached a decision were refused as of unknown origin (157, 82, 121, 130), since an old gateway sends no record and knows no version; of those that began at new gateways one of 569 was. The origin can't be known there, and the rule forbids a guess.

Change: the check counts streams of gateways that send records; a case in check_test.go.

Result: TestCheckReportsEachViolation green.

--- a/testbed/soak/check_streams.go
+++ b/testbed/soak/check_streams.go
@@ -44,15 +44,19 @@
 
 // verifyResumptions checks that resumed streams go on at least minResumedShare as often
 // as new ones begin. Counted are calls at gateways without faults and, of the resumed
-// ones, those of whose version minVersionServers servers served.
+// ones, those of whose version minVersionServers servers served. A gateway of an earlier
+// release tells no other one where its streams began.
 func (h indexedHistory) verifyResumptions(report reportFunc) {
-	versions := map[string]string{}
+	versions, earlier := map[string]string{}, map[string]bool{}
 	resumed, wentOn, started, began := 0, 0, 0, 0
 	for _, c := range h.streamCalls() {
 		version, isKnown := versions[c.stream()]
 		if found := versionsIn(c.Body); len(found) > 0 && !isKnown {
 			versions[c.stream()] = found[0]
 		}
+		if c.Resumes == "" {
+			earlier[c.ID] = slices.Contains(h.Earlier, c.Gateway)
+		}
 		if h.affectedByFault(c.Gateway, c) || slices.Contains(h.Earlier, c.Gateway) {
 			continue
 		}
@@ -62,7 +66,7 @@
 			if c.wentOn() {
 				began++
 			}
-		case h.serversOf(version, c) >= minVersionServers:
+		case !earlier[c.stream()] && h.serversOf(version, c) >= minVersionServers:
 			resumed++
 			if c.wentOn() {
 				wentOn++
--- a/testbed/soak/check_test.go
+++ b/testbed/soak/check_test.go
@@ -190,6 +190,10 @@
 		{"half of the resumed streams go on", func(h *History) { h.addResumptions(12, 6, "v1") }, ""},
 		{"few resumed streams refused", func(h *History) { h.addResumptions(11, 0, "v1") }, ""},
 		{"resumed streams of a version with one server refused", func(h *History) { h.addResumptions(12, 0, "v2") }, ""},
+		{"resumed streams of an earlier release refused", func(h *History) {
+			h.addResumptions(12, 0, "v1")
+			h.Earlier = []string{"gateway-1"}
+		}, ""},
 		{"resumed streams refused after a fault of their gateway", func(h *History) {
 			h.addResumptions(12, 0, "v1")
 			h.Faults[0].To = at(12)
