gateway: the only version of a service counts only if another gateway confirms it

Cause: a gateway that is cut off from the others and the store goes by its list until the confirmation of the desired state is overdue, some three seconds; a version that was listed meanwhile may have begun the stream that its caller resumes there.

Change: where other gateways are listed, a stream of unknown origin goes on at the only version only if one of them has responded to the query. Those that know of several versions veto, as before.

--- a/internal/gateway/origin/directory.go
+++ b/internal/gateway/origin/directory.go
@@ -26,6 +26,8 @@
 	// Candidates returns the addresses of those that may hold it if the set of gateways has changed
 	// since, in addition to Holders.
 	Candidates(stream uint64) []string
+	// Alone reports whether no other gateway is listed, running or not.
+	Alone() bool
 	// Send sends a datagram. It may get lost.
 	Send(addr string, datagram []byte)
 }
@@ -79,19 +81,22 @@
 	if origin, source, ok := d.known(stream); ok {
 		return origin, source
 	}
-	versions := d.Versions(service)
-	if l := d.startLookup(stream, versions); l != nil {
-		defer d.endLookup(stream, l)
-		d.ask(ctx, stream, service, l)
-		var found *Origin
-		if found, versions = l.result(); found != nil {
-			return *found, SourceRecord
-		}
-	}
-	if versions.Only != 0 && !versions.Several {
+	l := d.startLookup(stream, d.Versions(service))
+	defer d.endLookup(stream, l)
+	d.ask(ctx, stream, service, l)
+	found, versions, responses := l.result()
+	switch {
+	case found != nil:
+		return *found, SourceRecord
+	case responses == 0 && !d.Peers.Alone():
+		// This gateway may be cut off from the others, and they may know of versions that it has not
+		// seen.
+		return Origin{}, SourceUnknown
+	case versions.Only != 0 && !versions.Several:
 		return Origin{Service: service, Version: versions.Only}, SourceOnlyVersion
+	default:
+		return Origin{}, SourceUnknown
 	}
-	return Origin{}, SourceUnknown
 }
 
 // known returns the origin of a stream if it is recorded here.
@@ -109,13 +114,9 @@
 	}
 }
 
-// startLookup registers a lookup, given the versions that this gateway knows. It returns nil if there
-// is no gateway to ask.
+// startLookup registers a lookup, given the versions that this gateway knows.
 func (d *Directory) startLookup(stream Stream, versions backend.Versions) *lookup {
 	addrs := append(d.Peers.Holders(uint64(stream)), d.Peers.Candidates(uint64(stream))...)
-	if len(addrs) == 0 {
-		return nil
-	}
 	l := newLookup(addrs, versions)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/origin/lookup.go
+++ b/internal/gateway/origin/lookup.go
@@ -18,7 +18,9 @@
 	// responded know of the service's versions.
 	found    *Origin
 	versions backend.Versions
-	finished bool
+	// responses is the number of gateways that have responded.
+	responses int
+	finished  bool
 }
 
 func newLookup(addrs []string, versions backend.Versions) *lookup {
@@ -26,6 +28,7 @@
 	for _, addr := range addrs {
 		l.waiting[addr] = true
 	}
+	l.finishIfComplete()
 	return l
 }
 
@@ -48,6 +51,7 @@
 		return
 	}
 	delete(l.waiting, addr)
+	l.responses++
 	switch {
 	case m.Kind == kindFound:
 		origin := m.origin()
@@ -57,15 +61,22 @@
 	case m.Version != 0:
 		l.versions.Only = m.origin().Version
 	}
+	l.finishIfComplete()
+}
+
+// finishIfComplete closes done if there is nothing left to wait for. l.mu must be held, except in
+// newLookup.
+func (l *lookup) finishIfComplete() {
 	if l.found != nil || len(l.waiting) == 0 {
 		l.finished = true
 		close(l.done)
 	}
 }
 
-// result returns the record, nil if it wasn't found, and what is known of the service's versions.
-func (l *lookup) result() (*Origin, backend.Versions) {
+// result returns the record, nil if it wasn't found; what is known of the service's versions; and how
+// many gateways have responded.
+func (l *lookup) result() (found *Origin, versions backend.Versions, responses int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.found, l.versions
+	return l.found, l.versions, l.responses
 }
--- a/internal/gateway/peers/holders.go
+++ b/internal/gateway/peers/holders.go
@@ -33,6 +33,9 @@
 // gateways with a slightly different list of gateways.
 func (m *Mesh) Candidates(key uint64) []string { return m.holders(key)[1] }
 
+// Alone reports whether no other gateway is listed, running or not.
+func (m *Mesh) Alone() bool { return m.table.size() == 0 }
+
 // Send sends a datagram to a gateway. A failed send is treated like a lost datagram.
 func (m *Mesh) Send(addr string, datagram []byte) {
 	if dst, err := net.ResolveUDPAddr("udp4", addr); err == nil {
