dispatch: a stream with tool calls, refusals or several choices isn't resumed

Callers of a stream that broke off, or was preempted, got its chunks twice.

Cause: tokens were counted by the content of the first choice alone, so that a stream of other output was resumed from its beginning. Reading had found it; reproduced: "axxy" for "axy", interrupted and preempted. Class: what a resumed stream takes up.

Change: the engine client marks chunks whose output ResumeFrom can't count, the agent passes that on in the frame; once such a frame was delivered the stream fails instead of being resumed, and requests with tools, functions or n other than 1 aren't preempted.

--- a/internal/agent/frame_source.go
+++ b/internal/agent/frame_source.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return wire.Frame{}, err
 	}
-	f := wire.Frame{Kind: wire.FrameData, Data: c.Data, Tokens: c.Tokens}
+	f := wire.Frame{Kind: wire.FrameData, Data: c.Data, Tokens: c.Tokens, Uncounted: c.Uncounted}
 	if !s.begun {
 		s.begun, f.SoftwareVersion = true, c.SoftwareVersion
 	}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -93,6 +93,39 @@
 	}
 }
 
+// Guards against output that is taken for none: a stream of it would be resumed from its beginning.
+func TestChunksWithUncountedOutputAreMarked(t *testing.T) {
+	cases := map[string]struct {
+		choices   string
+		tokens    int
+		uncounted bool
+	}{
+		"role":           {`{"delta":{"role":"assistant","content":""}}`, 0, false},
+		"content":        {`{"index":0,"delta":{"content":"x","tool_calls":[],"refusal":null,"function_call":null}}`, 1, false},
+		"end":            {`{"index":0,"delta":{},"finish_reason":"stop"}`, 0, false},
+		"tool call":      {`{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":"x"}}]}}`, 0, true},
+		"function call":  {`{"index":0,"delta":{"function_call":{"arguments":"x"}}}`, 0, true},
+		"refusal":        {`{"index":0,"delta":{"refusal":"x"}}`, 0, true},
+		"further choice": {`{"index":1,"delta":{"content":"x"}}`, 0, true},
+		"two choices":    {`{"index":0,"delta":{"content":"x"}},{"index":1,"delta":{"content":"y"}}`, 1, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			url := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, `data: {"choices":[`+c.choices+"]}\n\n")
+			})
+			stream, err := engine.NewClient(url).Start(context.Background(), engine.Run{Body: []byte(chatBody)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = stream.Close() }()
+			if chunk, err := stream.Next(); err != nil || chunk.Tokens != c.tokens || chunk.Uncounted != c.uncounted {
+				t.Errorf("got %+v, %v", chunk, err)
+			}
+		})
+	}
+}
+
 func TestStartErrorTellsWhetherRunStarted(t *testing.T) {
 	urlWithStatus := func(status int) string {
 		return serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,6 +62,10 @@
 	Data []byte
 	// Tokens is the number of tokens in the chunk.
 	Tokens int
+	// Uncounted is set if the chunk holds output that Tokens doesn't count: a tool
+	// call, a refusal, or a further choice. Run.ResumeFrom can't name a position
+	// after it.
+	Uncounted bool
 	// SoftwareVersion is the engine's software version; empty if it reports none.
 	SoftwareVersion string
 }
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -68,13 +68,25 @@
 // chunkFields holds the fields of a chunk that this package reads.
 type chunkFields struct {
 	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
+		Index int   `json:"index"`
+		Delta delta `json:"delta"`
 	} `json:"choices"`
 	Error json.RawMessage `json:"error"`
 }
 
+// delta holds the kinds of output that a chunk adds to a choice.
+type delta struct {
+	Content      string            `json:"content"`
+	Refusal      string            `json:"refusal"`
+	ToolCalls    []json.RawMessage `json:"tool_calls"`
+	FunctionCall json.RawMessage   `json:"function_call"`
+}
+
+// isOther reports whether the delta holds output other than content.
+func (d *delta) isOther() bool {
+	return d.Refusal != "" || len(d.ToolCalls) > 0 || len(d.FunctionCall) > 0 && string(d.FunctionCall) != "null"
+}
+
 // decodeChunk returns the chunk in data with its token count. It returns
 // ErrTruncated for an event that reports an error, because engines send the done
 // marker even after an error in the middle of a stream.
@@ -87,8 +99,14 @@
 		return Chunk{}, errors.Wrap(ErrTruncated, "engine reported an error")
 	}
 	chunk := Chunk{Data: bytes.Clone(data)}
-	if len(fields.Choices) > 0 && fields.Choices[0].Delta.Content != "" {
-		chunk.Tokens = 1
+	for i := range fields.Choices {
+		choice := &fields.Choices[i]
+		switch {
+		case choice.Delta.isOther(), choice.Index > 0 && choice.Delta.Content != "":
+			chunk.Uncounted = true
+		case choice.Delta.Content != "":
+			chunk.Tokens = 1
+		}
 	}
 	return chunk, nil
 }
--- a/internal/entry/api/chat.go
+++ b/internal/entry/api/chat.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,10 @@
 	StreamOptions       streamOptions   `json:"stream_options"`
 	MaxTokens           int             `json:"max_tokens"`
 	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	// The engine checks these fields; they are decoded by mayBeUncounted.
+	N         json.RawMessage `json:"n"`
+	Tools     json.RawMessage `json:"tools"`
+	Functions json.RawMessage `json:"functions"`
 }
 
 type streamOptions struct {
@@ -75,6 +80,7 @@
 	req.Serves = chat.Model
 	req.EstimatedTokens = chat.estimateTokens()
 	req.PrefixHash = chat.prefixHash()
+	req.MayBeUncounted = chat.mayBeUncounted()
 	req.Body = body.data
 	chat.Messages = nil // frees a copy of most of the body
 	a.dispatchRequest(w, r, req, func(w http.ResponseWriter) response {
@@ -99,6 +105,15 @@
 	return req
 }
 
+// mayBeUncounted reports whether the response may hold tool calls or several choices, which can't be
+// resumed.
+func (c *chatRequest) mayBeUncounted() bool {
+	isSet := func(field json.RawMessage, empty ...string) bool {
+		return len(field) > 0 && !slices.Contains(append(empty, "null"), string(field))
+	}
+	return isSet(c.Tools, "[]") || isSet(c.Functions, "[]") || isSet(c.N, "1")
+}
+
 func parseChatRequest(body []byte) (chatRequest, *apiError) {
 	var chat chatRequest
 	if err := json.Unmarshal(body, &chat); err != nil {
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -27,6 +27,9 @@
 	// tokensBeforeAttempt is the value of tokensDelivered when the last attempt
 	// began.
 	tokensBeforeAttempt int
+	// uncounted is set once output was delivered that tokensDelivered doesn't count,
+	// such as tool calls. The stream can't be resumed then: it would repeat them.
+	uncounted bool
 	// notStarted lists the agents that granted an attempt and didn't run it. The next
 	// attempts ask other agents first.
 	notStarted []string
@@ -86,7 +89,7 @@
 		return j.retryOrReturn(Result{Outcome: NotRun, Reason: attempted.reason, RetryAfter: noAgentTimeout})
 	}
 	j.mayHaveRun = true
-	if attempted.outcome == attemptPreempted && j.request.resumable() {
+	if attempted.outcome == attemptPreempted && j.resumable() {
 		// Preemption is not a failure, so it uses neither the retry budget nor
 		// the attempt limit. The agents' scheduling policy lets a resumed run
 		// make progress before it preempts it again.
@@ -97,14 +100,17 @@
 	if !j.request.Repeatable {
 		return Result{Outcome: Unknown, Reason: attempted.reason}, true
 	}
-	if j.responseBegun() && !j.request.resumable() {
+	if j.responseBegun() && !j.resumable() {
 		return Result{Outcome: Failed, Reason: attempted.reason}, true
 	}
 	return j.retryOrReturn(Result{Outcome: Failed, Reason: attempted.reason})
 }
 
-// responseBegun reports whether a token or, from a plain service, a part of the
-// body was passed to the sink.
+// resumable reports whether an interrupted response can be continued.
+func (j *job) resumable() bool { return j.request.resumable() && !j.uncounted }
+
+// responseBegun reports whether output of a model or, from a plain service, a part of
+// the body was passed to the sink.
 func (j *job) responseBegun() bool { return j.timeToFirstToken > 0 }
 
 // retryOrReturn returns false if the request may be retried, otherwise the
@@ -132,7 +138,7 @@
 // Further interruptions use the budget: otherwise backend servers that interrupt
 // every stream would get all of their load again as retries.
 func (j *job) allowResumeOutsideBudget() bool {
-	if j.resumedOutsideBudget || !j.request.resumable() || j.tokensDelivered == j.tokensBeforeAttempt {
+	if j.resumedOutsideBudget || !j.resumable() || j.tokensDelivered == j.tokensBeforeAttempt {
 		return false
 	}
 	j.resumedOutsideBudget = true
--- a/internal/entry/dispatch/request.go
+++ b/internal/entry/dispatch/request.go
@@ -29,6 +29,9 @@
 	// Repeatable is set if the request may run again when the outcome of an
 	// attempt is unknown.
 	Repeatable bool
+	// MayBeUncounted is set if the response may hold output that can't be resumed,
+	// such as tool calls.
+	MayBeUncounted bool
 	// Body is the body sent to the backend server.
 	Body []byte
 	// ServiceCall is set for a request to a plain service, nil for a
@@ -53,7 +56,8 @@
 
 // preemptible reports whether a run may be stopped for a more urgent one and
 // resumed later. A run whose class has a target for the time between tokens may
-// not: the pause would exceed the target.
+// not: the pause would exceed the target. Neither may one that perhaps can't be
+// resumed.
 func (r *Request) preemptible() bool {
-	return r.resumable() && r.Class.BetweenTokens == 0
+	return r.resumable() && !r.MayBeUncounted && r.Class.BetweenTokens == 0
 }
--- a/internal/entry/dispatch/run.go
+++ b/internal/entry/dispatch/run.go
@@ -193,7 +193,7 @@
 
 // deliver passes a frame to the sink and counts its tokens.
 func (j *job) deliver(f wire.Frame) error {
-	if f.Kind == wire.FrameData && (f.Tokens > 0 || j.request.ServiceCall != nil) && j.timeToFirstToken == 0 {
+	if f.Kind == wire.FrameData && (f.Tokens > 0 || f.Uncounted || j.request.ServiceCall != nil) && j.timeToFirstToken == 0 {
 		j.timeToFirstToken = time.Since(j.request.Arrived)
 		j.dispatcher.config.Timeline.Record(timeline.KindFirstToken, j.request.ID, j.request.Class.Name, "")
 	}
@@ -207,6 +207,7 @@
 		j.version = j.attemptVersion
 	}
 	j.tokensDelivered += f.Tokens
+	j.uncounted = j.uncounted || f.Uncounted
 	return nil
 }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -46,6 +46,8 @@
 	Data []byte `cbor:"2,keyasint,omitempty"`
 	// Tokens is the number of tokens in Data.
 	Tokens int `cbor:"3,keyasint,omitempty"`
+	// Uncounted is set if Data holds output that Tokens doesn't count.
+	Uncounted bool `cbor:"8,keyasint,omitempty"`
 	// Fail is the kind of failure, with FrameFail.
 	Fail FailKind `cbor:"4,keyasint,omitempty"`
 	// Status and Header are those of the backend server's response, with FrameHeaders
