entry: a whole response joins the deltas of a refusal

Callers of a response that isn't streamed got the last delta of a refusal only. Cause: each delta replaced the one before; content and tool calls are joined. Found by reading.

--- a/internal/entry/api/buffered_response.go
+++ b/internal/entry/api/buffered_response.go
@@ -87,7 +87,11 @@
 		b.contents[c.Index].WriteString(*c.Delta.Content)
 	}
 	if c.Delta.Refusal != nil {
-		choice.Message.Refusal = c.Delta.Refusal
+		joined := *c.Delta.Refusal
+		if choice.Message.Refusal != nil {
+			joined = *choice.Message.Refusal + joined
+		}
+		choice.Message.Refusal = &joined
 	}
 	for _, call := range c.Delta.ToolCalls {
 		choice.Message.addToolCallDelta(call)
