entry: an undecodable chunk is a failure of the engine, not of the caller

Callers of a streamed answer whose engine sent a chunk that can't be decoded got an empty or cut 200 that looked ended, and the request counted as cancelled by its caller. Cause: each error of the sink was taken for a caller that has disconnected. Found by reading.

Change: the sink returns dispatch.ErrInvalidChunk, having written nothing; the attempt counts as interrupted (invalid_chunk), so that the stream goes on elsewhere, or fails. A chunk with a choice out of range adds none of its choices. The first token is counted once it has been passed on.

--- a/internal/entry/api/buffered_response.go
+++ b/internal/entry/api/buffered_response.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/applepier/applepier/internal/entry/dispatch"
 	"github.com/applepier/applepier/internal/wire"
 )
 
@@ -51,12 +52,12 @@
 
 func (b *bufferedResponse) started() bool { return false }
 
-// WriteFrame adds one chunk to the response. It returns an error for a chunk that can't be
-// decoded or has a choice index out of range.
+// WriteFrame adds one chunk to the response. It returns dispatch.ErrInvalidChunk for a chunk
+// that can't be decoded or has a choice index out of range.
 func (b *bufferedResponse) WriteFrame(f wire.Frame) error {
 	var c chunk
 	if err := json.Unmarshal(f.Data, &c); err != nil {
-		return errors.Wrap(err, "decode chunk")
+		return errors.Wrap(dispatch.ErrInvalidChunk, err.Error())
 	}
 	if b.completion.Created == 0 {
 		b.completion.Created = c.Created
@@ -66,8 +67,10 @@
 	}
 	for _, choice := range c.Choices {
 		if choice.Index < 0 || choice.Index >= maxChoices {
-			return errors.Errorf("choice index %d is out of range [0, %d)", choice.Index, maxChoices)
+			return errors.Wrapf(dispatch.ErrInvalidChunk, "choice index %d is out of range [0, %d)", choice.Index, maxChoices)
 		}
+	}
+	for _, choice := range c.Choices {
 		b.addChoice(choice)
 	}
 	return nil
--- a/internal/entry/api/response_test.go
+++ b/internal/entry/api/response_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/go-faster/errors"
+
 	"github.com/applepier/applepier/internal/entry/dispatch"
 	"github.com/applepier/applepier/internal/wire"
 )
@@ -65,6 +67,38 @@
 	}
 }
 
+// Guards against refusals that lose all but their last delta.
+func TestBufferedResponseJoinsRefusal(t *testing.T) {
+	api := newTestAPI(t)
+	refusal := func(text string) string {
+		return `{"choices":[{"index":0,"delta":{"refusal":"` + text + `"},"finish_reason":null}]}`
+	}
+	api.dispatcher.script = respondWith(dispatch.Completed, roleChunk, refusal("I "), refusal("can't"))
+	var got completion
+	if err := json.Unmarshal(api.post("/v1/chat/completions", "", bufferedRequest).Body.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	if refusal := got.Choices[0].Message.Refusal; refusal == nil || *refusal != "I can't" {
+		t.Errorf("got %+v", got.Choices[0].Message)
+	}
+}
+
+// Guards against an undecodable chunk that is taken for a caller that has disconnected.
+func TestUndecodableChunksAreInvalid(t *testing.T) {
+	for name, request := range map[string]string{"stream": streamRequest, "buffered": bufferedRequest} {
+		for _, data := range []string{"not JSON", `{"choices":[{"index":-1}]}`, `{"choices":"none"}`} {
+			api := newTestAPI(t)
+			api.dispatcher.script = func(_ *dispatch.Request, sink dispatch.Sink) dispatch.Result {
+				if err := sink.WriteFrame(wire.Frame{Kind: wire.FrameData, Data: []byte(data)}); err != nil && !errors.Is(err, dispatch.ErrInvalidChunk) {
+					t.Errorf("%s, %s: got %v", name, data, err)
+				}
+				return dispatch.Result{Outcome: dispatch.Failed, Reason: "test"}
+			}
+			api.post("/v1/chat/completions", "", request)
+		}
+	}
+}
+
 func TestInterruptedStreamEndsWithErrorWithoutDone(t *testing.T) {
 	api := newTestAPI(t)
 	api.dispatcher.script = respondWith(dispatch.Failed, roleChunk, firstChunk)
--- a/internal/entry/api/stream_response.go
+++ b/internal/entry/api/stream_response.go
@@ -29,11 +29,12 @@
 
 func (s *streamResponse) started() bool { return s.headerSent }
 
-// WriteFrame forwards one chunk.
+// WriteFrame forwards one chunk. It returns dispatch.ErrInvalidChunk for one that can't be
+// decoded.
 func (s *streamResponse) WriteFrame(f wire.Frame) error {
 	var c chunk
 	if err := json.Unmarshal(f.Data, &c); err != nil {
-		return errors.Wrap(err, "decode chunk")
+		return errors.Wrap(dispatch.ErrInvalidChunk, err.Error())
 	}
 	if s.headerSent && c.isRoleOnly() {
 		return nil
--- a/internal/entry/dispatch/run.go
+++ b/internal/entry/dispatch/run.go
@@ -174,7 +174,7 @@
 			return classifyFailFrame(f)
 		case wire.FrameData, wire.FrameHeaders:
 			if err := j.deliver(f); err != nil {
-				return attemptResult{outcome: attemptCancelled}
+				return deliveryFailure(err)
 			}
 		}
 	}
@@ -191,18 +191,30 @@
 	return attemptResult{outcome: attemptInterrupted, reason: "stream_cut"}
 }
 
-// deliver passes a frame to the sink and counts its tokens.
-func (j *job) deliver(f wire.Frame) error {
-	if f.Kind == wire.FrameData && (f.Tokens > 0 || f.Uncounted || j.request.ServiceCall != nil) && j.timeToFirstToken == 0 {
-		j.timeToFirstToken = time.Since(j.request.Arrived)
-		j.dispatcher.config.Timeline.Record(timeline.KindFirstToken, j.request.ID, j.request.Class.Name, "")
+// deliveryFailure converts an error of deliver to a result.
+func deliveryFailure(err error) attemptResult {
+	if errors.Is(err, ErrInvalidChunk) {
+		return attemptResult{outcome: attemptInterrupted, reason: "invalid_chunk"}
 	}
+	return attemptResult{outcome: attemptCancelled}
+}
+
+// deliver passes a frame to the sink and counts its tokens. It returns
+// ErrInvalidChunk, or errCallerDisconnected if the sink fails otherwise.
+func (j *job) deliver(f wire.Frame) error {
+	elapsed := time.Since(j.request.Arrived)
 	if f.SoftwareVersion != "" {
 		j.attemptVersion = f.SoftwareVersion
 	}
-	if err := j.sink.WriteFrame(f); err != nil {
+	if err := j.sink.WriteFrame(f); errors.Is(err, ErrInvalidChunk) {
+		return err
+	} else if err != nil {
 		return errors.Wrap(errCallerDisconnected, err.Error())
 	}
+	if f.Kind == wire.FrameData && (f.Tokens > 0 || f.Uncounted || j.request.ServiceCall != nil) && j.timeToFirstToken == 0 {
+		j.timeToFirstToken = elapsed
+		j.dispatcher.config.Timeline.Record(timeline.KindFirstToken, j.request.ID, j.request.Class.Name, "")
+	}
 	if f.Tokens > 0 {
 		j.version = j.attemptVersion
 	}
