dispatch: a plain service's response isn't retried once its head was passed on

Callers of a plain service whose response broke off right after its head got the head of one run and the body of another. Cause: a response counted as begun with the first part of its body. Found by reading.

Result: TestResponseWithHeadIsNotRetried failed before (whole, two heads) and passes; internal/entry/dispatch green under the race detector.

--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -27,6 +27,9 @@
 	// tokensBeforeAttempt is the value of tokensDelivered when the last attempt
 	// began.
 	tokensBeforeAttempt int
+	// headDelivered is set once the status and headers of a plain service's response
+	// were delivered. Those of another run can't follow.
+	headDelivered bool
 	// uncounted is set once output was delivered that tokensDelivered doesn't count,
 	// such as tool calls. The stream can't be resumed then: it would repeat them.
 	uncounted bool
@@ -109,9 +112,9 @@
 // resumable reports whether an interrupted response can be continued.
 func (j *job) resumable() bool { return j.request.resumable() && !j.uncounted }
 
-// responseBegun reports whether output of a model or, from a plain service, a part of
-// the body was passed to the sink.
-func (j *job) responseBegun() bool { return j.timeToFirstToken > 0 }
+// responseBegun reports whether output of a model or, from a plain service, the head or a
+// part of the body was passed to the sink.
+func (j *job) responseBegun() bool { return j.timeToFirstToken > 0 || j.headDelivered }
 
 // retryOrReturn returns false if the request may be retried, otherwise the
 // final result derived from last.
--- a/internal/entry/dispatch/run.go
+++ b/internal/entry/dispatch/run.go
@@ -218,6 +218,7 @@
 	if f.Tokens > 0 {
 		j.version = j.attemptVersion
 	}
+	j.headDelivered = j.headDelivered || f.Kind == wire.FrameHeaders
 	j.tokensDelivered += f.Tokens
 	j.uncounted = j.uncounted || f.Uncounted
 	return nil
