exchange: reading on after an error, or after Abort, fails again

Cause: once an exchange had ended, Response.Read returned io.EOF, so that a reader that went on after an error found the end of a body that is incomplete. Found by reading; no path of the router does so today.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -37,6 +37,8 @@
 	body       io.Reader
 	exchange   *exchange
 	incomplete bool
+	// readErr is the error that ended reading the body; nil before.
+	readErr error
 }
 
 // exchange is one request and its response on a connection.
@@ -143,10 +145,13 @@
 }
 
 // Read reads the body. It returns io.EOF after the complete body; any other error wraps one of this
-// package's errors. Once the exchange has ended, also by an error or Abort, it returns io.EOF.
+// package's errors, ErrCancelled after Abort. Once reading has ended, it returns the same error again.
 func (r *Response) Read(p []byte) (int, error) {
-	if r.exchange.ended {
-		return 0, io.EOF
+	switch {
+	case r.readErr != nil:
+		return 0, r.readErr
+	case r.exchange.ended:
+		return 0, errors.Wrap(ErrCancelled, "aborted")
 	}
 	n, err := r.body.Read(p)
 	switch {
@@ -154,13 +159,13 @@
 		return n, nil
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
 		r.exchange.end(r.exchange.keepConn)
-		return n, io.EOF
+		r.readErr = io.EOF
 	default:
 		r.exchange.end(false)
-		err = r.exchange.classify(err)
-		r.incomplete = errors.Is(err, ErrIncomplete)
-		return n, err
+		r.readErr = r.exchange.classify(err)
+		r.incomplete = errors.Is(r.readErr, ErrIncomplete)
 	}
+	return n, r.readErr
 }
 
 // Incomplete reports whether reading the body ended in ErrIncomplete.
