--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -64,12 +64,10 @@
 	return a
 }
 
-// An engine that sends nothing while it prefills a long prompt must not stop
-// the agent's heartbeats; the entry once treated such an agent as unresponsive.
-func TestHeartbeatsDuringSlowEngineStart(t *testing.T) {
-	slow := &slowEngine{release: make(chan struct{})}
-	server, grant := newTestAgent(t, slow)
-	body, err := cbor.Marshal(newRunRequest(grant))
+// postRun sends a run request to an agent and returns the frames of its response.
+func postRun(t *testing.T, server *httptest.Server, request *wire.RunRequest) *wire.FrameReader {
+	t.Helper()
+	body, err := cbor.Marshal(request)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,9 +75,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer response.Body.Close()
-	frames := wire.NewFrameReader(response.Body, func() { response.Body.Close() })
-	defer frames.Close()
+	t.Cleanup(func() { _ = response.Body.Close() })
+	frames := wire.NewFrameReader(response.Body, func() { _ = response.Body.Close() })
+	t.Cleanup(frames.Close)
+	return frames
+}
+
+// An engine that sends nothing while it prefills a long prompt must not stop
+// the agent's heartbeats; the entry once treated such an agent as unresponsive.
+func TestHeartbeatsDuringSlowEngineStart(t *testing.T) {
+	slow := &slowEngine{release: make(chan struct{})}
+	server, grant := newTestAgent(t, slow)
+	frames := postRun(t, server, newRunRequest(grant))
 	f, err := frames.Next()
 	if err != nil || f.Kind != wire.FrameHeartbeat {
 		t.Fatalf("before the start: got %v, %v; want a heartbeat", f.Kind, err)
--- a/internal/agent/version_test.go
+++ b/internal/agent/version_test.go
@@ -1,14 +1,11 @@
 package agent
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/applepier/applepier/internal/engine"
 	"github.com/applepier/applepier/internal/wire"
 )
@@ -45,17 +42,7 @@
 			server, grant := newTestAgent(t, versionEngine(t, c.engine))
 			request := newRunRequest(grant)
 			request.Body, request.ResumeFrom, request.SoftwareVersion = []byte(`{"model":"model","messages":[]}`), c.resumeFrom, c.began
-			body, err := cbor.Marshal(request)
-			if err != nil {
-				t.Fatal(err)
-			}
-			response, err := http.Post(server.URL, "application/cbor", bytes.NewReader(body))
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer response.Body.Close()
-			frames := wire.NewFrameReader(response.Body, func() { response.Body.Close() })
-			defer frames.Close()
+			frames := postRun(t, server, request)
 			version, tokens := "", 0
 			for {
 				f, err := frames.Next()
--- a/testbed/e2e/version_test.go
+++ b/testbed/e2e/version_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/applepier/applepier/internal/targets"
 	"github.com/applepier/applepier/testbed/fleet"
 )
@@ -29,25 +27,13 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	want := wantText(t, params(streamTokens))
-	started := make(chan struct{}, streamCount)
-	var streams conc.WaitGroup
-	for range streamCount {
-		streams.Go(func() { checkStream(ctx, t, f.Entries[0], want, started) })
-	}
-	for range streamCount {
-		select {
-		case <-started:
-		case <-ctx.Done():
-			t.Fatal("not all streams started")
-		}
-	}
+	wait := startStreams(ctx, t, f.Entries[0])
 	for _, backend := range f.Backends[:2] {
 		if err := backend.Server.Kill(); err != nil {
 			t.Fatal(err)
 		}
 	}
-	streams.Wait()
+	wait()
 	checkResumedRuns(t, f)
 }
 
--- a/testbed/e2e/zone_test.go
+++ b/testbed/e2e/zone_test.go
@@ -35,11 +35,20 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
+	wait := startStreams(ctx, t, f.Entries[0])
+	killZone(t, f)
+	wait()
+}
+
+// startStreams starts streamCount streams, each checked by checkStream, and returns when all have
+// begun. The returned function waits until they have ended.
+func startStreams(ctx context.Context, t *testing.T, entry *fleet.Entry) (wait func()) {
+	t.Helper()
 	want := wantText(t, params(streamTokens))
 	started := make(chan struct{}, streamCount)
-	var wg conc.WaitGroup
+	var streams conc.WaitGroup
 	for range streamCount {
-		wg.Go(func() { checkStream(ctx, t, f.Entries[0], want, started) })
+		streams.Go(func() { checkStream(ctx, t, entry, want, started) })
 	}
 	for range streamCount {
 		select {
@@ -48,8 +57,7 @@
 			t.Fatal("not all streams started")
 		}
 	}
-	killZone(t, f)
-	wg.Wait()
+	return streams.Wait
 }
 
 // checkStream streams one response, signals its first token on started, and checks
