gateway: a stream of unknown origin isn't continued where its route leads to several services

Cause: found by reading the change again. Without a record, the service of a resumed stream was derived from the request's id and the shares in force now, which says nothing if the shares have changed or the caller names no request; the only version of that service may not be that of the one that began it.

Change: the only version counts only on routes to one service.

Result: TestOriginOnRouteToSeveralServicesIsNotGuessed failed before (200 for each of ten unknown streams) and passes; TestOrigin*, TestStreamKeeps* and TestStreamOf* of testbed/gateway green.

--- a/internal/gateway/origin/directory.go
+++ b/internal/gateway/origin/directory.go
@@ -73,10 +73,10 @@
 	}
 }
 
-// Find returns the origin of a stream that its caller resumes, and how it is known. service is the one
-// that would continue a stream of unknown origin. With SourceUnknown the stream must not be continued,
-// since its version can't be known. Find asks other gateways if needed, for lookupTimeout or until ctx
-// ends.
+// Find returns the origin of a stream that its caller resumes, and how it is known. service is the
+// only one that may have begun it; 0 if there are several. With SourceUnknown the stream must not be
+// continued, since its version can't be known. Find asks other gateways if needed, for lookupTimeout or
+// until ctx ends.
 func (d *Directory) Find(ctx context.Context, stream Stream, service policy.Key) (Origin, Source) {
 	if origin, source, ok := d.known(stream); ok {
 		return origin, source
--- a/internal/gateway/origin/message.go
+++ b/internal/gateway/origin/message.go
@@ -20,7 +20,8 @@
 const (
 	// kindRecord carries the origin of a stream.
 	kindRecord messageKind = 1
-	// kindQuery asks for the origin of a stream; Service is the service that would continue it.
+	// kindQuery asks for the origin of a stream; Service is the only service that may have begun it, 0
+	// if there are several.
 	kindQuery messageKind = 2
 	// kindFound is the response to a query with the record. kindNotFound carries the only version that
 	// the queried service has had for longer than a stream lasts; 0 if that isn't known.
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -54,7 +54,7 @@
 	// Begin records the origin of a stream before its first events are forwarded.
 	Begin(stream origin.Stream, from origin.Origin)
 	// Find returns the origin of a stream that its caller resumes, and how it is known. service is the
-	// one that would continue a stream of unknown origin.
+	// only one that may have begun it; 0 if there are several.
 	Find(ctx context.Context, stream origin.Stream, service policy.Key) (origin.Origin, origin.Source)
 }
 
--- a/internal/gateway/router/stream_binding.go
+++ b/internal/gateway/router/stream_binding.go
@@ -27,12 +27,10 @@
 		c.service = c.route.PickService(serviceHash(c.params.ID))
 		return true
 	}
-	// Without a known origin, the service is the one that began the stream if the shares have not
-	// changed.
 	c.service = c.route.PickService(serviceHash(c.params.ResumesID))
 	stream := origin.StreamOf(c.customer, c.params.ResumesID)
 	c.binding.bound = true
-	c.binding.origin, c.binding.source = c.router.Origins.Find(ctx, stream, policy.KeyOf(c.service))
+	c.binding.origin, c.binding.source = c.router.Origins.Find(ctx, stream, c.onlyService())
 	switch {
 	case c.endIfDisconnected():
 		return false
@@ -46,6 +44,15 @@
 	return true
 }
 
+// onlyService returns the key of the service to which the route leads; 0 if it leads to several, of which
+// any may have begun a stream of unknown origin.
+func (c *call) onlyService() policy.Key {
+	if len(c.route.Shares) > 1 {
+		return 0
+	}
+	return policy.KeyOf(c.service)
+}
+
 // useService sets the service by its key. It reports false if the route doesn't lead to it any more.
 func (c *call) useService(key policy.Key) bool {
 	for _, share := range c.route.Shares {
--- a/testbed/gateway/stream_origin_test.go
+++ b/testbed/gateway/stream_origin_test.go
@@ -241,6 +241,27 @@
 	expectRefusal(t, fresh, "after-brief", resume(fresh, "unknown-too", "after-brief", versionCut), "stream_origin_unknown")
 }
 
+// Guards against a stream of unknown origin that goes on at the only version of a service that may not be
+// the one that began it, because its route leads to several.
+func TestOriginOnRouteToSeveralServicesIsNotGuessed(t *testing.T) {
+	f := gateway.NewFixture(t, gateway.Options{})
+	const split = `,{"name":"split","host":"h.example","prefix":"/split/","type":"stream","timeout-ms":3000,"slo-ms":500,"backends":[{"service":"plain","weight":9},{"service":"other","weight":1}],"attempts":2,"resumable":true}`
+	f.PutState(2, split, "")
+	startVersions(t, []*gateway.Fixture{f}, steadyVersion, "v1")
+	time.Sleep(streamWindow)
+	if got := resume(f, "unknown-one", "one-service", versionCut); got.Status != http.StatusOK {
+		t.Errorf("a route to one service: got %+v", got)
+	}
+	f.WaitFor("the other route to serve", func() bool { return f.Post("/split/x", "warm").Status == http.StatusOK })
+	for n := range 10 {
+		id := fmt.Sprintf("several-services-%d", n)
+		req := f.Request(context.Background(), http.MethodPost, "/split/x", id, nil)
+		req.Header.Set("Last-Event-Id", "4")
+		req.Header.Set("Resumes", fmt.Sprintf("unknown-%d", n))
+		expectRefusal(t, f, id, f.Do(req), "stream_origin_unknown")
+	}
+}
+
 // Guards against a gateway that is cut off from the store and goes by its old list, in which there is
 // one version only. Streams that it knows go on.
 func TestGatewayCutOffFromStoreGuessesNoOrigin(t *testing.T) {
