gateway: a stream's record may arrive after the query for it

Traced: the simulated network delivers each datagram in a goroutine of its own, so that queries overtook the records sent before them; each holder said that it had none, and the lookup ended at once. A network may do the same, if seldom.

Change: where all gateways that were asked lack the record of a named stream, they are asked once more after 50 ms, and the own records are read again. The test waits until the records it sent are delivered or lost, since it is about lost ones; TestRecordMayArriveAfterTheQuery is about late ones. A stream that the caller doesn't name has no record, and isn't asked for twice.

--- a/internal/gateway/origin/directory.go
+++ b/internal/gateway/origin/directory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/policy"
 )
 
@@ -75,15 +76,20 @@
 
 // Find returns the origin of a stream that its caller resumes, and how it is known. service is the
 // only one that may have begun it; 0 if there are several. With SourceUnknown the stream must not be
-// continued, since its version can't be known. Find asks other gateways if needed, for lookupTimeout or
-// until ctx ends.
+// continued, since its version can't be known. Find asks other gateways if needed, twice for lookupTimeout
+// at most, or until ctx ends.
 func (d *Directory) Find(ctx context.Context, stream Stream, service policy.Key) (Origin, Source) {
 	if origin, source, ok := d.known(stream); ok {
 		return origin, source
 	}
-	l := d.startLookup(stream, d.Versions(service))
-	defer d.endLookup(stream, l)
-	d.ask(ctx, stream, service, l)
+	l := d.lookUp(ctx, stream, service)
+	if stream != Unnamed && l.allLackRecord() && pause.Sleep(ctx, queryInterval) {
+		// The record may still be on its way to its holders, or to this gateway.
+		if origin, source, ok := d.known(stream); ok {
+			return origin, source
+		}
+		l = d.lookUp(ctx, stream, service)
+	}
 	found, versions, responses := l.result()
 	switch {
 	case found != nil:
@@ -99,6 +105,14 @@
 	}
 }
 
+// lookUp asks the other gateways once and returns the ended lookup.
+func (d *Directory) lookUp(ctx context.Context, stream Stream, service policy.Key) *lookup {
+	l := d.startLookup(stream, d.Versions(service))
+	defer d.endLookup(stream, l)
+	d.ask(ctx, stream, service, l)
+	return l
+}
+
 // known returns the origin of a stream if it is recorded here.
 func (d *Directory) known(stream Stream) (Origin, Source, bool) {
 	d.mu.Lock()
--- a/internal/gateway/origin/lookup.go
+++ b/internal/gateway/origin/lookup.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// allLackRecord reports whether there are gateways that were asked, and all of them responded that they
+// don't have the record.
+func (l *lookup) allLackRecord() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.found == nil && len(l.waiting) == 0 && l.responses > 0
+}
+
 // result returns the record, nil if it wasn't found; what is known of the service's versions; and how
 // many gateways have responded.
 func (l *lookup) result() (found *Origin, versions backend.Versions, responses int) {
--- a/internal/gateway/origin/network_test.go
+++ b/internal/gateway/origin/network_test.go
@@ -23,8 +23,10 @@
 	// lossRate is the probability that a datagram is lost.
 	lossRate float64
 	random   *rand.Rand
-	sent     int
-	bytes    int
+	// lastRecord is the last datagram that the gateway named origin sent.
+	lastRecord []byte
+	// inFlight counts the datagrams that are being delivered.
+	inFlight sync.WaitGroup
 }
 
 func newNetwork() *network {
@@ -75,13 +77,14 @@
 	n := e.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.sent++
-	n.bytes += len(datagram)
+	if e.addr == "origin" {
+		n.lastRecord = datagram
+	}
 	receiver := n.directories[addr]
 	if receiver == nil || n.random.Float64() < n.lossRate {
 		return
 	}
-	go func() { _ = receiver.Handle(e.addr, datagram) }()
+	n.inFlight.Go(func() { _ = receiver.Handle(e.addr, datagram) })
 }
 
 var (
@@ -198,6 +201,37 @@
 	}
 }
 
+// Guards against a stream that is refused because its record reaches the holders after the query, or the
+// asking gateway itself.
+func TestRecordMayArriveAfterTheQuery(t *testing.T) {
+	for _, late := range []string{"a", "asked"} {
+		n := newNetwork()
+		n.holders = []string{"a", "asked"}
+		began, asked := n.add("origin", several), n.add("asked", several)
+		holder := n.add("a", several)
+		n.remove("a")
+		n.remove("asked")
+		began.Begin(testStream, beganAtV1)
+		n.mu.Lock()
+		n.directories["a"], n.directories["asked"] = holder, asked
+		n.mu.Unlock()
+		time.AfterFunc(20*time.Millisecond, func() { endpoint{n, "origin"}.Send(late, n.lastRecord) })
+		if got, source := asked.Find(t.Context(), testStream, chat); got != beganAtV1 || source != origin.SourceRecord {
+			t.Errorf("record late at %s: got %+v, %s", late, got, source)
+		}
+	}
+	n := newNetwork()
+	n.holders = []string{"a"}
+	n.add("a", onlyV1)
+	start := time.Now()
+	if _, source := n.add("asked", notKnown).Find(t.Context(), origin.Unnamed, chat); source != origin.SourceOnlyVersion {
+		t.Errorf("unnamed stream: got %s", source)
+	}
+	if took := time.Since(start); took > 40*time.Millisecond {
+		t.Errorf("a stream without a record was looked up for %v", took)
+	}
+}
+
 // Guards against a lookup that outlasts its request, or that waits without bound for gateways that
 // don't respond.
 func TestLookupIsBounded(t *testing.T) {
@@ -239,6 +273,7 @@
 		began.Begin(origin.StreamOf("crew", fmt.Sprint(i)), originOf(i))
 	}
 	n.remove("origin")
+	n.inFlight.Wait()
 	var lookups sync.WaitGroup
 	unknown := make(chan int, 2*streams)
 	for i := range 2 * streams {
--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -14,9 +14,17 @@
 // Stream identifies a stream at all gateways.
 type Stream uint64
 
-// StreamOf returns the identifier of the stream that a customer's request began. The hash is
+// Unnamed stands for a stream that its caller resumes without naming the request that began it. It is
+// never recorded.
+const Unnamed Stream = 0
+
+// StreamOf returns the identifier of the stream that a customer's request began, Unnamed if the request
+// has no ID. The hash is
 // cryptographic and covers the customer, so that no customer can name another one's stream.
 func StreamOf(customer, requestID string) Stream {
+	if requestID == "" {
+		return Unnamed
+	}
 	hash := sha256.Sum256([]byte(customer + "\x00" + requestID))
 	return Stream(binary.BigEndian.Uint64(hash[:]))
 }
--- a/internal/gateway/router/stream_binding.go
+++ b/internal/gateway/router/stream_binding.go
@@ -76,8 +76,9 @@
 		c.binding.bound, c.binding.source = true, origin.SourceOwn
 		c.binding.origin = origin.Origin{Service: policy.KeyOf(c.service), Version: c.serverVersionKey}
 	}
-	if id := c.streamID(); c.route.Resumable && id != "" && c.binding.origin.Version != 0 {
-		c.router.Origins.Begin(origin.StreamOf(c.customer, id), c.binding.origin)
+	stream := origin.StreamOf(c.customer, c.streamID())
+	if c.route.Resumable && stream != origin.Unnamed && c.binding.origin.Version != 0 {
+		c.router.Origins.Begin(stream, c.binding.origin)
 	}
 }
 
