gateway: comments of the new code read again; Directory.Len is for tests only

Change: wraps and two comments (the lock order of Directory names a lookup's lock, which is acquired under it); Len moves to a test file.

--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -51,8 +51,8 @@
 }
 
 // sameInstance reports whether a later entry under the same ID belongs to the same instance. An
-// entry with another start time or software version does not; where start times are missing, neither does one with a
-// lower sequence number or another address.
+// entry with another start time or software version does not; where start times are missing, neither
+// does one with a lower sequence number or another address.
 func (i *Info) sameInstance(later *Info) bool {
 	if i.SoftwareVersion != "" && later.SoftwareVersion != "" && i.SoftwareVersion != later.SoftwareVersion {
 		return false
--- a/internal/gateway/origin/directory.go
+++ b/internal/gateway/origin/directory.go
@@ -47,7 +47,7 @@
 // holds for others. Its methods are safe for concurrent use.
 type Directory struct {
 	Config
-	// mu guards the fields below. No other lock is acquired while it is held.
+	// mu guards the fields below. Only a lookup's lock is acquired while it is held.
 	mu      sync.Mutex
 	records *records
 	// lookups holds the lookups in progress by stream.
@@ -76,8 +76,8 @@
 
 // Find returns the origin of a stream that its caller resumes, and how it is known. service is the
 // only one that may have begun it; 0 if there are several. With SourceUnknown the stream must not be
-// continued, since its version can't be known. Find asks other gateways if needed, twice for lookupTimeout
-// at most, or until ctx ends.
+// continued, since its version can't be known. Find asks other gateways if needed, twice for
+// lookupTimeout at most, or until ctx ends.
 func (d *Directory) Find(ctx context.Context, stream Stream, service policy.Key) (Origin, Source) {
 	if origin, source, ok := d.known(stream); ok {
 		return origin, source
@@ -237,11 +237,3 @@
 		l.recordResponse(addr, m)
 	}
 }
-
-// Len returns the number of records.
-func (d *Directory) Len() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.records.expire(time.Now())
-	return len(d.records.byStream)
-}
--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -19,8 +19,8 @@
 const Unnamed Stream = 0
 
 // StreamOf returns the identifier of the stream that a customer's request began, Unnamed if the request
-// has no ID. The hash is
-// cryptographic and covers the customer, so that no customer can name another one's stream.
+// has no ID. The hash is cryptographic and covers the customer, so that no customer can name another
+// one's stream.
 func StreamOf(customer, requestID string) Stream {
 	if requestID == "" {
 		return Unnamed
@@ -46,7 +46,7 @@
 	SourceOwn Source = "own"
 	// SourceRecord: another gateway sent the record.
 	SourceRecord Source = "record"
-	// SourceOnlyVersion: the service has had no other version for longer than a stream lasts.
+	// SourceOnlyVersion: the service has had no other version for as long as a stream lasts.
 	SourceOnlyVersion Source = "only_version"
 	// SourceUnknown: the origin isn't known.
 	SourceUnknown Source = "unknown"
--- a/internal/gateway/peers/config.go
+++ b/internal/gateway/peers/config.go
@@ -1,7 +1,8 @@
-// Package peers exchanges datagrams between gateways. Most are gossip: they hold the sender's load at the backend
-// servers, when it last confirmed its desired state, and what it has observed of servers, requests
-// and the store. A lost datagram isn't retransmitted: the next one holds the sender's state again, and
-// a few lost observations don't matter. The others are those of package origin. Start reading at Mesh.
+// Package peers exchanges datagrams between gateways. Most are gossip: they hold the sender's load at
+// the backend servers, when it last confirmed its desired state, and what it has observed of servers,
+// requests and the store. A lost one isn't retransmitted: the next one holds the sender's state again,
+// and a few lost observations don't matter. The others are those of package origin. Start reading at
+// Mesh.
 package peers
 
 import (
--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -59,8 +59,8 @@
 }
 
 // admitted reports whether the request is admitted at the chosen server. Without a prompt, or if it
-// resumes a stream whose first token the caller already has, it needs only capacity there. A request that was sent before is always admitted: rejecting it would waste
-// the time and work already spent.
+// resumes a stream whose first token the caller already has, it needs only capacity there. A request
+// that was sent before is always admitted: rejecting it would waste the time and work already spent.
 func (c *call) admitted(choice policy.Choice) bool {
 	return choice.InTime || c.sends > 0 || (c.params.PromptTokens == 0 || c.binding.bound) && choice.HasCapacity
 }
