gateway: lines of requests on ended servers tell their prompt segments and how long the answer had lasted

They don't tell whether the requests shared a prompt segment (hypothesis 1), nor whether a server ended at the beginning of an answer or in the middle of one, which tells the request that crashes it from those beside it.

segments= and answered= are set for requests whose server has ended and empty for others.

--- a/internal/gateway/request_observer.go
+++ b/internal/gateway/request_observer.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 
 	"go.uber.org/zap"
 
@@ -55,6 +57,7 @@
 			zap.Int("status", result.Status), zap.String("service", result.Service), zap.String("customer", result.Customer),
 			zap.Int("urgency", result.Urgency), zap.Int("sends", result.Sends), zap.Int("unreached", result.FailedDials), zap.String("last_server", result.Server),
 			zap.Bool("server_ended", result.ServerEnded), zap.Stringer("fingerprint", result.Fingerprint),
+			zap.String("segments", formatSegments(result.Segments)), zap.Duration("answered", result.AnswerTime),
 			zap.Uint64("version", result.StateVersion), zap.Duration("proof_age", result.StateAge),
 			zap.Duration("expected", result.ExpectedTTFT), zap.Duration("took", result.Duration),
 			zap.Int("prompt_tokens", result.PromptTokens), zap.Int("mean_tokens", result.MeanTokens), zap.Int("prefill_tokens", result.PrefillTokens), zap.Int("tokens_ahead", result.TokensAhead),
@@ -62,6 +65,18 @@
 	}
 }
 
+// maxLoggedSegments bounds the prompt segments in a log line.
+const maxLoggedSegments = 16
+
+// formatSegments returns the IDs of prompt segments in hexadecimal, separated by commas.
+func formatSegments(ids []uint64) string {
+	var list []string
+	for _, id := range ids[:min(len(ids), maxLoggedSegments)] {
+		list = append(list, strconv.FormatUint(id, 16))
+	}
+	return strings.Join(list, ",")
+}
+
 // logResumed logs and counts a stream that was resumed, in one response or by its caller.
 func (o requestObserver) logResumed(result router.RequestResult) {
 	o.metrics.StreamResumed(string(result.OriginSource), metrics.Reason(result.Reason))
--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -55,6 +55,7 @@
 		return resultNotSent
 	}
 	c.sends++
+	c.answerTime = 0
 	if err != nil {
 		c.serverEnded = errors.Is(err, exchange.ErrIncomplete) && c.serverHasEnded(server)
 		c.recordCrashEvidence(server)
@@ -64,6 +65,7 @@
 	responseInfo := c.router.Dialect.ParseResponse(response.Status, response.Header)
 	c.updateServerLimit(server, tracked.sentAt, responseInfo)
 	result := c.handleResponse(ctx, response, responseInfo, tracked)
+	c.answerTime = tracked.answerTime()
 	c.serverEnded = response.Incomplete() && c.serverHasEnded(server)
 	c.recordCrashEvidence(server)
 	c.router.observeOutcome(info.ID, c.policyOutcome(ctx, result))
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -94,6 +94,9 @@
 	stream        streamState
 	// serverEnded is set if the server of the last attempt ended while it had the request.
 	serverEnded bool
+	// answerTime is how long that server had been answering when the attempt ended; 0 if it had not
+	// begun.
+	answerTime time.Duration
 	// cachedFingerprint is the result of fingerprint. It is valid if fingerprintCached is set.
 	cachedFingerprint policy.Fingerprint
 	fingerprintCached bool
@@ -193,4 +196,17 @@
 	return shared
 }
 
+// segmentIDs returns the IDs of the prompt segments that other requests may share.
+func (c *call) segmentIDs() []uint64 {
+	segments := c.params.PromptSegments
+	if len(segments) < 2 {
+		return nil
+	}
+	ids := make([]uint64, len(segments)-1)
+	for i := range ids {
+		ids[i] = segments[i].ID
+	}
+	return ids
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -119,6 +119,10 @@
 	// ServerEnded is set if that server ended while it had the request. It is not set for served
 	// requests.
 	ServerEnded bool
+	// Segments are the IDs of the prompt segments that other requests may share, and AnswerTime is
+	// how long the server had been answering. Both are set only if ServerEnded is.
+	Segments   []uint64
+	AnswerTime time.Duration
 	// ExpectedTTFT is the time to first token that was expected when Server was chosen.
 	ExpectedTTFT time.Duration
 	// PromptTokens is the length of the prompt in tokens; 0 for services without prompts. Admission
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -97,6 +97,9 @@
 	}
 	if reason != ReasonServed {
 		result.Fingerprint, result.ServerEnded = c.fingerprint(), c.serverEnded
+		if c.serverEnded {
+			result.Segments, result.AnswerTime = c.segmentIDs(), c.answerTime
+		}
 	}
 	if c.route != nil {
 		result.Route, result.LatencyTarget, result.PauseTarget = c.route.Name, c.route.LatencyTarget, c.route.PauseTarget
--- a/internal/gateway/router/tracked_request.go
+++ b/internal/gateway/router/tracked_request.go
@@ -15,11 +15,22 @@
 	// before the first token, the request's own included.
 	tokensAhead float64
 	sentAt      time.Time
+	// startedAt is when the first byte of the response was read; zero before.
+	startedAt time.Time
+}
+
+// answerTime returns how long the server has been answering; 0 if it has not begun.
+func (t *trackedRequest) answerTime() time.Duration {
+	if t.startedAt.IsZero() {
+		return 0
+	}
+	return time.Since(t.startedAt)
 }
 
 // responseStarted records the first byte of the response. Further calls do nothing.
 func (t *trackedRequest) responseStarted() {
 	if t.MarkStarted() {
+		t.startedAt = time.Now()
 		t.call.router.Observer.ResponseStarted(t.call.customer)
 		t.call.router.observeFirstToken(t.call, t.tokensAhead, time.Since(t.sentAt))
 	}
--- a/testbed/gateway/server_ended_log_test.go
+++ b/testbed/gateway/server_ended_log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -35,3 +36,16 @@
 		t.Error("requests with different bodies have the same fingerprint, or none")
 	}
 }
+
+// Guards against log entries of requests on a crashed server that don't show which prompt segments
+// they had in common, and whether the server had begun to answer.
+func TestLogEntriesShowSegmentsOnEndedServers(t *testing.T) {
+	core, logs := observer.New(zap.DebugLevel)
+	f := gateway.NewFixture(t, gateway.Options{Log: zap.New(core)})
+	servers := startServersCrashingOn(f, 1, gateway.Respond("whole"), hasSegment(deadlySegment))
+	f.WaitFor("the server to crash", func() bool {
+		postPrompt(f, "/unsafe/x", "ends", "1a:10", "dead:20", "7:5")
+		return servers.crashes() > 0
+	})
+	expectLogEntry(t, logs, "ends", "request_unknown", map[string]any{"server_ended": true, "segments": "1a,dead", "answered": time.Duration(0)})
+}
