--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,9 +83,9 @@
 	// gateway doesn't have, stateBehind while they have a newer desired state.
 	serversBehind, stateBehind timedCondition
 	draining                   atomic.Bool
-	// pendingQuarantine holds newly quarantined requests until they are written to the store.
-	// quarantineLoaded is set once the requests quarantined before this gateway started are known.
-	pendingQuarantine chan policy.Suspicion
+	// pendingQuarantine holds changes of the quarantine until they are written to the store.
+	// quarantineLoaded is set once what was quarantined before this gateway started is known.
+	pendingQuarantine chan quarantineChange
 	quarantineLoaded  atomic.Bool
 	// storeHealth is the health of the platform's store as its followers see it. receivingState is
 	// set while a response with the desired state is being received.
@@ -119,7 +119,7 @@
 	g := &gateway{
 		settings: s, platform: p, log: log,
 		holder: &routes.Holder{}, registry: backend.NewRegistry(), pool: exchange.NewPool(),
-		pendingQuarantine: make(chan policy.Suspicion, maxPendingQuarantine),
+		pendingQuarantine: make(chan quarantineChange, maxPendingQuarantine),
 	}
 	g.desiredStateSink = &desiredStateSink{holder: g.holder, registry: g.registry, log: log}
 	var err error
@@ -145,7 +145,7 @@
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
 		Peers: g.mesh, ListedGateways: g.mesh.ListedGateways,
 		Chooser: policy.NewChooser(random, ejector, index), Random: random, Ejector: ejector, PrefixIndex: index, Origins: g.origins,
-		Observer: requestObserver{p.Metrics, log, g.enqueueQuarantined, counter},
+		Observer: requestObserver{p.Metrics, log, g.enqueueQuarantineChange, counter},
 	}, routerBounds(s), g.sheddingCallers)
 	g.registry.OnRemove = g.router.ForgetServer
 	g.servers, g.desiredState = g.newServersFollower(), g.newDesiredStateFollower()
--- a/internal/gateway/peers/broadcast.go
+++ b/internal/gateway/peers/broadcast.go
@@ -41,7 +41,7 @@
 func (m *Mesh) buildSharedState() *sharedState {
 	confirmation := m.Confirmation()
 	store := m.StoreStatus()
-	shared := &sharedState{StateVersion: confirmation.Version, StoreMode: store.mode(), ServersPosition: store.ServersPosition, QuarantineKnown: store.QuarantineKnown}
+	shared := &sharedState{StateVersion: confirmation.Version, StoreMode: store.mode(), ServersPosition: store.ServersPosition, QuarantineKnown: store.QuarantineKnown, SegmentsKnown: store.QuarantineKnown}
 	if m.sequence%zoneAnnouncementInterval == 1 {
 		shared.Zone = zoneKey(m.Zone)
 	}
@@ -61,7 +61,8 @@
 	updates := m.TakeUpdates()
 	shared.PrefixUses, shared.FirstTokens, shared.Pauses = packPrefixUses(updates.PrefixUses), packTTFTSamples(updates.FirstTokens), packPauses(updates.Pauses)
 	now := time.Now()
-	shared.Unanswered, shared.Suspicions, shared.Limits = updates.Unanswered, packSuspicions(now, updates.Suspicions), packLimits(now, updates.Limits)
+	shared.Unanswered, shared.Limits = updates.Unanswered, packLimits(now, updates.Limits)
+	shared.Suspicions, shared.SegmentSuspicions = packSuspicions(now, updates.Suspicions)
 	return shared
 }
 
--- a/internal/gateway/peers/mesh.go
+++ b/internal/gateway/peers/mesh.go
@@ -106,10 +106,16 @@
 // PeerPollsStore reports whether a live peer polls the store for changes.
 func (m *Mesh) PeerPollsStore() bool { return m.table.anyPolling(time.Now()) }
 
-// PeerKnowsQuarantine reports whether a live peer knows the quarantined requests. The datagrams of
-// such a peer repeat them one at a time.
+// PeerKnowsQuarantine reports whether a live peer knows the quarantined requests and segments. The
+// datagrams of such a peer repeat them one at a time.
 func (m *Mesh) PeerKnowsQuarantine() bool { return m.table.anyKnowsQuarantine(time.Now()) }
 
+// OwnsTrial reports whether this gateway makes the trial of quarantined segments with a key: it knows
+// what is quarantined, and no live peer that does has a larger rendezvous hash for the key.
+func (m *Mesh) OwnsTrial(key uint64) bool {
+	return m.StoreStatus().QuarantineKnown && !m.table.anyTrialOwnerBefore(time.Now(), key, rendezvousHash(key, m.Self.Name))
+}
+
 // PeerWithNewerServers returns the address of a live peer that knows changes of the list of
 // backend servers after a position; empty if there is none.
 func (m *Mesh) PeerWithNewerServers(position follow.Position) string {
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -63,11 +63,16 @@
 	// Limits lists the rate limits that servers have stated, with the number of requests that the
 	// sender recently sent to each.
 	Limits []serverLimit `cbor:"12,keyasint,omitempty"`
-	// QuarantineKnown is whether the sender knows the quarantined requests.
+	// QuarantineKnown is whether the sender knows the quarantined requests. Receivers of earlier
+	// releases go by it.
 	QuarantineKnown bool `cbor:"13,keyasint,omitempty"`
 	// Zone announces, in some datagrams, that the sender holds records for others, and the zoneKey of
 	// its zone; 0 in the other datagrams.
 	Zone uint16 `cbor:"14,keyasint,omitempty"`
+	// SegmentSuspicions lists prompt segments during which backend servers crashed.
+	SegmentSuspicions []segmentSuspicion `cbor:"15,keyasint,omitempty"`
+	// SegmentsKnown is whether the sender knows the quarantined requests and segments.
+	SegmentsKnown bool `cbor:"16,keyasint,omitempty"`
 }
 
 // decodedMessage is a datagram with its decoded sharedState.
--- a/internal/gateway/peers/size_test.go
+++ b/internal/gateway/peers/size_test.go
@@ -12,10 +12,10 @@
 // server add to a datagram are part of it.
 func TestEncodedSizesOfSuspicionsAndLimits(t *testing.T) {
 	now := time.Now()
-	makeSuspicions := func(n int) []policy.Suspicion {
+	makeSuspicions := func(n int, segment bool) []policy.Suspicion {
 		list := make([]policy.Suspicion, n)
 		for i := range list {
-			list[i] = policy.Suspicion{Fingerprint: 1<<63 + policy.Fingerprint(i), Seen: now.Add(-time.Hour), Crashes: []policy.Crash{{Instance: 1 << 31, At: now.Add(-time.Hour)}, {Instance: 1 << 30, At: now}, {Instance: 3 << 30, At: now}}}
+			list[i] = policy.Suspicion{ID: policy.SuspectID{Hash: 1<<63 + uint64(i), Segment: segment}, Seen: now.Add(-time.Hour), Crashes: []policy.Crash{{Instance: 1 << 31, At: now.Add(-time.Hour), Ran: time.Second}, {Instance: 1 << 30, At: now, Ran: time.Second}, {Instance: 3 << 30, At: now, Ran: time.Second}}}
 		}
 		return list
 	}
@@ -27,13 +27,21 @@
 		return list
 	}
 	encodedSize := func(s sharedState) int { return len(mustMarshal(t, s)) }
-	perSuspicion := encodedSize(sharedState{Suspicions: packSuspicions(now, makeSuspicions(2))}) - encodedSize(sharedState{Suspicions: packSuspicions(now, makeSuspicions(1))})
+	suspicionsSize := func(n int, segment bool) int {
+		requests, segments := packSuspicions(now, makeSuspicions(n, segment))
+		return encodedSize(sharedState{Suspicions: requests, SegmentSuspicions: segments})
+	}
+	perSuspicion := suspicionsSize(2, false) - suspicionsSize(1, false)
 	if perSuspicion > 50 {
 		t.Errorf("%d bytes for a suspected request with three crashes", perSuspicion)
 	}
+	perSegment := suspicionsSize(2, true) - suspicionsSize(1, true)
+	if perSegment > 60 {
+		t.Errorf("%d bytes for a suspected segment with three crashes", perSegment)
+	}
 	perLimit := encodedSize(sharedState{Limits: packLimits(now, makeLimits(2))}) - encodedSize(sharedState{Limits: packLimits(now, makeLimits(1))})
 	if perLimit > 30 {
 		t.Errorf("%d bytes for a limited server", perLimit)
 	}
-	t.Logf("%d bytes for a suspected request, %d for a limited server", perSuspicion, perLimit)
+	t.Logf("%d bytes for a suspected request, %d for a segment, %d for a limited server", perSuspicion, perSegment, perLimit)
 }
--- a/internal/gateway/peers/store_status.go
+++ b/internal/gateway/peers/store_status.go
@@ -27,7 +27,7 @@
 	// ServersPosition is the position after the newest known change of the list of backend
 	// servers, whether from the store or from a peer; 0 if there is none.
 	ServersPosition follow.Position
-	// QuarantineKnown is whether this gateway knows the quarantined requests, either from the
+	// QuarantineKnown is whether this gateway knows what is quarantined, either from the
 	// store or from gateways that know them.
 	QuarantineKnown bool
 }
@@ -70,7 +70,20 @@
 	return false
 }
 
-// anyKnowsQuarantine reports whether a live peer knows the quarantined requests.
+// anyTrialOwnerBefore reports whether a live peer that knows what is quarantined has a larger rendezvous
+// hash for a key than the given one.
+func (t *table) anyTrialOwnerBefore(now time.Time, key, hash uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, p := range t.peers {
+		if p.isLive(now) && p.quarantineKnown && rendezvousHash(key, name) > hash {
+			return true
+		}
+	}
+	return false
+}
+
+// anyKnowsQuarantine reports whether a live peer knows what is quarantined.
 func (t *table) anyKnowsQuarantine(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/peers/store_status_test.go
+++ b/internal/gateway/peers/store_status_test.go
@@ -44,3 +44,43 @@
 		t.Error("a silent peer is still used")
 	}
 }
+
+// Guards against a starting gateway that leaves the store unread because a gateway of an earlier release
+// knows the quarantined requests: that one doesn't know the segments.
+func TestPeerOfEarlierReleaseDoesNotKnowTheSegments(t *testing.T) {
+	table := newTable()
+	earlier := &decodedMessage{message: message{From: "earlier", BootID: 1, Sequence: 1}, sharedState: sharedState{QuarantineKnown: true}}
+	table.update(time.Now(), "127.0.0.1:1", earlier)
+	if table.anyKnowsQuarantine(time.Now()) {
+		t.Error("a gateway of an earlier release counts as knowing the quarantined segments")
+	}
+}
+
+// Guards against several gateways that each make the trial of a quarantined segment, and against a trial
+// that none makes: each key has one owner among the gateways that know what is quarantined.
+func TestTrialHasOneOwner(t *testing.T) {
+	a, b, _ := newMeshPair(t)
+	known := func() StoreStatus { return StoreStatus{Reachable: true, QuarantineKnown: true} }
+	a.Config.StoreStatus, b.Config.StoreStatus = known, known
+	deliver(t, a, b)
+	deliver(t, b, a)
+	owned := 0
+	for key := range uint64(100) {
+		if a.OwnsTrial(key) == b.OwnsTrial(key) {
+			t.Fatalf("key %d: both gateways own the trial, or none", key)
+		}
+		if a.OwnsTrial(key) {
+			owned++
+		}
+	}
+	if owned < 20 || owned > 80 {
+		t.Errorf("a owns %d trials of 100", owned)
+	}
+	b.Config.StoreStatus = func() StoreStatus { return StoreStatus{Reachable: true} }
+	deliver(t, b, a)
+	for key := range uint64(100) {
+		if !a.OwnsTrial(key) || b.OwnsTrial(key) {
+			t.Fatalf("key %d: want the trial owned by the gateway that knows what is quarantined", key)
+		}
+	}
+}
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -38,7 +38,7 @@
 	// change of the list of backend servers that it knows.
 	storeMode       storeMode
 	serversPosition follow.Position
-	// quarantineKnown is whether the peer knows the quarantined requests.
+	// quarantineKnown is whether the peer knows the quarantined requests and segments.
 	quarantineKnown bool
 	// zone is the zoneKey that the peer last announced; 0 if it doesn't hold records.
 	zone  uint16
@@ -89,7 +89,7 @@
 		p.zone = in.Zone
 	}
 	p.addr, p.bootID, p.sequence, p.lastReceived, p.lastStamp = addr, in.BootID, in.Sequence, now, in.Stamp
-	p.stateVersion, p.storeMode, p.serversPosition, p.quarantineKnown = in.StateVersion, in.StoreMode, in.ServersPosition, in.QuarantineKnown
+	p.stateVersion, p.storeMode, p.serversPosition, p.quarantineKnown = in.StateVersion, in.StoreMode, in.ServersPosition, in.SegmentsKnown
 	p.loads, p.offerCounts, p.limits = in.Loads, in.OfferCounts, in.Limits
 	return true
 }
--- a/internal/gateway/peers/updates_test.go
+++ b/internal/gateway/peers/updates_test.go
@@ -47,14 +47,14 @@
 	a, b, _ := newMeshPair(t)
 	now := time.Now()
 	sent := []policy.Suspicion{
-		{Fingerprint: 1<<63 + 5, Seen: now.Add(-2 * time.Minute), Crashes: []policy.Crash{{Instance: 0xfffffff0, At: now.Add(-time.Hour)}, {Instance: 3, At: now}}},
-		{Fingerprint: 7, Cleared: now.Add(-time.Minute)},
+		{ID: policy.Fingerprint(1<<63 + 5).ID(), Seen: now.Add(-2 * time.Minute), Crashes: []policy.Crash{{Instance: 0xfffffff0, At: now.Add(-time.Hour)}, {Instance: 3, At: now}}},
+		{ID: policy.Fingerprint(7).ID(), Cleared: now.Add(-time.Minute)},
 	}
 	a.TakeUpdates = func() policy.PeerUpdate { return policy.PeerUpdate{Suspicions: sent} }
 	var merged []policy.Suspicion
 	b.MergeUpdates = func(updates policy.PeerUpdate) { merged = append(merged, updates.Suspicions...) }
 	deliver(t, a, b)
-	if len(merged) != 2 || merged[0].Fingerprint != sent[0].Fingerprint || len(merged[0].Crashes) != 2 || !merged[0].Cleared.IsZero() || merged[1].Crashes != nil {
+	if len(merged) != 2 || merged[0].ID != sent[0].ID || len(merged[0].Crashes) != 2 || !merged[0].Cleared.IsZero() || merged[1].Crashes != nil {
 		t.Fatalf("merged %+v, sent %+v", merged, sent)
 	}
 	checkTime := func(got, want time.Time) {
@@ -106,3 +106,28 @@
 		t.Errorf("%v requests still counted for a silent gateway", got)
 	}
 }
+
+// Suspicions of segments are sent apart from those of requests, which gateways of earlier releases read:
+// such a gateway would take a segment for a request, and have the segment explain the crashes of the
+// request that it has to quarantine.
+func TestSegmentSuspicionsReachPeers(t *testing.T) {
+	a, b, _ := newMeshPair(t)
+	now := time.Now()
+	sent := []policy.Suspicion{
+		{ID: policy.Fingerprint(7).ID(), Crashes: []policy.Crash{{Instance: 4, At: now}}},
+		{ID: policy.SegmentID(7).ID(), Cleared: now.Add(-time.Minute), Seen: now, Crashes: []policy.Crash{{Instance: 3, At: now.Add(-time.Second), Ran: 250 * time.Millisecond}}},
+	}
+	a.TakeUpdates = func() policy.PeerUpdate { return policy.PeerUpdate{Suspicions: sent} }
+	var merged []policy.Suspicion
+	b.MergeUpdates = func(updates policy.PeerUpdate) { merged = append(merged, updates.Suspicions...) }
+	deliver(t, a, b)
+	if len(merged) != 2 || merged[0].ID != sent[0].ID || merged[1].ID != sent[1].ID || len(merged[1].Crashes) != 1 || merged[1].Crashes[0].Ran != sent[1].Crashes[0].Ran {
+		t.Fatalf("merged %+v, sent %+v", merged, sent)
+	}
+	if d := merged[1].Cleared.Sub(sent[1].Cleared); d < -time.Second || d > time.Second {
+		t.Errorf("cleared %v from the time sent", d)
+	}
+	if shared := a.buildSharedState(); len(shared.Suspicions) != 1 || len(shared.SegmentSuspicions) != 1 {
+		t.Errorf("%d suspicions where earlier releases read them, want that of the request only", len(shared.Suspicions))
+	}
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -13,50 +13,60 @@
 )
 
 const (
-	// quarantineRetention is how long after its last crash a stored quarantined request is still
+	// quarantineRetention is how long after its last crash a stored request or segment is still
 	// loaded by starting gateways.
 	quarantineRetention = 24 * time.Hour
 	// minPeerWait is the shortest time that a starting gateway waits for other gateways to announce
-	// that they know the quarantined requests, before it reads the store. A random delay of up to
+	// that they know what is quarantined, before it reads the store. A random delay of up to
 	// the same length is added, so that only a few of the gateways that start together read the
 	// store.
 	minPeerWait = 300 * time.Millisecond
-	// maxPeerWait is how long a starting gateway receives the quarantined requests from others that
-	// know them. Their datagrams repeat the requests one at a time; dozens arrive in that time.
+	// maxPeerWait is how long a starting gateway receives what is quarantined from others that know
+	// it. Their datagrams repeat the suspicions one at a time; dozens arrive in that time.
 	maxPeerWait = 2 * time.Second
-	// maxPendingQuarantine bounds the requests waiting to be written to the store. Requests that
-	// aren't written are still known to all gateways as long as one of those gateways runs.
+	// maxPendingQuarantine bounds the changes waiting to be written to the store. What isn't written
+	// is still known to all gateways as long as one of those gateways runs.
 	maxPendingQuarantine = 64
 )
 
-// QuarantineStore persists quarantined requests, so that they outlive the gateways.
+// QuarantineStore persists quarantined requests and prompt segments, so that they outlive the gateways.
 type QuarantineStore interface {
-	// Read returns all stored requests, with a zero Seen.
+	// Read returns all that are stored, with a zero Seen.
 	Read(ctx context.Context) ([]policy.Suspicion, error)
-	// Write stores a request, replacing a stored one with the same fingerprint.
+	// Write stores a suspicion, replacing a stored one with the same ID.
 	Write(ctx context.Context, s policy.Suspicion) error
-	// Delete deletes the request with the fingerprint.
-	Delete(ctx context.Context, f policy.Fingerprint) error
+	// Delete deletes the suspicion with the ID.
+	Delete(ctx context.Context, id policy.SuspectID) error
 }
 
-// syncQuarantine loads the requests quarantined before this gateway started, then writes newly
-// quarantined requests to the store until ctx ends.
+// quarantineChange is a change of the quarantine that is to be written to the store. Only the ID of the
+// suspicion is set if it was released.
+type quarantineChange struct {
+	suspicion policy.Suspicion
+	released  bool
+}
+
+// syncQuarantine loads what was quarantined before this gateway started, then writes changes to the
+// store until ctx ends.
 func (g *gateway) syncQuarantine(ctx context.Context) {
 	g.loadQuarantine(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-g.pendingQuarantine:
+		case change := <-g.pendingQuarantine:
 			g.retryUntilDone(ctx, logging.EventQuarantineFailed, func(ctx context.Context) error {
-				return g.platform.Quarantine.Write(ctx, s)
+				if change.released {
+					return g.platform.Quarantine.Delete(ctx, change.suspicion.ID)
+				}
+				return g.platform.Quarantine.Write(ctx, change.suspicion)
 			})
 		}
 	}
 }
 
-// loadQuarantine gets the quarantined requests from other gateways or, if none of them knows them,
-// from the store.
+// loadQuarantine gets what is quarantined from other gateways or, if none of them knows it, from the
+// store.
 func (g *gateway) loadQuarantine(ctx context.Context) {
 	pause.Sleep(ctx, minPeerWait+rand.N(minPeerWait))
 	for waited := time.Duration(0); waited < maxPeerWait; waited += peerCheckInterval {
@@ -69,7 +79,7 @@
 	g.quarantineLoaded.Store(true)
 }
 
-// readStoredQuarantine loads the quarantined requests from the store, and deletes those whose last
+// readStoredQuarantine loads what is quarantined from the store, and deletes that of which the last
 // crash is longer ago than quarantineRetention. It returns the store's error if reading fails; failed
 // deletions are logged.
 func (g *gateway) readStoredQuarantine(ctx context.Context) error {
@@ -85,21 +95,21 @@
 			current = append(current, s)
 			continue
 		}
-		if err := g.platform.Quarantine.Delete(ctx, s.Fingerprint); err != nil {
+		if err := g.platform.Quarantine.Delete(ctx, s.ID); err != nil {
 			// The next gateway that starts deletes it.
-			g.log.Warn(logging.EventQuarantineFailed, zap.Stringer("fingerprint", s.Fingerprint), logging.Reason(err.Error()))
+			g.log.Warn(logging.EventQuarantineFailed, zap.Stringer("fingerprint", s.ID), logging.Reason(err.Error()))
 		}
 	}
 	g.router.MergeSuspicions(current)
 	return nil
 }
 
-// enqueueQuarantined queues a newly quarantined request to be written to the store. If the queue is
-// full, it logs the request and drops it.
-func (g *gateway) enqueueQuarantined(s policy.Suspicion) {
+// enqueueQuarantineChange queues a change to be written to the store. If the queue is full, it logs
+// the change and drops it.
+func (g *gateway) enqueueQuarantineChange(change quarantineChange) {
 	select {
-	case g.pendingQuarantine <- s:
+	case g.pendingQuarantine <- change:
 	default:
-		g.log.Warn(logging.EventQuarantineFailed, zap.Stringer("fingerprint", s.Fingerprint), logging.Reason("too many requests waiting to be stored"))
+		g.log.Warn(logging.EventQuarantineFailed, zap.Stringer("fingerprint", change.suspicion.ID), logging.Reason("too many changes waiting to be stored"))
 	}
 }
--- a/internal/gateway/request_observer.go
+++ b/internal/gateway/request_observer.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 
 	"go.uber.org/zap"
@@ -16,13 +15,13 @@
 )
 
 // requestObserver implements router.Observer. It counts request outcomes and usage, logs the requests
-// that weren't served and the changes of backend servers that requests reveal, and has quarantined
-// requests stored.
+// that weren't served and the changes of backend servers that requests reveal, and has the
+// quarantine stored.
 type requestObserver struct {
 	metrics *metrics.Metrics
 	log     *zap.Logger
-	// storeQuarantined stores a newly quarantined request.
-	storeQuarantined func(policy.Suspicion)
+	// storeQuarantined stores what was quarantined, or deletes what was released.
+	storeQuarantined func(quarantineChange)
 	// usage counts requests per customer; nil if usage reporting is disabled.
 	usage *usage.Counter
 }
@@ -68,11 +67,11 @@
 // maxLoggedSegments bounds the prompt segments in a log line.
 const maxLoggedSegments = 16
 
-// formatSegments returns the IDs of prompt segments in hexadecimal, separated by commas.
-func formatSegments(ids []uint64) string {
+// formatSegments returns the IDs of prompt segments, separated by commas.
+func formatSegments(ids []policy.SegmentID) string {
 	var list []string
 	for _, id := range ids[:min(len(ids), maxLoggedSegments)] {
-		list = append(list, strconv.FormatUint(id, 16))
+		list = append(list, id.String())
 	}
 	return strings.Join(list, ",")
 }
@@ -108,10 +107,20 @@
 	}
 }
 
-// RequestQuarantined implements router.Observer.
-func (o requestObserver) RequestQuarantined(suspicion policy.Suspicion) {
-	o.log.Warn(logging.EventRequestQuarantined, zap.Stringer("fingerprint", suspicion.Fingerprint), zap.Int("servers_ended", len(suspicion.Crashes)))
-	o.storeQuarantined(suspicion)
+// Quarantined implements router.Observer.
+func (o requestObserver) Quarantined(evidence policy.Suspicion) {
+	if evidence.ID.Segment {
+		o.log.Warn(logging.EventSegmentQuarantined, zap.Stringer("segment", evidence.ID), zap.Int("servers_ended", len(evidence.Crashes)))
+	} else {
+		o.log.Warn(logging.EventRequestQuarantined, zap.Stringer("fingerprint", evidence.ID), zap.Int("servers_ended", len(evidence.Crashes)))
+	}
+	o.storeQuarantined(quarantineChange{suspicion: evidence})
+}
+
+// Released implements router.Observer.
+func (o requestObserver) Released(id policy.SuspectID) {
+	o.log.Info(logging.EventQuarantineEnded, zap.Stringer("fingerprint", id), zap.Bool("segment", id.Segment))
+	o.storeQuarantined(quarantineChange{suspicion: policy.Suspicion{ID: id}, released: true})
 }
 
 // count adds the end of a request to the counter of its outcome.
--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -58,7 +58,7 @@
 	c.answerTime = 0
 	if err != nil {
 		c.serverEnded = errors.Is(err, exchange.ErrIncomplete) && c.serverHasEnded(server)
-		c.recordCrashEvidence(server)
+		c.recordCrashEvidence(server, tracked)
 		return c.handleSendError(ctx, info.ID)
 	}
 	defer response.Abort()
@@ -67,7 +67,7 @@
 	result := c.handleResponse(ctx, response, responseInfo, tracked)
 	c.answerTime = tracked.answerTime()
 	c.serverEnded = response.Incomplete() && c.serverHasEnded(server)
-	c.recordCrashEvidence(server)
+	c.recordCrashEvidence(server, tracked)
 	c.router.observeOutcome(info.ID, c.policyOutcome(ctx, result))
 	return result
 }
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -100,6 +100,8 @@
 	// cachedFingerprint is the result of fingerprint. It is valid if fingerprintCached is set.
 	cachedFingerprint policy.Fingerprint
 	fingerprintCached bool
+	// cachedSegments is the result of segments; nil before it is called.
+	cachedSegments []policy.SegmentID
 	// served is set once a server's complete response has been forwarded.
 	served           bool
 	firstByteLatency time.Duration
@@ -196,17 +198,4 @@
 	return shared
 }
 
-// segmentIDs returns the IDs of the prompt segments that other requests may share.
-func (c *call) segmentIDs() []uint64 {
-	segments := c.params.PromptSegments
-	if len(segments) < 2 {
-		return nil
-	}
-	ids := make([]uint64, len(segments)-1)
-	for i := range ids {
-		ids[i] = segments[i].ID
-	}
-	return ids
-}
-
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -69,6 +69,9 @@
 	LimitedSends(instance policy.Key) float64
 	// LiveGateways returns the number of gateways from which updates arrive, including this one.
 	LiveGateways() int
+	// OwnsTrial reports whether this gateway, of all from which updates arrive, is the one to make the
+	// trial of quarantined segments with a key.
+	OwnsTrial(key uint64) bool
 	// ReportInterval returns the longest time until requests that other gateways send are visible
 	// here.
 	ReportInterval() time.Duration
@@ -89,8 +92,10 @@
 	// ServerLimitChanged is called when a response changes a server's rate limit, and for each
 	// response with an invalid limit.
 	ServerLimitChanged(server string, limit protocol.RateLimit)
-	// RequestQuarantined is called when a request is quarantined, with the evidence.
-	RequestQuarantined(evidence policy.Suspicion)
+	// Quarantined is called when a request or prompt segment is quarantined of which this gateway
+	// has observed a crash, with the evidence, and Released when it no longer is.
+	Quarantined(evidence policy.Suspicion)
+	Released(id policy.SuspectID)
 }
 
 // RequestResult describes how a request ended.
@@ -121,7 +126,7 @@
 	ServerEnded bool
 	// Segments are the IDs of the prompt segments that other requests may share, and AnswerTime is
 	// how long the server had been answering. Both are set only if ServerEnded is.
-	Segments   []uint64
+	Segments   []policy.SegmentID
 	AnswerTime time.Duration
 	// ExpectedTTFT is the time to first token that was expected when Server was chosen.
 	ExpectedTTFT time.Duration
--- a/internal/gateway/router/policy_state.go
+++ b/internal/gateway/router/policy_state.go
@@ -140,11 +140,13 @@
 
 // MergeUpdates applies the updates of another gateway.
 func (r *Router) MergeUpdates(updates policy.PeerUpdate) {
+	if len(updates.Suspicions) > 0 {
+		r.MergeSuspicions(updates.Suspicions)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.PrefixIndex.Merge(now, updates.PrefixUses)
-	r.quarantine.Merge(now, updates.Suspicions)
 	r.limits.Merge(updates.Limits)
 	for _, f := range updates.FirstTokens {
 		r.unresponsive.RecordResponse(f.Server)
--- a/internal/gateway/router/policy_state_test.go
+++ b/internal/gateway/router/policy_state_test.go
@@ -16,6 +16,7 @@
 func (noPeers) LoadAt(string) backend.Counts          { return backend.Counts{} }
 func (noPeers) OfferCounts(string) policy.OfferCounts { return policy.OfferCounts{} }
 func (noPeers) LimitedSends(policy.Key) float64       { return 0 }
+func (noPeers) OwnsTrial(uint64) bool                 { return true }
 func (noPeers) LiveGateways() int                     { return 1 }
 func (noPeers) ReportInterval() time.Duration         { return 100 * time.Millisecond }
 
--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -31,10 +31,22 @@
 	return c.cachedFingerprint
 }
 
+// segments returns the prompt segments that other requests may share: all but the last.
+func (c *call) segments() []policy.SegmentID {
+	if c.cachedSegments == nil && len(c.params.PromptSegments) > 1 {
+		shared := c.params.PromptSegments[:len(c.params.PromptSegments)-1]
+		c.cachedSegments = make([]policy.SegmentID, len(shared))
+		for i := range shared {
+			c.cachedSegments[i] = policy.SegmentID(shared[i].ID)
+		}
+	}
+	return c.cachedSegments
+}
+
 // refuseIfQuarantined reports whether the request is quarantined, and if so, sends the final
 // response.
 func (c *call) refuseIfQuarantined() bool {
-	if !c.router.hasSuspects() || !c.router.isQuarantined(c.fingerprint()) {
+	if !c.router.hasSuspects() || !c.router.isQuarantined(c.fingerprint(), c.segments()) {
 		return false
 	}
 	if c.sends > 0 {
@@ -47,16 +59,34 @@
 
 // recordCrashEvidence records, after an attempt, whether the request may have crashed the server or
 // was served.
-func (c *call) recordCrashEvidence(server *backend.Server) {
+func (c *call) recordCrashEvidence(server *backend.Server, tracked *trackedRequest) {
 	switch {
 	case c.serverEnded:
-		c.router.recordCrash(c.fingerprint(), server.Info().InstanceKey())
+		now := time.Now()
+		crash := policy.Crash{Instance: server.Info().InstanceKey(), At: now, Ran: now.Sub(tracked.sentAt)}
+		var accused []policy.SegmentID
+		if c.answerTime < policy.ProvenAnswerTime {
+			accused = c.segments()
+		}
+		c.router.recordCrash(c.fingerprint(), accused, crash)
 	case c.served:
-		c.router.recordServed(c.fingerprint())
+		c.router.recordServed(c.fingerprint(), c.segments(), tracked.startedAt)
 	}
 }
 
-// hasSuspects reports whether any request is suspected of crashing servers. If not, no fingerprint is
+// observeLongAnswer clears the request's segments once the server has been answering for long enough.
+func (c *call) observeLongAnswer(tracked *trackedRequest) {
+	if tracked.proven || len(c.segments()) == 0 || tracked.answerTime() < policy.ProvenAnswerTime {
+		return
+	}
+	tracked.proven = true
+	r := c.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quarantine.ObserveAnswer(tracked.startedAt, c.segments())
+}
+
+// hasSuspects reports whether anything is suspected of crashing servers. If not, no fingerprint is
 // needed before an attempt.
 func (r *Router) hasSuspects() bool {
 	r.mu.Lock()
@@ -93,14 +123,15 @@
 	}
 }
 
-// isQuarantined reports whether a request is quarantined now.
-func (r *Router) isQuarantined(f policy.Fingerprint) bool {
+// isQuarantined reports whether a request is quarantined now, by its fingerprint or its segments.
+func (r *Router) isQuarantined(f policy.Fingerprint, segments []policy.SegmentID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.quarantine.Quarantined(time.Now(), f)
+	now := time.Now()
+	return r.quarantine.Quarantined(now, f) || r.quarantine.SegmentsQuarantined(now, segments, r.Peers.OwnsTrial)
 }
 
-// QuarantinedCount returns the number of quarantined requests.
+// QuarantinedCount returns the number of quarantined requests and segments.
 func (r *Router) QuarantinedCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -109,30 +140,39 @@
 
 // MergeSuspicions adds suspicions from another source, such as the store.
 func (r *Router) MergeSuspicions(suspicions []policy.Suspicion) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.quarantine.Merge(time.Now(), suspicions)
+	r.updateQuarantine(func(q *policy.Quarantine) { q.Merge(time.Now(), suspicions) })
 }
 
-// recordServed records that a request got a complete response, which counts against suspicion.
-func (r *Router) recordServed(f policy.Fingerprint) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.quarantine.ObserveResponse(time.Now(), f)
+// recordServed records that a request got a complete response, which began at the given time. It counts
+// against suspicion.
+func (r *Router) recordServed(f policy.Fingerprint, segments []policy.SegmentID, began time.Time) {
+	r.updateQuarantine(func(q *policy.Quarantine) {
+		q.ObserveResponse(time.Now(), f)
+		q.ObserveAnswer(began, segments)
+	})
 }
 
 // recordCrash records that a server instance ended while it had the request.
-func (r *Router) recordCrash(f policy.Fingerprint, instance policy.Key) {
-	if quarantined, evidence := r.addCrash(f, instance); quarantined {
-		r.Observer.RequestQuarantined(evidence)
-	}
+func (r *Router) recordCrash(f policy.Fingerprint, segments []policy.SegmentID, crash policy.Crash) {
+	r.updateQuarantine(func(q *policy.Quarantine) {
+		q.ObserveCrash(crash.At, f, crash.Instance)
+		q.ObserveSegmentCrash(segments, crash)
+	})
 }
 
-// addCrash records a crash. It reports whether the request is quarantined from now on, and returns
-// the evidence.
-func (r *Router) addCrash(f policy.Fingerprint, instance policy.Key) (bool, policy.Suspicion) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	quarantined := r.quarantine.ObserveCrash(time.Now(), f, instance)
-	return quarantined, r.quarantine.Suspicion(f)
+// updateQuarantine changes the quarantine, and reports to the Observer what is quarantined or released
+// as a result.
+func (r *Router) updateQuarantine(update func(q *policy.Quarantine)) {
+	quarantined, released := func() ([]policy.Suspicion, []policy.SuspectID) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		update(r.quarantine)
+		return r.quarantine.TakeQuarantined(), r.quarantine.TakeReleased()
+	}()
+	for _, evidence := range quarantined {
+		r.Observer.Quarantined(evidence)
+	}
+	for _, id := range released {
+		r.Observer.Released(id)
+	}
 }
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -98,7 +98,7 @@
 	if reason != ReasonServed {
 		result.Fingerprint, result.ServerEnded = c.fingerprint(), c.serverEnded
 		if c.serverEnded {
-			result.Segments, result.AnswerTime = c.segmentIDs(), c.answerTime
+			result.Segments, result.AnswerTime = c.segments(), c.answerTime
 		}
 	}
 	if c.route != nil {
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -33,6 +33,7 @@
 					return c.brokenResponseResult()
 				}
 				splitter.consume(len(events))
+				c.observeLongAnswer(tracked)
 			}
 			if splitter.pendingBytes() > maxEventBytes {
 				return resultUnknown
--- a/internal/gateway/router/tracked_request.go
+++ b/internal/gateway/router/tracked_request.go
@@ -17,6 +17,8 @@
 	sentAt      time.Time
 	// startedAt is when the first byte of the response was read; zero before.
 	startedAt time.Time
+	// proven is set once the response has lasted for policy.ProvenAnswerTime.
+	proven bool
 }
 
 // answerTime returns how long the server has been answering; 0 if it has not begun.
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -83,8 +83,14 @@
 	// EventRequestQuarantined: a request will be refused because backend servers
 	// terminated while processing it.
 	EventRequestQuarantined = "request_quarantined"
-	// EventQuarantineFailed: the quarantined requests could not be read from the
-	// store, or one of them could not be written to it.
+	// EventSegmentQuarantined: requests with a prompt segment will be refused because
+	// backend servers terminated while processing such requests.
+	EventSegmentQuarantined = "segment_quarantined"
+	// EventQuarantineEnded: a request or prompt segment is no longer refused, since a
+	// backend server has answered it or another one explains the terminations.
+	EventQuarantineEnded = "quarantine_ended"
+	// EventQuarantineFailed: the quarantine could not be read from the store, or a
+	// change could not be written to it.
 	EventQuarantineFailed = "quarantine_failed"
 	// EventIdleConnClosed: a gateway closed a caller's connection that was idle
 	// longer than the limit.
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -11,14 +10,18 @@
 	// quarantineAfter is how many server instances must end while running a request before it
 	// is quarantined.
 	quarantineAfter = 3
+	// segmentQuarantineAfter is the same for a prompt segment. It is larger, because a segment is
+	// shared with requests that must not be refused, and another crash distinguishes it from most
+	// segments beside it.
+	segmentQuarantineAfter = 4
 	// suspectTTL is for how long a suspect is remembered after its last arrival.
 	suspectTTL = time.Hour
 	// minSeenAdvance is the least time between the known arrival and a later one reported by
 	// another gateway that replaces it. Gateways exchange ages without the time in transit, so
 	// an arrival seems newer each time that it is relayed.
 	minSeenAdvance = time.Minute
-	// maxSuspects bounds the suspects. The one with the fewest crashes is evicted first, and
-	// of several the one that was seen least recently.
+	// maxSuspects bounds the suspects. Those with the fewest crashes are evicted first, and of
+	// several those that were seen least recently.
 	maxSuspects = 4096
 	// suspicionRepeats is how many times a change is sent, to make up for lost datagrams.
 	suspicionRepeats = 3
@@ -26,117 +29,104 @@
 	maxPerDatagram = 32
 )
 
-// Fingerprint identifies a request's content: a retry has the fingerprint of the original
-// request.
-type Fingerprint uint64
-
-// String returns the fingerprint in hexadecimal.
-func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
-
-// Crash is the end of a server instance while it ran a request.
-type Crash struct {
-	// Instance identifies the server instance.
-	Instance Key
-	// At is when the instance ended.
-	At time.Time
-}
-
-// Suspicion is what is known about a request that was running when server instances ended.
-type Suspicion struct {
-	Fingerprint Fingerprint
-	// Cleared is when a server last answered the request completely; zero for never.
-	Cleared time.Time
-	// Seen is when the request last arrived at any gateway.
-	Seen time.Time
-	// Crashes are the crashes that count since the request was cleared.
-	Crashes []Crash
-}
-
-// LastCrash returns when the last server instance ended; zero for none.
-func (s Suspicion) LastCrash() time.Time {
-	var last time.Time
-	for _, c := range s.Crashes {
-		if c.At.After(last) {
-			last = c.At
-		}
-	}
-	return last
-}
-
-// Quarantine identifies requests that crash the servers that run them.
+// Quarantine identifies requests and prompt segments that crash the servers that run them.
 //
-// It guards against a request that is retried after each crash, through any gateway: each run
-// takes a server away from all other requests. Such a request is quarantined once
-// quarantineAfter server instances have ended while running it, as reported by all gateways.
+// It guards against a request that is retried after each crash, through any gateway, and against
+// requests of which no two are alike but all have one prompt segment: each run takes a server away
+// from all other requests. A request is quarantined once quarantineAfter server instances have
+// ended while running it, and a segment once segmentQuarantineAfter have, as reported by all
+// gateways.
 //
-// All other requests that ran on a crashed server are suspects as well. A complete response
-// clears a request, also of crashes in the next crashGracePeriod: a frequent request is
-// occasionally cut off by a server's end, and its crashes would add up. Of the remaining
-// suspects, as few are quarantined as explain all crashes: a request that ran beside a
-// quarantined one is quarantined only for other crashes.
+// All requests that ran on a crashed server are suspects, with all segments that other requests
+// share. A complete response clears a request, and an answer clears its segments, also of crashes
+// in the grace period after it: what is frequent is occasionally cut off by a server's end, and its
+// crashes would add up. Of the remaining suspects, as few are quarantined as explain all crashes;
+// see quarantineDecision.
 //
 // Not safe for concurrent use.
 type Quarantine struct {
-	suspects map[Fingerprint]*suspect
-	// quarantined holds the quarantined requests; nil if it must be recomputed.
-	quarantined map[Fingerprint]bool
-	lastSweep   time.Time
+	suspects map[SuspectID]*suspect
+	// decision says what is quarantined; nil if it must be computed again.
+	decision  *quarantineDecision
+	lastSweep time.Time
 	// pending holds the suspects with changes to send to other gateways, oldest first.
-	pending []Fingerprint
+	pending []SuspectID
 	// roundRobin holds the suspects that are sent in turn even without changes.
-	roundRobin []Fingerprint
-	// completions holds the recent complete responses at this gateway.
+	roundRobin []SuspectID
+	// completions holds the recent complete responses and answers at this gateway.
 	completions recentCompletions
 	runs        suspectRuns
+	// trials holds when this gateway last made a trial of a segmentGroup, by its key.
+	trials map[uint64]time.Time
 }
 
 // NewQuarantine returns a Quarantine without suspects.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{suspects: map[Fingerprint]*suspect{}, runs: suspectRuns{}}
+	return &Quarantine{suspects: map[SuspectID]*suspect{}, runs: suspectRuns{}, trials: map[uint64]time.Time{}}
 }
 
 // Empty reports whether there are no suspects; no request is quarantined then.
 func (q *Quarantine) Empty() bool { return len(q.suspects) == 0 }
 
-// ObserveCrash records that a server instance ended while it ran a request. It reports whether
-// the request is newly quarantined as a result.
-func (q *Quarantine) ObserveCrash(now time.Time, f Fingerprint, instance Key) bool {
-	before := q.quarantinedSet()[f]
-	if q.record(f, q.completions.lastCompletion(f), Crash{Instance: instance, At: now}) {
-		q.announce(f, q.suspects[f])
-	}
-	q.suspects[f].seen = now
-	return !before && q.quarantinedSet()[f]
+// ObserveCrash records that a server instance ended while it ran a request.
+func (q *Quarantine) ObserveCrash(now time.Time, f Fingerprint, instance Key) {
+	q.observeCrash(f.ID(), Crash{Instance: instance, At: now})
 }
 
 // ObserveResponse records a server's complete response to a request.
-func (q *Quarantine) ObserveResponse(now time.Time, f Fingerprint) {
-	q.completions.add(now, f)
-	if s := q.suspects[f]; s != nil && len(s.crashes) > 0 && q.record(f, now) {
-		q.announce(f, s)
-	}
-}
+func (q *Quarantine) ObserveResponse(now time.Time, f Fingerprint) { q.observeAnswer(now, f.ID()) }
 
 // Quarantined reports whether a request that arrives is quarantined. Each call extends the
 // time for which a suspect is remembered.
 func (q *Quarantine) Quarantined(now time.Time, f Fingerprint) bool {
-	s := q.suspects[f]
+	s := q.suspects[f.ID()]
 	if s == nil {
 		return false
 	}
 	s.seen = now
-	return q.quarantinedSet()[f]
+	return q.decide().requests[f]
+}
+
+// Len returns the number of quarantined requests and segments, those with the same fingerprint or
+// segment once.
+func (q *Quarantine) Len() int {
+	d := q.decide()
+	return len(d.requests) + len(d.segments)
 }
 
-// Len returns the number of quarantined fingerprints.
-func (q *Quarantine) Len() int { return len(q.quarantinedSet()) }
+// Suspicion returns what is known about a suspect; without crashes if nothing is.
+func (q *Quarantine) Suspicion(id SuspectID) Suspicion {
+	if s := q.suspects[id]; s != nil {
+		return s.suspicion(id)
+	}
+	return Suspicion{ID: id}
+}
+
+// TakeQuarantined returns the suspects that have been quarantined since the last call and of which
+// this gateway has observed a crash. Every quarantined suspect is returned by some gateway, unless
+// those that observed its crashes have ended.
+func (q *Quarantine) TakeQuarantined() []Suspicion {
+	var taken []Suspicion
+	for id := range q.decide().ids() {
+		if s := q.suspects[id]; s.observedHere && !s.reported {
+			s.reported = true
+			taken = append(taken, s.suspicion(id))
+		}
+	}
+	return taken
+}
 
-// Suspicion returns what is known about a request; without crashes if nothing is.
-func (q *Quarantine) Suspicion(f Fingerprint) Suspicion {
-	if s := q.suspects[f]; s != nil {
-		return s.suspicion(f)
+// TakeReleased returns the suspects that TakeQuarantined has returned and that have been released
+// since the last call.
+func (q *Quarantine) TakeReleased() []SuspectID {
+	var released []SuspectID
+	for id, s := range q.suspects {
+		if s.reported && !q.decide().contains(id) {
+			s.reported = false
+			released = append(released, id)
+		}
 	}
-	return Suspicion{Fingerprint: f}
+	return released
 }
 
 // Merge merges another gateway's suspicions. If this gateway had a complete response that
@@ -146,109 +136,127 @@
 		if now.Sub(update.Seen) > suspectTTL {
 			continue
 		}
-		q.record(update.Fingerprint, update.Cleared, update.Crashes...)
-		s := q.suspects[update.Fingerprint]
+		q.record(update.ID, update.Cleared, update.Crashes...)
+		s := q.suspects[update.ID]
 		if update.Seen.Sub(s.seen) > minSeenAdvance {
 			s.seen = update.Seen
 		}
-		if last := q.completions.lastCompletion(update.Fingerprint); !last.IsZero() && q.record(update.Fingerprint, last) {
-			q.announce(update.Fingerprint, s)
+		if last := q.completions.lastCompletion(update.ID); !last.IsZero() && q.record(update.ID, last) {
+			q.announce(update.ID, s)
 		}
 	}
 }
 
-// record merges a complete response, if there was one, and crashes into the state of a
-// request. It reports whether that changed the state.
-func (q *Quarantine) record(f Fingerprint, cleared time.Time, crashes ...Crash) bool {
-	s := q.suspect(f)
+// observeCrash records a crash that this gateway observed.
+func (q *Quarantine) observeCrash(id SuspectID, c Crash) {
+	if q.record(id, q.completions.lastCompletion(id), c) {
+		q.suspects[id].observedHere = true
+		q.announce(id, q.suspects[id])
+	}
+	q.suspects[id].seen = c.At
+}
+
+// observeAnswer records an answer at this gateway that clears a suspect.
+func (q *Quarantine) observeAnswer(at time.Time, id SuspectID) {
+	q.completions.add(at, id)
+	if s := q.suspects[id]; s != nil && len(s.crashes) > 0 && q.record(id, at) {
+		q.announce(id, s)
+	}
+}
+
+// record merges an answer, if there was one, and crashes into the state of a suspect. It reports
+// whether that changed the state.
+func (q *Quarantine) record(id SuspectID, cleared time.Time, crashes ...Crash) bool {
+	s := q.suspect(id)
+	before := len(s.crashes)
 	changed := s.clear(cleared)
 	for _, c := range crashes {
 		changed = s.addCrash(c) || changed
 	}
-	if changed {
-		q.quarantined = nil
+	// No threshold is below quarantineAfter, so that fewer crashes decide nothing.
+	if changed && max(before, len(s.crashes)) >= quarantineAfter {
+		q.decision = nil
 	}
 	return changed
 }
 
 // Updates returns the suspicions to send to other gateways now: those that changed here, and
 // one of the others in turn, for gateways that missed it because they started later or were
-// disconnected.
+// disconnected. If more have changed than fit, those with the most crashes go first.
 func (q *Quarantine) Updates(now time.Time) []Suspicion {
 	q.sweep(now)
+	q.pending = slices.DeleteFunc(q.pending, func(id SuspectID) bool { return q.suspects[id] == nil })
+	if len(q.pending) > maxPerDatagram {
+		slices.SortStableFunc(q.pending, func(a, b SuspectID) int { return len(q.suspects[b].crashes) - len(q.suspects[a].crashes) })
+	}
 	var updates []Suspicion
 	remaining := q.pending[:0]
-	for i, f := range q.pending {
-		s := q.suspects[f]
-		switch {
-		case s == nil:
-		case i >= maxPerDatagram:
-			remaining = append(remaining, f)
-		default:
-			updates = append(updates, s.suspicion(f))
-			if s.sendsLeft--; s.sendsLeft > 0 {
-				remaining = append(remaining, f)
-			}
+	for i, id := range q.pending {
+		s := q.suspects[id]
+		if i >= maxPerDatagram {
+			remaining = append(remaining, id)
+			continue
+		}
+		updates = append(updates, s.suspicion(id))
+		if s.sendsLeft--; s.sendsLeft > 0 {
+			remaining = append(remaining, id)
 		}
 	}
 	q.pending = remaining
-	if f, ok := q.nextRoundRobin(); ok && !slices.Contains(q.pending, f) {
-		updates = append(updates, q.suspects[f].suspicion(f))
+	if id, ok := q.nextRoundRobin(); ok && !slices.Contains(q.pending, id) {
+		updates = append(updates, q.suspects[id].suspicion(id))
 	}
 	return updates
 }
 
 // nextRoundRobin returns the next suspect to send in turn, or false if there is none.
-func (q *Quarantine) nextRoundRobin() (Fingerprint, bool) {
+func (q *Quarantine) nextRoundRobin() (SuspectID, bool) {
 	if len(q.roundRobin) == 0 {
-		for f, s := range q.suspects {
+		for id, s := range q.suspects {
 			if s.repeated {
-				q.roundRobin = append(q.roundRobin, f)
+				q.roundRobin = append(q.roundRobin, id)
 			}
 		}
 	}
 	for len(q.roundRobin) > 0 {
-		f := q.roundRobin[len(q.roundRobin)-1]
+		id := q.roundRobin[len(q.roundRobin)-1]
 		q.roundRobin = q.roundRobin[:len(q.roundRobin)-1]
-		if q.suspects[f] != nil {
-			return f, true
+		if q.suspects[id] != nil {
+			return id, true
 		}
 	}
-	return 0, false
+	return SuspectID{}, false
 }
 
 // announce queues a suspect to be sent to other gateways suspicionRepeats times.
-func (q *Quarantine) announce(f Fingerprint, s *suspect) {
+func (q *Quarantine) announce(id SuspectID, s *suspect) {
 	if s.sendsLeft <= 0 {
-		q.pending = append(q.pending, f)
+		q.pending = append(q.pending, id)
 	}
 	s.sendsLeft = suspicionRepeats
 }
 
-// suspect returns the state of a request, and creates it if needed.
-func (q *Quarantine) suspect(f Fingerprint) *suspect {
-	s := q.suspects[f]
+// suspect returns the state of a suspect, and creates it if needed.
+func (q *Quarantine) suspect(id SuspectID) *suspect {
+	s := q.suspects[id]
 	if s == nil {
 		if len(q.suspects) >= maxSuspects {
 			q.evict()
 		}
-		s = &suspect{}
-		q.suspects[f] = s
+		s = newSuspect(id)
+		q.suspects[id] = s
 	}
 	return s
 }
 
-// evict drops the suspect that evictBefore orders before all others.
+// evict drops an eighth of the suspects, the first ones in the order of evictBefore. Many at once,
+// because ordering them takes long and the crash of many servers brings thousands of suspects.
 func (q *Quarantine) evict() {
-	var victim Fingerprint
-	var victimState *suspect
-	for f, s := range q.suspects {
-		if victimState == nil || s.evictBefore(victimState) {
-			victim, victimState = f, s
-		}
+	ids := slices.SortedFunc(maps.Keys(q.suspects), func(a, b SuspectID) int { return q.suspects[a].compareEviction(q.suspects[b]) })
+	for _, id := range ids[:maxSuspects/8] {
+		delete(q.suspects, id)
 	}
-	delete(q.suspects, victim)
-	q.quarantined = nil
+	q.decision = nil
 }
 
 // sweep drops suspects that haven't arrived within suspectTTL, at most once a minute.
@@ -257,38 +265,18 @@
 		return
 	}
 	q.lastSweep = now
+	maps.DeleteFunc(q.trials, func(_ uint64, at time.Time) bool { return now.Sub(at) > suspectTTL })
 	before := len(q.suspects)
-	maps.DeleteFunc(q.suspects, func(_ Fingerprint, s *suspect) bool { return now.Sub(s.seen) > suspectTTL })
+	maps.DeleteFunc(q.suspects, func(_ SuspectID, s *suspect) bool { return now.Sub(s.seen) > suspectTTL })
 	if len(q.suspects) != before {
-		q.quarantined = nil
+		q.decision = nil
 	}
 }
 
-// quarantinedSet returns the suspects that are quarantined. A greedy choice keeps their number
-// small: each round takes the suspect with the most crashes that no quarantined one explains
-// yet, until none has quarantineAfter of them left. All gateways with the same information get
-// the same result. A request that was quarantined for another one's crashes is released by the
-// next crash at which it wasn't running.
-func (q *Quarantine) quarantinedSet() map[Fingerprint]bool {
-	if q.quarantined != nil {
-		return q.quarantined
-	}
-	q.quarantined = map[Fingerprint]bool{}
-	explained := map[Key]bool{}
-	for {
-		var best Fingerprint
-		most := quarantineAfter - 1
-		for f, s := range q.suspects {
-			if n := s.unexplained(explained); n > most || n == most && n >= quarantineAfter && f < best {
-				best, most = f, n
-			}
-		}
-		if most < quarantineAfter {
-			return q.quarantined
-		}
-		q.quarantined[best] = true
-		for _, c := range q.suspects[best].crashes {
-			explained[c.Instance] = true
-		}
+// decide returns what is quarantined.
+func (q *Quarantine) decide() *quarantineDecision {
+	if q.decision == nil {
+		q.decision = newQuarantineDecision(q.suspects)
 	}
+	return q.decision
 }
--- a/policy/quarantine_test.go
+++ b/policy/quarantine_test.go
@@ -43,7 +43,7 @@
 	later := testStart.Add(2*time.Second + crashGracePeriod)
 	q.ObserveCrash(later, 7, KeyOf("c"))
 	// A report of earlier crashes arrives late.
-	q.Merge(later, []Suspicion{{Fingerprint: 7, Seen: later, Crashes: []Crash{{KeyOf("d"), testStart}, {KeyOf("e"), testStart}}}})
+	q.Merge(later, []Suspicion{{ID: Fingerprint(7).ID(), Seen: later, Crashes: []Crash{{Instance: KeyOf("d"), At: testStart}, {Instance: KeyOf("e"), At: testStart}}}})
 	if q.Quarantined(testStart, 7) {
 		t.Error("a request that was answered completely is quarantined")
 	}
--- a/policy/suspect.go
+++ b/policy/suspect.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -15,34 +16,111 @@
 // each time that it is relayed.
 const minClearAdvance = time.Second
 
-// maxCrashes bounds the crashes remembered for a request. It is above quarantineAfter, so that
-// the few requests that explain most crashes stand out.
-const maxCrashes = 8
+// maxCrashes bounds the crashes remembered for a suspect. It is far above the thresholds, so that the
+// few suspects that explain most crashes stand out also when servers end faster than they are known.
+const maxCrashes = 32
 
-// suspect is the state of a request that was running when server instances ended.
+// suspect is the state of a request or segment that was running when server instances ended.
 type suspect struct {
-	// cleared is when a server last answered the request completely; zero for never.
+	segment bool
+	// cleared is when a server last answered a request with it; zero for never.
 	cleared time.Time
 	crashes []Crash
-	// seen is when the request last arrived at any gateway.
+	// seen is when a request with it last arrived at any gateway.
 	seen time.Time
 	// sendsLeft is how many more times the suspect is to be sent to other gateways.
 	sendsLeft int
-	// repeated says that more than one server instance has ended while running the request.
+	// repeated says that more than one server instance has ended while running it.
 	repeated bool
+	// observedHere says that this gateway has observed one of the crashes, and reported that
+	// TakeQuarantined has returned the suspect.
+	observedHere, reported bool
 }
 
-// addCrash records a crash. It reports whether the crash counts and wasn't known.
+func newSuspect(id SuspectID) *suspect { return &suspect{segment: id.Segment} }
+
+// threshold returns the number of crashes after which the suspect is quarantined.
+func (s *suspect) threshold() int {
+	if s.segment {
+		return segmentQuarantineAfter
+	}
+	return quarantineAfter
+}
+
+// gracePeriod returns the time after an answer during which crashes don't count.
+func (s *suspect) gracePeriod() time.Duration {
+	if s.segment {
+		return segmentGracePeriod
+	}
+	return crashGracePeriod
+}
+
+// addCrash records a crash. It reports whether the crash counts and wasn't known, or was known with a
+// request that had been at the instance for longer.
 func (s *suspect) addCrash(c Crash) bool {
-	known := slices.ContainsFunc(s.crashes, func(other Crash) bool { return other.Instance == c.Instance })
-	if known || len(s.crashes) >= maxCrashes || s.withinGracePeriod(c) {
+	if s.withinGracePeriod(c) {
 		return false
 	}
-	s.crashes = append(s.crashes, c)
+	if i := slices.IndexFunc(s.crashes, func(other Crash) bool { return other.Instance == c.Instance }); i >= 0 {
+		if known := &s.crashes[i]; known.Ran > c.Ran {
+			known.Ran = c.Ran
+			return true
+		}
+		return false
+	}
+	crashes := append(slices.Clone(s.crashes), c)
+	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Instance, b.Instance)) })
+	if len(crashes) > maxCrashes {
+		excess := indexOfLargestSample(crashes)
+		if crashes[excess].Instance == c.Instance {
+			return false
+		}
+		crashes = slices.Delete(crashes, excess, excess+1)
+	}
+	s.crashes = crashes
 	s.repeated = s.repeated || len(s.crashes) > 1
 	return true
 }
 
+// independent returns the largest number of crashes of which each ended a request that was sent after
+// the one before. Those at the same time are one piece of evidence: when many servers end at once for
+// another reason, a frequent segment was running at several of them. The crashes are in the order of
+// their times.
+func independent(crashes []Crash) []Crash {
+	var chosen []Crash
+	for _, c := range crashes {
+		if len(chosen) == 0 || !c.sentAt().Before(chosen[len(chosen)-1].At) {
+			chosen = append(chosen, c)
+		}
+	}
+	return chosen
+}
+
+// sample returns a hash of a crash's instance. Of more than maxCrashes crashes, those with the smallest
+// hashes are kept: which ones doesn't depend on the order in which they become known, so that suspects
+// with the same crashes keep the same ones at all gateways.
+func (c Crash) sample() uint64 { return mix(uint64(c.Instance)) }
+
+// indexOfLargestSample returns the index of the crash with the largest sample.
+func indexOfLargestSample(crashes []Crash) int {
+	largest := 0
+	for i, c := range crashes {
+		if c.sample() > crashes[largest].sample() {
+			largest = i
+		}
+	}
+	return largest
+}
+
+// compareCrashes compares two numbers of crashes, of which at most maxCrashes are known each. Of two such
+// samples, the one from more crashes has the smaller hashes.
+func compareCrashes(a, b []Crash) int {
+	if len(a) == maxCrashes && len(b) == maxCrashes {
+		return cmp.Compare(b[indexOfLargestSample(b)].sample(), a[indexOfLargestSample(a)].sample())
+	}
+	return cmp.Compare(len(a), len(b))
+}
+
 // clear records a complete response. It reports whether crashes were dropped as a result.
 func (s *suspect) clear(at time.Time) bool {
 	if at.Sub(s.cleared) < minClearAdvance {
@@ -54,32 +132,37 @@
 	return len(s.crashes) != before
 }
 
-// withinGracePeriod reports whether a crash doesn't count because it happened before the
-// crashGracePeriod after the last complete response had ended.
+// withinGracePeriod reports whether a crash doesn't count because of the last answer.
 func (s *suspect) withinGracePeriod(c Crash) bool {
-	return !s.cleared.IsZero() && !c.At.After(s.cleared.Add(crashGracePeriod))
+	return withinGracePeriod(s.cleared, s.gracePeriod(), c)
 }
 
-// unexplained returns the number of crashes whose instances aren't in explained.
-func (s *suspect) unexplained(explained map[Key]bool) int {
-	n := 0
-	for _, c := range s.crashes {
-		if !explained[c.Instance] {
-			n++
-		}
-	}
-	return n
+// withinGracePeriod reports whether a crash doesn't count because it happened before the grace
+// period after the last answer had ended. cleared is zero if there was no answer.
+func withinGracePeriod(cleared time.Time, grace time.Duration, c Crash) bool {
+	return !cleared.IsZero() && !c.At.After(cleared.Add(grace))
 }
 
-// evictBefore reports whether the suspect is evicted before another one.
-func (s *suspect) evictBefore(other *suspect) bool {
-	if len(s.crashes) != len(other.crashes) {
-		return len(s.crashes) < len(other.crashes)
+// unexplained returns the crashes that aren't explained.
+func (s *suspect) unexplained(explained *explanation) []Crash {
+	return slices.DeleteFunc(slices.Clone(s.crashes), explained.explains)
+}
+
+// count returns how many of the suspect's crashes count as separate evidence: all of them, or only the
+// independent ones if it is a segment that has been answered.
+func (s *suspect) count(crashes []Crash) int {
+	if s.segment && !s.cleared.IsZero() {
+		return len(independent(crashes))
 	}
-	return s.seen.Before(other.seen)
+	return len(crashes)
+}
+
+// compareEviction orders suspects by which of them is evicted first.
+func (s *suspect) compareEviction(other *suspect) int {
+	return cmp.Or(cmp.Compare(len(s.crashes), len(other.crashes)), s.seen.Compare(other.seen))
 }
 
 // suspicion returns the state to send to other gateways.
-func (s *suspect) suspicion(f Fingerprint) Suspicion {
-	return Suspicion{Fingerprint: f, Cleared: s.cleared, Seen: s.seen, Crashes: slices.Clone(s.crashes)}
+func (s *suspect) suspicion(id SuspectID) Suspicion {
+	return Suspicion{ID: id, Cleared: s.cleared, Seen: s.seen, Crashes: slices.Clone(s.crashes)}
 }
--- a/policy/suspect_runs.go
+++ b/policy/suspect_runs.go
@@ -76,22 +76,23 @@
 // indistinguishable returns the other suspects that were running at all crashes of a request;
 // none before its second crash.
 func (q *Quarantine) indistinguishable(f Fingerprint) []Fingerprint {
-	s := q.suspects[f]
+	s := q.suspects[f.ID()]
 	if s == nil || len(s.crashes) < quarantineAfter-1 {
 		return nil
 	}
 	var others []Fingerprint
-	for other, suspect := range q.suspects {
-		if other != f && suspect.sharesCrashes(s) {
-			others = append(others, other)
+	for id, suspect := range q.suspects {
+		if !id.Segment && id != f.ID() && suspect.sharesCrashes(s, nil) {
+			others = append(others, Fingerprint(id.Hash))
 		}
 	}
 	return others
 }
 
-// sharesCrashes reports whether s was running at all crashes of another suspect.
-func (s *suspect) sharesCrashes(other *suspect) bool {
+// sharesCrashes reports whether s was running at all crashes of another suspect, other than the
+// explained ones.
+func (s *suspect) sharesCrashes(other *suspect, explained *explanation) bool {
 	return !slices.ContainsFunc(other.crashes, func(c Crash) bool {
-		return !slices.ContainsFunc(s.crashes, func(own Crash) bool { return own.Instance == c.Instance })
+		return !explained.explains(c) && !slices.ContainsFunc(s.crashes, func(own Crash) bool { return own.Instance == c.Instance })
 	})
 }
