--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -33,7 +33,11 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes; -1 if unknown, 0 for HEAD.
-	Length     int64
+	Length int64
+	// EndsWithConnection is set if the body has neither a length nor chunks. Its end then looks the
+	// same whether the backend server has sent all of it or has ended.
+	EndsWithConnection bool
+
 	body       io.Reader
 	exchange   *exchange
 	incomplete bool
@@ -141,7 +145,8 @@
 		// The Content-Length of a HEAD response is that of the GET response.
 		length = 0
 	}
-	return &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: length, body: httpResp.Body, exchange: e}
+	endsWithConnection := length < 0 && len(httpResp.TransferEncoding) == 0
+	return &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: length, EndsWithConnection: endsWithConnection, body: httpResp.Body, exchange: e}
 }
 
 // Read reads the body. It returns io.EOF after the complete body; any other error wraps one of this
--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -43,7 +43,7 @@
 		// Nothing is sent. The final response depends on mayHaveRun, which stays as it is.
 		return resultUnknown
 	}
-	tracked := &trackedRequest{InFlight: server.Load.Track(c.urgency, c.router.planPrefill(c, choice)), call: c, tokensAhead: choice.TokensAhead, sentAt: time.Now()}
+	tracked := &trackedRequest{InFlight: server.Load.Track(c.urgency, c.router.planPrefill(c, choice)), call: c, server: server, tokensAhead: choice.TokensAhead, sentAt: time.Now()}
 	defer tracked.Finish()
 	defer c.trackSuspectRun(info.ID)()
 	response, err := c.router.Pool.Do(ctx, server.Instance(), c.buildRequest(info, remaining))
@@ -66,7 +66,7 @@
 	c.updateServerLimit(server, tracked.sentAt, responseInfo)
 	result := c.handleResponse(ctx, response, responseInfo, tracked)
 	c.answerTime = tracked.answerTime()
-	c.serverEnded = response.Incomplete() && c.serverHasEnded(server)
+	c.serverEnded = (response.Incomplete() || response.EndsWithConnection && !c.served) && c.serverHasEnded(server)
 	c.recordCrashEvidence(server, tracked)
 	c.router.observeOutcome(info.ID, c.policyOutcome(ctx, result))
 	return result
--- a/internal/gateway/router/buffered_response.go
+++ b/internal/gateway/router/buffered_response.go
@@ -36,7 +36,7 @@
 func (c *call) forwardBuffered(ctx context.Context, response *exchange.Response, tracked *trackedRequest) attemptResult {
 	tracked.responseStarted()
 	body, err := readLimited(response, maxBufferedResponse)
-	if err != nil {
+	if err != nil || len(body) <= maxBufferedResponse && c.endedByCrash(response, tracked.server) {
 		return c.brokenResponseResult()
 	}
 	buffered := &bufferedResponse{status: response.Status, header: c.router.Dialect.CallerHeaders(response.Header), body: body, contentLength: response.Header.Get("Content-Length")}
@@ -50,7 +50,7 @@
 		// A failure status cannot be sent once the stream has started.
 		return resultUnknown
 	case len(body) > maxBufferedResponse:
-		return c.forwardLong(buffered, response)
+		return c.forwardLong(buffered, response, tracked)
 	case isSuccess(response.Status):
 		c.served = true
 		c.writeBuffered(buffered)
@@ -119,7 +119,7 @@
 
 // forwardLong forwards a response that is too long to be buffered. The argument buffered holds its
 // beginning.
-func (c *call) forwardLong(buffered *bufferedResponse, response *exchange.Response) attemptResult {
+func (c *call) forwardLong(buffered *bufferedResponse, response *exchange.Response, tracked *trackedRequest) attemptResult {
 	c.copyHeader(buffered.header)
 	if response.Length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
@@ -131,7 +131,7 @@
 		// buffer.
 		_, err = io.CopyBuffer(struct{ io.Writer }{c.w}, response, make([]byte, copyBufferSize))
 	}
-	if err != nil {
+	if err != nil || c.endedByCrash(response, tracked.server) {
 		return resultTruncated
 	}
 	c.served = true
--- a/internal/gateway/router/server_ended.go
+++ b/internal/gateway/router/server_ended.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/exchange"
 )
 
 // serverHasEnded reports whether a server that broke off a response has ended: its host then refuses
@@ -22,3 +23,9 @@
 	}
 	return true
 }
+
+// endedByCrash reports whether a response of which the end has been read may be incomplete: it ends
+// with its connection, and its server has ended.
+func (c *call) endedByCrash(response *exchange.Response, server *backend.Server) bool {
+	return response.EndsWithConnection && c.serverHasEnded(server)
+}
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -41,7 +41,7 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.pendingBytes() == 0:
+		case errors.Is(err, io.EOF) && splitter.pendingBytes() == 0 && !c.endedByCrash(response, tracked.server):
 			return c.finishStream(response)
 		case errors.Is(err, io.EOF):
 			return resultUnknown
--- a/internal/gateway/router/tracked_request.go
+++ b/internal/gateway/router/tracked_request.go
@@ -10,7 +10,8 @@
 // first token.
 type trackedRequest struct {
 	*backend.InFlight
-	call *call
+	call   *call
+	server *backend.Server
 	// tokensAhead is how many tokens the server was expected, at the time of sending, to prefill
 	// before the first token, the request's own included.
 	tokensAhead float64
