--- a/internal/gateway/router/policy_state.go
+++ b/internal/gateway/router/policy_state.go
@@ -70,14 +70,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.serviceFor(service)
-	// For lack of a better estimate, other gateways are assumed to send as many requests as this
-	// one.
-	requests, tokens := s.sendRate.Expected(now, r.Peers.ReportInterval(), job.Urgency)
+	ownCounts := s.offerCounter.Counts(now)
+	requests, tokens := s.sendRate.ExpectedElsewhere(now, r.Peers.ReportInterval(), job.Urgency, &ownCounts, &offerCounts)
 	// Requests are counted over the whole interval between updates. Tokens are counted over half of
 	// it, the mean age of updates.
-	job.UnreportedRequests, job.UnreportedTokens, job.ReportAge = otherGateways*requests, otherGateways*tokens/2, r.Peers.ReportInterval()/2
+	job.UnreportedRequests, job.UnreportedTokens, job.ReportAge = requests, tokens/2, r.Peers.ReportInterval()/2
 	job.UnreportedOffers, job.OtherGateways = offerCounts.Expected(r.Peers.ReportInterval()), otherGateways
-	ownCounts := s.offerCounter.Counts(now)
 	offerCounts.Add(&ownCounts, 1)
 	r.setAllowances(now, loads)
 	for i := range loads {
--- a/policy/chooser_test.go
+++ b/policy/chooser_test.go
@@ -193,6 +193,49 @@
 	}
 }
 
+// Guards against a gateway that gets most callers' connections and takes the others to send as much as
+// itself: it would refuse what the servers have room for.
+func TestSendsElsewhereFollowWhatOthersReport(t *testing.T) {
+	const rate, interval = 100, 100 * time.Millisecond
+	cases := map[string]struct {
+		// own and others are the requests a second at this gateway and at all others.
+		own, others int
+		// want is the number of requests that the others send within interval.
+		want float64
+	}{
+		"even, six gateways":   {rate / 6, rate * 5 / 6, 8.3},
+		"all here":             {rate, 0, 0},
+		"half here":            {rate / 2, rate / 2, 5},
+		"nearly all elsewhere": {2, rate, 10},
+		"all elsewhere":        {0, rate, 10},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var sends SendRate
+			var ownOffers, otherOffers OfferCounter
+			now := testStart
+			for i := range 3 * 1000 {
+				now = testStart.Add(time.Duration(i) * time.Millisecond)
+				if c.own > 0 && i%(1000/c.own) == 0 {
+					ownOffers.Observe(now, 3, false)
+					sends.CountSent(now, 3, 50)
+				}
+				if c.others > 0 && i%(1000/c.others) == 0 {
+					otherOffers.Observe(now, 3, false)
+				}
+			}
+			own, others := ownOffers.Counts(now), otherOffers.Counts(now)
+			requests, tokens := sends.ExpectedElsewhere(now, interval, 3, &own, &others)
+			if math.Abs(requests-c.want) > 0.35*c.want {
+				t.Errorf("%.1f requests expected from others, want about %.1f", requests, c.want)
+			}
+			if c.own > 0 && math.Abs(tokens-50*requests) > 1 {
+				t.Errorf("%.0f tokens expected with %.1f requests of 50 tokens", tokens, requests)
+			}
+		})
+	}
+}
+
 // A service without servers gives no choice.
 func TestChooseWithoutServers(t *testing.T) {
 	c := newTestChooser()
--- a/policy/direct_simulation_test.go
+++ b/policy/direct_simulation_test.go
@@ -211,9 +211,9 @@
 	}
 	r.job.Headroom = g.headroom.Share(p.time(), g.offers(p.time()), SlotUtilization(servers), r.job.Urgency)
 	if p.estimateUnreported {
-		others := float64(len(p.gateways) - 1)
-		requests, tokens := g.sends.Expected(p.time(), broadcastInterval, r.job.Urgency)
-		r.job.UnreportedRequests, r.job.UnreportedTokens, r.job.ReportAge = others*requests, others*tokens/2, broadcastInterval/2
+		ownOffers := g.offerCounter.Counts(p.time())
+		requests, tokens := g.sends.ExpectedElsewhere(p.time(), broadcastInterval, r.job.Urgency, &ownOffers, &g.otherOffers)
+		r.job.UnreportedRequests, r.job.UnreportedTokens, r.job.ReportAge = requests, tokens/2, broadcastInterval/2
 	}
 	for i := range servers {
 		servers[i].PauseRisk = g.pauses.ExcessRisk(p.time(), KeyOf(servers[i].Name), r.job.Urgency, p.pauseTargets[r.class])
--- a/policy/offer_counts.go
+++ b/policy/offer_counts.go
@@ -28,11 +28,16 @@
 // Expected returns how many requests of all urgency levels are expected to be offered within
 // d.
 func (c *OfferCounts) Expected(d time.Duration) float64 {
+	return c.total() * float64(d) / float64(offerTimeConstant)
+}
+
+// total returns the number of offered requests of all urgency levels.
+func (c *OfferCounts) total() float64 {
 	offered := 0.0
 	for _, level := range c {
 		offered += level.Offered
 	}
-	return offered * float64(d) / float64(offerTimeConstant)
+	return offered
 }
 
 // OfferCounter maintains one gateway's OfferCounts with exponential decay. Not safe for
--- a/policy/send_rate.go
+++ b/policy/send_rate.go
@@ -9,6 +9,10 @@
 // so that the start of a burst counts at once and single requests don't.
 const sendTimeConstant = 300 * time.Millisecond
 
+// minOffersForRatio is how many requests must have been offered to this gateway recently for their
+// number to be compared with what others report.
+const minOffersForRatio = 1.0
+
 // SendRate tracks how many requests a gateway sent recently, and how many tokens are prefilled
 // for those of each urgency level, with exponential decay. Not safe for concurrent use.
 type SendRate struct {
@@ -35,6 +39,24 @@
 	return r.sends * share, tokens * share
 }
 
+// ExpectedElsewhere is Expected for all other gateways together. It scales this gateway's own sends,
+// which respond to a burst at once, by what the others report to be offered relative to what is
+// offered here: callers' connections may be spread unevenly, and a gateway that gets most of them
+// must not take the others to send as much.
+func (r *SendRate) ExpectedElsewhere(now time.Time, d time.Duration, urgency int, own, others *OfferCounts) (requests, tokens float64) {
+	requests, tokens = r.Expected(now, d, urgency)
+	ratio := 0.0
+	switch ownOffered := own.total(); {
+	case ownOffered >= minOffersForRatio:
+		ratio = others.total() / ownOffered
+	case requests > 0:
+		ratio = others.Expected(d) / requests
+	default:
+		return others.Expected(d), 0
+	}
+	return requests * ratio, tokens * ratio
+}
+
 func (r *SendRate) decay(now time.Time) {
 	if !r.updated.IsZero() {
 		factor := math.Exp(-float64(now.Sub(r.updated)) / float64(sendTimeConstant))
