--- a/internal/callers/context.go
+++ b/internal/callers/context.go
@@ -30,8 +30,5 @@
 	if !ok {
 		return
 	}
-	if tcp, ok := conn.Conn.(interface{ SetLinger(int) error }); ok {
-		// An error means that the connection is closed already.
-		_ = tcp.SetLinger(0)
-	}
+	resetOnClose(conn.Conn)
 }
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -32,7 +32,7 @@
 	firstRequestTimeout = 250 * time.Millisecond
 )
 
-// Config holds a Server's settings; all fields are required.
+// Config holds a Server's settings; all fields but Refuse are required.
 type Config struct {
 	Handler http.Handler
 	// HeaderTimeout bounds the reading of a request's header, and MaxHeaderBytes its
@@ -43,7 +43,10 @@
 	// the server runs: the one at the end of an idle period applies. After it was
 	// lowered, ApplyIdleTimeout must be called.
 	IdleTimeout func() time.Duration
-	Log         *zap.Logger
+	// Refuse reports whether a connection that has just been accepted is to be reset before
+	// anything is read from it, so that its caller goes elsewhere; nil for never.
+	Refuse func() bool
+	Log    *zap.Logger
 }
 
 // Server serves the callers of one listener.
@@ -51,6 +54,7 @@
 	http          *http.Server
 	listener      net.Listener
 	idleTimeout   func() time.Duration
+	refuse        func() bool
 	headerTimeout time.Duration
 	log           *zap.Logger
 	// acceptDone is closed when no more connections are accepted.
@@ -66,7 +70,7 @@
 // New returns a Server that owns l. Serve starts it.
 func New(l net.Listener, config Config) *Server {
 	s := &Server{
-		listener: l, idleTimeout: config.IdleTimeout, headerTimeout: config.HeaderTimeout, log: config.Log,
+		listener: l, idleTimeout: config.IdleTimeout, refuse: config.Refuse, headerTimeout: config.HeaderTimeout, log: config.Log,
 		acceptDone: make(chan struct{}), conns: map[*Conn]struct{}{}, drained: make(chan struct{}),
 	}
 	s.http = &http.Server{
--- a/internal/gateway/caller_server_test.go
+++ b/internal/gateway/caller_server_test.go
@@ -93,7 +93,7 @@
 				_, _ = io.WriteString(w, "done")
 			case <-r.Context().Done():
 			}
-		}), func() time.Duration { return testIdleTimeout }, zap.NewNop())
+		}), func() time.Duration { return testIdleTimeout }, nil, zap.NewNop())
 		served := make(chan struct{})
 		go func() {
 			defer close(served)
@@ -123,7 +123,7 @@
 		serverConn, callerConn := net.Pipe()
 		server := newCallerServer(newSingleConnListener(serverConn), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, "done")
-		}), func() time.Duration { return testIdleTimeout }, zap.NewNop())
+		}), func() time.Duration { return testIdleTimeout }, nil, zap.NewNop())
 		served, drained := make(chan struct{}), make(chan struct{})
 		go func() {
 			defer close(served)
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -95,6 +95,11 @@
 	// EventIdleConnClosed: a gateway closed a caller's connection that was idle
 	// longer than the limit.
 	EventIdleConnClosed = "caller_closed"
+	// EventOverloaded: the process gets too little processor time and refuses new
+	// connections of callers.
+	EventOverloaded = "overloaded"
+	// EventOverloadEnded: the process accepts new connections again.
+	EventOverloadEnded = "overload_ended"
 	// EventServerError: the HTTP server reported an internal error, such as a
 	// panic in a request handler.
 	EventServerError = "server_error"
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -68,3 +68,6 @@
 // ServerEnded counts a backend server instance that terminated while it had requests of
 // this gateway.
 func (m *Metrics) ServerEnded() { counter(m.registry, familyServersEnded).Inc(1) }
+
+// ConnectionRefused counts a caller's connection that was reset before anything was read.
+func (m *Metrics) ConnectionRefused() { counter(m.registry, familyConnectionsRefused).Inc(1) }
