program: SIGHUP doesn't terminate a process that has just started

Operators saw a gateway end without a line in its log, to be started again. Cause: SIGHUP's default action is to terminate, and a process handled it only from runServe on, after the initialization of all packages.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"io"
+	"slices"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
+
+	"github.com/applepier/applepier/internal/earlysignal"
 )
 
 // Program describes one of the two executables. S is the type of its settings.
@@ -48,6 +51,10 @@
 // Run executes the command line and returns the exit code. args[0] is the program
 // name, as in os.Args. Output goes to out, errors go to errOut.
 func (p Program[S]) Run(ctx context.Context, args []string, out, errOut io.Writer) ExitCode {
+	if !slices.Contains(args, serveCommandName) {
+		// Other commands end with their terminal.
+		earlysignal.Release()
+	}
 	root := &cli.Command{
 		Name:            p.Name,
 		Usage:           p.Usage,
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -10,14 +10,18 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/earlysignal"
 	"github.com/applepier/applepier/internal/logging"
 )
 
-const flagSettings = "settings"
+const (
+	flagSettings     = "settings"
+	serveCommandName = "serve"
+)
 
 func (p Program[S]) serveCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "serve",
+		Name:  serveCommandName,
 		Usage: "run the process until SIGTERM or SIGINT",
 		Description: "The first signal begins a graceful shutdown: new work is refused and running work is completed.\n" +
 			"A later SIGINT terminates the process immediately.\n\n" +
@@ -46,6 +50,7 @@
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
 	defer signal.Stop(sighup)
+	earlysignal.Release()
 	path := command.String(flagSettings)
 	settings, err := p.loadSettings(path)
 	if err != nil {
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -96,7 +96,10 @@
 	if err != nil {
 		return err
 	}
-	return p.ready.wait(ctx, p.Name, i.done)
+	if err := p.ready.wait(ctx, p.Name, i.done); err != nil {
+		return errors.Wrapf(err, "PID %d, exited: %v (%s)", i.cmd.Process.Pid, i.exited(), p.ExitReason())
+	}
+	return nil
 }
 
 func (p *Process) runningInstance() (*instance, error) {
@@ -114,7 +117,7 @@
 		return err
 	}
 	if err := i.cmd.Process.Signal(sig); err != nil {
-		return errors.Wrapf(err, "signal %s to %s", sig, p.Name)
+		return errors.Wrapf(err, "signal %s to %s, PID %d", sig, p.Name, i.cmd.Process.Pid)
 	}
 	return nil
 }
