--- a/testbed/cmd/soak/command.go
+++ b/testbed/cmd/soak/command.go
@@ -32,6 +32,7 @@
 			&cli.StringFlag{Name: "earlier", Usage: "path of the gateway program of an earlier release, which every other gateway runs"},
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "number of seeds to run concurrently"},
 			&cli.StringFlag{Name: "evidence", Usage: "folder for the evidence of failed seeds; the system's temporary folder if empty"},
+			&cli.BoolFlag{Name: "segments", Usage: "send requests with a prompt segment that crashes servers"},
 			&cli.BoolFlag{Name: "keep", Usage: "keep the evidence of passing seeds as well"},
 		},
 		Action: run,
@@ -75,7 +76,7 @@
 		workers.Go(func() {
 			result, err := soak.Run(ctx, soak.Config{
 				Seed: cmd.Uint64("seed") + uint64(n), For: cmd.Duration("for"), Gateways: cmd.Int("gateways"),
-				Gateway: gateway, Earlier: cmd.String("earlier"), Soak: self, Evidence: cmd.String("evidence"), Keep: cmd.Bool("keep"),
+				Gateway: gateway, Earlier: cmd.String("earlier"), Soak: self, Evidence: cmd.String("evidence"), Keep: cmd.Bool("keep"), Segments: cmd.Bool("segments"),
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/testbed/soak/call.go
+++ b/testbed/soak/call.go
@@ -58,6 +58,10 @@
 	Timeout time.Duration
 	// Stray reports whether unsolicited bytes were received before the request.
 	Stray bool
+	// Segments is the list of the request's prompt segments as it was sent; empty if it has no
+	// prompt. Deadly is the segment among them that crashes servers; empty for none.
+	Segments string
+	Deadly   string
 }
 
 // runsAtMostOnce reports whether the request may run at most once.
--- a/testbed/soak/caller.go
+++ b/testbed/soak/caller.go
@@ -36,6 +36,8 @@
 	record func(Call)
 	// others are the gateways at which the caller resumes streams.
 	others []*gatewayProcess
+	// prompts is whether requests have prompts.
+	prompts bool
 
 	conn         net.Conn
 	reader       *bufio.Reader
@@ -58,7 +60,11 @@
 		if kind != kindOpen {
 			key = c.state.drawKey(c.random)
 		}
-		call := c.send(Call{ID: fmt.Sprintf("%s-%d", c.name, n), Kind: kind, Key: key})
+		call := Call{ID: fmt.Sprintf("%s-%d", c.name, n), Kind: kind, Key: key}
+		if c.prompts {
+			call.Segments = soundSegments(call.ID)
+		}
+		call = c.send(call)
 		c.record(call)
 		c.resume(ctx, call)
 		if call.Err != "" {
@@ -112,7 +118,7 @@
 		}
 		call := again.send(Call{
 			ID: fmt.Sprintf("%s-again-%d", broken.stream(), n), Kind: broken.Kind, Key: broken.Key,
-			Resumes: broken.stream(), After: eventCount(received),
+			Resumes: broken.stream(), After: eventCount(received), Segments: broken.Segments,
 		})
 		again.closeConn()
 		c.record(call)
@@ -134,6 +140,9 @@
 	if call.Resumes != "" {
 		request += fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", call.Resumes, call.After)
 	}
+	if call.Segments != "" {
+		request += "X-Token-Count: 100,10\r\nX-Prefix-Hash: " + call.Segments + "\r\n"
+	}
 	if call.Key != "" {
 		request += "Authorization: Bearer " + call.Key + "\r\n"
 	}
--- a/testbed/soak/check.go
+++ b/testbed/soak/check.go
@@ -30,6 +30,8 @@
 	checkSingleHolder    = "one at a time"
 	checkVersions        = "one version"
 	checkResumptions     = "resumed"
+	checkDeadlySegments  = "deadly segments"
+	checkSoundRequests   = "sound requests"
 )
 
 // indexedHistory is a History with its arrivals indexed by request ID.
@@ -59,6 +61,7 @@
 	}
 	indexed.verifyVersions(report)
 	indexed.verifyResumptions(report)
+	indexed.verifySegments(report)
 	indexed.verifyRevokedKeys(report)
 	indexed.verifyStops(report)
 	indexed.verifyReadings(report)
--- a/testbed/soak/check_test.go
+++ b/testbed/soak/check_test.go
@@ -239,3 +239,70 @@
 		t.Error("different seeds yield the same steps")
 	}
 }
+
+// deadlyHistory returns a history in which requests with a deadly segment come for 20 s, beside sound
+// ones: eight crash servers, five of them in the first second and the others when they may, and the
+// rest is refused.
+func deadlyHistory() *History {
+	h := &History{Bounds: validHistory().Bounds}
+	add := func(c Call) *Call {
+		c.Gateway, c.Kind, c.Done, c.Written, c.Timeout = "gateway-0", kindUnsafe, c.Sent.Add(100*time.Millisecond), true, time.Second
+		h.Calls = append(h.Calls, c)
+		return &h.Calls[len(h.Calls)-1]
+	}
+	crash := func(id string, seconds float64) {
+		add(Call{ID: id, Deadly: "dead0", Segments: "1a:1,dead0:1,2:1", Sent: at(seconds), Status: 502})
+		h.Arrivals = append(h.Arrivals, Arrival{ID: id, Server: "server-0", At: at(seconds), Ran: true, Crashed: true})
+		h.Faults = append(h.Faults, Fault{"server-0", kindServerCrash, at(seconds), at(seconds)})
+	}
+	for i := range 60 {
+		id := fmt.Sprint("sound-", i)
+		add(Call{ID: id, Segments: "1a:1,2:1", Sent: at(float64(i)), Status: 200, Signed: true, Whole: true, Body: expectedBody(kindUnsafe, id, 0)})
+	}
+	for i := range crashesUntilKnown {
+		crash(fmt.Sprint("first-", i), 10+0.2*float64(i))
+	}
+	for i := range lateRuns {
+		crash(fmt.Sprint("late-", i), 20+float64(i))
+	}
+	add(Call{ID: "refused", Deadly: "dead0", Segments: "1a:1,dead0:1,3:1", Sent: at(45), Status: 503})
+	return h
+}
+
+// The checks of deadly segments report one late run too many and sound requests that are refused, and
+// nothing that is allowed.
+func TestCheckDeadlySegments(t *testing.T) {
+	late := func(h *History) {
+		h.Calls = append(h.Calls, Call{ID: "one-more", Gateway: "gateway-0", Kind: kindUnsafe, Deadly: "dead0", Segments: "1a:1,dead0:1,4:1", Sent: at(30), Done: at(30.1), Status: 502})
+		h.Arrivals = append(h.Arrivals, Arrival{ID: "one-more", Server: "server-0", At: at(30), Ran: true, Crashed: true})
+	}
+	refuse := func(h *History, from, to int) {
+		for i := from; i < to; i++ {
+			h.Calls[i].Status, h.Calls[i].Signed, h.Calls[i].Body = 503, false, ""
+		}
+	}
+	cases := map[string]struct {
+		change func(h *History)
+		want   string
+	}{
+		"as allowed":                     {func(*History) {}, ""},
+		"one run too many":               {late, checkDeadlySegments},
+		"one too many, gateway cut off":  {func(h *History) { late(h); h.Faults = append(h.Faults, Fault{"gateway-0", kindCut, at(28), at(29)}) }, ""},
+		"one too many, earlier release":  {func(h *History) { late(h); h.Earlier = []string{"gateway-0"} }, ""},
+		"sound ones refused":             {func(h *History) { refuse(h, 20, 44) }, checkSoundRequests},
+		"sound ones refused until known": {func(h *History) { refuse(h, 10, 19) }, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := deadlyHistory()
+			c.change(h)
+			violations := Check(*h)
+			switch {
+			case c.want == "" && len(violations) > 0:
+				t.Errorf("got %v, want none", violations)
+			case c.want != "" && (len(violations) != 1 || violations[0].Check != c.want):
+				t.Errorf("got %v, want one of %q", violations, c.want)
+			}
+		})
+	}
+}
--- a/testbed/soak/harness.go
+++ b/testbed/soak/harness.go
@@ -71,6 +71,7 @@
 		if err != nil {
 			return h, err
 		}
+		s.direct = c.Segments
 		h.servers = append(h.servers, s)
 		h.beginServerSpan(s)
 		if err := s.startInstance(ctx); err != nil {
@@ -234,6 +235,11 @@
 			return h.history, errors.Wrap(err, "read arrivals of "+filepath.Join(dir, s.name))
 		}
 		h.history.Arrivals = append(h.history.Arrivals, arrivals...)
+		for _, a := range arrivals {
+			if a.Crashed {
+				h.history.Faults = append(h.history.Faults, Fault{Who: a.Server, Kind: kindServerCrash, From: a.At, To: a.At})
+			}
+		}
 	}
 	// The record covers the calls that the platform has received so far.
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
--- a/testbed/soak/history.go
+++ b/testbed/soak/history.go
@@ -66,6 +66,8 @@
 	Script string
 	Ran    bool
 	Cut    bool
+	// Crashed reports whether the server crashed as it began to answer.
+	Crashed bool `json:",omitempty"`
 }
 
 // Fault is an unplanned failure of a process or network path. Who is the name of
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -40,6 +40,9 @@
 	// Evidence is the folder under which a failed seed's logs, settings, steps
 	// and history are kept; the system's temporary folder if empty.
 	Evidence string
+	// Segments gives requests prompts, and sends waves of requests with a segment that crashes the
+	// servers that answer it. Servers then crash for no other reason, but for kills at random.
+	Segments bool
 	// Keep keeps the evidence of a passing seed as well.
 	Keep bool
 }
@@ -55,8 +58,10 @@
 	// Resumed is the number of streams that callers resumed, and WentOn the number of
 	// those that went on.
 	Resumed, WentOn int
-	Steps           int
-	Violations      []Violation
+	// Crashes is the number of servers that crashed under a segment.
+	Crashes    int
+	Steps      int
+	Violations []Violation
 	// Evidence is the folder that was kept; empty if it was removed.
 	Evidence string
 }
@@ -66,6 +71,9 @@
 	if len(r.Violations) > 0 {
 		verdict = fmt.Sprintf("FAILED, %d violations, evidence in %s", len(r.Violations), r.Evidence)
 	}
+	if r.Crashes > 0 {
+		verdict = fmt.Sprintf("%d servers crashed by segments: %s", r.Crashes, verdict)
+	}
 	return fmt.Sprintf("seed %d: %d steps, %d calls, %d served, %d owed a response, %d of %d resumed streams went on: %s", r.Seed, r.Steps, r.Calls, r.Served, r.Owed, r.WentOn, r.Resumed, verdict)
 }
 
@@ -77,8 +85,16 @@
 		return Result{}, errors.Wrap(err, "create evidence folder")
 	}
 	steps := Plan(c.Seed, c.Gateways, serverCount, c.For)
+	if c.Segments {
+		steps = withoutServerLifecycle(steps)
+	}
 	history, err := runSeed(ctx, c, dir, steps)
 	result := Result{Seed: c.Seed, Calls: len(history.Calls), Owed: CountOwed(history), Steps: len(steps), Violations: Check(history)}
+	for _, a := range history.Arrivals {
+		if a.Crashed {
+			result.Crashes++
+		}
+	}
 	for _, call := range history.Calls {
 		if isSuccess(call.Status) && call.Whole {
 			result.Served++
@@ -126,11 +142,17 @@
 			loadCaller := &caller{
 				name: fmt.Sprintf("c%d-%d", n, i), gateway: g.name, addr: g.frontProxy.addr(),
 				random: rand.New(rand.NewPCG(c.Seed, uint64(n*callersPerGateway+i)+1<<32)), state: h.states, record: h.recordCall,
-				others: h.otherGateways(n),
+				others: h.otherGateways(n), prompts: c.Segments,
 			}
 			workers.Go(func() { loadCaller.run(work) })
 		}
 	}
+	if c.Segments {
+		for _, s := range h.servers {
+			workers.Go(func() { h.superviseServer(work, s) })
+		}
+		workers.Go(func() { h.sendDeadlyWaves(work) })
+	}
 	h.runSteps(work, steps)
 	var probes sync.WaitGroup
 	for _, g := range h.gateways {
--- a/testbed/soak/serverprocess.go
+++ b/testbed/soak/serverprocess.go
@@ -27,6 +27,9 @@
 	programs                *fleet.ProcessGroup
 	store                   *storeProcess
 	startCount              int
+	// direct has gateways connect to the process itself instead of the proxy, so that its address
+	// refuses connections when it has crashed.
+	direct bool
 	// version is the software version of the current instance.
 	version string
 	// startedAt is when it was started, and entryCount how many entries were written.
@@ -73,8 +76,12 @@
 // ready or draining.
 func (s *serverProcess) list(ctx context.Context, state string) error {
 	s.entryCount++
+	addr := s.proxy.addr()
+	if s.direct {
+		addr = s.listenAddr
+	}
 	entry, err := json.Marshal(map[string]any{
-		"service": "plain", "addr": s.proxy.addr(), "zone": "z", "version": s.version, "slots": serverSlots,
+		"service": "plain", "addr": addr, "zone": "z", "version": s.version, "slots": serverSlots,
 		"state": state, "seq": s.entryCount, "warmup-left-ms": 0, "born": s.startedAt.UnixMilli(),
 	})
 	if err != nil {
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -15,21 +15,36 @@
 	// hand with the command soak.
 	soakSeed     = 1
 	soakDuration = 8 * time.Second
+	// segmentSoakDuration leaves each wave of deadly requests some seconds after the time in which
+	// gateways have to know the segment.
+	segmentSoakDuration = 20 * time.Second
 )
 
 // TestShortSoak runs one seed against three gateway processes and fails on any
 // violation. A failed run keeps its evidence; the command soak replays its seed.
 func TestShortSoak(t *testing.T) {
+	runSeed(t, soak.Config{Seed: soakSeed, For: soakDuration, Gateways: 3})
+}
+
+// TestShortSegmentSoak is TestShortSoak with prompt segments that crash servers.
+func TestShortSegmentSoak(t *testing.T) {
+	result := runSeed(t, soak.Config{Seed: soakSeed, For: segmentSoakDuration, Gateways: 3, Segments: true})
+	if result.Crashes == 0 {
+		t.Error("no server crashed under a segment")
+	}
+}
+
+// runSeed builds the programs and runs a seed.
+func runSeed(t *testing.T, c soak.Config) soak.Result {
+	t.Helper()
 	dir := t.TempDir()
 	build := exec.CommandContext(t.Context(), "go", "build", "-o", dir+string(filepath.Separator),
 		"github.com/applepier/applepier/cmd/applepier", "github.com/applepier/applepier/testbed/cmd/soak")
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("go build: %v: %s", err, output)
 	}
-	result, err := soak.Run(t.Context(), soak.Config{
-		Seed: soakSeed, For: soakDuration, Gateways: 3, Evidence: os.TempDir(),
-		Gateway: filepath.Join(dir, "applepier"), Soak: filepath.Join(dir, "soak"),
-	})
+	c.Evidence, c.Gateway, c.Soak = os.TempDir(), filepath.Join(dir, "applepier"), filepath.Join(dir, "soak")
+	result, err := soak.Run(t.Context(), c)
 	t.Log(result)
 	for _, v := range result.Violations {
 		t.Error(v)
@@ -40,4 +55,5 @@
 	if result.Served == 0 || result.Owed == 0 {
 		t.Error("no call was served, or none was owed a response")
 	}
+	return result
 }
--- a/testbed/soak/standins.go
+++ b/testbed/soak/standins.go
@@ -51,11 +51,25 @@
 		respondWith := scriptByName(scriptName, version)
 		return func(c net.Conn, a *gateway.ReceivedRequest) bool {
 			arrival := Arrival{ID: a.ID, Server: name, At: time.Now(), Script: scriptName, Ran: scriptName != "refuse", Cut: scriptName == "half"}
+			arrival.Crashed = crashesServer(a) && answersInScript(scriptName)
+			if arrival.Crashed {
+				// Another request may make the server crash during the delay.
+				time.Sleep(crashDelay(a.ID))
+				arrival.At = time.Now()
+			}
 			writing.Lock()
 			// Recorded before the request runs, so that no run of a killed
 			// process is missing.
 			err := json.NewEncoder(file).Encode(arrival)
+			if arrival.Crashed {
+				// The lock is kept, so that nothing is recorded after the crash.
+				beginAnswer(c, a, version)
+				os.Exit(crashExitCode)
+			}
 			writing.Unlock()
+			if err == nil && endsWithConnection(a) && scriptName == scriptNames[0] {
+				respondWith = delayed(maxServiceMS, respondUntilClose(version))
+			}
 			return err == nil && respondWith(c, a)
 		}
 	}
