policy: quarantined suspects are repeated apart from others, and changes are taken once

A gateway that was cut off learned of what is quarantined only after all other suspects with several crashes, one a datagram in random order: TestReconnectedGatewayLearnsQuarantinedSegmentFirst, 500 suspects beside the segment, failed before. Of four datagrams one has a quarantined suspect now and one another, instead of one suspect in each: the traffic of unchanged suspicions is halved.

What was quarantined or released is compared with the last decision only when there is a new one, not after each response.

--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -167,7 +167,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		update(r.quarantine)
-		return r.quarantine.TakeQuarantined(), r.quarantine.TakeReleased()
+		return r.quarantine.TakeChanges()
 	}()
 	for _, evidence := range quarantined {
 		r.Observer.Quarantined(evidence)
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -27,6 +27,9 @@
 	suspicionRepeats = 3
 	// maxPerDatagram bounds the changed suspicions sent at once.
 	maxPerDatagram = 32
+	// updatesPerTurn is the number of updates of which one has a quarantined suspect and one another
+	// suspect, although they haven't changed. A gateway that starts hears of them from all others.
+	updatesPerTurn = 4
 )
 
 // Quarantine identifies requests and prompt segments that crash the servers that run them.
@@ -51,18 +54,25 @@
 	lastSweep time.Time
 	// pending holds the suspects with changes to send to other gateways, oldest first.
 	pending []SuspectID
-	// roundRobin holds the suspects that are sent in turn even without changes.
-	roundRobin []SuspectID
+	// quarantinedTurn and suspectTurn hold the quarantined suspects, and the others with several
+	// crashes, that are still to be sent in turn even without changes. updateCount counts the calls
+	// of Updates.
+	quarantinedTurn, suspectTurn []SuspectID
+	updateCount                  int
 	// completions holds the recent complete responses and answers at this gateway.
 	completions recentCompletions
 	runs        suspectRuns
+	// reported holds the suspects that TakeChanges has returned as quarantined, and reportedDecision is
+	// the decision that it went by.
+	reported         map[SuspectID]bool
+	reportedDecision *quarantineDecision
 	// trials holds when this gateway last made a trial of a segmentGroup, by its key.
 	trials map[uint64]time.Time
 }
 
 // NewQuarantine returns a Quarantine without suspects.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{suspects: map[SuspectID]*suspect{}, runs: suspectRuns{}, trials: map[uint64]time.Time{}}
+	return &Quarantine{suspects: map[SuspectID]*suspect{}, runs: suspectRuns{}, reported: map[SuspectID]bool{}, trials: map[uint64]time.Time{}}
 }
 
 // Empty reports whether there are no suspects; no request is quarantined then.
@@ -102,31 +112,32 @@
 	return Suspicion{ID: id}
 }
 
-// TakeQuarantined returns the suspects that have been quarantined since the last call and of which
-// this gateway has observed a crash. Every quarantined suspect is returned by some gateway, unless
-// those that observed its crashes have ended.
-func (q *Quarantine) TakeQuarantined() []Suspicion {
-	var taken []Suspicion
-	for id := range q.decide().ids() {
-		if s := q.suspects[id]; s.observedHere && !s.reported {
-			s.reported = true
-			taken = append(taken, s.suspicion(id))
+// TakeChanges returns the suspects that have been quarantined since the last call and of which this
+// gateway has observed a crash, and those that it returned so before and that have been released. Every
+// quarantined suspect is returned by some gateway, unless those that observed its crashes have ended.
+func (q *Quarantine) TakeChanges() (quarantined []Suspicion, released []SuspectID) {
+	decision := q.decide()
+	if decision == q.reportedDecision {
+		return nil, nil
+	}
+	q.reportedDecision = decision
+	for id := range decision.ids() {
+		if s := q.suspects[id]; s.observedHere && !q.reported[id] {
+			q.reported[id] = true
+			quarantined = append(quarantined, s.suspicion(id))
 		}
 	}
-	return taken
-}
-
-// TakeReleased returns the suspects that TakeQuarantined has returned and that have been released
-// since the last call.
-func (q *Quarantine) TakeReleased() []SuspectID {
-	var released []SuspectID
-	for id, s := range q.suspects {
-		if s.reported && !q.decide().contains(id) {
-			s.reported = false
+	for id := range q.reported {
+		if decision.contains(id) {
+			continue
+		}
+		delete(q.reported, id)
+		// A suspect that is no longer known wasn't released by any evidence.
+		if q.suspects[id] != nil {
 			released = append(released, id)
 		}
 	}
-	return released
+	return quarantined, released
 }
 
 // Merge merges another gateway's suspicions. If this gateway had a complete response that
@@ -180,8 +191,8 @@
 	return changed
 }
 
-// Updates returns the suspicions to send to other gateways now: those that changed here, and
-// one of the others in turn, for gateways that missed it because they started later or were
+// Updates returns the suspicions to send to other gateways now: those that changed here, and at
+// times one of the others in turn, for gateways that missed it because they started later or were
 // disconnected. If more have changed than fit, those with the most crashes go first.
 func (q *Quarantine) Updates(now time.Time) []Suspicion {
 	q.sweep(now)
@@ -203,24 +214,39 @@
 		}
 	}
 	q.pending = remaining
-	if id, ok := q.nextRoundRobin(); ok && !slices.Contains(q.pending, id) {
+	if id, ok := q.nextInTurn(); ok && !slices.Contains(q.pending, id) {
 		updates = append(updates, q.suspects[id].suspicion(id))
 	}
 	return updates
 }
 
-// nextRoundRobin returns the next suspect to send in turn, or false if there is none.
-func (q *Quarantine) nextRoundRobin() (SuspectID, bool) {
-	if len(q.roundRobin) == 0 {
+// nextInTurn returns the suspect to send in turn in this update, or false if there is none. Quarantined
+// suspects have updates of their own, so that a gateway that missed them learns of them soon, however
+// many others there are.
+func (q *Quarantine) nextInTurn() (SuspectID, bool) {
+	q.updateCount++
+	switch q.updateCount % updatesPerTurn {
+	case 0:
+		return q.takeTurn(&q.quarantinedTurn, func(id SuspectID, _ *suspect) bool { return q.decide().contains(id) })
+	case updatesPerTurn / 2:
+		return q.takeTurn(&q.suspectTurn, func(id SuspectID, s *suspect) bool { return s.repeated && !q.decide().contains(id) })
+	}
+	return SuspectID{}, false
+}
+
+// takeTurn removes and returns the last of the suspects that are still to be sent in turn. If none is
+// left, it begins again with all for which includes returns true.
+func (q *Quarantine) takeTurn(turn *[]SuspectID, includes func(SuspectID, *suspect) bool) (SuspectID, bool) {
+	if len(*turn) == 0 {
 		for id, s := range q.suspects {
-			if s.repeated {
-				q.roundRobin = append(q.roundRobin, id)
+			if includes(id, s) {
+				*turn = append(*turn, id)
 			}
 		}
 	}
-	for len(q.roundRobin) > 0 {
-		id := q.roundRobin[len(q.roundRobin)-1]
-		q.roundRobin = q.roundRobin[:len(q.roundRobin)-1]
+	for len(*turn) > 0 {
+		id := (*turn)[len(*turn)-1]
+		*turn = (*turn)[:len(*turn)-1]
 		if q.suspects[id] != nil {
 			return id, true
 		}
--- a/policy/segment_simulation_test.go
+++ b/policy/segment_simulation_test.go
@@ -68,7 +68,7 @@
 	SegmentsQuarantined(now time.Time, segments []SegmentID, owns func(key uint64) bool) bool
 	Updates(now time.Time) []Suspicion
 	Merge(now time.Time, suspicions []Suspicion)
-	TakeQuarantined() []Suspicion
+	TakeChanges() (quarantined []Suspicion, released []SuspectID)
 }
 
 // segmentRun is a request that runs at a server.
@@ -157,7 +157,9 @@
 					to.Merge(sim.now, updates)
 				}
 			}
-			sim.stored = append(sim.stored, from.TakeQuarantined()...)
+			quarantined, released := from.TakeChanges()
+			sim.stored = slices.DeleteFunc(sim.stored, func(s Suspicion) bool { return slices.Contains(released, s.ID) })
+			sim.stored = append(sim.stored, quarantined...)
 		}
 		if sim.now.Before(end) {
 			sim.gossip(end)
--- a/policy/segment_suspects_test.go
+++ b/policy/segment_suspects_test.go
@@ -182,18 +182,20 @@
 	now := testStart.Add(10 * time.Second)
 	exchange(now)
 	for i, q := range observers {
-		if taken := q.TakeQuarantined(); len(taken) != 1 || taken[0].ID != SegmentID(7).ID() || len(taken[0].Crashes) != segmentQuarantineAfter || len(q.TakeQuarantined()) != 0 {
-			t.Errorf("gateway %d: reported %+v, want the segment once", i, taken)
+		taken, _ := q.TakeChanges()
+		if again, _ := q.TakeChanges(); len(taken) != 1 || taken[0].ID != SegmentID(7).ID() || len(taken[0].Crashes) != segmentQuarantineAfter || len(again) != 0 {
+			t.Errorf("gateway %d: reported %+v, then %+v, want the segment once", i, taken, again)
 		}
 	}
-	if taken := bystander.TakeQuarantined(); len(taken) != 0 || bystander.Len() != 1 {
+	if taken, _ := bystander.TakeChanges(); len(taken) != 0 || bystander.Len() != 1 {
 		t.Errorf("a gateway that observed no crash reported %+v, %d quarantined", taken, bystander.Len())
 	}
 	bystander.ObserveAnswer(now, []SegmentID{7})
 	exchange(now)
 	for i, q := range observers {
-		if released := q.TakeReleased(); len(released) != 1 || len(q.TakeReleased()) != 0 {
-			t.Errorf("gateway %d: %v released", i, released)
+		_, released := q.TakeChanges()
+		if _, again := q.TakeChanges(); len(released) != 1 || len(again) != 0 {
+			t.Errorf("gateway %d: %v released, then %v, want the segment once", i, released, again)
 		}
 	}
 }
@@ -251,3 +253,39 @@
 		t.Error("want the segment of all crashes quarantined, and only it")
 	}
 }
+
+// Guards against a gateway that was cut off, and learns of a quarantined segment only after hundreds of
+// other suspects.
+func TestReconnectedGatewayLearnsQuarantinedSegmentFirst(t *testing.T) {
+	gateways := make([]*Quarantine, 6)
+	for i := range gateways {
+		gateways[i] = NewQuarantine()
+	}
+	last := quarantineSegments(gateways[1], 7)
+	for i := range 500 {
+		crashSegments(gateways[1], last.Add(time.Second), "a", SegmentID(1000+i))
+		crashSegments(gateways[1], last.Add(2*time.Second), "b", SegmentID(1000+i))
+	}
+	now := last.Add(time.Minute)
+	broadcast := func(to []*Quarantine) {
+		for _, from := range gateways[1:] {
+			updates := from.Updates(now)
+			for _, g := range to {
+				if g != from {
+					g.Merge(now, updates)
+				}
+			}
+		}
+		now = now.Add(gossipInterval)
+	}
+	for range 200 {
+		broadcast(gateways[1:])
+	}
+	// The first gateway is connected again.
+	for range 10 {
+		broadcast(gateways)
+	}
+	if !gateways[0].SegmentsQuarantined(now, []SegmentID{7}, never) {
+		t.Error("a gateway that was disconnected admits the segment a second after it reconnected")
+	}
+}
--- a/policy/suspect.go
+++ b/policy/suspect.go
@@ -32,9 +32,8 @@
 	sendsLeft int
 	// repeated says that more than one server instance has ended while running it.
 	repeated bool
-	// observedHere says that this gateway has observed one of the crashes, and reported that
-	// TakeQuarantined has returned the suspect.
-	observedHere, reported bool
+	// observedHere says that this gateway has observed one of the crashes.
+	observedHere bool
 }
 
 func newSuspect(id SuspectID) *suspect { return &suspect{segment: id.Segment} }
