gateway: operators list what is quarantined and lift it

A quarantine that is wrong, or whose cause has been repaired, could be ended only by removing its row from the store and restarting all gateways (open since the first incident of this kind), and a segment may concern many callers. GET /quarantine at the administration address lists requests and segments, DELETE /quarantine/KIND/ID releases one at all gateways, as an answer would: the gateway that is asked tells the others, and those that stored it delete its row. TestOperatorsLiftQuarantine.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -240,7 +240,7 @@
 	}
 }
 
-// adminRoutes returns the handler of the readiness check and the metrics.
+// adminRoutes returns the handler of the readiness check, the metrics and the quarantine.
 func (g *gateway) adminRoutes() http.Handler {
 	mux := httprouter.New()
 	mux.GET(g.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -249,6 +249,7 @@
 		}
 	})
 	mux.HandlerFunc(http.MethodGet, metrics.PathMetrics, g.platform.Metrics.Serve)
+	g.addQuarantineRoutes(mux)
 	return mux
 }
 
--- a/internal/gateway/router/quarantine.go
+++ b/internal/gateway/router/quarantine.go
@@ -138,6 +138,20 @@
 	return r.quarantine.Len()
 }
 
+// Quarantined returns what is known about the quarantined requests and segments.
+func (r *Router) Quarantined() []policy.Suspicion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.quarantine.List()
+}
+
+// LiftQuarantine releases a quarantined request or segment at all gateways. It returns false if the
+// suspect isn't quarantined.
+func (r *Router) LiftQuarantine(id policy.SuspectID) (lifted bool) {
+	r.updateQuarantine(func(q *policy.Quarantine) { lifted = q.Lift(time.Now(), id) })
+	return lifted
+}
+
 // MergeSuspicions adds suspicions from another source, such as the store.
 func (r *Router) MergeSuspicions(suspicions []policy.Suspicion) {
 	r.updateQuarantine(func(q *policy.Quarantine) { q.Merge(time.Now(), suspicions) })
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -89,6 +89,9 @@
 	// EventQuarantineEnded: a request or prompt segment is no longer refused, since a
 	// backend server has answered it or another one explains the terminations.
 	EventQuarantineEnded = "quarantine_ended"
+	// EventQuarantineLifted: an operator lifted the quarantine of a request or prompt
+	// segment.
+	EventQuarantineLifted = "quarantine_lifted"
 	// EventQuarantineFailed: the quarantine could not be read from the store, or a
 	// change could not be written to it.
 	EventQuarantineFailed = "quarantine_failed"
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -104,6 +104,34 @@
 	return len(d.requests) + len(d.segments)
 }
 
+// List returns what is known about the quarantined suspects, in a fixed order.
+func (q *Quarantine) List() []Suspicion {
+	var list []Suspicion
+	for id := range q.decide().ids() {
+		list = append(list, q.suspects[id].suspicion(id))
+	}
+	slices.SortFunc(list, func(a, b Suspicion) int {
+		switch {
+		case a.ID == b.ID:
+			return 0
+		case a.ID.before(b.ID):
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Lift releases a quarantined suspect as an answer would, at this gateway and, by the next updates, at
+// the others. It returns false if the suspect isn't quarantined.
+func (q *Quarantine) Lift(now time.Time, id SuspectID) bool {
+	if !q.decide().contains(id) || !q.record(id, now) {
+		return false
+	}
+	q.announce(id, q.suspects[id])
+	return true
+}
+
 // Suspicion returns what is known about a suspect; without crashes if nothing is.
 func (q *Quarantine) Suspicion(id SuspectID) Suspicion {
 	if s := q.suspects[id]; s != nil {
--- a/testbed/gateway/crashable_servers_test.go
+++ b/testbed/gateway/crashable_servers_test.go
@@ -28,12 +28,12 @@
 type crashableServers struct {
 	fixture *gateway.Fixture
 	script  gateway.Script
+	// mu guards the fields below; no other lock is acquired while it is held.
+	mu sync.Mutex
 	// crashesOn reports whether a request crashes the server that runs it.
 	crashesOn func(*gateway.ReceivedRequest) bool
-	// mu guards the fields below; no other lock is acquired while it is held.
-	mu      sync.Mutex
-	started int
-	crashed int
+	started   int
+	crashed   int
 	// lastWords is sent in response to a request that crashes the server, before the crash; nil
 	// sends nothing.
 	lastWords func(c net.Conn, r *gateway.ReceivedRequest)
@@ -61,7 +61,7 @@
 	cs.mu.Unlock()
 	self := make(chan *gateway.Server, 1)
 	self <- cs.fixture.StartServer(instance, func(c net.Conn, r *gateway.ReceivedRequest) bool {
-		if !cs.crashesOn(r) {
+		if !cs.crashOn(r) {
 			return cs.script(c, r)
 		}
 		select {
@@ -109,6 +109,20 @@
 	return cs.lastWords
 }
 
+// crashOn reports whether a request crashes the server that runs it.
+func (cs *crashableServers) crashOn(r *gateway.ReceivedRequest) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.crashesOn(r)
+}
+
+// setCrashesOn replaces the function that reports whether a request crashes its server.
+func (cs *crashableServers) setCrashesOn(crashesOn func(*gateway.ReceivedRequest) bool) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.crashesOn = crashesOn
+}
+
 // setLastWords has servers send the header of a chunked stream and the given text before they crash.
 func (cs *crashableServers) setLastWords(text string) {
 	cs.setResponseStart(func(c net.Conn, r *gateway.ReceivedRequest) {
--- a/testbed/gateway/fixture.go
+++ b/testbed/gateway/fixture.go
@@ -294,6 +294,16 @@
 	return req
 }
 
+// AdminRequest returns an operator's request to the gateway's administration address.
+func (f *Fixture) AdminRequest(method, path string) *http.Request {
+	f.t.Helper()
+	req, err := http.NewRequest(method, "http://"+f.AdminAddr+path, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return req
+}
+
 // Response is a response as the caller received it.
 type Response struct {
 	Status int
--- a/testbed/gateway/segment_quarantine_test.go
+++ b/testbed/gateway/segment_quarantine_test.go
@@ -236,3 +236,45 @@
 		return false
 	}
 }
+
+// Operators can list what is quarantined and lift it, at one gateway for all, with its row in the store.
+func TestOperatorsLiftQuarantine(t *testing.T) {
+	t.Parallel()
+	fixtures := startGateways(t, 2, 0)
+	servers := startServersCrashingOn(fixtures[0], 12, respondByRoute, hasSegment(deadlySegment))
+	for i, f := range fixtures {
+		f.WaitFor("the gateway to serve", func() bool { return f.Post("/unsafe/warm", fmt.Sprintf("warm-%d", i)).Status == http.StatusOK })
+	}
+	for i := range 8 {
+		postPrompt(fixtures[0], "/stream/x", fmt.Sprintf("deadly-%d", i), "dead:20", fmt.Sprintf("%x:5", 1000+i))
+		time.Sleep(60 * time.Millisecond)
+	}
+	crashed := servers.crashes()
+	list := func(f *gateway.Fixture) string {
+		return f.Do(f.AdminRequest(http.MethodGet, "/quarantine")).Body
+	}
+	fixtures[1].WaitFor("the other gateway to list the segment", func() bool {
+		return strings.Contains(list(fixtures[1]), `"kind":"segment","id":"dead"`)
+	})
+	fixtures[0].WaitFor("the store to have the segment", func() bool { return slices.Contains(fixtures[0].Store.Keys("quarantined-segments"), "dead") })
+	for path, want := range map[string]int{"/quarantine/segment/zz": 400, "/quarantine/other/dead": 400, "/quarantine/segment/beef": 404, "/quarantine/request/dead": 404} {
+		if got := fixtures[1].Do(fixtures[1].AdminRequest(http.MethodDelete, path)); got.Status != want {
+			t.Errorf("DELETE %s: status %d, want %d", path, got.Status, want)
+		}
+	}
+	// The servers have been repaired.
+	servers.setCrashesOn(func(*gateway.ReceivedRequest) bool { return false })
+	if got := fixtures[1].Do(fixtures[1].AdminRequest(http.MethodDelete, "/quarantine/segment/dead")); got.Status != http.StatusNoContent {
+		t.Errorf("DELETE: got %+v", got)
+	}
+	for i, f := range fixtures {
+		f.WaitFor("the segment to be released", func() bool { return list(f) == "[]\n" })
+		if got := postPrompt(f, "/stream/x", fmt.Sprintf("released-%d", i), "dead:20", "5000:5"); got.Status != http.StatusOK {
+			t.Errorf("gateway %d: got %+v", i, got)
+		}
+	}
+	fixtures[0].WaitFor("the store not to have the segment", func() bool { return !slices.Contains(fixtures[0].Store.Keys("quarantined-segments"), "dead") })
+	if servers.crashes() != crashed {
+		t.Errorf("%d servers crashed after the quarantine was lifted", servers.crashes()-crashed)
+	}
+}
