earlysignal: the test's child waits for its signal

Failed once without the race detector: any thread may get the signal, so that the child could exit before it did. It stays alive for the time in which it is to be ended, or to live on.

--- a/internal/earlysignal/hangup_test.go
+++ b/internal/earlysignal/hangup_test.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // childEnv makes the test binary send itself SIGHUP instead of running the tests; its value tells
@@ -13,14 +14,18 @@
 const childEnv = "APPLEPIER_TEST_HANGUP"
 
 func TestMain(m *testing.M) {
+	// Any thread may get the signal, after Kill has returned.
+	lifetime := 200 * time.Millisecond
 	switch os.Getenv(childEnv) {
 	case "":
 		os.Exit(m.Run())
 	case "released":
 		Release()
+		lifetime = 10 * time.Second
 	}
-	// An error can't happen: a process may signal itself. The signal is delivered before Kill returns.
+	// An error can't happen: a process may signal itself.
 	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	time.Sleep(lifetime)
 	os.Exit(0)
 }
 
