--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -110,15 +111,7 @@
 	for id := range q.decide().ids() {
 		list = append(list, q.suspects[id].suspicion(id))
 	}
-	slices.SortFunc(list, func(a, b Suspicion) int {
-		switch {
-		case a.ID == b.ID:
-			return 0
-		case a.ID.before(b.ID):
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b Suspicion) int { return a.ID.compare(b.ID) })
 	return list
 }
 
@@ -271,6 +264,7 @@
 				*turn = append(*turn, id)
 			}
 		}
+		slices.SortFunc(*turn, SuspectID.compare)
 	}
 	for len(*turn) > 0 {
 		id := (*turn)[len(*turn)-1]
@@ -306,7 +300,9 @@
 // evict drops an eighth of the suspects, the first ones in the order of evictBefore. Many at once,
 // because ordering them takes long and the crash of many servers brings thousands of suspects.
 func (q *Quarantine) evict() {
-	ids := slices.SortedFunc(maps.Keys(q.suspects), func(a, b SuspectID) int { return q.suspects[a].compareEviction(q.suspects[b]) })
+	ids := slices.SortedFunc(maps.Keys(q.suspects), func(a, b SuspectID) int {
+		return cmp.Or(q.suspects[a].compareEviction(q.suspects[b]), a.compare(b))
+	})
 	for _, id := range ids[:maxSuspects/8] {
 		delete(q.suspects, id)
 	}
--- a/policy/quarantine_decision.go
+++ b/policy/quarantine_decision.go
@@ -73,7 +73,7 @@
 		if s.count(crashes) < s.threshold() {
 			continue
 		}
-		if order := compareCrashes(crashes, most); order > 0 || order == 0 && id.before(best) {
+		if order := compareCrashes(crashes, most); order > 0 || order == 0 && id.compare(best) < 0 {
 			best, most = id, crashes
 		}
 	}
--- a/policy/suspicion.go
+++ b/policy/suspicion.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 )
@@ -34,12 +35,16 @@
 // String returns the hash in hexadecimal.
 func (id SuspectID) String() string { return strconv.FormatUint(id.Hash, 16) }
 
-// before orders suspects of which all else is equal, so that all gateways choose the same one.
-func (id SuspectID) before(other SuspectID) bool {
+// compare orders suspects of which all else is equal, so that all gateways choose the same one:
+// requests come before segments.
+func (id SuspectID) compare(other SuspectID) int {
 	if id.Segment != other.Segment {
-		return other.Segment
+		if other.Segment {
+			return -1
+		}
+		return 1
 	}
-	return id.Hash < other.Hash
+	return cmp.Compare(id.Hash, other.Hash)
 }
 
 // Crash is the end of a server instance while it ran a request.
