--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/exec"
+	"runtime/pprof"
 	"sync"
 	"syscall"
 	"time"
@@ -117,11 +118,26 @@
 		return err
 	}
 	if err := i.cmd.Process.Signal(sig); err != nil {
+		if errors.Is(err, os.ErrProcessDone) {
+			p.dumpStacks()
+		}
 		return errors.Wrapf(err, "signal %s to %s, PID %d", sig, p.Name, i.cmd.Process.Pid)
 	}
 	return nil
 }
 
+// dumpStacks writes the stacks of this program beside the process's log: the process has ended, and they
+// show where the goroutine is that waits for it.
+func (p *Process) dumpStacks() {
+	file, err := os.Create(p.logPath + ".stacks")
+	if err != nil {
+		return
+	}
+	defer func() { _ = file.Close() }()
+	// The stacks only help to find the cause, so that an error isn't reported.
+	_ = pprof.Lookup("goroutine").WriteTo(file, 2)
+}
+
 // PID returns the process ID, or 0 if the process isn't running.
 func (p *Process) PID() int {
 	i, err := p.runningInstance()
