policy: the time until a segment's next trial doesn't overflow

Found by reading: ten minutes doubled with each crash overflow from 28 crashes on, as a burst may bring, and the quarantined segment was then tried every ten seconds. TestTrialDelayGrowsToItsBound failed before.

--- a/policy/segment_suspects.go
+++ b/policy/segment_suspects.go
@@ -90,7 +90,11 @@
 	if g.answered && g.crashes <= segmentQuarantineAfter+1 {
 		return earlyTrialDelay
 	}
-	return min(firstTrialDelay<<(g.crashes-segmentQuarantineAfter), maxTrialDelay)
+	delay := firstTrialDelay
+	for i := segmentQuarantineAfter; i < g.crashes && delay < maxTrialDelay; i++ {
+		delay *= 2
+	}
+	return min(delay, maxTrialDelay)
 }
 
 // limitSegments returns the segments that are considered.
--- a/policy/segment_suspects_test.go
+++ b/policy/segment_suspects_test.go
@@ -289,3 +289,14 @@
 		t.Error("a gateway that was disconnected admits the segment a second after it reconnected")
 	}
 }
+
+// Guards against a segment with so many crashes that the time until its next trial overflows, and is over
+// at once.
+func TestTrialDelayGrowsToItsBound(t *testing.T) {
+	for crashes := segmentQuarantineAfter; crashes <= maxCrashes; crashes++ {
+		g := &segmentGroup{crashes: crashes}
+		if delay := g.trialDelay(); delay < firstTrialDelay || delay > maxTrialDelay || crashes > 12 && delay != maxTrialDelay {
+			t.Errorf("%d crashes: next trial after %v", crashes, delay)
+		}
+	}
+}
