tests: a gateway that starts later may let no more servers end under a known segment

Cause: four crashes before and four after a loss of all gateways, or through a gateway that starts later, stayed within the bound of eight, so that neither test could fail for what it guards against.

Change: both compare with the crashes before, with the same prompts. Requests with the deadly segment only, which these tests sent until now, cost one more by design, since they tell it from the one beside it; that is TestSegmentBesideDeadlyOneIsNotQuarantined. What the tests repeated is in sendDeadly and checkCrashes.

--- a/testbed/gateway/segment_quarantine_test.go
+++ b/testbed/gateway/segment_quarantine_test.go
@@ -17,6 +17,24 @@
 // and three afterwards.
 const maxSegmentCrashes = 5 + 3
 
+// sendDeadly sends requests with the deadly segment, one after another through the gateways in turn, each
+// with a body and a last segment of its own.
+func sendDeadly(gateways []*gateway.Fixture, path, id string, count int, pause time.Duration, shared ...string) {
+	for i := range count {
+		segments := append(slices.Clone(shared), fmt.Sprintf("%x:5", 1000+i))
+		postPrompt(gateways[i%len(gateways)], path, fmt.Sprintf("%s-%d", id, i), segments...)
+		time.Sleep(pause)
+	}
+}
+
+// checkCrashes fails the test if more servers crashed than may.
+func checkCrashes(t *testing.T, servers *crashableServers) {
+	t.Helper()
+	if n := servers.crashes(); n > maxSegmentCrashes {
+		t.Errorf("%d servers crashed, at most %d may", n, maxSegmentCrashes)
+	}
+}
+
 // Guards against a prompt segment that crashes every server it runs on, in requests of which no two
 // are alike: each is new, and the servers end one after another.
 func TestSegmentThatCrashesServersIsQuarantined(t *testing.T) {
@@ -33,13 +51,8 @@
 				f := gateway.NewFixture(t, gateway.Options{})
 				servers := startServersCrashingOn(f, 16, respondByRoute, hasSegment(deadlySegment))
 				f.WaitFor("the gateway to serve", func() bool { return f.Post("/unsafe/warm", "warm").Status == http.StatusOK })
-				for i := range 24 {
-					postPrompt(f, path, fmt.Sprintf("deadly-%d", i), append(slices.Clone(shared), fmt.Sprintf("%x:5", 1000+i))...)
-					time.Sleep(60 * time.Millisecond)
-				}
-				if n := servers.crashes(); n > maxSegmentCrashes {
-					t.Errorf("%d servers crashed, at most %d may", n, maxSegmentCrashes)
-				}
+				sendDeadly([]*gateway.Fixture{f}, path, "deadly", 24, 60*time.Millisecond, shared...)
+				checkCrashes(t, servers)
 				began := time.Now()
 				got := postPrompt(f, path, "refused", append(slices.Clone(shared), "9999:5")...)
 				if got.Status != http.StatusServiceUnavailable || got.Header.Get("Retry-After") == "" || time.Since(began) > 100*time.Millisecond {
@@ -60,13 +73,8 @@
 			servers := startServersCrashingOn(f, 16, respondByRoute, hasSegment(deadlySegment))
 			servers.setLastWords(begun)
 			f.WaitFor("the gateway to serve", func() bool { return f.Post("/unsafe/warm", "warm").Status == http.StatusOK })
-			for i := range 24 {
-				postPrompt(f, "/stream/x", fmt.Sprintf("deadly-%d", i), "1a:10", "dead:20", fmt.Sprintf("%x:5", 1000+i))
-				time.Sleep(60 * time.Millisecond)
-			}
-			if n := servers.crashes(); n > maxSegmentCrashes {
-				t.Errorf("%d servers crashed, at most %d may", n, maxSegmentCrashes)
-			}
+			sendDeadly([]*gateway.Fixture{f}, "/stream/x", "deadly", 24, 60*time.Millisecond, "1a:10", "dead:20")
+			checkCrashes(t, servers)
 		})
 	}
 }
@@ -114,9 +122,7 @@
 	}
 	close(stop)
 	callers.Wait()
-	if n := servers.crashes(); n > maxSegmentCrashes {
-		t.Errorf("%d servers crashed, at most %d may", n, maxSegmentCrashes)
-	}
+	checkCrashes(t, servers)
 	if late < 40 || lateServed*10 < late*8 {
 		t.Errorf("%d of %d sound requests served after the third crash (%d in all), want 8 of 10", lateServed, late, served)
 	}
@@ -129,13 +135,8 @@
 	f := gateway.NewFixture(t, gateway.Options{})
 	servers := startServersCrashingOn(f, 16, respondByRoute, hasSegment(deadlySegment))
 	f.WaitFor("the gateway to serve", func() bool { return f.Post("/unsafe/warm", "warm").Status == http.StatusOK })
-	for i := range 24 {
-		postPrompt(f, "/stream/x", fmt.Sprintf("deadly-%d", i), "1a:10", "dead:20", fmt.Sprintf("%x:5", 1000+i))
-		time.Sleep(60 * time.Millisecond)
-	}
-	if n := servers.crashes(); n > maxSegmentCrashes {
-		t.Errorf("%d servers crashed, at most %d may", n, maxSegmentCrashes)
-	}
+	sendDeadly([]*gateway.Fixture{f}, "/stream/x", "deadly", 24, 60*time.Millisecond, "1a:10", "dead:20")
+	checkCrashes(t, servers)
 	f.WaitFor("servers to be back", func() bool { return f.Post("/stream/x", "back").Status == http.StatusOK })
 	for i := range 5 {
 		if got := postPrompt(f, "/stream/x", fmt.Sprintf("beside-%d", i), "1a:10", fmt.Sprintf("%x:5", 2000+i)); got.Status != http.StatusOK {
@@ -156,19 +157,16 @@
 	for i, f := range fixtures {
 		f.WaitFor("the gateway to serve", func() bool { return f.Post("/unsafe/warm", fmt.Sprintf("warm-%d", i)).Status == http.StatusOK })
 	}
-	for i := range 24 {
-		postPrompt(fixtures[i%len(fixtures)], "/unsafe/x", fmt.Sprintf("deadly-%d", i), "1a:10", "dead:20", fmt.Sprintf("%x:5", 1000+i))
-		// Gateways share observed crashes within 100 ms.
-		time.Sleep(150 * time.Millisecond)
-	}
+	// Gateways share observed crashes within 100 ms.
+	sendDeadly(fixtures, "/unsafe/x", "deadly", 24, 150*time.Millisecond, "1a:10", "dead:20")
+	checkCrashes(t, servers)
+	crashed := servers.crashes()
 	late := gateway.NewFixture(t, gateway.Options{Name: "late", Revoke: 5 * time.Second, Store: fixtures[0].Store})
 	late.WaitFor("the gateway to serve", func() bool { return late.Post("/unsafe/warm", "warm-late").Status == http.StatusOK })
 	time.Sleep(time.Second)
-	for i := range 6 {
-		postPrompt(late, "/unsafe/x", fmt.Sprintf("deadly-late-%d", i), "dead:20", fmt.Sprintf("%x:5", 3000+i))
-	}
-	if n := servers.crashes(); n > maxSegmentCrashes {
-		t.Errorf("%d servers crashed, at most %d may", n, maxSegmentCrashes)
+	sendDeadly([]*gateway.Fixture{late}, "/unsafe/x", "deadly-late", 6, 0, "1a:10", "dead:20")
+	if n := servers.crashes(); n != crashed {
+		t.Errorf("%d servers crashed, %d more through a new gateway", n, n-crashed)
 	}
 }
 
@@ -178,20 +176,17 @@
 	before := gateway.NewFixture(t, gateway.Options{})
 	servers := startServersCrashingOn(before, 12, respondByRoute, hasSegment(deadlySegment))
 	before.WaitFor("the gateway to serve", func() bool { return before.Post("/unsafe/warm", "warm").Status == http.StatusOK })
-	for i := range 10 {
-		postPrompt(before, "/unsafe/x", fmt.Sprintf("deadly-%d", i), "1a:10", "dead:20", fmt.Sprintf("%x:5", 1000+i))
-		time.Sleep(50 * time.Millisecond)
-	}
+	sendDeadly([]*gateway.Fixture{before}, "/unsafe/x", "deadly", 10, 50*time.Millisecond, "1a:10", "dead:20")
+	checkCrashes(t, servers)
+	crashed := servers.crashes()
 	before.Stop()
 	<-before.Stopped
 	after := gateway.NewFixture(t, gateway.Options{Name: "gateway-2", Store: before.Store})
 	after.WaitFor("the gateway to serve", func() bool { return after.Post("/unsafe/warm", "warm-after").Status == http.StatusOK })
 	time.Sleep(time.Second)
-	for i := range 10 {
-		postPrompt(after, "/unsafe/x", fmt.Sprintf("deadly-after-%d", i), "dead:20", fmt.Sprintf("%x:5", 3000+i))
-	}
-	if n := servers.crashes(); n > maxSegmentCrashes {
-		t.Errorf("%d servers crashed, at most %d may", n, maxSegmentCrashes)
+	sendDeadly([]*gateway.Fixture{after}, "/unsafe/x", "deadly-after", 10, 0, "1a:10", "dead:20")
+	if n := servers.crashes(); n != crashed {
+		t.Errorf("%d servers crashed, %d more through a gateway that started later", n, n-crashed)
 	}
 }
 
@@ -212,9 +207,7 @@
 				}
 				time.Sleep(60 * time.Millisecond)
 			}
-			if n := servers.crashes(); n > maxSegmentCrashes {
-				t.Errorf("%d servers crashed, at most %d may", n, maxSegmentCrashes)
-			}
+			checkCrashes(t, servers)
 			f.WaitFor("servers to be back", func() bool { return f.Post(path, "back").Status == http.StatusOK })
 			if got := postPrompt(f, path, "sound", "1a:10", "7:5"); got.Status != http.StatusOK || got.Err != nil {
 				t.Errorf("a response that ends with its connection: got %+v", got)
@@ -245,10 +238,7 @@
 	for i, f := range fixtures {
 		f.WaitFor("the gateway to serve", func() bool { return f.Post("/unsafe/warm", fmt.Sprintf("warm-%d", i)).Status == http.StatusOK })
 	}
-	for i := range 8 {
-		postPrompt(fixtures[0], "/stream/x", fmt.Sprintf("deadly-%d", i), "dead:20", fmt.Sprintf("%x:5", 1000+i))
-		time.Sleep(60 * time.Millisecond)
-	}
+	sendDeadly(fixtures[:1], "/stream/x", "deadly", 8, 60*time.Millisecond, "dead:20")
 	crashed := servers.crashes()
 	list := func(f *gateway.Fixture) string {
 		return f.Do(f.AdminRequest(http.MethodGet, "/quarantine")).Body
