--- a/internal/earlysignal/hangup_test.go
+++ b/internal/earlysignal/hangup_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// childEnv makes the test binary send itself SIGHUP instead of running the tests; its value tells
+// childEnv makes the test binary send itself SIGHUP instead of running the tests; its value says
 // whether it calls Release before.
 const childEnv = "APPLEPIER_TEST_HANGUP"
 
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -84,7 +84,7 @@
 	familyStreamsResumed:       "Streams that were resumed, in one response or by their callers.",
 	familyLimitedServers:       "Backend servers that have named a limit.",
 	familyLimitedSends:         "Requests sent to backend servers while they had a limit.",
-	familyQuarantinedRequests:  "Requests that are refused since backend servers ended under them, those that ask for the same thing once.",
+	familyQuarantinedRequests:  "Requests, and prompt segments of requests, that are refused since backend servers ended under them; those with the same content count once.",
 	familyConnectionsRefused:   "Callers' connections that were reset unread because the process got too little processor time.",
 	familyUsageGeneration:      "Generation under which this gateway reports usage; 0 while another one does.",
 	familyUsageAccepted:        "Reports of usage that the platform took from this gateway.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -19,8 +19,9 @@
 	LimitedServers int
 	// LimitedSends is the total number of requests sent to servers while they had a limit.
 	LimitedSends int64
-	// QuarantinedRequests is the number of requests refused because backend servers
-	// terminated while processing them. Requests with the same content count once.
+	// QuarantinedRequests is the number of requests and prompt segments refused because
+	// backend servers terminated while processing them. Requests with the same content
+	// count once, and so do those with the same segment.
 	QuarantinedRequests int
 	// UsageGeneration is the fencing token of the lease under which this gateway reports
 	// usage; 0 while it doesn't hold the lease. The metric calls it the generation.
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -29,7 +29,7 @@
 	// maxPerDatagram bounds the changed suspicions sent at once.
 	maxPerDatagram = 32
 	// updatesPerTurn is the number of updates of which one has a quarantined suspect and one another
-	// suspect, although they haven't changed. A gateway that starts hears of them from all others.
+	// suspect, although they haven't changed. A gateway that starts receives them from all others.
 	updatesPerTurn = 4
 )
 
@@ -125,14 +125,6 @@
 	return true
 }
 
-// Suspicion returns what is known about a suspect; without crashes if nothing is.
-func (q *Quarantine) Suspicion(id SuspectID) Suspicion {
-	if s := q.suspects[id]; s != nil {
-		return s.suspicion(id)
-	}
-	return Suspicion{ID: id}
-}
-
 // TakeChanges returns the suspects that have been quarantined since the last call and of which this
 // gateway has observed a crash, and those that it returned so before and that have been released. Every
 // quarantined suspect is returned by some gateway, unless those that observed its crashes have ended.
--- a/policy/quarantine_decision.go
+++ b/policy/quarantine_decision.go
@@ -3,7 +3,6 @@
 import (
 	"iter"
 	"slices"
-	"time"
 )
 
 // quarantineDecision says which requests are quarantined.
@@ -23,25 +22,6 @@
 	segments map[SegmentID]*segmentGroup
 }
 
-// segmentGroup is a set of quarantined segments with the same crashes.
-type segmentGroup struct {
-	members []SegmentID
-	// answered is whether any member has ever been answered.
-	answered bool
-	// crashes is the number of their crashes, and lastCrash the time of the last one.
-	crashes   int
-	lastCrash time.Time
-}
-
-// key returns a hash on which all gateways agree, whatever the order of the members.
-func (g *segmentGroup) key() uint64 {
-	var key uint64
-	for _, id := range g.members {
-		key ^= mix(uint64(id))
-	}
-	return key
-}
-
 // newQuarantineDecision decides about the suspects.
 func newQuarantineDecision(suspects map[SuspectID]*suspect) *quarantineDecision {
 	d := &quarantineDecision{requests: map[Fingerprint]bool{}, segments: map[SegmentID]*segmentGroup{}}
--- a/policy/segment_simulation_test.go
+++ b/policy/segment_simulation_test.go
@@ -1,49 +1,12 @@
 package policy
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 )
 
-// segmentWorkload describes the requests, crashes and gateways of a segmentSimulation. Rates are per
-// second.
-type segmentWorkload struct {
-	gateways, servers int
-	// soundRate and deadlyRate are those of all requests without and with the deadly segment.
-	soundRate, deadlyRate float64
-	// sharers is the share of sound requests that have the first segment and the customer's segment
-	// of the deadly ones.
-	sharers float64
-	// beside is the number of sound segments that stand in deadly requests only.
-	beside int
-	// topics is the number of sound segments of which each request has one, in a skewed distribution.
-	topics int
-	// companions is the number of further sound segments of which each deadly request has a random
-	// half, and no sound request any.
-	companions int
-	// besideAlone is the share of sharers that have one of the segments beside the deadly one.
-	besideAlone float64
-	// otherCrashes is the rate at which servers end for reasons of their own. massCrashes is how often
-	// all servers end at once, with equal times between.
-	otherCrashes float64
-	massCrashes  int
-	// spread is the time within which all servers end in a mass crash.
-	spread time.Duration
-	// lostEvidence is the share of crashed runs that their gateway doesn't observe as crashed.
-	lostEvidence float64
-	// restarts is how often one of the gateways starts anew, with equal times between.
-	restarts int
-	// earlierBuild is the number of gateways that know nothing of segments.
-	earlierBuild int
-	// repeats is whether each deadly request is sent once more after it failed.
-	repeats  bool
-	duration time.Duration
-}
-
 // segmentOutcome is what a simulation counts.
 type segmentOutcome struct {
 	// deadlyRuns is the number of runs with the deadly segment, and late of those that were sent
@@ -298,7 +261,7 @@
 	})
 }
 
-// answered tells the gateway of a run that its segments were answered.
+// answered reports to the gateway of a run that its segments were answered.
 func (sim *segmentSimulation) answered(run *segmentRun) {
 	if !run.ended && run.gateway >= sim.earlierBuild {
 		sim.gateways[run.gateway].ObserveAnswer(run.began, run.segments)
@@ -353,93 +316,3 @@
 }
 
 func newSegmentQuarantine() segmentQuarantine { return NewQuarantine() }
-
-// segmentWorkloads are the conditions under which a quarantine is judged.
-func segmentWorkloads() map[string]segmentWorkload {
-	base := segmentWorkload{gateways: 6, servers: 12, soundRate: 20, deadlyRate: 1.5, sharers: 0.4, topics: 60, duration: time.Minute}
-	vary := func(change func(w *segmentWorkload)) segmentWorkload {
-		w := base
-		change(&w)
-		return w
-	}
-	return map[string]segmentWorkload{
-		"base":                  base,
-		"frequent":              vary(func(w *segmentWorkload) { w.deadlyRate = 8 }),
-		"rare":                  vary(func(w *segmentWorkload) { w.deadlyRate = 0.2 }),
-		"few sharers":           vary(func(w *segmentWorkload) { w.sharers = 0.02 }),
-		"few sharers, frequent": vary(func(w *segmentWorkload) { w.sharers, w.deadlyRate = 0.02, 8 }),
-		"three beside":          vary(func(w *segmentWorkload) { w.beside, w.besideAlone = 3, 0.05 }),
-		"other crashes":         vary(func(w *segmentWorkload) { w.otherCrashes = 0.5 }),
-		"mass crashes":          vary(func(w *segmentWorkload) { w.massCrashes = 4 }),
-		"companions":            vary(func(w *segmentWorkload) { w.companions = 7 }),
-		"mass crashes, spread":  vary(func(w *segmentWorkload) { w.massCrashes, w.spread = 4, 2*time.Second }),
-		"none deadly, spread": vary(func(w *segmentWorkload) {
-			w.deadlyRate, w.massCrashes, w.spread, w.otherCrashes = 0, 6, 2*time.Second, 1
-		}),
-		"bursts":               vary(func(w *segmentWorkload) { w.deadlyRate = 50 }),
-		"lost evidence":        vary(func(w *segmentWorkload) { w.lostEvidence = 0.3 }),
-		"restarts":             vary(func(w *segmentWorkload) { w.restarts = 12 }),
-		"repeats":              vary(func(w *segmentWorkload) { w.repeats = true }),
-		"earlier build":        vary(func(w *segmentWorkload) { w.earlierBuild = 3 }),
-		"30 gateways":          vary(func(w *segmentWorkload) { w.gateways, w.servers, w.soundRate = 30, 40, 80 }),
-		"none deadly, all end": vary(func(w *segmentWorkload) { w.deadlyRate, w.massCrashes, w.otherCrashes = 0, 6, 1 }),
-	}
-}
-
-// segmentDraws is how many draws of each workload TestSegmentQuarantineOverManyDraws simulates.
-var segmentDraws = flag.Int("segment-draws", 3, "draws of each workload")
-
-// Guards against a quarantine that holds for one lucky draw: over many draws of each workload, a
-// segment that crashes servers is sent to at most three of them later than contactTime after the
-// fifth, and at least half of the sound requests that share its other segments run.
-func TestSegmentQuarantineOverManyDraws(t *testing.T) {
-	for name, w := range segmentWorkloads() {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			summary := summarize(w, *segmentDraws, func() func() segmentQuarantine { return newSegmentQuarantine })
-			t.Logf("%s: %s", name, summary)
-			if summary.overBudget > 0 {
-				t.Errorf("in %d draws more than three runs came late", summary.overBudget)
-			}
-			if summary.overRefused > 0 {
-				t.Errorf("in %d draws more than half of the sound requests were refused", summary.overRefused)
-			}
-		})
-	}
-}
-
-// segmentSummary sums up the outcomes of many draws.
-type segmentSummary struct {
-	runs []int
-	// overBudget and overRefused are the numbers of draws with more than three late runs, and with
-	// more than half of the judged sound requests refused.
-	overBudget, overRefused int
-	sound, soundRefused     int
-}
-
-// summarize simulates draws of a workload. newDesign is called for each draw and returns the function
-// that makes a gateway's state.
-func summarize(w segmentWorkload, draws int, newDesign func() func() segmentQuarantine) segmentSummary {
-	var s segmentSummary
-	for seed := range uint64(draws) {
-		o := simulateSegments(w, seed, newDesign())
-		s.runs = append(s.runs, o.deadlyRuns)
-		s.sound += o.sound
-		s.soundRefused += o.soundRefused
-		if o.late > 3 {
-			s.overBudget++
-		}
-		if o.judged >= 20 && o.refused*2 > o.judged {
-			s.overRefused++
-		}
-	}
-	slices.Sort(s.runs)
-	return s
-}
-
-// String describes the distribution.
-func (s segmentSummary) String() string {
-	n := len(s.runs)
-	return fmt.Sprintf("deadly runs: median %d, p99 %d, most %d; over budget %d of %d, over half refused %d; sound refused %d of %d",
-		s.runs[n/2], s.runs[n*99/100], s.runs[n-1], s.overBudget, n, s.overRefused, s.soundRefused, s.sound)
-}
--- a/policy/segment_suspects.go
+++ b/policy/segment_suspects.go
@@ -11,15 +11,6 @@
 	// ProvenAnswerTime is how long a server must have been answering a request for its segments to
 	// be cleared before the answer is complete. A segment at fault crashes its server sooner.
 	ProvenAnswerTime = 2 * time.Second
-	// earlyTrialDelay, firstTrialDelay and maxTrialDelay are times after the last crash of a
-	// quarantined segment until a request with it is let through. The first allows for the restart
-	// of servers that ended together; the second doubles with each crash, up to the third.
-	earlyTrialDelay = 3 * time.Second
-	firstTrialDelay = 10 * time.Minute
-	maxTrialDelay   = 24 * time.Hour
-	// trialTimeout is the time after which another request is let through if the outcome of the
-	// last one isn't known, since it found no server or its caller left.
-	trialTimeout = 10 * time.Second
 	// maxSegmentsPerRequest bounds the segments of a request that are considered, the first ones.
 	maxSegmentsPerRequest = 256
 )
@@ -83,20 +74,6 @@
 	return true
 }
 
-// trialDelay returns how long after its last crash a request with all members of the group is let
-// through. A group that has been answered before and has few crashes is tried soon: it may have been
-// frequent when servers ended for another reason. Otherwise a trial most likely costs a server.
-func (g *segmentGroup) trialDelay() time.Duration {
-	if g.answered && g.crashes <= segmentQuarantineAfter+1 {
-		return earlyTrialDelay
-	}
-	delay := firstTrialDelay
-	for i := segmentQuarantineAfter; i < g.crashes && delay < maxTrialDelay; i++ {
-		delay *= 2
-	}
-	return min(delay, maxTrialDelay)
-}
-
 // limitSegments returns the segments that are considered.
 func limitSegments(segments []SegmentID) []SegmentID {
 	return segments[:min(len(segments), maxSegmentsPerRequest)]
