fleet: one CPU quota for the soak and the overload test

Cause: the overload test had a copy of the soak's enforcement, with another poll interval. Change: fleet.EnforceCPUQuota; the soak's gateways keep their pause count.

--- a/testbed/soak/quota.go
+++ b/testbed/fleet/cpu_quota.go
@@ -1,4 +1,4 @@
-package soak
+package fleet
 
 import (
 	"context"
@@ -15,11 +15,12 @@
 	quotaPollInterval = 4 * time.Millisecond
 )
 
-// enforceCPUQuota limits a gateway to a fraction of a core until ctx is done. The
-// process is paused for the rest of a period whose quota it has used up, and
-// excess use is charged to the next periods. This models a small VM and isn't
-// recorded as a fault.
-func enforceCPUQuota(ctx context.Context, g *gatewayProcess, coreFraction float64) {
+// EnforceCPUQuota limits a process to a fraction of a core until ctx is done. pid
+// returns the ID of the process, which may change, or 0 while there is none;
+// setPaused pauses and resumes it. The process is paused for the rest of a period
+// whose quota it has used up, and excess use is charged to the next periods. This
+// models a small VM.
+func EnforceCPUQuota(ctx context.Context, coreFraction float64, pid func() int, setPaused func(paused bool)) {
 	quota := time.Duration(coreFraction * float64(quotaPeriod))
 	var allowed time.Duration
 	currentPID, paused := 0, false
@@ -27,16 +28,16 @@
 	defer ticker.Stop()
 	defer func() {
 		if paused {
-			g.addPause(-1)
+			setPaused(false)
 		}
 	}()
 	periodStart := time.Now()
 	for ctx.Err() == nil {
 		now := <-ticker.C
-		pid := g.PID()
-		used := cpuTime(pid)
-		if pid != currentPID {
-			currentPID, allowed = pid, used+quota
+		id := pid()
+		used := cpuTime(id)
+		if id != currentPID {
+			currentPID, allowed = id, used+quota
 		}
 		for now.Sub(periodStart) >= quotaPeriod {
 			periodStart = periodStart.Add(quotaPeriod)
@@ -45,11 +46,7 @@
 		}
 		if overQuota := used > allowed; overQuota != paused {
 			paused = overQuota
-			if overQuota {
-				g.addPause(1)
-			} else {
-				g.addPause(-1)
-			}
+			setPaused(paused)
 		}
 	}
 }
@@ -60,6 +57,7 @@
 	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	for _, thread := range threads {
 		var nanoseconds int64
+		// A thread that has ended meanwhile has no file.
 		if text, err := os.ReadFile(thread); err == nil {
 			_, _ = fmt.Sscan(string(text), &nanoseconds)
 		}
--- a/testbed/soak/gatewayprocess.go
+++ b/testbed/soak/gatewayprocess.go
@@ -135,6 +135,16 @@
 	}
 }
 
+// setThrottled pauses the process because it has used up its CPU quota, or ends that pause.
+// Unlike a freeze, it isn't recorded as a fault.
+func (g *gatewayProcess) setThrottled(throttled bool) {
+	if throttled {
+		g.addPause(1)
+	} else {
+		g.addPause(-1)
+	}
+}
+
 // sendHangup sends SIGHUP to the process, which then reads its settings again.
 func (g *gatewayProcess) sendHangup() {
 	if pid := g.PID(); pid > 0 {
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/testbed/fleet"
 )
 
 // Limits that the operator documentation guarantees.
@@ -136,7 +138,7 @@
 	for n, g := range h.gateways {
 		random := rand.New(rand.NewPCG(c.Seed, uint64(n)+1))
 		coreFraction := coreFractions[random.IntN(len(coreFractions))]
-		workers.Go(func() { enforceCPUQuota(work, g, coreFraction) })
+		workers.Go(func() { fleet.EnforceCPUQuota(work, coreFraction, g.PID, g.setThrottled) })
 		workers.Go(func() { h.sampleGateway(work, g) })
 		for i := range callersPerGateway {
 			loadCaller := &caller{
