--- a/internal/callers/context.go
+++ b/internal/callers/context.go
@@ -30,5 +30,8 @@
 	if !ok {
 		return
 	}
-	resetOnClose(conn.Conn)
+	if tcp, ok := conn.Conn.(interface{ SetLinger(int) error }); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
 }
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -32,7 +32,7 @@
 	firstRequestTimeout = 250 * time.Millisecond
 )
 
-// Config holds a Server's settings; all fields but Refuse are required.
+// Config holds a Server's settings; all fields but Pause are required.
 type Config struct {
 	Handler http.Handler
 	// HeaderTimeout bounds the reading of a request's header, and MaxHeaderBytes its
@@ -43,18 +43,18 @@
 	// the server runs: the one at the end of an idle period applies. After it was
 	// lowered, ApplyIdleTimeout must be called.
 	IdleTimeout func() time.Duration
-	// Refuse reports whether a connection that has just been accepted is to be reset before
-	// anything is read from it, so that its caller goes elsewhere; nil for never.
-	Refuse func() bool
-	Log    *zap.Logger
+	// Pause returns for how long the server is to stop listening now, so that new callers go
+	// elsewhere; 0 for not at all. It is called before each connection is accepted; nil for never.
+	Pause func() time.Duration
+	Log   *zap.Logger
 }
 
 // Server serves the callers of one listener.
 type Server struct {
 	http          *http.Server
-	listener      net.Listener
+	listener      *listener
 	idleTimeout   func() time.Duration
-	refuse        func() bool
+	pause         func() time.Duration
 	headerTimeout time.Duration
 	log           *zap.Logger
 	// acceptDone is closed when no more connections are accepted.
@@ -70,9 +70,10 @@
 // New returns a Server that owns l. Serve starts it.
 func New(l net.Listener, config Config) *Server {
 	s := &Server{
-		listener: l, idleTimeout: config.IdleTimeout, refuse: config.Refuse, headerTimeout: config.HeaderTimeout, log: config.Log,
+		idleTimeout: config.IdleTimeout, pause: config.Pause, headerTimeout: config.HeaderTimeout, log: config.Log,
 		acceptDone: make(chan struct{}), conns: map[*Conn]struct{}{}, drained: make(chan struct{}),
 	}
+	s.listener = newListener(l, s)
 	s.http = &http.Server{
 		Handler: config.Handler, ReadHeaderTimeout: config.HeaderTimeout, MaxHeaderBytes: config.MaxHeaderBytes,
 		ConnState: s.connStateChanged, ConnContext: withConn, ErrorLog: newErrorLog(config.Log),
@@ -87,7 +88,7 @@
 func (s *Server) Serve() {
 	defer close(s.acceptDone)
 	// The error says only that the listener was closed, which is how Serve ends.
-	_ = s.http.Serve(listener{s.listener, s})
+	_ = s.http.Serve(s.listener)
 }
 
 // Drain stops accepting connections, lets requests in progress finish and closes each
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,7 +199,7 @@
 	wg.Go(func() { g.syncServersFromPeers(workCtx) })
 	wg.Go(func() { g.watchSettings(workCtx, reload) })
 
-	callerServer := newCallerServer(callerListener, g.router, g.idleTimeout, g.refuseWhileOverloaded(), g.log)
+	callerServer := newCallerServer(callerListener, g.router, g.idleTimeout, g.pauseWhileOverloaded(), g.log)
 	wg.Go(func() { g.sweep(workCtx, callerServer) })
 	adminServer := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout}
 	handoverServer := &http.Server{Handler: handover.NewHandler(g.handoverState, g.servers.DeltasSince), ReadTimeout: handoverTimeout, WriteTimeout: handoverTimeout + handover.MaxDuration, ErrorLog: zap.NewStdLog(zap.NewNop())}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -1,14 +1,16 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/overload"
 )
 
-// refuseWhileOverloaded returns a function that reports whether a new connection is refused, because
-// this process gets too little processor time to serve more requests in time. It counts the refused
-// connections, and logs when refusing begins and ends.
-func (g *gateway) refuseWhileOverloaded() func() bool {
+// pauseWhileOverloaded returns a function that returns for how long new connections are refused now,
+// because this process gets too little processor time to serve more requests in time. It counts the
+// time, and logs when refusing begins and ends.
+func (g *gateway) pauseWhileOverloaded() func() time.Duration {
 	monitor := overload.New(func(refusing bool) {
 		if refusing {
 			g.log.Warn(logging.EventOverloaded)
@@ -16,11 +18,11 @@
 			g.log.Info(logging.EventOverloadEnded)
 		}
 	})
-	return func() bool {
-		refused := monitor.Refuse()
-		if refused {
-			g.platform.Metrics.ConnectionRefused()
+	return func() time.Duration {
+		pause := monitor.Pause()
+		if pause > 0 {
+			g.platform.Metrics.ConnectionsRefusedFor(pause)
 		}
-		return refused
+		return pause
 	}
 }
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -99,7 +99,7 @@
 	// longer than the limit.
 	EventIdleConnClosed = "caller_closed"
 	// EventOverloaded: the process gets too little processor time and refuses new
-	// connections of callers.
+	// connections of callers for a part of the time.
 	EventOverloaded = "overloaded"
 	// EventOverloadEnded: the process accepts new connections again.
 	EventOverloadEnded = "overload_ended"
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -38,7 +38,7 @@
 	familyLimitedServers       family = "applepier_backend_servers_limited"
 	familyLimitedSends         family = "applepier_limited_sends_total"
 	familyQuarantinedRequests  family = "applepier_requests_quarantined"
-	familyConnectionsRefused   family = "applepier_connections_refused_total"
+	familyConnectionsRefused   family = "applepier_connections_refused_milliseconds_total"
 	familyUsageGeneration      family = "applepier_usage_generation"
 	familyUsageAccepted        family = "applepier_usage_reports_total"
 	familyUsageLate            family = "applepier_usage_reports_late_total"
@@ -85,7 +85,7 @@
 	familyLimitedServers:       "Backend servers that have named a limit.",
 	familyLimitedSends:         "Requests sent to backend servers while they had a limit.",
 	familyQuarantinedRequests:  "Requests, and prompt segments of requests, that are refused since backend servers ended under them; those with the same content count once.",
-	familyConnectionsRefused:   "Callers' connections that were reset unread because the process got too little processor time.",
+	familyConnectionsRefused:   "Time for which new connections of callers were refused because the process got too little processor time.",
 	familyUsageGeneration:      "Generation under which this gateway reports usage; 0 while another one does.",
 	familyUsageAccepted:        "Reports of usage that the platform took from this gateway.",
 	familyUsageLate:            "Reports of usage that it took later than they were due.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -70,5 +70,7 @@
 // this gateway.
 func (m *Metrics) ServerEnded() { counter(m.registry, familyServersEnded).Inc(1) }
 
-// ConnectionRefused counts a caller's connection that was reset before anything was read.
-func (m *Metrics) ConnectionRefused() { counter(m.registry, familyConnectionsRefused).Inc(1) }
+// ConnectionsRefusedFor counts a time for which callers' new connections are refused.
+func (m *Metrics) ConnectionsRefusedFor(d time.Duration) {
+	counter(m.registry, familyConnectionsRefused).Inc(d.Milliseconds())
+}
--- a/testbed/gateway/overload_test.go
+++ b/testbed/gateway/overload_test.go
@@ -13,14 +13,14 @@
 	"testing"
 	"time"
 
+	"github.com/applepier/applepier/internal/settings"
+	"github.com/applepier/applepier/testbed/fleet"
 	"github.com/applepier/applepier/testbed/gateway"
 )
 
 const (
-	// quotaPeriod and quota are how much processor time a throttled process gets in which time, like a
-	// VM with a small share of a core.
-	quotaPeriod = 100 * time.Millisecond
-	quota       = 10 * time.Millisecond
+	// overloadedCores is the fraction of a core that the gateway gets, like one on a small VM.
+	overloadedCores = 0.1
 	// overloadRate is the rate of new connections, several times what a throttled gateway can serve.
 	overloadRate = 1200
 	// noticeTime is how many seconds a gateway has to notice.
@@ -31,63 +31,57 @@
 	minServedOfRead = 0.75
 )
 
-// throttle suspends a process for the rest of each quotaPeriod in which it has used up its quota, until
-// ctx ends.
-func throttle(ctx context.Context, process *os.Process) {
-	const pollInterval = 2 * time.Millisecond
-	allowed, suspended := processorTime(process)+quota, false
-	for start := time.Now(); ctx.Err() == nil; time.Sleep(pollInterval) {
-		used := processorTime(process)
-		for time.Since(start) >= quotaPeriod {
-			start = start.Add(quotaPeriod)
-			// Unused quota doesn't accumulate, and excess use is charged to the next periods.
-			allowed = min(allowed, used) + quota
-		}
-		if over := used > allowed; over != suspended {
-			suspended = over
-			signal := syscall.SIGCONT
-			if over {
-				signal = syscall.SIGSTOP
-			}
-			// Signals fail only once the process has ended.
-			_ = process.Signal(signal)
-		}
+// throttledGateway runs the gateway program, built as it is shipped, with a fraction of a core.
+type throttledGateway struct {
+	t        *testing.T
+	programs *fleet.ProcessGroup
+	program  string
+}
+
+// newThrottledGateway builds the program.
+func newThrottledGateway(t *testing.T) *throttledGateway {
+	t.Helper()
+	binaries, err := fleet.Build(t.Context())
+	if err != nil {
+		t.Fatal(err)
 	}
-	_ = process.Signal(syscall.SIGCONT)
+	t.Cleanup(binaries.Remove)
+	g := &throttledGateway{t: t, programs: fleet.NewProcessGroup(t.TempDir()), program: binaries.Entry}
+	t.Cleanup(g.programs.Close)
+	return g
 }
 
-// processorTime returns the processor time that a process has used; 0 if it has ended.
-func processorTime(process *os.Process) (used time.Duration) {
-	// The only possible error is a malformed pattern.
-	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", process.Pid))
-	for _, path := range threads {
-		var nanoseconds int64
-		// A thread that has ended meanwhile has no file.
-		if content, err := os.ReadFile(path); err == nil {
-			_, _ = fmt.Sscan(string(content), &nanoseconds)
-		}
-		used += time.Duration(nanoseconds)
+// run runs the program until ctx ends.
+func (g *throttledGateway) run(ctx context.Context, s settings.Gateway) error {
+	file := filepath.Join(g.t.TempDir(), "gateway.yaml")
+	text := fmt.Sprintf("process: %s\nzone: %s\nlisten: %s\nadmin_listen: %s\nready_path: %s\npeer_listen: %s\nstore: %s\nretry:\n  window: %s\ngrace: %s\n",
+		s.Process, s.Zone, s.Listen, s.AdminListen, s.ReadyPath, s.PeerListen, s.StoreAddr, s.RetryBudget.Window, s.ShutdownTimeout)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	process := g.programs.NewProcess(s.Process, func() string { return s.Listen }, "/usr/bin/env", "GOMAXPROCS=1", g.program, "gateway", "serve", "--settings", file)
+	if err := process.Restart(ctx); err != nil {
+		return err
 	}
-	return used
+	fleet.EnforceCPUQuota(ctx, overloadedCores, process.PID, func(paused bool) {
+		signal := process.Resume
+		if paused {
+			signal = process.Pause
+		}
+		// This fails only once the process has ended.
+		_ = signal()
+	})
+	return process.Kill()
 }
 
 // Guards against a gateway that gets more connections than its processor can serve, reads all of their
 // requests and serves each too late. Callers whose connection is closed unread go to another gateway.
 func TestOverloadedGatewayClosesConnectionsUnread(t *testing.T) {
-	child := newChildGateway()
-	hot := gateway.NewFixture(t, gateway.Options{Run: child.run})
-	process := <-child.started
+	hot := gateway.NewFixture(t, gateway.Options{Run: newThrottledGateway(t).run})
 	for i := range 4 {
 		hot.StartServer(fmt.Sprintf("i-%d", i), gateway.Respond("whole"))
 	}
 	hot.WaitFor("the gateway to serve", func() bool { return hot.Post("/safe/x", "warm").Status == http.StatusOK })
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var background sync.WaitGroup
-	background.Go(func() { throttle(ctx, process) })
-	defer background.Wait()
-	defer cancel()
-
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerPatience}
 	var callers sync.WaitGroup
 	var mu sync.Mutex
