policy: draws by place of the segment, and with gateways rolled and cut off

Cause: the simulation had the deadly segment anywhere and gateways that start anew at random; whether its place matters, and gateways that are rolled or cut off, were not among the workloads.

--- a/policy/segment_workload_test.go
+++ b/policy/segment_workload_test.go
@@ -30,6 +30,13 @@
 	lostEvidence float64
 	// restarts is how often one of the gateways starts anew, with equal times between.
 	restarts int
+	// rolled is whether all gateways start anew, one a second, from the first deadly request on.
+	rolled bool
+	// cuts is how often one of the gateways is cut off from the others for cutTime, with equal times
+	// between.
+	cuts int
+	// place is where the deadly segment stands in its prompt.
+	place segmentPlace
 	// earlierBuild is the number of gateways that know nothing of segments.
 	earlierBuild int
 	// repeats is whether each deadly request is sent once more after it failed.
@@ -37,6 +44,18 @@
 	duration time.Duration
 }
 
+// segmentPlace is where a segment stands in a prompt.
+type segmentPlace int
+
+const (
+	anywhere segmentPlace = iota
+	first
+	last
+)
+
+// cutTime is for how long a gateway is cut off from the others.
+const cutTime = 8 * time.Second
+
 // segmentWorkloads are the conditions under which a quarantine is judged.
 func segmentWorkloads() map[string]segmentWorkload {
 	base := segmentWorkload{gateways: 6, servers: 12, soundRate: 20, deadlyRate: 1.5, sharers: 0.4, topics: 60, duration: time.Minute}
@@ -62,6 +81,10 @@
 		"bursts":               vary(func(w *segmentWorkload) { w.deadlyRate = 50 }),
 		"lost evidence":        vary(func(w *segmentWorkload) { w.lostEvidence = 0.3 }),
 		"restarts":             vary(func(w *segmentWorkload) { w.restarts = 12 }),
+		"first segment":        vary(func(w *segmentWorkload) { w.place = first }),
+		"last shared segment":  vary(func(w *segmentWorkload) { w.place = last }),
+		"rolled":               vary(func(w *segmentWorkload) { w.rolled = true }),
+		"cut off":              vary(func(w *segmentWorkload) { w.cuts = 5 }),
 		"repeats":              vary(func(w *segmentWorkload) { w.repeats = true }),
 		"earlier build":        vary(func(w *segmentWorkload) { w.earlierBuild = 3 }),
 		"30 gateways":          vary(func(w *segmentWorkload) { w.gateways, w.servers, w.soundRate = 30, 40, 80 }),
