gateway: the age of the server list is measured and logged (DRAIN)

Cause: nothing told how old a gateway's list of backend servers could be, so the hypotheses of the incident can't be told apart from a gateway's output.

Change: each response to a call for the list dates its completeness; applepier_backend_server_list_age_milliseconds shows the age, server_list_old and server_list_confirmed are logged as it crosses the bound, with the list's position. Nothing decides by it yet; gateways that leave polling to others are never confirmed, which the metric now shows.

--- a/internal/gateway/follow/sharing.go
+++ b/internal/gateway/follow/sharing.go
@@ -61,6 +61,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.replaceLocked(asOf, table)
+	f.confirmLocked(asOf)
+}
+
+// confirmLocked records that the table was complete at asOf; f.mu must be held.
+func (f *Follower[T]) confirmLocked(asOf time.Duration) { f.confirmedAt = max(f.confirmedAt, asOf) }
+
+// ConfirmedAt returns the latest time, on the boottime clock, as of which the table is known to be
+// complete, except for changes that the store's feed hadn't delivered yet; 0 if it never was.
+func (f *Follower[T]) ConfirmedAt() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmedAt
 }
 
 // replaceLocked replaces the complete table; f.mu must be held. If the store was restored from an
@@ -87,7 +99,11 @@
 func (f *Follower[T]) applyChanges(asOf time.Duration, changes Batch[T]) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if changes.Position < f.position || changes.Position.Era() != f.position.Era() {
+	if changes.Position.Era() != f.position.Era() {
+		return
+	}
+	f.confirmLocked(asOf)
+	if changes.Position < f.position {
 		return
 	}
 	f.Sink.Change(asOf, changes)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,10 @@
 	// gateway doesn't have, stateBehind while they have a newer desired state.
 	serversBehind, stateBehind timedCondition
 	draining                   atomic.Bool
+	// serverDrainDelay is the time, in nanoseconds, within which draining servers must get no more requests.
+	serverDrainDelay atomic.Int64
+	// serverListOld is set while the list of backend servers has been unconfirmed for serverDrainDelay.
+	serverListOld bool
 	// pendingQuarantine holds changes of the quarantine until they are written to the store.
 	// quarantineLoaded is set once what was quarantined before this gateway started is known.
 	pendingQuarantine chan quarantineChange
@@ -121,6 +125,7 @@
 		holder: &routes.Holder{}, registry: backend.NewRegistry(), pool: exchange.NewPool(),
 		pendingQuarantine: make(chan quarantineChange, maxPendingQuarantine),
 	}
+	g.serverDrainDelay.Store(int64(serverDrainDelay(s)))
 	g.desiredStateSink = &desiredStateSink{holder: g.holder, registry: g.registry, log: log}
 	var err error
 	g.mesh, err = peers.Listen(peers.Config{
@@ -169,7 +174,7 @@
 	}
 	return metrics.GatewayStats{
 		StateVersion: g.holder.Version(), StateAge: boottime.Now() - g.holder.ConfirmedAt(),
-		LiveGateways: g.mesh.LiveGateways(), PollsStore: g.servers.Live(), UsableServers: g.registry.CountUsable(), QuarantinedRequests: g.router.QuarantinedCount(),
+		LiveGateways: g.mesh.LiveGateways(), PollsStore: g.servers.Live(), UsableServers: g.registry.CountUsable(), ServerListAge: g.serverListAge(), QuarantinedRequests: g.router.QuarantinedCount(),
 		LimitedServers: g.router.LimitedServerCount(), LimitedSends: g.router.LimitedSendCount(), UsageGeneration: generation, DroppedLogLines: logging.DroppedLines(),
 	}
 }
--- a/internal/gateway/poll_delegation.go
+++ b/internal/gateway/poll_delegation.go
@@ -75,6 +75,7 @@
 			return
 		case <-ticker.C:
 			g.fetchServerChanges(ctx, client)
+			g.logServerListAge()
 		}
 	}
 }
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -65,6 +65,11 @@
 	EventGatewayRemoved = "gateway_gone"
 	// EventServersListed: a gateway read the complete list of backend servers.
 	EventServersListed = "servers_listed"
+	// EventServerListOld: nothing has confirmed for longer than the bound on draining that the list
+	// of backend servers is complete.
+	EventServerListOld = "server_list_old"
+	// EventServerListConfirmed: the list of backend servers is confirmed again.
+	EventServerListConfirmed = "server_list_confirmed"
 	// EventServerChanged: a backend server was added to the list or its entry there
 	// changed.
 	EventServerChanged = "server_changed"
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -33,6 +33,7 @@
 	familyStateAge             family = "applepier_targets_proof_age_milliseconds"
 	familyLiveGateways         family = "applepier_gateways"
 	familyUsableServers        family = "applepier_backend_servers"
+	familyServerListAge        family = "applepier_backend_server_list_age_milliseconds"
 	familyServersEnded         family = "applepier_backend_servers_ended_total"
 	familyStreamsResumed       family = "applepier_streams_resumed_total"
 	familyLimitedServers       family = "applepier_backend_servers_limited"
@@ -80,6 +81,7 @@
 	familyStateAge:             "Age of the proof that the targets in force are the newest.",
 	familyLiveGateways:         "Gateways that this one hears of, itself included.",
 	familyUsableServers:        "Backend servers that may get requests.",
+	familyServerListAge:        "Age of the proof that the list of backend servers is complete.",
 	familyServersEnded:         "Starts of backend servers that ended while they had requests of this gateway.",
 	familyStreamsResumed:       "Streams that were resumed, in one response or by their callers.",
 	familyLimitedServers:       "Backend servers that have named a limit.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -15,6 +15,8 @@
 	PollsStore bool
 	// UsableServers is the number of backend servers that may receive requests.
 	UsableServers int
+	// ServerListAge is the time since the list of backend servers was last confirmed to be complete.
+	ServerListAge time.Duration
 	// LimitedServers is the number of backend servers that have stated a limit.
 	LimitedServers int
 	// LimitedSends is the total number of requests sent to servers while they had a limit.
@@ -37,6 +39,7 @@
 	gateways := gauge(m.registry, familyLiveGateways)
 	servers := gauge(m.registry, familyUsableServers)
 	droppedLines := counter(m.registry, familyLogLinesDropped)
+	listAge := gauge(m.registry, familyServerListAge)
 	limited := gauge(m.registry, familyLimitedServers)
 	limitedSends := counter(m.registry, familyLimitedSends)
 	quarantined := gauge(m.registry, familyQuarantinedRequests)
@@ -52,6 +55,7 @@
 			polling.Update(1)
 		}
 		servers.Update(int64(stats.UsableServers))
+		listAge.Update(stats.ServerListAge.Milliseconds())
 		limited.Update(int64(stats.LimitedServers))
 		limitedSends.Inc(stats.LimitedSends - limitedSends.Count())
 		quarantined.Update(int64(stats.QuarantinedRequests))
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -29,6 +29,8 @@
 	MemoryLimitMB float64 `yaml:"memory_mb" validate:"gte=0"`
 	// Revocation configures how soon a revoked API key must stop working.
 	Revocation Revocation `yaml:"revoke"`
+	// Drain configures how soon draining servers must get no more requests.
+	Drain Drain `yaml:"drain"`
 	// RetryBudget limits retries across all gateways.
 	RetryBudget RetryBudget `yaml:"retry"`
 	// ShutdownTimeout is the maximum duration of a graceful shutdown.
@@ -74,6 +76,13 @@
 	MaxDelay time.Duration `yaml:"within" validate:"gte=0"`
 }
 
+// Drain configures how soon a backend server that leaves must get no more requests.
+type Drain struct {
+	// MaxDelay is the longest time for which a server that leaves may get requests, counted from the
+	// store's acknowledgement of its entry or from its own response; 0 means two seconds.
+	MaxDelay time.Duration `yaml:"within" validate:"gte=0"`
+}
+
 // RetryBudget limits retries: the retries in each window may not exceed Ratio
 // times the number of requests in it plus ExtraPerWindow.
 type RetryBudget struct {
