--- /dev/null
+++ b/internal/gateway/follow/full_read_test.go
@@ -0,0 +1,79 @@
+package follow
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Guards against a full read that takes back what is known: peers share a change while the complete
+// table, read after the loss of the history, is still on its way.
+func TestFullReadOlderThanSharedChangesIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sink := &recordingSink{}
+		src := &scriptedSource{calls: []scriptedCall{
+			{batch: Batch[string]{Items: []string{"a"}, Position: 3}},
+			{err: ErrHistoryGone},
+			{duration: 2 * time.Second, batch: Batch[string]{Items: []string{"a-late"}, Position: 4}},
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f := &Follower[string]{Name: "t", Source: src, Sink: sink, MaxWait: FixedWait(time.Second), Log: zap.NewNop()}
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		if err := f.ApplyDeltas(0, []Delta[string]{{From: 3, To: 7, Items: []string{"a-draining"}}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if got := join(sink.items); got != "all a a-draining" || f.Position() != 7 {
+			t.Errorf("sink got %q, position %d; want the shared change to stay in force", got, f.Position())
+		}
+		if got := join(src.requests); got != "read next after 3 read next after 7" {
+			t.Errorf("requests %q, want the changes after the shared one to be polled", got)
+		}
+	})
+}
+
+// Guards against a follower that never leaves the position of a store that has gone back: a read made
+// after the later position was known shows that the store really holds an older table.
+func TestFullReadOfStoreThatWentBackIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sink := &recordingSink{}
+		src := &scriptedSource{calls: []scriptedCall{
+			{batch: Batch[string]{Items: []string{"a"}, Position: 8}},
+			{duration: time.Second, err: ErrHistoryGone},
+			{batch: Batch[string]{Items: []string{"b"}, Position: 5}},
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f := &Follower[string]{Name: "t", Source: src, Sink: sink, MaxWait: FixedWait(time.Second), Log: zap.NewNop()}
+		f.Run(ctx)
+		if got := join(sink.items); got != "all a all b" || f.Position() != 5 {
+			t.Errorf("sink got %q, position %d", got, f.Position())
+		}
+	})
+}
+
+// Guards against a gateway that is never told of drains because it could not read the table itself: the
+// table that a peer hands over has a position, from which shared changes continue.
+func TestTableFromPeerIsContinuedByDeltas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sink := &recordingSink{}
+		var idle atomic.Bool
+		f := &Follower[string]{Name: "t", Source: &scriptedSource{}, Sink: sink, MaxWait: FixedWait(time.Second), Idle: idle.Load, Log: zap.NewNop()}
+		if err := f.ApplyDeltas(0, []Delta[string]{{To: 5, Items: []string{"a", "b"}, Snapshot: true}, {From: 5, To: 6, Items: []string{"c"}}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := join(sink.items); got != "all a b c" || f.Position() != 6 {
+			t.Errorf("sink got %q, position %d", got, f.Position())
+		}
+		if f.ConfirmedAt() != 0 {
+			t.Error("a table from a peer counts as confirmed by the store")
+		}
+	})
+}
--- a/testbed/gateway/fixture.go
+++ b/testbed/gateway/fixture.go
@@ -95,6 +95,8 @@
 	StoreBytesPerSecond int
 	// Usage configures the usage reports.
 	Usage settings.UsageReporting
+	// StoreBlocked starts the gateway with BlockStoreResponses in effect.
+	StoreBlocked bool
 	// WithoutState starts the gateway with an empty store and doesn't wait until it is ready.
 	WithoutState bool
 }
@@ -116,6 +118,7 @@
 		f.Store.SetFault(o.StoreFault)
 	}
 	f.storeHandler = &blockableHandler{Handler: throttledHandler{f.Store, o.StoreBytesPerSecond}}
+	f.storeHandler.blocked.Store(o.StoreBlocked)
 	storeServer := httptest.NewServer(f.storeHandler)
 	t.Cleanup(func() {
 		f.Store.SetFault(rowstore.Unavailable)
--- /dev/null
+++ b/testbed/gateway/server_list_age_test.go
@@ -0,0 +1,110 @@
+package gateway_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/applepier/applepier/testbed/gateway"
+	"github.com/applepier/applepier/testbed/ports"
+)
+
+// drainBound is the time after which a draining server must get no more requests.
+const drainBound = 2 * time.Second
+
+// startWithTwoServers starts n gateways as startGateways does, with the servers i-1 and i-2, and waits
+// until each gateway uses both. It returns the server i-1.
+func startWithTwoServers(t *testing.T, n int) ([]*gateway.Fixture, *gateway.Server) {
+	t.Helper()
+	fixtures := startGateways(t, n, 0)
+	first := fixtures[0]
+	draining := first.StartServer("i-1", gateway.Respond("whole"))
+	first.StartServer("i-2", gateway.Respond("whole"))
+	for i, f := range fixtures {
+		f.WaitFor("both servers to be used", func() bool {
+			f.Post("/safe/x", fmt.Sprintf("warm-%d", i))
+			return reachedTwoServers(first, fmt.Sprintf("warm-%d", i))
+		})
+	}
+	// The pollers call the store again some time after a change.
+	time.Sleep(time.Second)
+	return fixtures, draining
+}
+
+// expectNoRequests sends requests through each gateway and fails the test for each gateway that sends
+// one to the server i-1. All fixtures' servers were started through first.
+func expectNoRequests(t *testing.T, first *gateway.Fixture, fixtures []*gateway.Fixture) {
+	t.Helper()
+	for i, f := range fixtures {
+		id := fmt.Sprintf("after-%d", i)
+		for range 20 {
+			f.Post("/safe/x", id)
+		}
+		if reachedServer(first, id, "i-1") {
+			t.Errorf("gateway %d sends to a draining server", i)
+		}
+	}
+}
+
+// Guards against a list of backend servers that is older than the bound on draining: calls that the
+// store has accepted may never be answered, while new calls are.
+func TestDrainIsKnownWhenPendingCallsAreNeverAnswered(t *testing.T) {
+	for name, tables := range map[string][]string{
+		"server list":                   {"servers"},
+		"server list and desired state": {"servers", "op"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixtures, draining := startWithTwoServers(t, 5)
+			first := fixtures[0]
+			for _, table := range tables {
+				first.Store.SilencePendingFeeds(table)
+			}
+			first.ListServer(draining, "draining")
+			time.Sleep(drainBound)
+			expectNoRequests(t, first, fixtures)
+		})
+	}
+}
+
+// Guards against a poller that is believed to follow the server list though it stopped doing so: the
+// pollers are killed one after the other, each just before a server drains.
+func TestDrainIsKnownWhenPollersStopInSeries(t *testing.T) {
+	fixtures, _ := startWithTwoServers(t, 6)
+	first := fixtures[0]
+	for i := range storePollers {
+		next := first.StartServer(fmt.Sprintf("next-%d", i), gateway.Respond("whole"))
+		time.Sleep(time.Second)
+		first.Store.SilencePendingFeeds("servers")
+		first.ListServer(next, "draining")
+		fixtures[i].Stop()
+		time.Sleep(drainBound)
+		for k, f := range fixtures[i+1:] {
+			id := fmt.Sprintf("round-%d-%d", i, k)
+			for range 20 {
+				f.Post("/safe/x", id)
+			}
+			if reachedServer(first, id, next.Instance) {
+				t.Errorf("round %d: gateway %d sends to a draining server", i, i+1+k)
+			}
+		}
+	}
+}
+
+// Guards against a gateway whose list is never updated: it started while the store rejected it, got the
+// list from another gateway, and hears of changes from there only.
+func TestStartingGatewayLearnsOfDrainsFromPeers(t *testing.T) {
+	fixtures, draining := startWithTwoServers(t, 2)
+	first := fixtures[0]
+	// The others send it datagrams from the time at which it is listed.
+	addr := ports.ReserveForTest(t)
+	first.Store.Put("gateways", "late", []byte(addr))
+	late := gateway.NewFixture(t, gateway.Options{Name: "late", PeerListen: addr, Store: first.Store, WithoutState: true, StoreBlocked: true})
+	late.WaitFor("the new gateway to use both servers", func() bool {
+		late.Post("/safe/x", "warm-late")
+		return reachedTwoServers(first, "warm-late")
+	})
+	first.ListServer(draining, "draining")
+	time.Sleep(drainBound)
+	expectNoRequests(t, first, []*gateway.Fixture{late})
+}
--- a/testbed/rowstore/handlers.go
+++ b/testbed/rowstore/handlers.go
@@ -63,7 +63,12 @@
 	}
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
+	silencedBefore := s.silencedCount(query.Get("table"))
 	for waiting := true; ; {
+		if s.silencedCount(query.Get("table")) != silencedBefore {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		changes, changed, gone := s.changesSince(query.Get("table"), after)
 		if gone {
 			w.WriteHeader(http.StatusGone)
--- a/testbed/rowstore/store.go
+++ b/testbed/rowstore/store.go
@@ -56,6 +56,8 @@
 	historyStart uint64
 	fault        Fault
 	requestCount int
+	// silenced counts the calls of SilencePendingFeeds by table.
+	silenced map[string]int
 	// readCount counts reads by table name.
 	readCount map[string]int
 	// lostRows holds the rows that the last restore discarded, and
@@ -68,7 +70,7 @@
 
 // New returns an empty Store.
 func New() *Store {
-	return &Store{rows: map[string]*Row{}, changed: make(chan struct{}), readCount: map[string]int{}}
+	return &Store{rows: map[string]*Row{}, changed: make(chan struct{}), readCount: map[string]int{}, silenced: map[string]int{}}
 }
 
 // Put writes a row of the partition "" and returns its new version.
@@ -97,6 +99,20 @@
 	s.wakeFeeds()
 }
 
+// SilencePendingFeeds makes the feeds of a table that are waiting now never respond. New ones do.
+func (s *Store) SilencePendingFeeds(table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silenced[table]++
+}
+
+// silencedCount returns how often the feeds of a table have been silenced.
+func (s *Store) silencedCount(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silenced[table]
+}
+
 // TruncateHistory discards the change history: feeds from earlier versions get status 410.
 func (s *Store) TruncateHistory() {
 	s.mu.Lock()
