backend: an instance that drains is never usable again (DRAIN)

What callers could see: requests to a server that had said that it drains, after any entry that says otherwise. Cause: the registry took every entry of the same instance, also an older one, outside the two seconds after a restore of the store; a row that was removed and came back was a new server; where entries bear no start time, a lower sequence number made a new instance.

Change: leaving instances are remembered by identity (ID and start time, or address where there is none, and software version), for an hour after the last news of them, 8,192 at most; every entry of such an instance counts as draining. An older entry of an instance replaces nothing but can show its end. An instance that started before one that leaves under the same ID has ended.

Where no start times are reported, a server that restarts under the same ID and address after draining is taken for the one that left; the platform gives each start an ID of its own.

--- a/internal/gateway/backend/draining_test.go
+++ b/internal/gateway/backend/draining_test.go
@@ -132,3 +132,21 @@
 		}
 	})
 }
+
+// Guards against unbounded growth, and against forgetting the newest when there are too many.
+func TestLeavingInstancesAreBounded(t *testing.T) {
+	l := leavingInstances{}
+	for i := range 2 * maxLeaving {
+		e := entryWithSequence(fmt.Sprint(i), 1, true)
+		l.add(testStart.Add(time.Duration(i)*time.Millisecond), &e)
+	}
+	newest := entryWithSequence(fmt.Sprint(2*maxLeaving-1), 1, false)
+	if len(l) != maxLeaving || !l.contains(testStart, &newest) {
+		t.Errorf("%d instances are remembered, the newest among them: %v", len(l), l.contains(testStart, &newest))
+	}
+	e := entryWithSequence("late", 1, true)
+	l.add(testStart.Add(3*leavingTTL), &e)
+	if len(l) != 1 {
+		t.Errorf("%d instances are remembered after they expired", len(l))
+	}
+}
--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -44,12 +44,14 @@
 	restoreGraceEnd time.Time
 	// tombstones holds the last entries of removed servers.
 	tombstones tombstones
-	versions   *versionHistory
+	// leaving holds the instances that are known to leave.
+	leaving  leavingInstances
+	versions *versionHistory
 }
 
 // NewRegistry returns an empty Registry.
 func NewRegistry() *Registry {
-	r := &Registry{servers: map[string]*Server{}, expiring: map[string]time.Time{}, tombstones: tombstones{}, versions: newVersionHistory()}
+	r := &Registry{servers: map[string]*Server{}, expiring: map[string]time.Time{}, tombstones: tombstones{}, leaving: leavingInstances{}, versions: newVersionHistory()}
 	r.byService.Store(&map[string][]*Server{})
 	return r
 }
@@ -241,13 +243,22 @@
 }
 
 // apply sets a server's entry. r.mu must be held. If the server has restarted under the same ID, a
-// new Server replaces the old one: its counts, and what was learned about it, no longer apply.
+// new Server replaces the old one: its counts, and what was learned about it, no longer apply. An
+// instance that was once known to leave stays so, whatever its entry says.
 func (r *Registry) apply(now time.Time, info Info) {
+	if info.Draining {
+		r.leaving.add(now, &info)
+	}
 	s := r.servers[info.ID]
 	if s != nil && info.StartUnixMilli != 0 && info.StartUnixMilli < s.Info().StartUnixMilli {
 		// A late entry of an earlier instance.
 		return
 	}
+	if s != nil && s.Info().sameInstance(&info) && info.Sequence < s.Info().Sequence {
+		// A late entry of this instance. Only its end is news.
+		info = *s.Info()
+	}
+	info.Draining = info.Draining || r.leaving.contains(now, &info)
 	if s != nil && !s.Info().sameInstance(&info) {
 		r.delete(now, info.ID)
 		s = nil
--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -54,13 +54,21 @@
 // entry with another start time or software version does not; where start times are missing, neither
 // does one with a lower sequence number or another address.
 func (i *Info) sameInstance(later *Info) bool {
-	if i.SoftwareVersion != "" && later.SoftwareVersion != "" && i.SoftwareVersion != later.SoftwareVersion {
+	startsKnown := i.StartUnixMilli != 0 && later.StartUnixMilli != 0
+	return i.sameRun(later) && (startsKnown || later.Sequence >= i.Sequence)
+}
+
+// sameRun reports whether two entries under the same ID are of one run of the server's process,
+// whichever was written first. Without start times a restart under the same ID and address can't be
+// told from a late entry.
+func (i *Info) sameRun(other *Info) bool {
+	if i.SoftwareVersion != "" && other.SoftwareVersion != "" && i.SoftwareVersion != other.SoftwareVersion {
 		return false
 	}
-	if i.StartUnixMilli != 0 && later.StartUnixMilli != 0 {
-		return i.StartUnixMilli == later.StartUnixMilli
+	if i.StartUnixMilli != 0 && other.StartUnixMilli != 0 {
+		return i.StartUnixMilli == other.StartUnixMilli
 	}
-	return later.Sequence >= i.Sequence && i.Addr == later.Addr
+	return i.Addr == other.Addr
 }
 
 // olderThan reports whether an entry was written before another one under the same ID.
