follow: a full read never takes back what peers have shared (DRAIN)

What callers could see: requests to a draining server, after the store dropped its history: the complete list, read before the change and answered after peers had shared it, replaced the newer list, and its position with it. Cause: the read was applied without comparing positions.

Change: a read that began before a later position became known is dropped (old_read_ignored), and the follower polls from the known position. A read that began afterwards is applied even if its position is lower: the store went back.

--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -132,11 +132,13 @@
 	OnRestore func()
 	Log       *zap.Logger
 
-	// mu guards position and confirmedAt and is held during calls of the Sink that change the table, so that the
+	// mu guards position, learnedAt and confirmedAt and is held during calls of the Sink that change the table, so that the
 	// Sink has the table as of position. It is locked before the Sink's locks.
 	mu sync.Mutex
 	// position is the position up to which the table is known; 0 before it has been read.
 	position Position
+	// learnedAt is when the position last became known, on the boottime clock.
+	learnedAt time.Duration
 	// confirmedAt is the latest time as of which the store has confirmed that the table is complete, on
 	// the boottime clock; 0 for never.
 	confirmedAt time.Duration
--- a/internal/gateway/follow/sharing.go
+++ b/internal/gateway/follow/sharing.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/logging"
 )
 
@@ -50,16 +51,22 @@
 			return ErrGap
 		}
 		f.Sink.Change(asOf, Batch[T]{Items: delta.Items, Removed: delta.Removed, Unreadable: delta.Unreadable, Position: delta.To})
-		f.position = delta.To
+		f.setPositionLocked(delta.To)
 		f.history.add(delta)
 	}
 	return nil
 }
 
-// applyFullRead replaces the table with the result of a full read.
+// applyFullRead replaces the table with the result of a full read that began at asOf. It ignores a read
+// that began before a later position became known, since other gateways have shared later changes
+// meanwhile. A read that began afterwards shows that the store went back.
 func (f *Follower[T]) applyFullRead(asOf time.Duration, table Batch[T]) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if table.Position < f.position && asOf <= f.learnedAt {
+		f.Log.Info(logging.EventOldReadIgnored, zap.String("table", f.Name), zap.Stringer("position", table.Position), zap.Stringer("known", f.position))
+		return
+	}
 	f.replaceLocked(asOf, table)
 	f.confirmLocked(asOf)
 }
@@ -90,7 +97,7 @@
 		snapshot = &Delta[T]{To: table.Position, Items: table.Items, Unreadable: table.Unreadable, Snapshot: true}
 	}
 	f.Sink.Reset(asOf, table)
-	f.position = table.Position
+	f.setPositionLocked(table.Position)
 	f.history.reset(table.Position, snapshot)
 }
 
@@ -110,5 +117,10 @@
 	if !changes.empty() {
 		f.history.add(Delta[T]{From: f.position, To: changes.Position, Items: changes.Items, Removed: changes.Removed, Unreadable: changes.Unreadable})
 	}
-	f.position = changes.Position
+	f.setPositionLocked(changes.Position)
+}
+
+// setPositionLocked records a new position; f.mu must be held.
+func (f *Follower[T]) setPositionLocked(position Position) {
+	f.position, f.learnedAt = position, boottime.Now()
 }
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -65,6 +65,9 @@
 	EventGatewayRemoved = "gateway_gone"
 	// EventServersListed: a gateway read the complete list of backend servers.
 	EventServersListed = "servers_listed"
+	// EventOldReadIgnored: the complete table that was read from the store is older than what
+	// other gateways have shared meanwhile.
+	EventOldReadIgnored = "old_read_ignored"
 	// EventServerListOld: nothing has confirmed for longer than the bound on draining that the list
 	// of backend servers is complete.
 	EventServerListOld = "server_list_old"
