gateway: the age of every gateway's server list is bounded (DRAIN)

What callers saw: a request reached a server 10.65 s after the store had acknowledged that it drains (bound 2 s). Cause, shown by a test: nothing confirmed the list of backend servers. A call that the store had accepted and never answered ended after its wait of up to 15 s and a second; until then its gateway said that it polls, and all others left polling to it. The freshness that was looked at is that of the desired state, another call on another connection. Class: data believed to be current because nothing says otherwise.

Change: each gateway knows as of when its list was complete. - A response for the desired state confirms the list too, at no call of its own: all tables share one version counter, so a list known up to the store's newest version lacks nothing. - Where other tables change, calls for the list are short, and confirm it. - A pending call is repeated on a new connection once the list is unconfirmed for .6 of drain.within; a repeated call gets .3 s, each further one twice as long, so that a slow store can respond. - A gateway that polls sends as of when its list was complete (one number in its datagrams); one that doesn't poll does so once .75 of the bound is over. - After a loss of the history the list that was read is handed on to peers behind, who waited .4 s and read it from the store before.

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -81,6 +81,19 @@
 	return all
 }
 
+// Entries returns the entries of all servers that the store lists, in no particular order.
+func (r *Registry) Entries() []Info {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entries := make([]Info, 0, len(r.servers))
+	for id, s := range r.servers {
+		if _, expired := r.expiring[id]; !expired {
+			entries = append(entries, *s.Info())
+		}
+	}
+	return entries
+}
+
 // CountUsable returns the number of servers in All that are not draining.
 func (r *Registry) CountUsable() int {
 	n := 0
--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -36,9 +36,14 @@
 	// immediateWait is the wait of a long poll whose response is needed at once.
 	immediateWait = 50 * time.Millisecond
 	// cancelCheckInterval is how often ShouldCancelPoll is called during a long poll. It is short
-	// compared with the second or more that remains for the repeated poll when ShouldCancelPoll
-	// first returns true.
-	cancelCheckInterval = 200 * time.Millisecond
+	// compared with the time that remains for the repeated poll when ShouldCancelPoll first returns
+	// true.
+	cancelCheckInterval = 100 * time.Millisecond
+	// minRepeatTime is how long a repeated poll may last before it is cancelled. Each further one may
+	// last twice as long, so that a slow store can respond at all.
+	minRepeatTime = 300 * time.Millisecond
+	// maxRepeatDoublings bounds the time of repeated polls at more than their own timeout.
+	maxRepeatDoublings = 3
 	// maxProbeWait is how long a follower that doesn't probe the store waits for the one that does.
 	// The limit is needed because a store may respond to calls for one table and not for another.
 	maxProbeWait = 3 * time.Second
@@ -108,6 +113,9 @@
 	// a change that came at the end of a wait, the last confirmation would get as old as two waits.
 	// May be nil, which means never.
 	ConfirmChanges func() bool
+	// OnResponse is called after each response has been applied, with the position up to which it shows
+	// the store and the time as of which it does; may be nil.
+	OnResponse func(asOf time.Duration, newest Position)
 	// ShouldCancelPoll is called during a long poll. If it returns true, the poll is cancelled and
 	// repeated with a short wait. May be nil.
 	ShouldCancelPoll func() bool
@@ -149,8 +157,8 @@
 
 	// failing is set from a failed call until the next call that succeeds.
 	failing bool
-	// pollCancelled is set if the last long poll was cancelled.
-	pollCancelled bool
+	// cancelledPolls is the number of polls that were cancelled since the last response or failure.
+	cancelledPolls int
 	// wasIdle is set until the store has responded for the first time after an idle period.
 	wasIdle bool
 	// historyGone is set if the store didn't have the history after historyGoneAt. Changes that
@@ -215,6 +223,7 @@
 			return err
 		}
 		f.applyFullRead(f.fullRead.startedAt, f.fullRead.batch)
+		f.notifyResponse(f.fullRead.startedAt, f.fullRead.batch.Position)
 		f.fullRead = pagedRead[T]{}
 		f.historyGone = false
 		if f.Idle != nil {
@@ -232,6 +241,7 @@
 		asOf += wait
 	}
 	f.applyChanges(asOf, batch)
+	f.notifyResponse(asOf, batch.Position)
 	f.changed = !batch.empty()
 	if !batch.empty() && f.CoalesceDelay > 0 {
 		pause.Sleep(ctx, f.CoalesceDelay)
@@ -239,9 +249,14 @@
 	return nil
 }
 
+func (f *Follower[T]) notifyResponse(asOf time.Duration, newest Position) {
+	if f.OnResponse != nil {
+		f.OnResponse(asOf, newest)
+	}
+}
+
 // pollChanges waits for changes unless ShouldCancelPoll cancels the call.
 func (f *Follower[T]) pollChanges(ctx context.Context, after Position, wait time.Duration) (Batch[T], error) {
-	f.pollCancelled = false
 	if f.ShouldCancelPoll == nil {
 		return f.Source.Next(ctx, after, wait)
 	}
@@ -250,7 +265,7 @@
 	var cancelled atomic.Bool
 	var watcher conc.WaitGroup
 	watcher.Go(func() {
-		for pause.Sleep(callCtx, cancelCheckInterval); callCtx.Err() == nil; pause.Sleep(callCtx, cancelCheckInterval) {
+		for pause.Sleep(callCtx, f.timeBeforeCancel()); callCtx.Err() == nil; pause.Sleep(callCtx, cancelCheckInterval) {
 			if f.ShouldCancelPoll() && (f.Receiving == nil || !f.Receiving.Load()) {
 				cancelled.Store(true)
 				cancel()
@@ -261,18 +276,27 @@
 	cancel()
 	watcher.Wait()
 	if err != nil && cancelled.Load() {
-		f.pollCancelled = true
+		f.cancelledPolls++
 		return batch, errPollCancelled
 	}
+	f.cancelledPolls = 0
 	return batch, err
 }
 
+// timeBeforeCancel returns how long a poll lasts before ShouldCancelPoll is called for the first time.
+func (f *Follower[T]) timeBeforeCancel() time.Duration {
+	if f.cancelledPolls == 0 {
+		return cancelCheckInterval
+	}
+	return minRepeatTime << min(f.cancelledPolls-1, maxRepeatDoublings)
+}
+
 // nextWait returns the wait of the next call. The wait is short after a failure, so that the response
 // shows at once that the store is back; after a cancelled poll; after an idle period, so that this
 // follower soon announces to its peers that it polls; and after changes that have to be confirmed.
 func (f *Follower[T]) nextWait() time.Duration {
 	longest := f.MaxWait()
-	if f.failing || f.pollCancelled || f.wasIdle || f.changed && f.ConfirmChanges != nil && f.ConfirmChanges() {
+	if f.failing || f.cancelledPolls > 0 || f.wasIdle || f.changed && f.ConfirmChanges != nil && f.ConfirmChanges() {
 		return min(longest, immediateWait)
 	}
 	// Stores count whole milliseconds. If the store rounded the wait down, its response would seem
--- a/internal/gateway/follow/history.go
+++ b/internal/gateway/follow/history.go
@@ -15,7 +15,8 @@
 	Items      []T
 	Removed    []string
 	Unreadable []string
-	// Snapshot is set if Items are the complete table, which replaces everything known before.
+	// Snapshot is set if Items are the complete table, which replaces everything known before. From
+	// has no meaning then.
 	Snapshot bool
 }
 
@@ -27,13 +28,13 @@
 	// start is the position after which deltas is complete.
 	start  Position
 	deltas []Delta[T]
-	// snapshot is the table at start if the store was restored from an older copy at that point;
-	// nil otherwise.
+	// snapshot is the table at start if the store was restored from an older copy or had lost its
+	// history at that point; nil otherwise.
 	snapshot *Delta[T]
 }
 
-// reset restarts the history at a position. Other gateways that have the table as of an earlier era
-// can continue from the snapshot, which is nil if there is none.
+// reset restarts the history at a position. Other gateways that have the table as of an earlier
+// position can continue from the snapshot, which is nil if there is none.
 func (h *history[T]) reset(position Position, snapshot *Delta[T]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -82,7 +83,7 @@
 	var deltas []Delta[T]
 	switch {
 	case h.start != 0 && after >= h.start:
-	case h.snapshot != nil && after != 0 && after.Era() < h.snapshot.To.Era():
+	case h.snapshot != nil && after != 0:
 		deltas = append(deltas, *h.snapshot)
 	default:
 		return nil, false
--- a/internal/gateway/follow/sharing.go
+++ b/internal/gateway/follow/sharing.go
@@ -24,6 +24,18 @@
 // DeltasSince returns the changes after a position; false if the history doesn't hold all of them.
 func (f *Follower[T]) DeltasSince(after Position) ([]Delta[T], bool) { return f.history.since(after) }
 
+// Table returns the complete table with its position, as a delta for a follower that knows nothing;
+// false before the table is known. items returns the table's rows and is called while the table can't
+// change.
+func (f *Follower[T]) Table(items func() []T) (Delta[T], bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.position == 0 {
+		return Delta[T]{}, false
+	}
+	return Delta[T]{From: f.position, To: f.position, Items: items(), Snapshot: true}, true
+}
+
 // Position returns the position up to which the table is known; 0 before it has been read.
 func (f *Follower[T]) Position() Position {
 	f.mu.Lock()
@@ -43,7 +55,7 @@
 		if delta.To <= f.position {
 			continue
 		}
-		if delta.Snapshot && f.position != 0 && delta.To.Era() > f.position.Era() {
+		if delta.Snapshot {
 			f.replaceLocked(asOf, Batch[T]{Items: delta.Items, Unreadable: delta.Unreadable, Position: delta.To})
 			continue
 		}
@@ -71,6 +83,19 @@
 	f.confirmLocked(asOf)
 }
 
+// Confirm records that the store had no change of the table after newest at asOf, as the responses for
+// another table of the store or another gateway show, provided that the table is known up to newest. It
+// reports whether it is. A position from another era confirms nothing.
+func (f *Follower[T]) Confirm(asOf time.Duration, newest Position) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.position == 0 || newest.Era() != f.position.Era() || newest > f.position {
+		return false
+	}
+	f.confirmLocked(asOf)
+	return true
+}
+
 // confirmLocked records that the table was complete at asOf; f.mu must be held.
 func (f *Follower[T]) confirmLocked(asOf time.Duration) { f.confirmedAt = max(f.confirmedAt, asOf) }
 
@@ -83,11 +108,12 @@
 }
 
 // replaceLocked replaces the complete table; f.mu must be held. If the store was restored from an
-// older copy, the table is kept as a snapshot, so that not all other followers have to read it from
-// the store.
+// older copy or no longer had the history, the table is kept as a snapshot, so that not all other
+// followers have to read it from the store.
 func (f *Follower[T]) replaceLocked(asOf time.Duration, table Batch[T]) {
 	var snapshot *Delta[T]
-	if f.position != 0 && table.Position.Era() > f.position.Era() {
+	switch {
+	case f.position != 0 && table.Position.Era() > f.position.Era():
 		f.Log.Warn(logging.EventStoreRestored, zap.String("table", f.Name),
 			zap.Uint64("era_before", f.position.Era()), zap.Uint64("era", table.Position.Era()),
 			zap.Uint64("version_before", f.position.Version()), zap.Uint64("version", table.Position.Version()), zap.Int("rows", len(table.Items)))
@@ -95,6 +121,10 @@
 			f.OnRestore()
 		}
 		snapshot = &Delta[T]{To: table.Position, Items: table.Items, Unreadable: table.Unreadable, Snapshot: true}
+	case f.position != 0:
+		// From keeps earlier releases, which apply snapshots of a later era only, from taking it for
+		// changes since any position.
+		snapshot = &Delta[T]{From: table.Position, To: table.Position, Items: table.Items, Unreadable: table.Unreadable, Snapshot: true}
 	}
 	f.Sink.Reset(asOf, table)
 	f.setPositionLocked(table.Position)
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -31,9 +31,8 @@
 	confirmationDeliverySlack = 400 * time.Millisecond
 	// minPollerWait is the shortest wait of a poller, used where the bound leaves hardly any time.
 	minPollerWait = 200 * time.Millisecond
-	// serverListMaxWait is how long the store may hold a request for the list of backend servers.
-	// It is long because the list confirms nothing, each call is paid for, and keep-alive probes
-	// detect a silent connection to the store within three seconds.
+	// serverListMaxWait is how long the store may hold a request for the list of backend servers while
+	// the responses for the desired state confirm the list. It is long because each call is paid for.
 	serverListMaxWait = 15 * time.Second
 	// serverListCoalesceDelay is the pause after a change of the list of backend servers. It is
 	// short compared to the two seconds after which draining servers must get no more work, and long
@@ -52,6 +51,7 @@
 	return &follow.Follower[*routes.Snapshot]{
 		Name: "desired state", Source: g.platform.DesiredState, Sink: g.desiredStateSink,
 		MaxWait: g.desiredStateWait, ConfirmChanges: g.isPoller, ShouldCancelPoll: g.confirmationNeedsRenewal, Receiving: &g.receivingState, Idle: func() bool { return g.desiredStateFromPeers() && !g.confirmationOverdue() }, DefersFullRead: g.defersToPollers,
+		OnResponse:  g.confirmServerList,
 		StoreHealth: &g.storeHealth, ProbesStore: true, OnCall: g.platform.Metrics.StoreCallCounter("targets"), OnRestore: g.platform.Metrics.StoreRestoreCounter("targets"), Log: g.log,
 	}
 }
@@ -106,7 +106,8 @@
 func (g *gateway) newServersFollower() *follow.Follower[backend.Info] {
 	return &follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: &serverListSink{registry: g.registry, log: g.log},
-		MaxWait: follow.FixedWait(serverListMaxWait), CoalesceDelay: serverListCoalesceDelay, Idle: func() bool { return g.serversFromPeers() && !g.confirmationOverdue() }, DefersFullRead: g.defersToPollers,
+		MaxWait: g.serverListWait, CoalesceDelay: serverListCoalesceDelay, ShouldCancelPoll: g.serverListNeedsRenewal,
+		Idle: func() bool { return g.serversFromPeers() && !g.confirmationOverdue() && !g.serverListOverdue() }, DefersFullRead: g.defersToPollers,
 		StoreHealth: &g.storeHealth, OnCall: g.platform.Metrics.StoreCallCounter("backend_servers"), OnRestore: g.platform.Metrics.StoreRestoreCounter("backend_servers"), Log: g.log,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,8 @@
 	draining                   atomic.Bool
 	// serverDrainDelay is the time, in nanoseconds, within which draining servers must get no more requests.
 	serverDrainDelay atomic.Int64
+	// listConfirmsItself is set while only the responses for the list of backend servers confirm it.
+	listConfirmsItself atomic.Bool
 	// serverListOld is set while the list of backend servers has been unconfirmed for serverDrainDelay.
 	serverListOld bool
 	// pendingQuarantine holds changes of the quarantine until they are written to the store.
@@ -137,7 +139,8 @@
 			return peers.Confirmation{Version: g.holder.Version(), At: g.holder.ConfirmedAt()}
 		},
 		Confirm: func(c peers.Confirmation) { g.holder.Confirm(c.Version, c.At) }, StoreStatus: g.storeStatus,
-		Usage: g.usageExchange(), Log: log,
+		ConfirmServers: func(at time.Duration, newest follow.Position) { g.servers.Confirm(at, newest) },
+		Usage:          g.usageExchange(), Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -207,7 +210,7 @@
 	callerServer := newCallerServer(callerListener, g.router, g.idleTimeout, g.pauseWhileOverloaded(), g.log)
 	wg.Go(func() { g.sweep(workCtx, callerServer) })
 	adminServer := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout}
-	handoverServer := &http.Server{Handler: handover.NewHandler(g.handoverState, g.servers.DeltasSince), ReadTimeout: handoverTimeout, WriteTimeout: handoverTimeout + handover.MaxDuration, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	handoverServer := &http.Server{Handler: handover.NewHandler(g.handoverState, g.serverChangesSince), ReadTimeout: handoverTimeout, WriteTimeout: handoverTimeout + handover.MaxDuration, ErrorLog: zap.NewStdLog(zap.NewNop())}
 	// These calls return when their servers are closed.
 	wg.Go(callerServer.Serve)
 	wg.Go(func() { _ = adminServer.Serve(adminListener) })
--- a/internal/gateway/handover/handler.go
+++ b/internal/gateway/handover/handler.go
@@ -29,7 +29,7 @@
 )
 
 // ChangesSince returns the changes of the list of backend servers after a position; false if
-// not all of them are known.
+// not all of them are known. After position 0 it returns the complete list.
 type ChangesSince func(after follow.Position) ([]follow.Delta[backend.Info], bool)
 
 // cborContentType is the media type of CBOR (RFC 8949).
--- a/internal/gateway/peer_sync.go
+++ b/internal/gateway/peer_sync.go
@@ -7,6 +7,9 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/gateway/handover"
 	"github.com/applepier/applepier/internal/logging"
 )
@@ -48,6 +51,7 @@
 // fetchFromPeer fetches the state of one gateway and applies it. It logs errors. If the desired state
 // is too large to transfer, it makes this gateway poll the store instead.
 func (g *gateway) fetchFromPeer(ctx context.Context, addr string, fetch func(context.Context, string) (handover.State, error)) {
+	g.fetchServerList(ctx, addr)
 	state, err := fetch(ctx, addr)
 	if err == nil {
 		err = g.applyPeerState(addr, state)
@@ -62,6 +66,32 @@
 	}
 }
 
+// fetchServerList fetches the list of backend servers from another gateway if none is known yet. Its
+// position allows changes to be applied before this gateway has read the list from the store, which may
+// reject it. It logs errors.
+func (g *gateway) fetchServerList(ctx context.Context, addr string) {
+	if g.registry.Loaded() {
+		return
+	}
+	list, err := handover.NewClient().Changes(ctx, addr, 0)
+	if err == nil {
+		err = g.servers.ApplyDeltas(boottime.Now(), list)
+	}
+	if err != nil && ctx.Err() == nil {
+		g.log.Info(logging.EventHandoverFailed, logging.Peer(addr), logging.Reason(err.Error()))
+	}
+}
+
+// serverChangesSince returns the changes of the list of backend servers after a position; after position
+// 0, the complete list. It returns false if not all of them are known.
+func (g *gateway) serverChangesSince(after follow.Position) ([]follow.Delta[backend.Info], bool) {
+	if after != 0 {
+		return g.servers.DeltasSince(after)
+	}
+	list, known := g.servers.Table(g.registry.Entries)
+	return []follow.Delta[backend.Info]{list}, known
+}
+
 // applyPeerState applies the state received from another gateway: the desired state if it is newer,
 // and the list of backend servers if none is known yet. A list from the store is never replaced: it
 // is newer, or is read again as soon as the store responds. It returns the decoder's error if the
--- a/internal/gateway/peers/bench_test.go
+++ b/internal/gateway/peers/bench_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/policy"
 )
 
@@ -32,6 +33,7 @@
 		OwnOfferCounts: func() map[string]policy.OfferCounts { return nil },
 		Confirmation:   func() Confirmation { return Confirmation{} },
 		Confirm:        func(Confirmation) {},
+		ConfirmServers: func(time.Duration, follow.Position) {},
 		StoreStatus:    func() StoreStatus { return StoreStatus{Reachable: true, Polling: true, ServersPosition: 1 << 20} },
 		Log:            zap.NewNop(),
 	})
--- a/internal/gateway/peers/broadcast.go
+++ b/internal/gateway/peers/broadcast.go
@@ -48,6 +48,9 @@
 	if confirmation.At > 0 {
 		shared.ConfirmationAge = uint64((boottime.Now() - confirmation.At).Milliseconds() + 1)
 	}
+	if store.ServersPosition != 0 && store.ServersConfirmedAt > 0 {
+		shared.ServersAge = uint64((boottime.Now() - store.ServersConfirmedAt).Milliseconds() + 1)
+	}
 	for _, l := range m.Loads() {
 		if l.Counts != (backend.Counts{}) {
 			shared.Loads = append(shared.Loads, packLoad(l.Server, &l.Counts))
--- a/internal/gateway/peers/config.go
+++ b/internal/gateway/peers/config.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/policy"
 )
 
@@ -66,6 +67,9 @@
 	// HandleOrigin processes a datagram about the origin of a stream (see package origin) from the
 	// gateway at addr. The datagram is valid until it returns.
 	HandleOrigin func(addr string, datagram []byte) error
+	// ConfirmServers records that the store had no change of the list of backend servers after a
+	// position at a time of the boottime clock.
+	ConfirmServers func(at time.Duration, newest follow.Position)
 	// StoreStatus returns what this gateway has observed of the store.
 	StoreStatus func() StoreStatus
 	// Usage connects the Mesh to usage reporting; nil if usage reporting is disabled.
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -73,6 +73,9 @@
 	SegmentSuspicions []segmentSuspicion `cbor:"15,keyasint,omitempty"`
 	// SegmentsKnown is whether the sender knows the quarantined requests and segments.
 	SegmentsKnown bool `cbor:"16,keyasint,omitempty"`
+	// ServersAge is the time in milliseconds since the store had no change of the list of backend
+	// servers after ServersPosition; 0 if the sender doesn't poll the store.
+	ServersAge uint64 `cbor:"17,keyasint,omitempty"`
 }
 
 // decodedMessage is a datagram with its decoded sharedState.
--- a/internal/gateway/peers/receive.go
+++ b/internal/gateway/peers/receive.go
@@ -84,9 +84,20 @@
 			Suspicions: unpackSuspicions(now, in.Suspicions, in.SegmentSuspicions), Limits: unpackLimits(now, in.Limits),
 		})
 	}
-	age := time.Duration(in.ConfirmationAge) * time.Millisecond
-	stamp := time.Duration(in.Echo)
-	if in.EchoBootID == m.bootID && in.StateVersion != 0 && age > 0 && stamp > age && stamp <= boottime.Now() {
-		m.Confirm(Confirmation{Version: in.StateVersion, At: stamp - age})
+	if at := m.confirmationTime(in, in.ConfirmationAge); at > 0 && in.StateVersion != 0 {
+		m.Confirm(Confirmation{Version: in.StateVersion, At: at})
 	}
+	if at := m.confirmationTime(in, in.ServersAge); at > 0 {
+		m.ConfirmServers(at, in.ServersPosition)
+	}
+}
+
+// confirmationTime returns the time of a confirmation that was ageMillis old when the datagram was sent;
+// 0 if there is none, or if it can't be dated.
+func (m *Mesh) confirmationTime(in *decodedMessage, ageMillis uint64) time.Duration {
+	age, stamp := time.Duration(ageMillis)*time.Millisecond, time.Duration(in.Echo)
+	if in.EchoBootID != m.bootID || age <= 0 || stamp <= age || stamp > boottime.Now() {
+		return 0
+	}
+	return stamp - age
 }
--- a/internal/gateway/peers/store_status.go
+++ b/internal/gateway/peers/store_status.go
@@ -27,6 +27,9 @@
 	// ServersPosition is the position after the newest known change of the list of backend
 	// servers, whether from the store or from a peer; 0 if there is none.
 	ServersPosition follow.Position
+	// ServersConfirmedAt is the time on the boottime clock as of which the store had no change of the
+	// list after ServersPosition; 0 if this gateway doesn't poll the store itself.
+	ServersConfirmedAt time.Duration
 	// QuarantineKnown is whether this gateway knows what is quarantined, either from the
 	// store or from gateways that know them.
 	QuarantineKnown bool
--- a/internal/gateway/peers/store_status_test.go
+++ b/internal/gateway/peers/store_status_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/follow"
 )
 
 // Guards against a gateway that can't reach the store being counted as preceding others, which would
@@ -84,3 +87,27 @@
 		}
 	}
 }
+
+// Guards against a gateway that can't tell how old its list of backend servers is: one that polls the
+// store passes on as of when its list was complete, dated on the receiver's clock.
+func TestConfirmationOfServerListReachesPeers(t *testing.T) {
+	a, b, _ := newMeshPair(t)
+	var confirmedAt time.Duration
+	var position follow.Position
+	b.Config.ConfirmServers = func(at time.Duration, newest follow.Position) { confirmedAt, position = at, newest }
+	a.Config.StoreStatus = func() StoreStatus {
+		return StoreStatus{Reachable: true, Polling: true, ServersPosition: 8, ServersConfirmedAt: boottime.Now() - time.Second}
+	}
+	before := boottime.Now()
+	deliver(t, b, a)
+	deliver(t, a, b)
+	if position != 8 || confirmedAt < before-1100*time.Millisecond || confirmedAt > boottime.Now()-time.Second {
+		t.Errorf("list confirmed at position %d, %v ago", position, boottime.Now()-confirmedAt)
+	}
+	position = 0
+	a.Config.StoreStatus = func() StoreStatus { return StoreStatus{Reachable: true, ServersPosition: 8} }
+	deliver(t, a, b)
+	if position != 0 {
+		t.Error("a gateway that doesn't poll confirms the list")
+	}
+}
--- a/internal/gateway/poll_delegation.go
+++ b/internal/gateway/poll_delegation.go
@@ -25,12 +25,18 @@
 // running gateway may know of changes made shortly before. If every gateway reported it, each start
 // of a gateway would make all others poll the store.
 func (g *gateway) storeStatus() peers.StoreStatus {
+	// The time must be read before the position: the list may be confirmed again in between, with a
+	// later change.
+	confirmedAt := g.servers.ConfirmedAt()
 	status := peers.StoreStatus{
 		Reachable: !g.storeHealth.Unavailable(), Polling: g.servers.Live(), ServersPosition: g.servers.LastChange(), QuarantineKnown: g.quarantineLoaded.Load(),
 	}
 	if g.isPoller() {
 		status.ServersPosition = g.servers.LastKnown()
 	}
+	if status.Polling {
+		status.ServersConfirmedAt = confirmedAt
+	}
 	return status
 }
 
--- a/internal/gateway/server_list_age.go
+++ b/internal/gateway/server_list_age.go
@@ -6,10 +6,25 @@
 	"go.uber.org/zap"
 
 	"github.com/applepier/applepier/internal/boottime"
+	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/settings"
 )
 
+const (
+	// serverListRenewalShare is the share of the bound on draining after which a gateway that polls
+	// the store repeats its call for the list of backend servers, if nothing has confirmed the list.
+	// The rest of the bound is for the repeated call and for passing the change on.
+	serverListRenewalShare = 0.6
+	// serverListOverdueShare is the share of the bound after which the other gateways poll the store
+	// themselves.
+	serverListOverdueShare = 0.75
+	// renewalMargin is how much sooner than a renewal is due the store should respond to a call that
+	// has to confirm the list, and minServerListWait the shortest wait of such a call.
+	renewalMargin     = 200 * time.Millisecond
+	minServerListWait = 200 * time.Millisecond
+)
+
 // defaultDrainDelay is the bound on draining where operators set none.
 const defaultDrainDelay = 2 * time.Second
 
@@ -25,6 +40,44 @@
 // the first confirmation it is the time since the VM's boot.
 func (g *gateway) serverListAge() time.Duration { return boottime.Now() - g.servers.ConfirmedAt() }
 
+// serverListRenewalAge returns the age at which the list needs confirmation.
+func (g *gateway) serverListRenewalAge() time.Duration {
+	return time.Duration(serverListRenewalShare * float64(g.serverDrainDelay.Load()))
+}
+
+// confirmServerList confirms the list from a response for the desired state. All tables of the store
+// share one version counter, so the list is complete if the store's newest version is one up to which
+// the list is known.
+func (g *gateway) confirmServerList(asOf time.Duration, newest follow.Position) {
+	confirmed := g.servers.Confirm(asOf, newest)
+	g.listConfirmsItself.Store(!confirmed || g.desiredStateWait() > g.serverListRenewalAge())
+}
+
+// serverListWait returns how long the store may hold a request for the list. The wait is short while
+// only the responses for the list itself confirm it, because other tables change.
+func (g *gateway) serverListWait() time.Duration {
+	if !g.listConfirmsItself.Load() {
+		return serverListMaxWait
+	}
+	return min(serverListMaxWait, max(g.serverListRenewalAge()-renewalMargin, minServerListWait))
+}
+
+// serverListNeedsRenewal reports whether the pending call for the list is to be repeated. The store may
+// never respond to a call that it has accepted, while it responds to others.
+func (g *gateway) serverListNeedsRenewal() bool {
+	if g.serverListAge() <= g.serverListRenewalAge() {
+		return false
+	}
+	g.listConfirmsItself.Store(true)
+	return true
+}
+
+// serverListOverdue reports whether the list's age exceeds what it can reach while the gateways that
+// poll the store receive responses and pass them on.
+func (g *gateway) serverListOverdue() bool {
+	return g.servers.Position() != 0 && g.serverListAge() > time.Duration(serverListOverdueShare*float64(g.serverDrainDelay.Load()))
+}
+
 // logServerListAge logs when the list's age exceeds the bound on draining, and when it no longer
 // does. It is called by one goroutine only.
 func (g *gateway) logServerListAge() {
