follow: a full read from a copy of the store that is behind is repeated (DRAIN)

What callers could see: requests to servers that were gone, after the store dropped its history and served reads from a copy some seconds behind: the read began after the later position was known, so it counted as a store that went back. Cause: one older read can't tell the two apart.

Change: such a read is repeated every half second, and applied once they have been older for 5 s. A read of a later era is applied at once, as before.

Evidence: TestStaleFullReadsAreRepeated failed without the change ("all a all stale"); TestFullReadOfStoreThatWentBackIsApplied now also asks that the table stays for these 5 s, and as before that it is taken over then. By the platform's page its responses are linearizable: not seen there.

--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -23,6 +23,9 @@
 // errPollCancelled means that a long poll was cancelled in order to repeat it with a short wait.
 var errPollCancelled = errors.New("long poll was cancelled")
 
+// errStaleRead means that the complete table that was read is older than the known one.
+var errStaleRead = errors.New("full read is older than the known table")
+
 // ErrHistoryGone means that the changes after a position are no longer available, so the complete
 // table has to be read.
 var ErrHistoryGone = errors.New("change history is no longer available")
@@ -47,6 +50,9 @@
 	// maxProbeWait is how long a follower that doesn't probe the store waits for the one that does.
 	// The limit is needed because a store may respond to calls for one table and not for another.
 	maxProbeWait = 3 * time.Second
+	// maxStaleReads is how long full reads that are older than the known table are repeated. Copies of
+	// a store that are behind catch up within seconds.
+	maxStaleReads = 5 * time.Second
 	// rereadDelay is the delay before the complete table is read again, so that a store that keeps
 	// no history isn't read in a tight loop.
 	rereadDelay = 50 * time.Millisecond
@@ -167,6 +173,9 @@
 	historyGoneAt Position
 	// changed is set if the last response held changes.
 	changed bool
+	// staleReadsSince is when full reads began to be older than the known table; zero if the last one
+	// wasn't.
+	staleReadsSince time.Time
 	// fullRead holds the pages of the complete table that were read so far.
 	fullRead pagedRead[T]
 }
@@ -196,6 +205,10 @@
 			continue
 		case errors.Is(err, errPollCancelled):
 			continue
+		case errors.Is(err, errStaleRead):
+			f.StoreHealth.markAvailable()
+			pause.Sleep(ctx, maxRetryDelay)
+			continue
 		case ctx.Err() != nil:
 			return
 		}
@@ -208,7 +221,7 @@
 }
 
 // callOnce polls once for changes if canPoll is set, reads the complete table otherwise, and applies
-// the result. Errors: ErrHistoryGone, errPollCancelled and those of the Source.
+// the result. Errors: ErrHistoryGone, errPollCancelled, errStaleRead and those of the Source.
 func (f *Follower[T]) callOnce(ctx context.Context, canPoll bool) error {
 	if f.Receiving != nil {
 		ctx = withResponseStarted(ctx, func() { f.Receiving.Store(true) })
@@ -222,9 +235,12 @@
 		if err := f.fullRead.read(ctx, f.Source); err != nil {
 			return err
 		}
-		f.applyFullRead(f.fullRead.startedAt, f.fullRead.batch)
-		f.notifyResponse(f.fullRead.startedAt, f.fullRead.batch.Position)
+		table, startedAt := f.fullRead.batch, f.fullRead.startedAt
 		f.fullRead = pagedRead[T]{}
+		if err := f.applyFullRead(startedAt, table); err != nil {
+			return err
+		}
+		f.notifyResponse(startedAt, table.Position)
 		f.historyGone = false
 		if f.Idle != nil {
 			// Peers announce during this delay whether they follow the table.
--- a/internal/gateway/follow/full_read_test.go
+++ b/internal/gateway/follow/full_read_test.go
@@ -39,26 +39,57 @@
 	})
 }
 
-// Guards against a follower that never leaves the position of a store that has gone back: a read made
-// after the later position was known shows that the store really holds an older table.
-func TestFullReadOfStoreThatWentBackIsApplied(t *testing.T) {
+// Guards against taking back what is known because the store reads from a copy that is behind: only a
+// store that stays behind has gone back.
+func TestStaleFullReadsAreRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sink := &recordingSink{}
+		stale := scriptedCall{batch: Batch[string]{Items: []string{"stale"}, Position: 5}}
 		src := &scriptedSource{calls: []scriptedCall{
 			{batch: Batch[string]{Items: []string{"a"}, Position: 8}},
 			{duration: time.Second, err: ErrHistoryGone},
-			{batch: Batch[string]{Items: []string{"b"}, Position: 5}},
+			stale, stale, stale,
+			{batch: Batch[string]{Items: []string{"b"}, Position: 9}},
 		}}
-		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 		defer cancel()
 		f := &Follower[string]{Name: "t", Source: src, Sink: sink, MaxWait: FixedWait(time.Second), Log: zap.NewNop()}
 		f.Run(ctx)
-		if got := join(sink.items); got != "all a all b" || f.Position() != 5 {
+		if got := join(sink.items); got != "all a all b" || f.Position() != 9 {
 			t.Errorf("sink got %q, position %d", got, f.Position())
 		}
 	})
 }
 
+// Guards against a follower that never leaves the position of a store that has gone back.
+func TestFullReadOfStoreThatWentBackIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sink := &recordingSink{}
+		src := &scriptedSource{calls: []scriptedCall{
+			{batch: Batch[string]{Items: []string{"a"}, Position: 8}},
+			{duration: time.Second, err: ErrHistoryGone},
+		}}
+		for range 2 * int(maxStaleReads/maxRetryDelay) {
+			src.calls = append(src.calls, scriptedCall{batch: Batch[string]{Items: []string{"b"}, Position: 5}})
+		}
+		src.calls = append(src.calls, scriptedCall{batch: Batch[string]{Items: []string{"c"}, Position: 6}})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f := &Follower[string]{Name: "t", Source: src, Sink: sink, MaxWait: FixedWait(time.Second), Log: zap.NewNop()}
+		go f.Run(ctx)
+		time.Sleep(maxStaleReads)
+		synctest.Wait()
+		if got := join(sink.items); got != "all a" {
+			t.Errorf("sink got %q before the store has stayed behind for %v", got, maxStaleReads)
+		}
+		time.Sleep(maxStaleReads)
+		synctest.Wait()
+		if len(sink.items) < 4 || sink.items[2] != "all" || sink.items[3] != "b" || f.Position() > 6 {
+			t.Errorf("sink got %q, position %d", join(sink.items), f.Position())
+		}
+	})
+}
+
 // Guards against a gateway that is never told of drains because it could not read the table itself: the
 // table that a peer hands over has a position, from which shared changes continue.
 func TestTableFromPeerIsContinuedByDeltas(t *testing.T) {
--- a/internal/gateway/follow/sharing.go
+++ b/internal/gateway/follow/sharing.go
@@ -71,16 +71,27 @@
 
 // applyFullRead replaces the table with the result of a full read that began at asOf. It ignores a read
 // that began before a later position became known, since other gateways have shared later changes
-// meanwhile. A read that began afterwards shows that the store went back.
-func (f *Follower[T]) applyFullRead(asOf time.Duration, table Batch[T]) {
+// meanwhile. One that began afterwards was read from a copy of the store that is behind, or the store
+// went back; applyFullRead returns errStaleRead until such reads have lasted for maxStaleReads.
+func (f *Follower[T]) applyFullRead(asOf time.Duration, table Batch[T]) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if table.Position < f.position && asOf <= f.learnedAt {
+	if table.Position < f.position {
 		f.Log.Info(logging.EventOldReadIgnored, zap.String("table", f.Name), zap.Stringer("position", table.Position), zap.Stringer("known", f.position))
-		return
+		if asOf <= f.learnedAt {
+			return nil
+		}
+		if f.staleReadsSince.IsZero() {
+			f.staleReadsSince = time.Now()
+		}
+		if time.Since(f.staleReadsSince) < maxStaleReads {
+			return errStaleRead
+		}
 	}
+	f.staleReadsSince = time.Time{}
 	f.replaceLocked(asOf, table)
 	f.confirmLocked(asOf)
+	return nil
 }
 
 // Confirm records that the store had no change of the table after newest at asOf, as the responses for
