--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -120,6 +120,9 @@
 		if httpResp.StatusCode < http.StatusOK {
 			continue
 		}
+		if r.OnHeader != nil {
+			r.OnHeader(httpResp.StatusCode, httpResp.Header)
+		}
 		if r.Matches(httpResp.Header) {
 			return e.newResponse(httpResp), nil
 		}
--- a/internal/gateway/exchange/request.go
+++ b/internal/gateway/exchange/request.go
@@ -18,6 +18,9 @@
 	// MaxIdle bounds how long a pooled connection may have been idle. It is short for requests that
 	// must not run twice, since a recently used connection is less likely to be closed meanwhile.
 	MaxIdle time.Duration
+	// OnHeader is called with the status and header of each final response on the connection, also of
+	// those that are skipped; may be nil.
+	OnHeader func(status int, h http.Header)
 	// Matches reports whether a response header belongs to this request. Responses to other requests,
 	// such as late ones to earlier requests, are skipped.
 	Matches func(http.Header) bool
--- a/internal/gateway/protocol/protocol.go
+++ b/internal/gateway/protocol/protocol.go
@@ -73,6 +73,11 @@
 	OtherInstance bool
 	// Limit is the backend server's request rate limit.
 	Limit RateLimit
+	// Leaving is set if the backend server says that it will end, and takes no more requests.
+	Leaving bool
+	// Rest is for how long the backend server wants no more requests from this gateway; 0 if it
+	// doesn't say.
+	Rest time.Duration
 	// ContentEncoded is set if the body has a content encoding, so that its bytes aren't those that
 	// the backend server produced.
 	ContentEncoded bool
--- a/internal/gateway/request_observer.go
+++ b/internal/gateway/request_observer.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -107,6 +108,17 @@
 	}
 }
 
+// ServerLeaving implements router.Observer.
+func (o requestObserver) ServerLeaving(server string) {
+	o.log.Info(logging.EventServerLeaving, logging.Peer(server))
+}
+
+// ServerRests implements router.Observer.
+func (o requestObserver) ServerRests(server string, rest time.Duration) {
+	o.metrics.ServerRests()
+	o.log.Info(logging.EventServerRests, logging.Peer(server), zap.Duration("rest", rest))
+}
+
 // Quarantined implements router.Observer.
 func (o requestObserver) Quarantined(evidence policy.Suspicion) {
 	if evidence.ID.Segment {
--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -46,7 +46,7 @@
 	tracked := &trackedRequest{InFlight: server.Load.Track(c.urgency, c.router.planPrefill(c, choice)), call: c, server: server, tokensAhead: choice.TokensAhead, sentAt: time.Now()}
 	defer tracked.Finish()
 	defer c.trackSuspectRun(info.ID)()
-	response, err := c.router.Pool.Do(ctx, server.Instance(), c.buildRequest(info, remaining))
+	response, err := c.router.Pool.Do(ctx, server.Instance(), c.buildRequest(server, remaining))
 	if errors.Is(err, exchange.ErrNotSent) {
 		if ctx.Err() == nil {
 			c.recordUnreachable(info.ID)
@@ -110,7 +110,8 @@
 
 // buildRequest returns the request as it is sent to a server, which has the remaining time to
 // respond.
-func (c *call) buildRequest(info *backend.Info, remaining time.Duration) *exchange.Request {
+func (c *call) buildRequest(server *backend.Server, remaining time.Duration) *exchange.Request {
+	info := server.Info()
 	attemptInfo := protocol.AttemptInfo{ServerID: info.ID, Customer: c.customer, Urgency: c.urgency, Timeout: remaining, LastEventID: c.params.LastEventID, FetchFrom: c.fetchFrom}
 	if c.stream.hasLastID {
 		attemptInfo.LastEventID = strconv.FormatInt(c.stream.lastID, 10)
@@ -127,6 +128,9 @@
 		Header:  c.router.Dialect.AttemptHeaders(c.req.Header, attemptInfo),
 		Body:    c.body,
 		MaxIdle: maxIdle,
+		OnHeader: func(status int, h http.Header) {
+			c.router.observeNotices(server, c.router.Dialect.ParseResponse(status, h))
+		},
 		Matches: func(h http.Header) bool { return c.router.Dialect.ParseResponse(0, h).ID == c.params.ID },
 	}
 }
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -92,6 +92,10 @@
 	// ServerLimitChanged is called when a response changes a server's rate limit, and for each
 	// response with an invalid limit.
 	ServerLimitChanged(server string, limit protocol.RateLimit)
+	// ServerLeaving is called when a response says that its server leaves, once for each instance, and
+	// ServerRests when a server wants no requests for a time.
+	ServerLeaving(server string)
+	ServerRests(server string, rest time.Duration)
 	// Quarantined is called when a request or prompt segment is quarantined of which this gateway
 	// has observed a crash, with the evidence, and Released when it no longer is.
 	Quarantined(evidence policy.Suspicion)
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -74,6 +74,9 @@
 // this gateway.
 func (m *Metrics) ServerEnded() { counter(m.registry, familyServersEnded).Inc(1) }
 
+// ServerRests counts a response in which a backend server asked for a time without requests.
+func (m *Metrics) ServerRests() { counter(m.registry, familyServerRests).Inc(1) }
+
 // ConnectionsRefusedFor counts a time for which callers' new connections are refused.
 func (m *Metrics) ConnectionsRefusedFor(d time.Duration) {
 	counter(m.registry, familyConnectionsRefused).Inc(d.Milliseconds())
