--- a/internal/gateway/follow/full_read_test.go
+++ b/internal/gateway/follow/full_read_test.go
@@ -61,10 +61,22 @@
 	})
 }
 
-// Guards against a follower that never leaves the position of a store that has gone back.
+// resetTimes is a Sink that records when the table was replaced.
+type resetTimes struct {
+	recordingSink
+	at []time.Time
+}
+
+func (s *resetTimes) Reset(asOf time.Duration, all Batch[string]) {
+	s.at = append(s.at, time.Now())
+	s.recordingSink.Reset(asOf, all)
+}
+
+// Guards against a follower that never leaves the position of a store that has gone back, and one that
+// does so before the store has stayed behind for some time.
 func TestFullReadOfStoreThatWentBackIsApplied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sink := &recordingSink{}
+		sink := &resetTimes{}
 		src := &scriptedSource{calls: []scriptedCall{
 			{batch: Batch[string]{Items: []string{"a"}, Position: 8}},
 			{duration: time.Second, err: ErrHistoryGone},
@@ -72,20 +84,15 @@
 		for range 2 * int(maxStaleReads/maxRetryDelay) {
 			src.calls = append(src.calls, scriptedCall{batch: Batch[string]{Items: []string{"b"}, Position: 5}})
 		}
-		src.calls = append(src.calls, scriptedCall{batch: Batch[string]{Items: []string{"c"}, Position: 6}})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		f := &Follower[string]{Name: "t", Source: src, Sink: sink, MaxWait: FixedWait(time.Second), Log: zap.NewNop()}
-		go f.Run(ctx)
-		time.Sleep(maxStaleReads)
-		synctest.Wait()
-		if got := join(sink.items); got != "all a" {
-			t.Errorf("sink got %q before the store has stayed behind for %v", got, maxStaleReads)
+		f.Run(ctx)
+		if f.Position() != 5 || len(sink.at) != 2 || sink.items[3] != "b" {
+			t.Fatalf("sink got %q, position %d", join(sink.items), f.Position())
 		}
-		time.Sleep(maxStaleReads)
-		synctest.Wait()
-		if len(sink.items) < 4 || sink.items[2] != "all" || sink.items[3] != "b" || f.Position() > 6 {
-			t.Errorf("sink got %q, position %d", join(sink.items), f.Position())
+		if after := sink.at[1].Sub(sink.at[0]); after < maxStaleReads || after > 2*maxStaleReads {
+			t.Errorf("the older table was applied after %v", after)
 		}
 	})
 }
