gateway: a server that says in a response that it leaves gets no more requests (DRAIN)

What callers saw: requests to a server for 11 s after one of its responses had said that it leaves, while the store couldn't take its entry. Cause: nothing read the header; only the list decided. Class: what a server says of itself is used for that response only.

Change: Server-Leaving marks the instance, in the registry that already keeps draining for as long as the instance lasts: entries that still say ready, a removal and return, an older copy of the store don't clear it, a successor under the ID or at the address doesn't inherit it. The mark is made from the head of every response on a connection, also of late ones. One check stands immediately before the bytes are written, after a dial or wait, for what the store and what the server said alike; a withheld request goes to another server.

--- a/internal/gateway/backend/draining_test.go
+++ b/internal/gateway/backend/draining_test.go
@@ -150,3 +150,40 @@
 		t.Errorf("%d instances are remembered after they expired", len(l))
 	}
 }
+
+// Guards against an instance that said of itself that it leaves and is usable again after news from the
+// store, which may not have taken its entry, or through a Server that was chosen before.
+func TestInstanceThatSaysThatItLeavesIsNeverUsableAgain(t *testing.T) {
+	ready := entryWithSequence("a", 4, false)
+	for name, news := range map[string]func(r *Registry){
+		"nothing":   func(*Registry) {},
+		"renewed":   func(r *Registry) { r.ApplyChanges(testStart, []Info{entryWithSequence("a", 5, false)}, nil, nil) },
+		"full list": func(r *Registry) { r.ReplaceAll(testStart, []Info{ready}, nil) },
+		"older copy": func(r *Registry) {
+			r.MarkStoreRestored(testStart)
+			r.ReplaceAll(testStart, []Info{entryWithSequence("a", 3, false)}, nil)
+		},
+		"removed, back": func(r *Registry) {
+			r.ApplyChanges(testStart, nil, []string{"a"}, nil)
+			r.ApplyChanges(testStart.Add(2*tombstoneTTL), []Info{entryWithSequence("a", 5, false)}, nil, nil)
+		},
+	} {
+		for _, marksLast := range []bool{false, true} {
+			r := NewRegistry()
+			r.ReplaceAll(testStart, []Info{ready}, nil)
+			chosen := r.Server("a")
+			if marksLast {
+				news(r)
+			}
+			if !r.MarkLeaving(testStart, chosen) || r.MarkLeaving(testStart, chosen) {
+				t.Errorf("%s: want the first notice only to be news", name)
+			}
+			if !marksLast {
+				news(r)
+			}
+			if !r.Leaving(testStart, chosen) || !r.Leaving(testStart, r.Server("a")) || !r.Server("a").Info().Draining || r.CountUsable() != 0 {
+				t.Errorf("%s, marked last %v: the instance is usable", name, marksLast)
+			}
+		}
+	}
+}
--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -210,6 +210,31 @@
 	return true
 }
 
+// MarkLeaving records that an instance said of itself that it leaves. Its entry may lack that for as
+// long as the store doesn't take it. MarkLeaving reports whether it wasn't known.
+func (r *Registry) MarkLeaving(now time.Time, server *Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	info := *server.Info()
+	known := info.Draining || r.leaving.contains(now, &info)
+	info.Draining = true
+	r.leaving.add(now, &info)
+	server.info.Store(&info)
+	if listed := r.servers[info.ID]; listed != nil && listed != server && listed.Info().sameRun(&info) {
+		// The entry was removed and is back.
+		r.apply(now, *listed.Info())
+	}
+	return !known
+}
+
+// Leaving reports whether an instance is known to leave, whatever the list says of it.
+func (r *Registry) Leaving(now time.Time, server *Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	info := server.Info()
+	return info.Draining || r.leaving.contains(now, info)
+}
+
 // Sweep removes the servers whose grace period has ended without a renewed entry, unless the store
 // is down again. It should be called a few times a second.
 func (r *Registry) Sweep(now time.Time) {
--- a/internal/gateway/exchange/errors.go
+++ b/internal/gateway/exchange/errors.go
@@ -7,6 +7,8 @@
 var (
 	// ErrNotSent means that no byte of the request left this process, so it didn't run.
 	ErrNotSent = errors.New("request not sent")
+	// ErrWithheld means that Request.MaySend rejected the request, so it wasn't sent and didn't run.
+	ErrWithheld = errors.New("request withheld")
 	// ErrIncomplete means that the connection ended or the response was malformed or incomplete;
 	// the request may have run.
 	ErrIncomplete = errors.New("incomplete response")
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -64,8 +64,8 @@
 }
 
 // Do sends a request and reads the response header. If ctx ends, also while the body is being read,
-// the connection is closed and the exchange fails. Errors wrap one of ErrNotSent, ErrIncomplete,
-// ErrTimeout and ErrCancelled.
+// the connection is closed and the exchange fails. Errors wrap one of ErrNotSent, ErrWithheld,
+// ErrIncomplete, ErrTimeout and ErrCancelled.
 func (p *Pool) Do(ctx context.Context, instance ServerInstance, r *Request) (*Response, error) {
 	c, err := p.acquire(ctx, instance, r.MaxIdle)
 	if err != nil {
@@ -76,6 +76,10 @@
 		p.release(c)
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		p.release(c)
+		return nil, ErrWithheld
+	}
 	e := &exchange{pool: p, conn: c, ctx: ctx, keepConn: true}
 	e.stopCancel = context.AfterFunc(ctx, c.close)
 	if err := e.write(r.encode()); err != nil {
--- a/internal/gateway/exchange/request.go
+++ b/internal/gateway/exchange/request.go
@@ -18,6 +18,9 @@
 	// MaxIdle bounds how long a pooled connection may have been idle. It is short for requests that
 	// must not run twice, since a recently used connection is less likely to be closed meanwhile.
 	MaxIdle time.Duration
+	// MaySend is called once a connection is open, immediately before the request is sent on it, and
+	// reports whether it still may be; may be nil. Opening a connection takes time.
+	MaySend func() bool
 	// OnHeader is called with the status and header of each final response on the connection, also of
 	// those that are skipped; may be nil.
 	OnHeader func(status int, h http.Header)
--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -21,7 +21,8 @@
 const (
 	// resultFinal: the final response has been written, or the caller has disconnected.
 	resultFinal attemptResult = iota
-	// resultNotSent: no connection to the server could be opened.
+	// resultNotSent: no connection to the server could be opened, or the server takes no requests any
+	// more.
 	resultNotSent
 	// resultNotRun: the server reported that it did not run the request.
 	resultNotRun
@@ -47,6 +48,9 @@
 	defer tracked.Finish()
 	defer c.trackSuspectRun(info.ID)()
 	response, err := c.router.Pool.Do(ctx, server.Instance(), c.buildRequest(server, remaining))
+	if errors.Is(err, exchange.ErrWithheld) {
+		return resultNotSent
+	}
 	if errors.Is(err, exchange.ErrNotSent) {
 		if ctx.Err() == nil {
 			c.recordUnreachable(info.ID)
@@ -128,6 +132,7 @@
 		Header:  c.router.Dialect.AttemptHeaders(c.req.Header, attemptInfo),
 		Body:    c.body,
 		MaxIdle: maxIdle,
+		MaySend: func() bool { return c.router.maySend(server) },
 		OnHeader: func(status int, h http.Header) {
 			c.router.observeNotices(server, c.router.Dialect.ParseResponse(status, h))
 		},
