--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -59,6 +59,7 @@
 		return resultNotSent
 	}
 	c.sends++
+	c.retryTaken = false
 	c.answerTime = 0
 	if err != nil {
 		c.serverEnded = errors.Is(err, exchange.ErrIncomplete) && c.serverHasEnded(server)
@@ -68,6 +69,9 @@
 	defer response.Abort()
 	responseInfo := c.router.Dialect.ParseResponse(response.Status, response.Header)
 	c.updateServerLimit(server, tracked.sentAt, responseInfo)
+	if responseInfo.Rest == 0 && !responseInfo.OtherInstance {
+		c.router.endRest(server, tracked.sentAt)
+	}
 	result := c.handleResponse(ctx, response, responseInfo, tracked)
 	c.answerTime = tracked.answerTime()
 	c.serverEnded = (response.Incomplete() || response.EndsWithConnection && !c.served) && c.serverHasEnded(server)
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -86,6 +86,11 @@
 	// retriedUnreachable is set once the servers in unreachable have been made available for a
 	// second attempt.
 	retriedUnreachable bool
+	// retryTaken is set from when the next send was taken from the retry budget until it is made.
+	retryTaken bool
+	// restLeft is the time until the first server of the service takes requests again, if all rested
+	// when one was to be chosen; 0 otherwise.
+	restLeft time.Duration
 	// mayHaveRun is set if a backend server may have run the request.
 	mayHaveRun bool
 	// serverFailure is the last failure response of a backend server. It is forwarded if no other
@@ -123,6 +128,9 @@
 			c.refuseServerLimits(choice)
 			return
 		case server == nil:
+			if choice.Resting {
+				c.restLeft = choice.AvailableIn
+			}
 			c.respondFinalFailure()
 			return
 		}
@@ -130,6 +138,10 @@
 			c.refuseNoCapacity(choice)
 			return
 		}
+		if !c.takeRetry() {
+			c.respondFinalFailure()
+			return
+		}
 		result := c.attempt(ctx, server, choice)
 		switch result {
 		case resultFinal:
@@ -165,9 +177,18 @@
 	}
 }
 
+// takeRetry takes the next send from the service's retry budget, if the request was sent before, and
+// reports whether it may be made. An attempt that sends nothing doesn't use it up.
+func (c *call) takeRetry() bool {
+	if c.sends > 0 && !c.retryTaken {
+		c.retryTaken = c.router.allowRetry(c.service)
+		return c.retryTaken
+	}
+	return true
+}
+
 // mayRetry reports whether the request may be sent to another server after an attempt with the
-// given result. If the attempt sent the request, an allowed retry is taken from the service's retry
-// budget.
+// given result. Nothing is taken from the retry budget before there is a server.
 func (c *call) mayRetry(ctx context.Context, result attemptResult) bool {
 	if ctx.Err() != nil {
 		return false
@@ -181,7 +202,7 @@
 	if result != resultNotRun && !c.route.Idempotent() {
 		return false
 	}
-	return c.sends < max(c.route.MaxAttempts, 1) && c.router.allowRetry(c.service)
+	return c.sends < max(c.route.MaxAttempts, 1) && c.router.retryAvailable(c.service)
 }
 
 // clampSharedSegments returns the segments of a prompt that other requests share, which are all but
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -207,6 +207,7 @@
 	ReasonNoCapacity         Reason = "no_room_in_time"
 	ReasonNoFreeSlot         Reason = "no_slot_free"
 	ReasonServerLimits       Reason = "server_limits"
+	ReasonServersRest        Reason = "servers_rest"
 	ReasonQuarantined        Reason = "crashes_servers"
 	// ReasonOriginUnknown: it is unknown which software version began the stream that the caller
 	// resumes. ReasonOriginUnavailable: no server of that version can continue it.
--- a/internal/gateway/router/policy_state.go
+++ b/internal/gateway/router/policy_state.go
@@ -82,6 +82,7 @@
 		server := policy.KeyOf(loads[i].Name)
 		loads[i].PauseRisk = s.pauses.ExcessRisk(now, server, job.Urgency, pauseTarget)
 		loads[i].Unresponsive = r.unresponsive.Excluded(now, server)
+		loads[i].RestLeft = r.rests.Left(now, loads[i].Instance)
 	}
 	job.Headroom = s.headroom.Share(now, &offerCounts, policy.SlotUtilization(loads), job.Urgency)
 	r.limits.MarkOverLimit(now, r.Random, &job, loads)
@@ -237,6 +238,13 @@
 	r.retryBudget(service).CountRequest(time.Now())
 }
 
+// retryAvailable reports whether the service's retry budget allows a retry now.
+func (r *Router) retryAvailable(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retryBudget(service).Available(time.Now())
+}
+
 // allowRetry takes one retry from the service's retry budget, and reports whether it could.
 func (r *Router) allowRetry(service string) bool {
 	r.mu.Lock()
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -34,6 +34,7 @@
 	familyLiveGateways         family = "applepier_gateways"
 	familyUsableServers        family = "applepier_backend_servers"
 	familyServerListAge        family = "applepier_backend_server_list_age_milliseconds"
+	familyRestingServers       family = "applepier_backend_servers_resting"
 	familyServerRests          family = "applepier_backend_server_rests_total"
 	familyServersEnded         family = "applepier_backend_servers_ended_total"
 	familyStreamsResumed       family = "applepier_streams_resumed_total"
@@ -83,6 +84,7 @@
 	familyLiveGateways:         "Gateways that this one hears of, itself included.",
 	familyUsableServers:        "Backend servers that may get requests.",
 	familyServerListAge:        "Age of the proof that the list of backend servers is complete.",
+	familyRestingServers:       "Backend servers that have asked this gateway for a time without requests.",
 	familyServerRests:          "Responses in which a backend server asked for a time without requests.",
 	familyServersEnded:         "Starts of backend servers that ended while they had requests of this gateway.",
 	familyStreamsResumed:       "Streams that were resumed, in one response or by their callers.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -21,6 +21,8 @@
 	LimitedServers int
 	// LimitedSends is the total number of requests sent to servers while they had a limit.
 	LimitedSends int64
+	// RestingServers is the number of backend servers that have asked this gateway for rest.
+	RestingServers int
 	// QuarantinedRequests is the number of requests and prompt segments refused because
 	// backend servers terminated while processing them. Requests with the same content
 	// count once, and so do those with the same segment.
@@ -41,6 +43,7 @@
 	droppedLines := counter(m.registry, familyLogLinesDropped)
 	listAge := gauge(m.registry, familyServerListAge)
 	limited := gauge(m.registry, familyLimitedServers)
+	resting := gauge(m.registry, familyRestingServers)
 	limitedSends := counter(m.registry, familyLimitedSends)
 	quarantined := gauge(m.registry, familyQuarantinedRequests)
 	polling := gauge(m.registry, familyStorePolling)
@@ -57,6 +60,7 @@
 		servers.Update(int64(stats.UsableServers))
 		listAge.Update(stats.ServerListAge.Milliseconds())
 		limited.Update(int64(stats.LimitedServers))
+		resting.Update(int64(stats.RestingServers))
 		limitedSends.Inc(stats.LimitedSends - limitedSends.Count())
 		quarantined.Update(int64(stats.QuarantinedRequests))
 		fencingToken.Update(int64(stats.UsageGeneration))
--- a/policy/choice.go
+++ b/policy/choice.go
@@ -26,9 +26,12 @@
 	// has capacity.
 	InTime bool
 	// RateLimited reports that only servers without remaining allowance are available,
-	// and AvailableIn is the time until the first of them has some.
+	// and AvailableIn is the time until the first server is available again.
 	RateLimited bool
 	AvailableIn time.Duration
+	// Resting reports that the first server to become available again is one that rests, and
+	// that no other takes requests; AvailableIn is then the time until its rest ends.
+	Resting bool
 	// SlotLimited reports that no server is in time, but some would be if they had a
 	// free slot.
 	SlotLimited bool
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -67,13 +67,13 @@
 
 // Choose returns the best server for a job, given the service's prefill rate. Ejected
 // and unresponsive servers are excluded unless they are more than panicThreshold of the
-// usable servers. Servers over their rate limit and those of a version that doesn't fit a
-// bound job are always excluded.
+// usable servers. Servers that drain or rest, those over their rate limit and those of a
+// version that doesn't fit a bound job are always excluded.
 func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *PrefillRate) Choice {
 	if len(servers) == 0 {
 		return Choice{}
 	}
-	usable := func(s *Server) bool { return !s.Draining && job.fits(s) && !job.tried(s.Name) }
+	usable := func(s *Server) bool { return s.takesRequests() && job.fits(s) && !job.tried(s.Name) }
 	failing := func(s *Server) bool { return s.Unresponsive || c.ejector.Ejected(now, s.Name) }
 	usableCount, failingCount := 0, 0
 	for i := range servers {
@@ -91,6 +91,9 @@
 	choice := c.chooseFrom(now, job, servers, rate, func(s *Server) bool { return candidate(s) && !s.OverLimit })
 	if !choice.Found {
 		choice.AvailableIn, choice.RateLimited = soonestAvailable(servers, candidate)
+		if restLeft, resting := soonestRestEnd(servers, job.fits); resting && (!choice.RateLimited || restLeft < choice.AvailableIn) {
+			choice.AvailableIn, choice.RateLimited, choice.Resting = restLeft, false, true
+		}
 	}
 	return choice
 }
--- a/policy/server.go
+++ b/policy/server.go
@@ -1,5 +1,7 @@
 package policy
 
+import "time"
+
 // UrgencyLevels is the number of urgency levels that backend servers distinguish.
 // Level 0 is the most urgent.
 const UrgencyLevels = 10
@@ -34,6 +36,9 @@
 	Pending PendingWork
 	// Draining servers accept no new work.
 	Draining bool
+	// RestLeft is how long no request may be sent to the server, because it asked this gateway for
+	// rest; 0 if it doesn't rest.
+	RestLeft time.Duration
 	// Warming servers have started recently and are slow for a while.
 	Warming bool
 	// Unresponsive servers answer no gateway.
@@ -48,6 +53,9 @@
 	PauseRisk float64
 }
 
+// takesRequests reports whether requests may be sent to the server at all. Nothing overrides that.
+func (s *Server) takesRequests() bool { return !s.Draining && s.RestLeft == 0 }
+
 // inFlight returns the number of running and pending requests.
 func (s *Server) inFlight() int {
 	n := s.Running
@@ -59,12 +67,12 @@
 
 // SlotUtilization returns the number of running and pending requests as a share of all
 // servers' slots; 0 if no server has a known number of slots. Slots that a rate limit keeps
-// idle count as used.
+// idle count as used, and those of servers that take no requests don't count.
 func SlotUtilization(servers []Server) float64 {
 	used, slots := 0.0, 0
 	for i := range servers {
 		s := &servers[i]
-		if s.Slots == 0 {
+		if s.Slots == 0 || !s.takesRequests() {
 			continue
 		}
 		slots += s.Slots
--- a/policy/sliding_retry_budget.go
+++ b/policy/sliding_retry_budget.go
@@ -42,6 +42,15 @@
 
 // Allow reports whether one more retry may be sent now, and if so counts it.
 func (b *SlidingRetryBudget) Allow(now time.Time) bool {
+	if !b.Available(now) {
+		return false
+	}
+	b.retries[b.interval%budgetBuckets]++
+	return true
+}
+
+// Available reports whether one more retry may be sent now.
+func (b *SlidingRetryBudget) Available(now time.Time) bool {
 	b.advance(now)
 	requests, retries := 0, 0
 	for i := range budgetBuckets {
@@ -51,11 +60,7 @@
 	// Only part of the oldest interval is in the window: its retries count and its requests
 	// don't, so that no span of a window's length exceeds the budget.
 	requests -= b.requests[(b.interval+1)%budgetBuckets]
-	if float64(retries+1) > b.Ratio*float64(requests)+b.Extra {
-		return false
-	}
-	b.retries[b.interval%budgetBuckets]++
-	return true
+	return float64(retries+1) <= b.Ratio*float64(requests)+b.Extra
 }
 
 func (b *SlidingRetryBudget) advance(now time.Time) {
