--- a/testbed/soak/check.go
+++ b/testbed/soak/check.go
@@ -32,6 +32,8 @@
 	checkResumptions     = "resumed"
 	checkDeadlySegments  = "deadly segments"
 	checkSoundRequests   = "sound requests"
+	checkLeaving         = "leaving"
+	checkRest            = "rest"
 )
 
 // indexedHistory is a History with its arrivals indexed by request ID.
@@ -62,6 +64,7 @@
 	indexed.verifyVersions(report)
 	indexed.verifyResumptions(report)
 	indexed.verifySegments(report)
+	indexed.verifyNotices(report)
 	indexed.verifyRevokedKeys(report)
 	indexed.verifyStops(report)
 	indexed.verifyReadings(report)
--- a/testbed/soak/harness.go
+++ b/testbed/soak/harness.go
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	h := &harness{config: c, programs: fleet.NewProcessGroup(dir), states: newStateGenerator()}
-	h.history.Bounds = Bounds{Contact: faultMargin, Revoke: revokeTimeout, Recover: recoveryTimeout, MemoryMB: memoryMB, Descriptors: maxDescriptors}
+	h.history.Bounds = Bounds{Contact: faultMargin, Revoke: revokeTimeout, Drain: drainBound, Recover: recoveryTimeout, MemoryMB: memoryMB, Descriptors: maxDescriptors}
 	var err error
 	if h.store, err = newStore(h.programs, c.Soak); err != nil {
 		return h, err
--- a/testbed/soak/history.go
+++ b/testbed/soak/history.go
@@ -48,6 +48,8 @@
 	Contact time.Duration
 	// Revoke is how soon a removed key must stop working.
 	Revoke time.Duration
+	// Drain is how soon a server that leaves must get no more requests.
+	Drain time.Duration
 	// Recover is how soon a gateway must serve after the last fault.
 	Recover time.Duration
 	// MemoryMB and Descriptors bound a gateway's resident memory and open file
@@ -66,6 +68,11 @@
 	Script string
 	Ran    bool
 	Cut    bool
+	// Instance is the server's instance. Rest is the time without requests that its response asks for,
+	// and Leaving whether it says that the server leaves.
+	Instance string        `json:",omitempty"`
+	Rest     time.Duration `json:",omitempty"`
+	Leaving  bool          `json:",omitempty"`
 	// Crashed reports whether the server crashed as it began to answer.
 	Crashed bool `json:",omitempty"`
 }
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -21,6 +21,8 @@
 	// Bounds.Recover.
 	faultMargin     = 4 * time.Second
 	recoveryTimeout = 15 * time.Second
+	// drainBound is the gateways' bound where their settings name none.
+	drainBound = 2 * time.Second
 	// maxDescriptors is the file descriptor limit of a small entry VM.
 	maxDescriptors = 4100
 )
--- a/testbed/soak/script.go
+++ b/testbed/soak/script.go
@@ -15,6 +15,11 @@
 var scriptNames = []string{"well", "well", "well", "refuse", "drop", "hang", "fail", "half", "extra", "garble", "slow"}
 
 const (
+	// scriptRest turns requests away and asks for restTime without any, and scriptLeave responds normally
+	// and says that the server leaves. Both have steps of their own.
+	scriptRest  = "rest"
+	scriptLeave = "leave"
+	restTime    = 1500 * time.Millisecond
 	// maxServiceMS bounds the service time of a request in milliseconds, and
 	// maxSlowServiceMS that at a slow server: less than the shortest timeout.
 	maxServiceMS     = 60
@@ -30,6 +35,10 @@
 	switch name {
 	case "refuse":
 		return gateway.Reject(503)
+	case scriptRest:
+		return restFor(restTime)
+	case scriptLeave:
+		return delayed(maxServiceMS, respondAt(version, "Server-Leaving: 1"))
 	case "drop":
 		return gateway.CloseConnection
 	case "hang":
@@ -77,14 +86,25 @@
 	return kind, stream, lastEvent
 }
 
-// respondAt returns a script that sends a complete response; a stream event by event.
-func respondAt(version string) gateway.Script {
+// restFor returns a script that turns requests away and asks for a time without any.
+func restFor(d time.Duration) gateway.Script {
+	return func(c net.Conn, a *gateway.ReceivedRequest) bool {
+		_, err := io.WriteString(c, gateway.ResponseHead(a, 503, "Content-Length: 0", "X-Not-Executed: 1", fmt.Sprintf("Retry-After: %.1f", d.Seconds())))
+		return err == nil
+	}
+}
+
+// respondAt returns a script that sends a complete response, with additional header lines; a stream event
+// by event.
+func respondAt(version string, lines ...string) gateway.Script {
 	return func(c net.Conn, a *gateway.ReceivedRequest) bool {
 		kind, stream, from := parseRequest(a)
 		if !isStream(kind) {
-			return gateway.Respond(expectedBody(kind, a.ID, 0))(c, a)
+			body := expectedBody(kind, a.ID, 0)
+			_, err := io.WriteString(c, gateway.ResponseHead(a, 200, append([]string{fmt.Sprintf("Content-Length: %d", len(body))}, lines...)...)+body)
+			return err == nil
 		}
-		if _, err := io.WriteString(c, gateway.ResponseHead(a, 200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream")); err != nil {
+		if _, err := io.WriteString(c, gateway.ResponseHead(a, 200, append([]string{"Transfer-Encoding: chunked", "Content-Type: text/event-stream"}, lines...)...)); err != nil {
 			return false
 		}
 		for n := from + 1; n <= streamEventCount; n++ {
