tests: drains are known after a loss of the history, and while pollers get no response (DRAIN)

TestDrainIsKnownAfterLossOfHistory: feeds say nothing for a second in which a server begins to drain, then the history is dropped.

--- a/testbed/gateway/server_list_age_test.go
+++ b/testbed/gateway/server_list_age_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/applepier/applepier/testbed/gateway"
 	"github.com/applepier/applepier/testbed/ports"
+	"github.com/applepier/applepier/testbed/rowstore"
 )
 
 // drainBound is the time after which a draining server must get no more requests.
@@ -108,3 +109,36 @@
 	time.Sleep(drainBound)
 	expectNoRequests(t, first, []*gateway.Fixture{late})
 }
+
+// Guards against gateways that learn of a drain too late because the store dropped its history: feeds say
+// nothing for a second in which the server begins to drain, and are then cut off.
+func TestDrainIsKnownAfterLossOfHistory(t *testing.T) {
+	fixtures, draining := startWithTwoServers(t, 5)
+	first := fixtures[0]
+	first.Store.SetFault(rowstore.StaleFeeds)
+	first.ListServer(draining, "draining")
+	changed := time.Now()
+	time.Sleep(time.Second)
+	first.Store.SetFault(rowstore.NoFault)
+	first.Store.TruncateHistory()
+	time.Sleep(time.Until(changed.Add(drainBound)))
+	expectNoRequests(t, first, fixtures)
+}
+
+// Guards against gateways that depend on one poller: while calls of some or all pollers get no response,
+// from just before the change, each gateway must learn of a drain from those that get one.
+func TestDrainIsKnownWhilePollersGetNoResponse(t *testing.T) {
+	for blocked := 1; blocked <= storePollers; blocked++ {
+		t.Run(fmt.Sprint(blocked, " of ", storePollers), func(t *testing.T) {
+			t.Parallel()
+			fixtures, draining := startWithTwoServers(t, 5)
+			first := fixtures[0]
+			for _, f := range fixtures[:blocked] {
+				f.BlockStoreResponses(true)
+			}
+			first.ListServer(draining, "draining")
+			time.Sleep(drainBound)
+			expectNoRequests(t, first, fixtures)
+		})
+	}
+}
