--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -42,8 +42,8 @@
 	// compared with the time that remains for the repeated poll when ShouldCancelPoll first returns
 	// true.
 	cancelCheckInterval = 100 * time.Millisecond
-	// minRepeatTime is how long a repeated poll may last before it is cancelled. Each further one may
-	// last twice as long, so that a slow store can respond at all.
+	// minRepeatTime is how long a poll with a short wait may last before it is cancelled. Each further one
+	// may last twice as long, so that a slow store can respond at all.
 	minRepeatTime = 300 * time.Millisecond
 	// maxRepeatDoublings bounds the time of repeated polls at more than their own timeout.
 	maxRepeatDoublings = 3
@@ -146,8 +146,8 @@
 	OnRestore func()
 	Log       *zap.Logger
 
-	// mu guards position, learnedAt and confirmedAt and is held during calls of the Sink that change the table, so that the
-	// Sink has the table as of position. It is locked before the Sink's locks.
+	// mu guards the position, learnedAt and confirmedAt. It is held during calls of the Sink that change
+	// the table, so that the Sink has the table as of position, and is locked before the Sink's locks.
 	mu sync.Mutex
 	// position is the position up to which the table is known; 0 before it has been read.
 	position Position
@@ -281,7 +281,7 @@
 	var cancelled atomic.Bool
 	var watcher conc.WaitGroup
 	watcher.Go(func() {
-		for pause.Sleep(callCtx, f.timeBeforeCancel()); callCtx.Err() == nil; pause.Sleep(callCtx, cancelCheckInterval) {
+		for pause.Sleep(callCtx, f.timeBeforeCancel(wait)); callCtx.Err() == nil; pause.Sleep(callCtx, cancelCheckInterval) {
 			if f.ShouldCancelPoll() && (f.Receiving == nil || !f.Receiving.Load()) {
 				cancelled.Store(true)
 				cancel()
@@ -299,12 +299,13 @@
 	return batch, err
 }
 
-// timeBeforeCancel returns how long a poll lasts before ShouldCancelPoll is called for the first time.
-func (f *Follower[T]) timeBeforeCancel() time.Duration {
-	if f.cancelledPolls == 0 {
+// timeBeforeCancel returns how long a poll with the given wait lasts before ShouldCancelPoll is called
+// for the first time.
+func (f *Follower[T]) timeBeforeCancel(wait time.Duration) time.Duration {
+	if wait > immediateWait {
 		return cancelCheckInterval
 	}
-	return minRepeatTime << min(f.cancelledPolls-1, maxRepeatDoublings)
+	return minRepeatTime << min(max(f.cancelledPolls-1, 0), maxRepeatDoublings)
 }
 
 // nextWait returns the wait of the next call. The wait is short after a failure, so that the response
--- a/internal/gateway/follow/full_read_test.go
+++ b/internal/gateway/follow/full_read_test.go
@@ -115,3 +115,42 @@
 		}
 	})
 }
+
+// delayedSource responds to each poll after a fixed time, unless the call is cancelled.
+type delayedSource struct {
+	responseTime time.Duration
+	polls        int
+}
+
+func (*delayedSource) Read(context.Context, string) (Batch[string], error) {
+	return Batch[string]{Position: 1}, nil
+}
+
+func (s *delayedSource) Next(ctx context.Context, after Position, wait time.Duration) (Batch[string], error) {
+	s.polls++
+	select {
+	case <-time.After(wait + s.responseTime):
+		return Batch[string]{Position: after}, nil
+	case <-ctx.Done():
+		return Batch[string]{}, ctx.Err()
+	}
+}
+
+// Guards against a follower that cancels each poll before a slow store can respond.
+func TestCancelledPollsLetSlowStoreRespond(t *testing.T) {
+	for _, responseTime := range []time.Duration{200 * time.Millisecond, 900 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			src, responses := &delayedSource{responseTime: responseTime}, 0
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			f := &Follower[string]{
+				Name: "t", Source: src, Sink: &recordingSink{}, MaxWait: FixedWait(10 * time.Second), Log: zap.NewNop(),
+				ShouldCancelPoll: func() bool { return true }, OnResponse: func(time.Duration, Position) { responses++ },
+			}
+			f.Run(ctx)
+			if responses < 8 || src.polls > 5*responses {
+				t.Errorf("%d responses to %d polls that take %v", responses, src.polls, responseTime)
+			}
+		})
+	}
+}
--- a/internal/gateway/handover/client.go
+++ b/internal/gateway/handover/client.go
@@ -58,8 +58,9 @@
 }
 
 // Changes returns the changes of the list of backend servers after a position, from the gateway
-// at addr; after position 0, the complete list. Gateways of earlier releases don't return that. It returns ErrHistoryGap if that gateway doesn't know all of them, and otherwise
-// ErrUnreachable or ErrMalformed on failure.
+// at addr; after position 0, the complete list, which gateways of earlier releases don't return.
+// It returns ErrHistoryGap if that gateway doesn't know all of them, and otherwise ErrUnreachable
+// or ErrMalformed on failure.
 func (c *Client) Changes(ctx context.Context, addr string, after follow.Position) ([]follow.Delta[backend.Info], error) {
 	var deltas []follow.Delta[backend.Info]
 	err := c.get(ctx, addr, serverChangesPath+after.String(), &deltas)
--- a/testbed/soak/check_notices.go
+++ b/testbed/soak/check_notices.go
@@ -23,16 +23,24 @@
 // asked it to send none.
 func (h indexedHistory) verifyNotices(report reportFunc) {
 	for _, sent := range h.sentRequests() {
+		// One report for a gateway and an instance is enough.
+		reported := map[string]bool{}
+		reportOnce := func(check, format string, args ...any) {
+			if !reported[check] {
+				report(check, format, args...)
+			}
+			reported[check] = true
+		}
 		for i, notice := range sent {
 			if notice.call.Status == 0 || notice.call.Left {
 				// The response may not have reached the gateway.
 				continue
 			}
 			if notice.Leaving {
-				h.verifyLeaving(notice, sent[i+1:], report)
+				h.verifyLeaving(notice, sent[i+1:], reportOnce)
 			}
 			if notice.Rest > 0 {
-				h.verifyRest(notice, sent[i+1:], report)
+				h.verifyRest(notice, sent[i+1:], reportOnce)
 			}
 		}
 	}
