peers: a huge age of a confirmation doesn't overflow

Cause: the age was multiplied before it was compared. It is now compared in milliseconds with the echoed stamp. TestHugeAgeConfirmsNothing failed (1 ms ago) and holds.

--- a/internal/gateway/peers/receive.go
+++ b/internal/gateway/peers/receive.go
@@ -95,9 +95,9 @@
 // confirmationTime returns the time of a confirmation that was ageMillis old when the datagram was sent;
 // 0 if there is none, or if it can't be dated.
 func (m *Mesh) confirmationTime(in *decodedMessage, ageMillis uint64) time.Duration {
-	age, stamp := time.Duration(ageMillis)*time.Millisecond, time.Duration(in.Echo)
-	if in.EchoBootID != m.bootID || age <= 0 || stamp <= age || stamp > boottime.Now() {
+	stamp := time.Duration(in.Echo)
+	if in.EchoBootID != m.bootID || ageMillis == 0 || stamp <= 0 || stamp > boottime.Now() || ageMillis >= uint64(stamp.Milliseconds()) {
 		return 0
 	}
-	return stamp - age
+	return stamp - time.Duration(ageMillis)*time.Millisecond
 }
--- a/internal/gateway/peers/store_status_test.go
+++ b/internal/gateway/peers/store_status_test.go
@@ -111,3 +111,22 @@
 		t.Error("a gateway that doesn't poll confirms the list")
 	}
 }
+
+// Guards against an age that overflows and dates a confirmation at about now, so that a revoked key, or a
+// server that drains, would pass for current.
+func TestHugeAgeConfirmsNothing(t *testing.T) {
+	a, b, _ := newMeshPair(t)
+	deliver(t, b, a)
+	// In nanoseconds, 2^58 milliseconds are a multiple of 2^64.
+	const wrapsToOne = 1<<58 + 1
+	for _, age := range []uint64{wrapsToOne, 1 << 63, 1<<64 - 1} {
+		in := &decodedMessage{message: message{Echo: uint64(boottime.Now()), EchoBootID: b.bootID}}
+		if at := b.confirmationTime(in, age); at != 0 {
+			t.Errorf("an age of %d ms dates a confirmation %v ago", age, boottime.Now()-at)
+		}
+	}
+	in := &decodedMessage{message: message{Echo: uint64(boottime.Now()), EchoBootID: b.bootID}}
+	if at := b.confirmationTime(in, 5); at == 0 {
+		t.Error("an age of 5 ms dates no confirmation")
+	}
+}
