router: a revoked key doesn't pass while its revocation comes into force

Cause: the state was read before its freshness, so that the old state counted as fresh by the confirmation of the new one. Freshness is now read first.

--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -100,13 +100,14 @@
 // responds and reports false.
 func (c *call) matchAndAuthorize() bool {
 	r := c.router
+	// Freshness is read first, since a later confirmation may be that of a later state.
+	fresh := r.StateFresh()
 	snapshot := r.Holder.Current()
 	if snapshot == nil {
 		c.refuse(ReasonNoState, stateRetryAfter)
 		return false
 	}
 	c.stateVersion = snapshot.Version
-	fresh := r.StateFresh()
 	c.route = snapshot.Match(c.req.Host, c.req.URL.Path)
 	switch {
 	case c.route == nil && !fresh:
