router: bodies of unknown length are bounded by the memory for requests

Now memory is reserved as such a body is read, 64 KiB at a time; beyond the bound the request is refused as not run, and the rest of the body left unread.

--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -58,8 +58,12 @@
 	// about the mean of its route. It is 0 without a prompt.
 	meanTokens float64
 	body       []byte
+	// reservedMemory is what the request has reserved of the memory for requests in progress, in bytes.
+	reservedMemory int64
 	// bodyReadStarted is set once reading the body has started.
 	bodyReadStarted bool
+	// bodyUnread is set if the rest of the body is left unread.
+	bodyUnread bool
 	// bodyTimedOut is set if the body was not complete by the deadline.
 	bodyTimedOut bool
 	// callerDisconnected is set if the caller was found to have disconnected before its response
--- a/internal/gateway/router/memory_limiter.go
+++ b/internal/gateway/router/memory_limiter.go
@@ -25,12 +25,21 @@
 		length = unknownBodySize
 	}
 	size = requestOverhead + length
-	if m.bytes.Add(size) > limit && limit > 0 {
-		m.bytes.Add(-size)
+	if !m.grow(size, limit) {
 		return 0, false
 	}
 	return size, true
 }
 
+// grow adds size bytes to a reservation, and reports false if the total would exceed limit; a limit of 0
+// means none.
+func (m *memoryLimiter) grow(size, limit int64) bool {
+	if m.bytes.Add(size) > limit && limit > 0 {
+		m.bytes.Add(-size)
+		return false
+	}
+	return true
+}
+
 // release frees a reservation of the given size.
 func (m *memoryLimiter) release(size int64) { m.bytes.Add(-size) }
--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -62,7 +62,7 @@
 		_, _ = c.w.Write([]byte(string(reason) + "\n"))
 		c.reportEnd(status, reason)
 	}
-	if c.bodyReadStarted && !c.bodyTimedOut {
+	if c.bodyReadStarted && !c.bodyTimedOut && !c.bodyUnread {
 		writeResponse()
 		return
 	}
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -75,12 +75,11 @@
 	if !c.matchAndAuthorize() {
 		return
 	}
-	reserved, ok := r.memory.acquire(req.ContentLength, r.Bounds().MaxRequestMemory)
-	if !ok {
+	if !c.reserveMemory() {
 		c.refuse(ReasonMemoryLimit, refusedRetryAfter)
 		return
 	}
-	defer r.memory.release(reserved)
+	defer c.releaseMemory()
 	if !c.readBody() {
 		return
 	}
@@ -185,6 +184,9 @@
 	if c.bodyLimit > 0 {
 		body = http.MaxBytesReader(c.w, c.req.Body, c.bodyLimit)
 	}
+	if c.req.ContentLength < 0 {
+		body = &reservingReader{Reader: body, call: c, unreserved: unknownBodySize}
+	}
 	c.bodyReadStarted = true
 	// net/http clears the read deadline when the end of the body has been read.
 	_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline)
@@ -196,6 +198,9 @@
 		return true
 	case errors.As(err, &tooLarge):
 		c.respondError(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
+	case errors.Is(err, errMemoryLimit):
+		c.bodyUnread = true
+		c.refuse(ReasonMemoryLimit, refusedRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.bodyTimedOut = true
 		c.respondError(http.StatusRequestTimeout, ReasonBodyTimeout)
