backend: a second outage of the store extends the grace of expired entries

Cause: the time of removal was fixed at the first one's end. TestSecondOutageExtendsGracePeriod failed and holds.

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -260,11 +260,16 @@
 	r.endStoreOutage(now)
 }
 
-// endStoreOutage records that the store responds again, if there was an outage. r.mu must be held.
+// endStoreOutage records that the store responds again, if there was an outage. Servers whose entries
+// expired before it could not renew them during it, so that their grace period begins again. r.mu must
+// be held.
 func (r *Registry) endStoreOutage(now time.Time) {
 	if r.storeUnavailable {
 		r.storeUnavailable = false
 		r.storeRecoveredAt = now
+		for id := range r.expiring {
+			r.expiring[id] = now.Add(expiryGrace)
+		}
 	}
 }
 
--- a/internal/gateway/backend/registry_test.go
+++ b/internal/gateway/backend/registry_test.go
@@ -243,3 +243,20 @@
 	r.MarkReplaced("false")
 	expectListed(t, r, "a")
 }
+
+// Guards against removing servers after two outages in a row: in the second one they could not renew
+// their entries either, so the grace period begins again.
+func TestSecondOutageExtendsGracePeriod(t *testing.T) {
+	r := NewRegistry()
+	r.ReplaceAll(testStart, testEntries("a", "b"), nil)
+	r.MarkStoreUnavailable()
+	first := testStart.Add(time.Minute)
+	r.ReplaceAll(first, testEntries("a"), nil)
+	r.MarkStoreUnavailable()
+	second := first.Add(10 * time.Second)
+	r.MarkStoreAvailable(second)
+	r.Sweep(second.Add(expiryGrace - time.Millisecond))
+	expectListed(t, r, "a b")
+	r.Sweep(second.Add(expiryGrace))
+	expectListed(t, r, "a")
+}
