peers: a lasting socket error doesn't spin

The loop now pauses for 50 ms after one, and ends when the socket is closed; malformed datagrams don't pause it. TestLastingSocketErrorDoesNotSpin failed and holds.

--- a/internal/gateway/peers/receive.go
+++ b/internal/gateway/peers/receive.go
@@ -10,6 +10,7 @@
 
 	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/logging"
+	"github.com/applepier/applepier/internal/pause"
 	"github.com/applepier/applepier/policy"
 )
 
@@ -17,6 +18,9 @@
 // 4,000 servers.
 const maxDatagramBytes = 60 << 10
 
+// readRetryDelay is the pause after an error of the socket, which may last.
+const readRetryDelay = 50 * time.Millisecond
+
 // receiveLoop receives and handles datagrams until ctx ends. It logs datagrams that it can't decode.
 func (m *Mesh) receiveLoop(ctx context.Context) {
 	buffer := make([]byte, maxDatagramBytes)
@@ -26,14 +30,20 @@
 		case err == nil && in != nil:
 			m.handle(addr, in)
 		case err == nil:
-		case !errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
 			m.Log.Warn(logging.EventPeerUnreadable, logging.Peer(addr), logging.Reason(err.Error()))
+			if addr == "" {
+				// It is an error of the socket.
+				pause.Sleep(ctx, readRetryDelay)
+			}
 		}
 	}
 }
 
-// receive waits for a datagram and decodes it. It returns the sender's address, and the error of the
-// socket or ErrMalformed. Datagrams of package origin are passed to HandleOrigin, and the message is nil
+// receive waits for a datagram and decodes it. It returns the sender's address, which is empty after an
+// error of the socket, and that error or ErrMalformed. Datagrams of package origin are passed to HandleOrigin, and the message is nil
 // for them.
 func (m *Mesh) receive(buffer []byte) (addr string, in *decodedMessage, err error) {
 	n, source, err := m.conn.ReadFrom(buffer)
