--- a/internal/gateway/router/buffered_response.go
+++ b/internal/gateway/router/buffered_response.go
@@ -131,11 +131,17 @@
 		// buffer.
 		_, err = io.CopyBuffer(struct{ io.Writer }{c.w}, response, make([]byte, copyBufferSize))
 	}
-	if err != nil || c.endedByCrash(response, tracked.server) {
+	switch {
+	case err != nil && c.endIfDisconnected():
+		return resultFinal
+	case err != nil || c.endedByCrash(response, tracked.server):
 		return resultTruncated
 	}
-	c.served = true
-	c.reportEnd(buffered.status, ReasonServed)
+	reason := ReasonServerFailure
+	if isSuccess(buffered.status) {
+		c.served, reason = true, ReasonServed
+	}
+	c.reportEnd(buffered.status, reason)
 	return resultFinal
 }
 
