--- a/internal/gateway/peers/size_test.go
+++ b/internal/gateway/peers/size_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/applepier/applepier/internal/gateway/backend"
+	"github.com/applepier/applepier/internal/gateway/follow"
 	"github.com/applepier/applepier/policy"
 )
 
@@ -45,3 +47,34 @@
 	}
 	t.Logf("%d bytes for a suspected request, %d for a segment, %d for a limited server", perSuspicion, perSegment, perLimit)
 }
+
+// Guards against a confirmation of the server list that takes a noticeable part of the traffic that a gateway
+// may use for control: more than a twentieth of it, at 410 gateways.
+func TestEncodedSizeOfServerListAge(t *testing.T) {
+	const gateways, pollers, controlBytesPerSecond = 410, 3, 3000
+	encodedSize := func(s sharedState) int { return len(mustMarshal(t, s)) }
+	base := sharedState{StateVersion: 1 << 20, ConfirmationAge: 1000, StoreMode: polling, ServersPosition: follow.NewPosition(1, 1<<30)}
+	confirmed := base
+	confirmed.ServersAge = 1900
+	perDatagram := encodedSize(confirmed) - encodedSize(base)
+	received := float64(pollers*perDatagram) / gossipInterval.Seconds()
+	if received > controlBytesPerSecond/20 {
+		t.Errorf("%d bytes a datagram, %.0f bytes a second at a receiver", perDatagram, received)
+	}
+	t.Logf("%d bytes a datagram of a poller: %.0f bytes a second received by each of %d gateways", perDatagram, received, gateways)
+}
+
+// Reports the size of a complete server list, which a starting gateway may get from another one.
+func TestEncodedSizeOfServerList(t *testing.T) {
+	const servers = 1200
+	list := follow.Delta[backend.Info]{To: follow.NewPosition(1, 1<<30), Snapshot: true}
+	for range servers {
+		list.Items = append(list.Items, backend.Info{ID: "i-0123456789", Addr: "10.10.100.100:8389", Service: "service-name", Zone: "zone-name-1", SoftwareVersion: "v1", Slots: 64, Sequence: 1000})
+	}
+	size := len(mustMarshal(t, list))
+	// The largest list has to pass a link of 10 Mbit/s within the second that a receiver waits.
+	if size > 10_000_000/8 {
+		t.Errorf("%d bytes for %d servers", size, servers)
+	}
+	t.Logf("%d bytes for %d servers", size, servers)
+}
