--- a/testbed/soak/segments.go
+++ b/testbed/soak/segments.go
@@ -104,9 +104,8 @@
 
 // withoutServerLifecycle returns the steps other than those that stop or suspend servers.
 func withoutServerLifecycle(steps []Step) []Step {
-	return slices.DeleteFunc(steps, func(s Step) bool {
-		return s.Kind == kindServerCrash || s.Kind == kindServerPause || s.Kind == kindServerRelease || s.Kind == kindServerScript
-	})
+	lifecycle := []string{kindServerCrash, kindServerPause, kindServerRelease, kindServerScript, kindServerDrain, kindServerBackoff}
+	return slices.DeleteFunc(steps, func(s Step) bool { return slices.Contains(lifecycle, s.Kind) })
 }
 
 // superviseServer replaces a server whenever it has crashed, and kills it from time to time, until ctx
