tests: drains are known under random combinations of the store's faults (DRAIN)

TestDrainIsKnownUnderRandomFaults: pending calls that fall silent by table, a lost history, gateways that get no responses, but for one, in six rounds each just before a server drains.

--- a/testbed/gateway/server_list_age_test.go
+++ b/testbed/gateway/server_list_age_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -142,3 +144,57 @@
 		})
 	}
 }
+
+// randomFaultsSeed is the seed of TestDrainIsKnownUnderRandomFaults, set by -drain-seed to play others.
+var randomFaultsSeed = flag.Uint64("drain-seed", 1, "seed of the faults beside drains")
+
+// Guards against ways to an old server list that no other test plays: just before servers drain, pending
+// calls fall silent, the history is lost, and all but one of the gateways get no responses from the store, in
+// random combinations.
+func TestDrainIsKnownUnderRandomFaults(t *testing.T) {
+	const gateways, rounds = 5, 6
+	fixtures := startGateways(t, gateways, 0)
+	first := fixtures[0]
+	first.StartServer("stays", gateway.Respond("whole"))
+	random := rand.New(rand.NewPCG(*randomFaultsSeed, 1))
+	for round := range rounds {
+		draining := first.StartServer(fmt.Sprint("next-", round), gateway.Respond("whole"))
+		for i, f := range fixtures {
+			id := fmt.Sprintf("warm-%d-%d", round, i)
+			f.WaitFor("the new server to be used", func() bool { f.Post("/safe/x", id); return reachedServer(first, id, draining.Instance) })
+		}
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		var faults []string
+		for _, table := range []string{"servers", "op", "gateways"} {
+			if random.IntN(2) == 0 {
+				first.Store.SilencePendingFeeds(table)
+				faults = append(faults, table+" silent")
+			}
+		}
+		if random.IntN(3) == 0 {
+			first.Store.TruncateHistory()
+			faults = append(faults, "history lost")
+		}
+		responding := random.IntN(gateways)
+		for i, f := range fixtures {
+			if i != responding && random.IntN(2) == 0 {
+				f.BlockStoreResponses(true)
+				faults = append(faults, fmt.Sprint("gateway ", i, " gets no responses"))
+			}
+		}
+		first.ListServer(draining, "draining")
+		time.Sleep(drainBound)
+		for i, f := range fixtures {
+			id := fmt.Sprintf("after-%d-%d", round, i)
+			for range 20 {
+				f.Post("/safe/x", id)
+			}
+			if reachedServer(first, id, draining.Instance) {
+				t.Errorf("round %d, %v: gateway %d sends to a draining server", round, faults, i)
+			}
+			f.BlockStoreResponses(false)
+		}
+		// The gateways poll the store again, or hear from those that do.
+		time.Sleep(drainBound)
+	}
+}
