--- a/policy/server_backoffs_test.go
+++ b/policy/server_backoffs_test.go
@@ -134,3 +134,37 @@
 		t.Errorf("got %v of the slots in use, want 1: the only server that takes requests is full", got)
 	}
 }
+
+// Guards against a herd of gateways: those that a server asked to back off at the same moment must not all
+// return within a tenth of a second. Each sends one request until it is answered.
+func TestGatewaysReturnSpreadAfterBackoff(t *testing.T) {
+	const gateways, step = 68, 10 * time.Millisecond
+	var returns []time.Time
+	for seed := range uint64(gateways) {
+		r := newTestBackoffs(seed)
+		r.Begin(testStart, 1, 3*time.Second)
+		for now := testStart; now.Before(testStart.Add(3*time.Second + firstResponseTimeout)); now = now.Add(step) {
+			if r.Left(now, 1) == 0 {
+				r.CountSent(now, 1)
+				returns = append(returns, now)
+			}
+		}
+	}
+	if len(returns) != gateways {
+		t.Errorf("%d requests of %d gateways before the first answer", len(returns), gateways)
+	}
+	most := 0
+	for _, from := range returns {
+		n := 0
+		for _, at := range returns {
+			if d := at.Sub(from); d >= 0 && d < 100*time.Millisecond {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	if most > gateways/3 {
+		t.Errorf("%d of %d gateways return within 100 ms", most, gateways)
+	}
+	t.Logf("at most %d of %d gateways return within 100 ms", most, gateways)
+}
