gateway: a full read isn't delayed once the server list is overdue (DRAIN)

What callers could see: requests to a draining server after 2 s, where no poller got responses and the store had lost its history.

Change: Follower.Overdue; a full read isn't delayed while the list is overdue.

--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -140,6 +140,9 @@
 	// so that the gateways that poll the table read it first and share it. May be nil, which means
 	// never.
 	DefersFullRead func() bool
+	// Overdue reports whether the known table is older than it can get while other gateways share its
+	// changes. A full read isn't delayed then. May be nil, which means never.
+	Overdue func() bool
 	// OnCall is called before each call; may be nil.
 	OnCall func()
 	// OnRestore is called when the store was restored from an older copy; may be nil.
--- a/internal/gateway/follow/idle.go
+++ b/internal/gateway/follow/idle.go
@@ -37,13 +37,15 @@
 	}
 }
 
-// delayFullRead gives other gateways time to read the complete table and to share it.
+// delayFullRead gives other gateways time to read the complete table and to share it, unless the known
+// table may already be too old.
 func (f *Follower[T]) delayFullRead(ctx context.Context) {
-	if f.DefersFullRead != nil {
+	overdue := func() bool { return f.Overdue != nil && f.Overdue() }
+	if f.DefersFullRead != nil && !overdue() {
 		pause.Sleep(ctx, gossipDelay)
 	}
 	for deadline := time.Now().Add(maxFullReadDelay); f.Idle != nil && f.DefersFullRead != nil && time.Now().Before(deadline) && ctx.Err() == nil; {
-		if !f.DefersFullRead() || f.Idle() {
+		if !f.DefersFullRead() || f.Idle() || overdue() {
 			return
 		}
 		pause.Sleep(ctx, idleCheckInterval)
--- a/testbed/gateway/server_list_age_test.go
+++ b/testbed/gateway/server_list_age_test.go
@@ -201,3 +201,19 @@
 		time.Sleep(drainBound)
 	}
 }
+
+// Guards against a gateway that leaves the full read to pollers that get no responses: the only gateway that
+// the store responds to isn't a poller, and the history is lost just before a server drains.
+func TestDrainIsKnownWhenNoPollerGetsResponsesAfterLossOfHistory(t *testing.T) {
+	fixtures, draining := startWithTwoServers(t, 5)
+	first := fixtures[0]
+	first.Store.SilencePendingFeeds("servers")
+	first.Store.SilencePendingFeeds("gateways")
+	first.Store.TruncateHistory()
+	for _, f := range fixtures[:4] {
+		f.BlockStoreResponses(true)
+	}
+	first.ListServer(draining, "draining")
+	time.Sleep(drainBound)
+	expectNoRequests(t, first, fixtures)
+}
