gateway: the server list counts as overdue after .7 of the bound (DRAIN)

Cause: after .75 of a bound of 2 s, .5 s remain for a call, a full read after a loss of the history, and passing the change on. Change: .7; a list is at most some .6 of the bound old while pollers get responses.

--- a/internal/gateway/server_list_age.go
+++ b/internal/gateway/server_list_age.go
@@ -18,7 +18,7 @@
 	serverListRenewalShare = 0.6
 	// serverListOverdueShare is the share of the bound after which the other gateways poll the store
 	// themselves.
-	serverListOverdueShare = 0.75
+	serverListOverdueShare = 0.7
 	// renewalMargin is how much sooner than a renewal is due the store should respond to a call that
 	// has to confirm the list, and minServerListWait the shortest wait of such a call.
 	renewalMargin     = 200 * time.Millisecond
