follow: the age of a table is read without waiting for its sink

What could happen: a gateway that stops serving for good. While the router's lock is held, a quarantined prompt segment's trial asks who owns it, which reads what this gateway tells of the store, and since the age of the server list with it, under the follower's lock. That one is held while a change of the list is applied, which waits for the router's lock to forget a server. Besides, the age was visible before the change that it covers, so that a datagram could confirm a list at an older position than it is about.

Change: the age is an atomic value, written after the change's entry in the history.

Evidence: TestStatusIsReadWhileSinkWaits (the status could not be read for the 5 s of the test) and TestConfirmationIsVisibleAfterItsChange (never ended) failed before and hold.

--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -149,16 +149,18 @@
 	OnRestore func()
 	Log       *zap.Logger
 
-	// mu guards the position, learnedAt and confirmedAt. It is held during calls of the Sink that change
+	// mu guards the position and learnedAt. It is held during calls of the Sink that change
 	// the table, so that the Sink has the table as of position, and is locked before the Sink's locks.
 	mu sync.Mutex
 	// position is the position up to which the table is known; 0 before it has been read.
 	position Position
 	// learnedAt is when the position last became known, on the boottime clock.
 	learnedAt time.Duration
-	// confirmedAt is the latest time as of which the store has confirmed that the table is complete, on
-	// the boottime clock; 0 for never.
-	confirmedAt time.Duration
+	// confirmedAt is the latest time as of which the store has confirmed that the table is complete, in
+	// nanoseconds of the boottime clock; 0 for never. It is written while mu is held, after the changes
+	// that it covers, and read without mu: gateways send it while they hold locks for which a Sink may
+	// wait.
+	confirmedAt atomic.Int64
 	// history holds the latest changes.
 	history history[T]
 	// live is set while this follower polls the store and the store responds.
--- a/internal/gateway/follow/sharing.go
+++ b/internal/gateway/follow/sharing.go
@@ -107,16 +107,16 @@
 	return true
 }
 
-// confirmLocked records that the table was complete at asOf; f.mu must be held.
-func (f *Follower[T]) confirmLocked(asOf time.Duration) { f.confirmedAt = max(f.confirmedAt, asOf) }
+// confirmLocked records that the table was complete at asOf. f.mu must be held, and what the table lacked
+// must be in the history.
+func (f *Follower[T]) confirmLocked(asOf time.Duration) {
+	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(asOf)))
+}
 
 // ConfirmedAt returns the latest time, on the boottime clock, as of which the table is known to be
-// complete, except for changes that the store's feed hadn't delivered yet; 0 if it never was.
-func (f *Follower[T]) ConfirmedAt() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.confirmedAt
-}
+// complete, except for changes that the store's feed hadn't delivered yet; 0 if it never was. It doesn't
+// wait for calls of the Sink.
+func (f *Follower[T]) ConfirmedAt() time.Duration { return time.Duration(f.confirmedAt.Load()) }
 
 // replaceLocked replaces the complete table; f.mu must be held. If the store was restored from an
 // older copy or no longer had the history, the table is kept as a snapshot, so that not all other
@@ -150,7 +150,7 @@
 	if changes.Position.Era() != f.position.Era() {
 		return
 	}
-	f.confirmLocked(asOf)
+	defer f.confirmLocked(asOf)
 	if changes.Position < f.position {
 		return
 	}
--- a/internal/gateway/follow/sharing_test.go
+++ b/internal/gateway/follow/sharing_test.go
@@ -169,3 +169,62 @@
 		}
 	})
 }
+
+// waitingSink is a Sink whose Change waits until wait returns.
+type waitingSink struct {
+	recordingSink
+	wait func()
+}
+
+func (s *waitingSink) Change(asOf time.Duration, changes Batch[string]) {
+	s.wait()
+	s.recordingSink.Change(asOf, changes)
+}
+
+// Guards against a deadlock: the status that gateways send is read while locks are held for which a Sink may
+// wait, so that reading it must not wait for the Sink.
+func TestStatusIsReadWhileSinkWaits(t *testing.T) {
+	sink := &waitingSink{}
+	f := &Follower[string]{Name: "t", Source: &scriptedSource{}, Sink: sink, MaxWait: FixedWait(time.Second), Log: zap.NewNop()}
+	if err := f.ApplyDeltas(0, []Delta[string]{{To: 5, Items: []string{"a"}, Snapshot: true}}); err != nil {
+		t.Fatal(err)
+	}
+	read := make(chan struct{})
+	sink.wait = func() {
+		select {
+		case <-read:
+		case <-time.After(5 * time.Second):
+			t.Error("the status can't be read while the sink is called")
+		}
+	}
+	applied := make(chan error)
+	go func() { applied <- f.ApplyDeltas(0, []Delta[string]{{From: 5, To: 6, Items: []string{"b"}}}) }()
+	time.Sleep(10 * time.Millisecond)
+	f.ConfirmedAt()
+	f.LastKnown()
+	f.LastChange()
+	f.Live()
+	close(read)
+	if err := <-applied; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a confirmation that is sent with an older position than the one it is about: the time must
+// become visible after the change that it covers.
+func TestConfirmationIsVisibleAfterItsChange(t *testing.T) {
+	sink := &waitingSink{}
+	f := &Follower[string]{Name: "t", Source: &scriptedSource{}, Sink: sink, MaxWait: FixedWait(time.Second), Log: zap.NewNop()}
+	if err := f.applyFullRead(1, Batch[string]{Position: 5}); err != nil {
+		t.Fatal(err)
+	}
+	sink.wait = func() {
+		if got := f.ConfirmedAt(); got != 1 {
+			t.Errorf("confirmed at %d before the change at position 6 is known", got)
+		}
+	}
+	f.applyChanges(2, Batch[string]{Position: 6, Items: []string{"a"}})
+	if f.ConfirmedAt() != 2 || f.LastKnown() != 6 {
+		t.Errorf("confirmed at %d, position %d", f.ConfirmedAt(), f.LastKnown())
+	}
+}
