tests: the drain tests have a package of their own

Change: the drain tests move to testbed/gateway/drain; what both packages need (StartGroup, Reached, ReachedTwoServers) is the fixture's; the loop stands in store_polling_test.go again.

--- a/testbed/gateway/dial_timeout_test.go
+++ b/testbed/gateway/dial_timeout_test.go
@@ -111,7 +111,7 @@
 			f.StartServer("limited", respondWithLimit(0.1))
 			l := newStallableListener(t)
 			serveListener(t, f, "free", l)
-			f.WaitFor("the limit to be known", func() bool { f.Post("/safe/x", "warm"); return reachedServer(f, "warm", "limited") })
+			f.WaitFor("the limit to be known", func() bool { f.Post("/safe/x", "warm"); return f.Reached("warm", "limited") })
 			for i := range 6 {
 				// Successful requests between the stalls: a server that fails often is ejected
 				// for a while.
--- a/testbed/gateway/server_list_age_test.go
+++ b/testbed/gateway/drain/server_list_age_test.go
@@ -1,4 +1,6 @@
-package gateway_test
+// Package drain_test checks how soon gateways know what the store acknowledged: servers that drain, and new
+// desired states.
+package drain_test
 
 import (
 	"flag"
@@ -19,14 +21,14 @@
 // until each gateway uses both. It returns the server i-1.
 func startWithTwoServers(t *testing.T, n int) ([]*gateway.Fixture, *gateway.Server) {
 	t.Helper()
-	fixtures := startGateways(t, n, 0)
+	fixtures := gateway.StartGroup(t, n, 0)
 	first := fixtures[0]
 	draining := first.StartServer("i-1", gateway.Respond("whole"))
 	first.StartServer("i-2", gateway.Respond("whole"))
 	for i, f := range fixtures {
 		f.WaitFor("both servers to be used", func() bool {
 			f.Post("/safe/x", fmt.Sprintf("warm-%d", i))
-			return reachedTwoServers(first, fmt.Sprintf("warm-%d", i))
+			return first.ReachedTwoServers(fmt.Sprintf("warm-%d", i))
 		})
 	}
 	// The pollers call the store again some time after a change.
@@ -43,7 +45,7 @@
 		for range 20 {
 			f.Post("/safe/x", id)
 		}
-		if reachedServer(first, id, "i-1") {
+		if first.Reached(id, "i-1") {
 			t.Errorf("gateway %d sends to a draining server", i)
 		}
 	}
@@ -75,7 +77,7 @@
 func TestDrainIsKnownWhenPollersStopInSeries(t *testing.T) {
 	fixtures, _ := startWithTwoServers(t, 6)
 	first := fixtures[0]
-	for i := range storePollers {
+	for i := range gateway.StorePollers {
 		next := first.StartServer(fmt.Sprintf("next-%d", i), gateway.Respond("whole"))
 		time.Sleep(time.Second)
 		first.Store.SilencePendingFeeds("servers")
@@ -87,7 +89,7 @@
 			for range 20 {
 				f.Post("/safe/x", id)
 			}
-			if reachedServer(first, id, next.Instance) {
+			if first.Reached(id, next.Instance) {
 				t.Errorf("round %d: gateway %d sends to a draining server", i, i+1+k)
 			}
 		}
@@ -95,7 +97,7 @@
 }
 
 // Guards against a gateway whose list is never updated: it started while the store rejected it, got the
-// list from another gateway, and hears of changes from there only.
+// list from another gateway, and receives changes from there only.
 func TestStartingGatewayLearnsOfDrainsFromPeers(t *testing.T) {
 	fixtures, draining := startWithTwoServers(t, 2)
 	first := fixtures[0]
@@ -105,7 +107,7 @@
 	late := gateway.NewFixture(t, gateway.Options{Name: "late", PeerListen: addr, Store: first.Store, WithoutState: true, StoreBlocked: true})
 	late.WaitFor("the new gateway to use both servers", func() bool {
 		late.Post("/safe/x", "warm-late")
-		return reachedTwoServers(first, "warm-late")
+		return first.ReachedTwoServers("warm-late")
 	})
 	first.ListServer(draining, "draining")
 	time.Sleep(drainBound)
@@ -130,8 +132,8 @@
 // Guards against gateways that depend on one poller: while calls of some or all pollers get no response,
 // from just before the change, each gateway must learn of a drain from those that get one.
 func TestDrainIsKnownWhilePollersGetNoResponse(t *testing.T) {
-	for blocked := 1; blocked <= storePollers; blocked++ {
-		t.Run(fmt.Sprint(blocked, " of ", storePollers), func(t *testing.T) {
+	for blocked := 1; blocked <= gateway.StorePollers; blocked++ {
+		t.Run(fmt.Sprint(blocked, " of ", gateway.StorePollers), func(t *testing.T) {
 			t.Parallel()
 			fixtures, draining := startWithTwoServers(t, 5)
 			first := fixtures[0]
@@ -156,7 +158,7 @@
 // random combinations.
 func TestDrainIsKnownUnderRandomFaults(t *testing.T) {
 	const gateways = 5
-	fixtures := startGateways(t, gateways, 0)
+	fixtures := gateway.StartGroup(t, gateways, 0)
 	first := fixtures[0]
 	first.StartServer("stays", gateway.Respond("whole"))
 	random := rand.New(rand.NewPCG(*randomFaultsSeed, 1))
@@ -164,7 +166,7 @@
 		draining := first.StartServer(fmt.Sprint("next-", round), gateway.Respond("whole"))
 		for i, f := range fixtures {
 			id := fmt.Sprintf("warm-%d-%d", round, i)
-			f.WaitFor("the new server to be used", func() bool { f.Post("/safe/x", id); return reachedServer(first, id, draining.Instance) })
+			f.WaitFor("the new server to be used", func() bool { f.Post("/safe/x", id); return first.Reached(id, draining.Instance) })
 		}
 		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 		var faults []string
@@ -192,7 +194,7 @@
 			for range 20 {
 				f.Post("/safe/x", id)
 			}
-			if reachedServer(first, id, draining.Instance) {
+			if first.Reached(id, draining.Instance) {
 				t.Errorf("round %d, %v: gateway %d sends to a draining server", round, faults, i)
 			}
 			f.BlockStoreResponses(false)
--- a/testbed/gateway/fixture.go
+++ b/testbed/gateway/fixture.go
@@ -277,6 +277,25 @@
 	return matching
 }
 
+// Reached reports whether a request with an ID reached a server.
+func (f *Fixture) Reached(id, server string) bool {
+	for _, r := range f.ReceivedRequests(id) {
+		if r.Server == server {
+			return true
+		}
+	}
+	return false
+}
+
+// ReachedTwoServers reports whether requests with an ID reached exactly two servers.
+func (f *Fixture) ReachedTwoServers(id string) bool {
+	servers := map[string]bool{}
+	for _, r := range f.ReceivedRequests(id) {
+		servers[r.Server] = true
+	}
+	return len(servers) == 2
+}
+
 // recordRequest records a request that a backend server received.
 func (f *Fixture) recordRequest(r *ReceivedRequest) {
 	f.mu.Lock()
--- a/testbed/gateway/helpers_test.go
+++ b/testbed/gateway/helpers_test.go
@@ -19,22 +19,3 @@
 	}
 	return resp, 0
 }
-
-// reachedTwoServers reports whether requests with an ID reached exactly two servers.
-func reachedTwoServers(f *gateway.Fixture, id string) bool {
-	servers := map[string]bool{}
-	for _, r := range f.ReceivedRequests(id) {
-		servers[r.Server] = true
-	}
-	return len(servers) == 2
-}
-
-// reachedServer reports whether a request with an ID reached a server.
-func reachedServer(f *gateway.Fixture, id, server string) bool {
-	for _, r := range f.ReceivedRequests(id) {
-		if r.Server == server {
-			return true
-		}
-	}
-	return false
-}
--- a/testbed/gateway/quarantine_test.go
+++ b/testbed/gateway/quarantine_test.go
@@ -60,7 +60,7 @@
 // request crash three servers.
 func TestGatewaysShareQuarantine(t *testing.T) {
 	t.Parallel()
-	fixtures := startGateways(t, 3, 0)
+	fixtures := gateway.StartGroup(t, 3, 0)
 	servers := startCrashableServers(fixtures[0], 10, gateway.Respond("whole"))
 	for i, f := range fixtures {
 		f.WaitFor("the gateway to serve", func() bool { return f.Post("/unsafe/warm", fmt.Sprintf("warm-%d", i)).Status == http.StatusOK })
--- a/testbed/gateway/retry_test.go
+++ b/testbed/gateway/retry_test.go
@@ -54,7 +54,7 @@
 				f := gateway.NewFixture(t, gateway.Options{})
 				first := f.StartServer("i-1", gateway.Respond("whole"))
 				f.StartServer("i-2", gateway.Respond("whole"))
-				f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return reachedTwoServers(f, "warm") })
+				f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return f.ReachedTwoServers("warm") })
 				first.SetScript(c.first)
 				got, sends := callUntilSentTo(f, path, "i-1")
 				if got.Status != want {
--- a/testbed/gateway/segment_quarantine_test.go
+++ b/testbed/gateway/segment_quarantine_test.go
@@ -152,7 +152,7 @@
 // among them one that starts later.
 func TestGatewaysShareSegmentQuarantine(t *testing.T) {
 	t.Parallel()
-	fixtures := startGateways(t, 3, 0)
+	fixtures := gateway.StartGroup(t, 3, 0)
 	servers := startServersCrashingOn(fixtures[0], 12, gateway.Respond("whole"), hasSegment(deadlySegment))
 	for i, f := range fixtures {
 		f.WaitFor("the gateway to serve", func() bool { return f.Post("/unsafe/warm", fmt.Sprintf("warm-%d", i)).Status == http.StatusOK })
@@ -233,7 +233,7 @@
 // Operators can list what is quarantined and lift it, at one gateway for all, with its row in the store.
 func TestOperatorsLiftQuarantine(t *testing.T) {
 	t.Parallel()
-	fixtures := startGateways(t, 2, 0)
+	fixtures := gateway.StartGroup(t, 2, 0)
 	servers := startServersCrashingOn(fixtures[0], 12, respondByRoute, hasSegment(deadlySegment))
 	for i, f := range fixtures {
 		f.WaitFor("the gateway to serve", func() bool { return f.Post("/unsafe/warm", fmt.Sprintf("warm-%d", i)).Status == http.StatusOK })
--- a/testbed/gateway/server_limit_test.go
+++ b/testbed/gateway/server_limit_test.go
@@ -118,14 +118,14 @@
 func TestGatewaysShareServerLimit(t *testing.T) {
 	t.Parallel()
 	const limit, perSecond = 2.0, 20
-	fixtures := startGateways(t, 4, 0)
+	fixtures := gateway.StartGroup(t, 4, 0)
 	fixtures[0].StartServer("i-1", respondWithLimit(limit))
 	fixtures[0].StartServer("i-2", gateway.Respond("whole"))
-	fixtures[0].WaitFor("both servers to be used", func() bool { fixtures[0].Post("/safe/x", "warm"); return reachedTwoServers(fixtures[0], "warm") })
+	fixtures[0].WaitFor("both servers to be used", func() bool { fixtures[0].Post("/safe/x", "warm"); return fixtures[0].ReachedTwoServers("warm") })
 	// A gateway that doesn't know i-2 yet rejects requests beyond the limit of i-1.
 	for i, f := range fixtures {
 		id := fmt.Sprintf("warm-%d", i)
-		f.WaitFor("the server without a limit to be used", func() bool { f.Post("/safe/x", id); return reachedServer(fixtures[0], id, "i-2") })
+		f.WaitFor("the server without a limit to be used", func() bool { f.Post("/safe/x", id); return fixtures[0].Reached(id, "i-2") })
 	}
 	after := afterLimitKnown()
 	responses := generateLoadFor(t, 6*time.Second, fixtures, perSecond)
@@ -140,7 +140,7 @@
 func TestServerLimitsAreUsedUp(t *testing.T) {
 	t.Parallel()
 	const limit = 6.0
-	fixtures := startGateways(t, 2, 0)
+	fixtures := gateway.StartGroup(t, 2, 0)
 	fixtures[0].StartServer("i-1", respondWithLimit(limit))
 	waitUntilServing(fixtures)
 	after := afterLimitKnown()
@@ -163,7 +163,7 @@
 func TestPartitionedGatewayUsesItsShareOfLimit(t *testing.T) {
 	t.Parallel()
 	const limit, listed = 6.0, 6
-	fixtures := startGateways(t, 1, listed-1)
+	fixtures := gateway.StartGroup(t, 1, listed-1)
 	fixtures[0].StartServer("i-1", respondWithLimit(limit))
 	waitUntilServing(fixtures)
 	after := afterLimitKnown()
@@ -179,7 +179,7 @@
 func TestNewGatewayRespectsServerLimit(t *testing.T) {
 	t.Parallel()
 	const limit = 2.0
-	fixtures := startGateways(t, 3, 0)
+	fixtures := gateway.StartGroup(t, 3, 0)
 	fixtures[0].StartServer("i-1", respondWithLimit(limit))
 	waitUntilServing(fixtures)
 	after := afterLimitKnown()
--- a/testbed/gateway/server_notices_test.go
+++ b/testbed/gateway/server_notices_test.go
@@ -78,7 +78,7 @@
 			f.StartServer("i-2", gateway.Respond("whole"))
 			f.WaitFor("the server to say that it drains", func() bool {
 				go f.Post(c.path, "first")
-				return reachedServer(f, "first", "i-1")
+				return f.Reached("first", "i-1")
 			})
 			time.Sleep(200 * time.Millisecond)
 			// Its entry is renewed, removed and listed again, always as ready.
@@ -94,7 +94,7 @@
 				for range 30 {
 					f.Post("/safe/x", id)
 				}
-				if reachedServer(f, id, "i-1") {
+				if f.Reached(id, "i-1") {
 					t.Errorf("step %d: a request reached the server that drains", i)
 				}
 			}
@@ -109,12 +109,12 @@
 	f := gateway.NewFixture(t, gateway.Options{})
 	s := f.StartServer("i-1", withHeaders(200, "Server-Leaving: 1"))
 	f.StartServer("i-2", gateway.Respond("whole"))
-	f.WaitFor("the server to say that it drains", func() bool { f.Post("/safe/x", "first"); return reachedServer(f, "first", "i-1") })
+	f.WaitFor("the server to say that it drains", func() bool { f.Post("/safe/x", "first"); return f.Reached("first", "i-1") })
 	f.Store.Delete("servers", "i-1")
 	s.SetInstance("i-3")
 	s.SetScript(gateway.Respond("whole"))
 	f.ListServer(s, "ready")
-	f.WaitFor("the successor to get requests", func() bool { f.Post("/safe/x", "after"); return reachedServer(f, "after", "i-3") })
+	f.WaitFor("the successor to get requests", func() bool { f.Post("/safe/x", "after"); return f.Reached("after", "i-3") })
 }
 
 // Guards against refusing requests as run, or holding them, when all servers of a service drain.
@@ -125,8 +125,8 @@
 	f.WaitFor("the server to say that it drains", func() bool { return f.Post("/safe/x", "first").Status == 200 })
 	start := time.Now()
 	got := f.Post("/unsafe/x", "later")
-	if got.Status != 503 || got.Header.Get("Retry-After") == "" || reachedServer(f, "later", "i-1") {
-		t.Errorf("status %d, Retry-After %q, reached %v", got.Status, got.Header.Get("Retry-After"), reachedServer(f, "later", "i-1"))
+	if got.Status != 503 || got.Header.Get("Retry-After") == "" || f.Reached("later", "i-1") {
+		t.Errorf("status %d, Retry-After %q, reached %v", got.Status, got.Header.Get("Retry-After"), f.Reached("later", "i-1"))
 	}
 	if took := time.Since(start); took > 500*time.Millisecond {
 		t.Errorf("refused after %v", took)
@@ -181,7 +181,7 @@
 			f.WaitFor("all servers to be known", func() bool {
 				f.Post("/safe/x", "warm")
 				for i := range 4 {
-					if !reachedServer(f, "warm", fmt.Sprint("i-", i)) {
+					if !f.Reached("warm", fmt.Sprint("i-", i)) {
 						return false
 					}
 				}
@@ -208,7 +208,7 @@
 	f := gateway.NewFixture(t, gateway.Options{})
 	f.StartServer("i-1", askForBackoff(shorter, false))
 	f.StartServer("i-2", askForBackoff(longer, false))
-	f.WaitFor("both servers to ask for a backoff", func() bool { f.Post("/safe/x", "warm"); return reachedTwoServers(f, "warm") })
+	f.WaitFor("both servers to ask for a backoff", func() bool { f.Post("/safe/x", "warm"); return f.ReachedTwoServers("warm") })
 	start := time.Now()
 	got := f.Post("/unsafe/x", "during")
 	retryAfter, err := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
@@ -226,7 +226,7 @@
 	const length = time.Second
 	f := gateway.NewFixture(t, gateway.Options{})
 	s := f.StartServer("i-1", askForBackoff(length, false))
-	f.WaitFor("the server to ask for a backoff", func() bool { f.Post("/safe/x", "first"); return reachedServer(f, "first", "i-1") })
+	f.WaitFor("the server to ask for a backoff", func() bool { f.Post("/safe/x", "first"); return f.Reached("first", "i-1") })
 	s.SetScript(gateway.Respond("whole"))
 	time.Sleep(2 * length)
 	f.WaitFor("the server to get requests", func() bool { return f.Post("/safe/x", "after").Status == 200 })
--- a/testbed/gateway/servers_test.go
+++ b/testbed/gateway/servers_test.go
@@ -27,14 +27,14 @@
 	f := gateway.NewFixture(t, gateway.Options{})
 	draining := f.StartServer("i-1", gateway.Respond("whole"))
 	f.StartServer("i-2", gateway.Respond("whole"))
-	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return reachedTwoServers(f, "warm") })
+	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return f.ReachedTwoServers("warm") })
 	f.ListServer(draining, "draining")
 	// A quarter of the two seconds within which operators require the change to take effect.
 	time.Sleep(500 * time.Millisecond)
 	for range 20 {
 		f.Post("/safe/x", "after")
 	}
-	if reachedServer(f, "after", "i-1") {
+	if f.Reached("after", "i-1") {
 		t.Error("a draining server received a request")
 	}
 }
@@ -45,7 +45,7 @@
 func TestLastChangeOfServerRowCounts(t *testing.T) {
 	f := gateway.NewFixture(t, gateway.Options{})
 	stays, leaves := f.StartServer("i-1", gateway.Respond("whole")), f.StartServer("i-2", gateway.Respond("whole"))
-	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return reachedTwoServers(f, "warm") })
+	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return f.ReachedTwoServers("warm") })
 	f.Store.SetFault(rowstore.Unavailable)
 	time.Sleep(1600 * time.Millisecond)
 	f.Store.Delete("servers", stays.Instance)
@@ -59,7 +59,7 @@
 			t.Fatalf("status %d while a server is listed", got.Status)
 		}
 	}
-	if reachedServer(f, "after", leaves.Instance) {
+	if f.Reached("after", leaves.Instance) {
 		t.Error("a removed server received a request")
 	}
 }
@@ -83,7 +83,7 @@
 	f := gateway.NewFixture(t, gateway.Options{})
 	replaced := f.StartServer("i-1", gateway.Respond("whole"))
 	f.StartServer("i-2", gateway.Respond("whole"))
-	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return reachedTwoServers(f, "warm") })
+	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return f.ReachedTwoServers("warm") })
 	replaced.SetInstance("i-3")
 	rejected := 0
 	for range 30 {
@@ -102,7 +102,7 @@
 		}
 	}
 	f.ListServer(replaced, "ready")
-	f.WaitFor("the new instance to be used", func() bool { f.Post("/safe/x", "new"); return reachedServer(f, "new", "i-3") })
+	f.WaitFor("the new instance to be used", func() bool { f.Post("/safe/x", "new"); return f.Reached("new", "i-3") })
 }
 
 // Rows that disappeared while the store was unavailable are trusted for two seconds after it
@@ -113,7 +113,7 @@
 	f := gateway.NewFixture(t, gateway.Options{})
 	leaves := f.StartServer("i-1", gateway.Respond("whole"))
 	f.StartServer("i-2", gateway.Respond("whole"))
-	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return reachedTwoServers(f, "warm") })
+	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return f.ReachedTwoServers("warm") })
 	f.Store.SetFault(rowstore.Unavailable)
 	time.Sleep(300 * time.Millisecond)
 	f.Store.SetFault(rowstore.NoFault)
@@ -123,7 +123,7 @@
 	for range 20 {
 		f.Post("/safe/x", "after")
 	}
-	if reachedServer(f, "after", leaves.Instance) {
+	if f.Reached("after", leaves.Instance) {
 		t.Error("a server that left after the store had recovered received a request")
 	}
 }
--- a/testbed/gateway/skewed_ingress_test.go
+++ b/testbed/gateway/skewed_ingress_test.go
@@ -50,7 +50,7 @@
 func TestSkewedIngressIsServed(t *testing.T) {
 	for _, gateways := range []int{6, 20} {
 		t.Run(fmt.Sprint("gateways=", gateways), func(t *testing.T) {
-			fixtures := startGateways(t, gateways, 0)
+			fixtures := gateway.StartGroup(t, gateways, 0)
 			for i := range skewedServers {
 				fixtures[0].StartServer(fmt.Sprintf("i-%d", i), gateway.Events(3, 0, skewedAnswer/3))
 			}
--- a/testbed/gateway/state_test.go
+++ b/testbed/gateway/state_test.go
@@ -180,7 +180,7 @@
 		f.Store.Put("other", fmt.Sprintf("row-%d", i), nil)
 	}
 	f.StartServer("i-2", gateway.Respond("whole"))
-	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return reachedTwoServers(f, "warm") })
+	f.WaitFor("both servers to be used", func() bool { f.Post("/safe/x", "warm"); return f.ReachedTwoServers("warm") })
 	// The store is unavailable for a moment, and lost rows are written again along with new
 	// ones.
 	f.Store.SetFault(rowstore.Unavailable)
@@ -192,6 +192,6 @@
 	f.Store.SetFault(rowstore.NoFault)
 	f.WaitFor("the server that started meanwhile to be used", func() bool {
 		f.Post("/safe/x", "after")
-		return reachedServer(f, "after", "i-3")
+		return f.Reached("after", "i-3")
 	})
 }
--- a/testbed/gateway/store_polling_test.go
+++ b/testbed/gateway/store_polling_test.go
@@ -2,55 +2,18 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/applepier/applepier/testbed/gateway"
 )
 
-// storePollers is the number of gateways that poll the store on behalf of all.
-const storePollers = 3
-
-// startGateways starts n gateways that share a store, ordered so that the pollers come first,
-// and waits until the others have stopped polling. It also lists further gateways that don't run;
-// notRunning is their number.
-func startGateways(t *testing.T, n, notRunning int) []*gateway.Fixture {
-	t.Helper()
-	names := make([]string, n)
-	for i := range names {
-		names[i] = fmt.Sprintf("gateway-%d", i)
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		return int(int64(uint32(xxhash.Sum64String(a))) - int64(uint32(xxhash.Sum64String(b))))
-	})
-	listed := map[string]string{}
-	for i := range notRunning {
-		listed[fmt.Sprintf("silent-%d", i)] = "127.0.0.1:1"
-	}
-	fixtures := make([]*gateway.Fixture, n)
-	for i, name := range names {
-		o := gateway.Options{Name: name, Revoke: 5 * time.Second}
-		if i > 0 {
-			o.Store = fixtures[0].Store
-		} else {
-			o.ListedGateways = listed
-		}
-		fixtures[i] = gateway.NewFixture(t, o)
-	}
-	// Gateways list themselves and learn of each other from the list within two seconds.
-	time.Sleep(4 * time.Second)
-	return fixtures
-}
-
 // Guards against every gateway polling the store: each change of the server list costs one
 // call per poller, so with hundreds of gateways a restart of the servers would cost thousands
 // of calls.
 func TestFewGatewaysPollTheStore(t *testing.T) {
 	const gateways, changes = 8, 12
-	fixtures := startGateways(t, gateways, 0)
+	fixtures := gateway.StartGroup(t, gateways, 0)
 	first := fixtures[0]
 	before := first.Store.RequestCount()
 	var last string
@@ -62,14 +25,14 @@
 	calls := first.Store.RequestCount() - before
 	// The pollers call again after each change. Five seconds of confirmations and of the other
 	// gateways' calls for other tables add less than four calls per gateway.
-	if maxCalls := storePollers*changes + 4*gateways; calls > maxCalls {
+	if maxCalls := gateway.StorePollers*changes + 4*gateways; calls > maxCalls {
 		t.Errorf("%d calls for %d changes by %d gateways, at most %d expected", calls, changes, gateways, maxCalls)
 	}
 	for i, f := range fixtures {
 		f.WaitFor(fmt.Sprintf("gateway %d to use the last server", i), func() bool {
 			id := fmt.Sprintf("last-%d", i)
 			f.Post("/safe/x", id)
-			return reachedServer(first, id, last)
+			return first.Reached(id, last)
 		})
 	}
 }
@@ -77,27 +40,35 @@
 // Guards against a missed change when all polling gateways stop at once, just before a server
 // starts to drain.
 func TestOthersPollWhenThePollersAreLost(t *testing.T) {
-	fixtures := startGateways(t, 6, 0)
+	fixtures := gateway.StartGroup(t, 6, 0)
 	first := fixtures[0]
 	draining := first.StartServer("i-1", gateway.Respond("whole"))
 	first.StartServer("i-2", gateway.Respond("whole"))
-	remaining := fixtures[storePollers:]
+	remaining := fixtures[gateway.StorePollers:]
 	for i, f := range remaining {
 		f.WaitFor("both servers to be used", func() bool {
 			f.Post("/safe/x", fmt.Sprintf("warm-%d", i))
-			return reachedTwoServers(first, fmt.Sprintf("warm-%d", i))
+			return first.ReachedTwoServers(fmt.Sprintf("warm-%d", i))
 		})
 	}
-	for _, f := range fixtures[:storePollers] {
+	for _, f := range fixtures[:gateway.StorePollers] {
 		f.Stop()
 	}
-	for _, f := range fixtures[:storePollers] {
+	for _, f := range fixtures[:gateway.StorePollers] {
 		<-f.Stopped
 	}
 	first.ListServer(draining, "draining")
 	// A draining server must receive no new requests after two seconds.
 	time.Sleep(2 * time.Second)
-	expectNoRequests(t, first, remaining)
+	for i, f := range remaining {
+		id := fmt.Sprintf("after-%d", i)
+		for range 20 {
+			f.Post("/safe/x", id)
+		}
+		if first.Reached(id, "i-1") {
+			t.Errorf("gateway %d sends to a draining server", i)
+		}
+	}
 }
 
 // A gateway that receives messages from less than half of the others may be in a partition that
@@ -105,7 +76,7 @@
 // calls fail, it reports that it isn't ready, so that callers use other gateways.
 func TestPartitionedGatewaysPollTheStore(t *testing.T) {
 	const gateways, changes = 8, 8
-	fixtures := startGateways(t, gateways, gateways+1)
+	fixtures := gateway.StartGroup(t, gateways, gateways+1)
 	before := fixtures[0].Store.RequestCount()
 	for i := range changes {
 		fixtures[0].StartServer(fmt.Sprintf("i-%d", i), gateway.Respond("whole"))
@@ -120,7 +91,7 @@
 // sends them what it has read, a rolling restart of the gateways would multiply the calls.
 func TestNewGatewayCausesNoCallsByOthers(t *testing.T) {
 	const gateways, startCalls, watchSeconds = 12, 8, 2
-	fixtures := startGateways(t, gateways, 0)
+	fixtures := gateway.StartGroup(t, gateways, 0)
 	first := fixtures[0]
 	// The server list and the store's position have advanced since the others started.
 	first.StartServer("i-1", gateway.Respond("whole"))
@@ -137,7 +108,7 @@
 	// may not fall into the measured time.
 	time.Sleep(watchSeconds*time.Second - 200*time.Millisecond)
 	// The pollers confirm their state about once a second and are notified of the new row.
-	if calls, maxCalls := first.Store.RequestCount()-before, startCalls+storePollers*(watchSeconds+1); calls > maxCalls {
+	if calls, maxCalls := first.Store.RequestCount()-before, startCalls+gateway.StorePollers*(watchSeconds+1); calls > maxCalls {
 		t.Errorf("%d calls for the start of one gateway beside %d, at most %d expected", calls, gateways, maxCalls)
 		for _, table := range tables {
 			t.Logf("%d reads of %s", first.Store.ReadCount(table)-reads[table], table)
@@ -151,13 +122,13 @@
 func TestOthersPollWhenTheStoreStopsRespondingToPollers(t *testing.T) {
 	t.Parallel()
 	const within = 2 * time.Second
-	fixtures := startGateways(t, storePollers+1, 0)
-	last := fixtures[storePollers]
+	fixtures := gateway.StartGroup(t, gateway.StorePollers+1, 0)
+	last := fixtures[gateway.StorePollers]
 	last.StartServer("i-1", gateway.Respond("whole"))
 	last.WaitFor("the last gateway to serve", func() bool { return last.Post("/safe/x", "warm").Status == 200 })
 	// The last gateway stops polling once it has received the list from others.
 	time.Sleep(time.Second)
-	for _, f := range fixtures[:storePollers] {
+	for _, f := range fixtures[:gateway.StorePollers] {
 		f.BlockStoreResponses(true)
 	}
 	last.PutState(2, `,{"name":"new","host":"h.example","prefix":"/new/","type":"safe","timeout-ms":2000,"service":"plain","attempts":1}`, "")
--- a/testbed/gateway/store_restore_test.go
+++ b/testbed/gateway/store_restore_test.go
@@ -50,7 +50,7 @@
 // was restored. Only the pollers read it; each may need two attempts.
 func TestFewGatewaysReadServersAfterStoreRestore(t *testing.T) {
 	const gateways, tries = 10, 2
-	fixtures := startGateways(t, gateways, 0)
+	fixtures := gateway.StartGroup(t, gateways, 0)
 	first := fixtures[0]
 	first.StartServer("i-1", gateway.Respond("whole"))
 	snapshot := first.Store.Snapshot()
@@ -64,14 +64,14 @@
 		id := fmt.Sprintf("new-%d", i)
 		f.WaitFor(fmt.Sprintf("gateway %d to use the new server", i), func() bool {
 			f.Post("/safe/x", id)
-			return reachedServer(first, id, "i-3")
+			return first.Reached(id, "i-3")
 		})
 	}
 	took := time.Since(began)
 	time.Sleep(2 * time.Second)
 	reads := first.Store.ReadCount("servers") - before
-	if reads > tries*storePollers {
-		t.Errorf("%d reads of the list after the restore by %d pollers", reads, storePollers)
+	if reads > tries*gateway.StorePollers {
+		t.Errorf("%d reads of the list after the restore by %d pollers", reads, gateway.StorePollers)
 	}
 	t.Logf("%d reads by %d gateways, all use the new list after %v", reads, gateways, took)
 }
