follow: one place decides whether a follower may rely on other gateways

Cause, found by reading: whether the server list is overdue was asked in the gateway's Idle and again as Overdue, for the delay of a full read. Change: the follower asks Overdue for both. No behaviour changes; TestOverdueFollowerPollsThoughOthersDo and the package's tests hold.

--- a/internal/gateway/follow/follower.go
+++ b/internal/gateway/follow/follower.go
@@ -141,7 +141,8 @@
 	// never.
 	DefersFullRead func() bool
 	// Overdue reports whether the known table is older than it can get while other gateways share its
-	// changes. A full read isn't delayed then. May be nil, which means never.
+	// changes. The follower then polls whatever Idle says, and delays no full read. May be nil, which
+	// means never.
 	Overdue func() bool
 	// OnCall is called before each call; may be nil.
 	OnCall func()
--- a/internal/gateway/follow/idle.go
+++ b/internal/gateway/follow/idle.go
@@ -21,15 +21,21 @@
 	maxFullReadDelay = 500 * time.Millisecond
 )
 
+// overdue reports whether the known table may be too old to rely on other gateways.
+func (f *Follower[T]) overdue() bool { return f.Overdue != nil && f.Overdue() }
+
+// idle reports whether this follower needn't call the store.
+func (f *Follower[T]) idle() bool { return f.Idle != nil && f.Idle() && !f.overdue() }
+
 // waitWhileIdle waits while other gateways poll the table.
 func (f *Follower[T]) waitWhileIdle(ctx context.Context) {
-	if f.Idle == nil || !f.Idle() {
+	if !f.idle() {
 		return
 	}
 	f.live.Store(false)
 	f.wasIdle = true
 	f.Log.Info(logging.EventStorePollingStopped, zap.String("table", f.Name))
-	for f.Idle() && ctx.Err() == nil {
+	for f.idle() && ctx.Err() == nil {
 		pause.Sleep(ctx, idleCheckInterval)
 	}
 	if ctx.Err() == nil {
@@ -40,12 +46,12 @@
 // delayFullRead gives other gateways time to read the complete table and to share it, unless the known
 // table may already be too old.
 func (f *Follower[T]) delayFullRead(ctx context.Context) {
-	overdue := func() bool { return f.Overdue != nil && f.Overdue() }
-	if f.DefersFullRead != nil && !overdue() {
-		pause.Sleep(ctx, gossipDelay)
+	if f.DefersFullRead == nil || f.overdue() {
+		return
 	}
-	for deadline := time.Now().Add(maxFullReadDelay); f.Idle != nil && f.DefersFullRead != nil && time.Now().Before(deadline) && ctx.Err() == nil; {
-		if !f.DefersFullRead() || f.Idle() || overdue() {
+	pause.Sleep(ctx, gossipDelay)
+	for deadline := time.Now().Add(maxFullReadDelay); f.Idle != nil && time.Now().Before(deadline) && ctx.Err() == nil; {
+		if !f.DefersFullRead() || f.idle() || f.overdue() {
 			return
 		}
 		pause.Sleep(ctx, idleCheckInterval)
--- a/internal/gateway/follow/sharing_test.go
+++ b/internal/gateway/follow/sharing_test.go
@@ -228,3 +228,22 @@
 		t.Errorf("confirmed at %d, position %d", f.ConfirmedAt(), f.LastKnown())
 	}
 }
+
+// Guards against a follower that relies on other gateways though its table is too old for that.
+func TestOverdueFollowerPollsThoughOthersDo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &scriptedSource{calls: readUpToPosition3()}
+		var overdue atomic.Bool
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f := &Follower[string]{
+			Name: "t", Source: src, Sink: &recordingSink{}, MaxWait: FixedWait(time.Second), Log: zap.NewNop(),
+			Idle: func() bool { return true }, Overdue: overdue.Load,
+		}
+		time.AfterFunc(20*time.Second, func() { overdue.Store(true) })
+		f.Run(ctx)
+		if got := join(src.requests); got != "read next after 3" {
+			t.Errorf("requests %q, want a poll once the table is overdue", got)
+		}
+	})
+}
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -107,7 +107,7 @@
 	return &follow.Follower[backend.Info]{
 		Name: "backend servers", Source: g.platform.Servers, Sink: &serverListSink{registry: g.registry, log: g.log},
 		MaxWait: g.serverListWait, CoalesceDelay: serverListCoalesceDelay, ShouldCancelPoll: g.serverListNeedsRenewal,
-		Idle: func() bool { return g.serversFromPeers() && !g.confirmationOverdue() && !g.serverListOverdue() }, DefersFullRead: g.defersToPollers, Overdue: g.serverListOverdue,
+		Idle: func() bool { return g.serversFromPeers() && !g.confirmationOverdue() }, DefersFullRead: g.defersToPollers, Overdue: g.serverListOverdue,
 		StoreHealth: &g.storeHealth, OnCall: g.platform.Metrics.StoreCallCounter("backend_servers"), OnRestore: g.platform.Metrics.StoreRestoreCounter("backend_servers"), Log: g.log,
 	}
 }
