--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -75,6 +75,7 @@
 		l.mu.Unlock()
 		return net.ErrClosed
 	}
+	addr := l.inner.Addr()
 	// An error means that it is closed already.
 	_ = l.inner.Close()
 	l.mu.Unlock()
@@ -86,7 +87,7 @@
 			return net.ErrClosed
 		case <-timer.C:
 		}
-		inner, err := net.Listen(l.inner.Addr().Network(), l.inner.Addr().String())
+		inner, err := net.Listen(addr.Network(), addr.String())
 		if err == nil {
 			return l.resume(inner)
 		}
--- a/internal/gateway/backend/server.go
+++ b/internal/gateway/backend/server.go
@@ -60,7 +60,7 @@
 
 // sameRun reports whether two entries under the same ID are of one run of the server's process,
 // whichever was written first. Without start times a restart under the same ID and address can't be
-// told from a late entry.
+// distinguished from a late entry.
 func (i *Info) sameRun(other *Info) bool {
 	if i.SoftwareVersion != "" && other.SoftwareVersion != "" && i.SoftwareVersion != other.SoftwareVersion {
 		return false
--- a/internal/gateway/exchange/may_send_test.go
+++ b/internal/gateway/exchange/may_send_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against sending a request to a server that no longer takes any: while the connection was being
-// opened it may have begun to leave. The connection must stay usable.
+// opened it may have begun to drain. The connection must stay usable.
 func TestWithheldRequestIsNotSent(t *testing.T) {
 	received := make(chan string, 10)
 	addr, accepted := newScriptedServer(t, func(conn net.Conn, reader *bufio.Reader) {
--- a/internal/gateway/follow/full_read_test.go
+++ b/internal/gateway/follow/full_read_test.go
@@ -97,7 +97,7 @@
 	})
 }
 
-// Guards against a gateway that is never told of drains because it could not read the table itself: the
+// Guards against a gateway that never learns of drains because it could not read the table itself: the
 // table that a peer hands over has a position, from which shared changes continue.
 func TestTableFromPeerIsContinuedByDeltas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,11 +83,11 @@
 	// gateway doesn't have, stateBehind while they have a newer desired state.
 	serversBehind, stateBehind timedCondition
 	draining                   atomic.Bool
-	// serverDrainDelay is the time, in nanoseconds, within which draining servers must get no more requests.
-	serverDrainDelay atomic.Int64
+	// drainBound is the time, in nanoseconds, within which draining servers must get no more requests.
+	drainBound atomic.Int64
 	// listConfirmsItself is set while only the responses for the list of backend servers confirm it.
 	listConfirmsItself atomic.Bool
-	// serverListOld is set while the list of backend servers has been unconfirmed for serverDrainDelay.
+	// serverListOld is set while the list of backend servers has been unconfirmed for drainBound.
 	serverListOld bool
 	// pendingQuarantine holds changes of the quarantine until they are written to the store.
 	// quarantineLoaded is set once what was quarantined before this gateway started is known.
@@ -127,7 +127,7 @@
 		holder: &routes.Holder{}, registry: backend.NewRegistry(), pool: exchange.NewPool(),
 		pendingQuarantine: make(chan quarantineChange, maxPendingQuarantine),
 	}
-	g.serverDrainDelay.Store(int64(serverDrainDelay(s)))
+	g.drainBound.Store(int64(drainBound(s)))
 	g.desiredStateSink = &desiredStateSink{holder: g.holder, registry: g.registry, log: log}
 	var err error
 	g.mesh, err = peers.Listen(peers.Config{
--- a/internal/gateway/peers/receive.go
+++ b/internal/gateway/peers/receive.go
@@ -43,8 +43,8 @@
 }
 
 // receive waits for a datagram and decodes it. It returns the sender's address, which is empty after an
-// error of the socket, and that error or ErrMalformed. Datagrams of package origin are passed to HandleOrigin, and the message is nil
-// for them.
+// error of the socket, and that error or ErrMalformed. Datagrams of package origin are passed to
+// HandleOrigin, and the message is nil for them.
 func (m *Mesh) receive(buffer []byte) (addr string, in *decodedMessage, err error) {
 	n, source, err := m.conn.ReadFrom(buffer)
 	if err != nil {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -45,7 +45,7 @@
 		case changed != current:
 			current = changed
 			limitMemory(changed.MemoryLimitMB)
-			g.serverDrainDelay.Store(int64(serverDrainDelay(changed)))
+			g.drainBound.Store(int64(drainBound(changed)))
 			g.router.SetBounds(routerBounds(changed))
 			g.log.Info(logging.EventSettingsChanged)
 		}
--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -136,7 +136,7 @@
 		Header:  c.router.Dialect.AttemptHeaders(c.req.Header, attemptInfo),
 		Body:    c.body,
 		MaxIdle: maxIdle,
-		MaySend: func() bool { return c.router.maySend(server) },
+		MaySend: func() bool { return c.router.claimSend(server) },
 		OnHeader: func(status int, h http.Header) {
 			c.router.observeNotices(server, c.router.Dialect.ParseResponse(status, h))
 		},
--- a/internal/gateway/router/server_notices.go
+++ b/internal/gateway/router/server_notices.go
@@ -7,10 +7,10 @@
 	"github.com/applepier/applepier/internal/gateway/protocol"
 )
 
-// maySend reports whether a request may be sent to a server now, and counts it as sent if so. It is the
-// only check at the moment of sending, and nothing overrides it: the server may have begun to
-// drain, or asked for a backoff, since it was chosen.
-func (r *Router) maySend(server *backend.Server) bool {
+// claimSend reports whether a request may be sent to a server now, and counts it as sent if so. It is the
+// only check at the moment of sending, and nothing overrides it: the server may have begun to drain, or
+// asked for a backoff, since it was chosen.
+func (r *Router) claimSend(server *backend.Server) bool {
 	if r.Registry.Draining(time.Now(), server) {
 		return false
 	}
--- a/internal/gateway/server_list_age.go
+++ b/internal/gateway/server_list_age.go
@@ -25,15 +25,15 @@
 	minServerListWait = 200 * time.Millisecond
 )
 
-// defaultDrainDelay is the bound on draining where operators set none.
-const defaultDrainDelay = 2 * time.Second
+// defaultDrainBound is the bound on draining where operators set none.
+const defaultDrainBound = 2 * time.Second
 
-// serverDrainDelay returns the time within which draining servers must get no more requests.
-func serverDrainDelay(s settings.Gateway) time.Duration {
+// drainBound returns the time within which draining servers must get no more requests.
+func drainBound(s settings.Gateway) time.Duration {
 	if s.Drain.MaxDelay > 0 {
 		return s.Drain.MaxDelay
 	}
-	return defaultDrainDelay
+	return defaultDrainBound
 }
 
 // serverListAge returns how long ago the list of backend servers was last known to be complete. Before
@@ -42,7 +42,7 @@
 
 // serverListRenewalAge returns the age at which the list needs confirmation.
 func (g *gateway) serverListRenewalAge() time.Duration {
-	return time.Duration(serverListRenewalShare * float64(g.serverDrainDelay.Load()))
+	return time.Duration(serverListRenewalShare * float64(g.drainBound.Load()))
 }
 
 // confirmServerList confirms the list from a response for the desired state. All tables of the store
@@ -75,14 +75,14 @@
 // serverListOverdue reports whether the list's age exceeds what it can reach while the gateways that
 // poll the store receive responses and pass them on.
 func (g *gateway) serverListOverdue() bool {
-	return g.servers.Position() != 0 && g.serverListAge() > time.Duration(serverListOverdueShare*float64(g.serverDrainDelay.Load()))
+	return g.servers.Position() != 0 && g.serverListAge() > time.Duration(serverListOverdueShare*float64(g.drainBound.Load()))
 }
 
 // logServerListAge logs when the list's age exceeds the bound on draining, and when it no longer
 // does. It is called by one goroutine only.
 func (g *gateway) logServerListAge() {
 	age := g.serverListAge()
-	old := age > time.Duration(g.serverDrainDelay.Load())
+	old := age > time.Duration(g.drainBound.Load())
 	if old == g.serverListOld || g.servers.Position() == 0 {
 		return
 	}
--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -108,7 +108,7 @@
 // List returns what is known about the quarantined suspects, in a fixed order.
 func (q *Quarantine) List() []Suspicion {
 	var list []Suspicion
-	for id := range q.decide().ids() {
+	for _, id := range q.decide().ids() {
 		list = append(list, q.suspects[id].suspicion(id))
 	}
 	slices.SortFunc(list, func(a, b Suspicion) int { return a.ID.compare(b.ID) })
@@ -134,7 +134,7 @@
 		return nil, nil
 	}
 	q.reportedDecision = decision
-	for id := range decision.ids() {
+	for _, id := range decision.ids() {
 		if s := q.suspects[id]; s.observedHere && !q.reported[id] {
 			q.reported[id] = true
 			quarantined = append(quarantined, s.suspicion(id))
--- a/policy/quarantine_decision.go
+++ b/policy/quarantine_decision.go
@@ -1,9 +1,6 @@
 package policy
 
-import (
-	"iter"
-	"slices"
-)
+import "slices"
 
 // quarantineDecision says which requests are quarantined.
 //
@@ -13,9 +10,9 @@
 // the same information decide the same. A suspect that was quarantined for another one's crashes is
 // released by the next crash at which it wasn't running.
 //
-// Segments with the same crashes can't be told apart. They are quarantined as a group: a request
+// Segments with the same crashes are indistinguishable. They are quarantined as a group: a request
 // that has all of them is refused, since it would crash a server whichever is at fault. One that has
-// some of them runs, and its end tells them apart: an answer clears these, and a crash the others.
+// some of them runs, and its end is evidence: an answer clears these, and a crash the others.
 type quarantineDecision struct {
 	requests map[Fingerprint]bool
 	// segments holds the group of each quarantined segment.
@@ -102,18 +99,14 @@
 	return d.requests[Fingerprint(id.Hash)]
 }
 
-// ids returns all quarantined suspects.
-func (d *quarantineDecision) ids() iter.Seq[SuspectID] {
-	return func(yield func(SuspectID) bool) {
-		for f := range d.requests {
-			if !yield(f.ID()) {
-				return
-			}
-		}
-		for s := range d.segments {
-			if !yield(s.ID()) {
-				return
-			}
-		}
+// ids returns all quarantined suspects, in no particular order.
+func (d *quarantineDecision) ids() []SuspectID {
+	ids := make([]SuspectID, 0, len(d.requests)+len(d.segments))
+	for f := range d.requests {
+		ids = append(ids, f.ID())
+	}
+	for s := range d.segments {
+		ids = append(ids, s.ID())
 	}
+	return ids
 }
--- a/policy/segment_suspects_test.go
+++ b/policy/segment_suspects_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// Segments with the same crashes can't be told apart: requests with all of them are refused, and those
+// Segments with the same crashes are indistinguishable: requests with all of them are refused, and those
 // with one run, so that their end tells which is at fault.
 func TestSegmentsWithSameCrashesAreQuarantinedTogether(t *testing.T) {
 	both, first, second := []SegmentID{1, 2}, []SegmentID{1}, []SegmentID{2}
--- a/policy/server_backoffs.go
+++ b/policy/server_backoffs.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxBackoff bounds how long a server gets no requests. A server that asked for
-	// more is asked again then, so that a wrong value doesn't take it out of use for good.
+	// maxBackoff bounds how long a server gets no requests. One that asked for a longer time gets a
+	// request then, so that a wrong value doesn't take it out of use for good.
 	maxBackoff = 10 * time.Minute
 	// backoffSpread is the largest share by which a backoff is extended at random, up to maxBackoffSpread.
 	// Servers ask many gateways at the same moment, and would get all their requests at once again.
@@ -21,8 +21,8 @@
 	backoffRecordTTL = time.Minute
 )
 
-// ServerBackoffs tracks the server instances that turned a request of this gateway away and asked for
-// a time without any.
+// ServerBackoffs tracks the server instances that rejected a request of this gateway and asked for a
+// time without any.
 //
 // A server that is overloaded rejects requests within milliseconds, so it looks idle and would get
 // more than its share. A backoff is not a failure: the server isn't ejected, and others may send to
@@ -65,8 +65,9 @@
 	}
 }
 
-// Left returns how long no request may be sent to a server instance; 0 if it isn't backed off.
-// So it is while the first request after a backoff awaits its response, that is until firstResponseTimeout at the latest.
+// Left returns how long no request may be sent to a server instance; 0 if it isn't backed off. It
+// counts as backed off while the first request after the backoff awaits its response, for at most
+// firstResponseTimeout.
 func (r *ServerBackoffs) Left(now time.Time, instance Key) time.Duration {
 	s := r.servers[instance]
 	if s == nil {
@@ -92,9 +93,6 @@
 	}
 }
 
-// Empty reports whether no server is or was lately backed off.
-func (r *ServerBackoffs) Empty() bool { return len(r.servers) == 0 }
-
 // Active returns the number of server instances that are backed off.
 func (r *ServerBackoffs) Active(now time.Time) int {
 	n := 0
--- a/policy/server_backoffs_test.go
+++ b/policy/server_backoffs_test.go
@@ -75,7 +75,7 @@
 		t.Error("the response to a request from before the backoff counts as that to the first one after it")
 	}
 	r.ObserveResponse(end, 1)
-	if r.Left(end, 1) != 0 || !r.Empty() {
+	if r.Left(end, 1) != 0 || len(r.servers) != 0 {
 		t.Error("the server still backoffs after it responded")
 	}
 }
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -34,7 +34,7 @@
 	// kindServerRelease drains a server and replaces it by an instance of another
 	// software version.
 	kindServerRelease = "server release"
-	// kindServerDrain is a release of which the store isn't told: only the server's responses say that
+	// kindServerDrain is a release that the store doesn't learn of: only the server's responses say that
 	// it drains.
 	kindServerDrain = "server drain"
 	// kindServerBackoff has a server reject requests and ask for a backoff.
--- a/testbed/soak/steps.go
+++ b/testbed/soak/steps.go
@@ -222,8 +222,8 @@
 	return h.endRelease(ctx, s, server)
 }
 
-// announceDrain has a server say in its responses that it drains, while its entry still says that it is ready, and
-// replaces it by an instance of another software version.
+// announceDrain has a server say in its responses that it drains, while its entry still says that it is
+// ready, and replaces it by an instance of another software version.
 func (h *harness) announceDrain(ctx context.Context, s Step, server *serverProcess) error {
 	if err := server.setScript(ctx, scriptDrain); err != nil {
 		return err
