backend: a handed over list leaves out servers that were replaced

Cause, found by reading: Registry.Entries, which a starting gateway gets, had servers at whose address another instance responds; each such gateway would have sent one request to learn it. Measured: TestEntriesLeaveOutServersThatAreGone failed (a and b, want a) and holds.

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -81,13 +81,14 @@
 	return all
 }
 
-// Entries returns the entries of all servers that the store lists, in no particular order.
+// Entries returns the entries of all servers that the store lists, in no particular order. It leaves out
+// those that were replaced.
 func (r *Registry) Entries() []Info {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	entries := make([]Info, 0, len(r.servers))
 	for id, s := range r.servers {
-		if _, expired := r.expiring[id]; !expired {
+		if _, expired := r.expiring[id]; !expired && !s.replaced {
 			entries = append(entries, *s.Info())
 		}
 	}
--- a/internal/gateway/backend/registry_test.go
+++ b/internal/gateway/backend/registry_test.go
@@ -260,3 +260,16 @@
 	r.Sweep(second.Add(expiryGrace))
 	expectListed(t, r, "a")
 }
+
+// Guards against handing over servers that are known to be gone: those of which the entry has expired, and
+// those at whose address another instance responds.
+func TestEntriesLeaveOutServersThatAreGone(t *testing.T) {
+	r := NewRegistry()
+	r.ReplaceAll(testStart, testEntries("a", "b", "c"), nil)
+	r.MarkReplaced("b")
+	r.MarkStoreUnavailable()
+	r.ReplaceAll(testStart.Add(time.Second), testEntries("a", "b"), nil)
+	if got := r.Entries(); len(got) != 1 || got[0].ID != "a" {
+		t.Errorf("got %+v, want the entry of a", got)
+	}
+}
