--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,8 @@
 	// gateway doesn't have, stateBehind while they have a newer desired state.
 	serversBehind, stateBehind timedCondition
 	draining                   atomic.Bool
+	// startedAt is when the process started, on the boottime clock.
+	startedAt time.Duration
 	// drainBound is the time, in nanoseconds, within which draining servers must get no more requests.
 	drainBound atomic.Int64
 	// listConfirmsItself is set while only the responses for the list of backend servers confirm it.
@@ -123,7 +125,7 @@
 // peers.Listen.
 func newGateway(s settings.Gateway, p Platform, log *zap.Logger) (*gateway, error) {
 	g := &gateway{
-		settings: s, platform: p, log: log,
+		settings: s, platform: p, log: log, startedAt: boottime.Now(),
 		holder: &routes.Holder{}, registry: backend.NewRegistry(), pool: exchange.NewPool(),
 		pendingQuarantine: make(chan quarantineChange, maxPendingQuarantine),
 	}
@@ -176,7 +178,7 @@
 		generation = g.usage.Generation()
 	}
 	return metrics.GatewayStats{
-		StateVersion: g.holder.Version(), StateAge: boottime.Now() - g.holder.ConfirmedAt(),
+		StateVersion: g.holder.Version(), StateAge: g.stateAge(),
 		LiveGateways: g.mesh.LiveGateways(), PollsStore: g.servers.Live(), UsableServers: g.registry.CountUsable(), ServerListAge: g.serverListAge(), QuarantinedRequests: g.router.QuarantinedCount(),
 		LimitedServers: g.router.LimitedServerCount(), BackedOffServers: g.router.BackedOffServerCount(), LimitedSends: g.router.LimitedSendCount(), UsageGeneration: generation, DroppedLogLines: logging.DroppedLines(),
 	}
--- a/internal/gateway/server_list_age.go
+++ b/internal/gateway/server_list_age.go
@@ -36,9 +36,16 @@
 	return defaultDrainBound
 }
 
-// serverListAge returns how long ago the list of backend servers was last known to be complete. Before
-// the first confirmation it is the time since the VM's boot.
-func (g *gateway) serverListAge() time.Duration { return boottime.Now() - g.servers.ConfirmedAt() }
+// serverListAge returns how long ago the list of backend servers was last known to be complete.
+func (g *gateway) serverListAge() time.Duration { return g.ageOf(g.servers.ConfirmedAt()) }
+
+// stateAge returns how long ago the desired state in force was last known to be the newest.
+func (g *gateway) stateAge() time.Duration { return g.ageOf(g.holder.ConfirmedAt()) }
+
+// ageOf returns the time since a confirmation or, before the first one, since the start of the process.
+func (g *gateway) ageOf(confirmedAt time.Duration) time.Duration {
+	return boottime.Now() - max(confirmedAt, g.startedAt)
+}
 
 // serverListRenewalAge returns the age at which the list needs confirmation.
 func (g *gateway) serverListRenewalAge() time.Duration {
