testbed: one script that asks for a backoff

Cause, found by reading: the soak and the gateway's tests had one each. Change: gateway.AskForBackoff serves both. Measured: the tests of backoffs and drains in testbed/gateway hold.

--- a/testbed/gateway/server.go
+++ b/testbed/gateway/server.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -86,6 +87,19 @@
 	}
 }
 
+// AskForBackoff returns a script that rejects requests and asks for a time without any. notExecuted is
+// whether it marks them as not executed.
+func AskForBackoff(d time.Duration, notExecuted bool) Script {
+	lines := []string{"Content-Length: 0", "Retry-After: " + strconv.FormatFloat(d.Seconds(), 'f', -1, 64)}
+	if notExecuted {
+		lines = append(lines, "X-Not-Executed: 1")
+	}
+	return func(c net.Conn, r *ReceivedRequest) bool {
+		_, err := io.WriteString(c, ResponseHead(r, http.StatusServiceUnavailable, lines...))
+		return err == nil
+	}
+}
+
 // Hang is a script that sends nothing until the gateway closes the connection.
 func Hang(_ net.Conn, r *ReceivedRequest) bool {
 	<-r.Closed
--- a/testbed/gateway/server_notices_test.go
+++ b/testbed/gateway/server_notices_test.go
@@ -27,18 +27,6 @@
 	}
 }
 
-// askForBackoff returns a script that rejects requests and asks for a time without any.
-func askForBackoff(d time.Duration, executed bool) gateway.Script {
-	lines := []string{"Content-Length: 0", "Retry-After: " + strconv.FormatFloat(d.Seconds(), 'f', -1, 64)}
-	if !executed {
-		lines = append(lines, "X-Not-Executed: 1")
-	}
-	return func(c net.Conn, r *gateway.ReceivedRequest) bool {
-		_, err := io.WriteString(c, gateway.ResponseHead(r, http.StatusServiceUnavailable, lines...))
-		return err == nil
-	}
-}
-
 // drainingStream returns a script that streams events after a header that says that the server drains.
 func drainingStream(c net.Conn, r *gateway.ReceivedRequest) bool {
 	if _, err := io.WriteString(c, gateway.ResponseHead(r, 200, "Transfer-Encoding: chunked", "Content-Type: text/event-stream", "Server-Leaving: 1")); err != nil {
@@ -174,7 +162,7 @@
 			for i := range 4 {
 				script := gateway.Respond("whole")
 				if i < c.backedOff {
-					script = askForBackoff(length, c.executed)
+					script = gateway.AskForBackoff(length, !c.executed)
 				}
 				f.StartServer(fmt.Sprint("i-", i), script)
 			}
@@ -206,8 +194,8 @@
 	t.Parallel()
 	const shorter, longer = 3 * time.Second, 6 * time.Second
 	f := gateway.NewFixture(t, gateway.Options{})
-	f.StartServer("i-1", askForBackoff(shorter, false))
-	f.StartServer("i-2", askForBackoff(longer, false))
+	f.StartServer("i-1", gateway.AskForBackoff(shorter, true))
+	f.StartServer("i-2", gateway.AskForBackoff(longer, true))
 	f.WaitFor("both servers to ask for a backoff", func() bool { f.Post("/safe/x", "warm"); return f.ReachedTwoServers("warm") })
 	start := time.Now()
 	got := f.Post("/unsafe/x", "during")
@@ -225,7 +213,7 @@
 	t.Parallel()
 	const length = time.Second
 	f := gateway.NewFixture(t, gateway.Options{})
-	s := f.StartServer("i-1", askForBackoff(length, false))
+	s := f.StartServer("i-1", gateway.AskForBackoff(length, true))
 	f.WaitFor("the server to ask for a backoff", func() bool { f.Post("/safe/x", "first"); return f.Reached("first", "i-1") })
 	s.SetScript(gateway.Respond("whole"))
 	time.Sleep(2 * length)
--- a/testbed/soak/script.go
+++ b/testbed/soak/script.go
@@ -36,7 +36,7 @@
 	case "refuse":
 		return gateway.Reject(503)
 	case scriptBackoff:
-		return askForBackoff(backoffTime)
+		return gateway.AskForBackoff(backoffTime, true)
 	case scriptDrain:
 		return delayed(maxServiceMS, respondAt(version, "Server-Leaving: 1"))
 	case "drop":
@@ -86,14 +86,6 @@
 	return kind, stream, lastEvent
 }
 
-// askForBackoff returns a script that rejects requests and asks for a time without any.
-func askForBackoff(d time.Duration) gateway.Script {
-	return func(c net.Conn, a *gateway.ReceivedRequest) bool {
-		_, err := io.WriteString(c, gateway.ResponseHead(a, 503, "Content-Length: 0", "X-Not-Executed: 1", fmt.Sprintf("Retry-After: %.1f", d.Seconds())))
-		return err == nil
-	}
-}
-
 // respondAt returns a script that sends a complete response, with additional header lines; a stream event
 // by event.
 func respondAt(version string, lines ...string) gateway.Script {
