--- a/testbed/gateway/server_notices_test.go
+++ b/testbed/gateway/server_notices_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strconv"
 	"testing"
 	"time"
