--- a/internal/gateway/server_list_age.go
+++ b/internal/gateway/server_list_age.go
@@ -70,7 +70,8 @@
 }
 
 // serverListNeedsRenewal reports whether the pending call for the list is to be repeated. The store may
-// never respond to a call that it has accepted, while it responds to others.
+// never respond to a call that it has accepted, while it responds to others. The calls that follow have a
+// short wait, so that they confirm the list themselves.
 func (g *gateway) serverListNeedsRenewal() bool {
 	if g.serverListAge() <= g.serverListRenewalAge() {
 		return false
