docs: a wrong claim about KV cache, the field's terms, tests named where they belong

Change: the pages, and a case for backed off servers in TestNothingIsFetchedFromUnusableServers. Measured: that test holds in its four cases; the tests that read pages hold.

--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -76,9 +76,9 @@
 	MaxDelay time.Duration `yaml:"within" validate:"gte=0"`
 }
 
-// Drain configures how soon a backend server that leaves must get no more requests.
+// Drain configures how soon a draining backend server must get no more requests.
 type Drain struct {
-	// MaxDelay is the longest time for which a server that leaves may get requests, counted from the
+	// MaxDelay is the longest time for which a draining server may get requests, counted from the
 	// store's acknowledgement of its entry or from its own response; 0 means two seconds.
 	MaxDelay time.Duration `yaml:"within" validate:"gte=0"`
 }
--- a/policy/cache_miss_test.go
+++ b/policy/cache_miss_test.go
@@ -26,11 +26,12 @@
 	}
 }
 
-// Guards against fetching from a server that is draining or ejected, or whose cache is empty
+// Guards against fetching from a server that is draining, backed off or ejected, or whose cache is empty
 // after a restart.
 func TestNothingIsFetchedFromUnusableServers(t *testing.T) {
 	faults := map[string]func(c *Chooser, s *Server){
-		"draining": func(_ *Chooser, s *Server) { s.Draining = true },
+		"draining":   func(_ *Chooser, s *Server) { s.Draining = true },
+		"backed off": func(_ *Chooser, s *Server) { s.BackoffLeft = time.Second },
 		"ejected": func(c *Chooser, s *Server) {
 			for range ejectAfterFailures {
 				c.ejector.Observe(testStart, s.Name, OutcomeFailed)
