testbed: the gateway in a child process, for all packages

Cause: tests outside testbed/gateway need gateways that can be frozen and killed; the type for it was in a test file of that package. Change: moved, exported as Child; only an exit that Kill brought about is ignored, where the test of killed gateways ignored every error before.

--- a/testbed/gateway/idle_timeout_test.go
+++ b/testbed/gateway/idle_timeout_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -59,14 +58,13 @@
 func TestForwardedRequestIsAnsweredAfterSuspend(t *testing.T) {
 	// There are several rounds because the scheduler decides which of the two is handled first.
 	const rounds = 3
-	child := newChildGateway()
-	f := gateway.NewFixture(t, gateway.Options{Run: child.run})
+	child := &gateway.Child{}
+	f := gateway.NewFixture(t, gateway.Options{Run: child.Run})
 	f.StartServer("i-1", gateway.Respond("whole"))
 	f.SetIdleTimeout(2, suspendedIdleTimeout)
-	process := <-child.started
-	t.Cleanup(func() { _ = process.Signal(syscall.SIGCONT) })
+	t.Cleanup(func() { _ = child.Signal(syscall.SIGCONT) })
 	for round := 0; round < rounds && !t.Failed(); round++ {
-		served, forwarded := suspendRound(t, f, process, round)
+		served, forwarded := suspendRound(t, f, child, round)
 		t.Logf("round %d: %d requests forwarded, %d served", round, forwarded, served)
 		if forwarded == 0 {
 			t.Errorf("round %d: no request was forwarded, so nothing was tested", round)
@@ -86,7 +84,7 @@
 // suspendRound suspends the gateway, sends a request on every connection, and resumes the
 // gateway once all idle timers have expired. It returns how many requests were served and
 // how many were forwarded.
-func suspendRound(t *testing.T, f *gateway.Fixture, process *os.Process, round int) (served, forwarded int) {
+func suspendRound(t *testing.T, f *gateway.Fixture, child *gateway.Child, round int) (served, forwarded int) {
 	t.Helper()
 	var conns []*keepAliveConn
 	for n := range suspendedCallers {
@@ -94,14 +92,14 @@
 		conn.mustServe(t, fmt.Sprintf("first-%d-%d", round, n))
 		conns = append(conns, conn)
 	}
-	if err := process.Signal(syscall.SIGSTOP); err != nil {
+	if err := child.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
 	for n, conn := range conns {
 		conn.send(postHead("/unsafe/x", fmt.Sprintf("second-%d-%d", round, n), 0))
 	}
 	time.Sleep(time.Until(conns[len(conns)-1].idleSince.Add(suspendedIdleTimeout + closeMargin)))
-	if err := process.Signal(syscall.SIGCONT); err != nil {
+	if err := child.Signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
 	for n, conn := range conns {
--- a/testbed/gateway/stream_origin_test.go
+++ b/testbed/gateway/stream_origin_test.go
@@ -8,11 +8,9 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
-	"github.com/applepier/applepier/internal/settings"
 	"github.com/applepier/applepier/testbed/gateway"
 )
 
@@ -41,17 +39,12 @@
 // Guards against the loss of the origins of all streams with the gateway that began them: of those
 // that their callers resume at other gateways, at least half must go on, all at their version.
 func TestStreamsAreResumedAfterTheirGatewayIsKilled(t *testing.T) {
-	child := newChildGateway()
+	child := &gateway.Child{}
 	fixtures := []*gateway.Fixture{gateway.NewFixture(t, gateway.Options{Name: "gateway-0"})}
 	for n := 1; n < 3; n++ {
 		fixtures = append(fixtures, gateway.NewFixture(t, gateway.Options{Name: fmt.Sprintf("gateway-%d", n), Store: fixtures[0].Store}))
 	}
-	killed := gateway.NewFixture(t, gateway.Options{Name: "gateway-killed", Store: fixtures[0].Store, Run: func(ctx context.Context, s settings.Gateway) error {
-		// The error of a killed process is expected.
-		_ = child.run(ctx, s)
-		return nil
-	}})
-	process := <-child.started
+	killed := gateway.NewFixture(t, gateway.Options{Name: "gateway-killed", Store: fixtures[0].Store, Run: child.Run})
 	all := append(slices.Clone(fixtures), killed)
 	waitForMesh(t, all)
 	startVersions(t, all, func(version string) gateway.Script {
@@ -66,7 +59,7 @@
 		reading.Go(func() { begun[n] = readUntilBroken(t, killed, fmt.Sprintf("killed-%d", n), started.Done) })
 	}
 	started.Wait()
-	if err := process.Signal(syscall.SIGKILL); err != nil {
+	if err := child.Kill(); err != nil {
 		t.Fatal(err)
 	}
 	reading.Wait()
