--- a/testbed/gateway/drain/server_list_age_test.go
+++ b/testbed/gateway/drain/server_list_age_test.go
@@ -17,11 +17,18 @@
 // drainBound is the time after which a draining server must get no more requests.
 const drainBound = 2 * time.Second
 
-// startWithTwoServers starts n gateways as startGateways does, with the servers i-1 and i-2, and waits
+// startWithTwoServers starts n gateways as gateway.StartGroup does, with the servers i-1 and i-2, and waits
 // until each gateway uses both. It returns the server i-1.
 func startWithTwoServers(t *testing.T, n int) ([]*gateway.Fixture, *gateway.Server) {
 	t.Helper()
 	fixtures := gateway.StartGroup(t, n, 0)
+	return fixtures, useTwoServers(t, fixtures)
+}
+
+// useTwoServers starts the servers i-1 and i-2, and waits until each gateway uses both. It returns the
+// server i-1.
+func useTwoServers(t *testing.T, fixtures []*gateway.Fixture) *gateway.Server {
+	t.Helper()
 	first := fixtures[0]
 	draining := first.StartServer("i-1", gateway.Respond("whole"))
 	first.StartServer("i-2", gateway.Respond("whole"))
@@ -33,7 +40,7 @@
 	}
 	// The pollers call the store again some time after a change.
 	time.Sleep(time.Second)
-	return fixtures, draining
+	return draining
 }
 
 // expectNoRequests sends requests through each gateway and fails the test for each gateway that sends
--- a/testbed/gateway/group.go
+++ b/testbed/gateway/group.go
@@ -16,6 +16,23 @@
 // waits until the others have stopped polling. It also lists further gateways that don't run;
 // notRunning is their number.
 func StartGroup(t testing.TB, n, notRunning int) []*Fixture {
+	t.Helper()
+	return startGroup(t, n, notRunning, func(int, *Options) {})
+}
+
+// StartChildGroup is StartGroup for gateways in child processes.
+func StartChildGroup(t testing.TB, n int) ([]*Fixture, []*Child) {
+	t.Helper()
+	children := make([]*Child, n)
+	fixtures := startGroup(t, n, 0, func(i int, o *Options) {
+		children[i] = &Child{}
+		o.Run = children[i].Run
+	})
+	return fixtures, children
+}
+
+// startGroup is StartGroup with a change to the options of each gateway, by its index.
+func startGroup(t testing.TB, n, notRunning int, change func(int, *Options)) []*Fixture {
 	t.Helper()
 	names := make([]string, n)
 	for i := range names {
@@ -36,6 +53,7 @@
 		} else {
 			o.ListedGateways = listed
 		}
+		change(i, &o)
 		fixtures[i] = NewFixture(t, o)
 	}
 	// Gateways list themselves and learn of each other from the list within two seconds.
--- a/testbed/gateway/server_notices_test.go
+++ b/testbed/gateway/server_notices_test.go
@@ -122,14 +122,9 @@
 
 // arrivalsInBackoff returns the largest number of requests that reached a server in the time without
 // requests that it asked for in one of its responses, from backoffSlack after it on. Each response of the
-// server asked for the backoff.
-func arrivalsInBackoff(f *gateway.Fixture, id, server string, backoff time.Duration) int {
-	var arrivals []time.Time
-	for _, r := range f.ReceivedRequests(id) {
-		if r.Server == server {
-			arrivals = append(arrivals, r.At)
-		}
-	}
+// server after a time asked for the backoff.
+func arrivalsInBackoff(f *gateway.Fixture, id, server string, after time.Time, backoff time.Duration) int {
+	arrivals := arrivalTimes(f, id, server, after)
 	most := 0
 	for _, asked := range arrivals {
 		n := 0
@@ -143,6 +138,17 @@
 	return most
 }
 
+// arrivalTimes returns when requests with an ID reached a server after a time.
+func arrivalTimes(f *gateway.Fixture, id, server string, after time.Time) []time.Time {
+	var arrivals []time.Time
+	for _, r := range f.ReceivedRequests(id) {
+		if r.Server == server && r.At.After(after) {
+			arrivals = append(arrivals, r.At)
+		}
+	}
+	return arrivals
+}
+
 // Guards against requests to a server that has asked this gateway for a time without any, also when
 // most servers of the service have.
 func TestBackedOffServerGetsNoRequests(t *testing.T) {
@@ -176,7 +182,7 @@
 			})
 			responses := generateLoadFor(t, 2*length, []*gateway.Fixture{f}, 40)
 			for i := range c.backedOff {
-				if n := arrivalsInBackoff(f, "pressing", fmt.Sprint("i-", i), length); n > maxInBackoff {
+				if n := arrivalsInBackoff(f, "pressing", fmt.Sprint("i-", i), time.Time{}, length); n > maxInBackoff {
 					t.Errorf("server %d got %d requests in the time that it asked for", i, n)
 				}
 			}
--- a/testbed/rowstore/handlers.go
+++ b/testbed/rowstore/handlers.go
@@ -37,6 +37,7 @@
 	}
 	s.mu.Lock()
 	s.readCount[query.Get("table")]++
+	delay := s.readDelays[query.Get("table")]
 	page := response{Version: s.version}
 	for _, row := range s.tableRows(query.Get("table")) {
 		if row.Partition == query.Get("part") && row.Key >= query.Get("from") && (query.Get("to") == "" || row.Key < query.Get("to")) {
@@ -48,6 +49,11 @@
 	if len(page.Rows) > limit {
 		page.Rows, page.HasMore = page.Rows[:limit], true
 	}
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+		return
+	}
 	writeResponse(w, http.StatusOK, page)
 }
 
--- a/testbed/rowstore/store.go
+++ b/testbed/rowstore/store.go
@@ -58,6 +58,8 @@
 	requestCount int
 	// silenced counts the calls of SilencePendingFeeds by table.
 	silenced map[string]int
+	// readDelays holds by table name how long the responses to reads are held back.
+	readDelays map[string]time.Duration
 	// readCount counts reads by table name.
 	readCount map[string]int
 	// lostRows holds the rows that the last restore discarded, and
@@ -70,7 +72,7 @@
 
 // New returns an empty Store.
 func New() *Store {
-	return &Store{rows: map[string]*Row{}, changed: make(chan struct{}), readCount: map[string]int{}, silenced: map[string]int{}}
+	return &Store{rows: map[string]*Row{}, changed: make(chan struct{}), readCount: map[string]int{}, readDelays: map[string]time.Duration{}, silenced: map[string]int{}}
 }
 
 // Put writes a row of the partition "" and returns its new version.
@@ -106,6 +108,13 @@
 	s.silenced[table]++
 }
 
+// DelayReads holds back the responses to reads of a table; each shows the table as it was at the call.
+func (s *Store) DelayReads(table string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readDelays[table] = d
+}
+
 // silencedCount returns how often the feeds of a table have been silenced.
 func (s *Store) silencedCount(table string) int {
 	s.mu.Lock()
