testbed: a reserved port isn't in use by a process that is being started

A process that is being started at that moment holds copies of all sockets until its exec, the listener's as well, so that the port was in use for some milliseconds more. That package starts children and gateways of its own process in parallel.

Change: Reserve binds a socket with SO_REUSEADDR, as listeners do, and doesn't listen on it: only a listener is in the way of it, and a copy of it is in nobody's way.

--- a/testbed/ports/ports.go
+++ b/testbed/ports/ports.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -26,6 +27,9 @@
 	loopback = "127.0.0.1"
 )
 
+// loopbackIPv4 is loopback as bytes.
+var loopbackIPv4 = [4]byte{127, 0, 0, 1}
+
 // processBlock is the port block of this process. Test processes run concurrently, and a
 // port that one of them found free could be taken by another before the program under
 // test listens on it. Therefore each process reserves a block by listening on
@@ -53,18 +57,49 @@
 	}
 	for range blockSize {
 		processBlock.lastOffset = processBlock.lastOffset%(blockSize-1) + 1
-		addr := loopbackAddr(processBlock.first + processBlock.lastOffset)
+		port := processBlock.first + processBlock.lastOffset
+		addr := loopbackAddr(port)
 		if processBlock.reserved[addr] {
 			continue
 		}
-		if listener, err := net.Listen("tcp", addr); err == nil {
+		free, err := isFree(port)
+		if err != nil {
+			return "", err
+		}
+		if free {
 			processBlock.reserved[addr] = true
-			return addr, listener.Close()
+			return addr, nil
 		}
 	}
 	return "", errors.New("no free port on 127.0.0.1")
 }
 
+// isFree reports whether a process can listen on a port of loopback. It binds a
+// socket and doesn't listen on it: between fork and exec a new process holds
+// copies of this process's sockets, and the port of a listener would be in use
+// until then.
+func isFree(port int) (bool, error) {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return false, errors.Wrap(err, "open socket")
+	}
+	// As listeners do, so that only a listener is in the way.
+	err = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err == nil {
+		err = syscall.Bind(socket, &syscall.SockaddrInet4{Port: port, Addr: loopbackIPv4})
+	}
+	if closeErr := syscall.Close(socket); closeErr != nil {
+		return false, errors.Wrap(closeErr, "close socket")
+	}
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return false, nil
+	}
+	if err != nil {
+		return false, errors.Wrap(err, "bind socket")
+	}
+	return true, nil
+}
+
 // ReserveForTest returns an address that is reserved until the test ends. It fails the
 // test if none is free.
 func ReserveForTest(t testing.TB) string {
