--- a/check.sh
+++ b/check.sh
@@ -35,6 +35,6 @@
 
 # Fuzz the decoders of data that other programs write or send. The number of inputs is bounded, not
 # the time: go test reports a failure if the time ends while a worker is busy.
-for decoder in platform:FuzzServerEntry platform:FuzzDesiredState internal/gateway/peers:FuzzDatagram internal/gateway/origin:FuzzMessage; do
+for decoder in platform:FuzzServerEntry platform:FuzzDesiredState internal/gateway/peers:FuzzDatagram internal/gateway/origin:FuzzMessage internal/gateway/router:FuzzEventSplitter; do
   go test -run '^$' -fuzz "^${decoder#*:}\$" -fuzztime 60000x "./${decoder%:*}"
 done
