router: times to first token are learned from output

A comment also moved the request from the pending ones to the running ones, and started the time after which a response clears its prompt segments of the suspicion of crashing servers.

Change: that a server responds (usage, unresponsive servers) and that its output starts are two events. The second one is the first event that isn't a comment, or a successful response that isn't a stream. Other gateways no longer learn from a failure that a server responds.

--- a/internal/gateway/router/buffered_response.go
+++ b/internal/gateway/router/buffered_response.go
@@ -35,6 +35,10 @@
 // forwards either the complete response or nothing.
 func (c *call) forwardBuffered(ctx context.Context, response *exchange.Response, tracked *trackedRequest) attemptResult {
 	tracked.responseStarted()
+	if isSuccess(response.Status) {
+		// A failure needs no prefill, so that its time says nothing of the next request's.
+		tracked.outputStarted()
+	}
 	body, err := readLimited(response, maxBufferedResponse)
 	if err != nil || len(body) <= maxBufferedResponse && c.endedByCrash(response, tracked.server) {
 		return c.brokenResponseResult()
--- a/internal/gateway/router/event_splitter.go
+++ b/internal/gateway/router/event_splitter.go
@@ -104,9 +104,10 @@
 	return 0, false
 }
 
-// isComment reports whether an event consists of comment lines only, which callers ignore.
-func isComment(event []byte) bool {
-	for line := range eventLines(event) {
+// isComment reports whether events consist of comment lines only, which callers ignore. Servers send
+// them to keep a connection open.
+func isComment(events []byte) bool {
+	for line := range eventLines(events) {
 		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
 			return false
 		}
--- a/internal/gateway/router/policy_state.go
+++ b/internal/gateway/router/policy_state.go
@@ -119,7 +119,13 @@
 	r.serviceFor(c.service).prefillRates[c.urgency].Observe(now, tokensAhead, elapsed)
 	r.updates.addFirstToken(policy.TTFTSample{Service: policy.KeyOf(c.service), Server: policy.KeyOf(c.serverID), Urgency: c.urgency, TokensAhead: tokensAhead, Latency: elapsed})
 	r.PrefixIndex.RecordPrefilled(now, policy.KeyOf(c.serverID), c.sharedSegments)
-	r.unresponsive.RecordResponse(policy.KeyOf(c.serverID))
+}
+
+// recordResponse records that a server has begun to respond to a request.
+func (r *Router) recordResponse(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unresponsive.RecordResponse(policy.KeyOf(server))
 }
 
 // observePause records the longest pause of a complete stream. It ignores streams that were sent to
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -29,6 +29,9 @@
 		if n > 0 {
 			if events := splitter.add(buffer[:n]); len(events) > 0 {
 				tracked.responseStarted()
+				if !isComment(events) {
+					tracked.outputStarted()
+				}
 				if !c.sendEvents(response, events) {
 					return c.brokenResponseResult()
 				}
--- a/internal/gateway/router/tracked_request.go
+++ b/internal/gateway/router/tracked_request.go
@@ -16,7 +16,9 @@
 	// before the first token, the request's own included.
 	tokensAhead float64
 	sentAt      time.Time
-	// startedAt is when the first byte of the response was read; zero before.
+	// responded is set once the server has begun to respond, if only with comments or a failure.
+	responded bool
+	// startedAt is when the first output was read; zero before.
 	startedAt time.Time
 	// proven is set once the response has lasted for policy.ProvenAnswerTime.
 	proven bool
@@ -30,11 +32,22 @@
 	return time.Since(t.startedAt)
 }
 
-// responseStarted records the first byte of the response. Further calls do nothing.
+// responseStarted records that the server has begun to respond. Further calls do nothing.
 func (t *trackedRequest) responseStarted() {
+	if t.responded {
+		return
+	}
+	t.responded = true
+	t.call.router.Observer.ResponseStarted(t.call.customer)
+	t.call.router.recordResponse(t.call.serverID)
+}
+
+// outputStarted records the first output, for which the server had to prefill the prompt. Further
+// calls do nothing.
+func (t *trackedRequest) outputStarted() {
+	t.responseStarted()
 	if t.MarkStarted() {
 		t.startedAt = time.Now()
-		t.call.router.Observer.ResponseStarted(t.call.customer)
 		t.call.router.observeFirstToken(t.call, t.tokensAhead, time.Since(t.sentAt))
 	}
 }
