engine: an order may take as long as its context allows

The agent reported a failure and went on to announce the earlier model while the engine loaded the other one.

Change: the client for orders has no limit of its own; its only caller sets one of five minutes.

Test, red before: TestOrderMayTakeLongerThanOtherCalls ('Client.Timeout exceeded' at 2.0 s of an order that takes 3), green now.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -49,8 +49,8 @@
 	return &Client{
 		baseURL:       baseURL,
 		runTransport:  noReuse,
-		controlClient: newHTTPClient(newKeepAliveTransport()),
-		orderClient:   newHTTPClient(noReuse),
+		controlClient: newHTTPClient(newKeepAliveTransport(), controlTimeout),
+		orderClient:   newHTTPClient(noReuse, 0),
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -112,7 +112,8 @@
 	RunIDs(ctx context.Context) ([]string, error)
 	// Load returns the engine's latest load report.
 	Load(ctx context.Context) (Load, error)
-	// SendOrder sends an order. It returns ErrStaleFencingToken when the engine
-	// has seen a higher fencing token.
+	// SendOrder sends an order and waits until the engine has carried it out or ctx
+	// ends: loading a model takes minutes. It returns ErrStaleFencingToken when the
+	// engine has seen a higher fencing token.
 	SendOrder(ctx context.Context, order Order) error
 }
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -12,8 +12,8 @@
 const (
 	// dialTimeout bounds connecting to a backend server on the same VM.
 	dialTimeout = time.Second
-	// controlTimeout bounds a call that isn't a run, so that an unresponsive
-	// engine can't block the agent.
+	// controlTimeout bounds a call that is neither a run nor an order, so that an
+	// unresponsive engine can't block the agent.
 	controlTimeout = 2 * time.Second
 	// maxErrorBodyBytes bounds the part of an error body that is kept.
 	maxErrorBodyBytes = 64 << 10
@@ -37,12 +37,13 @@
 	}
 }
 
-// newHTTPClient returns a client that follows no redirects, because a redirect
-// would send an order again.
-func newHTTPClient(transport *http.Transport) *http.Client {
+// newHTTPClient returns a client whose calls take up to timeout; if that is 0, only
+// their contexts bound them. It follows no redirects, because a redirect would send
+// an order again.
+func newHTTPClient(transport *http.Transport, timeout time.Duration) *http.Client {
 	return &http.Client{
 		Transport: transport,
-		Timeout:   controlTimeout,
+		Timeout:   timeout,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
