agent: a late withdrawal from an older session doesn't expire a grant

A message of the old connection that declines the grant and arrives late expired it all the same: the rule that older sessions are ignored held for waiting tickets only. The entry's run request was then refused as not run, and the request went elsewhere.

Change: a grant knows the newest session over which it was sent; older ones can't decline it.

Test, red before: TestLateWithdrawOfGrantFromOlderSessionIsIgnored, green now.

Tried and dropped: to ignore a ticket whose grant was used, running or ended. A caller may send a request again under its ID, through another entry, whose first attempt has the same ticket ID and needs a grant of its own. That a ticket sent again during its run is admitted twice stays open.

--- a/internal/agent/dispatcher_grants.go
+++ b/internal/agent/dispatcher_grants.go
@@ -53,6 +53,7 @@
 	d.grantSeq++
 	g := &grant{
 		id:        fmt.Sprintf("%s-%d", d.instance, d.grantSeq),
+		session:   t.session,
 		ticketID:  next.ID,
 		requestID: t.requestID,
 		attempt:   t.attempt,
--- a/internal/agent/dispatcher_test.go
+++ b/internal/agent/dispatcher_test.go
@@ -223,6 +223,21 @@
 	}
 }
 
+// Guards against a grant that expires because the entry's earlier connection delivers
+// a message late: the entry uses the grant that it got over the newer one.
+func TestLateWithdrawOfGrantFromOlderSessionIsIgnored(t *testing.T) {
+	d, older, _ := newTestDispatcher()
+	d.enqueue(older, testTicket("r"))
+	sender := &recordingSender{}
+	newer := &session{conn: sender}
+	d.addSession(newer, testHello)
+	d.enqueue(newer, testTicket("r"))
+	d.withdraw(older, &wire.Withdraw{RequestID: "r", Attempt: 1})
+	if _, ok := d.useGrant(newRunRequest(sender.grants()[0])); !ok {
+		t.Error("an older session withdrew the grant")
+	}
+}
+
 func TestWithdrawFromOlderSessionIsIgnored(t *testing.T) {
 	d, older, _ := newTestDispatcher()
 	ticket := newTicket(time.Now(), older, testTicket("r"), d.targets.Current())
--- a/internal/agent/dispatcher_tickets.go
+++ b/internal/agent/dispatcher_tickets.go
@@ -48,6 +48,9 @@
 	}
 	g, ok := d.grants.issued[id]
 	if ok {
+		if s.seq > g.session.seq {
+			g.session = s
+		}
 		s.send(wire.Message{Grant: &wire.Grant{RequestID: g.requestID, Attempt: g.attempt, ID: g.id}})
 	}
 	return ok
@@ -117,7 +120,7 @@
 		d.scheduler.Withdraw(id)
 		return
 	}
-	if g, ok := d.grants.issued[id]; ok {
+	if g, ok := d.grants.issued[id]; ok && s.seq >= g.session.seq {
 		d.expireGrant(time.Now(), g)
 	}
 }
--- a/internal/agent/grant.go
+++ b/internal/agent/grant.go
@@ -21,7 +21,9 @@
 // grant is a single-use permission to run a request. The dispatcher's lock
 // guards it.
 type grant struct {
-	id        string
+	id string
+	// session is the newest one over which the grant was sent.
+	session   *session
 	ticketID  string
 	requestID string
 	attempt   int
