agent: a panic in a run frees its slot

If the goroutine that reads the engine panicked, the other one waited for it until the idle timeout.

Change: the run is reported as failed if serving it panics; a panic of the reader cancels the run.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -45,8 +45,10 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	run := &run{agent: a, grant: g, req: &req, out: out, cancel: cancel}
-	outcome := run.serve(ctx)
-	a.dispatcher.finishRun(g, outcome)
+	// It stays so if serving the run panics, after which net/http goes on.
+	outcome := policy.OutcomeFailed
+	defer func() { a.dispatcher.finishRun(g, outcome) }()
+	outcome = run.serve(ctx)
 }
 
 // run is the execution of one granted request on the backend server.
@@ -63,10 +65,22 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer r.cancel()
-	wg.Go(func() { r.readBackend(ctx, results) })
+	wg.Go(func() {
+		defer r.cancelOnPanic()
+		r.readBackend(ctx, results)
+	})
 	return r.relay(ctx, results)
 }
 
+// cancelOnPanic is deferred by the goroutine that sends results: relay would
+// otherwise wait for them until the idle timeout.
+func (r *run) cancelOnPanic() {
+	if p := recover(); p != nil {
+		r.cancel()
+		panic(p)
+	}
+}
+
 // readBackend starts the run and sends its frames to results. It runs
 // concurrently with relay, so that heartbeats continue while the backend server
 // is slow to start the run.
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -41,7 +41,12 @@
 // and a grant that the agent has issued.
 func newTestAgent(t testing.TB, e engine.Engine) (*httptest.Server, *wire.Grant) {
 	t.Helper()
-	a := testAgentWith(t, e)
+	return startTestAgent(t, testAgentWith(t, e))
+}
+
+// startTestAgent is like newTestAgent, for an agent that exists.
+func startTestAgent(t testing.TB, a *Agent) (*httptest.Server, *wire.Grant) {
+	t.Helper()
 	a.dispatcher.setBackendUp(true)
 	sender := &recordingSender{}
 	s := &session{agent: a, conn: sender}
