entry: all repeats that void one grant get the agent's response

Two repeats of a call with an idempotency key at once: one of them waited 2 s and was told 'unknown', which callers must not repeat, though the grant was void and the call had not run. It also dropped the other's entry.

Change: all that wait for a grant get the response; each removes its own wait.

--- a/internal/entry/fleet/link.go
+++ b/internal/entry/fleet/link.go
@@ -24,9 +24,11 @@
 	lastMessageAt  time.Time
 	targetsVersion uint64
 	pending        pendingTickets
-	pendingVoids   map[string]chan wire.VoidResult
-	liveness       liveness
-	pingSeq        uint64
+	// pendingVoids holds, by grant, the channels of all goroutines that wait for the
+	// response to a Void.
+	pendingVoids map[string][]chan wire.VoidResult
+	liveness     liveness
+	pingSeq      uint64
 	// statusUpdated is closed when the next Status arrives; nil if no
 	// goroutine waits for one.
 	statusUpdated chan struct{}
@@ -38,7 +40,7 @@
 		name:         vm.Name,
 		vm:           vm,
 		pending:      newPendingTickets(),
-		pendingVoids: make(map[string]chan wire.VoidResult),
+		pendingVoids: make(map[string][]chan wire.VoidResult),
 	}
 }
 
--- a/internal/entry/fleet/link_conn.go
+++ b/internal/entry/fleet/link_conn.go
@@ -78,10 +78,12 @@
 	l.conn = nil
 	lost := l.pending.byAttempt
 	l.pending = newPendingTickets()
-	for _, response := range l.pendingVoids {
-		close(response)
+	for _, waiting := range l.pendingVoids {
+		for _, response := range waiting {
+			close(response)
+		}
 	}
-	l.pendingVoids = make(map[string]chan wire.VoidResult)
+	l.pendingVoids = make(map[string][]chan wire.VoidResult)
 	l.mu.Unlock()
 	for _, t := range lost {
 		t.handler.Lost(l.name)
--- a/internal/entry/fleet/link_void.go
+++ b/internal/entry/fleet/link_void.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,21 +17,22 @@
 // did not respond in time.
 var ErrNoResponse = errors.New("agent did not answer")
 
-// handleVoided passes the response to a Void to the goroutine that waits for it.
+// handleVoided passes the response to a Void to all goroutines that wait for it.
+// Several repeats of one call may void its grant at once.
 func (l *link) handleVoided(v *wire.Voided) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if response, ok := l.pendingVoids[v.GrantID]; ok {
-		delete(l.pendingVoids, v.GrantID)
+	for _, response := range l.pendingVoids[v.GrantID] {
 		response <- v.Result
 	}
+	delete(l.pendingVoids, v.GrantID)
 }
 
 // void asks the agent to make a grant unusable and waits for its response. It
 // returns ErrNoResponse if there is none within voidTimeout or before ctx ends.
 func (l *link) void(ctx context.Context, grant string) (wire.VoidResult, error) {
 	response := make(chan wire.VoidResult, 1)
-	defer l.removeVoid(grant)
+	defer l.removeVoid(grant, response)
 	if !l.sendVoid(grant, response) {
 		return "", ErrNoResponse
 	}
@@ -55,14 +57,17 @@
 	if l.conn == nil {
 		return false
 	}
-	l.pendingVoids[grant] = response
+	l.pendingVoids[grant] = append(l.pendingVoids[grant], response)
 	return l.conn.Send(wire.Message{Void: &wire.Void{GrantID: grant}}) == nil
 }
 
 // removeVoid removes a pending Void. An unanswered Void must be removed as well:
 // as long as it is pending, the connection is monitored at watchUrgent.
-func (l *link) removeVoid(grant string) {
+func (l *link) removeVoid(grant string, response chan wire.VoidResult) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.pendingVoids, grant)
+	waiting := slices.DeleteFunc(l.pendingVoids[grant], func(c chan wire.VoidResult) bool { return c == response })
+	if l.pendingVoids[grant] = waiting; len(waiting) == 0 {
+		delete(l.pendingVoids, grant)
+	}
 }
--- a/internal/entry/fleet/refresh_status_test.go
+++ b/internal/entry/fleet/refresh_status_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/applepier/applepier/internal/storage"
+	"github.com/applepier/applepier/internal/wire"
 )
 
 // TestRefreshStatus guards against showing operators an outdated status of an
@@ -49,6 +52,33 @@
 	}
 }
 
+// TestAllVoidsOfAGrantAreAnswered guards against a repeat of a call that is told that its
+// outcome is unknown because another repeat voided the same grant at the same moment.
+func TestAllVoidsOfAGrantAreAnswered(t *testing.T) {
+	f := runWithOneAgent(t)
+	l, _ := f.findLink(agentName)
+	for deadline := time.Now().Add(time.Minute); !f.Agents()[0].Connected; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the agent is not connected")
+		}
+	}
+	var voids conc.WaitGroup
+	for range 2 {
+		voids.Go(func() {
+			if result, err := f.Void(t.Context(), agentName, "grant-1"); result != wire.VoidDone {
+				t.Errorf("Void: %q, %v; want %q", result, err, wire.VoidDone)
+			}
+		})
+	}
+	// Both have been sent when the agent responds.
+	time.Sleep(200 * time.Millisecond)
+	l.handleVoided(&wire.Voided{GrantID: "grant-1", Result: wire.VoidDone})
+	voids.Wait()
+	if l.hasPendingWork() {
+		t.Error("an answered Void is still pending")
+	}
+}
+
 // agentName is the name of the agent started by runWithOneAgent.
 const agentName = "backend-1"
 
