entry: a stored response that can't be read now isn't gone

And in_progress had both Retry-After and X-Should-Retry: false.

Change: while the response can't be read the caller gets 409 response_unavailable with Retry-After; X-Should-Retry: false only goes with errors without Retry-After.

Test, red before: TestStoredResponseThatCannotBeReadNow, green now.

--- a/internal/entry/api/api_error.go
+++ b/internal/entry/api/api_error.go
@@ -65,8 +65,9 @@
 	if e.retryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(retrySeconds(e.retryAfter)))
 	}
-	if e.outcome == dispatch.Unknown || e.outcome == dispatch.Failed {
-		// Clients that honor this header, such as OpenAI's, then don't retry.
+	if e.retryAfter == 0 && (e.outcome == dispatch.Unknown || e.outcome == dispatch.Failed) {
+		// Clients that honor this header, such as OpenAI's, then don't retry. With a
+		// Retry-After, repeating the call is safe: it has an idempotency key.
 		h.Set("X-Should-Retry", "false")
 	}
 	w.WriteHeader(e.status)
--- a/internal/entry/api/claims.go
+++ b/internal/entry/api/claims.go
@@ -97,9 +97,19 @@
 }
 
 // replayResponse writes the stored response of the call that ran, or an error if the
-// response was not stored or cannot be read.
+// response was not stored or cannot be read now.
 func (a *API) replayResponse(w http.ResponseWriter, r *http.Request, c claim.Claim, req *dispatch.Request) {
 	body, err := a.config.Claims.Response(r.Context(), c)
+	if errors.Is(err, claim.ErrUnavailable) {
+		a.endWithoutDispatch(w, req, apiError{
+			status:     http.StatusConflict,
+			code:       "response_unavailable",
+			message:    "a call with this idempotency key has run; its answer can't be read now",
+			outcome:    dispatch.Unknown,
+			retryAfter: busyRetryAfter,
+		})
+		return
+	}
 	if err != nil || !c.Outcome.Complete {
 		a.endWithoutDispatch(w, req, apiError{
 			status:  http.StatusConflict,
--- a/internal/entry/api/claims_test.go
+++ b/internal/entry/api/claims_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
+	"github.com/applepier/applepier/internal/claim"
 	"github.com/applepier/applepier/internal/entry/dispatch"
 	"github.com/applepier/applepier/internal/wire"
 )
@@ -27,6 +29,42 @@
 	}
 }
 
+// Guards against telling a caller for good that the response of its call is gone because it couldn't
+// be read for a moment, and against asking it to come back and not to come back at once.
+func TestStoredResponseThatCannotBeReadNow(t *testing.T) {
+	cases := map[string]struct {
+		err  error
+		code string
+		// comesBack is whether the caller should send the call again.
+		comesBack bool
+	}{
+		"not readable now": {claim.ErrUnavailable, "response_unavailable", true},
+		"not stored":       {claim.ErrResponseNotStored, "already_run", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			api := newTestAPI(t)
+			api.dispatcher.script = serveDocket
+			api.postDocket("k")
+			api.claims.responseErr = tc.err
+			retry := api.postDocket("k")
+			if retry.Code != http.StatusConflict || !strings.Contains(retry.Body.String(), tc.code) || retry.Header().Get(HeaderOutcome) != string(dispatch.Unknown) {
+				t.Errorf("got %d %s %v, want 409 %s", retry.Code, retry.Body, retry.Header(), tc.code)
+			}
+			if comesBack := retry.Header().Get("Retry-After") != "" && retry.Header().Get("X-Should-Retry") != "false"; comesBack != tc.comesBack {
+				t.Errorf("the caller is to come back: %v, want %v; %v", comesBack, tc.comesBack, retry.Header())
+			}
+			api.claims.responseErr = nil
+			if retry := api.postDocket("k"); retry.Code != http.StatusCreated || retry.Body.String() != "docket 1" {
+				t.Errorf("once it can be read: %d %s", retry.Code, retry.Body)
+			}
+			if api.dispatcher.runs != 1 {
+				t.Errorf("%d runs, want 1", api.dispatcher.runs)
+			}
+		})
+	}
+}
+
 // Guards against a second run of a call whose first run may have happened: the retry runs
 // only if the recorded grant was voided.
 func TestRetryOfCallWithUnknownOutcome(t *testing.T) {
--- a/internal/entry/api/fake_test.go
+++ b/internal/entry/api/fake_test.go
@@ -46,6 +46,19 @@
 	return g.result, nil
 }
 
+// fakeClaims is a ClaimStore whose Response fails with responseErr if that is set.
+type fakeClaims struct {
+	ClaimStore
+	responseErr error
+}
+
+func (c *fakeClaims) Response(ctx context.Context, earlier claim.Claim) ([]byte, error) {
+	if c.responseErr != nil {
+		return nil, c.responseErr
+	}
+	return c.ClaimStore.Response(ctx, earlier)
+}
+
 type stubDependencies struct{}
 
 func (stubDependencies) Serves() []string { return []string{"apple"} }
@@ -62,6 +75,7 @@
 type testAPI struct {
 	dispatcher *fakeDispatcher
 	voider     *fakeGrantVoider
+	claims     *fakeClaims
 	table      *storagetest.Table
 	router     *httprouter.Router
 }
@@ -76,12 +90,13 @@
 	api := &testAPI{dispatcher: &fakeDispatcher{}, voider: &fakeGrantVoider{}, table: storagetest.NewTable(), router: httprouter.New()}
 	claimer := claim.NewClaimer(api.table)
 	t.Cleanup(claimer.Close)
+	api.claims = &fakeClaims{ClaimStore: claimer}
 	New(Config{
 		Targets:    cache,
 		Dispatcher: api.dispatcher,
 		Catalog:    stubDependencies{},
 		Auth:       stubDependencies{},
-		Claims:     claimer,
+		Claims:     api.claims,
 		Grants:     api.voider,
 		Observer:   stubDependencies{},
 		Timeline:   timeline.NewRing("entry", &timeline.Clock{}, 16),
