--- a/internal/entry/fleet/refresh_status_test.go
+++ b/internal/entry/fleet/refresh_status_test.go
@@ -33,15 +33,7 @@
 // and keeps the connection monitored at watchUrgent until it is closed.
 func TestUnansweredVoidIsRemoved(t *testing.T) {
 	f := runWithOneAgent(t)
-	for deadline := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
-		if agents := f.Agents(); len(agents) == 1 && agents[0].Connected {
-			break
-		}
-		if time.Now().After(deadline) {
-			t.Fatal("the agent is not connected")
-		}
-	}
-	l, _ := f.findLink(agentName)
+	l := awaitConnected(t, f)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	if _, err := f.Void(ctx, agentName, "grant-1"); err == nil {
@@ -56,12 +48,7 @@
 // outcome is unknown because another repeat voided the same grant at the same moment.
 func TestAllVoidsOfAGrantAreAnswered(t *testing.T) {
 	f := runWithOneAgent(t)
-	l, _ := f.findLink(agentName)
-	for deadline := time.Now().Add(time.Minute); !f.Agents()[0].Connected; time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("the agent is not connected")
-		}
-	}
+	l := awaitConnected(t, f)
 	var voids conc.WaitGroup
 	for range 2 {
 		voids.Go(func() {
@@ -79,6 +66,21 @@
 	}
 }
 
+// awaitConnected waits until the agent is connected and returns its link.
+func awaitConnected(t *testing.T, f *Fleet) *link {
+	t.Helper()
+	for deadline := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
+		if agents := f.Agents(); len(agents) == 1 && agents[0].Connected {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the agent is not connected")
+		}
+	}
+	l, _ := f.findLink(agentName)
+	return l
+}
+
 // agentName is the name of the agent started by runWithOneAgent.
 const agentName = "backend-1"
 
