policy: servers are sampled from the usable ones

If none of the three was usable, any usable one was taken, whatever its load; if one was, it was taken without comparison.

Change: the three are drawn from the usable servers. Where all are usable the choices are the same as before, draw by draw.

Test, red before: TestSampleIsDrawnFromUsableServers, eight of twelve servers drain and one of the other four is busy: chosen 1,329 times of 6,400 (100 expected, 200 allowed), green now.

--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -55,8 +55,9 @@
 	random  *rand.Rand
 	ejector *Ejector
 	index   *PrefixIndex
-	// scored is a buffer that is reused by each choice.
-	scored []scoredServer
+	// scored and sampled are buffers that are reused by each choice.
+	scored  []scoredServer
+	sampled []int
 }
 
 // NewChooser returns a Chooser that avoids the servers ejected by ejector and looks up
@@ -144,9 +145,7 @@
 func (c *Chooser) preferred(servers []Server, usable func(*Server) bool, lookup *prefixLookup) []bool {
 	preferred := make([]bool, len(servers))
 	if lookup.cached == nil {
-		for range sampledServers {
-			preferred[c.random.IntN(len(servers))] = true
-		}
+		c.markSample(servers, usable, preferred)
 		return preferred
 	}
 	for i := range servers {
@@ -162,6 +161,22 @@
 	return preferred
 }
 
+// markSample marks sampledServers of the usable servers, drawn with replacement.
+func (c *Chooser) markSample(servers []Server, usable func(*Server) bool, marked []bool) {
+	c.sampled = c.sampled[:0]
+	for i := range servers {
+		if usable(&servers[i]) {
+			c.sampled = append(c.sampled, i)
+		}
+	}
+	if len(c.sampled) == 0 {
+		return
+	}
+	for range sampledServers {
+		marked[c.sampled[c.random.IntN(len(c.sampled))]] = true
+	}
+}
+
 // scoreServer returns the expected result and cost of sending the job to a server. The
 // prefill penalty is kept apart since it counts only if the first token is in time.
 func (c *Chooser) scoreServer(job Job, s *Server, miss cacheMiss, recomputeFactor float64, rate *PrefillRate) scoredServer {
--- a/policy/chooser_test.go
+++ b/policy/chooser_test.go
@@ -117,6 +117,28 @@
 	}
 }
 
+// Guards against a choice that ignores load because all servers sampled for it drain: with three of four
+// usable servers idle, the busy one is chosen only if it is sampled three times, once in 64.
+func TestSampleIsDrawnFromUsableServers(t *testing.T) {
+	const choices, usableCount, busy = 6400, 4, 0
+	c, servers := newTestChooser(), idleServers(3*usableCount)
+	for i := usableCount; i < len(servers); i++ {
+		servers[i].Draining = true
+	}
+	servers[busy].Running = 16
+	job := Job{Zone: "z", Urgency: 4, Target: 500 * time.Millisecond, Tokens: 500}
+	chosen := 0
+	for range choices {
+		if c.Choose(testStart, job, servers, nil).Index == busy {
+			chosen++
+		}
+	}
+	// Twice the expected number; chance alone reaches it in one run of many millions.
+	if chosen > 2*choices/64 {
+		t.Errorf("the busy server is chosen %d times of %d, expected %d", chosen, choices, choices/64)
+	}
+}
+
 func TestUnusableServersAreNotChosen(t *testing.T) {
 	c, servers := newTestChooser(), idleServers(3)
 	servers[0].Draining = true
