usage: a late update of an earlier instance doesn't hide the current one

A datagram of the earlier instance that arrives after one of the current took its place: its counts end before the window, it passed as stopped, and the window could be finalized without the current one's counts, for good.

Change: the instance whose first update came last is the current one.

Test, red before: TestLateUpdateOfEarlierInstance, green now.

--- a/internal/gateway/usage/aggregator.go
+++ b/internal/gateway/usage/aggregator.go
@@ -18,7 +18,8 @@
 	// mu guards the fields below; no other lock is acquired while it is held.
 	mu      sync.Mutex
 	sources map[Source]*sourceCounts
-	// latestBootIDs holds, by gateway, the BootID of the instance that sent the most recent update.
+	// latestBootIDs holds, by gateway, the BootID of the instance whose first update was the most
+	// recent one. A datagram of an earlier instance may arrive after that.
 	latestBootIDs map[string]uint64
 	// currentWindow is the window in which the last update was merged.
 	currentWindow uint64
@@ -53,9 +54,11 @@
 		a.expireLocked(receivedAt, oldest)
 	}
 	counts := a.sourceLocked(source)
+	if counts.lastReceived.IsZero() {
+		a.latestBootIDs[source.Gateway] = source.BootID
+	}
 	counts.merge(update.Counts)
 	counts.sequence, counts.completeUntil, counts.lastReceived = max(counts.sequence, update.Sequence), max(counts.completeUntil, update.CompleteUntil), receivedAt
-	a.latestBootIDs[source.Gateway] = source.BootID
 }
 
 // sourceLocked returns the counts of a gateway instance and creates them if there are none; a.mu
--- a/internal/gateway/usage/counter_test.go
+++ b/internal/gateway/usage/counter_test.go
@@ -95,6 +95,25 @@
 	}
 }
 
+// Guards against a window that is finalized without the counts of a gateway that has restarted: a late
+// datagram of its earlier instance, which sends no more, must not take the current one's place.
+func TestLateUpdateOfEarlierInstance(t *testing.T) {
+	aggregator := NewAggregator(fiveSeconds, clockInWindow(7))
+	earlier, current := Source{Gateway: "x", BootID: 1}, Source{Gateway: "x", BootID: 2}
+	aggregator.Merge(noon, earlier, Update{Sequence: 1, CompleteUntil: 100})
+	aggregator.Merge(noon, current, Update{Sequence: 1, CompleteUntil: 700})
+	aggregator.Merge(noon, earlier, Update{Sequence: 2, CompleteUntil: 200})
+	if incomplete := aggregator.IncompleteGateways(time.UnixMilli(500), time.UnixMilli(1000)); len(incomplete) != 1 {
+		t.Errorf("incomplete gateways %v, want the one that has sent a part", incomplete)
+	}
+	// An instance that was silent until its record expired is current again when it sends.
+	aggregator.Expire(noon.Add(2*sourceExpiry), 7)
+	aggregator.Merge(noon.Add(2*sourceExpiry), current, Update{Sequence: 2, CompleteUntil: 800})
+	if incomplete := aggregator.IncompleteGateways(time.UnixMilli(500), time.UnixMilli(1000)); len(incomplete) != 1 {
+		t.Errorf("incomplete gateways %v after a pause, want the one that has sent a part", incomplete)
+	}
+}
+
 // After a gateway restarts, the counts of its earlier instance are added to those of the current one.
 // The earlier instance sends no more updates, so only the current one can be incomplete.
 func TestOnlyLatestInstanceCanBeIncomplete(t *testing.T) {
