peers: a late datagram of an earlier instance is ignored

One of the instance before a restart that arrives late brought back the load, limits and position of a process that has ended, and dropped the acknowledgements of the current one, until its next datagram.

Change: while an instance sends, datagrams of the one before it are ignored.

Test, red before: TestLateDatagramOfEarlierInstanceIsIgnored (8 requests running where 1 is), green now.

--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -22,6 +22,8 @@
 	bootID       uint64
 	sequence     uint64
 	lastReceived time.Time
+	// earlierBootID is the bootID before that; 0 if there was none.
+	earlierBootID uint64
 	// firstKnown is when the peer was first seen, in the list or by a datagram.
 	firstKnown time.Time
 	// lastStamp is the Stamp of the peer's last datagram, to be echoed.
@@ -68,7 +70,8 @@
 }
 
 // update applies a datagram. It returns false if the datagram is not newer than the last one of
-// the same instance of the gateway.
+// the same instance of the gateway, or if it is a late one of the instance before
+// while the current one sends.
 func (t *table) update(now time.Time, addr string, in *decodedMessage) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -76,6 +79,9 @@
 	if p.bootID == in.BootID && in.Sequence <= p.sequence {
 		return false
 	}
+	if p.earlierBootID != 0 && p.earlierBootID == in.BootID && p.isLive(now) {
+		return false
+	}
 	// Add the new counts before subtracting the old ones: the sums of servers at which the
 	// gateway still has load are then kept.
 	t.addLoads(in.Loads, 1)
@@ -83,7 +89,7 @@
 	t.addLimitedSends(in.Limits, 1)
 	t.subtract(p)
 	if p.bootID != in.BootID {
-		p.usage, p.zone = peerUsage{}, 0
+		p.usage, p.zone, p.earlierBootID = peerUsage{}, 0, p.bootID
 	}
 	if in.Zone != 0 {
 		p.zone = in.Zone
