tests: two checks that could pass without checking

Found by reading (issue 'Faults of behaviour that reading found', 6): - simulation of bursts: the time of completed runs was counted by class and by customer, that of preempted ones by class only, so that the wasted share was half of the true one, and the bound of .02 allowed .04.

--- a/policy/simulated_engine_test.go
+++ b/policy/simulated_engine_test.go
@@ -131,9 +131,10 @@
 	}
 	r := e.running[id]
 	delete(e.running, id)
-	stats := e.sim.stats(r.workload.class)
-	stats.preemptions++
-	stats.wastedTime += e.engine.prefillTime(r.promptTokens)
+	e.sim.updateStats(r, func(stats *requestStats) {
+		stats.preemptions++
+		stats.wastedTime += e.engine.prefillTime(r.promptTokens)
+	})
 	r.run++
 	if !r.queuedInEngine {
 		e.engine.release()
--- a/policy/simulation_test.go
+++ b/policy/simulation_test.go
@@ -244,7 +244,7 @@
 }
 
 // wastedShare returns the time to prefill preempted prompts again as a share of the
-// time that completed runs held slots.
+// time that completed runs held slots. Both are counted once by class and once by customer.
 func (s *simulation) wastedShare() float64 {
 	var runTime, wastedTime time.Duration
 	for _, stats := range s.statsByKey {
--- a/testbed/platform/server_test.go
+++ b/testbed/platform/server_test.go
@@ -120,15 +120,12 @@
 
 func TestDelayedWriteTakesEffectAfterClientTimeout(t *testing.T) {
 	f := newFixture(t)
-	f.sendControl(http.MethodPut, "/knobs", `{"slow_ms":200}`)
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	f.sendControl(http.MethodPut, "/knobs", `{"slow_ms":2500}`)
+	// Long enough to connect, and shorter than the client's own limit.
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	err := f.client.Commit(ctx, []storage.Write{putWrite("a", "x", 0)})
-	if !errors.Is(err, storage.ErrOutcomeUnknown) && !errors.Is(err, storage.ErrUnavailable) {
-		t.Fatalf("got %v, want ErrOutcomeUnknown, or ErrUnavailable when no connection was made in time", err)
-	}
-	if errors.Is(err, storage.ErrUnavailable) {
-		return
+	if err := f.client.Commit(ctx, []storage.Write{putWrite("a", "x", 0)}); !errors.Is(err, storage.ErrOutcomeUnknown) {
+		t.Fatalf("got %v, want ErrOutcomeUnknown", err)
 	}
 	f.sendControl(http.MethodPut, "/knobs", `{"slow_ms":0}`)
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
