soak: only the part of a pause within a stop counts

Change: the time within the stop for which the gateway was paused, once.

Tests, red before: two cases of TestCheckReportsEachViolation ('stop after a longer pause', 'stop during two pauses at once'); a third shows that a pause within the stop still counts.

--- a/testbed/soak/check.go
+++ b/testbed/soak/check.go
@@ -222,18 +222,43 @@
 // a planned stop. Time for which it was paused doesn't count.
 func (h indexedHistory) verifyStops(report reportFunc) {
 	for _, s := range h.Stops {
-		took := s.End.Sub(s.At)
-		for _, f := range h.Faults {
-			if f.Who == s.Gateway && f.Kind == kindPause && f.From.Before(s.End) && f.To.After(s.At) {
-				took -= f.To.Sub(f.From)
-			}
-		}
+		took := s.End.Sub(s.At) - h.pausedTime(s.Gateway, s.At, s.End)
 		if took > s.Grace || s.Failed {
 			report(checkGrace, "%s: stop at %s took %s, grace period %s, failed: %v", s.Gateway, s.At.Format("15:04:05.000"), took, s.Grace, s.Failed)
 		}
 	}
 }
 
+// pausedTime returns for how long between two times a gateway was paused, for one
+// reason or several.
+func (h indexedHistory) pausedTime(gateway string, from, to time.Time) time.Duration {
+	var pauses []Fault
+	for _, f := range h.Faults {
+		if f.Who == gateway && f.Kind == kindPause {
+			pauses = append(pauses, f)
+		}
+	}
+	slices.SortFunc(pauses, func(a, b Fault) int { return a.From.Compare(b.From) })
+	var paused time.Duration
+	for _, f := range pauses {
+		if f.From.After(from) {
+			from = f.From
+		}
+		if until := minTime(f.To, to); until.After(from) {
+			paused += until.Sub(from)
+			from = until
+		}
+	}
+	return paused
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // verifyReadings checks that the version of the desired state never decreases
 // within one process, and that memory and file descriptors stay within their bounds.
 func (h indexedHistory) verifyReadings(report reportFunc) {
--- a/testbed/soak/check_test.go
+++ b/testbed/soak/check_test.go
@@ -159,6 +159,16 @@
 		{"duplicate event", func(h *History) { h.Calls[streamCall].Body = streamEvent(kindStream, 1) + h.Calls[streamCall].Body }, checkStreamOrder},
 		{"stream that appears complete before the last event", func(h *History) { h.Calls[streamCall].Body = streamEvent(kindStream, 1) }, checkStreamOrder},
 		{"stop longer than the grace period", func(h *History) { h.Stops[0].End = at(27.1) }, checkGrace},
+		{"stop after a longer pause", func(h *History) {
+			h.Faults[0], h.Stops[0].End = Fault{"gateway-0", kindPause, at(10), at(20)}, at(28.1)
+		}, checkGrace},
+		{"stop during two pauses at once", func(h *History) {
+			h.Faults[0], h.Stops[0].End = Fault{"gateway-0", kindPause, at(20), at(22)}, at(29.1)
+			h.Faults = append(h.Faults, Fault{"gateway-0", kindPause, at(21), at(22)})
+		}, checkGrace},
+		{"stop with a pause", func(h *History) {
+			h.Faults[0], h.Stops[0].End = Fault{"gateway-0", kindPause, at(20), at(22)}, at(28.9)
+		}, ""},
 		{"failed stop", func(h *History) { h.Stops[0].Failed = true }, checkGrace},
 		{"stop prolonged by a pause", func(h *History) { h.Stops[0].End, h.Faults[0].From, h.Faults[0].To = at(27.1), at(20), at(22) }, ""},
 		{"removed key still works", func(h *History) { h.Calls[unsafeCall].Sent, h.Calls[unsafeCall].Done = at(15.1), at(16) }, checkRevokedKey},
