testbed: no panic where a process starts after Close, or a harness has no store

Found by reading (issue 'Faults of behaviour that reading found', 6): a process that is started after its fleet or group was closed sent on a closed channel, which ends the whole run; and a soak whose store can't be made panicked when it was closed, instead of reporting why.

Change: such a start returns ErrClosed; closing passes over a store that isn't there.

Test, red before: TestProcessIsNotStartedAfterClose ('panic: send on closed channel'), green now.

--- a/testbed/fleet/launcher.go
+++ b/testbed/fleet/launcher.go
@@ -4,14 +4,21 @@
 	"os/exec"
 	"runtime"
 	"sync"
+
+	"github.com/go-faster/errors"
 )
 
+// ErrClosed reports that the fleet or group to which a process belongs is closed.
+var ErrClosed = errors.New("fleet is closed")
+
 // launcher starts child processes from one operating system thread that lives
 // until close. Linux sends the parent death signal when the thread that
 // started the child exits, and the Go runtime may end idle threads.
 type launcher struct {
-	jobs  chan launchJob
-	close func()
+	jobs chan launchJob
+	// closed is closed by close.
+	closed chan struct{}
+	close  func()
 }
 
 type launchJob struct {
@@ -20,8 +27,8 @@
 }
 
 func newLauncher() *launcher {
-	jobs := make(chan launchJob)
-	l := &launcher{jobs: jobs, close: sync.OnceFunc(func() { close(jobs) })}
+	closed := make(chan struct{})
+	l := &launcher{jobs: make(chan launchJob), closed: closed, close: sync.OnceFunc(func() { close(closed) })}
 	go l.run()
 	return l
 }
@@ -29,15 +36,25 @@
 // run starts the queued commands. It never unlocks its thread, so the thread exits with it.
 func (l *launcher) run() {
 	runtime.LockOSThread()
-	for job := range l.jobs {
-		job.result <- job.cmd.Start()
+	for {
+		select {
+		case job := <-l.jobs:
+			job.result <- job.cmd.Start()
+		case <-l.closed:
+			return
+		}
 	}
 }
 
-// start starts cmd and, on Linux, has it killed when this process dies.
+// start starts cmd and, on Linux, has it killed when this process dies. After close it
+// returns ErrClosed.
 func (l *launcher) start(cmd *exec.Cmd) error {
 	cmd.SysProcAttr = killWithParent()
 	job := launchJob{cmd: cmd, result: make(chan error, 1)}
-	l.jobs <- job
-	return <-job.result
+	select {
+	case l.jobs <- job:
+		return <-job.result
+	case <-l.closed:
+		return ErrClosed
+	}
 }
--- a/testbed/soak/harness.go
+++ b/testbed/soak/harness.go
@@ -112,8 +112,10 @@
 		s.proxy.close()
 		ports.Release(s.listenAddr, s.controlAddr)
 	}
-	_ = h.store.Kill()
-	ports.Release(h.store.listenAddr, h.store.dutiesAddr, h.store.controlAddr)
+	if h.store != nil {
+		_ = h.store.Kill()
+		ports.Release(h.store.listenAddr, h.store.dutiesAddr, h.store.controlAddr)
+	}
 	h.programs.Close()
 }
 
