exchange: informational responses don't use up the budget for stray ones

A server that says four times that it works on a request (102, 103) lost it: the gateway gave the exchange up as incomplete while the server ran it, and the caller of a request that runs at most once was told 'unknown'.

Test, red before: TestInformationalResponsesAreSkipped ('too many responses to other requests' after 20), green now.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -26,6 +26,9 @@
 	// maxMismatchedResponses is how many responses to other requests are skipped before the
 	// exchange fails.
 	maxMismatchedResponses = 3
+	// maxInformationalResponses is how many informational (1xx) responses are skipped. A backend
+	// server may send one now and then while it works on a request.
+	maxInformationalResponses = 1000
 )
 
 // Response is a backend server's response. The caller must read its body to the end or call Abort.
@@ -113,17 +116,14 @@
 	return err
 }
 
-// readHead reads the header of the response that belongs to the request. It skips informational (1xx)
-// responses and responses to other requests, at most maxMismatchedResponses in total.
+// readHead reads the header of the response that belongs to the request. It skips responses to other
+// requests, at most maxMismatchedResponses.
 func (e *exchange) readHead(r *Request) (*Response, error) {
 	for range maxMismatchedResponses + 1 {
-		httpResp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: r.Method})
+		httpResp, err := e.readFinalHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
-		if httpResp.StatusCode < http.StatusOK {
-			continue
-		}
 		if r.OnHeader != nil {
 			r.OnHeader(httpResp.StatusCode, httpResp.Header)
 		}
@@ -142,6 +142,17 @@
 	return nil, errors.Wrap(ErrIncomplete, "too many responses to other requests")
 }
 
+// readFinalHead reads the header of the next response that isn't informational.
+func (e *exchange) readFinalHead(method string) (*http.Response, error) {
+	for range maxInformationalResponses + 1 {
+		httpResp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: method})
+		if err != nil || httpResp.StatusCode >= http.StatusOK {
+			return httpResp, err
+		}
+	}
+	return nil, errors.Wrap(ErrIncomplete, "too many informational responses")
+}
+
 // newResponse returns the Response for a received header, and records whether and how long the
 // connection may be reused.
 func (e *exchange) newResponse(httpResp *http.Response) *Response {
