entry: answers keep the fields that only the server knows

What else an engine sent was gone: in streams unknown fields and whole chunks of which the delta had no other field (reasoning_content, function_call), in whole answers log probabilities, system_fingerprint and service_tier besides.

Change: a chunk is passed on with all its fields; only the ID and the time of creation are the entry's. In a whole answer deltas are joined by a general rule: strings and arrays are appended, objects merged, of other values the last one counts. The agent marks a chunk with output other than content as uncounted, whatever its name: such a stream isn't resumed in the middle, where it would come twice.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -106,6 +106,8 @@
 		"tool call":      {`{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":"x"}}]}}`, 0, true},
 		"function call":  {`{"index":0,"delta":{"function_call":{"arguments":"x"}}}`, 0, true},
 		"refusal":        {`{"index":0,"delta":{"refusal":"x"}}`, 0, true},
+		"other output":   {`{"index":0,"delta":{"content":"","reasoning_content":"x"}}`, 0, true},
+		"no output":      {`{"index":0,"delta":{"role":"assistant","content":"","reasoning_content":"","annotations":[]}}`, 0, false},
 		"further choice": {`{"index":1,"delta":{"content":"x"}}`, 0, true},
 		"two choices":    {`{"index":0,"delta":{"content":"x"}},{"index":1,"delta":{"content":"y"}}`, 1, true},
 	}
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -74,17 +74,32 @@
 	Error json.RawMessage `json:"error"`
 }
 
-// delta holds the kinds of output that a chunk adds to a choice.
-type delta struct {
-	Content      string            `json:"content"`
-	Refusal      string            `json:"refusal"`
-	ToolCalls    []json.RawMessage `json:"tool_calls"`
-	FunctionCall json.RawMessage   `json:"function_call"`
+// delta holds the fields that a chunk adds to a choice. Engines have kinds of output that
+// OpenAI's API doesn't name.
+type delta map[string]json.RawMessage
+
+// content returns the content; empty if there is none.
+func (d delta) content() (string, error) {
+	var content string
+	if len(d["content"]) == 0 {
+		return "", nil
+	}
+	err := json.Unmarshal(d["content"], &content)
+	return content, err
 }
 
 // isOther reports whether the delta holds output other than content.
-func (d *delta) isOther() bool {
-	return d.Refusal != "" || len(d.ToolCalls) > 0 || len(d.FunctionCall) > 0 && string(d.FunctionCall) != "null"
+func (d delta) isOther() bool {
+	for name, value := range d {
+		switch string(value) {
+		case "null", `""`, "[]", "{}":
+			continue
+		}
+		if name != "content" && name != "role" {
+			return true
+		}
+	}
+	return false
 }
 
 // decodeChunk returns the chunk in data with its token count. It returns
@@ -101,10 +116,14 @@
 	chunk := Chunk{Data: bytes.Clone(data)}
 	for i := range fields.Choices {
 		choice := &fields.Choices[i]
+		content, err := choice.Delta.content()
+		if err != nil {
+			return Chunk{}, errors.Wrap(ErrTruncated, "content is not a string")
+		}
 		switch {
-		case choice.Delta.isOther(), choice.Index > 0 && choice.Delta.Content != "":
+		case choice.Delta.isOther(), choice.Index > 0 && content != "":
 			chunk.Uncounted = true
-		case choice.Delta.Content != "":
+		case content != "":
 			chunk.Tokens = 1
 		}
 	}
--- a/internal/entry/api/buffered_response.go
+++ b/internal/entry/api/buffered_response.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -20,12 +21,16 @@
 	Model   string             `json:"model"`
 	Choices []completionChoice `json:"choices"`
 	Usage   json.RawMessage    `json:"usage,omitempty"`
+
+	SystemFingerprint json.RawMessage `json:"system_fingerprint,omitempty"`
+	ServiceTier       json.RawMessage `json:"service_tier,omitempty"`
 }
 
 type completionChoice struct {
-	Index        int     `json:"index"`
-	Message      message `json:"message"`
-	FinishReason *string `json:"finish_reason"`
+	Index        int             `json:"index"`
+	Message      message         `json:"message"`
+	LogProbs     json.RawMessage `json:"logprobs,omitempty"`
+	FinishReason *string         `json:"finish_reason"`
 }
 
 type message struct {
@@ -33,6 +38,23 @@
 	Content   string          `json:"content"`
 	Refusal   *string         `json:"refusal"`
 	ToolCalls []toolCallDelta `json:"tool_calls,omitempty"`
+	// other are the fields of the deltas that this package doesn't read, joined.
+	other map[string]json.RawMessage
+}
+
+// MarshalJSON encodes the message with its other fields.
+func (m message) MarshalJSON() ([]byte, error) {
+	type fields message
+	data, err := json.Marshal(fields(m))
+	if err != nil || len(m.other) == 0 {
+		return data, err
+	}
+	all := map[string]json.RawMessage{}
+	if err := json.Unmarshal(data, &all); err != nil {
+		return nil, err
+	}
+	maps.Copy(all, m.other)
+	return json.Marshal(all)
 }
 
 // maxChoices limits the choices of one response.
@@ -55,28 +77,47 @@
 // WriteFrame adds one chunk to the response. It returns dispatch.ErrInvalidChunk for a chunk
 // that can't be decoded or has a choice index out of range.
 func (b *bufferedResponse) WriteFrame(f wire.Frame) error {
-	var c chunk
-	if err := json.Unmarshal(f.Data, &c); err != nil {
-		return errors.Wrap(dispatch.ErrInvalidChunk, err.Error())
+	c, err := decodeChunk(f.Data)
+	if err != nil {
+		return err
 	}
 	if b.completion.Created == 0 {
-		b.completion.Created = c.Created
+		b.completion.Created = c.created
+	}
+	if value := c.fields["usage"]; !isNull(value) {
+		b.completion.Usage = value
 	}
-	if len(c.Usage) > 0 && string(c.Usage) != "null" {
-		b.completion.Usage = c.Usage
+	if value := c.fields["system_fingerprint"]; !isNull(value) {
+		b.completion.SystemFingerprint = value
 	}
-	for _, choice := range c.Choices {
+	if value := c.fields["service_tier"]; !isNull(value) {
+		b.completion.ServiceTier = value
+	}
+	for _, choice := range c.choices {
 		if choice.Index < 0 || choice.Index >= maxChoices {
 			return errors.Wrapf(dispatch.ErrInvalidChunk, "choice index %d is out of range [0, %d)", choice.Index, maxChoices)
 		}
 	}
-	for _, choice := range c.Choices {
-		b.addChoice(choice)
+	for _, choice := range c.choices {
+		if err := b.addChoice(choice); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-func (b *bufferedResponse) addChoice(c chunkChoice) {
+// addChoice adds a choice of a chunk. It returns dispatch.ErrInvalidChunk if a field of its delta can't be
+// decoded.
+func (b *bufferedResponse) addChoice(c chunkChoice) error {
+	var content string
+	var refusal *string
+	var toolCalls []toolCallDelta
+	if err := errors.Join(decodeField(c.Delta["content"], &content), decodeField(c.Delta["refusal"], &refusal), decodeField(c.Delta["tool_calls"], &toolCalls)); err != nil {
+		return err
+	}
+	for _, read := range []string{"role", "content", "refusal", "tool_calls"} {
+		delete(c.Delta, read)
+	}
 	for len(b.completion.Choices) <= c.Index {
 		index := len(b.completion.Choices)
 		b.completion.Choices = append(b.completion.Choices, completionChoice{Index: index, Message: message{Role: "assistant"}})
@@ -86,19 +127,20 @@
 	if c.FinishReason != nil {
 		choice.FinishReason = c.FinishReason
 	}
-	if c.Delta.Content != nil {
-		b.contents[c.Index].WriteString(*c.Delta.Content)
-	}
-	if c.Delta.Refusal != nil {
-		joined := *c.Delta.Refusal
+	b.contents[c.Index].WriteString(content)
+	if refusal != nil {
+		joined := *refusal
 		if choice.Message.Refusal != nil {
 			joined = *choice.Message.Refusal + joined
 		}
 		choice.Message.Refusal = &joined
 	}
-	for _, call := range c.Delta.ToolCalls {
+	choice.LogProbs = mergeJSON(choice.LogProbs, c.LogProbs)
+	choice.Message.other = mergeFields(choice.Message.other, c.Delta)
+	for _, call := range toolCalls {
 		choice.Message.addToolCallDelta(call)
 	}
+	return nil
 }
 
 // addToolCallDelta appends the arguments in d to the tool call of the same index, or adds
--- a/internal/entry/api/chunk.go
+++ b/internal/entry/api/chunk.go
@@ -1,34 +1,31 @@
 package api
 
-import "encoding/json"
+import (
+	"encoding/json"
 
-// chunk is a chat.completion.chunk of the OpenAI API. Usage, log probabilities, service
-// tier and system fingerprint are kept as raw JSON.
+	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/entry/dispatch"
+)
+
+// chunk is a chat.completion.chunk of the OpenAI API.
 type chunk struct {
-	ID                string          `json:"id"`
-	Object            string          `json:"object"`
-	Created           int64           `json:"created"`
-	Model             string          `json:"model"`
-	SystemFingerprint json.RawMessage `json:"system_fingerprint,omitempty"`
-	ServiceTier       json.RawMessage `json:"service_tier,omitempty"`
-	Choices           []chunkChoice   `json:"choices"`
-	Usage             json.RawMessage `json:"usage,omitempty"`
+	// fields are all its fields by name.
+	fields map[string]json.RawMessage
+	// choices and created are decoded from them.
+	choices []chunkChoice
+	created int64
 }
 
 type chunkChoice struct {
-	Index        int             `json:"index"`
-	Delta        delta           `json:"delta"`
-	LogProbs     json.RawMessage `json:"logprobs,omitempty"`
-	FinishReason *string         `json:"finish_reason"`
-}
-
-type delta struct {
-	Role      string          `json:"role,omitempty"`
-	Content   *string         `json:"content,omitempty"`
-	Refusal   *string         `json:"refusal,omitempty"`
-	ToolCalls []toolCallDelta `json:"tool_calls,omitempty"`
+	Index int `json:"index"`
+	// Delta holds all fields of the delta by name: engines have kinds of output that the API doesn't name.
+	Delta        map[string]json.RawMessage `json:"delta"`
+	LogProbs     json.RawMessage            `json:"logprobs,omitempty"`
+	FinishReason *string                    `json:"finish_reason"`
 }
 
+// toolCallDelta is a part of a tool call; parts with the same index belong together.
 type toolCallDelta struct {
 	Index    int           `json:"index"`
 	ID       string        `json:"id,omitempty"`
@@ -41,22 +38,59 @@
 	Arguments string `json:"arguments"`
 }
 
+// decodeChunk decodes a chunk. It returns dispatch.ErrInvalidChunk if that fails.
+func decodeChunk(data []byte) (chunk, error) {
+	var c chunk
+	if err := json.Unmarshal(data, &c.fields); err != nil {
+		return chunk{}, errors.Wrap(dispatch.ErrInvalidChunk, err.Error())
+	}
+	if c.fields == nil {
+		return chunk{}, errors.Wrap(dispatch.ErrInvalidChunk, "not an object")
+	}
+	if err := errors.Join(decodeField(c.fields["choices"], &c.choices), decodeField(c.fields["created"], &c.created)); err != nil {
+		return chunk{}, err
+	}
+	return c, nil
+}
+
+// decodeField decodes the value of a field into result, which stays as it is if the field is missing. It
+// returns dispatch.ErrInvalidChunk if that fails.
+func decodeField(value json.RawMessage, result any) error {
+	if len(value) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(value, result); err != nil {
+		return errors.Wrap(dispatch.ErrInvalidChunk, err.Error())
+	}
+	return nil
+}
+
 // isRoleOnly reports whether the chunk carries the role and nothing else, as the first
 // chunk of each run does.
 func (c *chunk) isRoleOnly() bool {
-	if len(c.Usage) > 0 && string(c.Usage) != "null" {
+	if !isNull(c.fields["usage"]) {
 		return false
 	}
-	for _, choice := range c.Choices {
-		d := choice.Delta
-		if choice.FinishReason != nil || len(d.ToolCalls) > 0 || d.Refusal != nil {
+	for _, choice := range c.choices {
+		if choice.FinishReason != nil {
 			return false
 		}
-		if d.Content != nil && *d.Content != "" {
-			return false
+		for name, value := range choice.Delta {
+			if name != "role" && !isEmpty(value) {
+				return false
+			}
 		}
 	}
-	return len(c.Choices) > 0
+	return len(c.choices) > 0
 }
 
-func (c *chunk) isUsageOnly() bool { return len(c.Choices) == 0 }
+func (c *chunk) isUsageOnly() bool { return len(c.choices) == 0 }
+
+// isEmpty reports whether a value holds no output.
+func isEmpty(value json.RawMessage) bool {
+	switch string(value) {
+	case "", "null", `""`, "[]", "{}":
+		return true
+	}
+	return false
+}
--- a/internal/entry/api/response_test.go
+++ b/internal/entry/api/response_test.go
@@ -53,7 +53,10 @@
 	}
 	var ids []string
 	for _, data := range list[:3] {
-		var c chunk
+		var c struct {
+			ID      string
+			Created int64
+		}
 		if err := json.Unmarshal([]byte(data), &c); err != nil {
 			t.Fatal(err)
 		}
@@ -86,7 +89,7 @@
 // Guards against an undecodable chunk that is taken for a caller that has disconnected.
 func TestUndecodableChunksAreInvalid(t *testing.T) {
 	for name, request := range map[string]string{"stream": streamRequest, "buffered": bufferedRequest} {
-		for _, data := range []string{"not JSON", `{"choices":[{"index":-1}]}`, `{"choices":"none"}`} {
+		for _, data := range []string{"not JSON", `{"choices":[{"index":-1}]}`, `{"choices":"none"}`, "null"} {
 			api := newTestAPI(t)
 			api.dispatcher.script = func(_ *dispatch.Request, sink dispatch.Sink) dispatch.Result {
 				if err := sink.WriteFrame(wire.Frame{Kind: wire.FrameData, Data: []byte(data)}); err != nil && !errors.Is(err, dispatch.ErrInvalidChunk) {
--- a/internal/entry/api/stream_response.go
+++ b/internal/entry/api/stream_response.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,9 +33,9 @@
 // WriteFrame forwards one chunk. It returns dispatch.ErrInvalidChunk for one that can't be
 // decoded.
 func (s *streamResponse) WriteFrame(f wire.Frame) error {
-	var c chunk
-	if err := json.Unmarshal(f.Data, &c); err != nil {
-		return errors.Wrap(dispatch.ErrInvalidChunk, err.Error())
+	c, err := decodeChunk(f.Data)
+	if err != nil {
+		return err
 	}
 	if s.headerSent && c.isRoleOnly() {
 		return nil
@@ -43,11 +44,15 @@
 		return nil
 	}
 	if s.created == 0 {
-		s.created = c.Created
+		s.created = c.created
+	}
+	// All other fields are the server's.
+	id, err := json.Marshal(s.id)
+	if err != nil {
+		return errors.Wrap(err, "encode ID")
 	}
-	c.ID = s.id
-	c.Created = s.created
-	return s.sendJSON(c)
+	c.fields["id"], c.fields["created"] = id, strconv.AppendInt(nil, s.created, 10)
+	return s.sendJSON(c.fields)
 }
 
 func (s *streamResponse) sendJSON(v any) error {
