cli: a change whose response isn't the entry's has an unknown outcome

The proxy may have passed the change on.

Reads and the entry's own errors are as before (golden files).

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(body, apiReq.response); err != nil {
-		return c.unexpectedResponse(err)
+		return c.unexpectedResponse(apiReq, err)
 	}
 	return nil
 }
--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -12,16 +12,14 @@
 	"github.com/applepier/applepier/internal/program"
 )
 
+// hintCheckState is the advice after a change with an unknown outcome.
+const hintCheckState = "check the current state (applepier class list) before trying again"
+
 // transportError returns the error for a request without a complete response. A
 // change may have taken effect unless the connection could not be established.
 func (c *client) transportError(apiReq apiRequest, err error) error {
 	if apiReq.isChange() && !isDialError(err) {
-		return &program.Error{
-			Code:    program.ExitOutcomeUnknown,
-			Message: "the response was lost, the change may or may not have taken effect: " + rootCause(err),
-			Hint:    "check the current state (applepier class list) before trying again",
-			Cause:   err,
-		}
+		return outcomeUnknown("the response was lost", rootCause(err), err)
 	}
 	return &program.Error{
 		Code:    program.ExitUnreachable,
@@ -31,6 +29,17 @@
 	}
 }
 
+// outcomeUnknown returns the error for a change that may or may not have taken effect.
+// what happened to its response, and why, go into the message.
+func outcomeUnknown(what, why string, cause error) error {
+	return &program.Error{
+		Code:    program.ExitOutcomeUnknown,
+		Message: what + ", the change may or may not have taken effect: " + why,
+		Hint:    hintCheckState,
+		Cause:   cause,
+	}
+}
+
 // isDialError reports whether no connection was established, so that nothing
 // was sent.
 func isDialError(err error) bool {
@@ -54,9 +63,12 @@
 	}
 }
 
-// unexpectedResponse returns the error for a response that is not valid JSON of
-// the administration API.
-func (c *client) unexpectedResponse(err error) error {
+// unexpectedResponse returns the error for a successful response that is not valid JSON
+// of the administration API.
+func (c *client) unexpectedResponse(apiReq apiRequest, err error) error {
+	if apiReq.isChange() {
+		return outcomeUnknown("the response can't be read", rootCause(err), err)
+	}
 	return &program.Error{
 		Code:    program.ExitFailure,
 		Message: fmt.Sprintf("%s did not send a valid administration API response", c.base),
@@ -70,7 +82,12 @@
 func (c *client) responseError(apiReq apiRequest, response *http.Response, body []byte) error {
 	var apiError errorResponse
 	if err := json.Unmarshal(body, &apiError); err != nil || apiError.Error.Message == "" {
-		apiError.Error.Message = c.base.String() + " responded with " + response.Status
+		why := c.base.String() + " responded with " + response.Status
+		if apiReq.isChange() && response.StatusCode >= http.StatusInternalServerError {
+			// It is a proxy's, which may have passed the change on.
+			return outcomeUnknown("the response isn't the entry's", why, err)
+		}
+		apiError.Error.Message = why
 	}
 	problem := apiError.Error.Message
 	for _, p := range apiError.Problems {
@@ -100,7 +117,7 @@
 	}
 	if apiError.Error.Code == codeOutcomeUnknown {
 		result.Code = program.ExitOutcomeUnknown
-		result.Hint = "check the current state (applepier class list) before trying again"
+		result.Hint = hintCheckState
 	}
 	return result
 }
--- a/internal/cli/transport_test.go
+++ b/internal/cli/transport_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -64,6 +65,37 @@
 	}
 }
 
+// Guards against telling an operator that nothing was changed by a change that an entry may have received:
+// only the entry itself knows.
+func TestChangeWithoutTheEntrysResponse(t *testing.T) {
+	t.Setenv(envKey, testKey)
+	tests := map[string]struct {
+		status int
+		body   string
+		want   program.ExitCode
+	}{
+		"a proxy's 502":       {http.StatusBadGateway, "<html>", program.ExitOutcomeUnknown},
+		"a proxy's 503":       {http.StatusServiceUnavailable, "", program.ExitOutcomeUnknown},
+		"a success, not JSON": {http.StatusOK, "<html>", program.ExitOutcomeUnknown},
+		"the entry's 503":     {http.StatusServiceUnavailable, `{"error": {"code": "unavailable", "message": "the table service is down"}}`, program.ExitUnreachable},
+	}
+	for name, test := range tests {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				_, _ = w.Write([]byte(`{"version": 3, "class": {"name": "flag", "tier": 0, "model": "m", "first_token": "1s"}}`))
+				return
+			}
+			w.WriteHeader(test.status)
+			_, _ = w.Write([]byte(test.body))
+		}))
+		got := run(t, server.URL, "class", "set", "flag", "--tier", "1")
+		server.Close()
+		if want := fmt.Sprintf("--- exit code %d\n", test.want); !strings.HasSuffix(got, want) {
+			t.Errorf("%s: want %s in\n%s", name, want, got)
+		}
+	}
+}
+
 // TestExitCodesAreStable checks the numbers of the exit codes, which scripts
 // depend on.
 func TestExitCodesAreStable(t *testing.T) {
