metrics: counters don't fall where scrapes overlap

Change: the hooks of one scrape run after those of the other.

Test, red before: TestCountersDoNotFallBetweenScrapes (from 2 to 1), green now.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -62,6 +62,10 @@
 	Control  *ControlTraffic
 	Platform *PlatformCalls
 
+	// scraping is held while the scrape hooks run: each sets counters to values that it
+	// read before, and with two scrapes at once an older value could replace a newer
+	// one. It is acquired before mu.
+	scraping sync.Mutex
 	// mu guards classes, reasons and scrapeHooks. No lock other than the registry's
 	// is acquired while it is held.
 	mu          sync.Mutex
@@ -119,9 +123,11 @@
 	m.scrapeHooks = append(m.scrapeHooks, update)
 }
 
-// runScrapeHooks calls the functions registered with OnScrape. It doesn't hold the
-// lock during the calls, since the functions call methods of Metrics.
+// runScrapeHooks calls the functions registered with OnScrape. It doesn't hold mu
+// during the calls, since the functions call methods of Metrics.
 func (m *Metrics) runScrapeHooks() {
+	m.scraping.Lock()
+	defer m.scraping.Unlock()
 	m.mu.Lock()
 	hooks := slices.Clone(m.scrapeHooks)
 	m.mu.Unlock()
