--- a/internal/logging/async_writer.go
+++ b/internal/logging/async_writer.go
@@ -80,7 +80,7 @@
 		}
 		w.mu.Unlock()
 		if drops > 0 {
-			lines = append(lines, []byte(fmt.Sprintf("%s=warn %s=%s lines=%d\n", keyLevel, keyEvent, EventLinesDropped, drops)))
+			lines = append(lines, droppedLine(time.Now(), drops))
 		}
 		for _, line := range lines {
 			// A failed write to the log can't be reported anywhere.
@@ -89,6 +89,11 @@
 	}
 }
 
+// droppedLine returns the line that tells how many lines were dropped.
+func droppedLine(now time.Time, drops int64) []byte {
+	return fmt.Appendf(nil, "%s=%s %s=warn %s=%s lines=%d\n", keyTime, now.Format(time.RFC3339Nano), keyLevel, keyEvent, EventLinesDropped, drops)
+}
+
 // Sync waits until all queued lines are written, at most for flushTimeout. It always
 // returns nil.
 func (w *asyncWriter) Sync() error {
--- a/internal/logging/async_writer_test.go
+++ b/internal/logging/async_writer_test.go
@@ -57,6 +57,12 @@
 	if !strings.Contains(text, "event="+EventLinesDropped) || strings.Count(text, "\n") < maxQueuedLines {
 		t.Errorf("%d lines written, or the dropped lines aren't reported", strings.Count(text, "\n"))
 	}
+	for line := range strings.Lines(text) {
+		value, found := strings.CutPrefix(strings.Fields(line)[0], keyTime+"=")
+		if _, err := time.Parse(time.RFC3339Nano, value); !found || err != nil {
+			t.Fatalf("the line %q doesn't begin with its time", line)
+		}
+	}
 }
 
 // A burst of one event must not cost a system call per line or suppress other events,
