router: a desired state that was never confirmed isn't fresh

On a host that had started less than revoke.within ago a state from another gateway, unconfirmed, passed as fresh, and with it a key that had been revoked. Elsewhere the log's proof_age showed the host's uptime.

Change: without a confirmation nothing is fresh, unless there is no bound; the age counts from the router's start then, as the metric's does.

--- a/internal/gateway/router/refuse.go
+++ b/internal/gateway/router/refuse.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/applepier/applepier/internal/boottime"
 	"github.com/applepier/applepier/internal/callers"
 	"github.com/applepier/applepier/internal/unread"
 )
@@ -88,7 +87,7 @@
 		ID: c.params.ID, Service: c.service, Customer: c.customer, Urgency: c.urgency,
 		Status: status, Reason: reason, Sends: c.sends, FailedDials: c.failedDials, Server: c.serverID, ExpectedTTFT: c.expectedTTFT,
 		PromptTokens: c.params.PromptTokens, MeanTokens: int(c.meanTokens), PrefillTokens: c.prefillTokens, TokensAhead: c.otherTokensAhead,
-		StateVersion: c.stateVersion, StateAge: boottime.Now() - c.router.Holder.ConfirmedAt(),
+		StateVersion: c.stateVersion, StateAge: c.router.stateAge(),
 		FirstByteLatency: c.firstByteLatency, LongestPause: c.stream.longestPause, Duration: time.Since(c.arrivedAt),
 		Connection:  callers.ConnStatusOf(c.req.Context()),
 		LastEventID: c.params.LastEventID, ResumesID: c.params.ResumesID, Versions: c.stream.versions,
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -48,6 +48,8 @@
 	bounds           atomic.Pointer[Bounds]
 	memory           memoryLimiter
 	closeConnections func() bool
+	// createdAt is the time of New on the clock of package boottime.
+	createdAt time.Duration
 }
 
 // New returns a Router. closeConnections reports whether callers should move to another gateway; if
@@ -55,7 +57,7 @@
 func New(c Config, bounds Bounds, closeConnections func() bool) *Router {
 	r := &Router{
 		Config: c, services: map[string]*serviceState{}, unresponsive: policy.NewUnresponsiveServers(), quarantine: policy.NewQuarantine(),
-		limits: policy.NewServerLimits(), backoffs: policy.NewServerBackoffs(c.Random), closeConnections: closeConnections,
+		limits: policy.NewServerLimits(), backoffs: policy.NewServerBackoffs(c.Random), closeConnections: closeConnections, createdAt: boottime.Now(),
 	}
 	r.SetBounds(bounds)
 	return r
@@ -171,8 +173,15 @@
 // StateFresh reports whether the desired state was confirmed recently enough to serve requests
 // whose API keys may have been revoked.
 func (r *Router) StateFresh() bool {
-	bound := r.Bounds().MaxStateAge
-	return bound == 0 || boottime.Now()-r.Holder.ConfirmedAt() <= bound
+	bound, confirmedAt := r.Bounds().MaxStateAge, r.Holder.ConfirmedAt()
+	// Without a confirmation its time is 0, which is recent on a host that has just started.
+	return bound == 0 || confirmedAt != 0 && boottime.Now()-confirmedAt <= bound
+}
+
+// stateAge returns the time since the desired state was last confirmed or, before the first
+// confirmation, since the Router was made.
+func (r *Router) stateAge() time.Duration {
+	return boottime.Now() - max(r.Holder.ConfirmedAt(), r.createdAt)
 }
 
 // readBody reads the complete body. If that fails, it responds and reports false. If the body breaks
