entry: the parts of an answer's other fields are joined once

Change: parts are collected and joined at the end, in package jsonvalue, which the engine's client uses too to tell whether a chunk has other output. A null stays a null.

--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/jsonvalue"
 )
 
 // maxLineBytes bounds one line of a stream.
@@ -91,11 +93,7 @@
 // isOther reports whether the delta holds output other than content.
 func (d delta) isOther() bool {
 	for name, value := range d {
-		switch string(value) {
-		case "null", `""`, "[]", "{}":
-			continue
-		}
-		if name != "content" && name != "role" {
+		if name != "content" && name != "role" && !jsonvalue.IsEmpty(value) {
 			return true
 		}
 	}
--- a/internal/entry/api/buffered_response.go
+++ b/internal/entry/api/buffered_response.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/jsonvalue"
 	"github.com/applepier/applepier/internal/wire"
 )
 
@@ -38,8 +39,8 @@
 	Content   string          `json:"content"`
 	Refusal   *string         `json:"refusal"`
 	ToolCalls []toolCallDelta `json:"tool_calls,omitempty"`
-	// other are the fields of the deltas that this package doesn't read, joined.
-	other map[string]json.RawMessage
+	// other are the fields of the deltas that this package doesn't read.
+	other jsonvalue.Fields
 }
 
 // MarshalJSON encodes the message with its other fields.
@@ -53,7 +54,7 @@
 	if err := json.Unmarshal(data, &all); err != nil {
 		return nil, err
 	}
-	maps.Copy(all, m.other)
+	maps.Copy(all, m.other.Join())
 	return json.Marshal(all)
 }
 
@@ -65,7 +66,9 @@
 type bufferedResponse struct {
 	w          http.ResponseWriter
 	completion completion
-	contents   []strings.Builder
+	// contents and logProbs hold, by choice, the parts received so far.
+	contents []strings.Builder
+	logProbs [][]json.RawMessage
 }
 
 func newBufferedResponse(w http.ResponseWriter, id, model string) *bufferedResponse {
@@ -84,13 +87,13 @@
 	if b.completion.Created == 0 {
 		b.completion.Created = c.created
 	}
-	if value := c.fields["usage"]; !isNull(value) {
+	if value := c.fields["usage"]; !jsonvalue.IsNull(value) {
 		b.completion.Usage = value
 	}
-	if value := c.fields["system_fingerprint"]; !isNull(value) {
+	if value := c.fields["system_fingerprint"]; !jsonvalue.IsNull(value) {
 		b.completion.SystemFingerprint = value
 	}
-	if value := c.fields["service_tier"]; !isNull(value) {
+	if value := c.fields["service_tier"]; !jsonvalue.IsNull(value) {
 		b.completion.ServiceTier = value
 	}
 	for _, choice := range c.choices {
@@ -120,8 +123,9 @@
 	}
 	for len(b.completion.Choices) <= c.Index {
 		index := len(b.completion.Choices)
-		b.completion.Choices = append(b.completion.Choices, completionChoice{Index: index, Message: message{Role: "assistant"}})
+		b.completion.Choices = append(b.completion.Choices, completionChoice{Index: index, Message: message{Role: "assistant", other: jsonvalue.Fields{}}})
 		b.contents = append(b.contents, strings.Builder{})
+		b.logProbs = append(b.logProbs, nil)
 	}
 	choice := &b.completion.Choices[c.Index]
 	if c.FinishReason != nil {
@@ -135,8 +139,8 @@
 		}
 		choice.Message.Refusal = &joined
 	}
-	choice.LogProbs = mergeJSON(choice.LogProbs, c.LogProbs)
-	choice.Message.other = mergeFields(choice.Message.other, c.Delta)
+	b.logProbs[c.Index] = append(b.logProbs[c.Index], c.LogProbs)
+	choice.Message.other.Add(c.Delta)
 	for _, call := range toolCalls {
 		choice.Message.addToolCallDelta(call)
 	}
@@ -158,6 +162,7 @@
 func (b *bufferedResponse) finish() {
 	for i := range b.completion.Choices {
 		b.completion.Choices[i].Message.Content = b.contents[i].String()
+		b.completion.Choices[i].LogProbs = jsonvalue.Join(b.logProbs[i])
 	}
 	data, err := json.Marshal(b.completion)
 	if err != nil {
--- a/internal/entry/api/chunk.go
+++ b/internal/entry/api/chunk.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/entry/dispatch"
+	"github.com/applepier/applepier/internal/jsonvalue"
 )
 
 // chunk is a chat.completion.chunk of the OpenAI API.
@@ -68,7 +69,7 @@
 // isRoleOnly reports whether the chunk carries the role and nothing else, as the first
 // chunk of each run does.
 func (c *chunk) isRoleOnly() bool {
-	if !isNull(c.fields["usage"]) {
+	if !jsonvalue.IsNull(c.fields["usage"]) {
 		return false
 	}
 	for _, choice := range c.choices {
@@ -76,7 +77,7 @@
 			return false
 		}
 		for name, value := range choice.Delta {
-			if name != "role" && !isEmpty(value) {
+			if name != "role" && !jsonvalue.IsEmpty(value) {
 				return false
 			}
 		}
@@ -85,12 +86,3 @@
 }
 
 func (c *chunk) isUsageOnly() bool { return len(c.choices) == 0 }
-
-// isEmpty reports whether a value holds no output.
-func isEmpty(value json.RawMessage) bool {
-	switch string(value) {
-	case "", "null", `""`, "[]", "{}":
-		return true
-	}
-	return false
-}
