--- a/internal/agent/run_panic_test.go
+++ b/internal/agent/run_panic_test.go
@@ -17,7 +17,7 @@
 func (s *panickingStream) Next() (engine.Chunk, error) {
 	if s.begun {
 		// The entry gets the first chunk before.
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(time.Second)
 		panic("reading the stream")
 	}
 	s.begun = true
--- a/internal/entry/fleet/refresh_status_test.go
+++ b/internal/entry/fleet/refresh_status_test.go
@@ -58,7 +58,11 @@
 		})
 	}
 	// Both have been sent when the agent responds.
-	time.Sleep(200 * time.Millisecond)
+	for waiting := 0; waiting < 2; time.Sleep(time.Millisecond) {
+		l.mu.Lock()
+		waiting = len(l.pendingVoids["grant-1"])
+		l.mu.Unlock()
+	}
 	l.handleVoided(&wire.Voided{GrantID: "grant-1", Result: wire.VoidDone})
 	voids.Wait()
 	if l.hasPendingWork() {
