--- a/internal/gateway/peers/restart_test.go
+++ b/internal/gateway/peers/restart_test.go
@@ -17,7 +17,7 @@
 		in.Loads = []serverLoad{packLoad(server, &backend.Counts{Running: running})}
 		return in
 	}
-	peers := newTable()
+	peers, now := newTable(), time.Now()
 	steps := []struct {
 		in      *decodedMessage
 		applied bool
@@ -33,7 +33,7 @@
 		{datagram(9, 3, 9), false, 3},
 	}
 	for i, step := range steps {
-		if applied := peers.update(time.Now(), "127.0.0.1:1", step.in); applied != step.applied {
+		if applied := peers.update(now, "127.0.0.1:1", step.in); applied != step.applied {
 			t.Errorf("datagram %d of instance %d is applied: %v, want %v", step.in.Sequence, step.in.BootID, applied, step.applied)
 		}
 		if running := peers.loadAt(hashName(server)).Running; running != step.running {
@@ -41,7 +41,7 @@
 		}
 	}
 	// One that goes on while the other has stopped is taken again.
-	if !peers.update(time.Now().Add(2*peerTimeout), "127.0.0.1:1", datagram(9, 4, 9)) {
+	if !peers.update(now.Add(2*peerTimeout), "127.0.0.1:1", datagram(9, 4, 9)) {
 		t.Error("a datagram is ignored although the current instance sends nothing")
 	}
 }
