soak: its own stalls are recorded and named where a time limit ended

A hypothesis from reading (not shown): the soak itself, or the whole machine, stood still for seconds, and the limit and the end of the process were seen at the same moment. Nothing recorded could tell.

Reports of the grace period name the longest one, those of the recovery their number. A stall excuses nothing.

--- a/testbed/soak/check.go
+++ b/testbed/soak/check.go
@@ -70,7 +70,7 @@
 	indexed.verifyReadings(report)
 	for _, p := range h.Probes {
 		if p.After < 0 || p.After > h.Bounds.Recover {
-			report(checkRecovery, "%s at %s: served after %s (negative: never)", p.Kind, p.Gateway, p.After)
+			report(checkRecovery, "%s at %s: served after %s (negative: never); stalls of the soak: %d", p.Kind, p.Gateway, p.After, len(h.Stalls))
 		}
 	}
 	for _, broken := range h.Duties.Broken {
@@ -224,7 +224,8 @@
 	for _, s := range h.Stops {
 		took := s.End.Sub(s.At) - h.pausedTime(s.Gateway, s.At, s.End)
 		if took > s.Grace || s.Failed {
-			report(checkGrace, "%s: stop at %s took %s, grace period %s, failed: %v", s.Gateway, s.At.Format("15:04:05.000"), took, s.Grace, s.Failed)
+			report(checkGrace, "%s: stop at %s took %s, grace period %s, failed: %v; longest stall of the soak meanwhile: %s",
+				s.Gateway, s.At.Format("15:04:05.000"), took, s.Grace, s.Failed, h.longestStall(s.At, s.End))
 		}
 	}
 }
--- a/testbed/soak/history.go
+++ b/testbed/soak/history.go
@@ -21,6 +21,8 @@
 	Duties Duties
 	// Servers are the times in which each instance of a backend server served.
 	Servers []ServerSpan
+	// Stalls are the times in which the soak itself didn't run.
+	Stalls []Stall
 	// Earlier names the gateways that run an earlier release.
 	Earlier []string
 }
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -151,6 +151,7 @@
 			workers.Go(func() { loadCaller.run(work) })
 		}
 	}
+	workers.Go(func() { h.watchStalls(work) })
 	if c.Segments {
 		for _, s := range h.servers {
 			workers.Go(func() { h.superviseServer(work, s) })
