gateway: where others lack changes, the complete list comes from them (DRAIN)

Why their histories begin later than its position isn't traced.

Change: a gateway that is told so gets the complete list from the same one, as a starting gateway does. Earlier releases don't return it; with them it stays as it was.

--- a/internal/gateway/handover/client.go
+++ b/internal/gateway/handover/client.go
@@ -67,6 +67,17 @@
 	return deltas, err
 }
 
+// ChangesOrList is Changes or, if that gateway doesn't know all changes after the position, the complete
+// list. Nobody may know them: a gateway that was cut off for long must not depend on its own calls to the
+// store.
+func (c *Client) ChangesOrList(ctx context.Context, addr string, after follow.Position) ([]follow.Delta[backend.Info], error) {
+	deltas, err := c.Changes(ctx, addr, after)
+	if errors.Is(err, ErrHistoryGap) && after != 0 {
+		return c.Changes(ctx, addr, 0)
+	}
+	return deltas, err
+}
+
 func (c *Client) get(ctx context.Context, addr, path string, result any) error {
 	ctx, watchdog := stall.WithWatchdog(ctx, progressTimeout, MaxDuration)
 	defer watchdog.Stop()
--- a/internal/gateway/poll_delegation.go
+++ b/internal/gateway/poll_delegation.go
@@ -96,7 +96,7 @@
 		return
 	}
 	g.serversBehind.set(true)
-	changes, err := client.Changes(ctx, addr, position)
+	changes, err := client.ChangesOrList(ctx, addr, position)
 	if err == nil {
 		err = g.servers.ApplyDeltas(boottime.Now(), changes)
 	}
