--- a/internal/gateway/follow/history.go
+++ b/internal/gateway/follow/history.go
@@ -25,8 +25,10 @@
 type history[T any] struct {
 	// mu guards the fields below; no other lock is acquired while it is held.
 	mu sync.Mutex
-	// start is the position after which deltas is complete.
+	// start is the position after which deltas is complete. It is valid if known is set; it may be 0,
+	// the position of a store to which nothing was ever written.
 	start  Position
+	known  bool
 	deltas []Delta[T]
 	// snapshot is the table at start if the store was restored from an older copy or had lost its
 	// history at that point; nil otherwise.
@@ -38,12 +40,18 @@
 func (h *history[T]) reset(position Position, snapshot *Delta[T]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.start, h.deltas, h.snapshot = position, nil, snapshot
+	h.start, h.known, h.deltas, h.snapshot = position, true, nil, snapshot
 }
 
 func (h *history[T]) add(delta Delta[T]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	// Calls that brought no changes have moved the position on. The delta also covers that part, or a
+	// gateway whose position lies within it would lack changes that don't exist.
+	delta.From = h.start
+	if len(h.deltas) > 0 {
+		delta.From = h.deltas[len(h.deltas)-1].To
+	}
 	h.deltas = append(h.deltas, delta)
 	if len(h.deltas) > maxHistoryDeltas {
 		h.start = h.deltas[0].To
@@ -82,7 +90,7 @@
 	defer h.mu.Unlock()
 	var deltas []Delta[T]
 	switch {
-	case h.start != 0 && after >= h.start:
+	case h.known && after >= h.start:
 	case h.snapshot != nil && after != 0:
 		deltas = append(deltas, *h.snapshot)
 	default:
