--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -30,7 +30,7 @@
 }
 
 // outcomeUnknown returns the error for a change that may or may not have taken effect.
-// what happened to its response, and why, go into the message.
+// The message says what happened to its response, and why.
 func outcomeUnknown(what, why string, cause error) error {
 	return &program.Error{
 		Code:    program.ExitOutcomeUnknown,
--- a/internal/cli/transport_test.go
+++ b/internal/cli/transport_test.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// Guards against telling an operator that nothing was changed by a change that an entry may have received:
-// only the entry itself knows.
+// Guards against reporting that a change had no effect although an entry may have received it: only the
+// entry itself knows.
 func TestChangeWithoutTheEntrysResponse(t *testing.T) {
 	t.Setenv(envKey, testKey)
 	tests := map[string]struct {
--- a/internal/entry/api/claims_test.go
+++ b/internal/entry/api/claims_test.go
@@ -29,14 +29,14 @@
 	}
 }
 
-// Guards against telling a caller for good that the response of its call is gone because it couldn't
-// be read for a moment, and against asking it to come back and not to come back at once.
+// Guards against a final error for a response that couldn't be read for a moment, and against an error
+// that has Retry-After and forbids a retry.
 func TestStoredResponseThatCannotBeReadNow(t *testing.T) {
 	cases := map[string]struct {
 		err  error
 		code string
-		// comesBack is whether the caller should send the call again.
-		comesBack bool
+		// retries is whether the caller should send the call again.
+		retries bool
 	}{
 		"not readable now": {claim.ErrUnavailable, "response_unavailable", true},
 		"not stored":       {claim.ErrResponseNotStored, "already_run", false},
@@ -51,8 +51,8 @@
 			if retry.Code != http.StatusConflict || !strings.Contains(retry.Body.String(), tc.code) || retry.Header().Get(HeaderOutcome) != string(dispatch.Unknown) {
 				t.Errorf("got %d %s %v, want 409 %s", retry.Code, retry.Body, retry.Header(), tc.code)
 			}
-			if comesBack := retry.Header().Get("Retry-After") != "" && retry.Header().Get("X-Should-Retry") != "false"; comesBack != tc.comesBack {
-				t.Errorf("the caller is to come back: %v, want %v; %v", comesBack, tc.comesBack, retry.Header())
+			if retries := retry.Header().Get("Retry-After") != "" && retry.Header().Get("X-Should-Retry") != "false"; retries != tc.retries {
+				t.Errorf("the caller should retry: %v, want %v; %v", retries, tc.retries, retry.Header())
 			}
 			api.claims.responseErr = nil
 			if retry := api.postDocket("k"); retry.Code != http.StatusCreated || retry.Body.String() != "docket 1" {
--- a/internal/entry/fleet/refresh_status_test.go
+++ b/internal/entry/fleet/refresh_status_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// TestAllVoidsOfAGrantAreAnswered guards against a repeat of a call that is told that its
-// outcome is unknown because another repeat voided the same grant at the same moment.
+// TestAllVoidsOfAGrantAreAnswered guards against a repeated call that ends with an unknown
+// outcome because another repeat voided the same grant at the same moment.
 func TestAllVoidsOfAGrantAreAnswered(t *testing.T) {
 	f := runWithOneAgent(t)
 	l := awaitConnected(t, f)
--- a/internal/gateway/backend/draining_test.go
+++ b/internal/gateway/backend/draining_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against a draining instance that is offered again: whatever news of it comes later, and by
+// Guards against a draining instance that is offered again: whatever entry of it follows, and by
 // whatever way, is older or wrong, since an instance that drains ends.
 func TestDrainingInstanceIsNeverUsableAgain(t *testing.T) {
 	for name, news := range map[string]func(r *Registry){
--- a/internal/gateway/follow/history.go
+++ b/internal/gateway/follow/history.go
@@ -46,8 +46,8 @@
 func (h *history[T]) add(delta Delta[T]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	// Calls that brought no changes have moved the position on. The delta also covers that part, or a
-	// gateway whose position lies within it would lack changes that don't exist.
+	// Calls without changes advance the position. The delta also covers that part: a gateway whose
+	// position lies within it must not count as lacking changes.
 	delta.From = h.start
 	if len(h.deltas) > 0 {
 		delta.From = h.deltas[len(h.deltas)-1].To
--- a/internal/gateway/handover/changes_or_list_test.go
+++ b/internal/gateway/handover/changes_or_list_test.go
@@ -11,8 +11,8 @@
 	"github.com/applepier/applepier/internal/gateway/follow"
 )
 
-// Guards against a gateway that was cut off and asks others in vain for changes that none of them knows any
-// more, while its list is older than the bound on draining: it gets the complete list instead.
+// Guards against a gateway whose requests for changes fail as long as no history reaches back to its
+// position: it gets the complete list instead.
 func TestCompleteListWhereChangesAreUnknown(t *testing.T) {
 	list := []follow.Delta[backend.Info]{{From: 40, To: 40, Items: []backend.Info{{ID: "i-1"}}, Snapshot: true}}
 	changes := []follow.Delta[backend.Info]{{From: 39, To: 40, Removed: []string{"i-2"}}}
--- a/internal/gateway/handover/client.go
+++ b/internal/gateway/handover/client.go
@@ -68,8 +68,8 @@
 }
 
 // ChangesOrList is Changes or, if that gateway doesn't know all changes after the position, the complete
-// list. Nobody may know them: a gateway that was cut off for long must not depend on its own calls to the
-// store.
+// list: a gateway that was partitioned for longer than histories reach must not depend on its own calls
+// to the store.
 func (c *Client) ChangesOrList(ctx context.Context, addr string, after follow.Position) ([]follow.Delta[backend.Info], error) {
 	deltas, err := c.Changes(ctx, addr, after)
 	if errors.Is(err, ErrHistoryGap) && after != 0 {
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -70,8 +70,8 @@
 }
 
 // update applies a datagram. It returns false if the datagram is not newer than the last one of
-// the same instance of the gateway, or if it is a late one of the instance before
-// while the current one sends.
+// the same instance of the gateway, or if it is a late one of the instance before while the current
+// one sends.
 func (t *table) update(now time.Time, addr string, in *decodedMessage) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/router/event_splitter_test.go
+++ b/internal/gateway/router/event_splitter_test.go
@@ -25,7 +25,7 @@
 	return events, s.pendingBytes()
 }
 
-// Guards against events that are held back, joined or cut because of how their lines end or where a
+// Guards against events that are delayed, joined or cut because of how their lines end or where a
 // read ends.
 func TestEventsEndAtEmptyLines(t *testing.T) {
 	const stream = ": wait\n\nid: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n"
--- a/testbed/gateway/notices_by_gateway_test.go
+++ b/testbed/gateway/notices_by_gateway_test.go
@@ -10,7 +10,7 @@
 	"github.com/applepier/applepier/testbed/gateway"
 )
 
-// Guards against gateways that send to servers that drain or are backed off, each by what it heard itself:
+// Guards against gateways that send to servers that drain or are backed off, each by the responses that it received itself:
 // several gateways under load, one server that says so in its responses and all servers of the service.
 // Nothing in the store says so.
 func TestNoticesAreKeptByAllGateways(t *testing.T) {
--- a/testbed/rowstore/store.go
+++ b/testbed/rowstore/store.go
@@ -58,7 +58,7 @@
 	requestCount int
 	// silenced counts the calls of SilencePendingFeeds by table.
 	silenced map[string]int
-	// readDelays holds by table name how long the responses to reads are held back.
+	// readDelays holds by table name how long the responses to reads are delayed.
 	readDelays map[string]time.Duration
 	// readCount counts reads by table name.
 	readCount map[string]int
