policy: expected time, cost and admission at a server's own speed

Cause: PrefillRate is one line for a service and urgency, so Chooser expected a server at half the speed to respond like the others.

Change: policy.Server.Slowdown (0 means 1) multiplies the tokens ahead, queued ones and the request's own, for the expected time to first token, the cost, meetsTarget, recomputeFactor and admitByTime. Choice.TokensAhead is thereby in tokens of the average server, which PrefillRate learns from; Choice.QueuedTokens and PrefillTokens stay tokens of prompts, and PrefillRate.PlanChoice spreads them over the time that the server needs. A transfer takes as long at a slow server. policy.EventInterval is the sample that gateways exchange.

--- a/policy/cache_miss.go
+++ b/policy/cache_miss.go
@@ -130,19 +130,20 @@
 	return lookup
 }
 
-// missAt returns the part of the shared prefix that the server at index i, of the given software
-// version, doesn't have cached.
-func (l *prefixLookup) missAt(i int, version Key, job *Job, rate *PrefillRate) cacheMiss {
+// missAt returns the part of the shared prefix that the given server, at index i, doesn't have
+// cached.
+func (l *prefixLookup) missAt(i int, s *Server, job *Job, rate *PrefillRate) cacheMiss {
 	if l.cached == nil {
 		return cacheMiss{}
 	}
 	miss := cacheMiss{home: i == l.homes[0], secondHome: i == l.homes[1], uncached: float64(l.length - l.longestCached), recomputed: float64(l.longestCached - l.cached[i].expected)}
-	source := l.sourceFor(version)
+	source := l.sourceFor(s.Version)
 	if source < 0 || source == i || job.FetchRate == 0 {
 		return miss
 	}
 	fetched := float64(l.cached[source].prefilled - l.cached[i].expected)
-	transfer := rate.tokensIn(fetchSetup) + fetched*rate.rate()/job.FetchRate
+	// A slow server prefills fewer tokens during the transfer, which takes as long.
+	transfer := (rate.tokensIn(fetchSetup) + fetched*rate.rate()/job.FetchRate) / s.slowdown()
 	if fetched >= minFetchTokens && transfer < fetched {
 		miss.fetched, miss.transferTokens, miss.source = fetched, transfer, source
 		miss.recomputed -= fetched
--- a/policy/capacity.go
+++ b/policy/capacity.go
@@ -85,8 +85,8 @@
 	if job.Target == 0 || job.UnreportedTokens == 0 {
 		return true
 	}
-	unreportedTokens := job.UnreportedTokens/float64(meetingTarget) - rate.tokensIn(job.ReportAge)
-	prefill := float64(best.PrefillTokens)
+	unreportedTokens := best.Slowdown*job.UnreportedTokens/float64(meetingTarget) - rate.tokensIn(job.ReportAge)
+	prefill := best.Slowdown * float64(best.PrefillTokens)
 	spare := rate.maxQueuedTokens(job.Target, job.scaleToMeanLength(prefill)) - (best.TokensAhead - prefill)
 	return spare >= unreportedTokens || c.random.Float64() < spare/unreportedTokens
 }
--- a/policy/choice.go
+++ b/policy/choice.go
@@ -8,11 +8,16 @@
 	Index int
 	Found bool
 	// PrefillTokens is the number of the prompt's tokens that the server is expected to
-	// prefill, and TokensAhead the number that it prefills before the request's first
-	// token, the request's own included. A transfer from another server counts as the
-	// tokens that could be prefilled during it.
+	// prefill, and QueuedTokens the number of tokens of other requests that it prefills
+	// first. A transfer from another server counts as the tokens that could be prefilled
+	// during it.
 	PrefillTokens int
-	TokensAhead   float64
+	QueuedTokens  float64
+	// Slowdown is the server's slowdown, and TokensAhead the sum of PrefillTokens and
+	// QueuedTokens times Slowdown: the number of tokens that the average server prefills
+	// in the time until the request's first token.
+	Slowdown    float64
+	TokensAhead float64
 	// FetchFrom is the index of the server from which cached prefix segments are to be
 	// fetched; valid only if Fetches.
 	FetchFrom int
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -38,7 +38,8 @@
 // and unevenly loaded servers. Among the servers whose first token is likely in time it
 // selects the one with the lowest cost. Costs are in prompt tokens: the tokens to
 // prefill that the server doesn't have cached according to the PrefixIndex, and the
-// work that waits there. A segment that another server has cached is fetched from there
+// work that waits there. Both are multiplied by the server's slowdown, so that tokens are
+// those of the average server and the service's PrefillRate applies. A segment that another server has cached is fetched from there
 // if that is faster than prefill. A segment that no server has is prefilled at its home
 // server, the one with the highest rendezvous hash of prefix and server name, unless
 // that is much busier than others, so that gateways agree before they have received
@@ -110,7 +111,7 @@
 		if !usable(&servers[i]) {
 			continue
 		}
-		scored := c.scoreServer(job, &servers[i], lookup.missAt(i, servers[i].Version, &job, rate), recomputeFactor, rate)
+		scored := c.scoreServer(job, &servers[i], lookup.missAt(i, &servers[i], &job, rate), recomputeFactor, rate)
 		scored.choice.Index = i
 		if scored.choice.meetsTarget {
 			meetingTarget++
@@ -182,11 +183,11 @@
 func (c *Chooser) scoreServer(job Job, s *Server, miss cacheMiss, recomputeFactor float64, rate *PrefillRate) scoredServer {
 	ownTokens := job.Tokens - job.sharedPrefix().End
 	choice := Choice{Found: true, PrefillTokens: ownTokens + miss.prefillTokens(), FetchFrom: miss.source, Fetches: miss.fetched > 0}
-	queuedTokens := s.tokensAhead(job.Urgency)
-	choice.TokensAhead = queuedTokens + float64(choice.PrefillTokens)
+	choice.Slowdown, choice.QueuedTokens = s.slowdown(), s.tokensAhead(job.Urgency)
+	choice.TokensAhead = choice.Slowdown * (choice.QueuedTokens + float64(choice.PrefillTokens))
 	slotsLeft := s.slotsLeft(job)
 	choice.HasCapacity = slotsLeft > 0 && !s.connsExhausted()
-	choice.meetsTarget = job.meetsTarget(rate, queuedTokens, miss, recomputeFactor)
+	choice.meetsTarget = job.meetsTarget(rate, s, miss, recomputeFactor)
 	choice.ExpectedTTFT = rate.expectedTTFT(choice.TokensAhead)
 	cost := choice.TokensAhead + float64(s.Running*runningRequestTokens)
 	if s.Zone != job.Zone {
--- a/policy/job.go
+++ b/policy/job.go
@@ -103,7 +103,7 @@
 	waits := make([]float64, 0, len(servers))
 	for i := range servers {
 		if usable(&servers[i]) {
-			waits = append(waits, servers[i].tokensAhead(UrgencyLevels-1))
+			waits = append(waits, servers[i].scaledTokensAhead(UrgencyLevels-1))
 		}
 	}
 	if len(waits) == 0 {
@@ -115,13 +115,13 @@
 }
 
 // meetsTarget reports whether the request's first token is likely within the target at
-// a server with queuedTokens of other prompts ahead and the given cache miss, whose
-// recomputed tokens are weighted by recomputeFactor. The request is judged as a prompt
+// a server with the given cache miss, whose recomputed tokens are weighted by
+// recomputeFactor. All tokens count times the server's slowdown. The request is judged as a prompt
 // of the mean length of its class with the same fraction cached, so that prompts of all
 // lengths find a server equally often; see ClassSizes. A server where almost nothing is
 // queued counts as meeting the target anyway, so that classes are served whose prompts
 // take the whole target.
-func (j *Job) meetsTarget(rate *PrefillRate, queuedTokens float64, miss cacheMiss, recomputeFactor float64) bool {
+func (j *Job) meetsTarget(rate *PrefillRate, s *Server, miss cacheMiss, recomputeFactor float64) bool {
 	if j.Target == 0 {
 		return true
 	}
@@ -134,7 +134,8 @@
 		// Other requests may prefill it on one of its home servers in the meantime.
 		recomputedTokens += miss.uncached
 	}
-	ownTokens, recomputedTokens = j.scaleToMeanLength(ownTokens), j.scaleToMeanLength(recomputedTokens)
+	slowdown, queuedTokens := s.slowdown(), s.scaledTokensAhead(j.Urgency)
+	ownTokens, recomputedTokens = slowdown*j.scaleToMeanLength(ownTokens), slowdown*j.scaleToMeanLength(recomputedTokens)
 	return rate.likelyTTFT(queuedTokens+recomputeFactor*recomputedTokens, ownTokens) <= j.Target ||
 		rate.prefillTime(queuedTokens+recomputedTokens) <= scaleDuration(minWaitFraction, j.Target)
 }
--- a/policy/peer_update.go
+++ b/policy/peer_update.go
@@ -12,11 +12,12 @@
 // PeerUpdate holds the observations that a gateway sends to other gateways, so that all
 // of them decide from the same observations.
 type PeerUpdate struct {
-	// PrefixUses are new uses of prefix segments, FirstTokens times to first token, and
-	// Pauses the longest pauses of streams.
-	PrefixUses  []PrefixUse
-	FirstTokens []TTFTSample
-	Pauses      []Pause
+	// PrefixUses are new uses of prefix segments, FirstTokens times to first token,
+	// Pauses the longest pauses of streams, and EventIntervals the times between events.
+	PrefixUses     []PrefixUse
+	FirstTokens    []TTFTSample
+	Pauses         []Pause
+	EventIntervals []EventInterval
 	// Unanswered has the key of the server of each request that got no response.
 	Unanswered []Key
 	Suspicions []Suspicion
@@ -29,7 +30,8 @@
 	Server  Key
 	Urgency int
 	// TokensAhead is the number of tokens that had to be prefilled before the first
-	// token, the request's own included. Latency is the time to first token.
+	// token, the request's own included, times the server's slowdown. Latency is the
+	// time to first token.
 	TokensAhead float64
 	Latency     time.Duration
 }
--- a/policy/prefill_plan.go
+++ b/policy/prefill_plan.go
@@ -20,7 +20,17 @@
 	end    time.Time
 }
 
-// Plan returns the prefill plan of a prompt of the given number of tokens that is sent now.
+// PlanChoice returns the prefill plan of a prompt that is sent now to the chosen server. The
+// plan holds the prompt's tokens as they are, since each gateway multiplies what waits at a
+// server by the slowdown itself; only the time of their prefill is that at the server's speed.
+func (r *PrefillRate) PlanChoice(now time.Time, choice Choice) PrefillPlan {
+	plan := r.Plan(now, choice.PrefillTokens, choice.TokensAhead)
+	plan.start = plan.end.Add(-r.prefillTime(choice.Slowdown * float64(choice.PrefillTokens)))
+	return plan
+}
+
+// Plan returns the prefill plan of a prompt of the given number of tokens that is sent now to
+// an average server.
 // tokensAhead includes the prompt and everything prefilled before it. The plan adds
 // initialFixedTime for the network delay and not the estimated fixed time, which includes
 // the first decoding step: during that step a model already prefills the next prompt.
--- a/policy/prefill_rate.go
+++ b/policy/prefill_rate.go
@@ -42,6 +42,9 @@
 // tokens per millisecond. It learns from the latency that gateways observe, which includes
 // prefixes that turned out not to be cached.
 //
+// The rate is that of the service's average server. Tokens of a faster or slower server are
+// multiplied by its slowdown before they are passed, both to learn and to predict.
+//
 // Fixed time and rate are estimated by linear regression with exponentially decaying
 // weights. A single rate without a fixed time would mistake a slow first step for slow
 // prefill, and refuse requests that half-idle servers could answer in time.
--- a/policy/server.go
+++ b/policy/server.go
@@ -48,6 +48,9 @@
 	RateLimited bool
 	Allowance   Allowance
 	OverLimit   bool
+	// Slowdown is the ratio of the server's time per event to the mean over the service's
+	// servers, as estimated by package serverspeed; 0 means 1.
+	Slowdown float64
 	// PauseRisk is the excess probability, compared with the service's average server,
 	// that the job's stream has a longer pause between events than its target.
 	PauseRisk float64
@@ -56,6 +59,20 @@
 // takesRequests reports whether requests may be sent to the server at all. Nothing overrides that.
 func (s *Server) takesRequests() bool { return !s.Draining && s.BackoffLeft == 0 }
 
+// slowdown returns Slowdown, or 1 if it isn't set.
+func (s *Server) slowdown() float64 {
+	if s.Slowdown == 0 {
+		return 1
+	}
+	return s.Slowdown
+}
+
+// scaledTokensAhead returns tokensAhead times the slowdown: the number of tokens that the
+// average server prefills in that time.
+func (s *Server) scaledTokensAhead(urgency int) float64 {
+	return s.slowdown() * s.tokensAhead(urgency)
+}
+
 // inFlight returns the number of running and pending requests.
 func (s *Server) inFlight() int {
 	n := s.Running
