--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,7 +177,9 @@
 	if g.usage != nil {
 		generation = g.usage.Generation()
 	}
+	faster, slower := g.router.DistinguishedServers()
 	return metrics.GatewayStats{
+		FasterServers: faster, SlowerServers: slower,
 		StateVersion: g.holder.Version(), StateAge: g.stateAge(),
 		LiveGateways: g.mesh.LiveGateways(), PollsStore: g.servers.Live(), UsableServers: g.registry.CountUsable(), ServerListAge: g.serverListAge(), QuarantinedRequests: g.router.QuarantinedCount(),
 		LimitedServers: g.router.LimitedServerCount(), BackedOffServers: g.router.BackedOffServerCount(), LimitedSends: g.router.LimitedSendCount(), UsageGeneration: generation, DroppedLogLines: logging.DroppedLines(),
@@ -250,7 +252,8 @@
 	}
 }
 
-// adminRoutes returns the handler of the readiness check, the metrics and the quarantine.
+// adminRoutes returns the handler of the readiness check, the metrics, the servers' slowdowns and the
+// quarantine.
 func (g *gateway) adminRoutes() http.Handler {
 	mux := httprouter.New()
 	mux.GET(g.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -259,6 +262,7 @@
 		}
 	})
 	mux.HandlerFunc(http.MethodGet, metrics.PathMetrics, g.platform.Metrics.Serve)
+	mux.GET(pathServerSpeeds, g.handleServerSpeeds)
 	g.addQuarantineRoutes(mux)
 	return mux
 }
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -35,6 +35,8 @@
 	familyLiveGateways         family = "applepier_gateways"
 	familyUsableServers        family = "applepier_backend_servers"
 	familyServerListAge        family = "applepier_backend_server_list_age_milliseconds"
+	familyFasterServers        family = "applepier_backend_servers_faster"
+	familySlowerServers        family = "applepier_backend_servers_slower"
 	familyBackedOffServers     family = "applepier_backend_servers_backed_off"
 	familyServerBackoffs       family = "applepier_backend_server_backoffs_total"
 	familyResponsesTooLarge    family = "applepier_backend_responses_too_large_total"
@@ -87,6 +89,8 @@
 	familyLiveGateways:         "Gateways that this one hears of, itself included.",
 	familyUsableServers:        "Backend servers that may get requests.",
 	familyServerListAge:        "Age of the proof that the list of backend servers is complete.",
+	familyFasterServers:        "Backend servers that take clearly less time for an event than most of their service.",
+	familySlowerServers:        "Backend servers that take clearly more time for an event than most of their service.",
 	familyBackedOffServers:     "Backend servers that have asked this gateway to back off.",
 	familyServerBackoffs:       "Responses in which a backend server asked this gateway to back off.",
 	familyResponsesTooLarge:    "Responses of backend servers that were dropped because a part of them exceeded its limit.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -21,6 +21,9 @@
 	LimitedServers int
 	// LimitedSends is the total number of requests sent to servers while they had a limit.
 	LimitedSends int64
+	// FasterServers and SlowerServers are the numbers of backend servers that are clearly faster
+	// and slower than most servers of their service.
+	FasterServers, SlowerServers int
 	// BackedOffServers is the number of backend servers that have asked this gateway to back off.
 	BackedOffServers int
 	// QuarantinedRequests is the number of requests and prompt segments refused because
@@ -43,6 +46,8 @@
 	droppedLines := counter(m.registry, familyLogLinesDropped)
 	listAge := gauge(m.registry, familyServerListAge)
 	limited := gauge(m.registry, familyLimitedServers)
+	faster := gauge(m.registry, familyFasterServers)
+	slower := gauge(m.registry, familySlowerServers)
 	backedOff := gauge(m.registry, familyBackedOffServers)
 	limitedSends := counter(m.registry, familyLimitedSends)
 	quarantined := gauge(m.registry, familyQuarantinedRequests)
@@ -60,6 +65,8 @@
 		servers.Update(int64(stats.UsableServers))
 		listAge.Update(stats.ServerListAge.Milliseconds())
 		limited.Update(int64(stats.LimitedServers))
+		faster.Update(int64(stats.FasterServers))
+		slower.Update(int64(stats.SlowerServers))
 		backedOff.Update(int64(stats.BackedOffServers))
 		limitedSends.Inc(stats.LimitedSends - limitedSends.Count())
 		quarantined.Update(int64(stats.QuarantinedRequests))
