policy: reserved servers for streams with tight pause targets

Cause: a server that prefills several chunks in a row stalls its running streams; one pause over the target makes a stream late. Change: package policy/isolation decides which servers are reserved and how many tokens may wait for prefill there. Chooser sends protected jobs to reserved servers if one is in time, and counts a bound job as late at a server over its budget. Jobs that continue a stream or have no prompt aren't bound; while most servers fail, reserved servers aren't preferred. Not yet wired into the gateway.

Measured: go test -race of policy and policy/isolation pass.

--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -69,7 +69,8 @@
 // Choose returns the best server for a job, given the service's prefill rate. Ejected
 // and unresponsive servers are excluded unless they are more than panicThreshold of the
 // usable servers. Servers that drain or are backed off, those over their rate limit and those of a
-// version that doesn't fit a bound job are always excluded.
+// version that doesn't fit a bound job are always excluded. A protected job is sent to a reserved
+// server if one is in time.
 func (c *Chooser) Choose(now time.Time, job Job, servers []Server, rate *PrefillRate) Choice {
 	if len(servers) == 0 {
 		return Choice{}
@@ -85,11 +86,18 @@
 			}
 		}
 	}
-	candidate := usable
+	candidate, panicking := usable, true
 	if float64(failingCount) <= panicThreshold*float64(usableCount) {
-		candidate = func(s *Server) bool { return usable(s) && !failing(s) }
+		candidate, panicking = func(s *Server) bool { return usable(s) && !failing(s) }, false
 	}
-	choice := c.chooseFrom(now, job, servers, rate, func(s *Server) bool { return candidate(s) && !s.OverLimit })
+	available := func(s *Server) bool { return candidate(s) && !s.OverLimit }
+	// While most servers fail, the reserved ones may be among them.
+	if job.Protected && !panicking {
+		if choice := c.chooseReserved(now, job, servers, rate, available); choice.InTime {
+			return choice
+		}
+	}
+	choice := c.chooseFrom(now, job, servers, rate, available)
 	if !choice.Found {
 		choice.AvailableIn, choice.RateLimited = soonestAvailable(servers, candidate)
 		if backoffLeft, found := soonestBackoffEnd(servers, job.fits); found && (!choice.RateLimited || backoffLeft < choice.AvailableIn) {
@@ -186,9 +194,13 @@
 	choice.TokensAhead = queuedTokens + float64(choice.PrefillTokens)
 	slotsLeft := s.slotsLeft(job)
 	choice.HasCapacity = slotsLeft > 0 && !s.connsExhausted()
-	choice.meetsTarget = job.meetsTarget(rate, queuedTokens, miss, recomputeFactor)
+	overBudget := job.exceedsBudget(s, choice.PrefillTokens)
+	choice.meetsTarget = !overBudget && job.meetsTarget(rate, queuedTokens, miss, recomputeFactor)
 	choice.ExpectedTTFT = rate.expectedTTFT(choice.TokensAhead)
 	cost := choice.TokensAhead + float64(s.Running*runningRequestTokens)
+	if overBudget {
+		cost += overBudgetCost
+	}
 	if s.Zone != job.Zone {
 		cost += crossZoneTokens
 	}
--- /dev/null
+++ b/policy/isolation/levels_test.go
@@ -0,0 +1,63 @@
+package isolation
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against reservations for classes that they can't help, and against bounds for classes that
+// don't cause the pauses or are more urgent.
+func TestWhichLevelsAreProtectedAndBound(t *testing.T) {
+	for name, test := range map[string]struct {
+		change    func(l *Load)
+		protected bool
+	}{
+		"as measured":             {func(*Load) {}, true},
+		"no pause target":         {func(l *Load) { l.Classes[shortLevel].PauseTarget = 0 }, false},
+		"prompt over an eighth":   {func(l *Load) { l.Classes[shortLevel].PrefillTokens = 51.1*300/8 + 1 }, false},
+		"prompt of an eighth":     {func(l *Load) { l.Classes[shortLevel].PrefillTokens = 51.1 * 300 / 8 }, true},
+		"unknown prompt":          {func(l *Load) { l.Classes[shortLevel].PrefillTokens = 0 }, false},
+		"no long prompts":         {func(l *Load) { l.Classes[longLevel].PrefillTokens = 1400 }, false},
+		"long prompts are longer": {func(l *Load) { l.Classes[longLevel].PrefillTokens = 9000 }, true},
+		"unknown rate, short":     {func(l *Load) { l.PrefillRate = 0; l.Classes[shortLevel].PrefillTokens = 1500 }, true},
+		"unknown rate, long":      {func(l *Load) { l.PrefillRate = 0; l.Classes[shortLevel].PrefillTokens = 1501 }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			load := testLoad(40)
+			test.change(load)
+			plan := planAt(activePlanner(), 0, load)
+			if plan.Protected[shortLevel] != test.protected || plan.Bound[longLevel] != test.protected || (plan.Count > 0) != test.protected {
+				t.Errorf("protected %v, bound %v, %d reserved; want %v", plan.Protected, plan.Bound, plan.Count, test.protected)
+			}
+			for level := range plan.Bound {
+				if plan.Bound[level] && level != longLevel || plan.Protected[level] && level != shortLevel {
+					t.Errorf("level %d: protected %v, bound %v", level, plan.Protected[level], plan.Bound[level])
+				}
+			}
+		})
+	}
+}
+
+// Guards against bounds for more urgent requests.
+func TestMoreUrgentLongPromptsAreFree(t *testing.T) {
+	load := testLoad(40)
+	load.Classes[1] = Class{PrefillTokens: 9000, Rate: 5, StreamTime: time.Second}
+	if plan := planAt(activePlanner(), 0, load); plan.Bound[1] || !plan.Bound[longLevel] {
+		t.Errorf("bound levels %v, want %d only", plan.Bound, longLevel)
+	}
+	load.Classes[longLevel] = Class{}
+	if plan := planAt(activePlanner(), 0, load); plan.Count > 0 {
+		t.Errorf("%d servers reserved though all long prompts are more urgent", plan.Count)
+	}
+}
+
+// Guards against a level with a pause target that is on time and yet crowds the reserved servers,
+// which aren't sized for it, and against bounds for it.
+func TestOnlyLateLevelsAreProtected(t *testing.T) {
+	load := testLoad(40)
+	load.Classes[5] = Class{PauseTarget: time.Second, PrefillTokens: 1600, Rate: 10, StreamTime: time.Second}
+	plan := planAt(activePlanner(), 0, load)
+	if plan.Protected[5] || plan.Bound[5] {
+		t.Errorf("level 5: protected %v, bound %v", plan.Protected[5], plan.Bound[5])
+	}
+}
--- a/policy/job.go
+++ b/policy/job.go
@@ -61,6 +61,10 @@
 	// Version can: events of two versions don't fit together.
 	Bound   bool
 	Version Key
+	// Protected jobs are sent to reserved servers if one of them is in time. Jobs that are
+	// BoundByReservation must respect the servers' PrefillBudget.
+	Protected          bool
+	BoundByReservation bool
 }
 
 // sharedPrefix returns the last shared segment, which identifies the complete shared
--- /dev/null
+++ b/policy/reservation.go
@@ -0,0 +1,32 @@
+package policy
+
+import "time"
+
+// overBudgetCost is the additional cost of a server whose PrefillBudget the job exceeds, in tokens:
+// more than any other cost, so that the server is chosen only if there is no other.
+const overBudgetCost = 1e9
+
+// chooseReserved returns the best of the usable servers that are reserved.
+func (c *Chooser) chooseReserved(now time.Time, job Job, servers []Server, rate *PrefillRate, usable func(*Server) bool) Choice {
+	reserved := func(s *Server) bool { return s.Reserved && usable(s) }
+	for i := range servers {
+		if reserved(&servers[i]) {
+			return c.chooseFrom(now, job, servers, rate, reserved)
+		}
+	}
+	return Choice{}
+}
+
+// exceedsBudget reports whether the prefill of the job would stall the streams of a server for too
+// long. All tokens that wait there count, whatever their urgency: they stall these streams alike.
+// A job without a prompt and one that continues a stream are never refused because of a reservation.
+func (j *Job) exceedsBudget(s *Server, prefillTokens int) bool {
+	if !j.BoundByReservation || j.Bound || j.Tokens == 0 || s.PrefillBudget == 0 {
+		return false
+	}
+	waiting := prefillTokens
+	for _, level := range s.Pending {
+		waiting += level.Tokens
+	}
+	return float64(waiting) > s.PrefillBudget
+}
--- a/policy/server.go
+++ b/policy/server.go
@@ -51,6 +51,11 @@
 	// PauseRisk is the excess probability, compared with the service's average server,
 	// that the job's stream has a longer pause between events than its target.
 	PauseRisk float64
+	// Reserved servers are reserved for protected jobs. PrefillBudget is the number of tokens
+	// up to which a job that is bound by reservations may add to those that wait there; 0
+	// means no bound. See package isolation.
+	Reserved      bool
+	PrefillBudget float64
 }
 
 // takesRequests reports whether requests may be sent to the server at all. Nothing overrides that.
