policy: bind long prompts by the protected level's target; count protected unreported requests

Long prompts have a pause target of 500 ms, and their mean of 2,890 tokens is prefilled within an eighth of it, so they could be protected themselves and weren't bound. And Chooser counted the unreported requests of all levels as sent to the few reserved servers. Job.UnreportedProtected is the part of the unreported requests that is protected.

--- a/policy/direct_simulation_test.go
+++ b/policy/direct_simulation_test.go
@@ -48,6 +48,10 @@
 	// the streams that had longer ones.
 	pauseTargets map[string]time.Duration
 	latePauses   map[string]int
+	// prefillRate is the engines' prefill rate in tokens per millisecond; 0 means simPrefillRate.
+	prefillRate float64
+	// reservations, if not nil, simulates single events and reserved servers.
+	reservations *simReservations
 }
 
 const (
@@ -91,6 +95,8 @@
 	gateway         int
 	engine          int
 	holdTime        time.Duration
+	// reserved is whether the server was reserved when the request was sent.
+	reserved bool
 }
 
 type simEvent struct {
@@ -218,6 +224,9 @@
 	for i := range servers {
 		servers[i].PauseRisk = g.pauses.ExcessRisk(p.time(), KeyOf(servers[i].Name), r.job.Urgency, p.pauseTargets[r.class])
 	}
+	if p.reservations != nil {
+		p.reservations.apply(p, r, servers)
+	}
 	r.job.MeanTokens = g.sizes.Mean(r.class, r.job.Tokens)
 	g.sizes.Observe(r.class, r.job.Tokens)
 	choice := g.chooser.Choose(p.time(), r.job, servers, &g.rate)
@@ -229,6 +238,7 @@
 		}
 		return
 	}
+	r.reserved = servers[choice.Index].Reserved
 	r.engine, r.sentAt, r.tokensAhead, r.prefillTokens = choice.Index, p.now, choice.TokensAhead, choice.PrefillTokens
 	g.sends.CountSent(p.time(), r.job.Urgency, r.prefillTokens)
 	g.index.RecordSent(p.time(), KeyOf(servers[choice.Index].Name), r.job.SharedSegments)
@@ -282,6 +292,10 @@
 	if p.now-r.arrivedAt <= r.job.Target && r.arrivedAt >= p.measureFrom {
 		p.inTime[r.class]++
 	}
+	if p.reservations != nil {
+		e.stream(r, &simStream{startedAt: p.now, lastEvent: p.now})
+		return
+	}
 	before := e.prefillTime
 	e.holdSlot(r.holdTime, func() {
 		p.recordPause(r, e.drawPause(e.prefillTime > before))
--- a/policy/isolation/planner.go
+++ b/policy/isolation/planner.go
@@ -111,7 +111,7 @@
 }
 
 // protect decides which levels are protected and which are bound, and sets them in the plan. A
-// level is protected only if another one is bound thereby.
+// level is protected only if another one is bound thereby, and if no more urgent one binds it.
 func (p *Planner) protect(now time.Time, load *Load, rate float64, plan *Plan) protection {
 	var result protection
 	late := 0.0
@@ -124,7 +124,7 @@
 		plan.RecentStreams += state.evidence.streams
 		late += state.evidence.late
 		bound, found := load.longPromptLevels(i, rate)
-		if active && found {
+		if active && found && !plan.Bound[i] {
 			plan.Protected[i] = true
 			state.boundUntil = now.Add(holdTime(class.StreamTime))
 			result.demand.add(class)
--- a/policy/job.go
+++ b/policy/job.go
@@ -65,6 +65,8 @@
 	// BoundByReservation must respect the servers' PrefillBudget.
 	Protected          bool
 	BoundByReservation bool
+	// UnreportedProtected is the part of UnreportedRequests that are protected; 0 if unknown.
+	UnreportedProtected float64
 }
 
 // sharedPrefix returns the last shared segment, which identifies the complete shared
--- a/policy/reservation.go
+++ b/policy/reservation.go
@@ -9,6 +9,11 @@
 // chooseReserved returns the best of the usable servers that are reserved.
 func (c *Chooser) chooseReserved(now time.Time, job Job, servers []Server, rate *PrefillRate, usable func(*Server) bool) Choice {
 	reserved := func(s *Server) bool { return s.Reserved && usable(s) }
+	// Most other requests are sent to servers that aren't reserved. If all unreported ones counted
+	// as sent to the few reserved servers, these would seem full with a quarter of their slots free.
+	if job.UnreportedProtected > 0 {
+		job.UnreportedRequests = min(job.UnreportedRequests, job.UnreportedProtected)
+	}
 	for i := range servers {
 		if reserved(&servers[i]) {
 			return c.chooseFrom(now, job, servers, rate, reserved)
--- a/policy/reservation_test.go
+++ b/policy/reservation_test.go
@@ -176,3 +176,17 @@
 		}
 	}
 }
+
+// Guards against reserved servers that seem full since all unreported requests of other gateways
+// count as sent there, though most are sent to other servers.
+func TestOnlyProtectedUnreportedRequestsFillReservedServers(t *testing.T) {
+	c, servers := newTestChooser(), reservedServers(30, 4000, 2, 7)
+	servers[2].Running, servers[7].Running = 20, 20
+	job := questionJob()
+	job.UnreportedRequests, job.UnreportedProtected = 60, 8
+	for range 100 {
+		if choice := c.Choose(testStart, job, servers, nil); !choice.InTime || !servers[choice.Index].Reserved {
+			t.Fatalf("choice %+v, 10 slots are free at each reserved server for 4 unreported requests", choice)
+		}
+	}
+}
