--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,7 +179,7 @@
 	}
 	faster, slower := g.router.DistinguishedServers()
 	return metrics.GatewayStats{
-		FasterServers: faster, SlowerServers: slower,
+		FasterServers: faster, SlowerServers: slower, ReservedServers: g.router.ReservedServerCount(),
 		StateVersion: g.holder.Version(), StateAge: g.stateAge(),
 		LiveGateways: g.mesh.LiveGateways(), PollsStore: g.servers.Live(), UsableServers: g.registry.CountUsable(), ServerListAge: g.serverListAge(), QuarantinedRequests: g.router.QuarantinedCount(),
 		LimitedServers: g.router.LimitedServerCount(), BackedOffServers: g.router.BackedOffServerCount(), LimitedSends: g.router.LimitedSendCount(), UsageGeneration: generation, DroppedLogLines: logging.DroppedLines(),
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -79,6 +79,9 @@
 	// EventIntervals holds the mean time between events of the streams that ended at the sender since
 	// its last datagram, by server; at most policy.MaxEventIntervals.
 	EventIntervals []eventInterval `cbor:"18,keyasint,omitempty"`
+	// PauseCounts counts the streams that exceeded their target for pauses, and those that ended
+	// without, at the sender since its last datagram.
+	PauseCounts []pauseCounts `cbor:"20,keyasint,omitempty"`
 }
 
 // decodedMessage is a datagram with its decoded sharedState.
--- a/internal/gateway/request_observer.go
+++ b/internal/gateway/request_observer.go
@@ -13,6 +13,7 @@
 	"github.com/applepier/applepier/internal/logging"
 	"github.com/applepier/applepier/internal/metrics"
 	"github.com/applepier/applepier/policy"
+	"github.com/applepier/applepier/policy/isolation"
 )
 
 // requestObserver implements router.Observer. It counts request outcomes and usage, logs the requests
@@ -116,6 +117,16 @@
 	o.log.Info(logging.EventServerDraining, logging.Peer(server))
 }
 
+// ServersReserved implements router.Observer.
+func (o requestObserver) ServersReserved(service string, plan isolation.Plan) {
+	o.log.Info(logging.EventServersReserved, zap.String("service", service), zap.Int("servers", plan.Count), zap.Int("held", plan.Held),
+		zap.Int("for_slots", plan.NeededForSlots), zap.Int("for_prefill", plan.NeededForPrefill),
+		zap.Float64("streams", plan.RunningStreams), zap.Float64("tokens_per_second", plan.PrefillTokensPerSecond), zap.Float64("late", plan.LateShare))
+}
+
+// StreamPaused implements router.Observer.
+func (o requestObserver) StreamPaused() { o.metrics.StreamPaused() }
+
 // ResponseTooLarge implements router.Observer.
 func (o requestObserver) ResponseTooLarge(server, reason string) {
 	o.metrics.ResponseTooLarge()
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -57,7 +57,10 @@
 	// meanTokens is the prompt length, in tokens, that admission uses instead of the request's own:
 	// about the mean of its route. It is 0 without a prompt.
 	meanTokens float64
-	body       []byte
+	// serverReserved is set if the server chosen last was reserved for streams with a tight target for
+	// pauses.
+	serverReserved bool
+	body           []byte
 	// reservedMemory is what the request has reserved of the memory for requests in progress, in bytes.
 	reservedMemory int64
 	// bodyReadStarted is set once reading the body has started.
--- a/internal/gateway/router/choose.go
+++ b/internal/gateway/router/choose.go
@@ -19,11 +19,13 @@
 		Tokens: c.params.PromptTokens, MeanTokens: c.meanTokens, SharedSegments: c.sharedSegments, FetchRate: service.FetchRate, Tried: c.triedServers,
 		Bound: c.binding.bound, Version: c.binding.origin.Version,
 	}
-	choice := c.chooseWithAvoidance(job, c.router.serverLoads(servers, service.MaxConns), firstChoice)
+	loads := c.router.serverLoads(servers, service.MaxConns)
+	choice := c.chooseWithAvoidance(job, loads, firstChoice)
 	if !choice.Found {
 		return nil, choice
 	}
 	c.serverID, c.expectedTTFT = servers[choice.Index].Info().ID, choice.ExpectedTTFT
+	c.serverReserved = loads[choice.Index].Reserved
 	info := servers[choice.Index].Info()
 	c.serverVersion, c.serverVersionKey = info.SoftwareVersion, info.VersionKey()
 	c.prefillTokens, c.otherTokensAhead = choice.PrefillTokens, int(choice.QueuedTokens)
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -12,6 +12,7 @@
 	"github.com/applepier/applepier/internal/gateway/protocol"
 	"github.com/applepier/applepier/internal/gateway/routes"
 	"github.com/applepier/applepier/policy"
+	"github.com/applepier/applepier/policy/isolation"
 )
 
 // Bounds holds the operator's bounds on a gateway.
@@ -105,6 +106,11 @@
 	// in a window of the budget. gateways is the number of gateways among which the fixed part of the
 	// budget is divided.
 	RetryBudgetExhausted(service string, usage policy.RetryUsage, gateways int)
+	// ServersReserved is called when the number of a service's servers that are reserved for streams
+	// with a tight target for pauses changes considerably.
+	ServersReserved(service string, plan isolation.Plan)
+	// StreamPaused is called once for each stream that exceeds its target for pauses.
+	StreamPaused()
 	// Quarantined is called when a request or prompt segment is quarantined of which this gateway
 	// has observed a crash, with the evidence, and Released when it no longer is.
 	Quarantined(evidence policy.Suspicion)
--- a/internal/gateway/router/policy_state.go
+++ b/internal/gateway/router/policy_state.go
@@ -57,6 +57,7 @@
 	defer r.mu.Unlock()
 	s, now := r.serviceFor(c.service), time.Now()
 	s.sendRate.CountSent(now, c.urgency, choice.PrefillTokens)
+	s.reservation.classes[c.urgency].observePrefill(choice.PrefillTokens)
 	r.PrefixIndex.RecordSent(now, policy.KeyOf(c.serverID), c.sharedSegments)
 	return s.prefillRates[c.urgency].PlanChoice(now, choice)
 }
@@ -76,6 +77,7 @@
 	// it, the mean age of updates.
 	job.UnreportedRequests, job.UnreportedTokens, job.ReportAge = requests, tokens/2, r.Peers.ReportInterval()/2
 	job.UnreportedOffers, job.OtherGateways = offerCounts.Expected(r.Peers.ReportInterval()), otherGateways
+	othersOffers := offerCounts
 	offerCounts.Add(&ownCounts, 1)
 	r.setAllowances(now, loads)
 	for i := range loads {
@@ -85,6 +87,7 @@
 		loads[i].BackoffLeft = r.backoffs.Left(now, loads[i].Instance)
 	}
 	s.serverSpeeds.setSlowdowns(now, loads)
+	r.reserveServers(now, service, &job, pauseTarget, loads, &offerCounts, &othersOffers)
 	job.Headroom = s.headroom.Share(now, &offerCounts, policy.SlotUtilization(loads), job.Urgency)
 	r.limits.MarkOverLimit(now, r.Random, &job, loads)
 	choice := r.Chooser.Choose(now, job, loads, &s.prefillRates[job.Urgency])
@@ -169,6 +172,11 @@
 		}
 	}
 	r.mergeEventIntervals(now, updates.EventIntervals)
+	for _, counts := range updates.PauseCounts {
+		if s := r.serviceByKey(counts.Service); s != nil {
+			s.reservation.observePauses(now, counts)
+		}
+	}
 }
 
 // serviceByKey returns the state of a service by its key, or nil if this gateway has had no request
@@ -189,7 +197,7 @@
 	defer r.mu.Unlock()
 	samples, now := r.updates.takeAll(), time.Now()
 	return policy.PeerUpdate{
-		PrefixUses: r.PrefixIndex.Updates(now), FirstTokens: samples.firstTokens, Pauses: samples.pauses, EventIntervals: samples.meanEventIntervals(), Unanswered: samples.unanswered,
+		PrefixUses: r.PrefixIndex.Updates(now), FirstTokens: samples.firstTokens, Pauses: samples.pauses, EventIntervals: samples.meanEventIntervals(), PauseCounts: samples.pauseCounts, Unanswered: samples.unanswered,
 		Suspicions: r.quarantine.Updates(now), Limits: r.limits.Reports(now),
 	}
 }
--- a/internal/gateway/router/service_state.go
+++ b/internal/gateway/router/service_state.go
@@ -17,6 +17,7 @@
 	sendRate     policy.SendRate
 	pauses       policy.PauseEstimator
 	serverSpeeds serverSpeeds
+	reservation  reservation
 	offerCounter policy.OfferCounter
 	headroom     policy.AdaptiveHeadroom
 	// promptSizes holds the mean prompt lengths by route, in tokens.
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -80,6 +80,7 @@
 	c.stream.recordServer(c.sends, c.serverVersion)
 	now := time.Now()
 	c.stream.recordSend(now)
+	c.router.observePauseTarget(c)
 	if !isComment(out) {
 		c.stream.recordOutput(now)
 	}
@@ -107,6 +108,7 @@
 	c.served = true
 	c.router.observePause(c)
 	c.router.observeEventInterval(c)
+	c.router.observeStreamEnd(c)
 	c.reportEnd(response.Status, ReasonServed)
 	return resultFinal
 }
--- a/internal/gateway/router/stream_state.go
+++ b/internal/gateway/router/stream_state.go
@@ -16,10 +16,14 @@
 	sentWithoutID bool
 	// lastSentAt is when events were last forwarded, and longestPause the longest time between two
 	// consecutive writes of events.
-	lastSentAt   time.Time
+	lastSentAt time.Time
+	// firstSentAt is when events were first forwarded.
+	firstSentAt  time.Time
 	longestPause time.Duration
 	// pauseCount is the number of pauses measured.
 	pauseCount int
+	// pauseCounted is set once the stream was counted as late because of a pause.
+	pauseCounted bool
 	// outputAt is when events other than comments were last forwarded, and intervals holds the times
 	// between them.
 	outputAt  time.Time
@@ -77,6 +81,9 @@
 
 // recordSend records that events were forwarded at the given time.
 func (s *streamState) recordSend(now time.Time) {
+	if s.firstSentAt.IsZero() {
+		s.firstSentAt = now
+	}
 	if !s.lastSentAt.IsZero() {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastSentAt))
 		s.pauseCount++
--- a/internal/gateway/router/update_buffer.go
+++ b/internal/gateway/router/update_buffer.go
@@ -17,6 +17,8 @@
 	firstTokens []policy.TTFTSample
 	pauses      []policy.Pause
 	unanswered  []policy.Key
+	// pauseCounts holds the pause counts by service and urgency level.
+	pauseCounts []policy.PauseCounts
 	// eventIntervals holds the sum of the intervals of each server, and eventIntervalCounts their
 	// number, by the same index.
 	eventIntervals      []policy.EventInterval
@@ -54,6 +56,20 @@
 	}
 }
 
+// addPauseCounts adds pause counts of a service and urgency level.
+func (b *updateBuffer) addPauseCounts(counts policy.PauseCounts) {
+	for i := range b.pauseCounts {
+		if sum := &b.pauseCounts[i]; sum.Service == counts.Service && sum.Urgency == counts.Urgency {
+			sum.Late += counts.Late
+			sum.OnTime += counts.OnTime
+			return
+		}
+	}
+	if len(b.pauseCounts) < maxBufferedSamples {
+		b.pauseCounts = append(b.pauseCounts, counts)
+	}
+}
+
 // meanEventIntervals returns the mean event interval of each server, and replaces the sums by them.
 func (b *updateBuffer) meanEventIntervals() []policy.EventInterval {
 	for i, count := range b.eventIntervalCounts {
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -94,6 +94,9 @@
 	EventServerLimited = "server_limited"
 	// EventServerUnlimited: a backend server no longer states a limit.
 	EventServerUnlimited = "server_unlimited"
+	// EventServersReserved: the number of backend servers that a service reserves for streams with a
+	// tight target for pauses changed considerably.
+	EventServersReserved = "servers_reserved"
 	// EventStreamResumed: a stream was resumed: its caller asked for the rest of it, or
 	// its response came from several backend servers.
 	EventStreamResumed = "stream_resumed"
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -37,6 +37,8 @@
 	familyServerListAge        family = "applepier_backend_server_list_age_milliseconds"
 	familyFasterServers        family = "applepier_backend_servers_faster"
 	familySlowerServers        family = "applepier_backend_servers_slower"
+	familyReservedServers      family = "applepier_backend_servers_reserved"
+	familyStreamsPaused        family = "applepier_streams_paused_total"
 	familyBackedOffServers     family = "applepier_backend_servers_backed_off"
 	familyServerBackoffs       family = "applepier_backend_server_backoffs_total"
 	familyResponsesTooLarge    family = "applepier_backend_responses_too_large_total"
@@ -91,6 +93,8 @@
 	familyServerListAge:        "Age of the proof that the list of backend servers is complete.",
 	familyFasterServers:        "Backend servers that take clearly less time for an event than most of their service.",
 	familySlowerServers:        "Backend servers that take clearly more time for an event than most of their service.",
+	familyReservedServers:      "Backend servers that are reserved for streams with a tight target for pauses.",
+	familyStreamsPaused:        "Streams that exceeded their target for pauses.",
 	familyBackedOffServers:     "Backend servers that have asked this gateway to back off.",
 	familyServerBackoffs:       "Responses in which a backend server asked this gateway to back off.",
 	familyResponsesTooLarge:    "Responses of backend servers that were dropped because a part of them exceeded its limit.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -24,6 +24,9 @@
 	// FasterServers and SlowerServers are the numbers of backend servers that are clearly faster
 	// and slower than most servers of their service.
 	FasterServers, SlowerServers int
+	// ReservedServers is the number of backend servers that are reserved for streams with a tight
+	// target for pauses.
+	ReservedServers int
 	// BackedOffServers is the number of backend servers that have asked this gateway to back off.
 	BackedOffServers int
 	// QuarantinedRequests is the number of requests and prompt segments refused because
@@ -48,6 +51,7 @@
 	limited := gauge(m.registry, familyLimitedServers)
 	faster := gauge(m.registry, familyFasterServers)
 	slower := gauge(m.registry, familySlowerServers)
+	reserved := gauge(m.registry, familyReservedServers)
 	backedOff := gauge(m.registry, familyBackedOffServers)
 	limitedSends := counter(m.registry, familyLimitedSends)
 	quarantined := gauge(m.registry, familyQuarantinedRequests)
@@ -67,6 +71,7 @@
 		limited.Update(int64(stats.LimitedServers))
 		faster.Update(int64(stats.FasterServers))
 		slower.Update(int64(stats.SlowerServers))
+		reserved.Update(int64(stats.ReservedServers))
 		backedOff.Update(int64(stats.BackedOffServers))
 		limitedSends.Inc(stats.LimitedSends - limitedSends.Count())
 		quarantined.Update(int64(stats.QuarantinedRequests))
@@ -81,6 +86,9 @@
 	counter(m.registry, familyStreamsResumed, label{name: labelOrigin, value: origin}, label{name: labelReason, value: string(reason)}).Inc(1)
 }
 
+// StreamPaused counts a stream that exceeded its target for pauses.
+func (m *Metrics) StreamPaused() { counter(m.registry, familyStreamsPaused).Inc(1) }
+
 // ServerEnded counts a backend server instance that terminated while it had requests of
 // this gateway.
 func (m *Metrics) ServerEnded() { counter(m.registry, familyServersEnded).Inc(1) }
--- a/policy/peer_update.go
+++ b/policy/peer_update.go
@@ -20,8 +20,10 @@
 	EventIntervals []EventInterval
 	// Unanswered has the key of the server of each request that got no response.
 	Unanswered []Key
-	Suspicions []Suspicion
-	Limits     []LimitReport
+	// PauseCounts count the streams whose service and route have a target for pauses.
+	PauseCounts []PauseCounts
+	Suspicions  []Suspicion
+	Limits      []LimitReport
 }
 
 // TTFTSample is an observed time to first token.
--- a/policy/prefill_rate.go
+++ b/policy/prefill_rate.go
@@ -127,6 +127,9 @@
 	return min(r.regressionRate()/r.latencyFactor(), maxRate)
 }
 
+// Rate returns the estimated prefill rate in tokens per millisecond.
+func (r *PrefillRate) Rate() float64 { return r.rate() }
+
 // latencyFactor returns the factor by which recent first tokens arrive earlier than the
 // line predicts; at most 1.
 func (r *PrefillRate) latencyFactor() float64 { return min(max(r.latencyRatio, minRatio), 1) }
