policy/isolation: tests of prefill share, crashed servers, and demand of an earlier reservation

Cause: of 36 faults put into a scratch copy five weren't noticed: another share of the time for prefill, a crashed server counted as held, a new decision for each call while a server is unusable, the demand of an earlier reservation kept, and a budget for jobs without a prompt. Change: tests for these. No other code changed.

--- a/policy/isolation/evidence_test.go
+++ b/policy/isolation/evidence_test.go
@@ -62,3 +62,18 @@
 		t.Error("nothing is reserved though streams are late again")
 	}
 }
+
+// Guards against a reservation that starts with the demand of an earlier one.
+func TestNewReservationForgetsEarlierDemand(t *testing.T) {
+	p, load := activePlanner(), testLoad(100)
+	usual := planAt(p, 0, load).Count
+	load.Classes[shortLevel].Rate *= 4
+	for at := time.Duration(0); at < 100*time.Second; at += time.Second {
+		planAt(p, at, load)
+	}
+	load.Classes[shortLevel].Rate /= 4
+	observe(p, testStart.Add(100*time.Second), shortLevel, 100, 50)
+	if plan := planAt(p, 100*time.Second, load); plan.Count != usual {
+		t.Errorf("%d servers reserved, want %d", plan.Count, usual)
+	}
+}
--- a/policy/isolation/selection_test.go
+++ b/policy/isolation/selection_test.go
@@ -27,7 +27,10 @@
 		"slots":    {equal(20, 48, 72), 3, 2, 3},
 		"prefill":  {equal(20, 480, 72), 1, 2, 2},
 		"one more": {equal(20, 48, 72.1), 4, 2, 4},
-		"no rate":  {equal(20, 48, 0), 0, 0, 0},
+		// 36.5 requests a second are 25,550 tokens.
+		"prefill, one":  {equal(20, 480, 36.4), 1, 1, 1},
+		"prefill, more": {equal(20, 480, 36.6), 1, 2, 2},
+		"no rate":       {equal(20, 48, 0), 0, 0, 0},
 		// Without known slots only prefill counts.
 		"unknown slots": {equal(20, 0, 72), 0, 2, 2},
 		"half":          {equal(20, 48, 7200), 20, 20, 10},
@@ -132,6 +135,9 @@
 	if plan.Reserved[crashed] || plan.Count != before.Count {
 		t.Errorf("crashed server reserved: %v; %d reserved, %d before", plan.Reserved[crashed], plan.Count, before.Count)
 	}
+	if plan.Held != 0 {
+		t.Errorf("%d servers held, the crashed one has no streams", plan.Held)
+	}
 	load.Servers[crashed].Usable = true
 	load.Servers[0], load.Servers[39] = load.Servers[39], load.Servers[0]
 	want := reservedKeys(before, testLoad(40))
@@ -146,6 +152,7 @@
 // planInterval.
 func TestDecisionIsKeptForAnInterval(t *testing.T) {
 	p, load := activePlanner(), testLoad(40)
+	load.Servers[7].Usable = false
 	before := planAt(p, 0, load)
 	load.Classes[shortLevel].Rate *= 10
 	if plan := planAt(p, planInterval-time.Millisecond, load); plan.Count != before.Count {
@@ -228,11 +235,14 @@
 
 // Guards against servers that are reserved although they accept no requests.
 func TestUnusableServersAreNotReserved(t *testing.T) {
-	load := testLoad(40)
+	p, load := activePlanner(), testLoad(40)
+	if plan := planAt(p, 0, load); plan.Count == 0 {
+		t.Fatal("no server is reserved")
+	}
 	for i := range load.Servers {
 		load.Servers[i].Usable = false
 	}
-	if plan := planAt(activePlanner(), 0, load); plan.Count != 0 || plan.Held != 0 {
+	if plan := planAt(p, time.Millisecond, load); plan.Count != 0 || plan.Held != 0 {
 		t.Errorf("%d reserved, %d held", plan.Count, plan.Held)
 	}
 	var none [policy.UrgencyLevels]bool
--- a/policy/reservation_test.go
+++ b/policy/reservation_test.go
@@ -103,6 +103,7 @@
 		"over, more urgent":   {2001, 0, false},
 		"over, less urgent":   {2001, 9, false},
 		"within, less urgent": {2000, 9, true},
+		"over without it":     {5001, 4, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			servers[0].Pending = PendingWork{}
