router: servers are reserved for streams with tight pause targets

Cause: on two deployments a third to a half of the short prompts are late because of one pause while long prompts are prefilled. Evidence counts for all levels with a target as short; waiting tokens are bounded at all servers for bound levels; up to 0.6 of a service, a budget of a quarter of the pause target. Event intervals give a sample every 16, and a clearly different new server is distinguished at once. Speeds are timed by the monotonic clock.

--- a/internal/gateway/router/event_intervals.go
+++ b/internal/gateway/router/event_intervals.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// maxIntervals is the number of intervals that are kept of a stream: the newest ones, which tell
-	// most about the server's present speed.
-	maxIntervals = 64
+	// maxIntervals is the number of intervals of a sample: a long stream gives several, since the speeds
+	// of servers must be known within the first seconds of a burst.
+	maxIntervals = 16
 	// minIntervals is the number of intervals below which a stream gives no sample.
 	minIntervals = 8
 	// quintile is the number of parts into which the sorted intervals are divided; the end of the
@@ -17,21 +17,22 @@
 	quintile = 5
 )
 
-// eventIntervals holds the newest intervals between the events of one stream.
+// eventIntervals holds the intervals between the events of one stream since the last sample.
 type eventIntervals struct {
 	intervals []time.Duration
-	// next is the index that is overwritten next once intervals holds maxIntervals.
-	next int
 }
 
 // add adds an interval.
-func (e *eventIntervals) add(interval time.Duration) {
-	if len(e.intervals) < maxIntervals {
-		e.intervals = append(e.intervals, interval)
-		return
-	}
-	e.intervals[e.next] = interval
-	e.next = (e.next + 1) % maxIntervals
+func (e *eventIntervals) add(interval time.Duration) { e.intervals = append(e.intervals, interval) }
+
+// complete reports whether there are enough intervals for a sample of a stream that continues.
+func (e *eventIntervals) complete() bool { return len(e.intervals) >= maxIntervals }
+
+// takeSample returns the lower quintile of the intervals and discards them; 0 if there are too few.
+func (e *eventIntervals) takeSample() time.Duration {
+	sample := e.lowerQuintile()
+	e.intervals = e.intervals[:0]
+	return sample
 }
 
 // lowerQuintile returns the lower quintile of the intervals; 0 if there are too few.
--- a/internal/gateway/router/reservation.go
+++ b/internal/gateway/router/reservation.go
@@ -82,6 +82,7 @@
 			loads[i].PrefillBudget = plan.Budget[i]
 		}
 	}
+	job.MaxWaitingTokens = plan.MaxWaitingTokens[job.Urgency]
 	job.Protected, job.BoundByReservation = plan.Protected[job.Urgency], plan.Bound[job.Urgency]
 	if job.Protected {
 		job.UnreportedProtected = job.UnreportedRequests * protectedShare(plan, othersOffers)
--- a/internal/gateway/router/server_speeds.go
+++ b/internal/gateway/router/server_speeds.go
@@ -62,11 +62,11 @@
 	delete(s.instances, server)
 }
 
-// observeEventInterval records the time between events of a complete stream. It ignores streams that
+// observeEventInterval records the time between the latest events of a stream. It ignores streams that
 // were sent to several servers, and resumed ones: a server may send at once the events that it had
 // generated before.
 func (r *Router) observeEventInterval(c *call) {
-	interval := c.stream.intervals.lowerQuintile()
+	interval := c.stream.intervals.takeSample()
 	if interval <= 0 || c.sends > 1 || c.params.LastEventID != "" {
 		return
 	}
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -83,6 +83,9 @@
 	c.router.observePauseTarget(c)
 	if !isComment(out) {
 		c.stream.recordOutput(now)
+		if c.stream.intervals.complete() {
+			c.router.observeEventInterval(c)
+		}
 	}
 	if _, err := c.w.Write(out); err != nil {
 		return false
--- a/policy/isolation/levels_test.go
+++ b/policy/isolation/levels_test.go
@@ -1,8 +1,11 @@
 package isolation
 
 import (
+	"math"
 	"testing"
 	"time"
+
+	"github.com/applepier/applepier/policy"
 )
 
 // Guards against reservations for classes that they can't help, and against bounds for classes that
@@ -78,3 +81,38 @@
 		t.Errorf("protected %v, bound %v", plan.Protected, plan.Bound)
 	}
 }
+
+// Guards against streams of a few customers on servers that aren't reserved although those of all
+// other customers of the same class are known to be late there: they have too few late streams.
+func TestEvidenceCountsForLevelsWithTheSameTarget(t *testing.T) {
+	load := testLoad(40)
+	load.Classes[shortLevel-1] = load.Classes[shortLevel]
+	load.Classes[shortLevel-1].Rate = 1
+	plan := planAt(activePlanner(), 0, load)
+	if !plan.Protected[shortLevel-1] || !plan.Protected[shortLevel] {
+		t.Errorf("protected levels %v, want %d and %d", plan.Protected, shortLevel-1, shortLevel)
+	}
+	load.Classes[shortLevel-1].PauseTarget += time.Millisecond
+	if plan := planAt(activePlanner(), 0, load); plan.Protected[shortLevel-1] {
+		t.Error("a level with a longer target is protected without late streams")
+	}
+}
+
+// Guards against long prompts that wait at one server until the streams of their own class pause for
+// too long, and against such a bound where nothing is reserved.
+func TestWaitingTokensOfBoundLevels(t *testing.T) {
+	load := testLoad(40)
+	if plan := planAt(&Planner{}, 0, load); plan.MaxWaitingTokens != [policy.UrgencyLevels]float64{} {
+		t.Errorf("bounds without a reservation: %v", plan.MaxWaitingTokens)
+	}
+	plan := planAt(activePlanner(), 0, load)
+	for level, tokens := range plan.MaxWaitingTokens {
+		want := 0.0
+		if level == longLevel {
+			want = 0.6 * 500 * 51.1
+		}
+		if math.Abs(tokens-want) > 1e-6 {
+			t.Errorf("level %d: %.0f tokens may wait, want %.0f", level, tokens, want)
+		}
+	}
+}
--- a/policy/isolation/plan.go
+++ b/policy/isolation/plan.go
@@ -9,6 +9,10 @@
 	// than a protected level.
 	Protected [policy.UrgencyLevels]bool
 	Bound     [policy.UrgencyLevels]bool
+	// MaxWaitingTokens bounds the tokens that may wait for prefill at any server when a request of a
+	// bound level is sent there, in tokens of the average server; 0 means no bound. A longer
+	// stretch of prefill would exceed the pause target of the level itself.
+	MaxWaitingTokens [policy.UrgencyLevels]float64
 	// Reserved marks the reserved servers, and Budget is the number of tokens that may wait for
 	// prefill at a server, both by index of Load.Servers. Budget is +Inf where there is no
 	// bound. Servers that were reserved recently still have a budget.
--- a/policy/isolation/planner.go
+++ b/policy/isolation/planner.go
@@ -13,7 +13,12 @@
 // budgetShare is the share of the pause target in which the tokens that wait at a reserved server
 // must be prefilled. Other gateways may have sent prompts in the last 100 ms, and servers have slow
 // phases: with 0.5 fewer streams are on time, with 0.1 far fewer long prompts.
-const budgetShare = 0.3
+const budgetShare = 0.25
+
+// waitingShare is the share of its own pause target in which the tokens that wait at any server must
+// be prefilled for a bound level. The rest is for decoding steps and for prompts that other gateways
+// have sent since their last update.
+const waitingShare = 0.6
 
 // Planner plans for one service. The zero value is ready to use. Not safe for concurrent use.
 type Planner struct {
@@ -114,17 +119,18 @@
 // level is protected only if another one is bound thereby, and if no more urgent one binds it.
 func (p *Planner) protect(now time.Time, load *Load, rate float64, plan *Plan) protection {
 	var result protection
-	late := 0.0
+	// Customers of different priority share a class, and the level of a few customers has too few streams
+	// of its own: evidence counts for all levels whose target is no longer.
+	lateTarget, late := p.longestLateTarget(now, load, rate), 0.0
 	for i := range load.Classes {
 		class, state := &load.Classes[i], &p.levels[i]
-		active := state.evidence.active(now)
 		if !class.protectable(rate) {
 			continue
 		}
 		plan.RecentStreams += state.evidence.streams
 		late += state.evidence.late
 		bound, found := load.longPromptLevels(i, rate)
-		if active && found && !plan.Bound[i] {
+		if class.PauseTarget <= lateTarget && found && !plan.Bound[i] {
 			plan.Protected[i] = true
 			state.boundUntil = now.Add(holdTime(class.StreamTime))
 			result.demand.add(class)
@@ -140,12 +146,39 @@
 			}
 		}
 	}
+	for i, bound := range plan.Bound {
+		if bound {
+			plan.MaxWaitingTokens[i] = waitingShare * toMillis(max(load.Classes[i].PauseTarget, 0)) * rate
+		}
+	}
 	if plan.RecentStreams > 0 {
 		plan.LateShare = late / plan.RecentStreams
 	}
 	return result
 }
 
+// longestLateTarget returns the longest pause target of the levels that may be protected and for which
+// there is evidence; 0 if there is none.
+func (p *Planner) longestLateTarget(now time.Time, load *Load, rate float64) time.Duration {
+	var bound [policy.UrgencyLevels]bool
+	longest := time.Duration(0)
+	for i := range load.Classes {
+		class := &load.Classes[i]
+		active := p.levels[i].evidence.active(now)
+		if !class.protectable(rate) || bound[i] {
+			continue
+		}
+		levels, binds := load.longPromptLevels(i, rate)
+		if active && binds {
+			longest = max(longest, class.PauseTarget)
+		}
+		for j := range levels {
+			bound[j] = bound[j] || levels[j]
+		}
+	}
+	return longest
+}
+
 // setBudgets sets the budgets of the reserved servers, which they keep until holdUntil if they
 // leave. tokens is the budget of the average server.
 func (p *Planner) setBudgets(servers []Server, tokens float64, holdUntil time.Time, plan *Plan) {
--- a/policy/isolation/selection.go
+++ b/policy/isolation/selection.go
@@ -8,10 +8,10 @@
 	usableSlotShare = 3.0 / 4
 	// usablePrefillShare is the share of a reserved server's time for the prefill of the
 	// protected class, which stalls its streams as well.
-	usablePrefillShare = 1.0 / 2
+	usablePrefillShare = 0.4
 	// maxReservedShare bounds the reserved servers' share of the service, weighted by speed, so
 	// that the other classes keep a minimum.
-	maxReservedShare = 1.0 / 2
+	maxReservedShare = 0.6
 	// weightTolerance allows for rounding in sums of weights.
 	weightTolerance = 1e-9
 )
--- a/policy/job.go
+++ b/policy/job.go
@@ -65,6 +65,10 @@
 	// BoundByReservation must respect the servers' PrefillBudget.
 	Protected          bool
 	BoundByReservation bool
+	// MaxWaitingTokens bounds the tokens that may wait for prefill at a server that isn't over its
+	// PrefillBudget, in tokens of the average server and with a prompt of the class's mean length
+	// included; 0 means no bound. More would stall the streams of the job's own class.
+	MaxWaitingTokens float64
 	// UnreportedProtected is the part of UnreportedRequests that are protected; 0 if unknown.
 	UnreportedProtected float64
 }
--- a/policy/reservation.go
+++ b/policy/reservation.go
@@ -26,12 +26,16 @@
 // long. All tokens that wait there count, whatever their urgency: they stall these streams alike.
 // A job without a prompt and one that continues a stream are never refused because of a reservation.
 func (j *Job) exceedsBudget(s *Server, prefillTokens int) bool {
-	if !j.BoundByReservation || j.Bound || j.Tokens == 0 || s.PrefillBudget == 0 {
+	if !j.BoundByReservation || j.Bound || j.Tokens == 0 {
 		return false
 	}
-	waiting := prefillTokens
+	waiting := 0
 	for _, level := range s.Pending {
 		waiting += level.Tokens
 	}
-	return float64(waiting) > s.PrefillBudget
+	if s.PrefillBudget > 0 && float64(waiting+prefillTokens) > s.PrefillBudget {
+		return true
+	}
+	// Judged by its own length, a prompt that takes the whole bound would find no server; see ClassSizes.
+	return j.MaxWaitingTokens > 0 && s.slowdown()*(float64(waiting)+j.scaleToMeanLength(float64(prefillTokens))) > j.MaxWaitingTokens
 }
--- a/policy/reservation_simulation_test.go
+++ b/policy/reservation_simulation_test.go
@@ -29,6 +29,7 @@
 		Protected, Bound [UrgencyLevels]bool
 		Reserved         []bool
 		Budget           []float64
+		MaxWaitingTokens [UrgencyLevels]float64
 		Count            int
 	}
 )
@@ -134,6 +135,7 @@
 	r.job.UnreportedProtected = g.otherOffers[simShortUrgency].Offered * broadcastInterval.Seconds() / offerTimeConstant.Seconds()
 	s.plans++
 	s.reserved += plan.Count
+	r.job.MaxWaitingTokens = plan.MaxWaitingTokens[r.job.Urgency]
 	r.job.Protected, r.job.BoundByReservation = plan.Protected[r.job.Urgency], plan.Bound[r.job.Urgency]
 	for i := range servers {
 		servers[i].Reserved = plan.Reserved[i]
--- a/policy/reservation_test.go
+++ b/policy/reservation_test.go
@@ -191,3 +191,40 @@
 		}
 	}
 }
+
+// Guards against long prompts that wait at one server until the streams of their own class pause for
+// too long, and against a bound that ignores the server's speed.
+func TestWaitingTokensAreBounded(t *testing.T) {
+	choose := func(slowdown float64, waiting int) Choice {
+		c, servers := newTestChooser(), idleServers(3)
+		for i := range servers {
+			servers[i].Slowdown = slowdown
+			servers[i].Pending[4].Requests, servers[i].Pending[4].Tokens = 1, waiting
+		}
+		job := documentJob()
+		job.MaxWaitingTokens = 12_000
+		return c.Choose(testStart, job, servers, nil)
+	}
+	for _, test := range []struct {
+		slowdown float64
+		waiting  int
+		inTime   bool
+	}{{1, 8900, true}, {1, 9100, false}, {0.5, 9100, true}, {1.2, 6900, true}, {1.2, 7100, false}} {
+		if choice := choose(test.slowdown, test.waiting); !choice.Found || choice.InTime != test.inTime {
+			t.Errorf("with %d tokens waiting at a slowdown of %.1f: choice %+v, in time should be %v", test.waiting, test.slowdown, choice, test.inTime)
+		}
+	}
+}
+
+// Guards against the longest prompts of a class finding no server at all: they are judged by the mean
+// length of the class, but not at reserved servers.
+func TestLongestPromptsFindServers(t *testing.T) {
+	c, servers := newTestChooser(), reservedServers(10, 4000, 2, 7)
+	job := documentJob()
+	job.Tokens, job.MeanTokens, job.MaxWaitingTokens = 30_000, 3000, 12_000
+	for range 100 {
+		if choice := c.Choose(testStart, job, servers, nil); !choice.InTime || servers[choice.Index].Reserved {
+			t.Fatalf("choice %+v, eight idle servers aren't reserved", choice)
+		}
+	}
+}
--- a/policy/serverspeed/estimator.go
+++ b/policy/serverspeed/estimator.go
@@ -19,6 +19,9 @@
 	// of equal servers vary by about a tenth.
 	distinguishAbove = 0.2
 	ordinaryBelow    = 0.1
+	// clearDifference is the difference above which a server of which little is known is
+	// distinguished at once: a burst that begins with the traffic is half over otherwise.
+	clearDifference = 0.4
 	// maxRatio bounds the slowdown and its reciprocal.
 	maxRatio = 4.0
 )
@@ -34,6 +37,9 @@
 // The zero value is ready to use. Not safe for concurrent use.
 type Estimator struct {
 	servers map[policy.Key]*serverStats
+	// startedAt is the time of the first call. Periods are counted from it by the monotonic clock,
+	// which steps of the time of day don't affect.
+	startedAt time.Time
 	// estimatedIn is the period for which slowdowns were last estimated.
 	estimatedIn int64
 	// faster and slower are the numbers of distinguished servers.
@@ -55,7 +61,7 @@
 		s = &serverStats{slowdown: 1}
 		e.servers[server] = s
 	}
-	s.add(periodOf(now), interval)
+	s.add(e.periodOf(now), interval)
 }
 
 // Slowdown returns a server's slowdown, from 1/4 to 4. It is 1 for a server that is as fast as
@@ -69,6 +75,14 @@
 	return s.slowdown
 }
 
+// periodOf returns the number of the period in which a time is; the first one is 1.
+func (e *Estimator) periodOf(t time.Time) int64 {
+	if e.startedAt.IsZero() {
+		e.startedAt = t
+	}
+	return 1 + int64(t.Sub(e.startedAt)/periodLength)
+}
+
 // RemoveServer discards what is known of a server.
 func (e *Estimator) RemoveServer(server policy.Key) { delete(e.servers, server) }
 
@@ -81,7 +95,7 @@
 // update estimates all slowdowns anew, once in a period, and discards servers without recent
 // samples.
 func (e *Estimator) update(now time.Time) {
-	period := periodOf(now)
+	period := e.periodOf(now)
 	if period <= e.estimatedIn {
 		return
 	}
@@ -98,7 +112,9 @@
 	}
 	e.faster, e.slower = 0, 0
 	for _, s := range e.servers {
-		if s.different {
+		if s.different && s.isNew() && difference(s.interval, ordinaryMean) > clearDifference {
+			s.differentFor = minDifferent
+		} else if s.different {
 			s.differentFor = min(s.differentFor+1, minDifferent)
 		} else {
 			s.differentFor = 0
--- a/policy/serverspeed/server_stats.go
+++ b/policy/serverspeed/server_stats.go
@@ -27,7 +27,7 @@
 
 // period holds the samples of one period.
 type period struct {
-	// number counts periods from the Unix epoch.
+	// number counts periods from the first call of the Estimator.
 	number int64
 	// sum is the sum of the intervals, in seconds, and samples their number.
 	sum     float64
@@ -51,9 +51,6 @@
 	slowdown     float64
 }
 
-// periodOf returns the number of the period in which t is.
-func periodOf(t time.Time) int64 { return t.UnixNano() / int64(periodLength) }
-
 // add adds a sample. A sample of an earlier period than the newest one counts as of that one.
 func (s *serverStats) add(number int64, interval time.Duration) {
 	if s.used == 0 || number > s.periods[s.newest].number {
@@ -86,6 +83,10 @@
 	s.interval = means[(n-1)/2]
 }
 
+// isNew reports whether too few periods are known for a lasting difference to be told from a
+// passing one.
+func (s *serverStats) isNew() bool { return s.used < minPeriods+minDifferent }
+
 // distinguished reports whether the server differs from most servers for long enough.
 func (s *serverStats) distinguished() bool { return s.differentFor == minDifferent }
 
