policy/zonerouting: shares of requests between zones, and a choice that follows them

Cause: the cost of another zone is a constant of 150 tokens, whatever a crossing costs and however full the zone is, so that most requests cross zones.

Chooser serves a request in the zone that the share assigns if it is certain to be admitted there with little wait, else as before; without a planned zone nothing changes.

--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -89,7 +89,7 @@
 	if float64(failingCount) <= panicThreshold*float64(usableCount) {
 		candidate = func(s *Server) bool { return usable(s) && !failing(s) }
 	}
-	choice := c.chooseFrom(now, job, servers, rate, func(s *Server) bool { return candidate(s) && !s.OverLimit })
+	choice := c.chooseByPlan(now, job, servers, rate, func(s *Server) bool { return candidate(s) && !s.OverLimit })
 	if !choice.Found {
 		choice.AvailableIn, choice.RateLimited = soonestAvailable(servers, candidate)
 		if backoffLeft, found := soonestBackoffEnd(servers, job.fits); found && (!choice.RateLimited || backoffLeft < choice.AvailableIn) {
--- a/policy/job.go
+++ b/policy/job.go
@@ -22,6 +22,11 @@
 type Job struct {
 	// Zone is the availability zone of the gateway that sends the request.
 	Zone string
+	// PlannedZone is the availability zone to which the plan of the zones' shares assigns the request;
+	// empty if there is no plan. CrossingCost is the wait of a caller that sending the request to
+	// another zone than that of the gateway is worth.
+	PlannedZone  string
+	CrossingCost time.Duration
 	// Urgency ranges from 0, the most urgent, to UrgencyLevels-1.
 	Urgency int
 	// Target is the target for the time to the first token; 0 means none.
