settings: zones.price of gateways, the wait that a megabyte between zones is worth

Cause: routing between zones (docs/LOAD-DECISIONS.md, part 3) is to be switched on and tuned by operators.

Change: an optional number of 0 or more; a pointer tells an absent one from 0, so that the decoder allocates optional values and a reload compares settings by value. deploy/gateway.yaml stays without it.

--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -42,7 +43,7 @@
 		switch {
 		case err != nil:
 			g.log.Warn(logging.EventSettingsRejected, logging.Reason(err.Error()))
-		case changed != current:
+		case !reflect.DeepEqual(changed, current):
 			current = changed
 			limitMemory(changed.MemoryLimitMB)
 			g.drainBound.Store(int64(drainBound(changed)))
--- a/internal/settings/decoder.go
+++ b/internal/settings/decoder.go
@@ -47,6 +47,10 @@
 		return
 	}
 	switch target.Kind() {
+	case reflect.Pointer:
+		// The key of a pointer is optional; nil means that it is absent.
+		target.Set(reflect.New(target.Type().Elem()))
+		d.decodeNode(node, target.Elem(), path)
 	case reflect.Struct:
 		d.decodeStruct(node, target, path)
 	case reflect.Slice:
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,6 +33,8 @@
 	Drain Drain `yaml:"drain"`
 	// RetryBudget limits retries across all gateways.
 	RetryBudget RetryBudget `yaml:"retry"`
+	// Zones configures routing between availability zones.
+	Zones Zones `yaml:"zones"`
 	// ShutdownTimeout is the maximum duration of a graceful shutdown.
 	ShutdownTimeout time.Duration `yaml:"grace" validate:"gt=0"`
 	// UsageReporting configures the usage reports for customers' requests.
@@ -83,6 +85,13 @@
 	MaxDelay time.Duration `yaml:"within" validate:"gte=0"`
 }
 
+// Zones configures routing between availability zones.
+type Zones struct {
+	// Price is how many milliseconds of a caller's wait one megabyte of traffic between zones is worth.
+	// If it is nil, the share of requests sent to other zones isn't planned.
+	Price *float64 `yaml:"price" validate:"omitempty,gte=0"`
+}
+
 // RetryBudget limits retries: the retries in each window may not exceed Ratio
 // times the number of requests in it plus ExtraPerWindow.
 type RetryBudget struct {
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -41,6 +43,37 @@
 	goldie.New(t).Assert(t, "bad-gateway", []byte(invalid.Error()))
 }
 
+// Guards against a price that is negative or not a number, with which no share could be computed, and
+// against taking a price of 0 for an absent one.
+func TestZonePrice(t *testing.T) {
+	example, err := os.ReadFile("../../examples/gateway.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	load := func(price string) (Gateway, error) {
+		path := filepath.Join(t.TempDir(), "gateway.yaml")
+		source := regexp.MustCompile(`(?m)^  price: .*$`).ReplaceAll(example, []byte("  price: "+price))
+		if err := os.WriteFile(path, source, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return LoadGateway(path)
+	}
+	for _, price := range []string{"0", "12.5"} {
+		if s, err := load(price); err != nil || s.Zones.Price == nil || strconv.FormatFloat(*s.Zones.Price, 'g', -1, 64) != price {
+			t.Errorf("price %s: %v, %v", price, s.Zones.Price, err)
+		}
+	}
+	if s, err := load(""); err != nil || s.Zones.Price != nil {
+		t.Errorf("absent price: %v, %v", s.Zones.Price, err)
+	}
+	for price, reason := range map[string]string{"-1": "must be 0 or more", ".nan": "must be 0 or more", "cheap": "must be a number"} {
+		var invalid *InvalidError
+		if _, err := load(price); !errors.As(err, &invalid) || len(invalid.Problems) != 1 || invalid.Problems[0].Field != "zones.price" || invalid.Problems[0].Reason != reason {
+			t.Errorf("price %s: %v, want %q", price, err, reason)
+		}
+	}
+}
+
 // checkStrictDecoding checks that the YAML library's own strict decoding of the
 // file gives the same settings.
 func checkStrictDecoding[T any](t *testing.T, path string, got T) {
