--- a/internal/gateway/peers/broadcast.go
+++ b/internal/gateway/peers/broadcast.go
@@ -45,6 +45,9 @@
 	if m.sequence%zoneAnnouncementInterval == 1 {
 		shared.Zone = zoneKey(m.Zone)
 	}
+	if m.PlansZones {
+		shared.DemandZone = zoneKey(m.Zone)
+	}
 	if confirmation.At > 0 {
 		shared.ConfirmationAge = uint64((boottime.Now() - confirmation.At).Milliseconds() + 1)
 	}
--- a/internal/gateway/peers/compatibility_test.go
+++ b/internal/gateway/peers/compatibility_test.go
@@ -86,7 +86,7 @@
 // FuzzDatagram checks that any input is either decoded or rejected with ErrMalformed, and that
 // decoded values stay within bounds.
 func FuzzDatagram(f *testing.F) {
-	state := cbor.RawMessage(mustMarshal(f, map[int]any{1: 7, 5: []serverLoad{{Server: 1, Running: 2, Pending: []pendingWork{{Urgency: 9, Requests: 1, Tokens: 5}}}}, 6: []offerCounts{{Service: 1, Levels: []levelOffers{{Urgency: 200, Offered: 1}}}}, 8: []ttftSample{{Urgency: 77}}, 9: []longestPause{{Urgency: 77}}, 11: []suspicion{{Fingerprint: 7, ClearedAge: 1, Crashes: []crash{{Instance: 3, Age: 1 << 31}}}}, 12: []serverLimit{{Instance: 1, Rate: 2, Age: 3, SentRequests: 4}}, 15: []segmentSuspicion{{Segment: 7, ClearedAge: 1, Crashes: []segmentCrash{{Instance: 3, Age: 1 << 31, Ran: 1 << 31}}}}}))
+	state := cbor.RawMessage(mustMarshal(f, map[int]any{1: 7, 5: []serverLoad{{Server: 1, Running: 2, Pending: []pendingWork{{Urgency: 9, Requests: 1, Tokens: 5}}}}, 6: []offerCounts{{Service: 1, Levels: []levelOffers{{Urgency: 200, Offered: 1}}}}, 8: []ttftSample{{Urgency: 77}}, 9: []longestPause{{Urgency: 77}}, 11: []suspicion{{Fingerprint: 7, ClearedAge: 1, Crashes: []crash{{Instance: 3, Age: 1 << 31}}}}, 12: []serverLimit{{Instance: 1, Rate: 2, Age: 3, SentRequests: 4}}, 19: 1 << 15, 15: []segmentSuspicion{{Segment: 7, ClearedAge: 1, Crashes: []segmentCrash{{Instance: 3, Age: 1 << 31, Ran: 1 << 31}}}}}))
 	f.Add(mustMarshal(f, map[int]any{1: "edge-1", 2: 1, 3: 1, 4: 1, 7: state}))
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, datagram []byte) {
--- a/internal/gateway/peers/config.go
+++ b/internal/gateway/peers/config.go
@@ -52,6 +52,8 @@
 	Self Entry
 	// Zone is this gateway's availability zone.
 	Zone string
+	// PlansZones is whether this gateway plans the zones' shares, for which its datagrams hold its zone.
+	PlansZones bool
 	// Loads returns this gateway's load by backend server; servers without load may be omitted.
 	Loads func() []Load
 	// OwnOfferCounts returns this gateway's counts of offers, by service.
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -76,6 +76,8 @@
 	// ServersAge is the time in milliseconds since the store had no change of the list of backend
 	// servers after ServersPosition; 0 if the sender doesn't poll the store.
 	ServersAge uint64 `cbor:"17,keyasint,omitempty"`
+	// DemandZone is the zoneKey of the sender's zone; 0 if the sender doesn't plan the zones' shares.
+	DemandZone uint16 `cbor:"19,keyasint,omitempty"`
 }
 
 // decodedMessage is a datagram with its decoded sharedState.
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -43,8 +43,10 @@
 	// quarantineKnown is whether the peer knows the quarantined requests and segments.
 	quarantineKnown bool
 	// zone is the zoneKey that the peer last announced; 0 if it doesn't hold records.
-	zone  uint16
-	usage peerUsage
+	zone uint16
+	// demandZone is the zoneKey in the peer's last datagram; 0 if the peer doesn't plan the zones' shares.
+	demandZone uint16
+	usage      peerUsage
 }
 
 // isLive reports whether a datagram of the peer was received within peerTimeout.
@@ -96,7 +98,7 @@
 	}
 	p.addr, p.bootID, p.sequence, p.lastReceived, p.lastStamp = addr, in.BootID, in.Sequence, now, in.Stamp
 	p.stateVersion, p.storeMode, p.serversPosition, p.quarantineKnown = in.StateVersion, in.StoreMode, in.ServersPosition, in.SegmentsKnown
-	p.loads, p.offerCounts, p.limits = in.Loads, in.OfferCounts, in.Limits
+	p.loads, p.offerCounts, p.limits, p.demandZone = in.Loads, in.OfferCounts, in.Limits, in.DemandZone
 	return true
 }
 
