gateway: plan the zones' shares and serve requests by them where zones.price is set

Cause: a crossing of zones costs a constant, whatever it costs and however full the zone is.

The price and the shares are shown at GET /zones and as metrics, changes are logged as zone_share_changed. Without the setting nothing is planned or announced.

The test of the command line compared settings with ==, which compares the address of the optional price; it compares by value now.

--- a/internal/cli/gateway_test.go
+++ b/internal/cli/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -22,7 +23,7 @@
 	serve := func(_ context.Context, s settings.Gateway, reload func() (settings.Gateway, error), _ *zap.Logger) error {
 		started = &s
 		reloaded, err := reload()
-		if err != nil || reloaded != s {
+		if err != nil || !reflect.DeepEqual(reloaded, s) {
 			t.Errorf("reloaded settings: %+v, %v", reloaded, err)
 		}
 		return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,7 +133,7 @@
 	g.desiredStateSink = &desiredStateSink{holder: g.holder, registry: g.registry, log: log}
 	var err error
 	g.mesh, err = peers.Listen(peers.Config{
-		Self: peers.Entry{Name: s.Process, Addr: s.PeerListen}, Zone: s.Zone,
+		Self: peers.Entry{Name: s.Process, Addr: s.PeerListen}, Zone: s.Zone, PlansZones: s.Zones.Price != nil,
 		HandleOrigin: func(addr string, datagram []byte) error { return g.origins.Handle(addr, datagram) },
 		Loads:        g.loads, OwnOfferCounts: func() map[string]policy.OfferCounts { return g.router.OfferCounts() },
 		TakeUpdates: func() policy.PeerUpdate { return g.router.TakeUpdates() }, MergeUpdates: func(u policy.PeerUpdate) { g.router.MergeUpdates(u) },
@@ -155,6 +155,7 @@
 		Zone: s.Zone, Dialect: p.Dialect, Holder: g.holder, Registry: g.registry, Pool: g.pool,
 		Peers: g.mesh, ListedGateways: g.mesh.ListedGateways, KnownGateways: g.mesh.KnownGateways,
 		Chooser: policy.NewChooser(random, ejector, index), Random: random, Ejector: ejector, PrefixIndex: index, Origins: g.origins,
+		ZonePrice: s.Zones.Price, ZonePeers: g.mesh,
 		Observer: requestObserver{p.Metrics, log, g.enqueueQuarantineChange, counter},
 	}, routerBounds(s), g.sheddingCallers)
 	g.registry.OnRemove = g.router.ForgetServer
@@ -181,6 +182,7 @@
 		StateVersion: g.holder.Version(), StateAge: g.stateAge(),
 		LiveGateways: g.mesh.LiveGateways(), PollsStore: g.servers.Live(), UsableServers: g.registry.CountUsable(), ServerListAge: g.serverListAge(), QuarantinedRequests: g.router.QuarantinedCount(),
 		LimitedServers: g.router.LimitedServerCount(), BackedOffServers: g.router.BackedOffServerCount(), LimitedSends: g.router.LimitedSendCount(), UsageGeneration: generation, DroppedLogLines: logging.DroppedLines(),
+		ZonePrice: g.settings.Zones.Price, ZoneShares: g.zoneShares(),
 	}
 }
 
@@ -260,6 +262,7 @@
 	})
 	mux.HandlerFunc(http.MethodGet, metrics.PathMetrics, g.platform.Metrics.Serve)
 	g.addQuarantineRoutes(mux)
+	mux.GET(pathZones, g.serveZones)
 	return mux
 }
 
--- a/internal/gateway/request_observer.go
+++ b/internal/gateway/request_observer.go
@@ -134,6 +134,14 @@
 	o.log.Info(logging.EventServerBackoff, logging.Peer(server), zap.Duration("backoff", backoff))
 }
 
+// ZoneShareChanged implements router.Observer.
+func (o requestObserver) ZoneShareChanged(change router.ZoneShareChange) {
+	o.log.Info(logging.EventZoneShareChanged, zap.String("service", change.Service), zap.String("from", change.From.Name), zap.String("to", change.To.Name),
+		zap.Float64("share", change.Share.Fraction), zap.Float64("before", change.Before), logging.Reason(string(change.Share.Reason)), zap.Duration("crossing_cost", change.CrossingCost),
+		zap.Float64("from_capacity", change.From.Capacity), zap.Float64("from_waiting", change.From.Waiting), zap.Float64("from_demand", change.From.Demand),
+		zap.Float64("to_capacity", change.To.Capacity), zap.Float64("to_waiting", change.To.Waiting), zap.Float64("to_demand", change.To.Demand), zap.Time("to_known_at", change.To.KnownAt))
+}
+
 // Quarantined implements router.Observer.
 func (o requestObserver) Quarantined(evidence policy.Suspicion) {
 	if evidence.ID.Segment {
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -50,6 +50,10 @@
 	PrefixIndex *policy.PrefixIndex
 	Origins     Origins
 	Observer    Observer
+	// ZonePrice is how many milliseconds of a caller's wait one megabyte between zones is worth; nil if
+	// shares aren't planned. ZonePeers is used only if it isn't nil.
+	ZonePrice *float64
+	ZonePeers ZonePeers
 }
 
 // Origins knows at which software version streams began; see package origin.
@@ -105,6 +109,9 @@
 	// in a window of the budget. gateways is the number of gateways among which the fixed part of the
 	// budget is divided.
 	RetryBudgetExhausted(service string, usage policy.RetryUsage, gateways int)
+	// ZoneShareChanged is called when the share of a pair of zones has changed by a tenth or more since
+	// the last call, at most once a second for each pair and service.
+	ZoneShareChanged(change ZoneShareChange)
 	// Quarantined is called when a request or prompt segment is quarantined of which this gateway
 	// has observed a crash, with the evidence, and Released when it no longer is.
 	Quarantined(evidence policy.Suspicion)
--- a/internal/gateway/router/policy_state.go
+++ b/internal/gateway/router/policy_state.go
@@ -57,6 +57,7 @@
 	defer r.mu.Unlock()
 	s, now := r.serviceFor(c.service), time.Now()
 	s.sendRate.CountSent(now, c.urgency, choice.PrefillTokens)
+	s.zones.observeSent(c.urgency, choice.PrefillTokens, len(c.body))
 	r.PrefixIndex.RecordSent(now, policy.KeyOf(c.serverID), c.sharedSegments)
 	return s.prefillRates[c.urgency].Plan(now, choice.PrefillTokens, choice.TokensAhead)
 }
@@ -65,6 +66,7 @@
 // and must be marked by firstChoice. pauseTarget is the route's target for pauses between events; 0
 // means none.
 func (r *Router) runChooser(service string, job policy.Job, pauseTarget time.Duration, loads []policy.Server, firstChoice bool) policy.Choice {
+	r.assignZone(service, &job, loads)
 	offerCounts := r.Peers.OfferCounts(service)
 	now, otherGateways := time.Now(), float64(r.Peers.LiveGateways()-1)
 	r.mu.Lock()
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -34,7 +34,7 @@
 	Config
 	// mu guards the Chooser, the Ejector, the prefix index, Random and the policy state below:
 	// services, unresponsive, quarantine, limits, backoffs and updates. It comes after the Registry's
-	// lock in the lock order. While it is held, Peers, ListedGateways and KnownGateways may be called
+	// lock in the lock order. While it is held, Peers, ZonePeers, ListedGateways and KnownGateways may be called
 	// and may acquire locks of their own, but none that is held during calls of the Registry or the
 	// Router; no other lock is acquired.
 	mu               sync.Mutex
--- a/internal/gateway/router/service_state.go
+++ b/internal/gateway/router/service_state.go
@@ -18,6 +18,7 @@
 	pauses       policy.PauseEstimator
 	offerCounter policy.OfferCounter
 	headroom     policy.AdaptiveHeadroom
+	zones        zoneRouting
 	// promptSizes holds the mean prompt lengths by route, in tokens.
 	promptSizes policy.ClassSizes
 }
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -94,6 +94,9 @@
 	EventServerLimited = "server_limited"
 	// EventServerUnlimited: a backend server no longer states a limit.
 	EventServerUnlimited = "server_unlimited"
+	// EventZoneShareChanged: the share of a zone's requests that is sent to another zone
+	// has changed by a tenth or more.
+	EventZoneShareChanged = "zone_share_changed"
 	// EventStreamResumed: a stream was resumed: its caller asked for the rest of it, or
 	// its response came from several backend servers.
 	EventStreamResumed = "stream_resumed"
--- a/internal/metrics/family.go
+++ b/internal/metrics/family.go
@@ -44,6 +44,8 @@
 	familyLimitedSends         family = "applepier_limited_sends_total"
 	familyQuarantinedRequests  family = "applepier_requests_quarantined"
 	familyConnectionsRefused   family = "applepier_connections_refused_milliseconds_total"
+	familyZonePrice            family = "applepier_zone_price_microseconds_per_megabyte"
+	familyZoneShare            family = "applepier_zone_share_permille"
 	familyUsageGeneration      family = "applepier_usage_generation"
 	familyUsageAccepted        family = "applepier_usage_reports_total"
 	familyUsageLate            family = "applepier_usage_reports_late_total"
@@ -96,6 +98,8 @@
 	familyLimitedSends:         "Requests sent to backend servers while they had a limit.",
 	familyQuarantinedRequests:  "Requests, and prompt segments of requests, that are refused since backend servers ended under them; those with the same content count once.",
 	familyConnectionsRefused:   "Time for which new connections of callers were refused because the process got too little processor time.",
+	familyZonePrice:            "Wait of a caller that one megabyte of traffic between availability zones is worth.",
+	familyZoneShare:            "Share of this gateway's zone's requests for a service that is sent to another zone, in thousandths.",
 	familyUsageGeneration:      "Generation under which this gateway reports usage; 0 while another one does.",
 	familyUsageAccepted:        "Reports of usage that the platform took from this gateway.",
 	familyUsageLate:            "Reports of usage that it took later than they were due.",
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -30,6 +30,10 @@
 	// UsageGeneration is the fencing token of the lease under which this gateway reports
 	// usage; 0 while it doesn't hold the lease. The metric calls it the generation.
 	UsageGeneration uint64
+	// ZonePrice is how many milliseconds of a caller's wait one megabyte between zones is worth; nil if
+	// the zones' shares aren't planned. ZoneShares holds those of this gateway's zone.
+	ZonePrice  *float64
+	ZoneShares []ZoneShare
 	// DroppedLogLines is the total number of log lines that were dropped.
 	DroppedLogLines int64
 }
@@ -48,8 +52,10 @@
 	quarantined := gauge(m.registry, familyQuarantinedRequests)
 	polling := gauge(m.registry, familyStorePolling)
 	fencingToken := gauge(m.registry, familyUsageGeneration)
+	zonePairs := map[ZoneShare]bool{}
 	m.OnScrape(func() {
 		stats := read()
+		m.updateZones(&stats, zonePairs)
 		m.SetTargetsVersion(stats.StateVersion)
 		stateAge.Update(stats.StateAge.Milliseconds())
 		gateways.Update(int64(stats.LiveGateways))
--- a/internal/metrics/series.go
+++ b/internal/metrics/series.go
@@ -15,6 +15,9 @@
 	labelDirection = "direction"
 	labelOperation = "operation"
 	labelTable     = "table"
+	labelService   = "service"
+	labelFrom      = "from"
+	labelTo        = "to"
 	labelQuantile  = "quantile"
 )
 
