--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -51,6 +51,10 @@
 	PrefixIndex *policy.PrefixIndex
 	Origins     Origins
 	Observer    Observer
+	// ZonePrice is how many milliseconds of a caller's wait one megabyte between zones is worth; nil if
+	// shares aren't planned. ZonePeers is used only if it isn't nil.
+	ZonePrice *float64
+	ZonePeers ZonePeers
 }
 
 // Origins knows at which software version streams began; see package origin.
@@ -111,6 +115,9 @@
 	ServersReserved(service string, plan isolation.Plan)
 	// StreamPaused is called once for each stream that exceeds its target for pauses.
 	StreamPaused()
+	// ZoneShareChanged is called when the share of a pair of zones has changed by a tenth or more since
+	// the last call, at most once a second for each pair and service.
+	ZoneShareChanged(change ZoneShareChange)
 	// Quarantined is called when a request or prompt segment is quarantined of which this gateway
 	// has observed a crash, with the evidence, and Released when it no longer is.
 	Quarantined(evidence policy.Suspicion)
--- a/internal/gateway/router/reservation.go
+++ b/internal/gateway/router/reservation.go
@@ -93,17 +93,18 @@
 // setLoad sets the input of the planner.
 func (v *reservation) setLoad(loads []policy.Server, offers *policy.OfferCounts, rates []policy.PrefillRate) {
 	v.load.PrefillRate = 0
-	longest := 0.0
+	longest, offered := 0.0, offers.Rates()
 	for u := range v.classes {
 		m := &v.classes[u]
-		class := isolation.Class{PauseTarget: m.pauseTarget, Rate: offers.Rate(u), StreamTime: m.streamTime}
+		class := isolation.Class{PauseTarget: m.pauseTarget, Rate: offered[u], StreamTime: m.streamTime}
 		if m.samples >= minClassSamples {
 			class.PrefillTokens = m.prefillTokens
 		}
 		v.load.Classes[u] = class
 		// The rate is estimated best from long prompts, whose fixed time matters least.
 		if m.samples >= minRateSamples && m.prefillTokens > longest {
-			longest, v.load.PrefillRate = m.prefillTokens, rates[u].Rate()
+			longest = m.prefillTokens
+			v.load.PrefillRate, _ = rates[u].TokensPerMillisecond()
 		}
 	}
 	v.load.Servers = v.load.Servers[:0]
--- a/internal/gateway/router/service_state.go
+++ b/internal/gateway/router/service_state.go
@@ -20,6 +20,7 @@
 	reservation  reservation
 	offerCounter policy.OfferCounter
 	headroom     policy.AdaptiveHeadroom
+	zones        zoneRouting
 	// promptSizes holds the mean prompt lengths by route, in tokens.
 	promptSizes policy.ClassSizes
 }
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -97,6 +97,9 @@
 	// EventServersReserved: the number of backend servers that a service reserves for streams with a
 	// tight target for pauses changed considerably.
 	EventServersReserved = "servers_reserved"
+	// EventZoneShareChanged: the share of a zone's requests that is sent to another zone
+	// has changed by a tenth or more.
+	EventZoneShareChanged = "zone_share_changed"
 	// EventStreamResumed: a stream was resumed: its caller asked for the rest of it, or
 	// its response came from several backend servers.
 	EventStreamResumed = "stream_resumed"
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -98,7 +98,7 @@
 			return choice
 		}
 	}
-	choice := c.chooseFrom(now, job, servers, rate, available)
+	choice := c.chooseByPlan(now, job, servers, rate, available)
 	if !choice.Found {
 		choice.AvailableIn, choice.RateLimited = soonestAvailable(servers, candidate)
 		if backoffLeft, found := soonestBackoffEnd(servers, job.fits); found && (!choice.RateLimited || backoffLeft < choice.AvailableIn) {
--- a/policy/offer_counts.go
+++ b/policy/offer_counts.go
@@ -31,11 +31,6 @@
 	return c.total() * float64(d) / float64(offerTimeConstant)
 }
 
-// Rate returns how many requests of an urgency level are offered per second.
-func (c *OfferCounts) Rate(urgency int) float64 {
-	return c[urgency].Offered / offerTimeConstant.Seconds()
-}
-
 // total returns the number of offered requests of all urgency levels.
 func (c *OfferCounts) total() float64 {
 	offered := 0.0
