--- a/internal/gateway/peers/size_test.go
+++ b/internal/gateway/peers/size_test.go
@@ -48,6 +48,23 @@
 	t.Logf("%d bytes for a suspected request, %d for a segment, %d for a limited server", perSuspicion, perSegment, perLimit)
 }
 
+// Guards against pause counts that take a noticeable part of the traffic for control: each gateway
+// receives those of all others.
+func TestEncodedSizeOfPauseCounts(t *testing.T) {
+	counts := make([]policy.PauseCounts, 2*maxPauseCounts)
+	for i := range counts {
+		counts[i] = policy.PauseCounts{Service: 1 << 31, Urgency: i % policy.UrgencyLevels, Late: 30, OnTime: 40}
+	}
+	encodedSize := func(n int) int {
+		return len(mustMarshal(t, sharedState{PauseCounts: packPauseCounts(counts[:n])}))
+	}
+	each, largest := encodedSize(2)-encodedSize(1), encodedSize(len(counts))
+	if each > 14 || largest > 14*maxPauseCounts+8 {
+		t.Errorf("%d bytes for the counts of a level, %d in the largest datagram", each, largest)
+	}
+	t.Logf("%d bytes for the counts of a level, %d in the largest datagram", each, largest)
+}
+
 // Guards against a confirmation of the server list that takes a noticeable part of the traffic that a gateway
 // may use for control: more than a twentieth of it, at 410 gateways.
 func TestEncodedSizeOfServerListAge(t *testing.T) {
