zones: findings of the review mended

Cause: a reviewer's throwaway tests showed both directions of a pair in use where zones offer different levels, backlogs of unusable servers that emptied a zone, protected requests and new prefixes that crossed whatever the price (86 and 193 of 300), prices that overflow, and an announcement that takes 20 KB/s at 410 gateways. Change: an unknown level counts as the largest known size; such backlogs don't count; both follow the plan; prices end at 1e9 and crossing costs at an hour; one announcement in eight datagrams. Measured: the new tests fail on the code before for both zones' shares and the backlog; go test of router, settings, cli, gateway and the zone tests of peers and policy pass.

--- a/internal/gateway/peers/broadcast.go
+++ b/internal/gateway/peers/broadcast.go
@@ -44,9 +44,9 @@
 	shared := &sharedState{StateVersion: confirmation.Version, StoreMode: store.mode(), ServersPosition: store.ServersPosition, QuarantineKnown: store.QuarantineKnown, SegmentsKnown: store.QuarantineKnown}
 	if m.sequence%zoneAnnouncementInterval == 1 {
 		shared.Zone = zoneKey(m.Zone)
-	}
-	if m.PlansZones {
-		shared.DemandZone = zoneKey(m.Zone)
+		if m.PlansZones {
+			shared.DemandZone = shared.Zone
+		}
 	}
 	if confirmation.At > 0 {
 		shared.ConfirmationAge = uint64((boottime.Now() - confirmation.At).Milliseconds() + 1)
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -79,7 +79,8 @@
 	// EventIntervals holds the mean time between events of the streams that ended at the sender since
 	// its last datagram, by server; at most policy.MaxEventIntervals.
 	EventIntervals []eventInterval `cbor:"18,keyasint,omitempty"`
-	// DemandZone is the zoneKey of the sender's zone; 0 if the sender doesn't plan the zones' shares.
+	// DemandZone announces, in some datagrams, that the sender plans the zones' shares, and the zoneKey
+	// of its zone; 0 in the other datagrams.
 	DemandZone uint16 `cbor:"19,keyasint,omitempty"`
 	// PauseCounts counts the streams that exceeded their target for pauses, and those that ended
 	// without, at the sender since its last datagram.
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -44,7 +44,8 @@
 	quarantineKnown bool
 	// zone is the zoneKey that the peer last announced; 0 if it doesn't hold records.
 	zone uint16
-	// demandZone is the zoneKey in the peer's last datagram; 0 if the peer doesn't plan the zones' shares.
+	// demandZone is the zoneKey that the peer last announced for its demand; 0 if the peer doesn't plan
+	// the zones' shares.
 	demandZone uint16
 	usage      peerUsage
 }
@@ -91,14 +92,17 @@
 	t.addLimitedSends(in.Limits, 1)
 	t.subtract(p)
 	if p.bootID != in.BootID {
-		p.usage, p.zone, p.earlierBootID = peerUsage{}, 0, p.bootID
+		p.usage, p.zone, p.demandZone, p.earlierBootID = peerUsage{}, 0, 0, p.bootID
 	}
 	if in.Zone != 0 {
 		p.zone = in.Zone
 	}
 	p.addr, p.bootID, p.sequence, p.lastReceived, p.lastStamp = addr, in.BootID, in.Sequence, now, in.Stamp
 	p.stateVersion, p.storeMode, p.serversPosition, p.quarantineKnown = in.StateVersion, in.StoreMode, in.ServersPosition, in.SegmentsKnown
-	p.loads, p.offerCounts, p.limits, p.demandZone = in.Loads, in.OfferCounts, in.Limits, in.DemandZone
+	p.loads, p.offerCounts, p.limits = in.Loads, in.OfferCounts, in.Limits
+	if in.DemandZone != 0 {
+		p.demandZone = in.DemandZone
+	}
 	return true
 }
 
--- a/internal/gateway/router/zone_routing.go
+++ b/internal/gateway/router/zone_routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -87,9 +88,16 @@
 
 // demand returns the requests and the tokens to prefill that are offered per second.
 func (z *zoneRouting) demand(counts *policy.OfferCounts) (requests, tokens float64) {
+	// The size of a level that this gateway hasn't sent counts as that of its largest: with 0, two
+	// zones that offer different levels would each take the other for idle and send there.
+	largest := slices.Max(z.prefillTokens[:])
 	for urgency, rate := range counts.Rates() {
-		if z.prefillTokens[urgency] > 0 {
-			requests, tokens = requests+rate, tokens+rate*z.prefillTokens[urgency]
+		size := z.prefillTokens[urgency]
+		if size == 0 {
+			size = largest
+		}
+		if size > 0 {
+			requests, tokens = requests+rate, tokens+rate*size
 		}
 	}
 	return requests, tokens
@@ -169,12 +177,14 @@
 	for i := range loads {
 		l := &loads[i]
 		zone := add(l.Zone, r.ZonePeers.ZoneKey(l.Zone))
+		if l.Draining || r.unresponsive.Excluded(now, policy.KeyOf(l.Name)) || r.Ejector.Ejected(now, l.Name) || r.backoffs.Left(now, l.Instance) > 0 {
+			// What waits there doesn't delay requests at the other servers.
+			continue
+		}
 		for _, level := range l.Pending {
 			zone.Waiting += float64(level.Tokens)
 		}
-		if !l.Draining && !r.unresponsive.Excluded(now, policy.KeyOf(l.Name)) && !r.Ejector.Ejected(now, l.Name) && r.backoffs.Left(now, l.Instance) == 0 {
-			zone.Capacity += rate * 1000 / s.serverSpeeds.estimator.Slowdown(now, policy.KeyOf(l.Name))
-		}
+		zone.Capacity += rate * 1000 / s.serverSpeeds.estimator.Slowdown(now, policy.KeyOf(l.Name))
 	}
 	// Gateways in zones without servers.
 	for key := range offers {
--- a/internal/gateway/router/zone_routing_test.go
+++ b/internal/gateway/router/zone_routing_test.go
@@ -145,3 +145,37 @@
 		t.Errorf("share %+v after zone b's gateways were killed", share)
 	}
 }
+
+// Guards against two zones that send to each other at once because each hasn't sent requests of the
+// other's level, whose size it therefore doesn't know.
+func TestZonesWithDifferentLevelsDontOppose(t *testing.T) {
+	for _, own := range []string{"a", "b"} {
+		r, peers, servers := newZoneRouter(0, 0)
+		for key, level := range map[uint16]int{'a': 3, 'b': 4} {
+			offers := policy.ZoneOffers{Live: true, KnownAt: time.Now()}
+			offers.Counts[level].Offered = 38 // 76 a second of the 80 that a zone prefills
+			peers[key] = offers
+		}
+		r.Zone = own
+		if own == "b" {
+			z := &r.serviceFor("s").zones
+			z.prefillTokens[3], z.prefillTokens[4] = 0, 2000
+		}
+		planned(r, servers)
+		for pair, share := range r.serviceFor("s").zones.shares {
+			if share.Fraction > 0 {
+				t.Errorf("in zone %s: share %+v of %v with equal demands", own, share, pair)
+			}
+		}
+	}
+}
+
+// Guards against a backlog at a server that takes no requests: it delays nobody else in its zone.
+func TestBacklogOfUnusableServersDoesNotCount(t *testing.T) {
+	r, _, servers := newZoneRouter(20, 20)
+	servers[0].Draining = true
+	servers[0].Pending[3].Requests, servers[0].Pending[3].Tokens = 50, 150_000
+	if share := planned(r, servers); share.Fraction != 0 {
+		t.Errorf("share %+v though three servers of the zone are idle", share)
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -89,7 +89,7 @@
 type Zones struct {
 	// Price is how many milliseconds of a caller's wait one megabyte of traffic between zones is worth.
 	// If it is nil, the share of requests sent to other zones isn't planned.
-	Price *float64 `yaml:"price" validate:"omitempty,gte=0"`
+	Price *float64 `yaml:"price" validate:"omitempty,gte=0,lte=1e9"`
 }
 
 // RetryBudget limits retries: the retries in each window may not exceed Ratio
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -93,6 +93,8 @@
 		return "must be one of: " + strings.Join(strings.Fields(failure.Param()), ", ")
 	case "startswith":
 		return "must begin with " + failure.Param()
+	case "lte":
+		return "must be " + failure.Param() + " or less"
 	case "gte":
 		return "must be " + failure.Param() + " or more"
 	case "gt":
--- a/policy/reservation.go
+++ b/policy/reservation.go
@@ -16,7 +16,7 @@
 	}
 	for i := range servers {
 		if reserved(&servers[i]) {
-			return c.chooseFrom(now, job, servers, rate, reserved)
+			return c.chooseByPlan(now, job, servers, rate, reserved)
 		}
 	}
 	return Choice{}
--- a/policy/zone_choice.go
+++ b/policy/zone_choice.go
@@ -16,7 +16,8 @@
 	if job.PlannedZone != "" {
 		inZone := func(s *Server) bool { return s.Zone == job.PlannedZone && usable(s) }
 		cached := c.prefixCachedIn(now, &job, servers, inZone)
-		if cached || c.copiesPrefix(&job, rate) {
+		// A prefix that no server has is prefilled anyway.
+		if cached || !c.index.hasAny(job.SharedSegments) || c.copiesPrefix(&job, rate) {
 			choice, certain := c.chooseInZone(now, job, servers, rate, usable, inZone)
 			// A further copy of a prefix isn't worth its prefill before a copy in another zone was
 			// considered.
--- a/policy/zone_choice_test.go
+++ b/policy/zone_choice_test.go
@@ -126,3 +126,25 @@
 		}
 	}
 }
+
+// Guards against protected requests and prefixes that no server has, which are prefilled wherever they
+// run, that leave their planned zone although its servers are idle and a crossing is dear.
+func TestPlannedZoneIsKeptWhileIdle(t *testing.T) {
+	c, servers := newTestChooser(), idleServers(12)
+	for i := range servers {
+		servers[i].Zone, servers[i].Reserved = string(rune('a'+i%3)), i < 6
+	}
+	for i := range 300 {
+		protected := questionJob()
+		fresh := summaryJob(uint64(1000 + i))
+		for _, job := range []Job{protected, fresh} {
+			job.Zone, job.PlannedZone, job.CrossingCost = "a", "a", time.Second
+			if job.Tokens == fresh.Tokens {
+				job.CrossingCost = 2 * time.Millisecond
+			}
+			if choice := c.Choose(testStart, job, servers, nil); !choice.InTime || servers[choice.Index].Zone != "a" {
+				t.Fatalf("job %d with %d tokens: choice %+v in zone %s", i, job.Tokens, choice, servers[choice.Index].Zone)
+			}
+		}
+	}
+}
--- a/policy/zonerouting/planner.go
+++ b/policy/zonerouting/planner.go
@@ -87,7 +87,7 @@
 // shareOf returns the share for a solved fraction, reduced for the age of what is known of the
 // receiving zone.
 func shareOf(now time.Time, fraction float64, from, to *Zone) Share {
-	share := Share{Fraction: fraction, Reason: ReasonSooner}
+	share := Share{Fraction: min(fraction, 1), Reason: ReasonSooner}
 	if from.Capacity <= 0 {
 		share.Reason = ReasonNoCapacity
 	}
--- a/policy/zonerouting/zonerouting.go
+++ b/policy/zonerouting/zonerouting.go
@@ -11,7 +11,7 @@
 	Name string
 	// Capacity is the number of tokens per second that its usable servers prefill.
 	Capacity float64
-	// Waiting is the number of tokens that wait for prefill at its servers.
+	// Waiting is the number of tokens that wait for prefill at its usable servers.
 	Waiting float64
 	// Demand is the number of tokens per second that its gateways offer, wherever they are served.
 	Demand float64
@@ -34,12 +34,18 @@
 // Price is how many milliseconds of a caller's wait one megabyte between zones is worth.
 type Price float64
 
-// bytesPerMegabyte is the unit of Price.
-const bytesPerMegabyte = 1e6
+const (
+	// bytesPerMegabyte is the unit of Price.
+	bytesPerMegabyte = 1e6
+	// maxCrossingMillis is a cost at which nothing is sent to another zone; it bounds the conversion
+	// to a time.Duration.
+	maxCrossingMillis = 3_600_000.0
+)
 
 // CrossingCost returns how much sooner a request must be served in another zone to be sent there.
 func (p Price) CrossingCost(l Link) time.Duration {
-	return l.RoundTrip + time.Duration(float64(p)*l.RequestBytes/bytesPerMegabyte*float64(time.Millisecond))
+	millis := min(float64(p)*l.RequestBytes/bytesPerMegabyte, maxCrossingMillis)
+	return l.RoundTrip + time.Duration(millis*float64(time.Millisecond))
 }
 
 // Reason is why a share is what it is.
