router, policy: findings of the review of reserved servers mended

Cause: a reviewer's throwaway tests showed that a class whose mean prompt exceeds its bound on waiting tokens, or a cold prefix of that length, was refused at idle servers (0 of 200 admitted); that with 0.6 of the capacity reserved the largest tenth was served .45 to .49 times as often as the class (rule: half); 63 changes of the reservation in 15 s where routes of a level have different targets; stream times that only fell (.06 s for 1 s); pauses of slow callers counted; ejected servers reserved; requests without a prompt in the mean prompt; the Observer called under the lock; absurd samples sent or counted one by one.

--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -76,7 +76,7 @@
 	// ServersAge is the time in milliseconds since the store had no change of the list of backend
 	// servers after ServersPosition; 0 if the sender doesn't poll the store.
 	ServersAge uint64 `cbor:"17,keyasint,omitempty"`
-	// EventIntervals holds the mean time between events of the streams that ended at the sender since
+	// EventIntervals holds the mean time between events of streams at the sender since
 	// its last datagram, by server; at most policy.MaxEventIntervals.
 	EventIntervals []eventInterval `cbor:"18,keyasint,omitempty"`
 	// DemandZone announces, in some datagrams, that the sender plans the zones' shares, and the zoneKey
--- a/internal/gateway/peers/pause_counts.go
+++ b/internal/gateway/peers/pause_counts.go
@@ -8,7 +8,7 @@
 
 // maxCountedStreams bounds each number of streams that is accepted from another gateway. A gateway
 // completes fewer between two datagrams.
-const maxCountedStreams = 10_000
+const maxCountedStreams = 1000
 
 // pauseCounts is the encoded form of policy.PauseCounts.
 type pauseCounts struct {
--- a/internal/gateway/router/policy_state.go
+++ b/internal/gateway/router/policy_state.go
@@ -5,6 +5,7 @@
 
 	"github.com/applepier/applepier/internal/gateway/backend"
 	"github.com/applepier/applepier/policy"
+	"github.com/applepier/applepier/policy/isolation"
 )
 
 // serverLoads returns the servers with the load of all gateways, as input for the policy. maxConns
@@ -57,7 +58,9 @@
 	defer r.mu.Unlock()
 	s, now := r.serviceFor(c.service), time.Now()
 	s.sendRate.CountSent(now, c.urgency, choice.PrefillTokens)
-	s.reservation.classes[c.urgency].observePrefill(choice.PrefillTokens)
+	if c.params.PromptTokens > 0 {
+		s.reservation.classes[c.urgency].observePrefill(choice.PrefillTokens)
+	}
 	s.zones.observeSent(c.urgency, choice.PrefillTokens, len(c.body))
 	r.PrefixIndex.RecordSent(now, policy.KeyOf(c.serverID), c.sharedSegments)
 	return s.prefillRates[c.urgency].PlanChoice(now, choice)
@@ -68,6 +71,16 @@
 // means none.
 func (r *Router) runChooser(service string, job policy.Job, pauseTarget time.Duration, loads []policy.Server, firstChoice bool) policy.Choice {
 	r.assignZone(service, &job, loads)
+	choice, plan, report := r.lockAndChoose(service, job, pauseTarget, loads, firstChoice)
+	if report {
+		r.Observer.ServersReserved(service, plan)
+	}
+	return choice
+}
+
+// lockAndChoose does the part of runChooser that needs r.mu. It also returns the plan of reserved servers and
+// whether it is to be reported.
+func (r *Router) lockAndChoose(service string, job policy.Job, pauseTarget time.Duration, loads []policy.Server, firstChoice bool) (choice policy.Choice, plan isolation.Plan, report bool) {
 	offerCounts := r.Peers.OfferCounts(service)
 	now, otherGateways := time.Now(), float64(r.Peers.LiveGateways()-1)
 	r.mu.Lock()
@@ -89,10 +102,10 @@
 		loads[i].BackoffLeft = r.backoffs.Left(now, loads[i].Instance)
 	}
 	s.serverSpeeds.setSlowdowns(now, loads)
-	r.reserveServers(now, service, &job, pauseTarget, loads, &offerCounts, &othersOffers)
+	plan, report = r.reserveServers(now, service, &job, pauseTarget, loads, &offerCounts, &othersOffers)
 	job.Headroom = s.headroom.Share(now, &offerCounts, policy.SlotUtilization(loads), job.Urgency)
 	r.limits.MarkOverLimit(now, r.Random, &job, loads)
-	choice := r.Chooser.Choose(now, job, loads, &s.prefillRates[job.Urgency])
+	choice = r.Chooser.Choose(now, job, loads, &s.prefillRates[job.Urgency])
 	if firstChoice {
 		// A bound job without a slot says little about the service: its version may have few servers.
 		s.offerCounter.Observe(now, job.Urgency, !job.Bound && (choice.SlotLimited || choice.RateLimited))
@@ -100,7 +113,7 @@
 	if choice.Found && (choice.InTime || !firstChoice || job.Tokens == 0 && choice.HasCapacity) {
 		r.countLimitedSend(now, &loads[choice.Index])
 	}
-	return choice
+	return choice, plan, report
 }
 
 // OfferCounts returns this gateway's recent counts of offers by service.
@@ -116,8 +129,8 @@
 }
 
 // observeFirstToken records the time to first token. The server had to prefill tokensAhead tokens
-// before that token, the request's own included and multiplied by the slowdown. From now on it counts as having the shared segments
-// of the prompt cached.
+// before that token, the request's own included and multiplied by the slowdown. From now on it counts as
+// having the shared segments of the prompt cached.
 func (r *Router) observeFirstToken(c *call, tokensAhead float64, elapsed time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/router/reservation.go
+++ b/internal/gateway/router/reservation.go
@@ -19,6 +19,9 @@
 	minRateSamples = 16.0
 	// reservationLogInterval is the least time between two log lines on a service's reservation.
 	reservationLogInterval = time.Second
+	// pauseTargetPeriod is how long the tightest pause target of a class counts after its last request:
+	// routes of one urgency level may have different targets.
+	pauseTargetPeriod = 10 * time.Second
 	// loggedReservationChange is the least change of the number of reserved servers that is logged, as
 	// a fraction of the number logged last.
 	loggedReservationChange = 0.1
@@ -39,13 +42,15 @@
 
 // classMeans holds what a gateway has observed of the requests of one urgency level.
 type classMeans struct {
-	// pauseTarget is that of the last request; 0 for none.
-	pauseTarget time.Duration
+	// pauseTarget is the tightest one of the recent requests, 0 for none, and pauseTargetAt the time of
+	// the last request with it.
+	pauseTarget   time.Duration
+	pauseTargetAt time.Time
 	// prefillTokens is the mean number of tokens to prefill, over samples requests.
 	prefillTokens, samples float64
-	// streamTime is the mean time from a stream's first event to its last, over streamSamples streams.
-	streamTime    time.Duration
-	streamSamples float64
+	// reservedStreams and otherStreams are the mean times from the first event to the last of streams on
+	// servers that were reserved, and on others, where streams may have been stalled.
+	reservedStreams, otherStreams meanTime
 }
 
 // observePrefill records the number of tokens to prefill of a request that is sent.
@@ -54,30 +59,58 @@
 	m.prefillTokens += (float64(tokens) - m.prefillTokens) / m.samples
 }
 
-// observeStreamTime records the time of a complete stream. One on a server that isn't reserved counts
-// as at most the mean: it may have been stalled.
+// observePauseTarget records the pause target of a request.
+func (m *classMeans) observePauseTarget(now time.Time, target time.Duration) {
+	tightest := target > 0 && (m.pauseTarget == 0 || target <= m.pauseTarget)
+	if tightest || now.Sub(m.pauseTargetAt) >= pauseTargetPeriod {
+		m.pauseTarget, m.pauseTargetAt = target, now
+	}
+}
+
+// observeStreamTime records the time of a complete stream.
 func (m *classMeans) observeStreamTime(d time.Duration, reserved bool) {
-	if !reserved && m.streamSamples > 0 {
-		d = min(d, m.streamTime)
+	if reserved {
+		m.reservedStreams.add(d)
+	} else {
+		m.otherStreams.add(d)
+	}
+}
+
+// streamTime returns the mean time of streams on reserved servers, or of all if there were too few.
+func (m *classMeans) streamTime() time.Duration {
+	if m.reservedStreams.samples >= minClassSamples {
+		return m.reservedStreams.mean
 	}
-	m.streamSamples = min(m.streamSamples+1, maxClassSamples)
-	m.streamTime += time.Duration(float64(d-m.streamTime) / m.streamSamples)
+	return m.otherStreams.mean
+}
+
+// meanTime is a mean over the newest samples.
+type meanTime struct {
+	mean    time.Duration
+	samples float64
+}
+
+func (m *meanTime) add(d time.Duration) {
+	m.samples = min(m.samples+1, maxClassSamples)
+	m.mean += time.Duration(float64(d-m.mean) / m.samples)
 }
 
 // reserveServers marks the reserved servers in loads, and the job if reservations apply to it. offers
-// holds the offers of all gateways, and othersOffers those of the others. r.mu must be held.
-func (r *Router) reserveServers(now time.Time, service string, job *policy.Job, pauseTarget time.Duration, loads []policy.Server, offers, othersOffers *policy.OfferCounts) {
+// holds the offers of all gateways, and othersOffers those of the others. It returns the plan and whether
+// it is to be reported. r.mu must be held.
+func (r *Router) reserveServers(now time.Time, service string, job *policy.Job, pauseTarget time.Duration, loads []policy.Server, offers, othersOffers *policy.OfferCounts) (plan isolation.Plan, report bool) {
 	if job.Tokens == 0 {
-		return
+		return isolation.Plan{}, false
 	}
 	s := r.serviceFor(service)
 	reserved := &s.reservation
-	reserved.classes[job.Urgency].pauseTarget = pauseTarget
-	reserved.setLoad(loads, offers, s.prefillRates[:])
+	reserved.classes[job.Urgency].observePauseTarget(now, pauseTarget)
+	ejected := func(name string) bool { return r.Ejector.Ejected(now, name) }
+	reserved.setLoad(loads, offers, s.prefillRates[:], ejected)
 	reserved.plan = reserved.planner.Plan(now, &reserved.load)
-	plan := &reserved.plan
+	plan = reserved.plan
 	for i := range loads {
-		loads[i].Reserved = plan.Reserved[i]
+		loads[i].Reserved, loads[i].PrefillBudget = plan.Reserved[i], 0
 		if !math.IsInf(plan.Budget[i], 1) {
 			loads[i].PrefillBudget = plan.Budget[i]
 		}
@@ -85,18 +118,18 @@
 	job.MaxWaitingTokens = plan.MaxWaitingTokens[job.Urgency]
 	job.Protected, job.BoundByReservation = plan.Protected[job.Urgency], plan.Bound[job.Urgency]
 	if job.Protected {
-		job.UnreportedProtected = job.UnreportedRequests * protectedShare(plan, othersOffers)
+		job.UnreportedProtected = job.UnreportedRequests * protectedShare(&plan, othersOffers)
 	}
-	r.logReservation(now, service, reserved)
+	return plan, reserved.toReport(now)
 }
 
 // setLoad sets the input of the planner.
-func (v *reservation) setLoad(loads []policy.Server, offers *policy.OfferCounts, rates []policy.PrefillRate) {
+func (v *reservation) setLoad(loads []policy.Server, offers *policy.OfferCounts, rates []policy.PrefillRate, ejected func(name string) bool) {
 	v.load.PrefillRate = 0
 	longest, offered := 0.0, offers.Rates()
 	for u := range v.classes {
 		m := &v.classes[u]
-		class := isolation.Class{PauseTarget: m.pauseTarget, Rate: offered[u], StreamTime: m.streamTime}
+		class := isolation.Class{PauseTarget: m.pauseTarget, Rate: offered[u], StreamTime: m.streamTime()}
 		if m.samples >= minClassSamples {
 			class.PrefillTokens = m.prefillTokens
 		}
@@ -112,7 +145,7 @@
 		s := &loads[i]
 		v.load.Servers = append(v.load.Servers, isolation.Server{
 			Key: policy.KeyOf(s.Name), Slots: s.Slots, Slowdown: s.Slowdown,
-			Usable: !s.Draining && s.BackoffLeft == 0 && !s.Unresponsive,
+			Usable: !s.Draining && s.BackoffLeft == 0 && !s.Unresponsive && !ejected(s.Name),
 		})
 	}
 }
@@ -132,22 +165,22 @@
 	return protected / total
 }
 
-// logReservation notifies the Observer of a considerable change of the number of reserved servers.
-func (r *Router) logReservation(now time.Time, service string, v *reservation) {
+// toReport reports whether the number of reserved servers has changed considerably since it last did.
+func (v *reservation) toReport(now time.Time) bool {
 	count := v.plan.Count
 	change := math.Abs(float64(count - v.loggedCount))
 	begunOrEnded := (count == 0) != (v.loggedCount == 0)
 	if !begunOrEnded && change <= loggedReservationChange*float64(v.loggedCount) || now.Sub(v.loggedAt) < reservationLogInterval {
-		return
+		return false
 	}
 	v.loggedCount, v.loggedAt = count, now
-	r.Observer.ServersReserved(service, v.plan)
+	return true
 }
 
-// observePauseTarget records that a stream has exceeded its target for pauses. Pauses of streams that
+// observePauseTarget records that a stream has exceeded its target, if the given pause does. Pauses of streams that
 // were sent to several servers are ignored: they reflect the failure of a server. Further calls do nothing.
-func (r *Router) observePauseTarget(c *call) {
-	if c.stream.pauseCounted || c.route.PauseTarget == 0 || c.sends > 1 || c.stream.longestPause <= c.route.PauseTarget {
+func (r *Router) observePauseTarget(c *call, pause time.Duration) {
+	if c.stream.pauseCounted || c.route.PauseTarget == 0 || c.sends > 1 || pause <= c.route.PauseTarget {
 		return
 	}
 	c.stream.pauseCounted = true
@@ -180,12 +213,7 @@
 
 // observePauses records pause counts.
 func (v *reservation) observePauses(now time.Time, counts policy.PauseCounts) {
-	for range counts.Late {
-		v.planner.ObserveStream(now, counts.Urgency, true)
-	}
-	for range counts.OnTime {
-		v.planner.ObserveStream(now, counts.Urgency, false)
-	}
+	v.planner.ObserveStreams(now, counts.Urgency, counts.Late, counts.OnTime)
 }
 
 // ReservedServerCount returns the number of backend servers, over all services, that were reserved
--- a/internal/gateway/router/reservation_test.go
+++ b/internal/gateway/router/reservation_test.go
@@ -51,6 +51,7 @@
 	}
 	choice := s.router.runChooser("s", policy.Job{Urgency: urgency, Target: 400 * time.Millisecond, Tokens: tokens}, target, loads, true)
 	c := &call{router: s.router, service: "s", serverID: loads[choice.Index].Name, urgency: urgency}
+	c.params.PromptTokens = tokens
 	s.router.planPrefill(c, choice)
 	return loads
 }
@@ -113,8 +114,9 @@
 			c.stream.recordSend(time.Now())
 			for _, pause := range pauses {
 				time.Sleep(pause)
+				pause := c.stream.pauseUntil(time.Now())
 				c.stream.recordSend(time.Now())
-				s.router.observePauseTarget(c)
+				s.router.observePauseTarget(c, pause)
 			}
 			s.router.observeStreamEnd(c)
 		}
@@ -131,3 +133,98 @@
 		}
 	})
 }
+
+// Guards against servers that are reserved because callers read slowly.
+func TestPausesOfSlowCallersDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var stream streamState
+		stream.recordSend(time.Now())
+		stream.writeBlocked = true
+		time.Sleep(time.Second)
+		if pause := stream.pauseUntil(time.Now()); pause != 0 {
+			t.Errorf("pause of %v after a write that the caller delayed", pause)
+		}
+		stream.writeBlocked = false
+		if pause := stream.pauseUntil(time.Now()); pause != time.Second {
+			t.Errorf("pause of %v, want 1s", pause)
+		}
+	})
+}
+
+// Guards against reservations that begin and end in turn where routes of one level have different
+// targets, and against requests without a prompt that lower the mean prompt of their level.
+func TestMixedRequestsOfALevel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newReservationTest(t)
+		s.router.MergeUpdates(policy.PeerUpdate{PauseCounts: []policy.PauseCounts{{Service: policy.KeyOf("s"), Urgency: questionUrgency, Late: 100}}})
+		s.run(time.Second)
+		s.router.MergeUpdates(policy.PeerUpdate{PauseCounts: []policy.PauseCounts{{Service: policy.KeyOf("s"), Urgency: questionUrgency, Late: 100}}})
+		s.run(time.Second)
+		reports := len(s.observer.plans)
+		for range 100 {
+			s.send(questionUrgency, 700, 0)
+			s.send(questionUrgency, 700, 2*time.Second)
+			s.send(questionUrgency, 700, 300*time.Millisecond)
+			s.send(digestUrgency, 3000, 500*time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, plan := range s.observer.plans[reports:] {
+			if plan.Count == 0 {
+				t.Errorf("the reservation ended: %+v", s.observer.plans[reports:])
+			}
+		}
+		before := s.router.serviceFor("s").reservation.classes[questionUrgency].prefillTokens
+		c := &call{router: s.router, service: "s", serverID: "server-1", urgency: questionUrgency}
+		for range 50 {
+			s.router.planPrefill(c, policy.Choice{Slowdown: 1})
+		}
+		if after := s.router.serviceFor("s").reservation.classes[questionUrgency].prefillTokens; after != before {
+			t.Errorf("mean prompt %.0f tokens after requests without a prompt, %.0f before", after, before)
+		}
+	})
+}
+
+// Guards against stream times that only shrink: streams on other servers may be stalled, but before
+// the first reservation there are no others.
+func TestStreamTimeIsThatOfReservedServers(t *testing.T) {
+	var m classMeans
+	for i := range 1000 {
+		m.observeStreamTime(time.Duration(500+i%1001)*time.Millisecond, false)
+	}
+	if got := m.streamTime(); got < 800*time.Millisecond || got > 1600*time.Millisecond {
+		t.Errorf("%v, the streams take half a second to one and a half", got)
+	}
+	for range 10 {
+		m.observeStreamTime(400*time.Millisecond, true)
+		m.observeStreamTime(3*time.Second, false)
+	}
+	if got := m.streamTime(); got != 400*time.Millisecond {
+		t.Errorf("%v, streams on reserved servers take 400ms", got)
+	}
+}
+
+// Guards against reserved servers that get no requests because they are ejected.
+func TestEjectedServersAreNotReserved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newReservationTest(t)
+		s.router.MergeUpdates(policy.PeerUpdate{PauseCounts: []policy.PauseCounts{{Service: policy.KeyOf("s"), Urgency: questionUrgency, Late: 100}}})
+		loads := s.run(2 * time.Second)
+		ejected := ""
+		for i := range loads {
+			if loads[i].Reserved {
+				ejected = loads[i].Name
+			}
+		}
+		for range 50 {
+			s.router.observeOutcome(ejected, policy.OutcomeFailed)
+		}
+		if !s.router.Ejector.Ejected(time.Now(), ejected) {
+			t.Fatalf("%q isn't ejected", ejected)
+		}
+		for _, load := range s.run(200 * time.Millisecond) {
+			if load.Reserved && load.Name == ejected {
+				t.Errorf("%s is ejected and reserved", ejected)
+			}
+		}
+	})
+}
--- a/internal/gateway/router/server_speeds.go
+++ b/internal/gateway/router/server_speeds.go
@@ -67,7 +67,7 @@
 // generated before.
 func (r *Router) observeEventInterval(c *call) {
 	interval := c.stream.intervals.takeSample()
-	if interval <= 0 || c.sends > 1 || c.params.LastEventID != "" {
+	if interval <= 0 || interval > serverspeed.MaxInterval || c.sends > 1 || c.params.LastEventID != "" {
 		return
 	}
 	r.mu.Lock()
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -17,6 +17,10 @@
 // observation of the server. With fewer, the longest is mostly chance.
 const minPauses = 16
 
+// maxWriteTime is how long a write to a caller takes at most if the caller reads. A longer one delays the
+// next read from the server, whose pause is then the caller's.
+const maxWriteTime = 10 * time.Millisecond
+
 // maxCommentBytes bounds the comments and empty lines between two events, in bytes. A server that sends a
 // comment a second, to keep a connection open, takes an hour for as many. Each empty line is processed as
 // an event, so that more would take a small VM's processor.
@@ -79,8 +83,9 @@
 	c.writeStreamHeader(response)
 	c.stream.recordServer(c.sends, c.serverVersion)
 	now := time.Now()
+	pause := c.stream.pauseUntil(now)
 	c.stream.recordSend(now)
-	c.router.observePauseTarget(c)
+	c.router.observePauseTarget(c, pause)
 	if !isComment(out) {
 		c.stream.recordOutput(now)
 		if c.stream.intervals.complete() {
@@ -90,7 +95,9 @@
 	if _, err := c.w.Write(out); err != nil {
 		return false
 	}
-	return http.NewResponseController(c.w).Flush() == nil && ok
+	flushed := http.NewResponseController(c.w).Flush() == nil
+	c.stream.writeBlocked = time.Since(now) > maxWriteTime
+	return flushed && ok
 }
 
 // writeStreamHeader sends the status and headers of the response, unless they were sent before.
--- a/internal/gateway/router/stream_state.go
+++ b/internal/gateway/router/stream_state.go
@@ -22,6 +22,8 @@
 	longestPause time.Duration
 	// pauseCount is the number of pauses measured.
 	pauseCount int
+	// writeBlocked is set if the last write to the caller took longer than maxWriteTime.
+	writeBlocked bool
 	// pauseCounted is set once the stream was counted as late because of a pause.
 	pauseCounted bool
 	// outputAt is when events other than comments were last forwarded, and intervals holds the times
@@ -79,6 +81,15 @@
 	}
 }
 
+// pauseUntil returns the time since events were last forwarded; 0 before the first ones, and if the
+// caller delayed them.
+func (s *streamState) pauseUntil(now time.Time) time.Duration {
+	if s.lastSentAt.IsZero() || s.writeBlocked {
+		return 0
+	}
+	return now.Sub(s.lastSentAt)
+}
+
 // recordSend records that events were forwarded at the given time.
 func (s *streamState) recordSend(now time.Time) {
 	if s.firstSentAt.IsZero() {
@@ -93,7 +104,7 @@
 
 // recordOutput records that events other than comments were forwarded at the given time.
 func (s *streamState) recordOutput(now time.Time) {
-	if !s.outputAt.IsZero() {
+	if !s.outputAt.IsZero() && !s.writeBlocked {
 		s.intervals.add(now.Sub(s.outputAt))
 	}
 	s.outputAt = now
--- a/policy/chooser.go
+++ b/policy/chooser.go
@@ -39,8 +39,8 @@
 // selects the one with the lowest cost. Costs are in prompt tokens: the tokens to
 // prefill that the server doesn't have cached according to the PrefixIndex, and the
 // work that waits there. Both are multiplied by the server's slowdown, so that tokens are
-// those of the average server and the service's PrefillRate applies. A segment that another server has cached is fetched from there
-// if that is faster than prefill. A segment that no server has is prefilled at its home
+// those of the average server and the service's PrefillRate applies. A segment that another
+// server has cached is fetched from there if that is faster than prefill. A segment that no server has is prefilled at its home
 // server, the one with the highest rendezvous hash of prefix and server name, unless
 // that is much busier than others, so that gateways agree before they have received
 // each other's updates. If no server is in time, the one with the earliest expected
--- a/policy/isolation/evidence.go
+++ b/policy/isolation/evidence.go
@@ -25,13 +25,11 @@
 	sufficientAt time.Time
 }
 
-// observe counts a stream.
-func (e *evidence) observe(now time.Time, late bool) {
+// observe counts streams.
+func (e *evidence) observe(now time.Time, late, onTime int) {
 	e.decay(now)
-	e.streams++
-	if late {
-		e.late++
-	}
+	e.streams += float64(late + onTime)
+	e.late += float64(late)
 	e.assess(now)
 }
 
--- a/policy/isolation/selection.go
+++ b/policy/isolation/selection.go
@@ -11,7 +11,9 @@
 	usablePrefillShare = 0.4
 	// maxReservedShare bounds the reserved servers' share of the service, weighted by speed, so
 	// that the other classes keep a minimum.
-	maxReservedShare = 0.6
+	// With 0.6 the largest tenth of the other prompts, which fit no budget, is served less than half
+	// as often as all of them at four times the capacity.
+	maxReservedShare = 0.5
 	// weightTolerance allows for rounding in sums of weights.
 	weightTolerance = 1e-9
 )
--- a/policy/job.go
+++ b/policy/job.go
@@ -74,7 +74,7 @@
 	// PrefillBudget, in tokens of the average server and with a prompt of the class's mean length
 	// included; 0 means no bound. More would stall the streams of the job's own class.
 	MaxWaitingTokens float64
-	// UnreportedProtected is the part of UnreportedRequests that are protected; 0 if unknown.
+	// UnreportedProtected is the part of UnreportedRequests that are protected.
 	UnreportedProtected float64
 }
 
--- a/policy/reservation.go
+++ b/policy/reservation.go
@@ -6,14 +6,16 @@
 // more than any other cost, so that the server is chosen only if there is no other.
 const overBudgetCost = 1e9
 
+// negligibleWaitShare is the share of a job's MaxWaitingTokens up to which what waits at a server is
+// negligible.
+const negligibleWaitShare = 0.1
+
 // chooseReserved returns the best of the usable servers that are reserved.
 func (c *Chooser) chooseReserved(now time.Time, job Job, servers []Server, rate *PrefillRate, usable func(*Server) bool) Choice {
 	reserved := func(s *Server) bool { return s.Reserved && usable(s) }
 	// Most other requests are sent to servers that aren't reserved. If all unreported ones counted
 	// as sent to the few reserved servers, these would seem full with a quarter of their slots free.
-	if job.UnreportedProtected > 0 {
-		job.UnreportedRequests = min(job.UnreportedRequests, job.UnreportedProtected)
-	}
+	job.UnreportedRequests = min(job.UnreportedRequests, job.UnreportedProtected)
 	for i := range servers {
 		if reserved(&servers[i]) {
 			return c.chooseByPlan(now, job, servers, rate, reserved)
@@ -36,6 +38,12 @@
 	if s.PrefillBudget > 0 && float64(waiting+prefillTokens) > s.PrefillBudget {
 		return true
 	}
+	// A server where almost nothing waits takes any prompt: otherwise a class whose mean prompt exceeds the
+	// bound, or a long prefix that no server has cached, would never be served.
+	waitingTokens := s.slowdown() * float64(waiting)
+	if j.MaxWaitingTokens == 0 || waitingTokens <= negligibleWaitShare*j.MaxWaitingTokens {
+		return false
+	}
 	// Judged by its own length, a prompt that takes the whole bound would find no server; see ClassSizes.
-	return j.MaxWaitingTokens > 0 && s.slowdown()*(float64(waiting)+j.scaleToMeanLength(float64(prefillTokens))) > j.MaxWaitingTokens
+	return waitingTokens+s.slowdown()*j.scaleToMeanLength(float64(prefillTokens)) > j.MaxWaitingTokens
 }
--- a/policy/serverspeed/estimator.go
+++ b/policy/serverspeed/estimator.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// maxInterval is the longest interval that is accepted as a sample. A longer one reflects
+	// MaxInterval is the longest interval that is accepted as a sample. A longer one reflects
 	// a fault and not the server's speed.
-	maxInterval = 10 * time.Second
+	MaxInterval = 10 * time.Second
 	// distinguishAbove is the difference from the servers of ordinary speed above which a
 	// server is distinguished, and ordinaryBelow the one below which it no longer is. Samples
 	// of equal servers vary by about a tenth.
@@ -49,7 +49,7 @@
 // Observe records the interval between events of streams at a server. It ignores intervals that
 // aren't positive or exceed 10 s.
 func (e *Estimator) Observe(now time.Time, server policy.Key, interval time.Duration) {
-	if interval <= 0 || interval > maxInterval {
+	if interval <= 0 || interval > MaxInterval {
 		return
 	}
 	e.update(now)
--- a/policy/serverspeed/estimator_test.go
+++ b/policy/serverspeed/estimator_test.go
@@ -265,7 +265,7 @@
 	var e Estimator
 	for i := range 100 {
 		now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
-		for _, interval := range []time.Duration{0, -time.Second, maxInterval + 1, math.MaxInt64, math.MinInt64} {
+		for _, interval := range []time.Duration{0, -time.Second, MaxInterval + 1, math.MaxInt64, math.MinInt64} {
 			e.Observe(now, 1, interval)
 		}
 	}
