--- a/policy/isolation_simulation_test.go
+++ b/policy/isolation_simulation_test.go
@@ -69,3 +69,20 @@
 		t.Errorf("%.3f of the short prompts on time without reservations: the test shows nothing", share)
 	}
 }
+
+// minLongestShare is the rule of docs/LOAD-DECISIONS.md: the longest tenth of a class's prompts is served
+// at least half as often as the class.
+const minLongestShare = 0.5
+
+// Guards against the longest prompts being refused in an overload, since they fit no budget of a
+// reserved server. The load is that of long prompts at two and four times the prefill capacity.
+func TestLongestPromptsAreServedBesideReservations(t *testing.T) {
+	for _, load := range []float64{2, 4} {
+		result := policy.SimulateReservations(1, 58, 29, load, newSimPlanner)
+		served := float64(result.Started["long"]) / float64(result.Arrived["long"])
+		t.Logf("load %v: %.3f of the long prompts served, %.3f of the longest tenth", load, served, result.LongestStarted)
+		if result.LongestStarted < minLongestShare*served {
+			t.Errorf("load %v: %.3f of the longest tenth served, %.3f of all long prompts", load, result.LongestStarted, served)
+		}
+	}
+}
--- a/policy/reservation.go
+++ b/policy/reservation.go
@@ -35,7 +35,10 @@
 	for _, level := range s.Pending {
 		waiting += level.Tokens
 	}
-	if s.PrefillBudget > 0 && float64(waiting+prefillTokens) > s.PrefillBudget {
+	meanTokens := j.scaleToMeanLength(float64(prefillTokens))
+	// Shorter prompts are judged as if they had the mean length: otherwise they would take all budgets, and
+	// the longest ones of the class would be served less than half as often.
+	if s.PrefillBudget > 0 && float64(waiting)+max(float64(prefillTokens), meanTokens) > s.PrefillBudget {
 		return true
 	}
 	// A server where almost nothing waits takes any prompt: otherwise a class whose mean prompt exceeds the
@@ -45,5 +48,5 @@
 		return false
 	}
 	// Judged by its own length, a prompt that takes the whole bound would find no server; see ClassSizes.
-	return waitingTokens+s.slowdown()*j.scaleToMeanLength(float64(prefillTokens)) > j.MaxWaitingTokens
+	return waitingTokens+s.slowdown()*meanTokens > j.MaxWaitingTokens
 }
--- a/policy/reservation_simulation_test.go
+++ b/policy/reservation_simulation_test.go
@@ -39,6 +39,8 @@
 type SimResult struct {
 	Arrived, OnTime, Started map[string]int
 	Reserved                 float64
+	// LongestStarted is the share of the longest tenth of the long prompts that got a first token.
+	LongestStarted float64
 }
 
 // Share returns the share of a class's requests that were on time.
@@ -117,7 +119,15 @@
 		return Job{Zone: "z", Urgency: simLongUrgency, Target: simLongTarget, Tokens: logNormalLength(p.random, simLongMeanTokens, 1)}
 	}, 0)
 	p.run(until + 10*time.Second)
-	return &SimResult{p.arrived, p.reservations.onTime, p.started, float64(p.reservations.reserved) / float64(max(p.reservations.plans, 1))}
+	var long []servedRequest
+	for _, r := range p.requests {
+		if r.class == "long" {
+			long = append(long, servedRequest{r.job.Tokens, r.started})
+		}
+	}
+	longest, _ := servedShareBySize(long)
+	reserved := float64(p.reservations.reserved) / float64(max(p.reservations.plans, 1))
+	return &SimResult{p.arrived, p.reservations.onTime, p.started, reserved, longest}
 }
 
 // apply marks the servers and the job by the plan of the request's gateway.
