isolation: one method records streams; two comments in plain terms

Cause: ObserveStream had callers in tests only since the router counts streams at once; two comments of zone routing announced a measurement that doesn't exist. Change: ObserveStreams alone; the constants say what they stand for. No check changed. Measured: go test of isolation, serverspeed and the reservation tests of policy pass.

--- a/internal/gateway/router/zone_routing.go
+++ b/internal/gateway/router/zone_routing.go
@@ -14,11 +14,11 @@
 	// zonePlanInterval is the time between two plans of a service's shares: a few intervals between
 	// datagrams. A plan for 12 zones takes up to a quarter of a millisecond.
 	zonePlanInterval = 300 * time.Millisecond
-	// zoneRoundTrip is the round trip between two zones, until it is measured: the datagrams' echoed
-	// stamps include the time until the other gateway's next datagram, some 50 ms. It is one to three
-	// milliseconds.
+	// zoneRoundTrip stands for the round trip between any two zones, which takes one to three
+	// milliseconds. The datagrams' echoed stamps don't show it: they include the time until the other
+	// gateway's next datagram, some 50 ms.
 	zoneRoundTrip = 2 * time.Millisecond
-	// zoneResponseBytes is the mean length of a response, until it is measured: 50 events of 100 bytes.
+	// zoneResponseBytes stands for the length of a response: 50 events of 100 bytes.
 	zoneResponseBytes = 5_000
 	// minZoneShareChange and zoneShareLogInterval bound how often changes of a pair's share are
 	// reported.
--- a/policy/isolation/helpers_test.go
+++ b/policy/isolation/helpers_test.go
@@ -31,11 +31,9 @@
 	return load
 }
 
-// observe records streams, of which the last ones are late.
+// observe records streams, some of which are late.
 func observe(p *Planner, now time.Time, urgency, streams, late int) {
-	for i := range streams {
-		p.ObserveStream(now, urgency, i >= streams-late)
-	}
+	p.ObserveStreams(now, urgency, late, streams-late)
 }
 
 // activePlanner returns a Planner with evidence that streams of shortLevel are late.
--- a/policy/isolation/planner.go
+++ b/policy/isolation/planner.go
@@ -45,17 +45,8 @@
 	usable bool
 }
 
-// ObserveStream records a stream of an urgency level. A stream is late if it had a pause over the
+// ObserveStreams records streams of an urgency level. A stream is late if it had a pause over the
 // target. Each stream is to be recorded once: a late one as soon as it is late.
-func (p *Planner) ObserveStream(now time.Time, urgency int, late bool) {
-	if late {
-		p.ObserveStreams(now, urgency, 1, 0)
-	} else {
-		p.ObserveStreams(now, urgency, 0, 1)
-	}
-}
-
-// ObserveStreams records several streams of an urgency level, as ObserveStream does each.
 func (p *Planner) ObserveStreams(now time.Time, urgency, late, onTime int) {
 	if urgency >= 0 && urgency < policy.UrgencyLevels && late >= 0 && onTime >= 0 {
 		p.levels[urgency].evidence.observe(now, late, onTime)
--- a/policy/reservation_simulation_test.go
+++ b/policy/reservation_simulation_test.go
@@ -8,7 +8,7 @@
 // SimPlanner is what a simulation uses of an isolation.Planner. Package isolation imports this one,
 // so only the tests of package policy_test can import both.
 type SimPlanner interface {
-	ObserveStream(now time.Time, urgency int, late bool)
+	ObserveStreams(now time.Time, urgency, late, onTime int)
 	Plan(now time.Time, load *SimLoad) SimPlan
 }
 
@@ -210,6 +210,10 @@
 // observe reports a stream to the planners of all gateways.
 func (s *simReservations) observe(p *directSimulation, r *directRequest, late bool) {
 	for _, planner := range s.planners {
-		planner.ObserveStream(p.time(), r.job.Urgency, late)
+		if late {
+			planner.ObserveStreams(p.time(), r.job.Urgency, 1, 0)
+		} else {
+			planner.ObserveStreams(p.time(), r.job.Urgency, 0, 1)
+		}
 	}
 }
--- a/policy/serverspeed/server_stats.go
+++ b/policy/serverspeed/server_stats.go
@@ -83,7 +83,7 @@
 	s.interval = means[(n-1)/2]
 }
 
-// isNew reports whether too few periods are known for a lasting difference to be told from a
+// isNew reports whether too few periods are known to distinguish a lasting difference from a
 // passing one.
 func (s *serverStats) isNew() bool { return s.used < minPeriods+minDifferent }
 
