--- a/policy/isolation/plan.go
+++ b/policy/isolation/plan.go
@@ -25,7 +25,7 @@
 	Held  int
 	// NeededForSlots and NeededForPrefill are the numbers of servers that the running streams
 	// and the prompts of protected levels need. Count is less than the larger one if that
-	// would be over half of the service.
+	// would be over maxReservedShare of the service.
 	NeededForSlots   int
 	NeededForPrefill int
 	// RunningStreams is the expected number of running streams of protected levels, and
