review: an answer that its engine resets looks complete

Case review/1: engines answer long requests before they have read them, without a length; three of five break off one answer in twenty, by a close with unread bytes, which is a reset.

--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,6 +22,9 @@
 	modeLong = "long"
 	// modePlain answers with a length.
 	modePlain = "plain"
+	// modeEarly answers before it has read the body; modeEarlyReset breaks such answers off.
+	modeEarly      = "early"
+	modeEarlyReset = "early-reset"
 )
 
 const (
@@ -77,6 +81,11 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n", requestID, id)
 			continue
 		}
+		if mode == modeEarly || mode == modeEarlyReset {
+			fmt.Printf("runs %s\n", requestID)
+			answerEarly(c, requestID, req.Body, mode == modeEarlyReset && earlyAnswers.Add(1)%resetEvery == 0)
+			return
+		}
 		n, err := io.Copy(io.Discard, req.Body)
 		if err != nil {
 			fmt.Printf("request %s broke off after %d bytes of its body: %v\n", requestID, n, err)
@@ -102,6 +111,9 @@
 	}
 }
 
+// earlyAnswers is the number of answers that were begun before the body was read.
+var earlyAnswers atomic.Int64
+
 func signature(requestID string) string { return "sig." + requestID }
 
 // streamUnframed sends a stream of events, each in one write, after which the connection is to be closed.
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(r *run) (broken bool, err error){
 	"frozen-gateway": frozenGateway,
 	"leaving-engine": leavingEngine,
+	"reset-answers":  resetAnswers,
 }
 
 func main() {
