--- a/review/_standin/late.go
+++ b/review/_standin/late.go
@@ -9,19 +9,22 @@
 	"time"
 )
 
+// lateConsumers is the number of consumers that send long requests at the same time.
+const lateConsumers = 12
+
 // lateReaders: engines answer long requests with streams and read the requests' bodies on later. The
 // streams end with their connections.
 func lateReaders(r *run) (bool, error) {
-	results, err := r.lateStreams(frozenState, modeLateReader, modeLong)
+	results, err := r.lateStreams(frozenState, modeLateReader, modeLong, 3)
 	if err != nil {
 		return false, err
 	}
 	return judgeStreams(r, results), nil
 }
 
-// lateStreams sends eight long requests for streams to one of three gateways. The engines answer in the
+// lateStreams sends waves of long requests for streams to one of three gateways. The engines answer in the
 // mode trouble or, without the disruption, in the mode sound.
-func (r *run) lateStreams(state, trouble, sound string) ([]streamResult, error) {
+func (r *run) lateStreams(state, trouble, sound string, waves int) ([]streamResult, error) {
 	if err := r.putState(state); err != nil {
 		return nil, err
 	}
@@ -47,14 +50,27 @@
 	}
 	// Machines are in touch after contact-ms (4,000) without a disturbance.
 	time.Sleep(4500 * time.Millisecond)
-	conns := make([]*consumerConn, 8)
+	var results []streamResult
+	for wave := range waves {
+		streamed, err := r.streamWave(g.front, wave*lateConsumers)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, streamed...)
+	}
+	return results, nil
+}
+
+// streamWave sends the requests of twelve consumers at the same time, with ids that begin at first.
+func (r *run) streamWave(front string, first int) ([]streamResult, error) {
+	conns := make([]*consumerConn, lateConsumers)
 	for i := range conns {
 		var err error
-		if conns[i], err = dialConsumer(g.front); err != nil {
+		if conns[i], err = dialConsumer(front); err != nil {
 			return nil, err
 		}
 		// An earlier request, so that the connection is a kept one.
-		if status, err := conns[i].getUnknownRoute(fmt.Sprintf("%016x", 0x1000+i)); err != nil || status != http.StatusNotFound {
+		if status, err := conns[i].getUnknownRoute(fmt.Sprintf("%016x", 0x1000+first+i)); err != nil || status != http.StatusNotFound {
 			return nil, fmt.Errorf("first request: status %d, %v", status, err)
 		}
 	}
@@ -64,7 +80,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			results[i] = r.streamWithBody(conns[i], fmt.Sprintf("%016x", uint64(0x9c41d07be2a35f00)+uint64(i)), longBody)
+			results[i] = r.streamWithBody(conns[i], fmt.Sprintf("%016x", uint64(0x9c41d07be2a35f00)+uint64(first+i)), longBody)
 		}()
 	}
 	wg.Wait()
--- a/review/_standin/twice.go
+++ b/review/_standin/twice.go
@@ -43,7 +43,7 @@
 		}
 		times[id][engine] = time.Now()
 	}
-	if _, err := r.lateStreams(twiceState, modeLateWorker, modeWorker); err != nil {
+	if _, err := r.lateStreams(twiceState, modeLateWorker, modeWorker, 1); err != nil {
 		return false, err
 	}
 	time.Sleep(workTime)
