gateway: log responses that end before their request is written

A response with neither a length nor chunks ends with its connection.

The write has a type of its own, requestWriter, which can be stopped: its result is then known when the end of the response is read. A response that ends before its request is written is logged as response_ended_early, with the write's error. No response is judged differently.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -49,6 +48,8 @@
 	incomplete bool
 	// readErr is the error that ended reading the body; nil before.
 	readErr error
+	// writeErr is why the request wasn't written when the response ended with its connection.
+	writeErr error
 }
 
 // exchange is one request and its response on a connection.
@@ -59,10 +60,8 @@
 	// stopCancel stops the closing of the connection when ctx ends. It returns false if the
 	// connection is already being closed.
 	stopCancel func() bool
-	// writeDone receives the result of writing a large request; nil if the request was written
-	// before the response is read.
-	writeDone chan error
-	writer    conc.WaitGroup
+	// writer writes a large request; nil if the request was written before the response is read.
+	writer *requestWriter
 	// keepConn is set while the connection may be reused after this exchange.
 	keepConn bool
 	// ended is set once the connection has been closed or returned to the pool.
@@ -105,11 +104,7 @@
 // a timeout.
 func (e *exchange) write(data []byte) error {
 	if len(data) > maxSyncWrite {
-		e.writeDone = make(chan error, 1)
-		e.writer.Go(func() {
-			_, err := e.conn.netConn.Write(data)
-			e.writeDone <- err
-		})
+		e.writer = startRequestWriter(e.conn.netConn, data)
 		return nil
 	}
 	n, err := e.conn.netConn.Write(data)
@@ -198,6 +193,9 @@
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		if r.EndsWithConnection && r.exchange.writer != nil {
+			r.writeErr = r.exchange.writer.stop()
+		}
 		r.exchange.end(r.exchange.keepConn)
 		r.readErr = io.EOF
 	default:
@@ -208,9 +206,17 @@
 	return n, r.readErr
 }
 
+// Complete reports whether the complete body has been read.
+func (r *Response) Complete() bool { return errors.Is(r.readErr, io.EOF) }
+
 // Incomplete reports whether reading the body ended in ErrIncomplete.
 func (r *Response) Incomplete() bool { return r.incomplete }
 
+// WriteErr returns why the request had not been written completely when a response that ends with its
+// connection ended; nil if it had been, and for other responses. The error wraps os.ErrDeadlineExceeded if
+// the write was still in progress, without an error of the connection.
+func (r *Response) WriteErr() error { return r.writeErr }
+
 // Abort ends the exchange by closing its connection, so that the backend server stops working on the
 // request. After the complete body was read it does nothing.
 func (r *Response) Abort() { r.exchange.end(false) }
@@ -226,8 +232,10 @@
 	stopped := e.stopCancel()
 	if !complete || !stopped || e.conn.reader.Buffered() > 0 || !e.requestWritten() {
 		e.conn.close()
-		// A write still in progress fails when the connection is closed.
-		e.writer.Wait()
+		if e.writer != nil {
+			// A write still in progress fails when the connection is closed.
+			e.writer.wait()
+		}
 		return
 	}
 	if err := e.conn.netConn.SetDeadline(time.Time{}); err != nil {
@@ -239,17 +247,7 @@
 
 // requestWritten reports whether the complete request was written before the response ended. If it
 // wasn't, the backend server would read the next request on the connection as the rest of this one.
-func (e *exchange) requestWritten() bool {
-	if e.writeDone == nil {
-		return true
-	}
-	select {
-	case err := <-e.writeDone:
-		return err == nil
-	default:
-		return false
-	}
-}
+func (e *exchange) requestWritten() bool { return e.writer == nil || e.writer.written() }
 
 // classify wraps an error of the connection in one of this package's errors. Errors that already wrap
 // ErrNotSent, ErrIncomplete or ErrTooLarge are returned unchanged.
--- a/internal/gateway/request_observer.go
+++ b/internal/gateway/request_observer.go
@@ -133,6 +133,11 @@
 	o.log.Warn(logging.EventResponseTooLarge, logging.Peer(server), logging.Reason(reason))
 }
 
+// ResponseEndedEarly implements router.Observer.
+func (o requestObserver) ResponseEndedEarly(end router.EarlyEnd) {
+	o.log.Info(logging.EventResponseEndedEarly, logging.Request(end.RequestID), logging.Peer(end.Server), zap.Bool("complete", end.Complete), zap.NamedError("write_error", end.WriteErr))
+}
+
 // RetryBudgetExhausted implements router.Observer.
 func (o requestObserver) RetryBudgetExhausted(service string, usage policy.RetryUsage, gateways int) {
 	o.log.Info(logging.EventRetryBudgetExhausted, zap.String("service", service), zap.Int("retries", usage.Retries), zap.Int("requests", usage.Requests),
--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -73,6 +73,7 @@
 		c.router.endBackoff(server, tracked.sentAt)
 	}
 	result := c.handleResponse(ctx, response, responseInfo, tracked)
+	c.observeEarlyEnd(response, info.ID)
 	c.answerTime = tracked.answerTime()
 	c.serverEnded = (response.Incomplete() || response.EndsWithConnection && !c.served) && c.serverHasEnded(server)
 	c.recordCrashEvidence(server, tracked)
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -106,6 +106,9 @@
 	ServerBackoff(server string, backoff time.Duration)
 	// ResponseTooLarge is called when a part of a response exceeds its limit, with the reason.
 	ResponseTooLarge(server, reason string)
+	// ResponseEndedEarly is called when a response that ends with its connection ended before its
+	// request was written completely.
+	ResponseEndedEarly(end EarlyEnd)
 	// RetryBudgetExhausted is called when a service's retry budget doesn't allow a retry, at most once
 	// in a window of the budget. gateways is the number of gateways among which the fixed part of the
 	// budget is divided.
--- a/internal/logging/event.go
+++ b/internal/logging/event.go
@@ -78,6 +78,9 @@
 	// EventResponseTooLarge: a part of a backend server's response exceeded its limit, as if it had no
 	// end; the response was dropped.
 	EventResponseTooLarge = "response_too_large"
+	// EventResponseEndedEarly: a response without a length ended with its connection before its request
+	// had been written completely.
+	EventResponseEndedEarly = "response_ended_early"
 	// EventServerDraining: a response of a backend server says that it drains.
 	EventServerDraining = "server_draining"
 	// EventServerBackoff: a backend server rejected a request and wants no more for a time.
