exchange: a reset that the write of a request got doesn't end a response

Cause: the host reports an error of a connection once. A long request is written by a goroutine of its own; if that gets ECONNRESET, the read finds the end of the data. Response.Read took this end for the end of the body.

Change: when a response that ends with its connection ends, the write is stopped and its result decides. No error, a write still in progress, and EPIPE mean that the server closed the connection: a host that has got the close reports a later reset as EPIPE. Any other error ends the body with that error. No time is involved: a write that got an error returns it even if it is stopped. Lengths and chunks end as before, so early rejections are kept, with and without a length.

The error of TCP_USER_TIMEOUT takes the same way and ends such a response too.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -193,19 +193,39 @@
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		if r.EndsWithConnection && r.exchange.writer != nil {
-			r.writeErr = r.exchange.writer.stop()
+		if failure := r.connectionFailure(); failure != nil {
+			r.fail(failure)
+			break
 		}
 		r.exchange.end(r.exchange.keepConn)
 		r.readErr = io.EOF
 	default:
-		r.exchange.end(false)
-		r.readErr = r.exchange.classify(err)
-		r.incomplete = errors.Is(r.readErr, ErrIncomplete)
+		r.fail(err)
 	}
 	return n, r.readErr
 }
 
+// connectionFailure returns the error that ended the connection of a response that ends with it; nil if
+// the backend server closed it. The host reports an error of a connection once: if the write of the request
+// got it, reading finds the end of the data.
+func (r *Response) connectionFailure() error {
+	if !r.EndsWithConnection || r.exchange.writer == nil {
+		return nil
+	}
+	r.writeErr = r.exchange.writer.stop()
+	if endsWithClose(r.writeErr) {
+		return nil
+	}
+	return r.writeErr
+}
+
+// fail ends the exchange after an error of reading the body.
+func (r *Response) fail(err error) {
+	r.exchange.end(false)
+	r.readErr = r.exchange.classify(err)
+	r.incomplete = errors.Is(r.readErr, ErrIncomplete)
+}
+
 // Complete reports whether the complete body has been read.
 func (r *Response) Complete() bool { return errors.Is(r.readErr, io.EOF) }
 
--- a/testbed/gateway/fixture.go
+++ b/testbed/gateway/fixture.go
@@ -219,6 +219,16 @@
 	f.WaitFor("the idle timeout to take effect", func() bool { return f.Post(fmt.Sprintf("/mark-%d/x", version), "mark").Status == http.StatusOK })
 }
 
+// SetBodyLimit writes a version of the desired state with a limit for bodies, in bytes, and waits until it
+// is in effect.
+func (f *Fixture) SetBodyLimit(version, limit int) {
+	f.t.Helper()
+	route := fmt.Sprintf(`,{"name":"mark","host":"h.example","prefix":"/mark-%d/","type":"safe","timeout-ms":2000,"service":"plain","attempts":2}`, version)
+	state := fmt.Sprintf(stateTemplate, version, route, idleTimeout.Milliseconds(), "")
+	f.Store.Put("op", "config", []byte(strings.Replace(state, `"max-body-bytes":100000`, fmt.Sprintf(`"max-body-bytes":%d`, limit), 1)))
+	f.WaitFor("the body limit to take effect", func() bool { return f.Post(fmt.Sprintf("/mark-%d/x", version), "mark").Status != http.StatusNotFound })
+}
+
 // putState writes a version of the desired state with additional routes and keys and an idle
 // timeout.
 func (f *Fixture) putState(version int, routes string, idleTimeout time.Duration, keys string) {
