exchange, testbed: a head that its server doesn't complete is no success

An operator reported that a server stopped in the middle of a response's head and closed, and that callers got a 200 with an empty or short body. It doesn't happen here; no code of the product changes.

Why: the parser takes a line that the connection's end cuts for a whole one, but needs the empty line after the headers; cut between CR and LF that is a line without a colon, which is an error.

--- a/internal/gateway/exchange/reset_while_writing_test.go
+++ b/internal/gateway/exchange/reset_while_writing_test.go
@@ -197,3 +197,17 @@
 	text, err := io.ReadAll(response)
 	return string(text), err
 }
+
+// Guards against a head cut by a reset that is taken for a whole one, because the reset was reported to the
+// write of the request.
+func TestResetInHeadReportedToWrite(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n"
+	for _, writeFirst := range []bool{true, false} {
+		for cut := 20; cut < len(head); cut++ {
+			c := newScriptedConn(head[:cut], os.NewSyscallError("write", syscall.ECONNRESET), writeFirst)
+			if _, err := doScripted(t, c); !errors.Is(err, ErrIncomplete) {
+				t.Errorf("cut after %q: %v, want ErrIncomplete", head[:cut], err)
+			}
+		}
+	}
+}
