testbed: streams of two versions after all gateways were killed

An operator reported streams joined from two software versions after all edge VMs were killed at once, with two versions in service or the servers of the old one just gone.

Why: a gateway names a service's only version once it has known the list of servers for longer than a stream lasts, so that gateways that have all just started name none. What that costs is that no stream goes on. RestartableGroup can kill all of its gateways at once.

--- a/testbed/gateway/restart.go
+++ b/testbed/gateway/restart.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"testing"
 )
@@ -41,6 +42,22 @@
 	g.startAgain(i)
 }
 
+// KillAll ends all gateways at once without notice, and starts them again as Kill does.
+func (g *RestartableGroup) KillAll() {
+	g.t.Helper()
+	g.mu.Lock()
+	children := slices.Clone(g.children)
+	g.mu.Unlock()
+	for _, child := range children {
+		if err := child.Kill(); err != nil {
+			g.t.Error(err)
+		}
+	}
+	for i := range children {
+		g.startAgain(i)
+	}
+}
+
 // Stop ends a gateway gracefully and starts it again, as Kill does.
 func (g *RestartableGroup) Stop(i int) {
 	g.t.Helper()
