origin: a stream lasts as long as its caller waits, not as its timeout now says

Callers got a 200 joined from two software versions: the timeout of their route was lowered and the servers of the old version left the list while their streams were in progress, all gateways were killed, and the callers resumed within the time that they had meant to wait.

Cause: a gateway names a service's only version once it has known the list for twice the longest timeout in force. After 3 s had become .4 s, gateways that had known the list for .8 s named the version that was left.

Change: the longest wait seen of callers of streams that may be resumed (their route's timeout then, or their stated limit up to a minute) counts beside the timeout in force. A query carries the asking gateway's window, in a field that queries had as 0 until now, so that a gateway without such requests doesn't answer for a shorter one.

--- a/internal/gateway/origin/directory.go
+++ b/internal/gateway/origin/directory.go
@@ -36,9 +36,12 @@
 // Config holds the dependencies of a Directory.
 type Config struct {
 	Peers Peers
-	// Versions returns the versions that a service has had for as long as a stream lasts, as far as
-	// this gateway knows.
-	Versions func(service policy.Key) backend.Versions
+	// Versions returns the versions that a service has had within a window, as far as this gateway
+	// knows.
+	Versions func(service policy.Key, window time.Duration) backend.Versions
+	// Lifetime returns how long a stream lasts at most, with all resumptions, as far as this gateway
+	// knows.
+	Lifetime func() time.Duration
 	// TTL returns for how long the origin of a stream is recorded.
 	TTL func() time.Duration
 }
@@ -67,7 +70,7 @@
 	d.mu.Lock()
 	d.records.put(time.Now(), stream, origin, true, ttl)
 	d.mu.Unlock()
-	record := message{Kind: kindRecord, Stream: uint64(stream), Service: uint32(origin.Service), Version: uint32(origin.Version), Seconds: uint32((ttl + time.Second - 1) / time.Second)}
+	record := message{Kind: kindRecord, Stream: uint64(stream), Service: uint32(origin.Service), Version: uint32(origin.Version), Seconds: wholeSeconds(ttl)}
 	datagram := record.encode()
 	for _, addr := range d.Peers.Holders(uint64(stream)) {
 		d.Peers.Send(addr, datagram)
@@ -107,9 +110,11 @@
 
 // lookUp asks the other gateways once and returns the ended lookup.
 func (d *Directory) lookUp(ctx context.Context, stream Stream, service policy.Key) *lookup {
-	l := d.startLookup(stream, d.Versions(service))
+	lifetime := d.Lifetime()
+	l := d.startLookup(stream, d.Versions(service, lifetime))
 	defer d.endLookup(stream, l)
-	d.ask(ctx, stream, service, l)
+	query := message{Kind: kindQuery, Stream: uint64(stream), Service: uint32(service), Seconds: wholeSeconds(lifetime)}
+	d.ask(ctx, query.encode(), l)
 	return l
 }
 
@@ -156,16 +161,14 @@
 }
 
 // ask sends the query until a gateway has the record, all have responded, or the time is over.
-func (d *Directory) ask(ctx context.Context, stream Stream, service policy.Key, l *lookup) {
+func (d *Directory) ask(ctx context.Context, query []byte, l *lookup) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	query := message{Kind: kindQuery, Stream: uint64(stream), Service: uint32(service)}
-	datagram := query.encode()
 	ticker := time.NewTicker(queryInterval)
 	defer ticker.Stop()
 	for {
 		for _, addr := range l.unanswered() {
-			d.Peers.Send(addr, datagram)
+			d.Peers.Send(addr, query)
 		}
 		select {
 		case <-l.done:
@@ -220,7 +223,8 @@
 	}
 	d.mu.Unlock()
 	if r == nil {
-		versions := d.Versions(policy.Key(query.Service))
+		// The stream may last longer than this gateway knows, if it has had no such request yet.
+		versions := d.Versions(policy.Key(query.Service), max(d.Lifetime(), min(query.ttl(), maxTTL)))
 		response.Version = uint32(versions.Only)
 		if versions.Several {
 			response.Kind = kindSeveralVersions
--- a/internal/gateway/origin/message.go
+++ b/internal/gateway/origin/message.go
@@ -39,7 +39,8 @@
 	Stream  uint64
 	Service uint32
 	Version uint32
-	// Seconds is for how long the record must be kept.
+	// Seconds is for how long the record must be kept; in a query, how long the stream lasts at most.
+	// Earlier releases send queries with 0.
 	Seconds uint32
 }
 
@@ -49,6 +50,9 @@
 
 func (m *message) ttl() time.Duration { return time.Duration(m.Seconds) * time.Second }
 
+// wholeSeconds returns d in seconds, rounded up.
+func wholeSeconds(d time.Duration) uint32 { return uint32((d + time.Second - 1) / time.Second) }
+
 // encode returns the datagram.
 func (m *message) encode() []byte {
 	encoded, err := cbor.Marshal(m)
--- a/internal/gateway/origin/network_test.go
+++ b/internal/gateway/origin/network_test.go
@@ -36,7 +36,7 @@
 // add starts a gateway that knows the given versions of each service.
 func (n *network) add(addr string, versions backend.Versions) *origin.Directory {
 	d := origin.New(origin.Config{
-		Peers: endpoint{n, addr}, Versions: func(policy.Key) backend.Versions { return versions }, TTL: func() time.Duration { return time.Minute },
+		Peers: endpoint{n, addr}, Versions: func(policy.Key, time.Duration) backend.Versions { return versions }, Lifetime: func() time.Duration { return 10 * time.Second }, TTL: func() time.Duration { return time.Minute },
 	})
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -293,3 +293,22 @@
 		t.Errorf("%d of %d lookups found nothing at a loss rate of 5%%", len(unknown), 2*streams)
 	}
 }
+
+// Guards against the word of a gateway that has seen no request of a stream's length and has known the list
+// of servers for longer than it takes streams to last, but not for as long as this one does.
+func TestOnlyVersionHoldsForTheAskedLifetime(t *testing.T) {
+	n := newNetwork()
+	n.holders = []string{"idle"}
+	n.directories["idle"] = origin.New(origin.Config{
+		Peers: endpoint{n, "idle"}, Lifetime: func() time.Duration { return time.Second }, TTL: func() time.Duration { return time.Minute },
+		Versions: func(_ policy.Key, window time.Duration) backend.Versions {
+			if window > 5*time.Second {
+				return notKnown
+			}
+			return onlyV1
+		},
+	})
+	if got, source := n.add("asked", notKnown).Find(t.Context(), testStream, chat); source != origin.SourceUnknown {
+		t.Errorf("got %+v, %s; a stream lasts ten seconds", got, source)
+	}
+}
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -37,17 +37,19 @@
 	// lock in the lock order. While it is held, Peers, ZonePeers, ListedGateways and KnownGateways may be called
 	// and may acquire locks of their own, but none that is held during calls of the Registry or the
 	// Router; no other lock is acquired.
-	mu               sync.Mutex
-	services         map[string]*serviceState
-	unresponsive     *policy.UnresponsiveServers
-	quarantine       *policy.Quarantine
-	limits           *policy.ServerLimits
-	backoffs         *policy.ServerBackoffs
-	updates          updateBuffer
-	limitedSends     atomic.Int64
-	bounds           atomic.Pointer[Bounds]
-	memory           memoryLimiter
-	closeConnections func() bool
+	mu           sync.Mutex
+	services     map[string]*serviceState
+	unresponsive *policy.UnresponsiveServers
+	quarantine   *policy.Quarantine
+	limits       *policy.ServerLimits
+	backoffs     *policy.ServerBackoffs
+	updates      updateBuffer
+	limitedSends atomic.Int64
+	bounds       atomic.Pointer[Bounds]
+	memory       memoryLimiter
+	// longestStreamWait is the result of LongestStreamWait.
+	longestStreamWait longestWait
+	closeConnections  func() bool
 	// createdAt is the time of New on the clock of package boottime.
 	createdAt time.Duration
 }
@@ -128,6 +130,7 @@
 	}
 	c.bodyLimit = snapshot.Limits.MaxBodyBytes
 	c.setDeadline()
+	c.router.longestStreamWait.observe(c.route, c.params.Timeout)
 	customer, known := snapshot.CustomerByKey(c.params.Key)
 	if known {
 		c.customer = customer.Name
--- a/testbed/gateway/fixture.go
+++ b/testbed/gateway/fixture.go
@@ -219,6 +219,14 @@
 	f.WaitFor("the idle timeout to take effect", func() bool { return f.Post(fmt.Sprintf("/mark-%d/x", version), "mark").Status == http.StatusOK })
 }
 
+// PutStreamTimeout writes a version of the desired state with another timeout for streams that may be
+// resumed.
+func (f *Fixture) PutStreamTimeout(version int, timeout time.Duration) {
+	state := fmt.Sprintf(stateTemplate, version, "", idleTimeout.Milliseconds(), "")
+	const before, route = `"type":"stream","timeout-ms":%d,"slo-ms":500,"service"`, 3000
+	f.Store.Put("op", "config", []byte(strings.Replace(state, fmt.Sprintf(before, route), fmt.Sprintf(before, timeout.Milliseconds()), 1)))
+}
+
 // SetBodyLimit writes a version of the desired state with a limit for bodies, in bytes, and waits until it
 // is in effect.
 func (f *Fixture) SetBodyLimit(version, limit int) {
--- a/testbed/gateway/stream_herd_kill_test.go
+++ b/testbed/gateway/stream_herd_kill_test.go
@@ -145,3 +145,16 @@
 		}
 	})
 }
+
+// Guards against the same where the operator has lowered the timeout of the streams meanwhile: their
+// callers still wait as long as they meant to.
+func TestStreamsKeepSoftwareVersionAfterLoweredTimeout(t *testing.T) {
+	t.Parallel()
+	group, servers := startRestartableVersions(t, "v1", "v2")
+	herdKill(t, group, "lowered", func() {
+		group.Gateway(0).PutStreamTimeout(2, 400*time.Millisecond)
+		for _, s := range servers[:2] {
+			group.Gateway(0).Store.Delete("servers", s.Instance)
+		}
+	})
+}
