agent: a reset that the write of a request got doesn't end a response

Callers of a plain service behind an agent could get a response that its service had reset as complete: the same cause as in the gateway, between the reading and the writing goroutine of net/http. A service that begins a response without a length before it has read a long request and resets the connection: 4 of 20 responses with half of the body looked complete (TestResetResponseIsAnError, red before).

dial.WithResetDetection wraps a connection: when its reader comes to the end, a write in progress is stopped, and the first error of a write decides as in the gateway; what tells a close from a reset is in one place, dial.EndsWithClose. The transports to engines and services use it. Other clients of net/http send no request that outlasts the beginning of its response, or parse bodies that say where they end (read, not run).

After: 0 of 20 in five runs; early responses with and without a length are kept (TestEarlyResponseIsComplete, green before and after).

--- /dev/null
+++ b/internal/engine/reset_response_test.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// unreadBody is the length of a request that doesn't fit the host's buffers, so that the agent still sends
+// it when its service stops reading.
+const unreadBody = 12 << 20
+
+// startEarlyService starts a service that answers a request before it has read it, without a length, and
+// ends the connection with end. It returns the service's URL.
+func startEarlyService(t *testing.T, head string, end func(*net.TCPConn, io.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, head+"\r\nhalf")
+				time.Sleep(5 * time.Millisecond)
+				end(c.(*net.TCPConn), req.Body)
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// call sends a request that doesn't fit the host's buffers and returns the response's body.
+func call(t *testing.T, url string) (string, error) {
+	t.Helper()
+	resp, err := NewServiceClient(url).Do(t.Context(), ServiceRequest{ID: "r.1", Method: http.MethodPost, Path: "/x", Body: make([]byte, unreadBody)})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// Guards against a response cut by a reset that an agent passes on as complete, because the reset was
+// reported to the write of the request.
+func TestResetResponseIsAnError(t *testing.T) {
+	url := startEarlyService(t, "HTTP/1.1 200 OK\r\n", func(c *net.TCPConn, _ io.Reader) { _ = c.SetLinger(0) })
+	complete := 0
+	for range 20 {
+		if body, err := call(t, url); err == nil {
+			complete++
+			t.Logf("%q looks complete", body)
+		}
+	}
+	if complete > 0 {
+		t.Errorf("%d of 20 responses that were reset look complete", complete)
+	}
+}
+
+// Guards against an early response that is lost because its service doesn't read the rest of the request.
+func TestEarlyResponseIsComplete(t *testing.T) {
+	ends := map[string]func(*net.TCPConn, io.Reader){
+		"closes when it has read": func(_ *net.TCPConn, rest io.Reader) { _, _ = io.Copy(io.Discard, rest) },
+		"reads on": func(c *net.TCPConn, rest io.Reader) {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, rest)
+		},
+		"reads nothing more": func(c *net.TCPConn, _ io.Reader) {
+			_ = c.CloseWrite()
+			time.Sleep(100 * time.Millisecond)
+		},
+	}
+	for _, head := range []string{"HTTP/1.1 413 Text\r\n", "HTTP/1.1 413 Text\r\nContent-Length: 4\r\n", "HTTP/1.1 200 OK\r\n"} {
+		for name, end := range ends {
+			t.Run(fmt.Sprintf("%q %s", head, name), func(t *testing.T) {
+				url := startEarlyService(t, head, end)
+				for range 3 {
+					if body, err := call(t, url); err != nil || body != "half" {
+						t.Errorf("%q, %v", body, err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -34,7 +34,7 @@
 // idempotent calls.
 func newKeepAliveTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            dial.WithResetDetection((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: dial.MaxHeadBytes,
 	}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/dial"
 )
 
 const (
@@ -206,14 +208,14 @@
 }
 
 // connectionFailure returns the error that ended the connection of a response that ends with it; nil if
-// the backend server closed it. The host reports an error of a connection once: if the write of the request
-// got it, reading finds the end of the data.
+// the backend server closed it. An error of the connection may have been reported to the write of the
+// request.
 func (r *Response) connectionFailure() error {
 	if !r.EndsWithConnection || r.exchange.writer == nil {
 		return nil
 	}
 	r.writeErr = r.exchange.writer.stop()
-	if endsWithClose(r.writeErr) {
+	if dial.EndsWithClose(r.writeErr) {
 		return nil
 	}
 	return r.writeErr
--- a/internal/gateway/exchange/request_writer.go
+++ b/internal/gateway/exchange/request_writer.go
@@ -2,11 +2,8 @@
 
 import (
 	"net"
-	"os"
-	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 )
 
@@ -50,9 +47,3 @@
 // wait waits for the end of the write. It doesn't return while a backend server neither reads the request
 // nor closes the connection.
 func (w *requestWriter) wait() { w.goroutine.Wait() }
-
-// endsWithClose reports whether the end of the data that was read on a connection is where the backend
-// server closed it, given the result of the write on it. EPIPE is a reset that arrived after that.
-func endsWithClose(writeErr error) bool {
-	return writeErr == nil || errors.Is(writeErr, os.ErrDeadlineExceeded) || errors.Is(writeErr, syscall.EPIPE)
-}
