exchange: a server may read a request after it has begun to respond

Cause: TCP_USER_TIMEOUT of a second also ends a connection whose peer acknowledges, but takes no more bytes. Evidence: 'connection timed out' in TestServerMayReadRequestAfterResponse, red before, with and without a length.

Change: when the response begins and the request hasn't been taken, because its write is in progress or the host has unacknowledged bytes, the timeout becomes what is left of the request's time; the connection isn't reused (TestConnectionOfLateReaderIsNotReused, red before). Connections whose request was read keep their timeout.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -171,6 +171,9 @@
 // connection may be reused.
 func (e *exchange) newResponse(httpResp *http.Response) *Response {
 	e.keepConn = e.keepConn && !httpResp.Close && httpResp.ProtoAtLeast(1, 1)
+	if e.requestUnread() {
+		e.waitForReader()
+	}
 	e.conn.keepAlive = keepAliveTimeout(httpResp.Header)
 	length := httpResp.ContentLength
 	if httpResp.Request.Method == http.MethodHead {
@@ -181,6 +184,33 @@
 	return &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: length, EndsWithConnection: endsWithConnection, body: httpResp.Body, exchange: e}
 }
 
+// requestUnread reports whether a part of a large request has not arrived at the backend server, which may
+// read it later.
+func (e *exchange) requestUnread() bool {
+	if e.writer == nil {
+		return false
+	}
+	if !e.writer.written() {
+		return true
+	}
+	// Where the host can't tell, what has been written counts as read.
+	unacknowledged, err := dial.Unacknowledged(e.conn.netConn)
+	return err == nil && unacknowledged > 0
+}
+
+// waitForReader lets a backend server that has begun to respond leave the rest of the request unread for as
+// long as the exchange may take, instead of maxUnacknowledged.
+func (e *exchange) waitForReader() {
+	deadline, ok := e.ctx.Deadline()
+	if !ok {
+		return
+	}
+	// If this fails, the connection is closed or stays as it is.
+	_ = dial.SetUserTimeout(e.conn.netConn, max(time.Until(deadline), maxUnacknowledged))
+	// Another exchange needs the shorter timeout.
+	e.keepConn = false
+}
+
 // Read reads the body. It returns io.EOF after the complete body; any other error wraps one of this
 // package's errors, ErrCancelled after Abort. Once reading has ended, it returns the same error again.
 func (r *Response) Read(p []byte) (int, error) {
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -27,7 +27,8 @@
 	dialTimeout = 250 * time.Millisecond
 	// maxUnacknowledged is how long sent data may stay unacknowledged before the connection counts
 	// as broken. A lost packet is retransmitted after 0.2, 0.6 and 1.4 seconds, so that the first
-	// two retransmissions fit.
+	// two retransmissions fit. It also bounds for how long a backend server may take no more of a
+	// request before it begins to respond.
 	maxUnacknowledged = time.Second
 	// refusalCheckTimeout bounds RefusesConnections. It allows for a round trip to any availability
 	// zone, while a caller waits for its response.
