router: only admitted callers' time limits count as waits

The longest wait of callers was taken before the API key was checked, so that callers without one could prolong the time for which streams of unknown origin are refused, up to the bound of two minutes. It is taken after the check.

--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -80,6 +80,7 @@
 	if !c.matchAndAuthorize() {
 		return
 	}
+	r.longestStreamWait.observe(c.route, c.params.Timeout)
 	if !c.reserveMemory() {
 		c.refuse(ReasonMemoryLimit, refusedRetryAfter)
 		return
@@ -130,7 +131,6 @@
 	}
 	c.bodyLimit = snapshot.Limits.MaxBodyBytes
 	c.setDeadline()
-	c.router.longestStreamWait.observe(c.route, c.params.Timeout)
 	customer, known := snapshot.CustomerByKey(c.params.Key)
 	if known {
 		c.customer = customer.Name
