exchange: connections to servers detect resets as those of agents do

Cause: what tells a close from a reset was there twice, as a special case of the exchange (its writer was stopped and judged at the end of a body) and as a connection of package dial. Reading the diff showed that the first is the second with more code around it.

Three tests share a server that answers early (dialtest.ServeEarly), and the fixture's two waits for a version share their route.

The scripted connection of TestResetReportedToWrite now returns data only once the write has begun: one that hasn't begun can't have got an error. Its cases and expectations are the same, and EndedEarly is checked in each.

--- a/internal/dial/dialtest/head.go
+++ b/internal/dial/dialtest/head.go
@@ -1,4 +1,4 @@
-// Package dialtest has a server that tests of HTTP clients need.
+// Package dialtest has servers that tests of HTTP clients need.
 package dialtest
 
 import (
--- a/internal/dial/reset_conn.go
+++ b/internal/dial/reset_conn.go
@@ -12,32 +12,27 @@
 	"github.com/go-faster/errors"
 )
 
-// EndsWithClose reports whether the end of the data that was read on a connection is where the peer closed
-// it, given the result of the write that was in progress meanwhile, nil if there was none. The host reports
-// an error of a connection once: if the write got it, reading finds the end of the data. EPIPE is a reset
-// that arrived after the peer's close. A write that was stopped, with an error that wraps
-// os.ErrDeadlineExceeded, got no error of the connection.
-func EndsWithClose(writeErr error) bool {
-	return writeErr == nil || errors.Is(writeErr, os.ErrDeadlineExceeded) || errors.Is(writeErr, syscall.EPIPE)
-}
-
 // Func opens a connection, as net.Dialer.DialContext does.
 type Func func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// WithResetDetection returns a Func whose connections report a reset to their reader also if a concurrent
-// write got it. Their io.EOF always means that the peer closed the connection. They are for clients that
-// need nothing more from a connection after its end: a write that is in progress then is stopped.
+// WithResetDetection returns a Func that opens connections with DetectResets.
 func WithResetDetection(dial Func) Func {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &resetConn{Conn: c}, nil
+		return DetectResets(c), nil
 	}
 }
 
-// resetConn is a connection with reset detection. One goroutine at a time may write.
+// DetectResets returns a connection whose io.EOF always means that the peer closed it. The host reports an
+// error of a connection once: if a write got it, reading finds the end of the data. Such an end is reported
+// with the write's error. It is for clients that need nothing more from a connection after its end: a write
+// that is in progress then is stopped.
+func DetectResets(c net.Conn) net.Conn { return &resetConn{Conn: c} }
+
+// resetConn is a connection with reset detection.
 type resetConn struct {
 	net.Conn
 	// writing is held during a write, and guards writeErr, the first error of a write.
@@ -62,8 +57,8 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if failure := c.stopWrite(); !EndsWithClose(failure) {
-		return n, failure
+	if writeErr := c.stopWrite(); !endsWithClose(writeErr) {
+		return n, writeErr
 	}
 	return n, err
 }
@@ -76,3 +71,10 @@
 	defer c.writing.Unlock()
 	return c.writeErr
 }
+
+// endsWithClose reports whether the end of the data is where the peer closed the connection, given the
+// first error of a write. EPIPE is a reset that arrived after the peer's close. A write that was stopped,
+// with an error that wraps os.ErrDeadlineExceeded, got no error of the connection.
+func endsWithClose(writeErr error) bool {
+	return writeErr == nil || errors.Is(writeErr, os.ErrDeadlineExceeded) || errors.Is(writeErr, syscall.EPIPE)
+}
--- a/internal/engine/reset_response_test.go
+++ b/internal/engine/reset_response_test.go
@@ -1,53 +1,31 @@
 package engine
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
-)
 
-// unreadBody is the length of a request that doesn't fit the host's buffers, so that the agent still sends
-// it when its service stops reading.
-const unreadBody = 12 << 20
+	"github.com/applepier/applepier/internal/dial/dialtest"
+)
 
-// startEarlyService starts a service that answers a request before it has read it, without a length, and
-// ends the connection with end. It returns the service's URL.
+// startEarlyService starts a service that begins a response before it has read the request, without a
+// length unless head has one, and ends the connection with end. It returns the service's URL.
 func startEarlyService(t *testing.T, head string, end func(*net.TCPConn, io.Reader)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, head+"\r\nhalf")
-				time.Sleep(5 * time.Millisecond)
-				end(c.(*net.TCPConn), req.Body)
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	return "http://" + dialtest.ServeEarly(t, func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(c, head+"\r\nhalf")
+		time.Sleep(5 * time.Millisecond)
+		end(c, r.Body)
+	})
 }
 
 // call sends a request that doesn't fit the host's buffers and returns the response's body.
 func call(t *testing.T, url string) (string, error) {
 	t.Helper()
-	resp, err := NewServiceClient(url).Do(t.Context(), ServiceRequest{ID: "r.1", Method: http.MethodPost, Path: "/x", Body: make([]byte, unreadBody)})
+	resp, err := NewServiceClient(url).Do(t.Context(), ServiceRequest{ID: "r.1", Method: http.MethodPost, Path: "/x", Body: make([]byte, dialtest.UnreadBody)})
 	if err != nil {
 		return "", err
 	}
--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/applepier/applepier/internal/dial"
 )
 
 // readBufferSize is in bytes. It fits a response header and a few events; each open connection has
@@ -13,7 +15,9 @@
 
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
-	netConn net.Conn
+	// netConn reports a reset to its reader also if a concurrent write got it. socket is the connection
+	// below it.
+	netConn, socket net.Conn
 	// heads reads from netConn, and reader buffers what it reads.
 	heads  *headReader
 	reader *bufio.Reader
@@ -25,9 +29,10 @@
 	idleSince time.Time
 }
 
-func newConn(netConn net.Conn, instance ServerInstance) *conn {
+func newConn(socket net.Conn, instance ServerInstance) *conn {
+	netConn := dial.DetectResets(socket)
 	heads := &headReader{netConn: netConn}
-	return &conn{netConn: netConn, reader: bufio.NewReaderSize(heads, readBufferSize), heads: heads, instance: instance, keepAlive: defaultKeepAlive}
+	return &conn{netConn: netConn, socket: socket, reader: bufio.NewReaderSize(heads, readBufferSize), heads: heads, instance: instance, keepAlive: defaultKeepAlive}
 }
 
 // reusable reports whether an idle connection is open and has no unread data. Unread data belongs
@@ -36,7 +41,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := c.netConn.(syscall.Conn)
+	syscallConn, ok := c.socket.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -50,8 +50,6 @@
 	incomplete bool
 	// readErr is the error that ended reading the body; nil before.
 	readErr error
-	// writeErr is why the request wasn't written when the response ended with its connection.
-	writeErr error
 }
 
 // exchange is one request and its response on a connection.
@@ -172,7 +170,7 @@
 func (e *exchange) newResponse(httpResp *http.Response) *Response {
 	e.keepConn = e.keepConn && !httpResp.Close && httpResp.ProtoAtLeast(1, 1)
 	if e.requestUnread() {
-		e.waitForReader()
+		e.extendUserTimeout()
 	}
 	e.conn.keepAlive = keepAliveTimeout(httpResp.Header)
 	length := httpResp.ContentLength
@@ -194,19 +192,19 @@
 		return true
 	}
 	// Where the host can't tell, what has been written counts as read.
-	unacknowledged, err := dial.Unacknowledged(e.conn.netConn)
+	unacknowledged, err := dial.Unacknowledged(e.conn.socket)
 	return err == nil && unacknowledged > 0
 }
 
-// waitForReader lets a backend server that has begun to respond leave the rest of the request unread for as
+// extendUserTimeout lets a backend server that has begun to respond leave the rest of the request unread for as
 // long as the exchange may take, instead of maxUnacknowledged.
-func (e *exchange) waitForReader() {
+func (e *exchange) extendUserTimeout() {
 	deadline, ok := e.ctx.Deadline()
 	if !ok {
 		return
 	}
 	// If this fails, the connection is closed or stays as it is.
-	_ = dial.SetUserTimeout(e.conn.netConn, max(time.Until(deadline), maxUnacknowledged))
+	_ = dial.SetUserTimeout(e.conn.socket, max(time.Until(deadline), maxUnacknowledged))
 	// Another exchange needs the shorter timeout.
 	e.keepConn = false
 }
@@ -225,49 +223,31 @@
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		if failure := r.connectionFailure(); failure != nil {
-			r.fail(failure)
-			break
-		}
 		r.exchange.end(r.exchange.keepConn)
 		r.readErr = io.EOF
 	default:
-		r.fail(err)
+		r.exchange.end(false)
+		r.readErr = r.exchange.classify(err)
+		r.incomplete = errors.Is(r.readErr, ErrIncomplete)
 	}
 	return n, r.readErr
 }
 
-// connectionFailure returns the error that ended the connection of a response that ends with it; nil if
-// the backend server closed it. An error of the connection may have been reported to the write of the
-// request.
-func (r *Response) connectionFailure() error {
-	if !r.EndsWithConnection || r.exchange.writer == nil {
-		return nil
-	}
-	r.writeErr = r.exchange.writer.stop()
-	if dial.EndsWithClose(r.writeErr) {
-		return nil
-	}
-	return r.writeErr
-}
-
-// fail ends the exchange after an error of reading the body.
-func (r *Response) fail(err error) {
-	r.exchange.end(false)
-	r.readErr = r.exchange.classify(err)
-	r.incomplete = errors.Is(r.readErr, ErrIncomplete)
-}
-
-// Complete reports whether the complete body has been read.
-func (r *Response) Complete() bool { return errors.Is(r.readErr, io.EOF) }
-
 // Incomplete reports whether reading the body ended in ErrIncomplete.
 func (r *Response) Incomplete() bool { return r.incomplete }
 
-// WriteErr returns why the request had not been written completely when a response that ends with its
-// connection ended; nil if it had been, and for other responses. The error wraps os.ErrDeadlineExceeded if
-// the write was still in progress, without an error of the connection.
-func (r *Response) WriteErr() error { return r.writeErr }
+// EndedEarly reports whether the connection ended, in the body of a response that ends with it, before the
+// request was written completely. err is the reason if the body counts as incomplete; nil otherwise.
+func (r *Response) EndedEarly() (err error, early bool) {
+	switch {
+	case !r.EndsWithConnection, r.readErr == nil, errors.Is(r.readErr, ErrCancelled), r.exchange.requestWritten():
+		return nil, false
+	case errors.Is(r.readErr, io.EOF):
+		return nil, true
+	default:
+		return r.readErr, true
+	}
+}
 
 // Abort ends the exchange by closing its connection, so that the backend server stops working on the
 // request. After the complete body was read it does nothing.
--- a/internal/gateway/exchange/late_reader_test.go
+++ b/internal/gateway/exchange/late_reader_test.go
@@ -7,9 +7,10 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
+
+	"github.com/applepier/applepier/internal/dial/dialtest"
 )
 
 // Guards against a server that is taken for a dead one because it reads a long request only after it has
@@ -56,7 +57,7 @@
 	pool := NewPool()
 	for range 2 {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		response, err := pool.Do(ctx, ServerInstance{Addr: addr}, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", resetBody)), MaxIdle: time.Hour, Matches: anyHeader})
+		response, err := pool.Do(ctx, ServerInstance{Addr: addr}, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, dialtest.UnreadBody), MaxIdle: time.Hour, Matches: anyHeader})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/exchange/reset_while_writing_test.go
+++ b/internal/gateway/exchange/reset_while_writing_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/dial/dialtest"
 )
 
 // scriptedConn is a connection whose write returns writeErr, either before the end of the response is read
@@ -25,19 +27,20 @@
 	response   io.Reader
 	writeErr   error
 	writeFirst bool
-	// writeEnded is closed when the write has returned, stopped when it has been stopped or the connection
-	// closed.
-	writeEnded, stopped chan struct{}
-	stopOnce            sync.Once
+	// writeBegun is closed when the write has begun, writeEnded when it has returned, stopped when it has been
+	// stopped or the connection closed.
+	writeBegun, writeEnded, stopped chan struct{}
+	stopOnce                        sync.Once
 }
 
 func newScriptedConn(response string, writeErr error, writeFirst bool) *scriptedConn {
 	head, rest := response[:20], response[20:]
 	// The pieces arrive separately, so that the end is read after the write has begun.
-	return &scriptedConn{response: io.MultiReader(strings.NewReader(head), strings.NewReader(rest)), writeErr: writeErr, writeFirst: writeFirst, writeEnded: make(chan struct{}), stopped: make(chan struct{})}
+	return &scriptedConn{response: io.MultiReader(strings.NewReader(head), strings.NewReader(rest)), writeErr: writeErr, writeFirst: writeFirst, writeBegun: make(chan struct{}), writeEnded: make(chan struct{}), stopped: make(chan struct{})}
 }
 
 func (c *scriptedConn) Write(p []byte) (int, error) {
+	close(c.writeBegun)
 	defer close(c.writeEnded)
 	if !c.writeFirst {
 		<-c.stopped
@@ -49,6 +52,8 @@
 }
 
 func (c *scriptedConn) Read(p []byte) (int, error) {
+	// A write that hasn't begun can't get an error.
+	<-c.writeBegun
 	if c.writeFirst {
 		<-c.writeEnded
 	}
@@ -106,8 +111,11 @@
 						want = nil
 					}
 					got, err := io.ReadAll(response)
-					if string(got) != body || !errors.Is(err, want) || response.Complete() != (want == nil) {
-						t.Errorf("body %q, %v, complete: %v; want error %v", got, err, response.Complete(), want)
+					if reason, early := response.EndedEarly(); early != (response.EndsWithConnection && write.err != nil) || !errors.Is(reason, want) {
+						t.Errorf("ended early: %v, %v", early, reason)
+					}
+					if string(got) != body || !errors.Is(err, want) {
+						t.Errorf("body %q, %v; want error %v", got, err, want)
 					}
 				})
 			}
@@ -123,10 +131,6 @@
 	return pool.Do(t.Context(), instance, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 2*maxSyncWrite), MaxIdle: time.Hour, Matches: anyHeader})
 }
 
-// resetBody is the length of a request that doesn't fit the host's buffers, so that its write is still in
-// progress when the response ends.
-const resetBody = 12 << 20
-
 // Guards against the same on the host's own connections, where it is left to chance which goroutine a
 // reset is reported to.
 func TestResetResponseIsIncomplete(t *testing.T) {
@@ -185,12 +189,12 @@
 	}
 }
 
-// sendLarge sends a request of resetBody bytes and returns the body of the response.
+// sendLarge sends a request of dialtest.UnreadBody bytes and returns the body of the response.
 func sendLarge(t *testing.T, addr string) (string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	response, _, err := doUntilSent(ctx, NewPool(), addr, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, resetBody), Matches: anyHeader})
+	response, _, err := doUntilSent(ctx, NewPool(), addr, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, dialtest.UnreadBody), Matches: anyHeader})
 	if err != nil {
 		return "", err
 	}
--- a/internal/gateway/request_observer.go
+++ b/internal/gateway/request_observer.go
@@ -135,7 +135,7 @@
 
 // ResponseEndedEarly implements router.Observer.
 func (o requestObserver) ResponseEndedEarly(end router.EarlyEnd) {
-	o.log.Info(logging.EventResponseEndedEarly, logging.Request(end.RequestID), logging.Peer(end.Server), zap.Bool("complete", end.Complete), zap.NamedError("write_error", end.WriteErr))
+	o.log.Info(logging.EventResponseEndedEarly, logging.Request(end.RequestID), logging.Peer(end.Server), zap.Bool("complete", end.Err == nil), zap.Error(end.Err))
 }
 
 // RetryBudgetExhausted implements router.Observer.
--- a/testbed/gateway/fixture.go
+++ b/testbed/gateway/fixture.go
@@ -214,9 +214,18 @@
 // waits until it is in effect.
 func (f *Fixture) SetIdleTimeout(version int, timeout time.Duration) {
 	f.t.Helper()
-	route := fmt.Sprintf(`,{"name":"mark","host":"h.example","prefix":"/mark-%d/","type":"safe","timeout-ms":2000,"service":"plain","attempts":2}`, version)
-	f.putState(version, route, timeout, "")
-	f.WaitFor("the idle timeout to take effect", func() bool { return f.Post(fmt.Sprintf("/mark-%d/x", version), "mark").Status == http.StatusOK })
+	f.putState(version, markRoute(version), timeout, "")
+	f.WaitFor("the idle timeout to take effect", func() bool { return f.postMark(version).Status == http.StatusOK })
+}
+
+// markRoute returns a route that only one version of the desired state has, as additional route.
+func markRoute(version int) string {
+	return fmt.Sprintf(`,{"name":"mark","host":"h.example","prefix":"/mark-%d/","type":"safe","timeout-ms":2000,"service":"plain","attempts":2}`, version)
+}
+
+// postMark sends a POST on the route of markRoute.
+func (f *Fixture) postMark(version int) Response {
+	return f.Post(fmt.Sprintf("/mark-%d/x", version), "mark")
 }
 
 // PutStreamTimeout writes a version of the desired state with another timeout for streams that may be
@@ -231,10 +240,9 @@
 // is in effect.
 func (f *Fixture) SetBodyLimit(version, limit int) {
 	f.t.Helper()
-	route := fmt.Sprintf(`,{"name":"mark","host":"h.example","prefix":"/mark-%d/","type":"safe","timeout-ms":2000,"service":"plain","attempts":2}`, version)
-	state := fmt.Sprintf(stateTemplate, version, route, idleTimeout.Milliseconds(), "")
+	state := fmt.Sprintf(stateTemplate, version, markRoute(version), idleTimeout.Milliseconds(), "")
 	f.Store.Put("op", "config", []byte(strings.Replace(state, `"max-body-bytes":100000`, fmt.Sprintf(`"max-body-bytes":%d`, limit), 1)))
-	f.WaitFor("the body limit to take effect", func() bool { return f.Post(fmt.Sprintf("/mark-%d/x", version), "mark").Status != http.StatusNotFound })
+	f.WaitFor("the body limit to take effect", func() bool { return f.postMark(version).Status != http.StatusNotFound })
 }
 
 // putState writes a version of the desired state with additional routes and keys and an idle
--- a/testbed/gateway/reset_response_test.go
+++ b/testbed/gateway/reset_response_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -12,41 +11,20 @@
 	"testing"
 	"time"
 
+	"github.com/applepier/applepier/internal/dial/dialtest"
 	"github.com/applepier/applepier/testbed/gateway"
 )
 
-// unreadBody is the length of a request that doesn't fit the host's buffers, so that the gateway still
-// sends it when its server stops reading.
-const unreadBody = 6 << 20
-
-// startResettingServer lists a server that answers a request before it has read it, without a length, and
-// resets the connection after the given part of the body.
+// startResettingServer lists a server that begins a response before it has read the request, without a
+// length, and resets the connection after the given part of the body.
 func startResettingServer(t *testing.T, f *gateway.Fixture, part string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, gateway.ResponseHead(&gateway.ReceivedRequest{Server: "s", ID: req.Header.Get("X-Request-Id")}, http.StatusOK)+part)
-				time.Sleep(20 * time.Millisecond)
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
-	f.ListServer(&gateway.Server{Instance: "s", Addr: listener.Addr().String()}, "ready")
+	addr := dialtest.ServeEarly(t, func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(c, gateway.ResponseHead(&gateway.ReceivedRequest{Server: "s", ID: r.Header.Get("X-Request-Id")}, http.StatusOK)+part)
+		time.Sleep(20 * time.Millisecond)
+		_ = c.SetLinger(0)
+	})
+	f.ListServer(&gateway.Server{Instance: "s", Addr: addr}, "ready")
 }
 
 // Guards against a response cut by a reset that looks complete to the caller, whether it is buffered,
@@ -61,10 +39,10 @@
 		t.Run(name, func(t *testing.T) {
 			f := gateway.NewFixture(t, gateway.Options{})
 			startResettingServer(t, f, c.part)
-			f.SetBodyLimit(2, 2*unreadBody)
+			f.SetBodyLimit(2, 2*dialtest.UnreadBody)
 			f.WaitFor("the server to be used", func() bool { return f.Post("/unsafe/x", "first").Status != http.StatusServiceUnavailable })
 			for i := range 8 {
-				got := f.Do(f.Request(context.Background(), http.MethodPost, c.path, fmt.Sprintf("cut-%d", i), bytes.NewReader(make([]byte, unreadBody))))
+				got := f.Do(f.Request(context.Background(), http.MethodPost, c.path, fmt.Sprintf("cut-%d", i), bytes.NewReader(make([]byte, dialtest.UnreadBody))))
 				if got.Err == nil && got.Status != http.StatusBadGateway {
 					t.Fatalf("request %d: %d that looks complete, with %d bytes; want 502 or a response that breaks off", i, got.Status, len(got.Body))
 				}
