--- a/review/_kit2/keys.go
+++ b/review/_kit2/keys.go
@@ -38,7 +38,7 @@
 		record("the store has taken version %d, with %d tenants", version, len(tenants))
 	}
 	write(1, tenants)
-	g := startGateway(dir, root, "edge-1", 284, s)
+	g := startGateway(dir, root, "edge-1", s, nil)
 	g.waitReady(10 * time.Second)
 	// forbidden holds the requests that must not run, with the reason.
 	forbidden := map[string]string{}
--- a/review/_kit2/kit.go
+++ b/review/_kit2/kit.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -279,19 +280,27 @@
 	exited              chan struct{}
 }
 
-// gateways are all processes that were started.
+// stops end the processes that were started.
 var (
-	gatewaysMu sync.Mutex
-	gateways   []*gateway
+	stopsMu sync.Mutex
+	stops   []func()
 )
 
+// onStop has stopAll call a function.
+func onStop(stop func()) {
+	stopsMu.Lock()
+	defer stopsMu.Unlock()
+	stops = append(stops, stop)
+}
+
 // stopAll ends all processes that were started.
 func stopAll() {
-	gatewaysMu.Lock()
-	defer gatewaysMu.Unlock()
-	for _, g := range gateways {
-		g.stop()
+	stopsMu.Lock()
+	defer stopsMu.Unlock()
+	for _, stop := range stops {
+		stop()
 	}
+	stops = nil
 }
 
 // timeLimit bounds a case.
@@ -328,15 +337,18 @@
 	return regexp.MustCompile(`\{\{([a-z0-9.-]+)\}\}`).ReplaceAllStringFunc(text, func(field string) string { return fields[field[2:len(field)-2]] })
 }
 
-// startGateway fills in deploy/gateway.yaml as the platform does and starts the role's command.
-func startGateway(dir, root, name string, memoryMB int, s *store) *gateway {
+// startGateway fills in deploy/gateway.yaml as the platform does and starts the role's command. The fields
+// are those of the site lindqvist-tarkastus, but for the changed ones.
+func startGateway(dir, root, name string, s *store, changed map[string]string) *gateway {
 	g := &gateway{name: name, listen: fmt.Sprintf("127.0.0.1:%d", freePort()), admin: fmt.Sprintf("127.0.0.1:%d", freePort()), exited: make(chan struct{})}
-	settings := fillIn(root, map[string]string{
+	fields := map[string]string{
 		"node": name, "zone": "zone-a", "listen.front": g.listen, "listen.ready": g.admin, "ip": "127.0.0.1",
-		"port-range.0": strconv.Itoa(freePort()), "platform.addr": s.addr, "limits.memory-mb": strconv.Itoa(memoryMB),
+		"port-range.0": strconv.Itoa(freePort()), "platform.addr": s.addr, "limits.memory-mb": "284",
 		"bounds.revoke-strict": "true", "bounds.revoke-ms": "5000", "bounds.drain-ms": "2000", "bounds.retry-ratio": "0.2",
 		"bounds.retry-extra": "52", "bounds.retry-window-s": "10", "bounds.grace-s": "8",
-	})
+	}
+	maps.Copy(fields, changed)
+	settings := fillIn(root, fields)
 	path := filepath.Join(dir, name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		cannotRun("settings: %v", err)
@@ -352,9 +364,7 @@
 	if err := g.cmd.Start(); err != nil {
 		cannotRun("start: %v", err)
 	}
-	gatewaysMu.Lock()
-	gateways = append(gateways, g)
-	gatewaysMu.Unlock()
+	onStop(g.stop)
 	go func() {
 		_ = g.cmd.Wait()
 		close(g.exited)
@@ -403,6 +413,9 @@
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "engine" {
+		os.Exit(serveEngine(os.Args[2], os.Args[3]))
+	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: kit2 CASE ROOT FOLDER")
 		os.Exit(2)
@@ -441,7 +454,7 @@
 	go stopAtLimit()
 	defer stopAll()
 	trouble := os.Getenv("TROUBLE") != "0"
-	c := map[string]func(root, dir string, trouble bool) bool{"keys": caseKeys, "memory": caseMemory, "leaving": caseLeaving, "ids": caseIDs}[name]
+	c := map[string]func(root, dir string, trouble bool) bool{"keys": caseKeys, "memory": caseMemory, "ids": caseIDs, "slow": caseSlow}[name]
 	if c == nil {
 		cannotRun("no case %q", name)
 	}
--- a/review/_kit2/memory.go
+++ b/review/_kit2/memory.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,7 +74,7 @@
 // playMachine runs a gateway with its consumers until end or until its memory exceeds the limit, and reports
 // whether it did.
 func playMachine(dir, root string, machine, start int, s *store, trouble bool, end time.Time) (exceeded bool) {
-	g := startGateway(dir, root, fmt.Sprintf("edge-%d-%d", machine+1, start), memoryLimit, s)
+	g := startGateway(dir, root, fmt.Sprintf("edge-%d-%d", machine+1, start), s, map[string]string{"limits.memory-mb": strconv.Itoa(memoryLimit), "bounds.retry-extra": "58"})
 	defer g.stop()
 	g.waitReady(10 * time.Second)
 	done := make(chan struct{})
--- a/review/_kit2/streams.go
+++ b/review/_kit2/streams.go
@@ -137,77 +137,6 @@
 	}
 }
 
-// caseLeaving has an engine leave while its streams end with their connections.
-func caseLeaving(root, dir string, trouble bool) bool {
-	s := newStore()
-	var mu sync.Mutex
-	sentBy := map[string]string{}
-	plan := streamPlan{events: 60, step: 1, pause: 100 * time.Millisecond, unframed: true}
-	handle := streamEngine(plan, func(e *engine, id string) {
-		mu.Lock()
-		defer mu.Unlock()
-		sentBy[id] = e.id
-		record("engine %s has sent all events of %s and closes the connection", e.id, id)
-	})
-	engines := []*engine{newEngine("i-0001", "svc-a", handle), newEngine("i-0002", "svc-a", handle)}
-	stops := []chan struct{}{make(chan struct{}), make(chan struct{})}
-	for i, e := range engines {
-		go e.beat(s, stops[i])
-	}
-	defer close(stops[1])
-	s.put("op", "config", streamState(false, 1))
-	g := startGateway(dir, root, "edge-1", 284, s)
-
-	g.waitReady(10 * time.Second)
-	time.Sleep(3 * time.Second)
-	const consumers = 16
-	results := make([]streamResult, consumers)
-	var wg sync.WaitGroup
-	record("SIGHUP to %s", g.name)
-	_ = g.cmd.Process.Signal(syscall.SIGHUP)
-	for i := range consumers {
-		c := dialConsumer(g)
-		defer c.conn.Close()
-		first := c.do("GET", "/g/x", fmt.Sprintf("a%015x", i), time.Second, "")
-		if first.status != 200 {
-			cannotRun("plain request: %+v", first)
-		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			results[i] = c.do("POST", "/s/x", fmt.Sprintf("b%015x", i), 15*time.Second, "")
-		}()
-		time.Sleep(30 * time.Millisecond)
-	}
-	close(stops[0])
-	time.Sleep(100 * time.Millisecond)
-	if trouble {
-		row := engines[0].row(1000)
-		row["state"] = "draining"
-		s.put("servers", engines[0].id, row)
-		record("engine %s reports draining; it serves for another 3 s", engines[0].id)
-		time.Sleep(3 * time.Second)
-		engines[0].listener.Close()
-		s.mu.Lock()
-		s.putLocked(storeRow{Table: "servers", Key: engines[0].id, Removed: true})
-		s.mu.Unlock()
-		record("engine %s has left the list and accepts no more connections; its last streams go on to their ends", engines[0].id)
-	}
-	wg.Wait()
-	cut := 0
-	for _, r := range results {
-		mu.Lock()
-		by := sentBy[r.id]
-		mu.Unlock()
-		record("stream %s: status %d, %d events, complete: %v, err: %v, %.2f s; sent whole by %q", r.id, r.status, len(r.events), r.complete, r.err, r.took.Seconds(), by)
-		if !r.complete && by != "" {
-			cut++
-		}
-	}
-	record("%d streams were cut by the gateway though their engine had sent all of them", cut)
-	return cut > 3
-}
-
 // caseIDs has engines number events with a step.
 func caseIDs(root, dir string, trouble bool) bool {
 	s := newStore()
@@ -228,7 +157,7 @@
 		go newEngine(fmt.Sprintf("i-%04d", i+1), "svc-a", handle).beat(s, stop)
 	}
 	s.put("op", "config", streamState(false, 1))
-	g := startGateway(dir, root, "edge-1", 284, s)
+	g := startGateway(dir, root, "edge-1", s, nil)
 
 	g.waitReady(10 * time.Second)
 	time.Sleep(3 * time.Second)
