--- a/review/_kit2/kit.go
+++ b/review/_kit2/kit.go
@@ -17,7 +17,6 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
