platform, routes: an empty list of customers allows no key

Ruled out: a missed version (the new version's own route was served) and a key that stays known (keys that no version had ran too).

--- a/internal/gateway/desired_state_sink_test.go
+++ b/internal/gateway/desired_state_sink_test.go
@@ -18,7 +18,7 @@
 func TestStoreConfirmationTimeNeverDecreases(t *testing.T) {
 	sink := &desiredStateSink{holder: &routes.Holder{}, registry: backend.NewRegistry(), log: zap.NewNop()}
 	const readAt = 10 * time.Second
-	sink.Reset(readAt, follow.Batch[*routes.Snapshot]{Items: []*routes.Snapshot{routes.NewSnapshot(1, routes.Limits{}, nil, nil, nil)}})
+	sink.Reset(readAt, follow.Batch[*routes.Snapshot]{Items: []*routes.Snapshot{routes.NewSnapshot(1, routes.Limits{}, nil, nil, routes.Access{WithoutKeys: true})}})
 	sink.Change(readAt+maxFeedSilence/2, follow.Batch[*routes.Snapshot]{})
 	if got := time.Duration(sink.storeConfirmedAt.Load()); got != readAt {
 		t.Errorf("confirmation time %v, want %v", got, readAt)
@@ -33,7 +33,7 @@
 // That state must neither replace the newer one nor count as confirmation.
 func TestOlderStateConfirmsNothing(t *testing.T) {
 	batchWithVersion := func(version uint64) follow.Batch[*routes.Snapshot] {
-		return follow.Batch[*routes.Snapshot]{Items: []*routes.Snapshot{routes.NewSnapshot(version, routes.Limits{}, nil, nil, nil)}}
+		return follow.Batch[*routes.Snapshot]{Items: []*routes.Snapshot{routes.NewSnapshot(version, routes.Limits{}, nil, nil, routes.Access{WithoutKeys: true})}}
 	}
 	for name, older := range map[string]follow.Batch[*routes.Snapshot]{"an older one": batchWithVersion(4), "none": {}} {
 		sink := &desiredStateSink{holder: &routes.Holder{}, registry: backend.NewRegistry(), log: zap.NewNop()}
--- a/internal/gateway/router/memory_limiter_test.go
+++ b/internal/gateway/router/memory_limiter_test.go
@@ -27,7 +27,7 @@
 	r := newTestRouter()
 	r.Observer, r.Dialect = discardObserver{}, fixedDialect{}
 	r.SetBounds(Bounds{MaxRequestMemory: limit, RetryWindow: time.Second})
-	r.Holder.Update(routes.NewSnapshot(1, routes.Limits{}, []*routes.Route{{Name: "r", Host: "h.example", Prefix: "/x/", Public: true}}, nil, nil), boottime.Now())
+	r.Holder.Update(routes.NewSnapshot(1, routes.Limits{}, []*routes.Route{{Name: "r", Host: "h.example", Prefix: "/x/", Public: true}}, nil, routes.Access{WithoutKeys: true}), boottime.Now())
 	for size, want := range map[int]string{limit / 2: "", 4 * limit: string(ReasonMemoryLimit)} {
 		// Without a known type of reader the request has no length.
 		body := struct{ io.Reader }{strings.NewReader(strings.Repeat("x", size))}
--- a/internal/gateway/router/revoked_key_test.go
+++ b/internal/gateway/router/revoked_key_test.go
@@ -22,8 +22,8 @@
 // state, read before, must not count as fresh by the confirmation of the new one.
 func TestRevokedKeyDoesNotPassDuringUpdate(t *testing.T) {
 	allRoutes := []*routes.Route{{Name: "r", Host: "h.example", Prefix: "/x/"}}
-	before := routes.NewSnapshot(1, routes.Limits{}, allRoutes, nil, []*routes.Customer{{Name: "c", Keys: []string{"key"}}})
-	after := routes.NewSnapshot(2, routes.Limits{}, allRoutes, nil, []*routes.Customer{{Name: "c"}})
+	before := routes.NewSnapshot(1, routes.Limits{}, allRoutes, nil, routes.Access{Customers: []*routes.Customer{{Name: "c", Keys: []string{"key"}}}})
+	after := routes.NewSnapshot(2, routes.Limits{}, allRoutes, nil, routes.Access{Customers: []*routes.Customer{{Name: "c"}}})
 	for i := range 20000 {
 		r := newTestRouter()
 		r.Observer = discardObserver{}
--- a/internal/gateway/router/state_age_test.go
+++ b/internal/gateway/router/state_age_test.go
@@ -26,7 +26,7 @@
 	observer := &resultRecorder{}
 	r.Observer = observer
 	allRoutes := []*routes.Route{{Name: "r", Host: "h.example", Prefix: "/x/"}}
-	snapshot := routes.NewSnapshot(1, routes.Limits{}, allRoutes, nil, []*routes.Customer{{Name: "c", Keys: []string{"key"}}})
+	snapshot := routes.NewSnapshot(1, routes.Limits{}, allRoutes, nil, routes.Access{Customers: []*routes.Customer{{Name: "c", Keys: []string{"key"}}}})
 	r.SetBounds(Bounds{MaxStateAge: 100 * 365 * 24 * time.Hour})
 	passes := func() bool {
 		req := httptest.NewRequest(http.MethodPost, "http://h.example/x/", nil)
@@ -45,7 +45,7 @@
 	if !r.StateFresh() || !passes() {
 		t.Error("a confirmed state doesn't count as fresh")
 	}
-	r.Holder.Update(routes.NewSnapshot(2, routes.Limits{}, allRoutes, nil, nil), 0)
+	r.Holder.Update(routes.NewSnapshot(2, routes.Limits{}, allRoutes, nil, routes.Access{WithoutKeys: true}), 0)
 	r.SetBounds(Bounds{})
 	if !r.StateFresh() {
 		t.Error("without a bound a state counts as old")
--- a/internal/gateway/routes/snapshot.go
+++ b/internal/gateway/routes/snapshot.go
@@ -28,6 +28,13 @@
 	Keys []string
 }
 
+// Access is who may send requests on routes that are not public. The zero value allows nobody.
+type Access struct {
+	// WithoutKeys is set if requests need no API key.
+	WithoutKeys bool
+	Customers   []*Customer
+}
+
 // Limits bounds what a caller may send, and how long its connection may stay idle. Zero means no
 // limit. The time for sending headers is bounded by the gateway itself.
 type Limits struct {
@@ -55,17 +62,16 @@
 	ranks []rank
 }
 
-// NewSnapshot returns a Snapshot with its indexes built. If customers is nil, no route requires an
-// API key.
-func NewSnapshot(version uint64, limits Limits, allRoutes []*Route, services []*Service, customers []*Customer) *Snapshot {
+// NewSnapshot returns a Snapshot with its indexes built.
+func NewSnapshot(version uint64, limits Limits, allRoutes []*Route, services []*Service, access Access) *Snapshot {
 	s := &Snapshot{
 		Version:        version,
 		Limits:         limits,
 		Services:       make(map[string]*Service, len(services)),
 		routesByHost:   map[string]map[string]*Route{},
 		customersByKey: map[string]*Customer{},
-		keysRequired:   customers != nil,
-		ranks:          distinctRanks(allRoutes, customers),
+		keysRequired:   !access.WithoutKeys,
+		ranks:          distinctRanks(allRoutes, access.Customers),
 	}
 	for _, service := range services {
 		s.Services[service.Name] = service
@@ -78,7 +84,7 @@
 		s.routesByHost[host][r.Prefix] = r
 	}
 	s.longestStream = longestStream(allRoutes)
-	for _, c := range customers {
+	for _, c := range access.Customers {
 		for _, key := range c.Keys {
 			s.customersByKey[key] = c
 		}
--- a/internal/gateway/routes/snapshot_test.go
+++ b/internal/gateway/routes/snapshot_test.go
@@ -15,7 +15,7 @@
 		{Name: "xy", Host: "a.example", Prefix: "/x/y/", Tier: 1, Public: true, Shares: []Share{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}}},
 	}
 	customers := []*Customer{{Name: "first", Tier: intPtr(0), Keys: []string{"k0"}}, {Name: "second", Tier: intPtr(1), Keys: []string{"k1", "k2"}}, {Name: "plain", Keys: []string{"k3"}}}
-	return NewSnapshot(version, Limits{}, allRoutes, nil, customers)
+	return NewSnapshot(version, Limits{}, allRoutes, nil, Access{Customers: customers})
 }
 
 func TestMatchLongestPrefix(t *testing.T) {
@@ -62,7 +62,7 @@
 	if !s.RequiresKey(s.Match("a.example", "/")) || s.RequiresKey(s.Match("a.example", "/x/y/")) {
 		t.Error("RequiresKey is wrong for a public or a non-public route")
 	}
-	open := NewSnapshot(1, Limits{}, []*Route{{Host: "h", Prefix: "/"}}, nil, nil)
+	open := NewSnapshot(1, Limits{}, []*Route{{Host: "h", Prefix: "/"}}, nil, Access{WithoutKeys: true})
 	if open.RequiresKey(open.Match("h", "/")) {
 		t.Error("a key is required though there are no customers")
 	}
@@ -99,7 +99,7 @@
 		allRoutes = append(allRoutes, &Route{Host: "h", Prefix: fmt.Sprintf("/%d/", i), Tier: i})
 		customers = append(customers, &Customer{Tier: intPtr(i)})
 	}
-	s := NewSnapshot(1, Limits{}, allRoutes, nil, customers)
+	s := NewSnapshot(1, Limits{}, allRoutes, nil, Access{Customers: customers})
 	last, lastOfTier := 0, -1
 	for _, r := range allRoutes {
 		for _, c := range customers {
@@ -126,7 +126,7 @@
 	for i := range 25 {
 		allRoutes = append(allRoutes, &Route{Host: "h", Prefix: fmt.Sprintf("/%d/", i), Tier: i})
 	}
-	s := NewSnapshot(1, Limits{}, allRoutes, nil, nil)
+	s := NewSnapshot(1, Limits{}, allRoutes, nil, Access{WithoutKeys: true})
 	last := 0
 	for _, r := range allRoutes {
 		u := s.Urgency(r, nil, 10)
@@ -166,3 +166,15 @@
 		t.Errorf("confirmed at %v", h.ConfirmedAt())
 	}
 }
+
+// Guards against a panic or another level where a desired state has no routes or customers.
+func TestUrgencyWithoutRoutesOrCustomers(t *testing.T) {
+	for name, s := range map[string]*Snapshot{
+		"no customers": NewSnapshot(1, Limits{}, []*Route{{Host: "h", Prefix: "/", Tier: 3}}, nil, Access{}),
+		"nothing":      NewSnapshot(1, Limits{}, nil, nil, Access{}),
+	} {
+		if got := s.Urgency(&Route{Tier: 3}, &Customer{Tier: intPtr(0)}, 10); got != 0 {
+			t.Errorf("%s: urgency %d, want 0", name, got)
+		}
+	}
+}
--- a/testbed/gateway/fixture.go
+++ b/testbed/gateway/fixture.go
@@ -37,6 +37,10 @@
  "tenants": [{"name":"crew","api-keys":["key-1"%s],"priority":1}]
 }`
 
+// stateTenants is what precedes the list of tenants in stateTemplate.
+const stateTenants = `,
+ "tenants": `
+
 // idleTimeout is the limit for callers' idle connections in the initial desired state. It
 // exceeds the duration of every test.
 const idleTimeout = 15 * time.Second
@@ -218,6 +222,18 @@
 	f.WaitFor("the idle timeout to take effect", func() bool { return f.postMark(version).Status == http.StatusOK })
 }
 
+// PutTenants writes a version of the desired state whose list of tenants is the given JSON value; with
+// an empty one the field is left out. It returns the route that only this version has.
+func (f *Fixture) PutTenants(version int, tenants string) (markPath string) {
+	state := fmt.Sprintf(stateTemplate, version, markRoute(version), idleTimeout.Milliseconds(), "")
+	rest, _, _ := strings.Cut(state, stateTenants)
+	if tenants != "" {
+		rest += stateTenants + tenants
+	}
+	f.Store.Put("op", "config", []byte(rest+"}"))
+	return fmt.Sprintf("/mark-%d/x", version)
+}
+
 // markRoute returns a route that only one version of the desired state has, as additional route.
 func markRoute(version int) string {
 	return fmt.Sprintf(`,{"name":"mark","host":"h.example","prefix":"/mark-%d/","type":"safe","timeout-ms":2000,"service":"plain","attempts":2}`, version)
