routes: an empty key belongs to no customer

Callers saw (by test): where a customer's list of keys held an empty text or null, requests without a key ran in that customer's name.

Change: empty keys aren't indexed.

Tests, red before: TestEmptyKeyBelongsToNobody; two more states in TestEmptyListOfCustomersAllowsNoKey (4 statuses 200 where 401 is wanted). Green after, with the race detector.

--- a/internal/gateway/routes/snapshot.go
+++ b/internal/gateway/routes/snapshot.go
@@ -86,7 +86,10 @@
 	s.longestStream = longestStream(allRoutes)
 	for _, c := range access.Customers {
 		for _, key := range c.Keys {
-			s.customersByKey[key] = c
+			// A request without a key has the empty one.
+			if key != "" {
+				s.customersByKey[key] = c
+			}
 		}
 	}
 	return s
--- a/internal/gateway/routes/snapshot_test.go
+++ b/internal/gateway/routes/snapshot_test.go
@@ -178,3 +178,14 @@
 		}
 	}
 }
+
+// Guards against an empty key of a customer that lets in requests without a key.
+func TestEmptyKeyBelongsToNobody(t *testing.T) {
+	s := NewSnapshot(1, Limits{}, nil, nil, Access{Customers: []*Customer{{Name: "c", Keys: []string{"", "k"}}}})
+	if _, known := s.CustomerByKey(""); known {
+		t.Error("the empty key is known")
+	}
+	if c, known := s.CustomerByKey("k"); !known || c.Name != "c" {
+		t.Errorf("got customer %v, known %v", c, known)
+	}
+}
--- a/testbed/gateway/customers_test.go
+++ b/testbed/gateway/customers_test.go
@@ -26,6 +26,8 @@
 	{"null", `null`, http.StatusUnauthorized, http.StatusUnauthorized},
 	{"a customer after null", `[{"name":"crew","api-keys":["key-1"]}]`, http.StatusOK, http.StatusUnauthorized},
 	{"a customer without keys", `[{"name":"crew","api-keys":[]}]`, http.StatusUnauthorized, http.StatusUnauthorized},
+	{"a customer with an empty key", `[{"name":"crew","api-keys":[""]}]`, http.StatusUnauthorized, http.StatusUnauthorized},
+	{"a customer with a null key", `[{"name":"crew","api-keys":[null,"key-1"]}]`, http.StatusOK, http.StatusUnauthorized},
 	{"no list after a customer without keys", "", http.StatusOK, http.StatusOK},
 }
 
