exchange: a response with an invalid status is broken

Callers saw: of a response with status 000, 099, +20 or an unasked 101, whose body was itself a response to the same request, they got that inner one as a 200; with another body 502, or 504 once their time was up; with none they waited for as long, although another server could take the request. 600 to 999 were passed on.

Cause: every status below 200 was skipped as informational, and what followed the head was read as the next head. net/http parses any three characters that are a number.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/applepier/applepier/internal/dial"
+	"github.com/applepier/applepier/internal/httpstatus"
 )
 
 const (
@@ -147,12 +148,18 @@
 	return nil, errors.Wrap(ErrIncomplete, "too many responses to other requests")
 }
 
-// readFinalHead reads the header of the next response that isn't informational.
+// readFinalHead reads the header of the next response that isn't informational. A response with a status
+// that HTTP doesn't have is malformed: what follows its header may be its body or another response.
 func (e *exchange) readFinalHead(method string) (*http.Response, error) {
 	for range maxInformationalResponses + 1 {
 		httpResp, err := e.readOneHead(method)
-		if err != nil || httpResp.StatusCode >= http.StatusOK {
-			return httpResp, err
+		switch {
+		case err != nil:
+			return nil, err
+		case httpstatus.IsFinal(httpResp.StatusCode):
+			return httpResp, nil
+		case !httpstatus.IsInformational(httpResp.StatusCode):
+			return nil, errors.Wrapf(ErrIncomplete, "status %q", httpResp.Status)
 		}
 	}
 	return nil, errors.Wrap(ErrIncomplete, "too many informational responses")
