exchange: no reuse after a 204 or 304 that announces a body

A server that sends the body which it announced with a 204 or 304 may do so at any time, so that the bytes could arrive as the beginning of the next response; a request that must not be repeated would fail. Cause: such a response is complete with its head, and the connection was kept. Bytes that have arrived were found before.

--- a/internal/gateway/exchange/status_line_test.go
+++ b/internal/gateway/exchange/status_line_test.go
@@ -178,3 +178,47 @@
 		}
 	}
 }
+
+// Guards against a next request on a connection whose server announced a body for a response that has none,
+// before the bytes of that body arrive.
+func TestConnectionIsNotReusedAfterUnexpectedBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		head string
+		kept bool
+	}{
+		"no content":             {"204 No Content\r\n", true},
+		"no content, length 0":   {"204 No Content\r\nContent-Length: 0\r\n", true},
+		"no content, a length":   {"204 No Content\r\nContent-Length: 4\r\n", false},
+		"no content, chunks":     {"204 No Content\r\nTransfer-Encoding: chunked\r\n", false},
+		"not modified":           {"304 Not Modified\r\n", true},
+		"not modified, a length": {"304 Not Modified\r\nContent-Length: 4\r\n", false},
+		"not modified, chunks":   {"304 Not Modified\r\nTransfer-Encoding: chunked\r\n", false},
+		"no body":                {"200 OK\r\nContent-Length: 0\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, accepted := newScriptedServer(t, func(conn net.Conn, reader *bufio.Reader) {
+				for {
+					if _, ok := readRequest(reader); !ok {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+c.head+"\r\n")
+				}
+			})
+			pool := NewPool()
+			for range 2 {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				response, err := pool.Do(ctx, ServerInstance{Addr: addr}, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, MaxIdle: time.Hour, Matches: anyHeader})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if body, err := io.ReadAll(response); err != nil || len(body) > 0 {
+					t.Errorf("body %q, %v", body, err)
+				}
+				cancel()
+			}
+			if kept := accepted.Load() == 1; kept != c.kept {
+				t.Errorf("%d connections for two requests, reused %v; want %v", accepted.Load(), kept, c.kept)
+			}
+		})
+	}
+}
