--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -10,6 +10,8 @@
 	"strconv"
 
 	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/httpstatus"
 )
 
 // Headers of a run.
@@ -129,7 +131,7 @@
 	if resp.StatusCode == http.StatusConflict {
 		return ErrStaleFencingToken
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	if !httpstatus.IsSuccess(resp.StatusCode) {
 		return statusError(resp)
 	}
 	if result == nil {
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/httpstatus"
 )
 
 // startError converts a transport error. It returns ErrUnreachable when no
@@ -23,6 +25,10 @@
 // the result is not a RejectedError.
 func statusError(resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
+	if !httpstatus.IsFinal(resp.StatusCode) {
+		// What follows the header may be anything; that of a 101 doesn't end with the response.
+		return errors.Errorf("backend server responded with invalid status %d", resp.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	if err != nil {
 		body = nil
--- a/internal/engine/service_client.go
+++ b/internal/engine/service_client.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"github.com/applepier/applepier/internal/httpstatus"
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded (RFC 9110,
@@ -42,6 +44,9 @@
 	if err != nil {
 		return nil, startError(&trace, err)
 	}
+	if !httpstatus.IsFinal(resp.StatusCode) {
+		return nil, statusError(resp)
+	}
 	removeHopByHopHeaders(resp.Header)
 	return &ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
 }
