testbed, engine: parts of early responses don't look complete

Report: a server answers a long upload at once with a 200 without a length, sends a part and resets the connection during the upload; the client gets the part as complete. Not seen here.

Gateways send each other no requests with bodies, so that path has no such case.

--- a/internal/dial/dialtest/early.go
+++ b/internal/dial/dialtest/early.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 )
 
@@ -36,3 +37,18 @@
 	}()
 	return listener.Addr().String()
 }
+
+// AwaitUnread waits until the host has received bytes on a connection that the server hasn't read, so that it
+// resets the connection when the server closes it. Without any, a close looks like the end of the response.
+func AwaitUnread(t testing.TB, c *net.TCPConn) {
+	rawConn, err := c.SyscallConn()
+	if err == nil {
+		err = rawConn.Read(func(fd uintptr) bool {
+			_, _, peekErr := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
+			return peekErr != syscall.EAGAIN
+		})
+	}
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/engine/reset_response_test.go
+++ b/internal/engine/reset_response_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +77,29 @@
 		}
 	}
 }
+
+// Guards against a part of a response that an agent passes on as complete, where the service's host resets the
+// connection because it is closed with unread bytes of the request, or a short time after the part.
+func TestPartOfEarlyResponseIsAnError(t *testing.T) {
+	ends := map[string]func(*net.TCPConn){
+		"closed unread":            func(c *net.TCPConn) { dialtest.AwaitUnread(t, c) },
+		"reset":                    func(c *net.TCPConn) { _ = c.SetLinger(0) },
+		"reset after a short time": func(c *net.TCPConn) { time.Sleep(20 * time.Millisecond); _ = c.SetLinger(0) },
+	}
+	for name, end := range ends {
+		for _, part := range []int{0, 4 << 10, 600 << 10} {
+			t.Run(fmt.Sprintf("%s/%d bytes", name, part), func(t *testing.T) {
+				t.Parallel()
+				url := "http://" + dialtest.ServeEarly(t, func(c *net.TCPConn, _ *http.Request) {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", part))
+					end(c)
+				})
+				for range 8 {
+					if body, err := call(t, url); err == nil {
+						t.Errorf("%d bytes look complete", len(body))
+					}
+				}
+			})
+		}
+	}
+}
