exchange: the late reader of a test reads late, however busy the machine is

Trace: the test's server reads the request on as soon as it has written a part of its response. Beside other work the client sees that part only after the whole request was read, so that nothing was read late and the connection may be reused, as it should be.

Change: the server waits until its client has the head. The check is unchanged.

--- a/internal/gateway/exchange/late_reader_test.go
+++ b/internal/gateway/exchange/late_reader_test.go
@@ -43,6 +43,8 @@
 
 // Guards against a connection whose dead path isn't detected any more after such a response.
 func TestConnectionOfLateReaderIsNotReused(t *testing.T) {
+	// The server reads the request on only once its client has the head of the response.
+	gotHead := make(chan struct{}, 2)
 	addr, accepted := newScriptedServer(t, func(c net.Conn, reader *bufio.Reader) {
 		for {
 			req, err := http.ReadRequest(reader)
@@ -50,6 +52,11 @@
 				return
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbe")
+			select {
+			case <-gotHead:
+			case <-t.Context().Done():
+				return
+			}
 			_, _ = io.Copy(io.Discard, req.Body)
 			_, _ = io.WriteString(c, "gin")
 		}
@@ -61,6 +68,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		gotHead <- struct{}{}
 		if text, err := io.ReadAll(response); err != nil || string(text) != "begin" {
 			t.Errorf("%q, %v", text, err)
 		}
