router: buffered responses count as memory of the requests in progress

Shown: of a gateway's 134 MB (the smallest VM) 600 callers in 4 s that don't read a response without an end, of eleven servers, took 155 to 163 MB, so that the process would be ended, and all requests with it (3 of 3 kinds: chunks, no length, a failure's body). Without callers that wait for more: 55 MB.

Cause: up to 256 KB of each response are buffered, and were kept while the rest was forwarded; neither counted in the bound on requests in progress.

Change: buffers beyond 16 KB reserve memory, up to half of the bound, so that requests of others aren't refused for them. While there is none, a response is forwarded as it arrives, as longer ones are. The beginning is freed once it is written. An event of a stream that needs more memory than is left breaks its stream off.

--- a/internal/gateway/router/buffered_response.go
+++ b/internal/gateway/router/buffered_response.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/applepier/applepier/internal/gateway/exchange"
 )
 
@@ -15,11 +17,15 @@
 	// is forwarded. If such a response breaks off, the request can be sent to another server, or
 	// the caller gets the right status. Longer responses are forwarded as they arrive.
 	maxBufferedResponse = 256 << 10
+	// minResponseBuffer is the size of the first buffer for a response of unknown length, in bytes.
+	minResponseBuffer = 4 << 10
 	// maxRejectionBody bounds the bytes read from the body of a response that reports that the
 	// request did not run.
 	maxRejectionBody = 16 << 10
-	// copyBufferSize is the size of the buffer with which longer responses are copied, in bytes.
-	copyBufferSize = 32 << 10
+	// copyBufferSize is the size of the buffer with which longer responses are copied, in bytes, and
+	// smallCopyBufferSize its size while memory is short.
+	copyBufferSize      = 32 << 10
+	smallCopyBufferSize = 4 << 10
 )
 
 // bufferedResponse is a server's complete response.
@@ -31,16 +37,17 @@
 	contentLength string
 }
 
-// forwardBuffered forwards a response that is not an event stream. Up to maxBufferedResponse it
-// forwards either the complete response or nothing.
+// forwardBuffered forwards a response that is not an event stream. Up to maxBufferedResponse, or less
+// while memory is short, it forwards either the complete response or nothing.
 func (c *call) forwardBuffered(ctx context.Context, response *exchange.Response, tracked *trackedRequest) attemptResult {
 	tracked.responseStarted()
 	if isSuccess(response.Status) {
 		// A failure needs no prefill, so that its time says nothing of the next request's.
 		tracked.outputStarted()
 	}
-	body, err := readLimited(response, maxBufferedResponse)
-	if err != nil || len(body) <= maxBufferedResponse && c.endedByCrash(response, tracked.server) {
+	defer c.releaseResponseMemory()
+	body, complete, err := c.readBuffered(response)
+	if err != nil || complete && c.endedByCrash(response, tracked.server) {
 		return c.brokenResponseResult()
 	}
 	buffered := &bufferedResponse{status: response.Status, header: c.router.Dialect.CallerHeaders(response.Header), body: body, contentLength: response.Header.Get("Content-Length")}
@@ -53,7 +60,7 @@
 	case c.stream.headerSent:
 		// A failure status cannot be sent once the stream has started.
 		return resultUnknown
-	case len(body) > maxBufferedResponse:
+	case !complete:
 		return c.forwardLong(buffered, response, tracked)
 	case isSuccess(response.Status):
 		c.served = true
@@ -62,6 +69,7 @@
 		return resultFinal
 	default:
 		c.serverFailure = buffered
+		c.keepResponseMemory()
 		if ctx.Err() != nil {
 			return resultUnknown
 		}
@@ -130,10 +138,13 @@
 	}
 	c.w.WriteHeader(buffered.status)
 	_, err := c.w.Write(buffered.body)
+	// The caller may take the rest slowly.
+	buffered.body = nil
+	c.releaseResponseMemory()
 	if err == nil {
 		// The wrapper hides the ReadFrom method of c.w, with which io.CopyBuffer would not use the
 		// buffer.
-		_, err = io.CopyBuffer(struct{ io.Writer }{c.w}, response, make([]byte, copyBufferSize))
+		_, err = io.CopyBuffer(struct{ io.Writer }{c.w}, response, c.newCopyBuffer())
 	}
 	switch {
 	case err != nil && c.endIfDisconnected():
@@ -149,6 +160,47 @@
 	return resultFinal
 }
 
+// newCopyBuffer returns the buffer with which the rest of a long response is copied.
+func (c *call) newCopyBuffer() []byte {
+	if !c.reserveResponseBuffer(smallResponse + copyBufferSize) {
+		return make([]byte, smallCopyBufferSize)
+	}
+	return make([]byte, copyBufferSize)
+}
+
+// readBuffered reads the body up to its end, or up to maxBufferedResponse+1 bytes if it is longer. It reads
+// less while memory is short. complete is whether the end was read. It returns an error if the body breaks
+// off before that.
+func (c *call) readBuffered(response *exchange.Response) (body []byte, complete bool, err error) {
+	const longest = maxBufferedResponse + 1
+	size := minResponseBuffer
+	if response.Length >= 0 {
+		// A byte more than the body has, so that the end is read too.
+		size = int(min(response.Length, maxBufferedResponse)) + 1
+	}
+	if !c.reserveResponseBuffer(size) {
+		size = minResponseBuffer
+	}
+	body = make([]byte, 0, size)
+	for {
+		n, err := response.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		case len(body) < cap(body):
+			continue
+		}
+		larger := min(2*cap(body), longest)
+		if larger == cap(body) || !c.reserveResponseBuffer(larger) {
+			return body, false, nil
+		}
+		body = append(make([]byte, 0, larger), body...)
+	}
+}
+
 // readLimited reads the body up to its end, or up to limit+1 bytes if it is longer than limit. It
 // returns an error if the body breaks off before that.
 func readLimited(response *exchange.Response, limit int) ([]byte, error) {
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -63,6 +63,8 @@
 	body           []byte
 	// reservedMemory is what the request has reserved of the memory for requests in progress, in bytes.
 	reservedMemory int64
+	// responseMemory is what is reserved for the response of the current attempt, in bytes.
+	responseMemory int64
 	// bodyReadStarted is set once reading the body has started.
 	bodyReadStarted bool
 	// bodyUnread is set if the rest of the body is left unread.
--- a/internal/gateway/router/event_splitter.go
+++ b/internal/gateway/router/event_splitter.go
@@ -68,6 +68,9 @@
 	s.complete -= n
 }
 
+// bufferSize returns the size of the buffer in bytes.
+func (s *eventSplitter) bufferSize() int { return cap(s.pending) }
+
 // pendingBytes returns the number of bytes that are not yet consumed.
 func (s *eventSplitter) pendingBytes() int { return len(s.pending) }
 
--- a/internal/gateway/router/memory_limiter.go
+++ b/internal/gateway/router/memory_limiter.go
@@ -10,9 +10,13 @@
 	unknownBodySize = 64 << 10
 )
 
-// memoryLimiter bounds the memory of the requests in progress. Without a bound, callers that send
-// large bodies at the same time could exhaust the memory of the process, and all other requests
-// would fail with it.
+// responseMemoryShare is the share of the bound up to which responses are buffered. The rest is left to
+// requests that arrive, so that slow callers of one service don't keep out those of others.
+const responseMemoryShare = 0.5
+
+// memoryLimiter bounds the memory of the requests in progress, with their responses. Without a bound,
+// callers that send large bodies at the same time, or don't read large responses, could exhaust the memory
+// of the process, and all other requests would fail with it.
 type memoryLimiter struct {
 	bytes atomic.Int64
 }
@@ -41,5 +45,10 @@
 	return true
 }
 
+// growForResponse is grow for a part of a response, which may use less of the limit.
+func (m *memoryLimiter) growForResponse(size, limit int64) bool {
+	return m.grow(size, int64(responseMemoryShare*float64(limit)))
+}
+
 // release frees a reservation of the given size.
 func (m *memoryLimiter) release(size int64) { m.bytes.Add(-size) }
--- a/internal/gateway/router/request_memory.go
+++ b/internal/gateway/router/request_memory.go
@@ -20,10 +20,40 @@
 
 // releaseMemory frees what the request has reserved.
 func (c *call) releaseMemory() {
+	c.releaseResponseMemory()
 	c.router.memory.release(c.reservedMemory)
 	c.reservedMemory = 0
 }
 
+// smallResponse is the size of a buffer for a response, in bytes, for which requestOverhead allows.
+const smallResponse = 16 << 10
+
+// reserveResponseBuffer reserves memory for the buffer of a response that has the given size in bytes, in
+// place of a smaller one. It reports whether there is enough.
+func (c *call) reserveResponseBuffer(size int) bool {
+	missing := int64(size) - smallResponse - c.responseMemory
+	if missing <= 0 {
+		return true
+	}
+	if !c.router.memory.growForResponse(missing, c.router.Bounds().MaxRequestMemory) {
+		return false
+	}
+	c.responseMemory += missing
+	return true
+}
+
+// releaseResponseMemory frees what is reserved for the response.
+func (c *call) releaseResponseMemory() {
+	c.router.memory.release(c.responseMemory)
+	c.responseMemory = 0
+}
+
+// keepResponseMemory keeps what is reserved for the response until the end of the request.
+func (c *call) keepResponseMemory() {
+	c.reservedMemory += c.responseMemory
+	c.responseMemory = 0
+}
+
 // reservingReader reads a body of unknown length. It reserves memory for what exceeds unknownBodySize as
 // it is read, and returns errMemoryLimit if there is not enough.
 type reservingReader struct {
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -32,6 +32,7 @@
 		c.stream.setResumePoint(c.params.LastEventID)
 	}
 	c.stream.beginResponse()
+	defer c.releaseResponseMemory()
 	var splitter eventSplitter
 	buffer := make([]byte, streamBufferSize)
 	commentBytes := 0
@@ -56,6 +57,9 @@
 			case splitter.pendingBytes() > maxEventBytes:
 				c.router.Observer.ResponseTooLarge(c.serverID, "event")
 				return resultUnknown
+			case !c.reserveResponseBuffer(splitter.bufferSize()):
+				c.router.Observer.ResponseTooLarge(c.serverID, "memory for an event")
+				return resultUnknown
 			case commentBytes > maxCommentBytes:
 				c.router.Observer.ResponseTooLarge(c.serverID, "comments")
 				return resultUnknown
--- a/testbed/gateway/child.go
+++ b/testbed/gateway/child.go
@@ -97,7 +97,12 @@
 func (c *Child) PeakMemoryMB() (float64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.process.Pid))
+	return PeakMemoryMB(c.process.Pid)
+}
+
+// PeakMemoryMB returns the largest resident memory of a process so far, in MiB.
+func PeakMemoryMB(pid int) (float64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, err
 	}
--- a/testbed/gateway/overload_test.go
+++ b/testbed/gateway/overload_test.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -31,53 +29,31 @@
 	minServedOfRead = 0.75
 )
 
-// throttledGateway runs the gateway program, built as it is shipped, with a fraction of a core.
-type throttledGateway struct {
-	t        *testing.T
-	programs *fleet.ProcessGroup
-	program  string
-}
-
-// newThrottledGateway builds the program.
-func newThrottledGateway(t *testing.T) *throttledGateway {
+// newThrottledGateway builds the gateway program and returns a function that runs it with a fraction of a core.
+func newThrottledGateway(t *testing.T) func(context.Context, settings.Gateway) error {
 	t.Helper()
-	binaries, err := fleet.Build(t.Context())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(binaries.Remove)
-	g := &throttledGateway{t: t, programs: fleet.NewProcessGroup(t.TempDir()), program: binaries.Entry}
-	t.Cleanup(g.programs.Close)
-	return g
-}
-
-// run runs the program until ctx ends.
-func (g *throttledGateway) run(ctx context.Context, s settings.Gateway) error {
-	file := filepath.Join(g.t.TempDir(), "gateway.yaml")
-	text := fmt.Sprintf("process: %s\nzone: %s\nlisten: %s\nadmin_listen: %s\nready_path: %s\npeer_listen: %s\nstore: %s\nretry:\n  window: %s\ngrace: %s\n",
-		s.Process, s.Zone, s.Listen, s.AdminListen, s.ReadyPath, s.PeerListen, s.StoreAddr, s.RetryBudget.Window, s.ShutdownTimeout)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return err
-	}
-	process := g.programs.NewProcess(s.Process, func() string { return s.Listen }, "/usr/bin/env", "GOMAXPROCS=1", g.program, "gateway", "serve", "--settings", file)
-	if err := process.Restart(ctx); err != nil {
-		return err
-	}
-	fleet.EnforceCPUQuota(ctx, overloadedCores, process.PID, func(paused bool) {
-		signal := process.Resume
-		if paused {
-			signal = process.Pause
+	g := newShippedGateway(t, buildProgram(t))
+	return func(ctx context.Context, s settings.Gateway) error {
+		process, err := g.start(ctx, s, "GOMAXPROCS=1")
+		if err != nil {
+			return err
 		}
-		// This fails only once the process has ended.
-		_ = signal()
-	})
-	return process.Kill()
+		fleet.EnforceCPUQuota(ctx, overloadedCores, process.PID, func(paused bool) {
+			signal := process.Resume
+			if paused {
+				signal = process.Pause
+			}
+			// This fails only once the process has ended.
+			_ = signal()
+		})
+		return process.Kill()
+	}
 }
 
 // Guards against a gateway that gets more connections than its processor can serve, reads all of their
 // requests and serves each too late. Callers whose connection is closed unread go to another gateway.
 func TestOverloadedGatewayClosesConnectionsUnread(t *testing.T) {
-	hot := gateway.NewFixture(t, gateway.Options{Run: newThrottledGateway(t).run})
+	hot := gateway.NewFixture(t, gateway.Options{Run: newThrottledGateway(t)})
 	for i := range 4 {
 		hot.StartServer(fmt.Sprintf("i-%d", i), gateway.Respond("whole"))
 	}
