exchange: idle connections with unread bytes are closed

Bytes that a server sends between two requests stay in the host's memory until the connection expires or is to be reused.

Test, red before: TestSweepClosesConnectionsWithUnreadBytes.

--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -45,6 +45,9 @@
 	redialDelay = 5 * time.Millisecond
 	// maxIdlePerInstance bounds the idle connections to one instance of a backend server.
 	maxIdlePerInstance = 32
+	// maxSweepChecks bounds the idle connections of which Sweep checks whether they have unread data, since
+	// each takes a system call.
+	maxSweepChecks = 64
 )
 
 // ServerInstance identifies an instance of a backend server: one run of the process at its address.
@@ -172,14 +175,21 @@
 }
 
 // Sweep closes expired idle connections, and all idle connections to instances that aren't wanted any
-// more. Call it about once a second.
+// more. Of the others it closes those with unread data, which takes up the host's memory for as long as they
+// are kept; it looks at maxSweepChecks, another choice each time. Call it about once a second.
 func (p *Pool) Sweep(now time.Time, wanted func(ServerInstance) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	checks := 0
 	for instance, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if wanted(instance) && !c.expired(now) {
+			keep := wanted(instance) && !c.expired(now)
+			if keep && checks < maxSweepChecks {
+				checks++
+				keep = c.reusable()
+			}
+			if keep {
 				kept = append(kept, c)
 			} else {
 				c.close()
--- a/internal/gateway/exchange/pool_test.go
+++ b/internal/gateway/exchange/pool_test.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -139,3 +141,41 @@
 		t.Errorf("%d connections in the pool, want 0", pooled)
 	}
 }
+
+// Guards against bytes that a server sends between two requests, and that stay in the host's memory for as long
+// as the connection is kept.
+func TestSweepClosesConnectionsWithUnreadBytes(t *testing.T) {
+	for name, extra := range map[string]string{"no bytes": "", "bytes": "late"} {
+		t.Run(name, func(t *testing.T) {
+			sent, closed := make(chan struct{}), make(chan struct{})
+			addr, _ := newScriptedServer(t, func(c net.Conn, reader *bufio.Reader) {
+				if _, ok := readRequest(reader); !ok {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nKeep-Alive: timeout=60\r\n\r\nok")
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(c, extra)
+				close(sent)
+				_, _ = io.Copy(io.Discard, reader)
+				close(closed)
+			})
+			p := NewPool()
+			if body, err := send(t, p, addr, "1", nil); err != nil || body != "ok" {
+				t.Fatalf("body %q, %v", body, err)
+			}
+			<-sent
+			isClosed := false
+			for end := time.Now().Add(time.Second); !isClosed && time.Now().Before(end); {
+				p.Sweep(time.Now(), func(ServerInstance) bool { return true })
+				select {
+				case <-closed:
+					isClosed = true
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+			if isClosed != (extra != "") {
+				t.Errorf("closed %v", isClosed)
+			}
+		})
+	}
+}
