--- a/testbed/gateway/endless_crowd_test.go
+++ b/testbed/gateway/endless_crowd_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/applepier/applepier/testbed/gateway"
+	"github.com/applepier/applepier/testbed/rowstore"
 )
 
 const (
@@ -92,6 +93,14 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 }
 
+// Guards against a gateway whose memory is exhausted by a store that responds to each call without end.
+func TestEndlessBytesOfStore(t *testing.T) {
+	f, g := startEndlessCrowd(t, buildProgram(t), gateway.Respond("whole"))
+	f.Store.SetFault(rowstore.EndlessBodies)
+	sendBesideOthers(t, f, func() {})
+	checkPeakMemory(t, g)
+}
+
 // endlessAfterResponse sends a complete response and then, while no request is waiting, bytes without end.
 func endlessAfterResponse(c net.Conn, r *gateway.ReceivedRequest) bool {
 	if _, err := io.WriteString(c, gateway.ResponseHead(r, 200, "Content-Length: 5", "Keep-Alive: timeout=60")+"whole"); err != nil {
--- a/testbed/rowstore/store.go
+++ b/testbed/rowstore/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -40,6 +41,8 @@
 	Reset
 	// StaleFeeds reports no changes to feeds but serves reads.
 	StaleFeeds
+	// EndlessBodies responds with bodies that have no end.
+	EndlessBodies
 )
 
 // Store is the stand-in metadata store; it implements http.Handler.
@@ -235,12 +238,24 @@
 		panic(http.ErrAbortHandler)
 	case Reset:
 		panic(http.ErrAbortHandler)
+	case EndlessBodies:
+		writeEndlessBody(w)
 	default:
 		return true
 	}
 	return false
 }
 
+// writeEndlessBody writes the beginning of a response with rows, and white space until the client closes the
+// connection.
+func writeEndlessBody(w http.ResponseWriter) {
+	const block = 32 << 10
+	_, err := io.WriteString(w, `{"rows":[`)
+	for err == nil {
+		_, err = io.WriteString(w, strings.Repeat(" ", block))
+	}
+}
+
 // nowMS returns the store's monotonic clock, in milliseconds since the process started.
 func nowMS() int64 { return time.Since(startTime).Milliseconds() }
 
