router: requests that can't be done before a shutdown ends are refused

Callers saw (by test): with a grace period of 8 s and a server that takes 4 s, requests complete at 4.8, 5.0 and 7.0 s on connections opened before the listener closes were sent to the server and cut without an answer at 7.6 s, requests that must not be repeated among them; so was the second send of one that its first server rejected at 4.5 s.

Cause: a draining gateway looks at connections only; requests on open ones are sent as at any other time.

Change: before each send, and again once the connection to the server is open, a request is checked against the end of the shutdown: its deadline, the times of the newest 64 served requests of its route (policy.ClassTimes), or, where fewer than five are known, the share of its time limit that is left. While the load balancer still sends callers it is refused only if one in two would be cut. A refusal is a 503 before anything is sent, with Connection: close. Idle connections and bytes read ahead are untouched.

Tried: refusing what isn't known; TestPartialRequestDuringShutdown, unchanged, asks that a quick request of an unknown route is served, hence the share of its time limit.

Green after with the race detector, and all tests of shutdowns.

--- a/internal/gateway/caller_server_test.go
+++ b/internal/gateway/caller_server_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/applepier/applepier/internal/gateway/router"
 	"github.com/applepier/applepier/internal/settings"
 )
 
@@ -133,7 +134,7 @@
 		if err := exchangeRequest(callerConn, reader, postRequest); err != nil {
 			t.Fatal(err)
 		}
-		g := &gateway{settings: settings.Gateway{ShutdownTimeout: 8 * time.Second}, log: zap.NewNop()}
+		g := &gateway{settings: settings.Gateway{ShutdownTimeout: 8 * time.Second}, router: router.New(router.Config{}, router.Bounds{}, nil), log: zap.NewNop()}
 		go func() {
 			defer close(drained)
 			g.drain(server)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -22,13 +22,16 @@
 
 // drain makes the readiness check fail, serves new requests for drainDelay, and then waits until the
 // requests in progress are complete. It aborts those that remain at the end of the shutdown timeout,
-// less shutdownMargin.
+// less shutdownMargin; the router refuses those that would be among them.
 func (g *gateway) drain(server *callers.Server) {
 	start := time.Now()
 	g.draining.Store(true)
 	g.log.Info(logging.EventStopping)
-	time.Sleep(min(drainDelay, g.settings.ShutdownTimeout/2))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.settings.ShutdownTimeout-min(shutdownMargin, g.settings.ShutdownTimeout/shutdownMarginDivisor)))
+	divertedAt := start.Add(min(drainDelay, g.settings.ShutdownTimeout/2))
+	abortAt := start.Add(g.settings.ShutdownTimeout - min(shutdownMargin, g.settings.ShutdownTimeout/shutdownMarginDivisor))
+	g.router.BeginShutdown(divertedAt, abortAt)
+	time.Sleep(time.Until(divertedAt))
+	ctx, cancel := context.WithDeadline(context.Background(), abortAt)
 	defer cancel()
 	if err := server.Drain(ctx); err != nil {
 		g.log.Warn(logging.EventStopping, logging.Reason(err.Error()))
--- a/internal/gateway/router/attempt.go
+++ b/internal/gateway/router/attempt.go
@@ -43,7 +43,8 @@
 		// Nothing is sent. The final response depends on mayHaveRun, which stays as it is.
 		return resultUnknown
 	}
-	tracked := &trackedRequest{InFlight: server.Load.Track(c.urgency, c.router.planPrefill(c, choice)), call: c, server: server, tokensAhead: choice.TokensAhead, sentAt: time.Now()}
+	c.sentAt = time.Now()
+	tracked := &trackedRequest{InFlight: server.Load.Track(c.urgency, c.router.planPrefill(c, choice)), call: c, server: server, tokensAhead: choice.TokensAhead, sentAt: c.sentAt}
 	defer tracked.Finish()
 	defer c.trackSuspectRun(info.ID)()
 	response, err := c.router.Pool.Do(ctx, server.Instance(), c.buildRequest(server, remaining))
@@ -139,7 +140,7 @@
 		Header:  c.router.Dialect.AttemptHeaders(c.req.Header, attemptInfo),
 		Body:    c.body,
 		MaxIdle: maxIdle,
-		MaySend: func() bool { return c.router.claimSend(server) },
+		MaySend: func() bool { return c.fitsShutdown(time.Now()) && c.router.claimSend(server) },
 		OnHeader: func(status int, h http.Header) {
 			c.router.observeNotices(server, c.router.Dialect.ParseResponse(status, h))
 		},
--- a/internal/gateway/router/buffered_response.go
+++ b/internal/gateway/router/buffered_response.go
@@ -64,6 +64,7 @@
 		return c.forwardLong(buffered, response, tracked)
 	case isSuccess(response.Status):
 		c.served = true
+		c.router.observeRequestTime(c)
 		c.writeBuffered(buffered)
 		c.reportEnd(buffered.status, ReasonServed)
 		return resultFinal
@@ -155,6 +156,7 @@
 	reason := ReasonServerFailure
 	if isSuccess(buffered.status) {
 		c.served, reason = true, ReasonServed
+		c.router.observeRequestTime(c)
 	}
 	c.reportEnd(buffered.status, reason)
 	return resultFinal
--- a/internal/gateway/router/call.go
+++ b/internal/gateway/router/call.go
@@ -88,7 +88,9 @@
 	// the request was sent, failedDials those in which no connection could be opened.
 	triedServers []string
 	sends        int
-	failedDials  int
+	// sentAt is when the current attempt began.
+	sentAt      time.Time
+	failedDials int
 	// unreachable lists the servers in triedServers to which one connection attempt has failed. They
 	// are tried once more if no other server can take the request.
 	unreachable []string
@@ -129,7 +131,7 @@
 		return
 	}
 	c.router.countRequest(c.service)
-	for !c.refuseIfQuarantined() {
+	for !c.refuseIfQuarantined() && !c.refuseIfShutdownEnds() {
 		server, choice := c.chooseServer()
 		if server == nil && c.retryUnreachable() {
 			server, choice = c.chooseServer()
--- a/internal/gateway/router/config.go
+++ b/internal/gateway/router/config.go
@@ -239,6 +239,7 @@
 	ReasonServerLimits       Reason = "server_limits"
 	ReasonServersBackedOff   Reason = "servers_backed_off"
 	ReasonQuarantined        Reason = "crashes_servers"
+	ReasonShutdown           Reason = "shutdown"
 	// ReasonOriginUnknown: it is unknown which software version began the stream that the caller
 	// resumes. ReasonOriginUnavailable: no server of that version can continue it.
 	ReasonOriginUnknown     Reason = "stream_origin_unknown"
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -47,6 +47,8 @@
 	limitedSends atomic.Int64
 	bounds       atomic.Pointer[Bounds]
 	memory       memoryLimiter
+	// shutdown is set during a graceful shutdown.
+	shutdown atomic.Pointer[shutdown]
 	// longestStreamWait is the result of LongestStreamWait.
 	longestStreamWait longestWait
 	closeConnections  func() bool
--- a/internal/gateway/router/service_state.go
+++ b/internal/gateway/router/service_state.go
@@ -23,6 +23,8 @@
 	zones        zoneRouting
 	// promptSizes holds the mean prompt lengths by route, in tokens.
 	promptSizes policy.ClassSizes
+	// times holds how long requests take by route.
+	times policy.ClassTimes
 }
 
 // serviceFor returns the state of a service and creates it if needed. r.mu must be held.
--- a/internal/gateway/router/stream.go
+++ b/internal/gateway/router/stream.go
@@ -134,6 +134,7 @@
 	c.router.observePause(c)
 	c.router.observeEventInterval(c)
 	c.router.observeStreamEnd(c)
+	c.router.observeRequestTime(c)
 	c.reportEnd(response.Status, ReasonServed)
 	return resultFinal
 }
