origin: an only version needs a list of servers that is current when a stream is resumed

Shown: two gateways stand still for some 0.3 s and lose the store, meanwhile a server of a new version joins and a stream begins there through a third gateway, which is killed.

Cause: a stream without a record goes on at the only version that the gateway knows. That was dropped only once the desired state's confirmation was overdue (2.4 s and more), while the list of servers has an age of its own, and a single other gateway, as far behind, or one that knew nothing, sufficed as a witness. Ruled out: gateways that are in step but for the record; they answer that there are several versions.

Change: before a stream goes on so, the gateway waits until its list is known to have been complete when the request came, at most as long as that takes while the pollers get responses (1.4 s here), and looks again. Where the list doesn't become current the stream is refused.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g.origins = origin.New(origin.Config{Peers: g.mesh, Versions: g.versionsWithin, Lifetime: g.streamLifetime, TTL: g.recordTTL})
+	g.origins = origin.New(origin.Config{Peers: g.mesh, Versions: g.versionsWithin, Current: g.awaitServerList, Lifetime: g.streamLifetime, TTL: g.recordTTL})
 	counter := g.initUsage()
 	ejector, index := policy.NewEjector(), policy.NewPrefixIndex()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/gateway/origin/directory.go
+++ b/internal/gateway/origin/directory.go
@@ -39,6 +39,9 @@
 	// Versions returns the versions that a service has had within a window, as far as this gateway
 	// knows.
 	Versions func(service policy.Key, window time.Duration) backend.Versions
+	// Current waits until this gateway knows of all versions that there were at the given time, and reports
+	// whether it does. It gives up once that can't be expected any more, or when ctx ends.
+	Current func(ctx context.Context, at time.Time) bool
 	// Lifetime returns how long a stream lasts at most, with all resumptions, as far as this gateway
 	// knows.
 	Lifetime func() time.Duration
@@ -82,6 +85,7 @@
 // continued, since its version can't be known. Find asks other gateways if needed, twice for
 // lookupTimeout at most, or until ctx ends.
 func (d *Directory) Find(ctx context.Context, stream Stream, service policy.Key) (Origin, Source) {
+	askedAt := time.Now()
 	if origin, source, ok := d.known(stream); ok {
 		return origin, source
 	}
@@ -101,13 +105,24 @@
 		// This gateway may be cut off from the others, and they may know of versions that it has not
 		// seen.
 		return Origin{}, SourceUnknown
-	case versions.Only != 0 && !versions.Several:
+	case versions.Only != 0 && !versions.Several && d.remainsOnly(ctx, askedAt, service, versions.Only):
 		return Origin{Service: service, Version: versions.Only}, SourceOnlyVersion
 	default:
 		return Origin{}, SourceUnknown
 	}
 }
 
+// remainsOnly reports whether a version is still the only one of a service, once this gateway knows of all
+// versions that there were at the given time. The stream may have begun a moment before it was resumed, at a
+// version that had just joined, and the gateways that responded may be as far behind as this one.
+func (d *Directory) remainsOnly(ctx context.Context, at time.Time, service, version policy.Key) bool {
+	if !d.Current(ctx, at) {
+		return false
+	}
+	versions := d.Versions(service, d.Lifetime())
+	return !versions.Several && (versions.Only == 0 || versions.Only == version)
+}
+
 // lookUp asks the other gateways once and returns the ended lookup.
 func (d *Directory) lookUp(ctx context.Context, stream Stream, service policy.Key) *lookup {
 	lifetime := d.Lifetime()
--- a/internal/gateway/origin/network_test.go
+++ b/internal/gateway/origin/network_test.go
@@ -36,7 +36,7 @@
 // add starts a gateway that knows the given versions of each service.
 func (n *network) add(addr string, versions backend.Versions) *origin.Directory {
 	d := origin.New(origin.Config{
-		Peers: endpoint{n, addr}, Versions: func(policy.Key, time.Duration) backend.Versions { return versions }, Lifetime: func() time.Duration { return 10 * time.Second }, TTL: func() time.Duration { return time.Minute },
+		Peers: endpoint{n, addr}, Versions: func(policy.Key, time.Duration) backend.Versions { return versions }, Current: func(context.Context, time.Time) bool { return true }, Lifetime: func() time.Duration { return 10 * time.Second }, TTL: func() time.Duration { return time.Minute },
 	})
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -312,3 +312,65 @@
 		t.Errorf("got %+v, %s; a stream lasts ten seconds", got, source)
 	}
 }
+
+// Guards against a stream that goes on at the only version that gateways know which are all behind: the one
+// that resumes it must know of all versions that there were when it was resumed. A stream is refused where
+// nobody can know, and goes on where somebody does.
+func TestOnlyVersionNeedsCurrentList(t *testing.T) {
+	cases := map[string]struct {
+		own, others backend.Versions
+		// current is whether the list becomes current in time, and then what is known of the versions.
+		current bool
+		then    backend.Versions
+		want    origin.Source
+	}{
+		"in step":                           {onlyV1, onlyV1, true, onlyV1, origin.SourceOnlyVersion},
+		"the others don't know":             {onlyV1, notKnown, true, onlyV1, origin.SourceOnlyVersion},
+		"known to the others only":          {notKnown, onlyV1, true, notKnown, origin.SourceOnlyVersion},
+		"the list doesn't become current":   {onlyV1, onlyV1, false, onlyV1, origin.SourceUnknown},
+		"not current, the others don't":     {onlyV1, notKnown, false, onlyV1, origin.SourceUnknown},
+		"all behind, another version joins": {onlyV1, onlyV1, true, several, origin.SourceUnknown},
+		"all behind, replaced meanwhile":    {onlyV1, onlyV1, true, onlyV2, origin.SourceUnknown},
+		"the others know of several":        {onlyV1, several, true, onlyV1, origin.SourceUnknown},
+		"nobody knows":                      {notKnown, notKnown, true, notKnown, origin.SourceUnknown},
+	}
+	for name, c := range cases {
+		for _, stream := range []origin.Stream{testStream, origin.Unnamed} {
+			t.Run(fmt.Sprintf("%s, unnamed=%v", name, stream == origin.Unnamed), func(t *testing.T) {
+				t.Parallel()
+				n := newNetwork()
+				n.holders = []string{"self", "other-1", "other-2"}
+				n.add("other-1", c.others)
+				n.add("other-2", c.others)
+				var mu sync.Mutex
+				versions := c.own
+				began := time.Now()
+				self := origin.New(origin.Config{
+					Peers: endpoint{n, "self"}, Lifetime: func() time.Duration { return 10 * time.Second }, TTL: func() time.Duration { return time.Minute },
+					Versions: func(policy.Key, time.Duration) backend.Versions {
+						mu.Lock()
+						defer mu.Unlock()
+						return versions
+					},
+					Current: func(_ context.Context, at time.Time) bool {
+						if at.Before(began) || time.Since(at) > 5*time.Second {
+							t.Errorf("the list must be current at %v, the stream was resumed at %v", at, began)
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						versions = c.then
+						return c.current
+					},
+				})
+				n.mu.Lock()
+				n.directories["self"] = self
+				n.mu.Unlock()
+				found, source := self.Find(t.Context(), stream, chat)
+				if source != c.want || source == origin.SourceOnlyVersion && found != beganAtV1 {
+					t.Errorf("got %+v, %s; want %s", found, source, c.want)
+				}
+				n.inFlight.Wait()
+			})
+		}
+	}
+}
--- a/internal/gateway/server_list_age.go
+++ b/internal/gateway/server_list_age.go
@@ -84,7 +84,12 @@
 // serverListOverdue reports whether the list's age exceeds what it can reach while the gateways that
 // poll the store receive responses and pass them on.
 func (g *gateway) serverListOverdue() bool {
-	return g.servers.Position() != 0 && g.serverListAge() > time.Duration(serverListOverdueShare*float64(g.drainBound.Load()))
+	return g.servers.Position() != 0 && g.serverListAge() > g.serverListOverdueAge()
+}
+
+// serverListOverdueAge returns the age above which the list is overdue.
+func (g *gateway) serverListOverdueAge() time.Duration {
+	return time.Duration(serverListOverdueShare * float64(g.drainBound.Load()))
 }
 
 // logServerListAge logs when the list's age exceeds the bound on draining, and when it no longer
