gateway: a gap in the list of servers makes its earlier versions unknown

A version that joined and left while a gateway missed changes of the list (cut off, or the store's history gone) didn't count once the list was read anew: the gateway named the version that it found as the only one for as long as a stream lasts, so that streams of the other could go on there (report "out of step").

Cause: the time since which versions are known was set by the first list only.

Change: a list that replaces one which was last known to be complete longer ago than the bound on draining, the least time in which a server comes and goes, sets it anew.

Test, red before: TestVersionMissedInGapMakesOriginUnknown (gaps of 3 s and 1 min; 0 and 1 s change nothing).

--- a/internal/gateway/backend/registry.go
+++ b/internal/gateway/backend/registry.go
@@ -178,6 +178,13 @@
 	return r.versions.within(now, service, min(window, versionRetention))
 }
 
+// MarkChangesMissed records that servers may have been listed and removed again without having been known here.
+func (r *Registry) MarkChangesMissed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions.since = now
+}
+
 // MarkStoreUnavailable records that the store did not respond to a request, which need not have
 // been for this list.
 func (r *Registry) MarkStoreUnavailable() {
--- a/internal/gateway/backend/version_history.go
+++ b/internal/gateway/backend/version_history.go
@@ -21,7 +21,7 @@
 // versionHistory records which software versions the servers of each service have had. It isn't safe
 // for concurrent use. Keys are those of Info.VersionKey and of the service's name.
 type versionHistory struct {
-	// since is when the list was first known; zero before.
+	// since is when the list was first known, or known again after changes were missed; zero before.
 	since time.Time
 	// listed holds the versions of the listed servers, removedAt when the last server of a version
 	// was removed.
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -104,8 +104,13 @@
 
 // newServersFollower returns the follower of the list of backend servers.
 func (g *gateway) newServersFollower() *follow.Follower[backend.Info] {
+	sink := &serverListSink{
+		registry: g.registry, log: g.log,
+		confirmedAt: func() time.Duration { return g.servers.ConfirmedAt() },
+		maxGap:      func() time.Duration { return time.Duration(g.drainBound.Load()) },
+	}
 	return &follow.Follower[backend.Info]{
-		Name: "backend servers", Source: g.platform.Servers, Sink: &serverListSink{registry: g.registry, log: g.log},
+		Name: "backend servers", Source: g.platform.Servers, Sink: sink,
 		MaxWait: g.serverListWait, CoalesceDelay: serverListCoalesceDelay, ShouldCancelPoll: g.serverListNeedsRenewal,
 		Idle: func() bool { return g.serversFromPeers() && !g.confirmationOverdue() }, DefersFullRead: g.defersToPollers, Overdue: g.serverListOverdue,
 		StoreHealth: &g.storeHealth, OnCall: g.platform.Metrics.StoreCallCounter("backend_servers"), OnRestore: g.platform.Metrics.StoreRestoreCounter("backend_servers"), Log: g.log,
--- a/internal/gateway/server_list_sink.go
+++ b/internal/gateway/server_list_sink.go
@@ -15,6 +15,9 @@
 type serverListSink struct {
 	registry *backend.Registry
 	log      *zap.Logger
+	// confirmedAt returns as of which time the list was last known to be complete, on the boottime clock, and
+	// maxGap for how long changes may have been missed before a version could have joined and left.
+	confirmedAt, maxGap func() time.Duration
 	// era is the store's era (see follow.Position) at the last full read; 0 until the list has been
 	// read.
 	era atomic.Uint64
@@ -23,7 +26,10 @@
 var _ follow.Sink[backend.Info] = (*serverListSink)(nil)
 
 // Reset implements follow.Sink.
-func (s *serverListSink) Reset(_ time.Duration, all follow.Batch[backend.Info]) {
+func (s *serverListSink) Reset(asOf time.Duration, all follow.Batch[backend.Info]) {
+	if s.registry.Loaded() && asOf-s.confirmedAt() > s.maxGap() {
+		s.registry.MarkChangesMissed(time.Now())
+	}
 	if era := all.Position.Era(); era > s.era.Load() {
 		s.era.Store(era)
 		s.registry.MarkStoreRestored(time.Now())
--- a/internal/gateway/stream_origins_test.go
+++ b/internal/gateway/stream_origins_test.go
@@ -24,19 +24,29 @@
 func newGatewayWithList(t *testing.T, age time.Duration) *gateway {
 	t.Helper()
 	g := &gateway{holder: &routes.Holder{}, registry: backend.NewRegistry(), startedAt: boottime.Now() - time.Hour}
-	g.servers = &follow.Follower[backend.Info]{Sink: &serverListSink{registry: g.registry, log: zap.NewNop()}, Log: zap.NewNop()}
+	sink := &serverListSink{
+		registry: g.registry, log: zap.NewNop(),
+		confirmedAt: func() time.Duration { return g.servers.ConfirmedAt() }, maxGap: func() time.Duration { return defaultDrainBound },
+	}
+	g.servers = &follow.Follower[backend.Info]{Sink: sink, Log: zap.NewNop()}
 	g.drainBound.Store(int64(defaultDrainBound))
 	now := boottime.Now()
-	list := []follow.Delta[backend.Info]{{From: listPosition, To: listPosition, Snapshot: true, Items: []backend.Info{{ID: "1", Addr: "127.0.0.1:1", Service: "chat", SoftwareVersion: "v1", Slots: 1}}}}
-	if err := g.servers.ApplyDeltas(now-age, list); err != nil {
+	readList(t, g, now-age, listPosition)
+	g.holder.Update(routes.NewSnapshot(1, routes.Limits{}, nil, nil, routes.Access{}), now)
+	g.holder.Confirm(1, now)
+	return g
+}
+
+// readList replaces the list by one of one server, as of a time and at a position.
+func readList(t *testing.T, g *gateway, asOf time.Duration, position follow.Position) {
+	t.Helper()
+	server := backend.Info{ID: "1", Addr: "127.0.0.1:1", Service: "chat", SoftwareVersion: "v1", Slots: 1}
+	if err := g.servers.ApplyDeltas(asOf, []follow.Delta[backend.Info]{{From: position, To: position, Snapshot: true, Items: []backend.Info{server}}}); err != nil {
 		t.Fatal(err)
 	}
-	if !g.servers.Confirm(now-age, listPosition) {
+	if !g.servers.Confirm(asOf, position) {
 		t.Fatal("the list isn't confirmed")
 	}
-	g.holder.Update(routes.NewSnapshot(1, routes.Limits{}, nil, nil, routes.Access{}), now)
-	g.holder.Confirm(1, now)
-	return g
 }
 
 // Guards against an only version that is known from a list of servers which is older than the desired state.
@@ -93,3 +103,26 @@
 		t.Error("the list is current though the caller has disconnected")
 	}
 }
+
+// Guards against a version that joined and left while the list of servers wasn't known, and that doesn't count
+// when the list is read anew: a stream may have begun at it.
+func TestVersionMissedInGapMakesOriginUnknown(t *testing.T) {
+	const window = 100 * time.Millisecond
+	for gap, known := range map[time.Duration]bool{0: true, time.Second: true, 3 * time.Second: false, time.Minute: false} {
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			t.Parallel()
+			g := newGatewayWithList(t, gap)
+			g.router = router.New(router.Config{}, router.Bounds{}, nil)
+			time.Sleep(2 * window)
+			readList(t, g, boottime.Now(), listPosition+9)
+			onlyKnown := func() bool { return g.versionsWithin(policy.KeyOf("chat"), window).Only != 0 }
+			if got := onlyKnown(); got != known {
+				t.Errorf("read anew after a gap: the only version is known: %v, want %v", got, known)
+			}
+			time.Sleep(window)
+			if !onlyKnown() {
+				t.Error("the only version isn't known once the list has been known for the window")
+			}
+		})
+	}
+}
