--- a/testbed/e2e/version_test.go
+++ b/testbed/e2e/version_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/applepier/applepier/internal/targets"
+	"github.com/applepier/applepier/testbed/engine"
 	"github.com/applepier/applepier/testbed/fleet"
 )
 
@@ -28,8 +29,8 @@
 	}
 	defer f.Close()
 	wait := startStreams(ctx, t, f.Entries[0])
-	for _, backend := range f.Backends[:2] {
-		if err := backend.Server.Kill(); err != nil {
+	for _, version := range []string{"v1", "v2"} {
+		if err := busiestEngine(t, f, version).Server.Kill(); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -37,6 +38,33 @@
 	checkResumedRuns(t, f)
 }
 
+// busiestEngine returns the engine of a software version on which most streams are in progress.
+func busiestEngine(t *testing.T, f *fleet.Fleet, version string) *fleet.Backend {
+	t.Helper()
+	var busiest *fleet.Backend
+	most := -1
+	for _, backend := range f.Backends {
+		if backend.Server.Spec.SoftwareVersion != version {
+			continue
+		}
+		runs, err := backend.Server.Runs()
+		if err != nil {
+			t.Fatal(err)
+		}
+		inProgress := 0
+		for _, run := range runs {
+			if run.Outcome == engine.OutcomeRunning {
+				inProgress++
+			}
+		}
+		if inProgress > most {
+			busiest, most = backend, inProgress
+		}
+	}
+	t.Logf("%d streams are in progress on the busiest engine of version %s", most, version)
+	return busiest
+}
+
 // checkResumedRuns checks that some streams were resumed, each at the version that began it. A run that
 // began before its caller had a token doesn't bind the stream.
 func checkResumedRuns(t *testing.T, f *fleet.Fleet) {
