--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -175,7 +175,7 @@
 // newResponse returns the Response for a received header, and records whether and how long the
 // connection may be reused.
 func (e *exchange) newResponse(httpResp *http.Response) *Response {
-	e.keepConn = e.keepConn && !httpResp.Close && httpResp.ProtoAtLeast(1, 1) && !announcesBodyInVain(httpResp)
+	e.keepConn = e.keepConn && !httpResp.Close && httpResp.ProtoAtLeast(1, 1) && !announcesMissingBody(httpResp)
 	if e.requestUnread() {
 		e.extendUserTimeout()
 	}
@@ -189,9 +189,9 @@
 	return &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: length, EndsWithConnection: endsWithConnection, body: httpResp.Body, exchange: e}
 }
 
-// announcesBodyInVain reports whether the header of a response that has no body because of its status says
+// announcesMissingBody reports whether the header of a response that has no body because of its status says
 // that it has one. A server that sends it nevertheless may do so at any time.
-func announcesBodyInVain(httpResp *http.Response) bool {
+func announcesMissingBody(httpResp *http.Response) bool {
 	if httpResp.StatusCode != http.StatusNoContent && httpResp.StatusCode != http.StatusNotModified {
 		return false
 	}
--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -15,7 +15,7 @@
 	// minRecordTTL is the least time for which the origin of a stream is recorded.
 	minRecordTTL = time.Minute
 	// listCheckInterval is the time between two checks of whether the list of backend servers is confirmed.
-	listCheckInterval = 10 * time.Millisecond
+	listCheckInterval = 50 * time.Millisecond
 )
 
 // streamLifetime returns how long a stream lasts at most, with all resumptions. A caller's first
