router: a late body doesn't make a request's time limit seem short

Found by reading the check of late requests: where little is known of a route, the share that is left was taken of what remains of the time limit, so that a request whose head came at 2.4 s and whose body at 4.8 s, with a limit of 6 s, was sent and cut at 7.6 s.

Change: the share is that of the whole limit.

Test, red before: a case of TestLateRequestsDuringShutdown ("/limited"), and one of TestFitsShutdown.

--- a/internal/gateway/router/shutdown.go
+++ b/internal/gateway/router/shutdown.go
@@ -10,8 +10,8 @@
 	// shutdownSendMargin is the time before the end of a shutdown that a response needs beyond the time at
 	// its server: for a new connection, and for its way to the caller.
 	shutdownSendMargin = 100 * time.Millisecond
-	// minTimeShare is the share of its own time limit that a request of which little is known must have
-	// until the end of a shutdown.
+	// minTimeShare is the share of its whole time limit that a request of which little is known must have
+	// until the end of a shutdown, however late its body was complete.
 	minTimeShare = 0.6
 )
 
@@ -45,8 +45,8 @@
 
 // fitsShutdown reports whether the request, if it is sent now, is expected to end before a shutdown does. A
 // request ends at its deadline in any case. As long as callers are still sent here, it is sent unless one in
-// two of its route takes longer than what is left; later, unless any took longer, or little is known and most
-// of its time limit is after the end.
+// two of its route takes longer than what is left; later, unless any took longer, or little is known and
+// what is left is less than minTimeShare of its time limit.
 func (c *call) fitsShutdown(now time.Time) bool {
 	s := c.router.shutdown.Load()
 	if s == nil {
@@ -64,7 +64,7 @@
 	case known.Longest > left:
 		return false
 	default:
-		return known.Reliable || float64(left) >= minTimeShare*float64(c.deadline.Sub(now))
+		return known.Reliable || float64(left) >= minTimeShare*float64(c.deadline.Sub(c.arrivedAt))
 	}
 }
 
--- a/internal/gateway/router/shutdown_test.go
+++ b/internal/gateway/router/shutdown_test.go
@@ -20,31 +20,34 @@
 	start := time.Now()
 	cases := map[string]struct {
 		at, timeout time.Duration
+		// bodyTime is for how long the body was arriving before at.
+		bodyTime time.Duration
 		// median and slowest are those of the route's requests; unknown if there were none.
 		median, slowest time.Duration
 		want            bool
 	}{
-		"unknown, while callers come":            {time.Second, veryLong, unknown, unknown, true},
-		"unknown, later":                         {3 * time.Second, veryLong, unknown, unknown, false},
-		"unknown, with most of its time":         {3 * time.Second, long, unknown, unknown, true},
-		"unknown, with less of its time":         {4 * time.Second, long, unknown, unknown, false},
-		"unknown, ends at its deadline":          {5 * time.Second, 2 * time.Second, unknown, unknown, true},
-		"unknown, its deadline is just too late": {6500 * time.Millisecond, 2 * time.Second, unknown, unknown, false},
-		"half a second's work at the end":        {7 * time.Second, veryLong, 300 * time.Millisecond, 300 * time.Millisecond, true},
-		"a second's work at the end":             {7 * time.Second, veryLong, time.Second, time.Second, false},
-		"after the end":                          {8 * time.Second, veryLong, quick, quick, false},
-		"quick, later":                           {5 * time.Second, veryLong, quick, quick, true},
-		"slow, in time":                          {3 * time.Second, veryLong, slow, slow, true},
-		"slow, too late":                         {3600 * time.Millisecond, veryLong, slow, slow, false},
-		"mostly quick, later":                    {5 * time.Second, veryLong, quick, slow, false},
-		"mostly quick, while callers come":       {2 * time.Second, veryLong, quick, long, true},
-		"long, while callers come":               {time.Second, veryLong, long, long, true},
-		"too long, while callers come":           {2 * time.Second, veryLong, long, long, false},
+		"unknown, while callers come":            {time.Second, veryLong, 0, unknown, unknown, true},
+		"unknown, later":                         {3 * time.Second, veryLong, 0, unknown, unknown, false},
+		"unknown, with most of its time":         {3 * time.Second, long, 0, unknown, unknown, true},
+		"unknown, its body was late":             {4800 * time.Millisecond, long, 2400 * time.Millisecond, unknown, unknown, false},
+		"unknown, with less of its time":         {4 * time.Second, long, 0, unknown, unknown, false},
+		"unknown, ends at its deadline":          {5 * time.Second, 2 * time.Second, 0, unknown, unknown, true},
+		"unknown, its deadline is just too late": {6500 * time.Millisecond, 2 * time.Second, 0, unknown, unknown, false},
+		"half a second's work at the end":        {7 * time.Second, veryLong, 0, 300 * time.Millisecond, 300 * time.Millisecond, true},
+		"a second's work at the end":             {7 * time.Second, veryLong, 0, time.Second, time.Second, false},
+		"after the end":                          {8 * time.Second, veryLong, 0, quick, quick, false},
+		"quick, later":                           {5 * time.Second, veryLong, 0, quick, quick, true},
+		"slow, in time":                          {3 * time.Second, veryLong, 0, slow, slow, true},
+		"slow, too late":                         {3600 * time.Millisecond, veryLong, 0, slow, slow, false},
+		"mostly quick, later":                    {5 * time.Second, veryLong, 0, quick, slow, false},
+		"mostly quick, while callers come":       {2 * time.Second, veryLong, 0, quick, long, true},
+		"long, while callers come":               {time.Second, veryLong, 0, long, long, true},
+		"too long, while callers come":           {2 * time.Second, veryLong, 0, long, long, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			r := newTestRouter()
-			request := &call{router: r, route: &routes.Route{Name: "r"}, service: "s", deadline: start.Add(c.at + c.timeout)}
+			request := &call{router: r, route: &routes.Route{Name: "r"}, service: "s", arrivedAt: start.Add(c.at - c.bodyTime), deadline: start.Add(c.at - c.bodyTime + c.timeout)}
 			if !request.fitsShutdown(start.Add(c.at)) {
 				t.Error("a request is refused without a shutdown")
 			}
--- a/testbed/gateway/late_request_test.go
+++ b/testbed/gateway/late_request_test.go
@@ -28,12 +28,13 @@
 	,{"name":"rejected","host":"h.example","prefix":"/rejected/","type":"unsafe","timeout-ms":15000,"service":"plain","attempts":2}
 	,{"name":"resumed","host":"h.example","prefix":"/resumed/","type":"stream","timeout-ms":15000,"service":"plain","attempts":2,"resumable":true}
 	,{"name":"learned","host":"h.example","prefix":"/learned/","type":"unsafe","timeout-ms":15000,"service":"plain","attempts":1}
+	,{"name":"limited","host":"h.example","prefix":"/limited/","type":"unsafe","timeout-ms":6000,"service":"plain","attempts":1}
 	,{"name":"brief","host":"h.example","prefix":"/brief/","type":"unsafe","timeout-ms":1000,"service":"plain","attempts":1}`
 
 // respondLate is the script of the server.
 func respondLate(c net.Conn, r *gateway.ReceivedRequest) bool {
 	switch {
-	case strings.HasPrefix(r.Target, "/long"), strings.HasPrefix(r.Target, "/resumed"):
+	case strings.HasPrefix(r.Target, "/long"), strings.HasPrefix(r.Target, "/limited"), strings.HasPrefix(r.Target, "/resumed"):
 		time.Sleep(slowWork)
 	case strings.HasPrefix(r.Target, "/rejected"):
 		time.Sleep(rejectAfter)
@@ -60,6 +61,7 @@
 		{"/long/x", 4800 * time.Millisecond, "head", 503, 0},
 		{"/long/x", 5000 * time.Millisecond, "part of head", 503, 0},
 		{"/long/x", 7000 * time.Millisecond, "head", 503, 0},
+		{"/limited/x", 4800 * time.Millisecond, "head", 503, 0},
 		{"/resumed/x", 5000 * time.Millisecond, "head", 503, 0},
 		{"/rejected/x", 1000 * time.Millisecond, "nothing", 503, 1},
 		{"/learned/x", 5000 * time.Millisecond, "head", 200, 1},
