--- a/testbed/gateway/customers_test.go
+++ b/testbed/gateway/customers_test.go
@@ -34,6 +34,7 @@
 // Guards against an empty list of customers that is taken for none, so that every request runs, where the
 // state changes: one gateway reads the changes from the store, the other gets them from the first.
 func TestEmptyListOfCustomersAllowsNoKey(t *testing.T) {
+	t.Parallel()
 	first, second := startWithoutStore(t)
 	for i, list := range customerLists {
 		mark := first.PutTenants(2+i, list.tenants)
@@ -45,6 +46,7 @@
 // Guards against the same at the start of a gateway, which reads the store or gets the state from another
 // gateway.
 func TestEmptyListOfCustomersAllowsNoKeyAtStart(t *testing.T) {
+	t.Parallel()
 	for _, list := range customerLists {
 		t.Run(list.name, func(t *testing.T) {
 			t.Parallel()
--- a/testbed/gateway/early_response_test.go
+++ b/testbed/gateway/early_response_test.go
@@ -18,6 +18,7 @@
 // has read a long request, and breaks the connection off while the request is still being written. The part is
 // shorter and longer than what a gateway buffers, and the caller reads slowly or not.
 func TestPartOfEarlyResponseDoesNotLookComplete(t *testing.T) {
+	t.Parallel()
 	ends := map[string]func(*net.TCPConn){
 		"reset": func(c *net.TCPConn) { _ = c.SetLinger(0) },
 		// The host resets a connection that is closed with unread bytes.
